Add the design page, the core library and the build

Cause: the project starts empty; every part needs the same verdict, failure, clock, log, metrics, settings reader and bounded ring. Before: nothing. Conclusion: the slices can start on these interfaces.

--- /dev/null
+++ b/core/clock.h
@@ -0,0 +1,32 @@
+#ifndef LYCHEETRESTLE_CORE_CLOCK_H
+#define LYCHEETRESTLE_CORE_CLOCK_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace lycheetrestle::core {
+
+using duration = std::chrono::microseconds;
+
+/// Monotonic clock that also advances while the machine is suspended, so that
+/// a process that was frozen sees its leases as expired.
+struct boot_clock {
+  using duration = core::duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true; // NOLINT: named by the standard
+
+  /// \returns the time since boot, in microseconds.
+  static time_point now();
+};
+
+using time_point = boot_clock::time_point;
+
+/// \returns wall time in milliseconds since the Unix epoch; used only to stamp
+/// records for people, never to decide on safety.
+std::int64_t wallMilliseconds();
+
+} // namespace lycheetrestle::core
+
+#endif
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on every source of the build, or on the files given.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -f build/compile_commands.json ] || cmake -S . -B build -G Ninja >/dev/null
+if [ $# -eq 0 ]; then
+  mapfile -t Files < <(git ls-files -co --exclude-standard '*.cpp' | grep -v '^tests/main/')
+else
+  Files=("$@")
+fi
+printf '%s\0' "${Files[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+echo "lint: clean (${#Files[@]} files)"
