Declare the interfaces between the modules

Cause: the modules are written in parallel and need fixed contracts first. Before: core only. After: every header compiles alone; core's tests pass. Conclusion: implementations can start.

--- /dev/null
+++ b/declaration/declaration.h
@@ -0,0 +1,56 @@
+#ifndef LYCHEETRESTLE_DECLARATION_DECLARATION_H
+#define LYCHEETRESTLE_DECLARATION_DECLARATION_H
+
+#include "core/failure.h"
+#include "fleet/fleet_state.h"
+#include "fleet/types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::declaration {
+
+/// Largest accepted declaration; 10,000 hosts need about 1.5 MB.
+constexpr std::size_t MaxDeclarationBytes = 4u << 20;
+
+/// Parses a declaration (JSON with comments) and checks it whole: unknown
+/// fields, types, ranges, duplicate names, references between parts, and
+/// budgets that no pool could keep.
+/// \param Text the document.
+/// \returns the declaration, or BadInput with field, value and rule.
+core::result<fleet::declaration> parseDeclaration(std::string_view Text);
+
+/// \param Declaration the declaration.
+/// \returns it as JSON in the accepted format.
+std::string toJson(const fleet::declaration &Declaration);
+
+/// What accepting a declaration would do.
+struct declaration_plan {
+  struct host_step {
+    std::string Host;
+    std::string FromPool, ToPool; ///< Equal unless the host moves.
+    std::string Action;           ///< `add`, `move`, `remove`.
+    std::uint32_t Batch = 0;      ///< Steps of one batch run together.
+  };
+  struct pool_budget {
+    std::string Pool;
+    std::uint32_t Hosts = 0, Available = 0, Minimum = 0;
+    std::uint32_t LowestAvailable = 0; ///< At the worst moment of the plan.
+  };
+  std::vector<host_step> Steps;
+  std::vector<pool_budget> Budgets;
+};
+
+/// Plans a declaration without changing anything.
+/// \param State the state it would be applied to.
+/// \param Next the declaration.
+/// \returns the plan, or Conflict when its number is not larger than the
+/// current one.
+core::result<declaration_plan> planDeclaration(const fleet::fleet_state &State,
+                                               const fleet::declaration &Next);
+
+} // namespace lycheetrestle::declaration
+
+#endif
--- /dev/null
+++ b/fleet/commands.h
@@ -0,0 +1,125 @@
+#ifndef LYCHEETRESTLE_FLEET_COMMANDS_H
+#define LYCHEETRESTLE_FLEET_COMMANDS_H
+
+#include "core/failure.h"
+#include "fleet/types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheetrestle::fleet {
+
+/// Submits a declaration. The text was parsed and checked by the leader; the
+/// state machine checks number and submission again.
+struct submit_declaration {
+  declaration Declaration;
+};
+
+/// Asks for a host to be drained, rebooted, moved or returned to service.
+struct request_host_goal {
+  std::string Host;
+  host_goal Goal = host_goal::None; ///< None returns it to service.
+  std::string TargetPool;
+};
+
+/// Moves a host to the next state of its life cycle.
+struct change_host_state {
+  std::string Host;
+  std::uint64_t FromEpoch = 0; ///< Refused when the host has another epoch.
+  host_state To = host_state::InService;
+  host_goal Goal = host_goal::None; ///< Set when To is Cordoned.
+  std::string TargetPool;           ///< Set when Goal is Move.
+  std::uint64_t Wave = 0;           ///< Set when a wave starts the host.
+  std::string Reason;
+};
+
+struct start_wave {};
+struct pause_wave {
+  std::uint64_t Wave = 0;
+  std::string Reason;
+};
+struct resume_wave {
+  std::uint64_t Wave = 0;
+};
+struct finish_wave {
+  std::uint64_t Wave = 0;
+};
+
+struct submit_job {
+  std::string Team;
+  std::string Pool;
+  work_class Class = work_class::Normal;
+  resources Declared;
+  std::uint32_t RunSeconds = 0;
+};
+struct cancel_job {
+  std::uint64_t Job = 0;
+};
+/// Binds a waiting or checkpointed job to a worker under a new lease.
+struct start_job {
+  std::uint64_t Job = 0;
+  std::string Host;
+  std::uint64_t HostEpoch = 0;
+  std::int64_t LeaseUntilMs = 0;
+};
+struct renew_job_lease {
+  std::uint64_t Job = 0;
+  std::uint64_t Lease = 0;
+  std::int64_t LeaseUntilMs = 0;
+};
+/// Records what the platform reported about a job.
+struct change_job_state {
+  std::uint64_t Job = 0;
+  std::uint64_t Lease = 0; ///< Refused when the job has another lease.
+  job_state To = job_state::Running;
+  resources Learnt;
+  std::string Reason;
+};
+
+/// Records that a keyed request is about to be dispatched.
+struct reserve_key {
+  std::string Key; ///< `service/key`.
+  std::uint64_t RequestDigest = 0;
+  std::string Holder; ///< `entry#incarnation/sequence`; a resend repeats it.
+};
+/// Stores the response of a keyed request.
+struct complete_key {
+  std::string Key;
+  std::string Holder;
+  std::uint32_t Status = 0;
+  std::string ContentType;
+  std::string Body; ///< Empty with BodyDropped when it is too large to keep.
+  bool BodyDropped = false;
+};
+/// Frees a key whose request was certainly not run.
+struct abandon_key {
+  std::string Key;
+  std::string Holder;
+};
+
+using command_body =
+    std::variant<submit_declaration, request_host_goal, change_host_state,
+                 start_wave, pause_wave, resume_wave, finish_wave, submit_job,
+                 cancel_job, start_job, renew_job_lease, change_job_state,
+                 reserve_key, complete_key, abandon_key>;
+
+/// A command with its origin.
+struct command {
+  std::string Submission;  ///< Makes a resend idempotent; empty when internal.
+  std::string Actor;       ///< Operator's name, or `system`.
+  std::int64_t TimeMs = 0; ///< Leader's wall time.
+  command_body Body;
+};
+
+/// \param Command the command to write.
+/// \returns its CBOR bytes.
+std::string encode(const command &Command);
+/// \param Bytes bytes as written by encode().
+/// \returns the command, or Corrupt.
+core::result<command> decodeCommand(std::string_view Bytes);
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- /dev/null
+++ b/fleet/fleet_state.h
@@ -0,0 +1,101 @@
+#ifndef LYCHEETRESTLE_FLEET_FLEET_STATE_H
+#define LYCHEETRESTLE_FLEET_FLEET_STATE_H
+
+#include "core/failure.h"
+#include "fleet/commands.h"
+#include "fleet/types.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::fleet {
+
+/// What applying a command gave. It is a pure function of the state before and
+/// the command, so it is the same on every replica and after a restart.
+struct apply_result {
+  std::optional<core::failure> Failure; ///< Nothing was changed when set.
+  std::string Response; ///< JSON for the caller; kept for resends.
+};
+
+enum class key_status : std::uint8_t { Unknown, Reserved, Completed };
+
+struct key_record {
+  key_status Status = key_status::Unknown;
+  std::uint64_t RequestDigest = 0;
+  std::string Holder;
+  std::uint32_t HttpStatus = 0;
+  std::string ContentType;
+  std::string Body;
+  bool BodyDropped = false;
+  std::int64_t TimeMs = 0;
+};
+
+struct pool_summary {
+  std::string Name;
+  std::uint32_t Hosts = 0;     ///< Hosts that belong to the pool now.
+  std::uint32_t HomeHosts = 0; ///< Hosts whose home is the pool.
+  std::uint32_t Available = 0; ///< Hosts in service.
+  std::uint32_t Minimum = 0;   ///< Smallest allowed number available.
+};
+
+struct audit_filter {
+  std::string Actor, Kind, Object; ///< Empty accepts all.
+  std::uint64_t AfterIndex = 0;
+  std::size_t Limit = 100;
+};
+
+/// The replicated state machine. It changes only through apply().
+class fleet_state {
+public:
+  fleet_state();
+  ~fleet_state();
+  fleet_state(fleet_state &&) noexcept;
+  fleet_state &operator=(fleet_state &&) noexcept;
+
+  /// Applies a committed command.
+  /// \param Command the command.
+  /// \param Index its log index, larger than all before.
+  apply_result apply(const command &Command, std::uint64_t Index);
+
+  /// \returns the state as bytes, equal on replicas with equal state.
+  std::string snapshot() const;
+  /// \param Bytes bytes of snapshot().
+  /// \returns the state, or Corrupt.
+  static core::result<fleet_state> restore(std::string_view Bytes);
+  /// \returns a hash of snapshot().
+  std::uint64_t digest() const;
+
+  std::uint64_t appliedIndex() const;
+  std::int64_t timeMs() const; ///< Largest stamp so far.
+  /// \returns log index of the last change that entries must know: hosts,
+  /// pools or services.
+  std::uint64_t viewIndex() const;
+  /// \returns log index of the last change of pools or services.
+  std::uint64_t declarationIndex() const;
+  const declaration &currentDeclaration() const;
+  /// \returns accepted declarations by number, oldest first.
+  std::vector<std::uint64_t> declarationNumbers() const;
+  std::optional<declaration> declarationByNumber(std::uint64_t Number) const;
+  const std::map<std::string, host_record, std::less<>> &hosts() const;
+  std::vector<pool_summary> pools() const;
+  const std::map<std::uint64_t, wave_record> &waves() const;
+  const std::map<std::uint64_t, job_record> &jobs() const;
+  key_record findKey(std::string_view Key) const;
+  std::size_t keyCount() const;
+  std::vector<audit_record> audit(const audit_filter &Filter) const;
+  /// \returns the result of an earlier submission, for resends.
+  std::optional<apply_result> findSubmission(std::string_view Submission) const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- /dev/null
+++ b/reconciler/reconciler.h
@@ -0,0 +1,76 @@
+#ifndef LYCHEETRESTLE_RECONCILER_RECONCILER_H
+#define LYCHEETRESTLE_RECONCILER_RECONCILER_H
+
+#include "capacity/pool_sizer.h"
+#include "core/clock.h"
+#include "fleet/fleet_state.h"
+#include "placement/placer.h"
+#include "platform/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::reconciler {
+
+/// What the leader last heard of an entry.
+struct entry_status {
+  std::string Name;
+  std::uint64_t ViewIndex = 0;
+  core::time_point HeardAt{}; ///< Time of the last report.
+  bool EverHeard = false;
+  std::map<std::string, std::uint32_t> InFlightByHost;
+  std::map<std::string, double> DemandByService;
+  std::map<std::string, std::uint32_t> QueuedByService;
+  std::map<std::string, std::uint32_t> BusySlotsByService;
+};
+
+struct reconciler_settings {
+  /// An entry that was silent for this long refuses requests by itself.
+  core::duration EntrySilence = std::chrono::milliseconds(3500);
+  /// A host that the platform reports Down for this long counts as failed.
+  core::duration DownBeforeFailed = std::chrono::seconds(5);
+  /// A host that does not come back from a reboot or move counts as failed.
+  core::duration ReturnTimeout = std::chrono::minutes(10);
+  std::uint32_t SlotsPerHost = 8;
+  capacity::sizer_settings Sizer;
+  placement::placer_settings Placer;
+};
+
+struct reconciler_output {
+  std::vector<fleet::command_body> Commands; ///< To propose, as `system`.
+  std::vector<platform::order> Orders; ///< Idempotent; repeated until done.
+};
+
+/// The leader's control loop: compares the replicated state with what the
+/// platform and the entries report, and decides the next steps. Pure apart
+/// from memory that a new leader rebuilds within a few rounds.
+class reconciler {
+public:
+  explicit reconciler(reconciler_settings Settings);
+  /// Forgets what earlier leadership learnt; call it when becoming leader.
+  void reset(core::time_point Now);
+  /// \param State the state, applied up to the commit index.
+  /// \param Reports the platform's last report, or nothing when it is
+  /// unreachable.
+  /// \param Entries every configured entry.
+  /// \param Now the time of the round.
+  reconciler_output
+  plan(const fleet::fleet_state &State,
+       const std::optional<std::vector<platform::host_report>> &Reports,
+       std::span<const entry_status> Entries, core::time_point Now);
+
+private:
+  reconciler_settings Settings;
+  capacity::pool_sizer Sizer;
+  std::map<std::string, core::time_point, std::less<>> DownSince;
+  core::time_point LastSizing{};
+  core::time_point StartedAt{};
+};
+
+} // namespace lycheetrestle::reconciler
+
+#endif
--- /dev/null
+++ b/replication/raft_node.h
@@ -0,0 +1,117 @@
+#ifndef LYCHEETRESTLE_REPLICATION_RAFT_NODE_H
+#define LYCHEETRESTLE_REPLICATION_RAFT_NODE_H
+
+#include "core/clock.h"
+#include "core/failure.h"
+#include "replication/types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::replication {
+
+struct raft_settings {
+  replica_id Self;
+  core::duration Heartbeat = std::chrono::milliseconds(100);
+  /// Shortest election timeout; each timeout is drawn from [this, 2 * this).
+  core::duration ElectionTimeout = std::chrono::milliseconds(1000);
+  std::size_t MaxAppendBytes = 256u << 10; ///< For one append message.
+  std::size_t SnapshotPartBytes = 256u << 10;
+  std::size_t MaxUncommittedBytes = 8u << 20; ///< Proposals beyond are refused.
+  std::uint64_t Seed = 0;                     ///< Seed of the timeouts.
+};
+
+struct outgoing_message {
+  replica_id To;
+  std::string Bytes; ///< CBOR.
+};
+
+/// A read that a majority confirmed after it was requested.
+struct read_result {
+  std::uint64_t Token = 0;
+  bool Confirmed = false;  ///< False when leadership was lost; ask again.
+  std::uint64_t Index = 0; ///< The state must have applied this index.
+};
+
+/// What the driver must do, in any order except where stated.
+struct raft_output {
+  std::vector<outgoing_message> Messages; ///< May be sent at once.
+  std::optional<storage_write> Write;     ///< Sync it, then call stored().
+  std::optional<snapshot> Restore;        ///< Replace the state machine first.
+  std::vector<log_entry> Committed; ///< Apply in order, each exactly once.
+  std::vector<read_result> Reads;
+};
+
+enum class raft_role : std::uint8_t { Learner, Follower, Candidate, Leader };
+
+struct raft_status {
+  raft_role Role = raft_role::Follower;
+  std::uint64_t Term = 0;
+  std::optional<replica_id> Leader;
+  std::uint64_t CommitIndex = 0;
+  std::uint64_t LastIndex = 0;
+  std::uint64_t SnapshotIndex = 0;
+  membership Members;
+};
+
+/// One replica of the log (Raft): pre-vote, a leader that steps down without a
+/// majority, reads confirmed by a majority, snapshots, learners, and one
+/// membership change at a time. It does no input or output: the driver passes
+/// in time, messages and finished writes, and executes takeOutput().
+class raft_node {
+public:
+  /// \param Settings identity and timing.
+  /// \param Found what was on the disk.
+  /// \param Initial voters of a new cluster; used only when Found is empty. An
+  /// empty membership makes this replica wait until a leader adds it.
+  /// \param Now the time of the start.
+  raft_node(raft_settings Settings, persistent_state Found, membership Initial,
+            core::time_point Now);
+  ~raft_node();
+
+  void tick(core::time_point Now);
+  /// \param From the sender as the transport knows it.
+  /// \param Bytes a message; malformed ones are dropped and counted.
+  void receive(const replica_id &From, std::string_view Bytes,
+               core::time_point Now);
+  /// Reports that the write with this ticket, and all before it, are synced.
+  void stored(std::uint64_t Ticket, core::time_point Now);
+  /// Reports that storage refused a write, for example because the disk is
+  /// full. A leader steps down; the driver passes the same write again later.
+  void storageFailed(core::time_point Now);
+
+  /// \param Payload the command.
+  /// \returns the index it will have if it commits, or NotLeader, Overloaded.
+  core::result<std::uint64_t> propose(std::string Payload);
+  /// \param Target differs from the current membership in one member.
+  /// \returns the index, or NotLeader, Conflict (a change is under way), or
+  /// BadInput (more than one member differs).
+  core::result<std::uint64_t> proposeMembership(membership Target);
+  /// \returns a token that comes back in raft_output::Reads, or NotLeader.
+  core::result<std::uint64_t> requestRead(core::time_point Now);
+  /// Hands leadership to the follower that is furthest ahead, for a shutdown.
+  void transferLeadership(core::time_point Now);
+  /// Lets the log up to the index go.
+  /// \param Index an applied index.
+  /// \param State the state machine's bytes at that index.
+  void compact(std::uint64_t Index, std::string State);
+  /// \returns for a leader, whether a learner has all committed entries.
+  bool hasCaughtUp(const replica_id &Learner) const;
+
+  raft_output takeOutput();
+  raft_status status() const;
+  /// \returns the earliest time at which tick() has something to do.
+  core::time_point nextTick() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace lycheetrestle::replication
+
+#endif
--- /dev/null
+++ b/routing/entry_router.h
@@ -0,0 +1,145 @@
+#ifndef LYCHEETRESTLE_ROUTING_ENTRY_ROUTER_H
+#define LYCHEETRESTLE_ROUTING_ENTRY_ROUTER_H
+
+#include "core/clock.h"
+#include "core/failure.h"
+#include "core/metrics.h"
+#include "fleet/types.h"
+#include "routing/messages.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+struct router_settings {
+  std::string Self;                  ///< Process name of this entry.
+  std::uint64_t Incarnation = 0;     ///< Random for each start.
+  std::vector<std::string> Entries;  ///< Every configured entry, Self included.
+  std::vector<std::string> Controls; ///< Every configured control replica.
+  core::duration Freshness = std::chrono::milliseconds(3000);
+  core::duration ProbeInterval = std::chrono::milliseconds(250);
+  core::duration AnnouncementLease = std::chrono::milliseconds(3000);
+  core::duration GossipInterval = std::chrono::milliseconds(100);
+  std::uint32_t MaxQueuedPerClass = 1000; ///< For each service at its broker.
+  std::uint32_t MaxInFlight = 4000;       ///< Callers' requests at this entry.
+  std::uint32_t MaxRetries = 2;
+  double RetryBudget = 0.1;     ///< Retries as a share of recent requests.
+  std::uint32_t BatchShare = 8; ///< One of so many grants while batch waits.
+  std::uint32_t MaxDeadlineMs = 60000;
+  std::size_t MaxStoredResponse = 16u << 10; ///< Bytes kept for a key.
+};
+
+/// A caller's request as the HTTP thread received it, whole.
+struct caller_request {
+  std::uint64_t Id = 0; ///< Unique in this process.
+  std::string Method;
+  std::string Service;
+  std::string Path; ///< Path and query that the endpoint receives.
+  std::string CorrelationId;
+  std::string Key; ///< Empty without `Idempotency-Key`.
+  std::string ContentType;
+  std::string Body;
+  std::optional<fleet::work_class> Class;
+  std::optional<std::uint32_t> DeadlineMs;
+};
+
+struct caller_response {
+  std::uint64_t Id = 0;
+  std::uint32_t Status = 503;
+  core::verdict Verdict = core::verdict::NotRun;
+  std::string Refusal; ///< Fixed code, empty unless refused.
+  std::string CorrelationId;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// One attempt at an endpoint.
+struct upstream_request {
+  std::uint64_t Attempt = 0; ///< Unique in this process.
+  std::string Endpoint;      ///< Name, for connection limits.
+  std::string Address;       ///< `ip:port`.
+  std::string Method, Path, CorrelationId, ContentType, Body;
+  fleet::work_class Class = fleet::work_class::Normal;
+  std::uint32_t DeadlineMs = 0;
+  std::uint32_t MaxConnections = 0; ///< To this endpoint from this entry.
+};
+
+enum class upstream_status : std::uint8_t {
+  Complete, ///< A whole response with the correlation id of the request.
+  NotSent,  ///< Certainly not executed: no connection, or nothing was sent.
+  Unknown,  ///< Lost, late, truncated, oversized or with another id.
+};
+
+struct upstream_result {
+  std::uint64_t Attempt = 0;
+  upstream_status Status = upstream_status::Unknown;
+  std::uint32_t HttpStatus = 0;
+  bool SaysNotRun = false; ///< 503 with `X-Verdict: not-run`.
+  std::string ContentType;
+  std::string Body;
+  std::string Reason; ///< For the log when not Complete.
+};
+
+struct outgoing {
+  std::string Peer;
+  message Message;
+};
+
+/// What the threads around the router must do.
+struct router_output {
+  std::vector<caller_response> Responses; ///< Exactly one for each request.
+  std::vector<upstream_request> Dispatch;
+  std::vector<std::uint64_t> CancelUpstream; ///< Attempts no longer awaited.
+  std::vector<outgoing> Messages;
+};
+
+/// All decisions of an entry: freshness of the configuration, the endpoint
+/// registry, slots and queues, keyed requests, retries and verdicts. It does no
+/// input or output, so tests drive it with a virtual clock.
+class entry_router {
+public:
+  entry_router(router_settings Settings, core::metrics_registry &Metrics,
+               core::time_point Now);
+  ~entry_router();
+
+  void onCallerRequest(caller_request Request, core::time_point Now);
+  /// The caller closed its connection; no response is produced any more.
+  void onCallerGone(std::uint64_t Id, core::time_point Now);
+  void onUpstreamResult(upstream_result Result, core::time_point Now);
+  /// \param Announcement from an endpoint itself.
+  /// \returns success, or Conflict when it is older than the known one.
+  core::result<void> onAnnouncement(announcement Announcement,
+                                    core::time_point Now);
+  void onMessage(const std::string &Peer, message Message,
+                 core::time_point Now);
+  void onPeerChange(const std::string &Peer, bool IsUp, core::time_point Now);
+  void tick(core::time_point Now);
+  /// Refuses new requests from now on, and hands its brokered slots back.
+  void beginShutdown(core::time_point Now);
+
+  router_output takeOutput();
+  /// \returns whether it may serve now; readiness of the process.
+  bool isReady(core::time_point Now) const;
+  /// \returns whether no caller's request is in flight and no abandon or
+  /// completion of a key is unconfirmed.
+  bool isIdle() const;
+  /// \returns JSON of version, freshness, endpoints, queues and slots.
+  std::string statusJson(core::time_point Now) const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+/// Parses the JSON of an announcement.
+/// \param Text the body of the request, at most 4 KB.
+/// \returns the announcement, or BadInput with field and value, or TooLarge.
+core::result<announcement> parseAnnouncement(std::string_view Text);
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/messages.h
@@ -0,0 +1,179 @@
+#ifndef LYCHEETRESTLE_ROUTING_MESSAGES_H
+#define LYCHEETRESTLE_ROUTING_MESSAGES_H
+
+#include "core/failure.h"
+#include "fleet/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+/// A host as entries need it.
+struct host_view {
+  std::string Name;
+  std::string Pool;
+  std::string Zone;
+  fleet::host_state State = fleet::host_state::InService;
+  std::uint64_t Epoch = 0;
+  std::uint64_t ChangedIndex = 0;
+};
+
+/// Changes of the view since the index that the asker knows.
+struct view_delta {
+  std::uint64_t ViewIndex = 0;
+  std::uint64_t DeclarationNumber = 0;
+  bool IsFull = false; ///< Hosts lists every host; others are gone.
+  std::vector<host_view> Hosts;
+  /// Set when pools or services changed since.
+  std::optional<std::vector<fleet::service_spec>> Services;
+};
+
+/// An endpoint's announcement.
+struct announcement {
+  std::string Endpoint;
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+  std::string Service, Pool, Host, Zone;
+  std::string Address; ///< `ip:port`.
+  std::uint32_t Slots = 8;
+  std::uint32_t Connections = 64;
+  bool Leaving = false;
+  std::uint32_t InFlight = 0;
+};
+
+// Between an entry and control.
+
+struct probe {
+  std::uint64_t Nonce = 0;
+  std::uint64_t KnownViewIndex = 0;
+};
+struct probe_reply {
+  std::uint64_t Nonce = 0;
+  bool Confirmed = false; ///< Sent by a leader that a majority confirmed.
+  std::string Leader;     ///< Process name of the leader, when known.
+  view_delta Delta;       ///< Empty unless Confirmed.
+};
+/// Sent each second to the leader.
+struct entry_report {
+  std::uint64_t ViewIndex = 0;
+  std::uint64_t DeclarationNumber = 0;
+  bool Serving = false;
+  std::map<std::string, std::uint32_t> InFlightByHost;
+  std::map<std::string, double> DemandByService; ///< Requests a second.
+  std::map<std::string, std::uint32_t> QueuedByService;
+  std::map<std::string, std::uint32_t> BusySlotsByService;
+};
+struct key_reserve {
+  std::uint64_t RequestId = 0;
+  std::string Key;
+  std::uint64_t RequestDigest = 0;
+  std::string Holder;
+};
+struct key_complete {
+  std::uint64_t RequestId = 0;
+  std::string Key;
+  std::string Holder;
+  std::uint32_t Status = 0;
+  std::string ContentType;
+  std::string Body;
+  bool BodyDropped = false;
+};
+struct key_abandon {
+  std::uint64_t RequestId = 0;
+  std::string Key;
+  std::string Holder;
+};
+enum class key_outcome : std::uint8_t {
+  Granted,  ///< Dispatch may start; also the reply to complete and abandon.
+  Held,     ///< Another holder dispatched it; no response is stored yet.
+  Stored,   ///< Status, ContentType and Body hold the stored response.
+  Mismatch, ///< The key was used with another request.
+  Refused,  ///< Not recorded; the request must not be dispatched.
+};
+struct key_reply {
+  std::uint64_t RequestId = 0;
+  key_outcome Outcome = key_outcome::Refused;
+  std::string Reason;
+  std::uint32_t Status = 0;
+  std::string ContentType;
+  std::string Body;
+  bool BodyDropped = false;
+};
+
+// Between entries.
+
+struct peer_probe {
+  std::uint64_t Nonce = 0;
+  std::uint64_t KnownViewIndex = 0;
+};
+struct peer_reply {
+  std::uint64_t Nonce = 0;
+  bool Serving = false;
+  /// Age of the sender's confirmation from control when it replied; negative
+  /// when it has none.
+  std::int64_t ConfirmationAgeMs = -1;
+  view_delta Delta;
+};
+struct announcements {
+  std::vector<announcement> List;
+};
+struct slot_request {
+  std::uint64_t RequestId = 0;
+  std::string Service;
+  fleet::work_class Class = fleet::work_class::Normal;
+  std::uint32_t DeadlineMs = 0;   ///< Time left.
+  std::vector<std::string> Avoid; ///< Endpoints that failed an earlier try.
+};
+struct slot_grant {
+  std::uint64_t RequestId = 0;
+  std::string Service;
+  std::string Endpoint;
+  std::uint64_t Token = 0;
+};
+struct slot_refusal {
+  std::uint64_t RequestId = 0;
+  std::string Reason; ///< Fixed code, as in `X-Refusal`.
+};
+/// Withdraws a request that still waits.
+struct slot_cancel {
+  std::uint64_t RequestId = 0;
+};
+struct slot_release {
+  std::string Service;
+  std::string Endpoint;
+  std::uint64_t Token = 0;
+  std::uint32_t ServiceMs = 0; ///< Time the endpoint took.
+  bool Failed = false;
+};
+struct held_slot {
+  std::string Endpoint;
+  std::uint64_t Token = 0;
+};
+/// Tells a new broker what the sender holds; waiting requests are sent again.
+struct slot_report {
+  std::string Service;
+  std::vector<held_slot> Held;
+};
+
+using message =
+    std::variant<probe, probe_reply, entry_report, key_reserve, key_complete,
+                 key_abandon, key_reply, peer_probe, peer_reply, announcements,
+                 slot_request, slot_grant, slot_refusal, slot_cancel,
+                 slot_release, slot_report>;
+
+/// \param Message the message to write.
+/// \returns its CBOR bytes: a map with `type` and `body`.
+std::string encode(const message &Message);
+/// \param Bytes bytes from a peer.
+/// \returns the message, or Corrupt when bytes are malformed or over a bound.
+core::result<message> decodeMessage(std::string_view Bytes);
+
+} // namespace lycheetrestle::routing
+
+#endif
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,5 +8,5 @@
 else
   Files=("$@")
 fi
-printf '%s\0' "${Files[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+printf '%s\0' "${Files[@]}" | xargs -0 -n 1 -P "${LINT_JOBS:-$(nproc)}" clang-tidy -p build --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
 echo "lint: clean (${#Files[@]} files)"
--- /dev/null
+++ b/storage/log_store.h
@@ -0,0 +1,51 @@
+#ifndef LYCHEETRESTLE_STORAGE_LOG_STORE_H
+#define LYCHEETRESTLE_STORAGE_LOG_STORE_H
+
+#include "core/failure.h"
+#include "replication/types.h"
+#include "storage/file_system.h"
+#include "storage/posix_files.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace lycheetrestle::storage {
+
+/// Identity file of a data folder.
+struct folder_identity {
+  std::string ClusterId;
+  replication::replica_id Replica;
+  /// Voters of a new cluster; empty when the replica waits to be added.
+  replication::membership Initial;
+};
+
+/// Durable part of one replica: identity, hard state, write-ahead log in
+/// segments with a CRC-32 for each record, and snapshots. Used by one thread.
+template <file_system Files> class log_store {
+public:
+  explicit log_store(Files Folder);
+
+  /// \returns the identity, or nothing when the folder is empty.
+  core::result<std::optional<folder_identity>> readIdentity();
+  /// Writes the identity into an empty folder and syncs it.
+  core::result<void> writeIdentity(const folder_identity &Identity);
+  /// Reads everything. A torn tail is cut; damage before the tail fails with
+  /// Corrupt, naming file and offset.
+  core::result<replication::persistent_state> load();
+  /// Executes a write and syncs it. After a failure nothing of the write is
+  /// acknowledged, and the same write may be passed again.
+  core::result<void> execute(const replication::storage_write &Write);
+  /// \returns bytes in all files.
+  std::uint64_t sizeBytes() const;
+
+private:
+  class implementation;
+  std::shared_ptr<implementation> Impl;
+};
+
+extern template class log_store<posix_files>;
+
+} // namespace lycheetrestle::storage
+
+#endif
--- /dev/null
+++ b/transport/link_hub.h
@@ -0,0 +1,74 @@
+#ifndef LYCHEETRESTLE_TRANSPORT_LINK_HUB_H
+#define LYCHEETRESTLE_TRANSPORT_LINK_HUB_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+// This header is included from C++17 and C++20 sources, so it uses neither
+// std::span nor concepts.
+namespace lycheetrestle::transport {
+
+/// Another process of the system.
+struct link_peer {
+  std::string Name;    ///< Process name, for example `control-1`.
+  std::string Address; ///< IP address.
+  std::uint16_t Port = 0;
+};
+
+struct link_settings {
+  std::string SelfName;
+  std::string ListenAddress;
+  std::uint16_t ListenPort = 0;
+  std::vector<link_peer> Peers;           ///< Peers that this process dials.
+  std::size_t MaxQueuedBytes = 4u << 20;  ///< For each peer.
+  std::size_t MaxMessageBytes = 4u << 20; ///< Larger messages end the link.
+};
+
+/// Called on the hub's own thread; handlers must not block.
+struct link_handlers {
+  std::function<void(const std::string &Peer, std::string Bytes)> OnMessage;
+  std::function<void(const std::string &Peer, bool IsUp)> OnPeerChange;
+  std::function<void(const std::string &Peer, const std::string &Reason)>
+      OnError;
+};
+
+/// Message links to the other processes over websockets. It listens, dials
+/// every configured peer, dials again with backoff after a loss, and names
+/// both sides in a first message. Messages on one link keep their order; after
+/// a link is lost, messages may be lost but are never duplicated.
+class link_hub {
+public:
+  link_hub(link_settings Settings, link_handlers Handlers);
+  /// Stops the hub when it still runs.
+  ~link_hub();
+  link_hub(const link_hub &) = delete;
+  link_hub &operator=(const link_hub &) = delete;
+
+  /// Binds the listening socket and starts the hub's thread.
+  /// \returns an empty string, or the reason why the address cannot be bound.
+  std::string start();
+  /// Closes all links and joins the thread.
+  void stop();
+  /// Queues a message. Safe from any thread.
+  /// \param Peer the process name of the receiver.
+  /// \param Bytes the message.
+  /// \returns false when the link is down or its queue is full; the message is
+  /// then certainly not sent.
+  bool send(const std::string &Peer, std::string Bytes);
+  /// Adds a peer to dial, or changes its address.
+  void addPeer(link_peer Peer);
+  /// Closes the link to a peer and stops dialling it.
+  void removePeer(const std::string &Name);
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace lycheetrestle::transport
+
+#endif
