Add the control role and the daemon

Cause: the replicated state needs a process that drives replication, storage, links and HTTP, and answers operators and entries.

Settings name the place of each error. The daemon reads the role from the settings file.

--- /dev/null
+++ b/control/control_loop.h
@@ -0,0 +1,161 @@
+#ifndef LYCHEETRESTLE_CONTROL_CONTROL_LOOP_H
+#define LYCHEETRESTLE_CONTROL_CONTROL_LOOP_H
+
+#include "control/control_frames.h"
+#include "control/control_settings.h"
+#include "control/control_types.h"
+#include "control/entry_tracker.h"
+#include "control/waiting.h"
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "fleet/fleet_state.h"
+#include "reconciler/reconciler.h"
+#include "replication/raft_node.h"
+#include "routing/messages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::control {
+
+/// What the driver of a control_loop must do.
+struct control_actions {
+  std::vector<link_message> Messages;
+  std::vector<replication::storage_write> Writes; ///< In this order.
+  std::vector<control_answer> Answers;
+  std::optional<platform_round> Platform; ///< Execute, then report.
+};
+
+/// All decisions of one control replica, single-threaded and without input or
+/// output: replication, the state machine, answers to operators and entries,
+/// membership and the reconciler. The driver passes in events and executes
+/// takeActions() after each batch of them.
+class control_loop {
+public:
+  /// \param Settings the settings of the process.
+  /// \param Self the identity of this replica.
+  /// \param Found what was on the disk.
+  /// \param Initial voters of a new cluster; empty to wait for being added.
+  /// \param Metrics receives the metrics; must outlive the loop.
+  /// \param Now the time of the start.
+  control_loop(control_settings Settings, replication::replica_id Self,
+               replication::persistent_state Found,
+               replication::membership Initial, core::metrics_registry &Metrics,
+               core::time_point Now);
+
+  void tick(core::time_point Now);
+  /// \param Peer name of the sender as the link knows it.
+  void receive(const std::string &Peer, std::string_view Bytes,
+               core::time_point Now);
+  void handle(control_request Request, core::time_point Now);
+  void stored(std::uint64_t Ticket, core::time_point Now);
+  void storageFailed(core::time_point Now);
+  /// \param Reports the hosts, or nothing when the platform is unreachable.
+  void
+  platformReported(std::optional<std::vector<platform::host_report>> Reports,
+                   core::time_point Now);
+  /// Refuses new requests, finishes those under way and hands leadership over.
+  void beginShutdown(core::time_point Now);
+  /// \returns whether the shutdown has nothing left to wait for.
+  bool isDrained(core::time_point Now) const;
+
+  control_actions takeActions(core::time_point Now);
+  core::time_point nextTick() const;
+
+  replication::raft_status status() const { return Raft.status(); }
+  const fleet::fleet_state &state() const { return State; }
+  std::uint64_t appliedIndex() const { return AppliedIndex; }
+  /// \returns whether a leader is known, so that requests find an answer.
+  bool isReady() const;
+  bool isFormed() const;
+
+private:
+  // control_loop.cpp
+  void observeRole(core::time_point Now);
+  void loseLeadership();
+  void process(replication::raft_output Output, control_actions &Actions,
+               core::time_point Now);
+  void applyEntry(const replication::log_entry &Entry, core::time_point Now);
+  void compactWhenDue();
+  void flushProposals(core::time_point Now);
+  void failProposal(const proposal &Proposal, const core::failure &Failure);
+  void expireWaiting(core::time_point Now);
+  void reconcile(core::time_point Now);
+  bool isLeader() const { return LeaderTerm != 0; }
+  std::string leaderText() const;
+  core::failure notLeader() const;
+  void answerFailure(std::uint64_t Id, const core::failure &Failure);
+  const replica_settings *findReplica(std::string_view Name) const;
+
+  // control_requests.cpp
+  void submit(std::uint64_t Id, submit_operation Operation,
+              core::time_point Now);
+  std::optional<core::failure> resolve(fleet::command_body &Body,
+                                       core::time_point Now) const;
+  void receiveEntryMessage(const std::string &Peer, std::string_view Bytes,
+                           core::time_point Now);
+  void queueKey(const std::string &Peer, std::uint64_t RequestId,
+                fleet::command_body Body, core::time_point Now);
+  void replyToKey(const key_waiter &Waiter, const fleet::command_body &Body,
+                  const fleet::apply_result &Result);
+  void sendToEntry(const std::string &Peer, const routing::message &Message);
+  void flushReads(core::time_point Now);
+  void finishReads(core::time_point Now);
+  void refuseReads(read_group &Group);
+  void answerProbe(const probe_waiter &Waiter, core::time_point Now);
+  void answerQuery(const control_request &Request, core::time_point Now);
+  routing::view_delta viewSince(std::uint64_t Known) const;
+
+  // control_members.cpp
+  void receiveFrame(const std::string &Peer, std::string_view Bytes,
+                    core::time_point Now);
+  void sendFrame(const std::string &Peer, control_frame Frame);
+  void askToJoin(core::time_point Now);
+  void changeMembers(core::time_point Now);
+  void proposeMembers(const replication::membership &Target,
+                      std::string_view Change,
+                      const replication::replica_id &Replica);
+
+  control_settings Settings;
+  replication::replica_id Self;
+  core::metrics_registry &Metrics;
+  replication::raft_node Raft;
+  fleet::fleet_state State;
+  std::uint64_t AppliedIndex = 0; ///< Also counts entries without a command.
+  std::uint64_t CompactedIndex = 0;
+
+  std::uint64_t LeaderTerm = 0; ///< Term of this leadership, or 0.
+  /// Entries up to here may stem from earlier leaders; decisions wait for them.
+  std::uint64_t LeaderStartIndex = 0;
+  std::deque<proposal> Queued;             ///< Not yet in the log.
+  std::map<std::uint64_t, proposal> InLog; ///< By index, not yet committed.
+  std::set<std::string> BusyObjects;
+  read_group Gathering;
+  std::map<std::uint64_t, read_group> Reads; ///< By token, not confirmed.
+  std::vector<read_group> ConfirmedReads;    ///< Wait for their index.
+  std::map<std::uint64_t, core::time_point> WritesUnderWay; ///< By ticket.
+  std::map<std::string, replication::replica_id> Joining;   ///< By name.
+
+  entry_tracker Entries;
+  reconciler::reconciler Reconciler;
+  std::optional<std::vector<platform::host_report>> PlatformReports;
+  core::time_point PlatformReportedAt{};
+  core::time_point NextReconcile{};
+  core::time_point NextJoin{};
+  std::optional<core::time_point> ShutdownSince;
+  core::time_point NextTransfer{};
+  std::vector<link_message> Messages;
+  std::vector<control_answer> Answers;
+  std::optional<platform_round> Platform;
+  core::time_point LastTime{};
+};
+
+} // namespace lycheetrestle::control
+
+#endif
--- /dev/null
+++ b/control/control_requests.cpp
@@ -0,0 +1,317 @@
+#include "control/control_loop.h"
+#include "control/control_queries.h"
+#include "declaration/declaration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::control {
+
+namespace {
+
+using core::error_code;
+using core::failure;
+using core::verdict;
+
+// Changes and reads that wait at the leader. A change of a key has about
+// 100 bytes, so this many fit into two rounds of the log's own bound.
+constexpr std::size_t MaxWaiting = 20000;
+
+std::uint64_t latestWave(const fleet::fleet_state &State,
+                         fleet::wave_state Wanted) {
+  const auto &Waves = State.waves();
+  for (auto Wave = Waves.rbegin(); Wave != Waves.rend(); ++Wave)
+    if (Wave->second.State == Wanted)
+      return Wave->first;
+  return 0;
+}
+
+} // namespace
+
+void control_loop::handle(control_request Request, core::time_point Now) {
+  LastTime = Now;
+  const auto *Query = std::get_if<query_operation>(&Request.Operation);
+  if (Query && Query->Kind == query_kind::Replicas) {
+    answerQuery(Request, Now);
+    return;
+  }
+  if (ShutdownSince) {
+    answerFailure(Request.Id, {error_code::Unavailable,
+                               "this replica shuts down; ask another one", "",
+                               "", verdict::NotRun});
+    return;
+  }
+  if (!isLeader()) {
+    answerFailure(Request.Id, notLeader());
+    return;
+  }
+  if (auto *Submit = std::get_if<submit_operation>(&Request.Operation)) {
+    submit(Request.Id, std::move(*Submit), Now);
+    return;
+  }
+  if (Gathering.Requests.size() >= MaxWaiting) {
+    answerFailure(Request.Id, {error_code::Overloaded, "too many requests wait",
+                               "", "", verdict::NotRun});
+    return;
+  }
+  Gathering.Requests.push_back(std::move(Request));
+}
+
+void control_loop::submit(std::uint64_t Id, submit_operation Operation,
+                          core::time_point Now) {
+  // The applied state holds committed submissions only, so an earlier result
+  // stands whether or not this replica still leads.
+  if (auto Earlier = State.findSubmission(Operation.Submission)) {
+    if (Earlier->Failure)
+      answerFailure(Id, *Earlier->Failure);
+    else
+      Answers.push_back({Id, 200, Earlier->Response, ""});
+    return;
+  }
+  if (Queued.size() >= MaxWaiting) {
+    answerFailure(Id, {error_code::Overloaded, "too many changes wait", "", "",
+                       verdict::NotRun});
+    return;
+  }
+  if (auto Failure = resolve(Operation.Body, Now)) {
+    answerFailure(Id, *Failure);
+    return;
+  }
+  proposal Next;
+  Next.Command.Submission = std::move(Operation.Submission);
+  Next.Command.Actor = std::move(Operation.Actor);
+  Next.Command.Body = std::move(Operation.Body);
+  Next.Waiter = operator_waiter{Id};
+  Next.Since = Now;
+  Queued.push_back(std::move(Next));
+}
+
+std::optional<failure> control_loop::resolve(fleet::command_body &Body,
+                                             core::time_point Now) const {
+  if (std::holds_alternative<fleet::submit_declaration>(Body)) {
+    // A declaration that most entries cannot learn of would not come into
+    // force within its bound.
+    if (Entries.hasFreshMajority(Now))
+      return std::nullopt;
+    return failure{error_code::Unavailable,
+                   "fewer than a majority of the entries reported within the "
+                   "freshness bound; nothing was changed",
+                   "entries", "", verdict::NotRun};
+  }
+  std::uint64_t *Wave = nullptr;
+  auto Wanted = fleet::wave_state::Running;
+  if (auto *Pause = std::get_if<fleet::pause_wave>(&Body))
+    Wave = &Pause->Wave;
+  if (auto *Resume = std::get_if<fleet::resume_wave>(&Body)) {
+    Wave = &Resume->Wave;
+    Wanted = fleet::wave_state::Paused;
+  }
+  if (!Wave || *Wave != 0)
+    return std::nullopt;
+  *Wave = latestWave(State, Wanted);
+  if (*Wave != 0)
+    return std::nullopt;
+  return failure{error_code::NotFound,
+                 Wanted == fleet::wave_state::Running ? "no wave runs"
+                                                      : "no wave is paused",
+                 "wave", "", verdict::NotRun};
+}
+
+void control_loop::receive(const std::string &Peer, std::string_view Bytes,
+                           core::time_point Now) {
+  LastTime = Now;
+  if (isControlFrame(Bytes))
+    receiveFrame(Peer, Bytes, Now);
+  else
+    receiveEntryMessage(Peer, Bytes, Now);
+}
+
+void control_loop::receiveEntryMessage(const std::string &Peer,
+                                       std::string_view Bytes,
+                                       core::time_point Now) {
+  bool IsKnown = std::any_of(
+      Settings.Entries.begin(), Settings.Entries.end(),
+      [&](const entry_settings &Entry) { return Entry.Name == Peer; });
+  auto Outcome = core::capture([&] { return routing::decodeMessage(Bytes); });
+  if (!IsKnown || Outcome.index() != 0) {
+    Metrics.add("messages_dropped_total");
+    return;
+  }
+  auto &Message = std::get<0>(Outcome);
+  if (const auto *Probe = std::get_if<routing::probe>(&Message)) {
+    Metrics.add("probes_total");
+    if (isLeader() && !ShutdownSince && Gathering.Probes.size() < MaxWaiting) {
+      Gathering.Probes.push_back({Peer, *Probe});
+      return;
+    }
+    read_group Refused;
+    Refused.Probes.push_back({Peer, *Probe});
+    refuseReads(Refused);
+  } else if (const auto *Report =
+                 std::get_if<routing::entry_report>(&Message)) {
+    if (isLeader())
+      Entries.report(Peer, *Report, Now);
+  } else if (auto *Reserve = std::get_if<routing::key_reserve>(&Message)) {
+    queueKey(Peer, Reserve->RequestId,
+             fleet::reserve_key{std::move(Reserve->Key), Reserve->RequestDigest,
+                                std::move(Reserve->Holder)},
+             Now);
+  } else if (auto *Complete = std::get_if<routing::key_complete>(&Message)) {
+    queueKey(Peer, Complete->RequestId,
+             fleet::complete_key{
+                 std::move(Complete->Key), std::move(Complete->Holder),
+                 Complete->Status, std::move(Complete->ContentType),
+                 std::move(Complete->Body), Complete->BodyDropped},
+             Now);
+  } else if (auto *Abandon = std::get_if<routing::key_abandon>(&Message)) {
+    queueKey(
+        Peer, Abandon->RequestId,
+        fleet::abandon_key{std::move(Abandon->Key), std::move(Abandon->Holder)},
+        Now);
+  }
+}
+
+void control_loop::queueKey(const std::string &Peer, std::uint64_t RequestId,
+                            fleet::command_body Body, core::time_point Now) {
+  proposal Next;
+  Next.Command.Actor = Peer;
+  Next.Command.Body = std::move(Body);
+  Next.Waiter = key_waiter{Peer, RequestId};
+  Next.Since = Now;
+  if (!isLeader() || ShutdownSince) {
+    failProposal(Next, notLeader());
+    return;
+  }
+  if (Queued.size() >= MaxWaiting) {
+    failProposal(Next, {error_code::Overloaded, "too many changes wait", "", "",
+                        verdict::NotRun});
+    return;
+  }
+  Queued.push_back(std::move(Next));
+}
+
+void control_loop::replyToKey(const key_waiter &Waiter,
+                              const fleet::command_body &Body,
+                              const fleet::apply_result &Result) {
+  routing::key_reply Reply;
+  Reply.RequestId = Waiter.RequestId;
+  if (Result.Failure)
+    Reply.Reason = std::string(core::toString(Result.Failure->Code));
+  const auto *Reserve = std::get_if<fleet::reserve_key>(&Body);
+  if (!Reserve) {
+    Reply.Outcome = Result.Failure ? routing::key_outcome::Refused
+                                   : routing::key_outcome::Granted;
+    sendToEntry(Waiter.Peer, Reply);
+    return;
+  }
+  auto Record = State.findKey(Reserve->Key);
+  if (Record.Status == fleet::key_status::Unknown) {
+    Reply.Outcome = routing::key_outcome::Refused;
+  } else if (Record.RequestDigest != Reserve->RequestDigest) {
+    Reply.Outcome = routing::key_outcome::Mismatch;
+  } else if (Record.Status == fleet::key_status::Completed) {
+    Reply.Outcome = routing::key_outcome::Stored;
+    Reply.Status = Record.HttpStatus;
+    Reply.ContentType = Record.ContentType;
+    Reply.Body = Record.Body;
+    Reply.BodyDropped = Record.BodyDropped;
+  } else {
+    Reply.Outcome = Record.Holder == Reserve->Holder
+                        ? routing::key_outcome::Granted
+                        : routing::key_outcome::Held;
+  }
+  sendToEntry(Waiter.Peer, Reply);
+}
+
+void control_loop::sendToEntry(const std::string &Peer,
+                               const routing::message &Message) {
+  Messages.push_back({Peer, routing::encode(Message)});
+}
+
+void control_loop::flushReads(core::time_point Now) {
+  if (Gathering.isEmpty())
+    return;
+  auto Outcome = core::capture([&] { return Raft.requestRead(Now); });
+  auto Group = std::exchange(Gathering, {});
+  Group.Since = Now;
+  if (const auto *Token = std::get_if<0>(&Outcome))
+    Reads.emplace(*Token, std::move(Group));
+  else
+    refuseReads(Group);
+}
+
+void control_loop::finishReads(core::time_point Now) {
+  auto Waiting = std::exchange(ConfirmedReads, {});
+  for (auto &Group : Waiting) {
+    if (Group.Index > AppliedIndex) {
+      ConfirmedReads.push_back(std::move(Group));
+      continue;
+    }
+    for (const auto &Probe : Group.Probes)
+      answerProbe(Probe, Now);
+    for (const auto &Request : Group.Requests)
+      answerQuery(Request, Now);
+  }
+}
+
+void control_loop::refuseReads(read_group &Group) {
+  auto Leader = Raft.status().Leader;
+  for (const auto &Waiter : Group.Probes) {
+    routing::probe_reply Reply;
+    Reply.Nonce = Waiter.Probe.Nonce;
+    Reply.Leader = Leader ? Leader->Name : "";
+    sendToEntry(Waiter.Peer, Reply);
+  }
+  for (const auto &Request : Group.Requests)
+    answerFailure(Request.Id, notLeader());
+}
+
+void control_loop::answerProbe(const probe_waiter &Waiter,
+                               core::time_point Now) {
+  Entries.confirmed(Waiter.Peer, Now);
+  routing::probe_reply Reply;
+  Reply.Nonce = Waiter.Probe.Nonce;
+  Reply.Confirmed = true;
+  Reply.Leader = Self.Name;
+  Reply.Delta = viewSince(Waiter.Probe.KnownViewIndex);
+  sendToEntry(Waiter.Peer, Reply);
+}
+
+routing::view_delta control_loop::viewSince(std::uint64_t Known) const {
+  routing::view_delta Delta;
+  Delta.ViewIndex = State.viewIndex();
+  Delta.DeclarationNumber = State.currentDeclaration().Number;
+  // Hosts that a declaration removed have no record, so a list of changed
+  // hosts cannot name them; after a declaration all hosts are sent.
+  Delta.IsFull = Known == 0 || State.declarationIndex() > Known;
+  if (Delta.IsFull)
+    Delta.Services = State.currentDeclaration().Services;
+  for (const auto &[Name, Host] : State.hosts())
+    if (Delta.IsFull || Host.ChangedIndex > Known)
+      Delta.Hosts.push_back({Name, Host.Pool, Host.Spec.Zone, Host.State,
+                             Host.Epoch, Host.ChangedIndex});
+  return Delta;
+}
+
+void control_loop::answerQuery(const control_request &Request,
+                               core::time_point Now) {
+  auto Raft = status();
+  auto Leader = Raft.Leader ? Raft.Leader->Name : std::string();
+  auto Outcome = core::capture([&]() -> core::result<std::string> {
+    if (const auto *Plan = std::get_if<plan_operation>(&Request.Operation)) {
+      BOOST_LEAF_AUTO(Steps,
+                      declaration::planDeclaration(State, Plan->Declaration));
+      return planToJson(Steps);
+    }
+    return runQuery(
+        std::get<query_operation>(Request.Operation),
+        {State, Raft, Entries, Self.Name, Leader, AppliedIndex, Now});
+  });
+  if (auto *Failure = std::get_if<failure>(&Outcome)) {
+    answerFailure(Request.Id, *Failure);
+    return;
+  }
+  Answers.push_back({Request.Id, 200, std::move(std::get<0>(Outcome)), ""});
+}
+
+} // namespace lycheetrestle::control
--- /dev/null
+++ b/control/control_settings.cpp
@@ -0,0 +1,267 @@
+#include "control/control_settings.h"
+
+#include "core/object_reader.h"
+
+#include <arpa/inet.h>
+
+#include <map>
+#include <set>
+
+namespace lycheetrestle::control {
+
+namespace {
+
+using core::object_reader;
+
+constexpr std::size_t MaxReplicas = 9;
+constexpr std::size_t MaxEntries = 64;
+
+bool isIpAddress(const std::string &Text) {
+  in6_addr Buffer{};
+  return inet_pton(AF_INET, Text.c_str(), &Buffer) == 1 ||
+         inet_pton(AF_INET6, Text.c_str(), &Buffer) == 1;
+}
+
+bool isAnyAddress(const std::string &Text) {
+  return Text == "0.0.0.0" || Text == "::";
+}
+
+socket_address readAddress(object_reader &Reader, std::string_view AddressName,
+                           std::string_view PortName) {
+  socket_address Result;
+  Result.Address = Reader.readString(AddressName, 1, 64);
+  if (!Result.Address.empty() && !isIpAddress(Result.Address))
+    Reader.reject(AddressName, Result.Address, "must be an IP address");
+  Result.Port =
+      static_cast<std::uint16_t>(Reader.readInteger(PortName, 1, 65535));
+  return Result;
+}
+
+void finishNested(object_reader &Outer, object_reader &Inner) {
+  if (auto Failure = core::captureFailure([&] { return Inner.finish(); }))
+    Outer.reject(std::move(*Failure));
+}
+
+socket_address readSocket(object_reader &Reader, std::string_view Name) {
+  const auto *Value = Reader.readObject(Name);
+  if (!Value) {
+    if (!Reader.has(Name))
+      Reader.reject(Name, "", "is required and must be an object");
+    return {};
+  }
+  object_reader Nested(*Value, Reader.pathOf(Name));
+  auto Result = readAddress(Nested, "address", "port");
+  finishNested(Reader, Nested);
+  return Result;
+}
+
+void readControls(object_reader &Reader, control_settings &Settings) {
+  auto Elements = Reader.readArray("controls", MaxReplicas);
+  for (std::size_t Index = 0; Index != Elements.size(); ++Index) {
+    object_reader Nested(*Elements[Index], Reader.pathOf("controls", Index));
+    replica_settings Replica;
+    Replica.Name = Nested.readName("name");
+    Replica.Zone = Nested.readName("zone");
+    Replica.Link = readAddress(Nested, "address", "port");
+    Replica.Http = readAddress(Nested, "http_address", "http_port");
+    finishNested(Reader, Nested);
+    Settings.Controls.push_back(std::move(Replica));
+  }
+}
+
+void readEntries(object_reader &Reader, control_settings &Settings) {
+  auto Elements = Reader.readArray("entries", MaxEntries);
+  for (std::size_t Index = 0; Index != Elements.size(); ++Index) {
+    object_reader Nested(*Elements[Index], Reader.pathOf("entries", Index));
+    entry_settings Entry;
+    Entry.Name = Nested.readName("name");
+    Entry.Link = readAddress(Nested, "address", "port");
+    finishNested(Reader, Nested);
+    Settings.Entries.push_back(std::move(Entry));
+  }
+}
+
+void readPlatform(object_reader &Reader, control_settings &Settings) {
+  const auto *Value = Reader.readObject("platform");
+  if (!Value)
+    return;
+  object_reader Nested(*Value, Reader.pathOf("platform"));
+  Settings.PlatformUrl = Nested.readString("url");
+  if (!Settings.PlatformUrl.empty() &&
+      Settings.PlatformUrl.rfind("http://", 0) != 0)
+    Nested.reject("url", Settings.PlatformUrl, "must start with http://");
+  finishNested(Reader, Nested);
+}
+
+void readLog(object_reader &Reader, control_settings &Settings) {
+  const auto *Value = Reader.readObject("log");
+  if (!Value)
+    return;
+  object_reader Nested(*Value, Reader.pathOf("log"));
+  Settings.LogFile = Nested.readString("file", "", 0, 4096);
+  if (Nested.has("level")) {
+    static const std::map<std::string_view, core::log_level> Levels = {
+        {"debug", core::log_level::Debug},
+        {"info", core::log_level::Info},
+        {"warning", core::log_level::Warning},
+        {"error", core::log_level::Error}};
+    auto Level =
+        Nested.readChoice("level", {"debug", "info", "warning", "error"});
+    if (auto Found = Levels.find(Level); Found != Levels.end())
+      Settings.LogLevel = Found->second;
+  }
+  finishNested(Reader, Nested);
+}
+
+core::duration readMilliseconds(object_reader &Reader, std::string_view Name,
+                                std::int64_t Minimum, std::int64_t Maximum,
+                                core::duration Default) {
+  auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Default).count();
+  return std::chrono::milliseconds(
+      Reader.readInteger(Name, Minimum, Maximum, Count));
+}
+
+void readTiming(object_reader &Reader, control_settings &Settings) {
+  const auto *Value = Reader.readObject("timing");
+  if (!Value)
+    return;
+  object_reader Nested(*Value, Reader.pathOf("timing"));
+  auto &Timing = Settings.Timing;
+  Timing.Heartbeat =
+      readMilliseconds(Nested, "heartbeat_ms", 10, 5000, Timing.Heartbeat);
+  Timing.ElectionTimeout = readMilliseconds(Nested, "election_timeout_ms", 50,
+                                            60000, Timing.ElectionTimeout);
+  Timing.ReconcileInterval = readMilliseconds(
+      Nested, "reconcile_interval_ms", 50, 60000, Timing.ReconcileInterval);
+  Timing.ShutdownTimeout = readMilliseconds(Nested, "shutdown_timeout_ms", 100,
+                                            600000, Timing.ShutdownTimeout);
+  // With fewer than three heartbeats in a timeout, one late message would
+  // start an election.
+  if (Timing.ElectionTimeout < 3 * Timing.Heartbeat)
+    Nested.reject(
+        "election_timeout_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Timing.ElectionTimeout)
+                           .count()),
+        "must be at least three times heartbeat_ms");
+  finishNested(Reader, Nested);
+}
+
+void readSnapshot(object_reader &Reader, control_settings &Settings) {
+  const auto *Value = Reader.readObject("snapshot");
+  if (!Value)
+    return;
+  object_reader Nested(*Value, Reader.pathOf("snapshot"));
+  Settings.SnapshotEveryEntries = static_cast<std::uint64_t>(
+      Nested.readInteger("every_entries", 10, 1000000, 5000));
+  finishNested(Reader, Nested);
+}
+
+/// Checks that names and addresses occur once.
+class uniqueness {
+public:
+  explicit uniqueness(object_reader &Reader) : Reader(Reader) {}
+
+  void name(const std::string &Path, const std::string &Name) {
+    if (!Name.empty() && !Names.insert(Name).second)
+      Reader.reject(Path + ".name", Name, "is used by another process");
+  }
+  void address(const std::string &Path, const socket_address &Address) {
+    if (Address.Port == 0)
+      return;
+    auto Text = Address.Address + ":" + std::to_string(Address.Port);
+    if (!Addresses.insert(Text).second)
+      Reader.reject(Path, Text, "is used by another listener");
+  }
+
+private:
+  object_reader &Reader;
+  std::set<std::string> Names;
+  std::set<std::string> Addresses;
+};
+
+void checkUnique(object_reader &Reader, const control_settings &Settings) {
+  uniqueness Unique(Reader);
+  for (std::size_t Index = 0; Index != Settings.Controls.size(); ++Index) {
+    auto Path = Reader.pathOf("controls", Index);
+    const auto &Replica = Settings.Controls[Index];
+    Unique.name(Path, Replica.Name);
+    Unique.address(Path + ".port", Replica.Link);
+    Unique.address(Path + ".http_port", Replica.Http);
+  }
+  for (std::size_t Index = 0; Index != Settings.Entries.size(); ++Index) {
+    auto Path = Reader.pathOf("entries", Index);
+    Unique.name(Path, Settings.Entries[Index].Name);
+    Unique.address(Path + ".port", Settings.Entries[Index].Link);
+  }
+}
+
+void checkListener(object_reader &Reader, std::string_view Name,
+                   const socket_address &Own, const socket_address &Listed) {
+  if (Own.Port != Listed.Port)
+    Reader.reject(std::string(Name) + ".port", std::to_string(Own.Port),
+                  "must be the port of this replica in controls");
+  if (!isAnyAddress(Own.Address) && Own.Address != Listed.Address)
+    Reader.reject(std::string(Name) + ".address", Own.Address,
+                  "must be the address of this replica in controls, or the "
+                  "address of all interfaces");
+}
+
+void checkSelf(object_reader &Reader, const control_settings &Settings) {
+  for (const auto &Replica : Settings.Controls) {
+    if (Replica.Name != Settings.Name)
+      continue;
+    if (Replica.Zone != Settings.Zone)
+      Reader.reject("zone", Settings.Zone,
+                    "must be the zone of this replica in controls");
+    checkListener(Reader, "listen", Settings.Listen, Replica.Http);
+    checkListener(Reader, "link", Settings.Link, Replica.Link);
+    return;
+  }
+  Reader.reject("name", Settings.Name, "must be listed in controls");
+}
+
+/// With three or more zones, losing one zone must leave a majority.
+void checkZones(object_reader &Reader, const control_settings &Settings) {
+  std::map<std::string, std::size_t> PerZone;
+  for (const auto &Replica : Settings.Controls)
+    ++PerZone[Replica.Zone];
+  if (PerZone.size() < 3)
+    return;
+  for (const auto &[Zone, Count] : PerZone)
+    if (Count * 2 > Settings.Controls.size())
+      Reader.reject("controls", Zone,
+                    "no zone may hold a majority of the replicas");
+}
+
+} // namespace
+
+core::result<control_settings> parseControlSettings(std::string_view Text) {
+  BOOST_LEAF_AUTO(Value, core::parseJson(Text, MaxSettingsBytes));
+  object_reader Reader(Value, "");
+  control_settings Settings;
+  Reader.readChoice("role", {"control"});
+  Settings.Name = Reader.readName("name");
+  Settings.Zone = Reader.readName("zone");
+  Settings.Cluster = Reader.readName("cluster");
+  Settings.DataFolder = Reader.readString("data_folder", 1, 4096);
+  Settings.Listen = readSocket(Reader, "listen");
+  Settings.Link = readSocket(Reader, "link");
+  readControls(Reader, Settings);
+  readEntries(Reader, Settings);
+  readPlatform(Reader, Settings);
+  readLog(Reader, Settings);
+  readTiming(Reader, Settings);
+  readSnapshot(Reader, Settings);
+  if (!Reader.error()) {
+    checkUnique(Reader, Settings);
+    checkSelf(Reader, Settings);
+    checkZones(Reader, Settings);
+  }
+  if (auto Failure = core::captureFailure([&] { return Reader.finish(); }))
+    return core::fail(std::move(*Failure));
+  return Settings;
+}
+
+} // namespace lycheetrestle::control
--- /dev/null
+++ b/control/entry_tracker.cpp
@@ -0,0 +1,122 @@
+#include "control/entry_tracker.h"
+
+#include <algorithm>
+
+namespace lycheetrestle::control {
+
+namespace {
+
+// Bound and margin of section 6.3 of the design: an entry refuses requests when
+// its last confirmation is older than the bound.
+constexpr core::duration FreshnessBound = std::chrono::milliseconds(3000);
+constexpr core::duration SilenceBound = std::chrono::milliseconds(3500);
+
+} // namespace
+
+entry_tracker::entry_tracker(const std::vector<std::string> &Names) {
+  for (const auto &Name : Names) {
+    tracked_entry Entry;
+    Entry.Status.Name = Name;
+    Entries.push_back(std::move(Entry));
+  }
+}
+
+void entry_tracker::reset(core::time_point Now) {
+  for (auto &Entry : Entries) {
+    tracked_entry Empty;
+    Empty.Status.Name = Entry.Status.Name;
+    Empty.LastContact = Now;
+    Entry = std::move(Empty);
+  }
+  InForce = {};
+  CurrentNumber = 0;
+  CurrentSince = Now;
+}
+
+tracked_entry *entry_tracker::find(std::string_view Name) {
+  auto Found = std::find_if(
+      Entries.begin(), Entries.end(),
+      [&](const tracked_entry &Entry) { return Entry.Status.Name == Name; });
+  return Found == Entries.end() ? nullptr : &*Found;
+}
+
+void entry_tracker::report(std::string_view Name,
+                           const routing::entry_report &Report,
+                           core::time_point Now) {
+  auto *Entry = find(Name);
+  if (!Entry)
+    return;
+  Entry->LastContact = Now;
+  Entry->DeclarationNumber = Report.DeclarationNumber;
+  Entry->Serving = Report.Serving;
+  auto &Status = Entry->Status;
+  Status.EverHeard = true;
+  Status.HeardAt = Now;
+  Status.ViewIndex = Report.ViewIndex;
+  Status.InFlightByHost = Report.InFlightByHost;
+  Status.DemandByService = Report.DemandByService;
+  Status.QueuedByService = Report.QueuedByService;
+  Status.BusySlotsByService = Report.BusySlotsByService;
+}
+
+void entry_tracker::confirmed(std::string_view Name, core::time_point Now) {
+  if (auto *Entry = find(Name))
+    Entry->LastContact = Now;
+}
+
+bool entry_tracker::hasFreshMajority(core::time_point Now) const {
+  if (Entries.empty())
+    return true;
+  auto Fresh = std::count_if(
+      Entries.begin(), Entries.end(), [&](const tracked_entry &Entry) {
+        return Entry.Status.EverHeard &&
+               Now - Entry.Status.HeardAt <= FreshnessBound;
+      });
+  return std::size_t(Fresh) * 2 > Entries.size();
+}
+
+void entry_tracker::update(std::uint64_t Number, core::time_point Now,
+                           std::int64_t WallMs) {
+  if (Number != CurrentNumber) {
+    CurrentNumber = Number;
+    CurrentSince = Now;
+  }
+  InForce.Waiting.clear();
+  if (Number == 0 || InForce.Number == Number)
+    return;
+  std::size_t Confirmed = 0;
+  std::vector<std::string> Silent;
+  for (const auto &Entry : Entries) {
+    if (Entry.Status.EverHeard && Entry.DeclarationNumber >= Number) {
+      ++Confirmed;
+      continue;
+    }
+    // An entry that control cannot reach may still serve on a confirmation
+    // that a peer received just before the change, so the silence counts from
+    // the change at the earliest.
+    if (Now - std::max(Entry.LastContact, CurrentSince) <= SilenceBound)
+      InForce.Waiting.push_back(Entry.Status.Name);
+    else
+      Silent.push_back(Entry.Status.Name);
+  }
+  bool HasMajority = Entries.empty() || Confirmed * 2 > Entries.size();
+  if (!HasMajority)
+    InForce.Waiting.insert(InForce.Waiting.end(), Silent.begin(), Silent.end());
+  if (!InForce.Waiting.empty())
+    return;
+  InForce.Number = Number;
+  InForce.SinceMs = WallMs;
+}
+
+std::vector<reconciler::entry_status> entry_tracker::statuses() const {
+  std::vector<reconciler::entry_status> Result;
+  for (const auto &Entry : Entries) {
+    Result.push_back(Entry.Status);
+    // A confirmed probe counts as contact: the entry may serve on it.
+    if (Entry.LastContact > Entry.Status.HeardAt)
+      Result.back().HeardAt = Entry.LastContact;
+  }
+  return Result;
+}
+
+} // namespace lycheetrestle::control
--- /dev/null
+++ b/control/http_front.cpp
@@ -0,0 +1,324 @@
+#include "control/http_front.h"
+
+#include "control/http_operations.h"
+#include "core/event_log.h"
+#include "declaration/declaration.h"
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace lycheetrestle::control {
+
+namespace {
+
+using router = restinio::router::express_router_t<>;
+
+struct front_traits : public restinio::default_single_thread_traits_t {
+  using request_handler_t = router;
+};
+
+// Requests that wait for the control thread; each holds its body's memory.
+constexpr std::size_t MaxPending = 4096;
+// The answers queued at a stop need one turn of the event loop; slow readers
+// get this long.
+constexpr auto StopLinger = std::chrono::milliseconds(200);
+
+std::string toText(restinio::string_view_t View) {
+  return std::string(View.data(), View.size());
+}
+
+operator_request readRequest(const restinio::request_handle_t &Request) {
+  operator_request Result;
+  const auto &Header = Request->header();
+  Result.Submission = Header.get_field_or("X-Submission-Id", "");
+  Result.Actor = Header.get_field_or("X-Actor", "");
+  Result.Body = Request->body();
+  auto Query = restinio::parse_query(Header.query());
+  for (const auto &[Name, Value] : Query)
+    Result.Parameters.emplace(toText(Name), toText(Value));
+  return Result;
+}
+
+void respond(const restinio::request_handle_t &Request,
+             const control_answer &Answer, const char *ContentType) {
+  auto Response = Request->create_response(
+      restinio::http_status_line_t(restinio::http_status_code_t(Answer.Status),
+                                   Answer.Status == 200 ? "OK" : "Error"));
+  Response.append_header(restinio::http_field::content_type, ContentType);
+  if (!Answer.Leader.empty())
+    Response.append_header("X-Leader", Answer.Leader);
+  Response.set_body(Answer.Body);
+  Response.done();
+}
+
+void respondJson(const restinio::request_handle_t &Request,
+                 const control_answer &Answer) {
+  respond(Request, Answer, "application/json");
+}
+
+void respondFailure(const restinio::request_handle_t &Request,
+                    const core::failure &Failure) {
+  respondJson(Request, failureAnswer(0, Failure));
+}
+
+} // namespace
+
+class http_front::implementation {
+public:
+  implementation(socket_address NewListen,
+                 core::bounded_ring<control_request> &Requests,
+                 core::metrics_registry &Metrics)
+      : Listen(std::move(NewListen)), Requests(Requests), Metrics(Metrics),
+        Answers(MaxPending, AnswerSignal), Work(asio::make_work_guard(Context)),
+        StopTimer(Context) {
+    AnswerSignal.setForward(
+        [this] { asio::post(Context, [this] { sendAnswers(); }); });
+  }
+
+  ~implementation() { stop(); }
+
+  std::string start() {
+    std::promise<std::string> Opened;
+    auto Result = Opened.get_future();
+    try {
+      Server.emplace(
+          // RESTinio closes the connection of a body over its limit without
+          // an answer, so the limit is above the size that gets a 413.
+          restinio::external_io_context(Context), [&](auto &Settings) {
+            Settings.address(Listen.Address)
+                .port(Listen.Port)
+                .request_handler(makeRouter())
+                .incoming_http_msg_limits(
+                    restinio::incoming_http_msg_limits_t()
+                        .max_url_size(4096)
+                        .max_field_name_size(256)
+                        .max_field_value_size(8192)
+                        .max_field_count(64)
+                        .max_body_size(2 * declaration::MaxDeclarationBytes))
+                .read_next_http_message_timelimit(std::chrono::seconds(60))
+                .handle_request_timeout(std::chrono::seconds(30))
+                .write_http_response_timelimit(std::chrono::seconds(30));
+          });
+    } catch (const std::exception &Exception) {
+      return Exception.what();
+    }
+    Server->open_async([&] { Opened.set_value(""); },
+                       [&](std::exception_ptr Error) {
+                         try {
+                           std::rethrow_exception(Error);
+                         } catch (const std::exception &Exception) {
+                           Opened.set_value(Exception.what());
+                         }
+                       });
+    Thread = std::thread([this] { run(); });
+    auto Reason = Result.get();
+    if (!Reason.empty())
+      return "cannot listen on " + Listen.Address + ":" +
+             std::to_string(Listen.Port) + ": " + Reason;
+    return "";
+  }
+
+  bool deliver(control_answer &&Answer) {
+    return Answers.push(std::move(Answer));
+  }
+
+  void setReady(bool Value) { Ready = Value; }
+
+  void stop() {
+    if (!Thread.joinable())
+      return;
+    asio::post(Context, [this] {
+      sendAnswers();
+      failPending();
+      Server->close_sync();
+      StopTimer.expires_after(StopLinger);
+      StopTimer.async_wait([this](const auto &) { Context.stop(); });
+    });
+    Thread.join();
+  }
+
+private:
+  void run() {
+    while (!Context.stopped()) {
+      try {
+        Context.run();
+      } catch (const std::exception &Exception) {
+        core::logEvent(core::log_level::Error, "http_failed",
+                       {{"reason", Exception.what()}});
+      }
+    }
+  }
+
+  void sendAnswers() {
+    Answers.drain([this](control_answer &&Answer) {
+      auto Found = Pending.find(Answer.Id);
+      if (Found == Pending.end())
+        return;
+      respondJson(Found->second, Answer);
+      Pending.erase(Found);
+    });
+  }
+
+  void failPending() {
+    for (const auto &[Id, Request] : Pending)
+      respondFailure(Request,
+                     {core::error_code::Unavailable,
+                      "the process ends before the outcome is known; resend "
+                      "under the same submission id",
+                      "", "", core::verdict::MayHaveRun});
+    Pending.clear();
+  }
+
+  /// Passes an operation to the control thread.
+  /// \param Parse gives the operation from the request.
+  template <typename Callable>
+  restinio::request_handling_status_t
+  forward(const restinio::request_handle_t &Request, Callable &&Parse) {
+    auto Outcome = core::capture(std::forward<Callable>(Parse));
+    if (auto *Failure = std::get_if<core::failure>(&Outcome)) {
+      // Parsing changes nothing, whatever failed in it.
+      Failure->Verdict = core::verdict::NotRun;
+      respondFailure(Request, *Failure);
+      return restinio::request_accepted();
+    }
+    control_request Next{++LastId, std::move(std::get<0>(Outcome))};
+    if (Pending.size() >= MaxPending || !Requests.push(std::move(Next))) {
+      respondFailure(Request, {core::error_code::Overloaded,
+                               "too many requests wait; try again", "", "",
+                               core::verdict::NotRun});
+      return restinio::request_accepted();
+    }
+    Pending.emplace(LastId, Request);
+    return restinio::request_accepted();
+  }
+
+  void addQuery(router &Router, const char *Path, query_kind Kind) {
+    Router.http_get(Path, [this, Kind](auto Request, auto) {
+      return forward(Request, [&]() -> core::result<operation> {
+        query_operation Query;
+        Query.Kind = Kind;
+        return operation(std::move(Query));
+      });
+    });
+  }
+
+  std::unique_ptr<router> makeRouter() {
+    auto Router = std::make_unique<router>();
+    addQuery(*Router, "/v1/status", query_kind::Status);
+    addQuery(*Router, "/v1/declarations", query_kind::Declarations);
+    addQuery(*Router, "/v1/hosts", query_kind::Hosts);
+    addQuery(*Router, "/v1/waves", query_kind::Waves);
+    addQuery(*Router, "/v1/jobs", query_kind::Jobs);
+    addQuery(*Router, "/v1/replicas", query_kind::Replicas);
+    addParsedRoutes(*Router);
+    addLocalRoutes(*Router);
+    return Router;
+  }
+
+  void addParsedRoutes(router &Router) {
+    Router.http_get("/v1/declarations/:number",
+                    [this](auto Request, auto Path) {
+                      return forward(Request, [&] {
+                        return declarationQuery(toText(Path["number"]));
+                      });
+                    });
+    Router.http_get("/v1/audit", [this](auto Request, auto) {
+      return forward(Request,
+                     [&] { return auditOperation(readRequest(Request)); });
+    });
+    Router.http_post("/v1/declarations", [this](auto Request, auto) {
+      return forward(
+          Request, [&] { return declarationOperation(readRequest(Request)); });
+    });
+    Router.http_post("/v1/hosts/:host/:verb", [this](auto Request, auto Path) {
+      return forward(Request, [&] {
+        return hostOperation(
+            restinio::utils::unescape_percent_encoding(Path["host"]),
+            toText(Path["verb"]), readRequest(Request));
+      });
+    });
+    Router.http_post("/v1/maintenance/:verb", [this](auto Request, auto Path) {
+      return forward(Request, [&] {
+        return maintenanceOperation(toText(Path["verb"]), readRequest(Request));
+      });
+    });
+    Router.http_post("/v1/jobs", [this](auto Request, auto) {
+      return forward(Request,
+                     [&] { return jobOperation(readRequest(Request)); });
+    });
+    Router.http_delete("/v1/jobs/:id", [this](auto Request, auto Path) {
+      return forward(Request, [&] {
+        return cancelOperation(toText(Path["id"]), readRequest(Request));
+      });
+    });
+  }
+
+  void addLocalRoutes(router &Router) {
+    Router.http_get("/healthz", [](auto Request, auto) {
+      respondJson(Request, {0, 200, R"({"alive":true})", ""});
+      return restinio::request_accepted();
+    });
+    Router.http_get("/readyz", [this](auto Request, auto) {
+      if (Ready)
+        respondJson(Request, {0, 200, R"({"ready":true})", ""});
+      else
+        respondFailure(Request, {core::error_code::Unavailable,
+                                 "no leader is known, or this replica shuts "
+                                 "down",
+                                 "", "", core::verdict::NotRun});
+      return restinio::request_accepted();
+    });
+    Router.http_get("/metrics", [this](auto Request, auto) {
+      respond(Request, {0, 200, Metrics.expose(), ""},
+              "text/plain; version=0.0.4");
+      return restinio::request_accepted();
+    });
+    Router.non_matched_request_handler([](auto Request) {
+      respondFailure(Request,
+                     {core::error_code::NotFound, "no such method and path",
+                      "path", toText(Request->header().path()),
+                      core::verdict::NotRun});
+      return restinio::request_accepted();
+    });
+  }
+
+  socket_address Listen;
+  core::bounded_ring<control_request> &Requests;
+  core::metrics_registry &Metrics;
+  core::ring_signal AnswerSignal;
+  core::bounded_ring<control_answer> Answers;
+  asio::io_context Context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  asio::steady_timer StopTimer;
+  std::optional<restinio::http_server_t<front_traits>> Server;
+  std::map<std::uint64_t, restinio::request_handle_t> Pending;
+  std::uint64_t LastId = 0;
+  std::atomic<bool> Ready = false;
+  std::thread Thread;
+};
+
+http_front::http_front(socket_address Listen,
+                       core::bounded_ring<control_request> &Requests,
+                       core::metrics_registry &Metrics)
+    : Impl(std::make_unique<implementation>(std::move(Listen), Requests,
+                                            Metrics)) {}
+
+http_front::~http_front() = default;
+
+std::string http_front::start() { return Impl->start(); }
+
+bool http_front::deliver(control_answer &&Answer) {
+  return Impl->deliver(std::move(Answer));
+}
+
+void http_front::setReady(bool Ready) { Impl->setReady(Ready); }
+
+void http_front::stop() { Impl->stop(); }
+
+} // namespace lycheetrestle::control
--- /dev/null
+++ b/control/http_front.h
@@ -0,0 +1,48 @@
+#ifndef LYCHEETRESTLE_CONTROL_HTTP_FRONT_H
+#define LYCHEETRESTLE_CONTROL_HTTP_FRONT_H
+
+#include "control/control_settings.h"
+#include "control/control_types.h"
+#include "core/bounded_ring.h"
+#include "core/metrics.h"
+
+#include <memory>
+#include <string>
+
+namespace lycheetrestle::control {
+
+/// HTTP server of a control replica on its own thread. It checks and parses
+/// requests, passes them to the control thread and sends the answers.
+class http_front {
+public:
+  /// \param Listen where to listen.
+  /// \param Requests ring to the control thread; must outlive the front.
+  /// \param Metrics served at `/metrics`; must outlive the front.
+  http_front(socket_address Listen,
+             core::bounded_ring<control_request> &Requests,
+             core::metrics_registry &Metrics);
+  /// Stops the server when it still runs.
+  ~http_front();
+  http_front(const http_front &) = delete;
+  http_front &operator=(const http_front &) = delete;
+
+  /// Binds the address and starts the thread.
+  /// \returns an empty string, or the reason why the address cannot be bound.
+  std::string start();
+  /// Queues an answer. Called by the control thread only.
+  /// \param Answer the answer; it is moved from only on success.
+  /// \returns false when the ring is full.
+  bool deliver(control_answer &&Answer);
+  /// \param Ready what `/readyz` reports; callable from any thread.
+  void setReady(bool Ready);
+  /// Sends the queued answers, closes all connections and joins the thread.
+  void stop();
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace lycheetrestle::control
+
+#endif
--- /dev/null
+++ b/control/storage_worker.h
@@ -0,0 +1,116 @@
+#ifndef LYCHEETRESTLE_CONTROL_STORAGE_WORKER_H
+#define LYCHEETRESTLE_CONTROL_STORAGE_WORKER_H
+
+#include "core/bounded_ring.h"
+#include "core/clock.h"
+#include "core/event_log.h"
+#include "core/failure.h"
+#include "core/metrics.h"
+#include "replication/types.h"
+
+#include <atomic>
+#include <cstdint>
+#include <thread>
+#include <utility>
+
+namespace lycheetrestle::control {
+
+/// Outcome of one attempt to store a write.
+struct storage_result {
+  std::uint64_t Ticket = 0;
+  bool Stored = false; ///< When false, the write is tried again.
+};
+
+/// Storage thread: executes the writes in order and syncs each of them. A write
+/// that fails is reported and tried again until it succeeds.
+/// \tparam Store has the members execute() and sizeBytes() of log_store.
+template <typename Store> class storage_worker {
+public:
+  static constexpr std::size_t Capacity = 1024;
+  static constexpr core::duration RetryInterval =
+      std::chrono::milliseconds(500);
+
+  /// \param Log the store; used by this thread only from start() on.
+  /// \param Control wakes the control thread.
+  storage_worker(Store Log, core::ring_signal &Control,
+                 core::metrics_registry &Metrics)
+      : Log(std::move(Log)), Metrics(Metrics), Writes(Capacity, Signal),
+        // Each write gives one success, and failures are dropped when full.
+        Results(2 * Capacity, Control) {}
+
+  ~storage_worker() { stop(); }
+
+  void start() {
+    Thread = std::thread([this] { run(); });
+  }
+  /// Finishes the queued writes, unless they fail, and joins the thread.
+  void stop() {
+    if (!Thread.joinable())
+      return;
+    Stopping = true;
+    Signal.notify();
+    Thread.join();
+  }
+
+  core::bounded_ring<replication::storage_write> &writes() { return Writes; }
+  core::bounded_ring<storage_result> &results() { return Results; }
+
+private:
+  void run() {
+    replication::storage_write Write;
+    Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
+    while (true) {
+      if (Writes.pop(Write)) {
+        store(Write);
+        continue;
+      }
+      if (Stopping)
+        return;
+      Signal.waitFor(std::chrono::milliseconds(500));
+    }
+  }
+
+  void store(const replication::storage_write &Write) {
+    while (true) {
+      auto Begin = core::boot_clock::now();
+      auto Failure = core::captureFailure([&] { return Log.execute(Write); });
+      auto Took = core::boot_clock::now() - Begin;
+      Metrics.observe("sync_ms",
+                      std::chrono::duration<double, std::milli>(Took).count());
+      Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
+      if (!Failure) {
+        while (!Results.push({Write.Ticket, true}) && !Stopping)
+          std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return;
+      }
+      Metrics.add("storage_failures_total");
+      core::logEvent(core::log_level::Error, "storage_failed",
+                     {{"ticket", Write.Ticket},
+                      {"code", core::toString(Failure->Code)},
+                      {"reason", Failure->Message}});
+      Results.push({Write.Ticket, false});
+      if (Stopping)
+        return;
+      waitForRetry();
+    }
+  }
+
+  void waitForRetry() {
+    auto Until = core::boot_clock::now() + RetryInterval;
+    for (auto Now = core::boot_clock::now(); Now < Until && !Stopping;
+         Now = core::boot_clock::now())
+      Signal.waitFor(Until - Now);
+  }
+
+  Store Log;
+  core::metrics_registry &Metrics;
+  core::ring_signal Signal;
+  core::bounded_ring<replication::storage_write> Writes;
+  core::bounded_ring<storage_result> Results;
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace lycheetrestle::control
+
+#endif
