--- a/tests/control/test_control_frames.cpp
+++ b/tests/control/test_control_frames.cpp
@@ -102,17 +102,17 @@
 
 TEST_CASE("the identity of a data folder must fit the settings") {
   auto Identity = newIdentity(threeReplicas(), true, 0);
-  auto fieldOf = [&](const control_settings &Settings, bool Initialize) {
+  auto FieldOf = [&](const control_settings &Settings, bool Initialize) {
     auto Failure = core::captureFailure(
         [&] { return checkIdentity(Identity, Settings, Initialize); });
     return Failure ? Failure->Field : std::string();
   };
-  CHECK(fieldOf(threeReplicas(), false).empty());
-  CHECK(fieldOf(threeReplicas(), true) == "data_folder");
+  CHECK(FieldOf(threeReplicas(), false).empty());
+  CHECK(FieldOf(threeReplicas(), true) == "data_folder");
   auto Settings = threeReplicas();
   Settings.Cluster = "other";
-  CHECK(fieldOf(Settings, false) == "cluster");
+  CHECK(FieldOf(Settings, false) == "cluster");
   Settings = threeReplicas();
   Settings.Name = "c2";
-  CHECK(fieldOf(Settings, false) == "name");
+  CHECK(FieldOf(Settings, false) == "name");
 }
