--- a/storage/log_store.h
+++ b/storage/log_store.h
@@ -20,11 +20,17 @@
   replication::membership Initial;
 };
 
+struct log_store_settings {
+  /// A new segment is started when the active one has this many bytes. load()
+  /// rewrites the last segment, so this also bounds the work of a start.
+  std::uint64_t SegmentBytes = 8u << 20;
+};
+
 /// Durable part of one replica: identity, hard state, write-ahead log in
 /// segments with a CRC-32 for each record, and snapshots. Used by one thread.
 template <file_system Files> class log_store {
 public:
-  explicit log_store(Files Folder);
+  explicit log_store(Files Folder, log_store_settings Settings = {});
 
   /// \returns the identity, or nothing when the folder is empty.
   core::result<std::optional<folder_identity>> readIdentity();
@@ -34,7 +40,12 @@
   /// Corrupt, naming file and offset.
   core::result<replication::persistent_state> load();
   /// Executes a write and syncs it. After a failure nothing of the write is
-  /// acknowledged, and the same write may be passed again.
+  /// acknowledged, and the same write may be passed again; until it succeeds or
+  /// load() is called again, a crash may leave all of the write or nothing. A
+  /// snapshot that is not newer than the stored one is left out. Entries after
+  /// the snapshot are kept unless TruncateFrom removes them.
+  /// \returns BadInput when the indices do not follow on from the log,
+  /// Overloaded when the disk is full, or IoError.
   core::result<void> execute(const replication::storage_write &Write);
   /// \returns bytes in all files.
   std::uint64_t sizeBytes() const;
--- a/storage/posix_files.h
+++ b/storage/posix_files.h
@@ -5,16 +5,20 @@
 #include "storage/file_system.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace lycheetrestle::storage {
 
-/// Files of one data folder on a POSIX file system.
+/// Files of one data folder on a POSIX file system. Copies share the open
+/// descriptors and the lock on the folder; all are used by one thread.
 class posix_files {
 public:
-  /// \param Folder the data folder; it is created when it does not exist.
+  /// \param Folder the data folder; it is created when it does not exist. The
+  /// folder is locked until the last copy is gone; when that or the creation
+  /// fails, every operation fails with the reason.
   explicit posix_files(std::string Folder);
 
   core::result<std::vector<std::string>> list();
@@ -27,7 +31,8 @@
   core::result<void> syncFolder();
 
 private:
-  std::string Folder;
+  class implementation;
+  std::shared_ptr<implementation> Impl;
 };
 
 static_assert(file_system<posix_files>);
--- /dev/null
+++ b/tests/transport/hub_fixture.h
@@ -0,0 +1,76 @@
+#ifndef LYCHEETRESTLE_TESTS_TRANSPORT_HUB_FIXTURE_H
+#define LYCHEETRESTLE_TESTS_TRANSPORT_HUB_FIXTURE_H
+
+#include "transport/link_hub.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheetrestle::transport::test {
+
+/// A failed condition ends its test after this time; a passing one never waits
+/// for it. It exceeds the dead-peer limit of 3 s on a busy machine.
+constexpr std::chrono::seconds WaitLimit(30);
+
+/// \returns a TCP port of the loopback address that was free just now.
+std::uint16_t freePort();
+
+/// Everything that one hub reported.
+class recorder {
+public:
+  link_handlers handlers();
+
+  /// \returns whether the condition, checked under the lock, became true.
+  template <typename Condition> bool waitFor(Condition &&Holds) {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    return Changed.wait_for(Lock, WaitLimit, [&] { return Holds(); });
+  }
+  bool waitForMessages(std::size_t Count);
+  bool waitForUp(const std::string &Peer);
+  bool waitForDown(const std::string &Peer);
+  bool waitForError(const std::string &Part);
+  std::vector<std::string> messages();
+
+  // Guarded by the lock; read them inside waitFor().
+  std::vector<std::string> Messages;
+  std::vector<std::pair<std::string, bool>> PeerChanges;
+  std::vector<std::string> Errors; ///< `peer: reason`.
+  /// While set, the hub's thread waits in OnMessage.
+  bool Blocked = false;
+
+  void unblock();
+
+private:
+  bool isUp(const std::string &Peer) const;
+
+  std::mutex Mutex;
+  std::condition_variable Changed;
+};
+
+/// A hub on a free loopback port with its recorder.
+struct test_hub {
+  explicit test_hub(std::string Name, std::vector<link_peer> Peers = {},
+                    std::uint16_t Port = freePort());
+  test_hub(link_settings Settings);
+  link_peer asPeer() const;
+  /// Sends, and repeats while the link is down or the queue is full.
+  bool sendSurely(const std::string &Peer, const std::string &Bytes);
+
+  link_settings Settings;
+  recorder Seen; ///< Outlives the hub, whose thread reports to it.
+  link_hub Hub;
+};
+
+/// \returns settings for a hub on a free loopback port.
+link_settings settingsOf(std::string Name, std::vector<link_peer> Peers = {},
+                         std::uint16_t Port = freePort());
+
+} // namespace lycheetrestle::transport::test
+
+#endif
