--- /dev/null
+++ b/replication/messages.cpp
@@ -0,0 +1,328 @@
+#include "replication/messages.h"
+
+#include "replication/cbor_shape.h"
+#include "replication/membership_rules.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace lycheetrestle::replication {
+
+namespace {
+
+using json = nlohmann::json;
+
+// message > entries > entry, or message > members > member > id.
+constexpr std::size_t MaxDepth = 6;
+// Five items for each entry and a margin for the other fields.
+constexpr std::size_t MaxItems = 6 * MaxEntriesPerMessage;
+constexpr std::size_t MaxNameBytes = 256;
+
+// Thrown inside this file only; decoding turns it into "nothing".
+struct bad_message : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+void require(bool Holds, const char *Rule) {
+  if (!Holds)
+    throw bad_message(Rule);
+}
+
+std::uint64_t counter(const json &Value) {
+  require(Value.is_number_unsigned(), "a counter must be unsigned");
+  const auto Number = Value.get<std::uint64_t>();
+  require(Number < MaxCounter, "a counter is too large");
+  return Number;
+}
+
+std::uint64_t counterAt(const json &Object, const char *Name) {
+  return counter(Object.at(Name));
+}
+
+bool flagAt(const json &Object, const char *Name) {
+  const json &Value = Object.at(Name);
+  require(Value.is_boolean(), "a flag must be a boolean");
+  return Value.get<bool>();
+}
+
+json bytesToJson(const std::string &Bytes) {
+  return json::binary(
+      json::binary_t::container_type(Bytes.begin(), Bytes.end()));
+}
+
+std::string bytesFromJson(const json &Value) {
+  require(Value.is_binary(), "bytes are expected");
+  const auto &Binary = Value.get_binary();
+  return {Binary.begin(), Binary.end()};
+}
+
+json idToJson(const replica_id &Id) {
+  return json::array({Id.Name, Id.Incarnation});
+}
+
+replica_id idFromJson(const json &Value) {
+  require(Value.is_array() && Value.size() == 2 && Value[0].is_string() &&
+              Value[1].is_number_unsigned(),
+          "a replica id is a name and an incarnation");
+  replica_id Id{Value[0].get<std::string>(), Value[1].get<std::uint64_t>()};
+  require(!Id.Name.empty() && Id.Name.size() <= MaxNameBytes,
+          "a replica name has 1 to 256 bytes");
+  return Id;
+}
+
+json membersToJson(const membership &Members) {
+  json List = json::array();
+  for (const member &Member : Members.Members)
+    List.push_back(json::array({idToJson(Member.Id), Member.Voter}));
+  return List;
+}
+
+membership membersFromJson(const json &Value) {
+  require(Value.is_array() && Value.size() <= MaxMembers,
+          "a membership is a short list");
+  membership Members;
+  for (const json &Item : Value) {
+    require(Item.is_array() && Item.size() == 2 && Item[1].is_boolean(),
+            "a member is an id and a flag");
+    Members.Members.push_back({idFromJson(Item[0]), Item[1].get<bool>()});
+  }
+  require(isValidMembership(Members), "the membership is not valid");
+  return Members;
+}
+
+json entryToJson(const log_entry &Entry) {
+  return json::array({Entry.Index, Entry.Term,
+                      static_cast<std::uint64_t>(Entry.Kind),
+                      bytesToJson(Entry.Payload)});
+}
+
+log_entry entryFromJson(const json &Value) {
+  require(Value.is_array() && Value.size() == 4, "an entry has four items");
+  log_entry Entry;
+  Entry.Index = counter(Value[0]);
+  Entry.Term = counter(Value[1]);
+  const std::uint64_t Kind = counter(Value[2]);
+  require(Kind <= static_cast<std::uint64_t>(entry_kind::Membership),
+          "the kind of an entry is unknown");
+  Entry.Kind = static_cast<entry_kind>(Kind);
+  Entry.Payload = bytesFromJson(Value[3]);
+  if (Entry.Kind == entry_kind::Membership)
+    require(decodeMembership(Entry.Payload).has_value(),
+            "a membership entry does not decode");
+  return Entry;
+}
+
+void checkEntries(const append_message &Append) {
+  require(Append.Entries.size() <= MaxEntriesPerMessage, "too many entries");
+  require(Append.PrevTerm <= Append.Term, "the previous term is too new");
+  require((Append.PrevIndex == 0) == (Append.PrevTerm == 0),
+          "only index 0 has term 0");
+  std::uint64_t Index = Append.PrevIndex;
+  std::uint64_t Term = Append.PrevTerm;
+  for (const log_entry &Entry : Append.Entries) {
+    require(Entry.Index == Index + 1, "entries must be contiguous");
+    require(Entry.Term >= Term && Entry.Term > 0 && Entry.Term <= Append.Term,
+            "terms of entries must not decrease");
+    Index = Entry.Index;
+    Term = Entry.Term;
+  }
+}
+
+struct body_encoder {
+  json &Object;
+
+  void operator()(const append_message &Body) const {
+    Object["type"] = "append";
+    Object["round"] = Body.Round;
+    Object["prev_index"] = Body.PrevIndex;
+    Object["prev_term"] = Body.PrevTerm;
+    Object["commit"] = Body.Commit;
+    json Entries = json::array();
+    for (const log_entry &Entry : Body.Entries)
+      Entries.push_back(entryToJson(Entry));
+    Object["entries"] = std::move(Entries);
+  }
+  void operator()(const append_reply &Body) const {
+    Object["type"] = "append_reply";
+    Object["round"] = Body.Round;
+    Object["accepted"] = Body.Accepted;
+    Object["match"] = Body.Match;
+    Object["received"] = Body.Received;
+    Object["rejected"] = Body.Rejected;
+    Object["hint_index"] = Body.HintIndex;
+    Object["hint_term"] = Body.HintTerm;
+  }
+  void operator()(const vote_request &Body) const {
+    Object["type"] = "vote";
+    Object["pre"] = Body.Pre;
+    Object["transfer"] = Body.Transfer;
+    Object["last_index"] = Body.LastIndex;
+    Object["last_term"] = Body.LastTerm;
+  }
+  void operator()(const vote_reply &Body) const {
+    Object["type"] = "vote_reply";
+    Object["pre"] = Body.Pre;
+    Object["granted"] = Body.Granted;
+    Object["removed"] = Body.Removed;
+  }
+  void operator()(const snapshot_part &Body) const {
+    Object["type"] = "snapshot_part";
+    Object["round"] = Body.Round;
+    Object["last_index"] = Body.LastIndex;
+    Object["last_term"] = Body.LastTerm;
+    Object["members"] = membersToJson(Body.Members);
+    Object["total"] = Body.Total;
+    Object["offset"] = Body.Offset;
+    Object["bytes"] = bytesToJson(Body.Bytes);
+  }
+  void operator()(const snapshot_reply &Body) const {
+    Object["type"] = "snapshot_reply";
+    Object["round"] = Body.Round;
+    Object["last_index"] = Body.LastIndex;
+    Object["next_offset"] = Body.NextOffset;
+  }
+  void operator()(const transfer_now &) const {
+    Object["type"] = "transfer_now";
+  }
+};
+
+append_message readAppend(const json &Object) {
+  append_message Body;
+  Body.Term = counterAt(Object, "term");
+  Body.Round = counterAt(Object, "round");
+  Body.PrevIndex = counterAt(Object, "prev_index");
+  Body.PrevTerm = counterAt(Object, "prev_term");
+  Body.Commit = counterAt(Object, "commit");
+  const json &Entries = Object.at("entries");
+  require(Entries.is_array(), "entries must be a list");
+  for (const json &Entry : Entries)
+    Body.Entries.push_back(entryFromJson(Entry));
+  checkEntries(Body);
+  return Body;
+}
+
+append_reply readAppendReply(const json &Object) {
+  append_reply Body;
+  Body.Term = counterAt(Object, "term");
+  Body.Round = counterAt(Object, "round");
+  Body.Accepted = flagAt(Object, "accepted");
+  Body.Match = counterAt(Object, "match");
+  Body.Received = counterAt(Object, "received");
+  Body.Rejected = counterAt(Object, "rejected");
+  Body.HintIndex = counterAt(Object, "hint_index");
+  Body.HintTerm = counterAt(Object, "hint_term");
+  require(Body.Match <= Body.Received, "match is beyond received");
+  return Body;
+}
+
+vote_request readVote(const json &Object) {
+  vote_request Body;
+  Body.Term = counterAt(Object, "term");
+  Body.Pre = flagAt(Object, "pre");
+  Body.Transfer = flagAt(Object, "transfer");
+  Body.LastIndex = counterAt(Object, "last_index");
+  Body.LastTerm = counterAt(Object, "last_term");
+  require(Body.LastTerm < Body.Term, "a candidate's log is from an older term");
+  return Body;
+}
+
+vote_reply readVoteReply(const json &Object) {
+  vote_reply Body;
+  Body.Term = counterAt(Object, "term");
+  Body.Pre = flagAt(Object, "pre");
+  Body.Granted = flagAt(Object, "granted");
+  Body.Removed = flagAt(Object, "removed");
+  return Body;
+}
+
+snapshot_part readSnapshotPart(const json &Object) {
+  snapshot_part Body;
+  Body.Term = counterAt(Object, "term");
+  Body.Round = counterAt(Object, "round");
+  Body.LastIndex = counterAt(Object, "last_index");
+  Body.LastTerm = counterAt(Object, "last_term");
+  Body.Members = membersFromJson(Object.at("members"));
+  Body.Total = counterAt(Object, "total");
+  Body.Offset = counterAt(Object, "offset");
+  Body.Bytes = bytesFromJson(Object.at("bytes"));
+  require(Body.LastIndex > 0 && Body.LastTerm > 0 && Body.LastTerm <= Body.Term,
+          "a snapshot covers at least one entry");
+  require(Body.Offset + Body.Bytes.size() <= Body.Total,
+          "a part reaches beyond the state");
+  return Body;
+}
+
+snapshot_reply readSnapshotReply(const json &Object) {
+  return {counterAt(Object, "term"), counterAt(Object, "round"),
+          counterAt(Object, "last_index"), counterAt(Object, "next_offset")};
+}
+
+message_body readBody(const json &Object) {
+  const auto &Type = Object.at("type").get_ref<const std::string &>();
+  if (Type == "append")
+    return readAppend(Object);
+  if (Type == "append_reply")
+    return readAppendReply(Object);
+  if (Type == "vote")
+    return readVote(Object);
+  if (Type == "vote_reply")
+    return readVoteReply(Object);
+  if (Type == "snapshot_part")
+    return readSnapshotPart(Object);
+  if (Type == "snapshot_reply")
+    return readSnapshotReply(Object);
+  require(Type == "transfer_now", "the type is unknown");
+  return transfer_now{counterAt(Object, "term")};
+}
+
+std::string toCbor(const json &Value) {
+  std::string Bytes;
+  json::to_cbor(Value, Bytes);
+  return Bytes;
+}
+
+} // namespace
+
+std::string encodeMessage(const message &Message) {
+  json Object = {{"from", idToJson(Message.From)},
+                 {"to", idToJson(Message.To)},
+                 {"term", std::visit([](const auto &Body) { return Body.Term; },
+                                     Message.Body)}};
+  std::visit(body_encoder{Object}, Message.Body);
+  return toCbor(Object);
+}
+
+std::optional<message> decodeMessage(std::string_view Bytes) {
+  if (Bytes.size() > MaxMessageBytes ||
+      !isBoundedCbor(Bytes, MaxDepth, MaxItems))
+    return std::nullopt;
+  try {
+    const json Object = json::from_cbor(Bytes.begin(), Bytes.end());
+    require(Object.is_object(), "a message is a map");
+    return message{idFromJson(Object.at("from")), idFromJson(Object.at("to")),
+                   readBody(Object)};
+  } catch (const json::exception &) {
+    return std::nullopt;
+  } catch (const bad_message &) {
+    return std::nullopt;
+  }
+}
+
+std::string encodeMembership(const membership &Members) {
+  return toCbor(membersToJson(Members));
+}
+
+std::optional<membership> decodeMembership(std::string_view Bytes) {
+  if (!isBoundedCbor(Bytes, MaxDepth, MaxItems))
+    return std::nullopt;
+  try {
+    return membersFromJson(json::from_cbor(Bytes.begin(), Bytes.end()));
+  } catch (const json::exception &) {
+    return std::nullopt;
+  } catch (const bad_message &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace lycheetrestle::replication
--- /dev/null
+++ b/replication/messages.h
@@ -0,0 +1,120 @@
+#ifndef LYCHEETRESTLE_REPLICATION_MESSAGES_H
+#define LYCHEETRESTLE_REPLICATION_MESSAGES_H
+
+#include "replication/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lycheetrestle::replication {
+
+/// Entries after PrevIndex, or a heartbeat when there are none.
+struct append_message {
+  std::uint64_t Term = 0;
+  std::uint64_t Round = 0; ///< Heartbeat round; the reply returns it.
+  std::uint64_t PrevIndex = 0;
+  std::uint64_t PrevTerm = 0;
+  std::uint64_t Commit = 0;
+  std::vector<log_entry> Entries;
+  bool operator==(const append_message &) const = default;
+};
+
+struct append_reply {
+  std::uint64_t Term = 0;
+  std::uint64_t Round = 0;
+  bool Accepted = false;
+  std::uint64_t Match = 0;     ///< Accepted: equal to the leader's and synced.
+  std::uint64_t Received = 0;  ///< Accepted: equal, perhaps not yet synced.
+  std::uint64_t Rejected = 0;  ///< Otherwise: PrevIndex that did not match.
+  std::uint64_t HintIndex = 0; ///< Otherwise: last index that may match.
+  std::uint64_t HintTerm = 0;  ///< Otherwise: term of HintIndex.
+  bool operator==(const append_reply &) const = default;
+};
+
+struct vote_request {
+  std::uint64_t Term = 0;
+  bool Pre = false;      ///< Asks only whether an election could be won.
+  bool Transfer = false; ///< The leader asked for this election.
+  std::uint64_t LastIndex = 0;
+  std::uint64_t LastTerm = 0;
+  bool operator==(const vote_request &) const = default;
+};
+
+struct vote_reply {
+  std::uint64_t Term = 0; ///< Granted pre-vote: the requested term.
+  bool Pre = false;
+  bool Granted = false;
+  bool Removed = false; ///< A leader says: the asker is no longer a member.
+  bool operator==(const vote_reply &) const = default;
+};
+
+struct snapshot_part {
+  std::uint64_t Term = 0;
+  std::uint64_t Round = 0;
+  std::uint64_t LastIndex = 0;
+  std::uint64_t LastTerm = 0;
+  membership Members;
+  std::uint64_t Total = 0; ///< Size of the whole state in bytes.
+  std::uint64_t Offset = 0;
+  std::string Bytes;
+  bool operator==(const snapshot_part &) const = default;
+};
+
+struct snapshot_reply {
+  std::uint64_t Term = 0;
+  std::uint64_t Round = 0;
+  std::uint64_t LastIndex = 0;
+  std::uint64_t NextOffset = 0; ///< Bytes received in order so far.
+  bool operator==(const snapshot_reply &) const = default;
+};
+
+/// Tells a follower to start an election at once.
+struct transfer_now {
+  std::uint64_t Term = 0;
+  bool operator==(const transfer_now &) const = default;
+};
+
+using message_body =
+    std::variant<append_message, append_reply, vote_request, vote_reply,
+                 snapshot_part, snapshot_reply, transfer_now>;
+
+struct message {
+  replica_id From;
+  replica_id To;
+  message_body Body;
+  bool operator==(const message &) const = default;
+};
+
+/// Largest index, term or size accepted in a message. Larger values are
+/// hostile, and sums of accepted values cannot overflow.
+inline constexpr std::uint64_t MaxCounter = std::uint64_t{1} << 53u;
+/// Design limit for every message between the processes.
+inline constexpr std::size_t MaxMessageBytes = 4u << 20;
+/// Most entries in one append message.
+inline constexpr std::size_t MaxEntriesPerMessage = 4096;
+
+/// \param Message the message.
+/// \returns its CBOR bytes.
+std::string encodeMessage(const message &Message);
+
+/// \param Bytes untrusted bytes.
+/// \returns the message, or nothing when it is malformed or breaks a rule that
+/// every message of a correct replica keeps: sizes, contiguous indices, terms
+/// that do not decrease, and a valid membership.
+std::optional<message> decodeMessage(std::string_view Bytes);
+
+/// \param Members the membership.
+/// \returns its CBOR bytes, the payload of a membership entry.
+std::string encodeMembership(const membership &Members);
+
+/// \param Bytes the payload of a membership entry.
+/// \returns the membership, or nothing when it is malformed or not valid.
+std::optional<membership> decodeMembership(std::string_view Bytes);
+
+} // namespace lycheetrestle::replication
+
+#endif
--- /dev/null
+++ b/replication/progress.h
@@ -0,0 +1,60 @@
+#ifndef LYCHEETRESTLE_REPLICATION_PROGRESS_H
+#define LYCHEETRESTLE_REPLICATION_PROGRESS_H
+
+#include "core/clock.h"
+#include "replication/types.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace lycheetrestle::replication {
+
+/// How the leader sends to one follower. Probe: one message at a time until
+/// the logs are known to match. Replicate: pipelined. Snapshot: parts of a
+/// snapshot, because the entries that the follower needs are compacted.
+enum class progress_mode : std::uint8_t { Probe, Replicate, Snapshot };
+
+/// What a leader knows of one other member.
+class progress {
+public:
+  progress(std::uint64_t NextIndex, core::time_point Now)
+      : Next(NextIndex), LastHeard(Now) {}
+
+  progress_mode Mode = progress_mode::Probe;
+  std::uint64_t Match = 0; ///< Synced at the follower.
+  std::uint64_t Next = 1;  ///< The next index to send.
+  std::uint64_t AckedRound = 0;
+  core::time_point LastHeard;
+  bool ProbeSent = false; ///< Probe: wait for a reply or a heartbeat.
+
+  std::shared_ptr<const snapshot> Sending; ///< Snapshot mode only.
+  std::uint64_t Offset = 0;                ///< Next byte of the snapshot.
+  bool PartSent = false;                   ///< Wait for a reply or heartbeat.
+
+  /// Records an append message on its way.
+  void addInFlight(std::uint64_t LastIndex, std::size_t Bytes);
+  /// \returns whether another message fits into the byte limit. One message
+  /// always fits, so that a large entry cannot block replication.
+  bool hasRoom(std::size_t MaxBytes) const;
+  /// Takes note of a newly synced index.
+  /// \returns whether Match grew.
+  bool advance(std::uint64_t Synced);
+  void startProbe(std::uint64_t NextIndex);
+  void startReplicate();
+  void startSnapshot(std::shared_ptr<const snapshot> Snapshot);
+
+private:
+  struct sent_batch {
+    std::uint64_t LastIndex;
+    std::size_t Bytes;
+  };
+  std::deque<sent_batch> InFlight;
+  std::size_t InFlightBytes = 0;
+
+  void clearInFlight();
+};
+
+} // namespace lycheetrestle::replication
+
+#endif
--- a/replication/raft_node.h
+++ b/replication/raft_node.h
@@ -5,6 +5,7 @@
 #include "core/failure.h"
 #include "replication/types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -22,7 +23,12 @@
   std::size_t MaxAppendBytes = 256u << 10; ///< For one append message.
   std::size_t SnapshotPartBytes = 256u << 10;
   std::size_t MaxUncommittedBytes = 8u << 20; ///< Proposals beyond are refused.
-  std::uint64_t Seed = 0;                     ///< Seed of the timeouts.
+  std::size_t MaxPayloadBytes = 1u << 20;     ///< Larger proposals are refused.
+  std::size_t MaxInFlightBytes = 1u << 20;    ///< Unacknowledged, per follower.
+  /// Received entries that the disk has not synced; more are ignored.
+  std::size_t MaxUnstoredBytes = 16u << 20;
+  std::size_t MaxSnapshotBytes = 256u << 20; ///< Larger ones are ignored.
+  std::uint64_t Seed = 0;                    ///< Seed of the timeouts.
 };
 
 struct outgoing_message {
@@ -41,7 +47,9 @@
 struct raft_output {
   std::vector<outgoing_message> Messages; ///< May be sent at once.
   std::optional<storage_write> Write;     ///< Sync it, then call stored().
-  std::optional<snapshot> Restore;        ///< Replace the state machine first.
+  /// Replace the state machine first. Also set in the first output after a
+  /// start with a snapshot.
+  std::optional<snapshot> Restore;
   std::vector<log_entry> Committed; ///< Apply in order, each exactly once.
   std::vector<read_result> Reads;
 };
@@ -56,6 +64,11 @@
   std::uint64_t LastIndex = 0;
   std::uint64_t SnapshotIndex = 0;
   membership Members;
+  std::uint64_t DroppedMessages = 0; ///< Malformed or hostile.
+  /// Messages that contradicted committed entries. Anything but 0 means that a
+  /// replica lost synced data or a peer is hostile.
+  std::uint64_t ConflictingMessages = 0;
+  bool StorageFailing = false;
 };
 
 /// One replica of the log (Raft): pre-vote, a leader that steps down without a
@@ -66,15 +79,17 @@
 public:
   /// \param Settings identity and timing.
   /// \param Found what was on the disk.
-  /// \param Initial voters of a new cluster; used only when Found is empty. An
-  /// empty membership makes this replica wait until a leader adds it.
+  /// \param Initial voters of a new cluster, the same at every start; used as
+  /// the membership before the first entry when Found has no snapshot. An empty
+  /// membership makes this replica wait until a leader adds it.
   /// \param Now the time of the start.
   raft_node(raft_settings Settings, persistent_state Found, membership Initial,
             core::time_point Now);
   ~raft_node();
 
   void tick(core::time_point Now);
-  /// \param From the sender as the transport knows it.
+  /// \param From the sender as the transport knows it. Incarnation 0 means
+  /// that the transport knows only the name.
   /// \param Bytes a message; malformed ones are dropped and counted.
   void receive(const replica_id &From, std::string_view Bytes,
                core::time_point Now);
@@ -85,13 +100,17 @@
   void storageFailed(core::time_point Now);
 
   /// \param Payload the command.
-  /// \returns the index it will have if it commits, or NotLeader, Overloaded.
+  /// \returns the index it will have if it commits, or NotLeader (also while
+  /// leadership is handed over), Overloaded or TooLarge. The entry that commits
+  /// at this index is the proposal only if its term is the current term.
   core::result<std::uint64_t> propose(std::string Payload);
   /// \param Target differs from the current membership in one member.
-  /// \returns the index, or NotLeader, Conflict (a change is under way), or
-  /// BadInput (more than one member differs).
+  /// \returns the index, or NotLeader, Conflict (a change is under way, or no
+  /// entry of this term is committed yet), or BadInput (not exactly one member
+  /// differs, or the target is not a valid membership).
   core::result<std::uint64_t> proposeMembership(membership Target);
-  /// \returns a token that comes back in raft_output::Reads, or NotLeader.
+  /// \returns a token that comes back in raft_output::Reads, or NotLeader or
+  /// Overloaded. The read waits for the next heartbeat round.
   core::result<std::uint64_t> requestRead(core::time_point Now);
   /// Hands leadership to the follower that is furthest ahead, for a shutdown.
   void transferLeadership(core::time_point Now);
--- /dev/null
+++ b/replication/raft_snapshot.cpp
@@ -0,0 +1,103 @@
+#include "core/invariant.h"
+#include "replication/raft_node_implementation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::replication {
+
+void raft_node::implementation::sendSnapshotPart(const replica_id &To,
+                                                 progress &Progress) {
+  const snapshot &Snapshot = *Progress.Sending;
+  snapshot_part Part;
+  Part.Term = Hard.Term;
+  Part.Round = Round;
+  Part.LastIndex = Snapshot.LastIndex;
+  Part.LastTerm = Snapshot.LastTerm;
+  Part.Members = Snapshot.Members;
+  Part.Total = Snapshot.State.size();
+  Part.Offset = Progress.Offset;
+  Part.Bytes =
+      Snapshot.State.substr(Progress.Offset, Settings.SnapshotPartBytes);
+  Progress.PartSent = true;
+  send(To, std::move(Part));
+}
+
+void raft_node::implementation::onBody(const replica_id &From,
+                                       const snapshot_part &Part,
+                                       core::time_point Now) {
+  if (Part.Total > Settings.MaxSnapshotBytes) {
+    ++DroppedMessages;
+    return;
+  }
+  if (Part.LastIndex <= Log.commitIndex() &&
+      Log.termAt(Part.LastIndex).value_or(Part.LastTerm) != Part.LastTerm) {
+    ++ConflictingMessages;
+    return;
+  }
+  if (Part.Term > Hard.Term)
+    becomeFollower(Part.Term, From, Now);
+  if (!followLeader(From, Now))
+    return;
+  LeaderRound = std::max(LeaderRound, Part.Round);
+  // Entries that the snapshot covers are equal to the leader's, so when they
+  // are here already there is nothing to install.
+  if (Part.LastIndex <= Log.commitIndex() ||
+      Log.termAt(Part.LastIndex) == Part.LastTerm) {
+    Incoming.reset();
+    commitTo(Part.LastIndex);
+    Matched = std::max(Matched, Part.LastIndex);
+    replyMatch(Part.Round);
+    return;
+  }
+  const auto IsSame = [&] {
+    return Incoming && Incoming->Snapshot.LastIndex == Part.LastIndex &&
+           Incoming->Snapshot.LastTerm == Part.LastTerm &&
+           Incoming->Total == Part.Total;
+  };
+  if (!IsSame()) {
+    Incoming.emplace();
+    Incoming->Snapshot.LastIndex = Part.LastIndex;
+    Incoming->Snapshot.LastTerm = Part.LastTerm;
+    Incoming->Snapshot.Members = Part.Members;
+    Incoming->Total = Part.Total;
+  }
+  // A part that is early or a duplicate is ignored; the reply says where to go
+  // on.
+  std::string &State = Incoming->Snapshot.State;
+  if (Part.Offset == State.size())
+    State += Part.Bytes;
+  if (State.size() < Incoming->Total) {
+    send(From,
+         snapshot_reply{Hard.Term, Part.Round, Part.LastIndex, State.size()});
+    return;
+  }
+  Log.install(std::move(Incoming->Snapshot));
+  Incoming.reset();
+  Matched = std::max(Matched, Part.LastIndex);
+  replyMatch(Part.Round);
+}
+
+void raft_node::implementation::onBody(const replica_id &From,
+                                       const snapshot_reply &Reply,
+                                       core::time_point Now) {
+  const auto Found = Followers.find(From);
+  if (Role != raft_role::Leader || Found == Followers.end())
+    return;
+  progress &Progress = Found->second;
+  if (!noteContact(Progress, Reply.Round, Now) ||
+      Progress.Mode != progress_mode::Snapshot ||
+      Reply.LastIndex != Progress.Sending->LastIndex)
+    return;
+  // Less than the offset means that the follower lost what it had.
+  if (Reply.NextOffset > Progress.Sending->State.size()) {
+    ++DroppedMessages;
+    return;
+  }
+  if (Reply.NextOffset == Progress.Offset && Progress.PartSent)
+    return; // a late reply; the part under way is not sent twice
+  Progress.Offset = Reply.NextOffset;
+  Progress.PartSent = false;
+}
+
+} // namespace lycheetrestle::replication
--- a/replication/types.h
+++ b/replication/types.h
@@ -14,6 +14,8 @@
 struct replica_id {
   std::string Name;
   std::uint64_t Incarnation = 0;
+  // clang-tidy 14 reports a variable inside the generated function.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   auto operator<=>(const replica_id &) const = default;
 };
 
