Add the fleet state machine

Cause: control, reconciler and the tool need the replicated state to link against. Before: headers only. Conclusion: others can link; the other rules still need their tests.

--- /dev/null
+++ b/fleet/cbor_sequence.h
@@ -0,0 +1,35 @@
+#ifndef LYCHEETRESTLE_FLEET_CBOR_SEQUENCE_H
+#define LYCHEETRESTLE_FLEET_CBOR_SEQUENCE_H
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::fleet {
+
+/// Reads one CBOR item after the other from untrusted bytes. Depth and number
+/// of values are checked before an item is built, because the parser recurses
+/// and would overflow the stack on deeply nested input.
+class cbor_sequence {
+public:
+  /// \param Bytes the items; they must outlive the sequence.
+  explicit cbor_sequence(std::string_view Bytes) : Rest(Bytes) {}
+
+  /// \returns the next item, or nothing when it is malformed or missing.
+  std::optional<nlohmann::json> next();
+  /// \returns whether all bytes were read.
+  bool atEnd() const { return Rest.empty(); }
+
+private:
+  std::string_view Rest;
+};
+
+/// Appends an item to a sequence.
+void appendCbor(std::string &Bytes, const nlohmann::json &Item);
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- /dev/null
+++ b/fleet/rules.h
@@ -0,0 +1,60 @@
+#ifndef LYCHEETRESTLE_FLEET_RULES_H
+#define LYCHEETRESTLE_FLEET_RULES_H
+
+#include "fleet/change.h"
+#include "fleet/commands.h"
+#include "fleet/state_data.h"
+
+#include <optional>
+
+namespace lycheetrestle::fleet {
+
+/// Checks a declaration whole, without regard to the current state: counts,
+/// names, references, budgets, zones and racks.
+/// \param Next the declaration.
+/// \returns the first broken rule with field and value, or nothing.
+std::optional<core::failure> checkDeclaration(const declaration &Next);
+
+/// The rules of each command. A failure leaves the state as it was.
+change_outcome applyTo(state_data &State, const submit_declaration &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const request_host_goal &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const change_host_state &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const start_wave &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const pause_wave &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const resume_wave &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const finish_wave &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const submit_job &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const cancel_job &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const start_job &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const renew_job_lease &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const change_job_state &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const reserve_key &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const complete_key &Command,
+                       const origin &From);
+change_outcome applyTo(state_data &State, const abandon_key &Command,
+                       const origin &From);
+
+/// Counts the unplanned loss of a host against its wave and pauses the wave at
+/// the declared limit. Does nothing for wave 0.
+void recordWaveFailure(state_data &State, std::uint64_t Wave);
+/// Counts a host as done in its wave. Does nothing for wave 0.
+void recordWaveDone(state_data &State, host_record &Host);
+/// Takes a removed host out of the total of the open wave.
+void recordWaveRemoval(state_data &State, const host_record &Host);
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- /dev/null
+++ b/fleet/snapshot.h
@@ -0,0 +1,22 @@
+#ifndef LYCHEETRESTLE_FLEET_SNAPSHOT_H
+#define LYCHEETRESTLE_FLEET_SNAPSHOT_H
+
+#include "fleet/state_data.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::fleet {
+
+/// \returns the state as a sequence of CBOR items: a head with the number of
+/// items of each kind, then the items. Equal states give equal bytes.
+std::string writeSnapshot(const state_data &State);
+
+/// \param Bytes bytes of writeSnapshot(), or anything else.
+/// \returns the state, or nothing when any item, reference or bound is wrong.
+std::optional<state_data> readSnapshot(std::string_view Bytes);
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- /dev/null
+++ b/fleet/state_data.h
@@ -0,0 +1,127 @@
+#ifndef LYCHEETRESTLE_FLEET_STATE_DATA_H
+#define LYCHEETRESTLE_FLEET_STATE_DATA_H
+
+#include "fleet/audit_trail.h"
+#include "fleet/change.h"
+#include "fleet/key_table.h"
+#include "fleet/submission_table.h"
+#include "fleet/types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lycheetrestle::fleet {
+
+/// A sum of resources; 64 bits wide, because it adds up many jobs.
+struct resource_sum {
+  std::uint64_t Cores = 0;
+  std::uint64_t MemoryMb = 0;
+  std::uint64_t Accelerators = 0;
+  void add(const resources &Use);
+  void subtract(const resources &Use);
+  /// \returns whether the sum and one more use stay within the limit.
+  bool leavesRoomFor(const resources &Use, const resources &Limit) const;
+  bool operator==(const resource_sum &) const = default;
+};
+
+/// A declared pool with its counters.
+struct pool_entry {
+  availability_budget Budget;
+  std::uint32_t Hosts = 0;
+  std::uint32_t HomeHosts = 0;
+  std::uint32_t Available = 0;
+  std::uint32_t Targets = 0; ///< Hosts that were asked to move here.
+  std::uint32_t minimum() const { return Budget.minimum(HomeHosts); }
+};
+
+struct team_entry {
+  resources Quota;
+  bool Declared = false; ///< False while only running jobs refer to it.
+  resource_sum Use;      ///< Of the team's jobs that hold a lease.
+};
+
+/// Jobs that hold a lease on a host.
+struct host_load {
+  std::set<std::uint64_t> Jobs;
+  resource_sum Use;
+};
+
+/// An accepted declaration. Old bodies are dropped, the facts stay longer.
+struct declaration_entry {
+  std::string Submission;
+  std::string Actor;
+  std::uint64_t Index = 0;
+  std::int64_t TimeMs = 0;
+  std::shared_ptr<const declaration> Body;
+};
+
+template <typename Value>
+using name_map = std::map<std::string, Value, std::less<>>;
+
+/// Everything that the state machine knows. The second part is counted from
+/// the first, so that no command has to walk over all hosts or jobs.
+struct state_data {
+  std::uint64_t AppliedIndex = 0;
+  std::int64_t TimeMs = 0;
+  std::uint64_t ViewIndex = 0;
+  std::uint64_t DeclarationIndex = 0;
+  std::shared_ptr<const declaration> Current =
+      std::make_shared<const declaration>();
+  std::map<std::uint64_t, declaration_entry> History;
+  name_map<host_record> Hosts;
+  std::map<std::uint64_t, wave_record> Waves;
+  std::map<std::uint64_t, job_record> Jobs;
+  std::uint64_t NextWave = 1;
+  std::uint64_t NextJob = 1;
+  /// Largest epoch of any removed host. A host starts above it, so that a
+  /// name that comes back never repeats an epoch.
+  std::uint64_t RetiredEpoch = 0;
+  key_table Keys;
+  submission_table Submissions;
+  audit_trail Audit;
+
+  name_map<pool_entry> Pools;
+  name_map<team_entry> Teams;
+  name_map<host_load> Loads; ///< Only hosts with jobs.
+  std::size_t LeasedJobs = 0;
+  /// Ended jobs by the log index of their end; the oldest are dropped first.
+  std::set<std::pair<std::uint64_t, std::uint64_t>> EndedJobs;
+  std::uint64_t OpenWave = 0; ///< The wave that is not finished, or 0.
+
+  /// Counts a host in or out of the pools that it refers to.
+  void countHost(const host_record &Host);
+  void uncountHost(const host_record &Host);
+  /// Counts a job in or out of its team, host and the list of ended jobs.
+  void countJob(const job_record &Job);
+  void uncountJob(const job_record &Job);
+  bool hasJobs(std::string_view Host) const;
+  /// Takes pools and teams over from the current declaration and keeps the
+  /// counters.
+  void indexDeclaration();
+
+  /// Changes a host through a function and keeps the counters right.
+  template <typename Callable>
+  void changeHost(host_record &Host, Callable &&Function) {
+    uncountHost(Host);
+    Function(Host);
+    countHost(Host);
+  }
+  /// Changes a job through a function and keeps the counters right.
+  template <typename Callable>
+  void changeJob(job_record &Job, Callable &&Function) {
+    uncountJob(Job);
+    Function(Job);
+    countJob(Job);
+  }
+};
+
+} // namespace lycheetrestle::fleet
+
+#endif
--- a/fleet/types.h
+++ b/fleet/types.h
@@ -101,6 +101,8 @@
 /// drained.
 enum class host_goal : std::uint8_t { None, Drain, Reboot, Move };
 
+std::string_view toString(host_goal Goal);
+
 /// A host as the replicated state knows it.
 struct host_record {
   host_spec Spec;
@@ -113,11 +115,17 @@
   std::uint64_t LastWave = 0;     ///< Last wave that finished with the host.
   std::uint64_t ChangedIndex = 0; ///< Log index of the last change.
   std::int64_t ChangedMs = 0;     ///< Leader's stamp of the last change.
+  /// Goal requested while the host reboots or moves; it becomes Goal when the
+  /// host is Returning.
+  host_goal NextGoal = host_goal::None;
+  std::string NextTargetPool; ///< Set when NextGoal is Move.
   bool operator==(const host_record &) const = default;
 };
 
 enum class wave_state : std::uint8_t { Running, Paused, Finished };
 
+std::string_view toString(wave_state State);
+
 struct wave_record {
   std::uint64_t Id = 0;
   wave_state State = wave_state::Running;
@@ -141,6 +149,13 @@
   Impossible, ///< No worker could ever run it; Reason says why.
 };
 
+std::string_view toString(job_state State);
+/// \returns whether a job in this state occupies its worker.
+bool holdsLease(job_state State);
+/// \returns whether a job in this state does nothing more by itself. A failed
+/// job may be set back to Waiting for another worker.
+bool hasEnded(job_state State);
+
 struct job_record {
   std::uint64_t Id = 0;
   std::string Team;
@@ -158,9 +173,14 @@
   std::string Reason;
   bool CancelRequested = false;
   std::int64_t SubmittedMs = 0;
+  std::uint64_t EndedIndex = 0; ///< Log index at which it ended, or 0.
   bool operator==(const job_record &) const = default;
 };
 
+/// \returns what the job is assumed to use: each resource as learnt, or as
+/// declared while nothing was learnt of it.
+resources effectiveUse(const job_record &Job);
+
 /// One line of the audit trail.
 struct audit_record {
   std::uint64_t Index = 0; ///< Log index of the change.
