--- a/declaration/declaration.h
+++ b/declaration/declaration.h
@@ -32,11 +32,15 @@
     std::string Host;
     std::string FromPool, ToPool; ///< Equal unless the host moves.
     std::string Action;           ///< `add`, `move`, `remove`.
-    std::uint32_t Batch = 0;      ///< Steps of one batch run together.
+    /// Steps of one batch run together, from 1 on. 0 marks a step that the
+    /// budgets do not allow until lost hosts are back.
+    std::uint32_t Batch = 0;
   };
   struct pool_budget {
     std::string Pool;
-    std::uint32_t Hosts = 0, Available = 0, Minimum = 0;
+    std::uint32_t Hosts = 0;     ///< Hosts whose home the pool will be.
+    std::uint32_t Available = 0; ///< In service once it is accepted.
+    std::uint32_t Minimum = 0;
     std::uint32_t LowestAvailable = 0; ///< At the worst moment of the plan.
   };
   std::vector<host_step> Steps;
@@ -46,7 +50,8 @@
 /// Plans a declaration without changing anything.
 /// \param State the state it would be applied to.
 /// \param Next the declaration.
-/// \returns the plan, or Conflict when its number is not larger than the
+/// \returns the plan, or the failure with which the state would refuse the
+/// declaration, for example Conflict when its number is not larger than the
 /// current one.
 core::result<declaration_plan> planDeclaration(const fleet::fleet_state &State,
                                                const fleet::declaration &Next);
--- a/fleet/declaration_rules.cpp
+++ b/fleet/declaration_rules.cpp
@@ -128,6 +128,16 @@
 
 } // namespace
 
+std::optional<core::failure> checkAgainst(const state_data &State,
+                                          const declaration &Next) {
+  if (auto Failure = checkNumber(State, Next))
+    return Failure;
+  if (auto Failure = checkDeclaration(Next))
+    return Failure;
+  std::vector<std::string_view> Removed;
+  return checkRemovals(State, Next, Removed);
+}
+
 change_outcome applyTo(state_data &State, const submit_declaration &Command,
                        const origin &From) {
   const auto &Next = Command.Declaration;
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -196,6 +196,11 @@
   return Impl->apply(Command, Index);
 }
 
+std::optional<core::failure>
+fleet_state::checkSubmission(const declaration &Next) const {
+  return checkAgainst(Impl->State, Next);
+}
+
 std::string fleet_state::snapshot() const { return writeSnapshot(Impl->State); }
 
 core::result<fleet_state> fleet_state::restore(std::string_view Bytes) {
--- a/fleet/fleet_state.h
+++ b/fleet/fleet_state.h
@@ -62,6 +62,11 @@
   /// \param Index its log index, larger than all before.
   apply_result apply(const command &Command, std::uint64_t Index);
 
+  /// Checks a declaration against the state without changing anything.
+  /// \param Next the declaration.
+  /// \returns the failure with which apply() would refuse it now, or nothing.
+  std::optional<core::failure> checkSubmission(const declaration &Next) const;
+
   /// \returns the state as bytes, equal on replicas with equal state.
   std::string snapshot() const;
   /// \param Bytes bytes of snapshot().
--- a/fleet/rules.h
+++ b/fleet/rules.h
@@ -15,6 +15,12 @@
 /// \returns the first broken rule with field and value, or nothing.
 std::optional<core::failure> checkDeclaration(const declaration &Next);
 
+/// Checks a declaration whole and against the state: number, and hosts and
+/// pools that must not be removed.
+/// \returns the first broken rule, or nothing.
+std::optional<core::failure> checkAgainst(const state_data &State,
+                                          const declaration &Next);
+
 /// The rules of each command. A failure leaves the state as it was.
 change_outcome applyTo(state_data &State, const submit_declaration &Command,
                        const origin &From);
