--- a/routing/messages.h
+++ b/routing/messages.h
@@ -45,6 +45,8 @@
   std::uint32_t Connections = 64;
   bool Leaving = false;
   std::uint32_t InFlight = 0;
+  /// Age when an entry passed it on; 0 when it comes from the endpoint itself.
+  std::uint32_t AgeMs = 0;
 };
 
 // Between an entry and control.
@@ -118,13 +120,21 @@
   /// Age of the sender's confirmation from control when it replied; negative
   /// when it has none.
   std::int64_t ConfirmationAgeMs = -1;
+  /// The sender has held, since its own start, a confirmation that is younger
+  /// than this start. Only then does it count for a majority of entries: an
+  /// entry that restarted may have forgotten a version that it confirmed.
+  bool Anchored = false;
   view_delta Delta;
 };
 struct announcements {
+  /// Newest nonce that the receiver sent to the sender in a peer_probe. It
+  /// bounds the age of the batch, however long the batch was under way.
+  std::uint64_t EchoNonce = 0;
   std::vector<announcement> List;
 };
 struct slot_request {
-  std::uint64_t RequestId = 0;
+  std::uint64_t RequestId = 0; ///< Unique among all starts of the sender.
+  std::uint64_t Incarnation = 0;
   std::string Service;
   fleet::work_class Class = fleet::work_class::Normal;
   std::uint32_t DeadlineMs = 0;   ///< Time left.
@@ -143,6 +153,7 @@
 /// Withdraws a request that still waits.
 struct slot_cancel {
   std::uint64_t RequestId = 0;
+  std::string Service;
 };
 struct slot_release {
   std::string Service;
@@ -154,10 +165,12 @@
 struct held_slot {
   std::string Endpoint;
   std::uint64_t Token = 0;
+  std::uint32_t DeadlineMs = 0; ///< Time left until the request has ended.
 };
 /// Tells a new broker what the sender holds; waiting requests are sent again.
 struct slot_report {
   std::string Service;
+  std::uint64_t Incarnation = 0; ///< Of the sender.
   std::vector<held_slot> Held;
 };
 
