Write the decisions of an entry

Cause: the entry process needs freshness, registry, slots, keys and verdicts behind entry_router. Change: endpoint registry, fleet view, freshness guard, queue, broker and holder of slots, retry budget, key client, request tracker and handler, contacts with peers, and the router that joins them.

--- /dev/null
+++ b/routing/broker_set.h
@@ -0,0 +1,64 @@
+#ifndef LYCHEETRESTLE_ROUTING_BROKER_SET_H
+#define LYCHEETRESTLE_ROUTING_BROKER_SET_H
+
+#include "routing/slot_broker.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+/// The brokers of this entry, one for each service that it owns or that another
+/// entry believes it to own.
+class broker_set {
+public:
+  /// \param Self this entry.
+  /// \param Incarnation of this entry; tokens derive from it.
+  broker_set(std::string Self, std::uint64_t Incarnation,
+             broker_settings Settings, const endpoint_source &Endpoints);
+
+  /// This entry became the owner of a service.
+  /// \param Reporters the live entries, which will report what they hold.
+  void becomeOwner(const std::string &Service, std::set<std::string> Reporters,
+                   core::time_point Now);
+  void request(const std::string &Holder, const slot_request &Request,
+               const std::set<std::string> &Reporters, core::time_point Now);
+  void cancel(const std::string &Holder, const slot_cancel &Cancel);
+  void release(const slot_release &Release, core::time_point Now);
+  void report(const std::string &Holder, const slot_report &Report,
+              const std::set<std::string> &Reporters, core::time_point Now);
+  void holderDown(const std::string &Holder);
+  /// Another entry became the owner of a service. What it grants is not known
+  /// here, so a later request starts a rebuild.
+  void loseOwner(const std::string &Service);
+  /// Sends every waiting request back to its holder and accepts no more from
+  /// other entries. This entry may still have to broker for itself.
+  void close();
+  void update(core::time_point Now);
+
+  std::vector<broker_reply> takeReplies();
+  const std::map<std::string, slot_broker> &brokers() const { return Brokers; }
+
+private:
+  /// A broker that does not exist yet starts with a rebuild, because an earlier
+  /// owner may have granted slots that are still held.
+  slot_broker &brokerOf(const std::string &Service,
+                        const std::set<std::string> &Reporters,
+                        core::time_point Now);
+
+  std::string Self;
+  std::uint64_t Incarnation;
+  broker_settings Settings;
+  const endpoint_source &Endpoints;
+  std::map<std::string, slot_broker> Brokers;
+  std::set<std::string> Lost; ///< Services that another entry owned since.
+  std::uint64_t Created = 0;
+  bool IsClosed = false;
+  std::vector<broker_reply> Replies;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/entry_router.cpp
@@ -0,0 +1,425 @@
+#include "routing/entry_router.h"
+
+#include "core/checksum.h"
+#include "routing/broker_set.h"
+#include "routing/peer_contacts.h"
+#include "routing/request_handler.h"
+#include "routing/service_owner.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+namespace lycheetrestle::routing {
+
+namespace {
+
+constexpr core::duration ReportInterval = std::chrono::seconds(1);
+constexpr core::duration ExpireInterval = std::chrono::seconds(1);
+// A gap between two events that is longer than this means that the process was
+// frozen. Announcements that arrive within PauseShadow after it may have waited
+// in socket buffers, so their leases count from before the gap.
+constexpr core::duration LongestGap = std::chrono::milliseconds(500);
+constexpr core::duration PauseShadow = std::chrono::milliseconds(500);
+// Weight of the newest second in the reported demand.
+constexpr double DemandWeight = 0.5;
+
+/// The endpoints that may get new work, by this entry's leases and view.
+class usable_endpoints final : public endpoint_source {
+public:
+  usable_endpoints(const endpoint_registry &Registry, const fleet_view &View)
+      : Registry(Registry), View(View) {}
+
+  std::vector<endpoint_slots> eligible(std::string_view Service,
+                                       core::time_point Now) const override {
+    std::vector<endpoint_slots> List;
+    Registry.forEachUsable(Service, Now, [&](const announcement &Endpoint) {
+      if (View.allowsWork(Service, Endpoint.Host))
+        List.push_back({Endpoint.Endpoint, Endpoint.Slots});
+    });
+    return List;
+  }
+
+private:
+  const endpoint_registry &Registry;
+  const fleet_view &View;
+};
+
+std::uint64_t firstId(const router_settings &Settings) {
+  return core::stableHash(Settings.Self + "#" +
+                          std::to_string(Settings.Incarnation));
+}
+
+broker_settings brokerSettings(const router_settings &Settings) {
+  broker_settings Broker;
+  Broker.Queue.MaxPerClass = Settings.MaxQueuedPerClass;
+  Broker.Queue.Share = Settings.BatchShare;
+  return Broker;
+}
+
+registry_settings registrySettings(const router_settings &Settings) {
+  registry_settings Registry;
+  Registry.Lease = Settings.AnnouncementLease;
+  return Registry;
+}
+
+} // namespace
+
+class entry_router::implementation {
+public:
+  implementation(router_settings InitialSettings,
+                 core::metrics_registry &Metrics, core::time_point Now)
+      : Settings(std::move(InitialSettings)), Metrics(Metrics),
+        LastId(firstId(Settings)), LastEvent(Now),
+        Registry(registrySettings(Settings)),
+        Guard(Settings.Self, Settings.Entries, Settings.Freshness, Now),
+        Endpoints(Registry, View), Contacts(Settings, View, Guard, Registry),
+        Brokers(Settings.Self, Settings.Incarnation, brokerSettings(Settings),
+                Endpoints),
+        Handler({Settings, View, Guard, Registry, Metrics,
+                 [this] { return ++LastId; }}) {}
+
+  void observe(core::time_point Now);
+  core::result<void> onAnnouncement(announcement News, core::time_point Now);
+  void onMessage(const std::string &Peer, message Message,
+                 core::time_point Now);
+  void onPeerChange(const std::string &Peer, bool IsUp, core::time_point Now);
+  void tick(core::time_point Now);
+  void beginShutdown(core::time_point Now);
+  /// Delivers messages between this entry's own parts until none is left.
+  void settle(core::time_point Now);
+  std::string statusJson(core::time_point Now) const;
+
+  router_settings Settings;
+  core::metrics_registry &Metrics;
+  std::uint64_t LastId;
+  core::time_point LastEvent;
+  endpoint_registry Registry;
+  fleet_view View;
+  freshness_guard Guard;
+  usable_endpoints Endpoints;
+  peer_contacts Contacts;
+  broker_set Brokers;
+  request_handler Handler;
+  router_output Output;
+
+private:
+  void handleSlotMessage(const std::string &Peer, message &Message,
+                         core::time_point Now);
+  void updateOwners(core::time_point Now);
+  void sendReport(core::time_point Now);
+
+  core::time_point BeforePause{};
+  std::optional<core::time_point> PauseEnd;
+  std::optional<core::time_point> LastReport;
+  std::optional<core::time_point> LastExpire;
+  std::map<std::string, double> Demand;
+  std::map<std::string, std::string> Owners;
+  std::set<std::string> LastLive;
+  std::uint64_t LastViewIndex = 0;
+};
+
+void entry_router::implementation::observe(core::time_point Now) {
+  if (Now - LastEvent > LongestGap) {
+    BeforePause = LastEvent;
+    PauseEnd = Now;
+  }
+  LastEvent = std::max(LastEvent, Now);
+}
+
+core::result<void>
+entry_router::implementation::onAnnouncement(announcement News,
+                                             core::time_point Now) {
+  // The announcement arrived after the last event at the earliest.
+  auto Sent = LastEvent;
+  observe(Now);
+  if (PauseEnd && Now - *PauseEnd <= PauseShadow)
+    Sent = BeforePause;
+  News.AgeMs = 0;
+  auto Result = Registry.apply(News, Sent, Now);
+  if (Result == announcement_result::Full)
+    return core::fail({core::error_code::Overloaded,
+                       "too many endpoints are registered", "endpoint",
+                       News.Endpoint, core::verdict::NotRun});
+  if (Result == announcement_result::Outdated)
+    return core::fail({core::error_code::Conflict,
+                       "a newer announcement of the endpoint is known",
+                       "sequence", std::to_string(News.Sequence),
+                       core::verdict::NotRun});
+  Registry.addGossip(News);
+  Contacts.sendUrgentGossip(Now);
+  settle(Now);
+  return {};
+}
+
+void entry_router::implementation::onMessage(const std::string &Peer,
+                                             message Message,
+                                             core::time_point Now) {
+  observe(Now);
+  if (auto *Reply = std::get_if<probe_reply>(&Message)) {
+    Contacts.onProbeReply(Peer, *Reply, Now);
+    updateOwners(Now);
+  } else if (auto *Reply = std::get_if<key_reply>(&Message)) {
+    if (Contacts.isControl(Peer))
+      Handler.onKeyReply(*Reply, Now);
+  } else if (auto *Probe = std::get_if<peer_probe>(&Message)) {
+    Contacts.onPeerProbe(Peer, *Probe, Now);
+  } else if (auto *Reply = std::get_if<peer_reply>(&Message)) {
+    Contacts.onPeerReply(Peer, *Reply, Now);
+    updateOwners(Now);
+  } else if (auto *Batch = std::get_if<announcements>(&Message)) {
+    Contacts.onAnnouncements(Peer, *Batch, Now);
+  } else if (Contacts.isEntry(Peer)) {
+    handleSlotMessage(Peer, Message, Now);
+  }
+  settle(Now);
+}
+
+void entry_router::implementation::handleSlotMessage(const std::string &Peer,
+                                                     message &Message,
+                                                     core::time_point Now) {
+  if (auto *Request = std::get_if<slot_request>(&Message)) {
+    Brokers.request(Peer, *Request, Contacts.liveEntries(Now), Now);
+  } else if (auto *Grant = std::get_if<slot_grant>(&Message)) {
+    Handler.onGrant(Peer, *Grant, Now);
+  } else if (auto *Refusal = std::get_if<slot_refusal>(&Message)) {
+    if (Refusal->Reason == "moved") {
+      Contacts.onPeerStops(Peer);
+      updateOwners(Now);
+    }
+    Handler.onRefusal(Peer, *Refusal, Now);
+  } else if (auto *Cancel = std::get_if<slot_cancel>(&Message)) {
+    Brokers.cancel(Peer, *Cancel);
+  } else if (auto *Release = std::get_if<slot_release>(&Message)) {
+    Brokers.release(*Release, Now);
+  } else if (auto *Report = std::get_if<slot_report>(&Message)) {
+    Brokers.report(Peer, *Report, Contacts.liveEntries(Now), Now);
+  }
+}
+
+void entry_router::implementation::settle(core::time_point Now) {
+  // Each round moves requests forward, so the loop ends; the bound turns a
+  // mistake into an invariant instead of a hang.
+  for (int Round = 0; Round < 100000; ++Round) {
+    std::deque<slot_message> Local;
+    for (auto &Message : Handler.takeSlotMessages()) {
+      if (Message.Peer == Settings.Self)
+        Local.push_back(std::move(Message));
+      else
+        Output.Messages.push_back(
+            {std::move(Message.Peer), std::move(Message.Message)});
+    }
+    for (auto &Reply : Brokers.takeReplies()) {
+      if (Reply.Holder == Settings.Self)
+        Local.push_back({std::move(Reply.Holder), std::move(Reply.Message)});
+      else
+        Output.Messages.push_back(
+            {std::move(Reply.Holder), std::move(Reply.Message)});
+    }
+    if (Local.empty())
+      break;
+    for (auto &Message : Local)
+      handleSlotMessage(Settings.Self, Message.Message, Now);
+  }
+  for (auto &Message : Contacts.takeMessages())
+    Output.Messages.push_back(std::move(Message));
+  Handler.takeOutput(Output);
+}
+
+void entry_router::implementation::updateOwners(core::time_point Now) {
+  Handler.setLeader(Contacts.leader(Now), Now);
+  auto Live = Contacts.liveEntries(Now);
+  if (Live == LastLive && View.index() == LastViewIndex)
+    return;
+  LastLive = Live;
+  LastViewIndex = View.index();
+  for (const auto &[Service, Spec] : View.services()) {
+    auto Owner = serviceOwner(Service, Live);
+    auto &Known = Owners[Service];
+    if (Known == Owner)
+      continue;
+    if (Known == Settings.Self)
+      Brokers.loseOwner(Service);
+    Known = Owner;
+    if (Owner == Settings.Self)
+      Brokers.becomeOwner(Service, Live, Now);
+    Handler.setOwner(Service, Owner, Now);
+  }
+}
+
+void entry_router::implementation::onPeerChange(const std::string &Peer,
+                                                bool IsUp,
+                                                core::time_point Now) {
+  observe(Now);
+  Contacts.onPeerChange(Peer, IsUp, Now);
+  if (!IsUp)
+    Brokers.holderDown(Peer);
+  updateOwners(Now);
+  settle(Now);
+}
+
+void entry_router::implementation::tick(core::time_point Now) {
+  observe(Now);
+  Contacts.tick(Now);
+  updateOwners(Now);
+  Handler.tick(Now);
+  Brokers.update(Now);
+  if (!LastReport || Now - *LastReport >= ReportInterval) {
+    sendReport(Now);
+    LastReport = Now;
+  }
+  if (!LastExpire || Now - *LastExpire >= ExpireInterval) {
+    Registry.expire(Now);
+    LastExpire = Now;
+  }
+  settle(Now);
+}
+
+void entry_router::implementation::sendReport(core::time_point Now) {
+  entry_report Report;
+  Report.ViewIndex = View.index();
+  Report.DeclarationNumber = View.declarationNumber();
+  Report.Serving = Contacts.isServing(Now);
+  Report.InFlightByHost = Handler.inFlightByHost();
+  double Seconds =
+      LastReport ? std::chrono::duration<double>(Now - *LastReport).count() : 1;
+  auto Arrivals = Handler.takeArrivals();
+  for (const auto &[Service, Spec] : View.services()) {
+    auto &Rate = Demand[Service];
+    Rate += DemandWeight * (Arrivals[Service] / Seconds - Rate);
+    Report.DemandByService[Service] = Rate;
+  }
+  std::size_t Waiting = 0;
+  for (const auto &[Service, Broker] : Brokers.brokers()) {
+    auto Label = "{service=\"" + Service + "\"}";
+    Metrics.set("queue_length" + Label, static_cast<double>(Broker.waiting()));
+    Metrics.set("slots_busy" + Label, static_cast<double>(Broker.busySlots()));
+    Report.QueuedByService[Service] =
+        static_cast<std::uint32_t>(Broker.waiting());
+    Report.BusySlotsByService[Service] =
+        static_cast<std::uint32_t>(Broker.busySlots());
+    Waiting += Broker.waiting();
+  }
+  Metrics.set("queue_length_total", static_cast<double>(Waiting));
+  Metrics.set("requests_in_flight",
+              static_cast<double>(Handler.requestCount()));
+  Metrics.set("endpoints_usable",
+              static_cast<double>(Registry.usableCount(Now)));
+  Metrics.set("keys_in_work", static_cast<double>(Handler.keyCount()));
+  Metrics.set("serving", Contacts.isServing(Now) ? 1 : 0);
+  auto Leader = Contacts.leader(Now);
+  if (!Leader.empty())
+    Output.Messages.push_back({Leader, std::move(Report)});
+}
+
+void entry_router::implementation::beginShutdown(core::time_point Now) {
+  observe(Now);
+  Handler.beginShutdown();
+  Contacts.beginShutdown();
+  Brokers.close();
+  updateOwners(Now);
+  settle(Now);
+}
+
+std::string
+entry_router::implementation::statusJson(core::time_point Now) const {
+  nlohmann::json Status;
+  Status["entry"] = Settings.Self;
+  Status["incarnation"] = Settings.Incarnation;
+  Status["view_index"] = View.index();
+  Status["declaration_number"] = View.declarationNumber();
+  Status["fresh"] = Guard.isFresh(Now);
+  Status["serving"] = Contacts.isServing(Now);
+  Status["confirmation_age_ms"] = Guard.confirmationAgeMs(Now);
+  Status["leader"] = Contacts.leader(Now);
+  Status["live_entries"] = Contacts.liveEntries(Now);
+  Status["requests_in_flight"] = Handler.requestCount();
+  Status["keys_in_work"] = Handler.keyCount();
+  Status["owners"] = Owners;
+  auto &Services = Status["services"] = nlohmann::json::object();
+  for (const auto &[Service, Spec] : View.services()) {
+    auto &Item = Services[Service];
+    auto &List = Item["endpoints"] = nlohmann::json::array();
+    Registry.forEachUsable(Service, Now, [&](const announcement &Endpoint) {
+      List.push_back({{"endpoint", Endpoint.Endpoint},
+                      {"host", Endpoint.Host},
+                      {"address", Endpoint.Address},
+                      {"slots", Endpoint.Slots},
+                      {"takes_work", View.allowsWork(Service, Endpoint.Host)}});
+    });
+  }
+  auto &Queues = Status["brokers"] = nlohmann::json::object();
+  for (const auto &[Service, Broker] : Brokers.brokers())
+    Queues[Service] = {{"waiting", Broker.waiting()},
+                       {"busy_slots", Broker.busySlots()},
+                       {"mean_service_ms", Broker.meanServiceMs()}};
+  // Names come from other processes and may hold bytes that are not UTF-8.
+  return Status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+entry_router::entry_router(router_settings Settings,
+                           core::metrics_registry &Metrics,
+                           core::time_point Now)
+    : Impl(std::make_unique<implementation>(std::move(Settings), Metrics,
+                                            Now)) {}
+
+entry_router::~entry_router() = default;
+
+void entry_router::onCallerRequest(caller_request Request,
+                                   core::time_point Now) {
+  Impl->observe(Now);
+  Impl->Handler.onCallerRequest(std::move(Request), Now);
+  Impl->settle(Now);
+}
+
+void entry_router::onCallerGone(std::uint64_t Id, core::time_point Now) {
+  Impl->observe(Now);
+  Impl->Handler.onCallerGone(Id, Now);
+  Impl->settle(Now);
+}
+
+void entry_router::onUpstreamResult(upstream_result Result,
+                                    core::time_point Now) {
+  Impl->observe(Now);
+  Impl->Handler.onUpstreamResult(std::move(Result), Now);
+  Impl->settle(Now);
+}
+
+core::result<void> entry_router::onAnnouncement(announcement Announcement,
+                                                core::time_point Now) {
+  return Impl->onAnnouncement(std::move(Announcement), Now);
+}
+
+void entry_router::onMessage(const std::string &Peer, message Message,
+                             core::time_point Now) {
+  Impl->onMessage(Peer, std::move(Message), Now);
+}
+
+void entry_router::onPeerChange(const std::string &Peer, bool IsUp,
+                                core::time_point Now) {
+  Impl->onPeerChange(Peer, IsUp, Now);
+}
+
+void entry_router::tick(core::time_point Now) { Impl->tick(Now); }
+
+void entry_router::beginShutdown(core::time_point Now) {
+  Impl->beginShutdown(Now);
+}
+
+router_output entry_router::takeOutput() {
+  return std::exchange(Impl->Output, {});
+}
+
+bool entry_router::isReady(core::time_point Now) const {
+  return Impl->Contacts.isServing(Now);
+}
+
+bool entry_router::isIdle() const { return Impl->Handler.isIdle(); }
+
+std::string entry_router::statusJson(core::time_point Now) const {
+  return Impl->statusJson(Now);
+}
+
+} // namespace lycheetrestle::routing
--- /dev/null
+++ b/routing/fleet_view.h
@@ -0,0 +1,50 @@
+#ifndef LYCHEETRESTLE_ROUTING_FLEET_VIEW_H
+#define LYCHEETRESTLE_ROUTING_FLEET_VIEW_H
+
+#include "routing/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::routing {
+
+/// The part of the fleet's state that an entry needs. Its version only grows.
+class fleet_view {
+public:
+  /// Applies changes. A delta must have been asked for with an index that this
+  /// view knows; an older delta changes nothing.
+  /// \returns whether anything changed.
+  bool apply(const view_delta &Delta);
+  /// \param KnownIndex the index that the asker knows.
+  /// \returns the changes since then, full when hosts were removed since.
+  view_delta deltaSince(std::uint64_t KnownIndex) const;
+
+  std::uint64_t index() const { return Index; }
+  std::uint64_t declarationNumber() const { return Number; }
+  const host_view *findHost(std::string_view Name) const;
+  const fleet::service_spec *findService(std::string_view Name) const;
+  const std::map<std::string, fleet::service_spec, std::less<>> &
+  services() const {
+    return Services;
+  }
+  /// \returns whether an endpoint of the service on the host may get new work:
+  /// the host is in service and belongs to the pool of the service.
+  bool allowsWork(std::string_view Service, std::string_view Host) const;
+
+private:
+  void replaceServices(const std::vector<fleet::service_spec> &List,
+                       std::uint64_t AtIndex);
+
+  std::uint64_t Index = 0;
+  std::uint64_t Number = 0;
+  std::uint64_t ServicesIndex = 0; ///< Not below their last change.
+  std::uint64_t RemovalIndex = 0;  ///< Not below the last removal of a host.
+  std::map<std::string, host_view, std::less<>> Hosts;
+  std::map<std::string, fleet::service_spec, std::less<>> Services;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/key_client.cpp
@@ -0,0 +1,253 @@
+#include "routing/key_client.h"
+
+#include "core/invariant.h"
+
+#include <utility>
+
+namespace lycheetrestle::routing {
+
+namespace {
+
+constexpr core::duration ResendInterval = std::chrono::milliseconds(500);
+constexpr core::duration PollInterval = std::chrono::milliseconds(250);
+// An abandon of a reservation that may never have been recorded need not be
+// confirmed; it is repeated long enough for an election.
+constexpr core::duration UncertainAbandon = std::chrono::seconds(10);
+// Control confirms well before this unless it lost its majority for longer; the
+// bound keeps the table from filling up then.
+constexpr core::duration LongestRepeat = std::chrono::minutes(10);
+constexpr std::size_t MaxEnded = 10000;
+
+bool isTemporary(const key_reply &Reply) {
+  return Reply.Outcome == key_outcome::Refused &&
+         (Reply.Reason == "not-leader" || Reply.Reason == "unavailable");
+}
+
+} // namespace
+
+key_client::key_client(std::function<std::uint64_t()> NextId,
+                       std::size_t MaxSessions)
+    : NextId(std::move(NextId)), MaxSessions(MaxSessions) {}
+
+void key_client::setLeader(const std::string &NewLeader, core::time_point Now) {
+  if (Leader == NewLeader)
+    return;
+  Leader = NewLeader;
+  for (auto &[Request, Session] : Sessions)
+    if (Session.PendingId != 0)
+      send(Session, Now);
+}
+
+void key_client::send(session &Session, core::time_point Now) {
+  Session.LastSent = Now;
+  if (Leader.empty())
+    return;
+  ++Session.Sent;
+  Messages.push_back(Session.Pending);
+}
+
+void key_client::setPending(std::uint64_t Request, session &Session,
+                            message Pending, std::uint64_t Id,
+                            core::time_point Now) {
+  RequestByMessage[Id] = Request;
+  Session.Pending = std::move(Pending);
+  Session.PendingId = Id;
+  send(Session, Now);
+}
+
+bool key_client::reserve(std::uint64_t Request, key_reserve Reserve,
+                         core::time_point Now) {
+  if (Sessions.size() >= MaxSessions)
+    return false;
+  auto &Session = Sessions[Request];
+  Reserve.RequestId = NextId();
+  Session.Reserve = Reserve;
+  setPending(Request, Session, Reserve, Reserve.RequestId, Now);
+  return true;
+}
+
+std::optional<key_decision> key_client::onReply(const key_reply &Reply,
+                                                core::time_point Now) {
+  auto Ending = Ended.find(Reply.RequestId);
+  if (Ending != Ended.end()) {
+    // The grant came after the abandon was confirmed, so the reservation may
+    // have been recorded after it.
+    if (Reply.Outcome == key_outcome::Granted &&
+        Sessions.size() < MaxSessions) {
+      auto Request = NextId();
+      auto &Session = Sessions[Request];
+      Session.Reserve = Ending->second;
+      Session.WasGranted = true;
+      abandon(Request, Session, Now);
+    }
+    return std::nullopt;
+  }
+  auto Mapped = RequestByMessage.find(Reply.RequestId);
+  if (Mapped == RequestByMessage.end())
+    return std::nullopt;
+  auto Where = Sessions.find(Mapped->second);
+  auto &Session = Where->second;
+  if (Reply.RequestId == Session.Reserve.RequestId)
+    return onReserveReply(Where, Reply, Now);
+  // An answer to an abandon or a completion. Every outcome but Refused means
+  // that this holder has nothing left to free or to store.
+  if (Reply.Outcome != key_outcome::Refused)
+    erase(Where);
+  return std::nullopt;
+}
+
+std::optional<key_decision>
+key_client::onReserveReply(session_map::iterator Where, const key_reply &Reply,
+                           core::time_point Now) {
+  auto &Session = Where->second;
+  if (Session.Phase == phase::Abandoning) {
+    if (Reply.Outcome == key_outcome::Granted) {
+      Session.WasGranted = true;
+      Session.Until = Now + LongestRepeat;
+    }
+    return std::nullopt;
+  }
+  if (Session.Phase != phase::Reserving && Session.Phase != phase::Held)
+    return std::nullopt;
+  key_decision Decision{Where->first, Reply};
+  switch (Reply.Outcome) {
+  case key_outcome::Granted:
+    Session.Phase = phase::Granted;
+    Session.WasGranted = true;
+    Session.PendingId = 0;
+    return Decision;
+  case key_outcome::Held:
+    Session.Phase = phase::Held;
+    return std::nullopt;
+  case key_outcome::Stored:
+  case key_outcome::Mismatch:
+    erase(Where);
+    return Decision;
+  case key_outcome::Refused:
+    break;
+  }
+  if (isTemporary(Reply))
+    return std::nullopt;
+  // With several sendings the refusal answers only one of them.
+  if (Session.Sent > 1)
+    abandon(Where->first, Session, Now);
+  else
+    erase(Where);
+  return Decision;
+}
+
+bool key_client::isHeldByOther(std::uint64_t Request) const {
+  auto Found = Sessions.find(Request);
+  return Found != Sessions.end() && Found->second.Phase == phase::Held;
+}
+
+bool key_client::isGranted(std::uint64_t Request) const {
+  auto Found = Sessions.find(Request);
+  return Found != Sessions.end() && Found->second.Phase == phase::Granted;
+}
+
+void key_client::dispatched(std::uint64_t Request) {
+  core::checkInvariant(isGranted(Request),
+                       "a keyed request is dispatched only when granted");
+  Sessions.at(Request).Phase = phase::Dispatched;
+}
+
+void key_client::notRun(std::uint64_t Request) {
+  auto Found = Sessions.find(Request);
+  if (Found != Sessions.end() && Found->second.Phase == phase::Dispatched)
+    Found->second.Phase = phase::Granted;
+}
+
+void key_client::giveUp(std::uint64_t Request, core::time_point Now) {
+  auto Found = Sessions.find(Request);
+  if (Found == Sessions.end())
+    return;
+  auto &Session = Found->second;
+  core::checkInvariant(Session.Phase != phase::Dispatched,
+                       "a key is abandoned only when its request was not run");
+  if (Session.Phase == phase::Completing || Session.Phase == phase::Abandoning)
+    return;
+  if (Session.Sent == 0)
+    erase(Found);
+  else
+    abandon(Request, Session, Now);
+}
+
+void key_client::abandon(std::uint64_t Request, session &Session,
+                         core::time_point Now) {
+  Session.Phase = phase::Abandoning;
+  Session.Until = Now + (Session.WasGranted ? LongestRepeat : UncertainAbandon);
+  key_abandon Abandon{NextId(), Session.Reserve.Key, Session.Reserve.Holder};
+  setPending(Request, Session, Abandon, Abandon.RequestId, Now);
+}
+
+void key_client::forget(std::uint64_t Request) {
+  auto Found = Sessions.find(Request);
+  if (Found != Sessions.end())
+    erase(Found);
+}
+
+void key_client::complete(std::uint64_t Request, key_complete Complete,
+                          core::time_point Now) {
+  auto Found = Sessions.find(Request);
+  if (Found == Sessions.end())
+    return;
+  auto &Session = Found->second;
+  Session.Phase = phase::Completing;
+  Session.Until = Now + LongestRepeat;
+  Complete.RequestId = NextId();
+  Complete.Key = Session.Reserve.Key;
+  Complete.Holder = Session.Reserve.Holder;
+  auto Id = Complete.RequestId;
+  setPending(Request, Session, std::move(Complete), Id, Now);
+}
+
+void key_client::erase(session_map::iterator Where) {
+  const auto &Session = Where->second;
+  if (Session.Phase == phase::Abandoning)
+    rememberEnded(Session.Reserve);
+  RequestByMessage.erase(Session.Reserve.RequestId);
+  RequestByMessage.erase(Session.PendingId);
+  Sessions.erase(Where);
+}
+
+void key_client::rememberEnded(const key_reserve &Reserve) {
+  if (!Ended.emplace(Reserve.RequestId, Reserve).second)
+    return;
+  EndedOrder.push_back(Reserve.RequestId);
+  if (EndedOrder.size() <= MaxEnded)
+    return;
+  Ended.erase(EndedOrder.front());
+  EndedOrder.pop_front();
+}
+
+void key_client::tick(core::time_point Now) {
+  for (auto Where = Sessions.begin(); Where != Sessions.end();) {
+    auto Current = Where++;
+    auto &Session = Current->second;
+    if ((Session.Phase == phase::Completing ||
+         Session.Phase == phase::Abandoning) &&
+        Now >= Session.Until) {
+      erase(Current);
+      continue;
+    }
+    auto Interval =
+        Session.Phase == phase::Held ? PollInterval : ResendInterval;
+    if (Session.PendingId != 0 && Now - Session.LastSent >= Interval)
+      send(Session, Now);
+  }
+}
+
+std::vector<message> key_client::takeMessages() {
+  return std::exchange(Messages, {});
+}
+
+bool key_client::isIdle() const {
+  for (const auto &[Request, Session] : Sessions)
+    if (Session.Phase == phase::Completing ||
+        Session.Phase == phase::Abandoning)
+      return false;
+  return true;
+}
+
+} // namespace lycheetrestle::routing
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -101,6 +101,8 @@
 struct key_reply {
   std::uint64_t RequestId = 0;
   key_outcome Outcome = key_outcome::Refused;
+  /// With Refused: `not-leader` and `unavailable` mean that the sender should
+  /// ask again; every other reason is final.
   std::string Reason;
   std::uint32_t Status = 0;
   std::string ContentType;
--- /dev/null
+++ b/routing/peer_contacts.cpp
@@ -0,0 +1,200 @@
+#include "routing/peer_contacts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::routing {
+
+namespace {
+
+// A peer that did not answer a probe of the last 1.5 s, six probes, is frozen
+// or cut off, even if its link still looks alive.
+constexpr core::duration PeerSilence = std::chrono::milliseconds(1500);
+// An election takes 1 to 2 s. Keyed requests wait for a leader that was heard
+// this recently; afterwards they are refused at once.
+constexpr core::duration LeaderSilence = std::chrono::milliseconds(2000);
+// Every member of an announcement is bounded, so that 60 of them fit into the
+// 64 KB of a batch.
+constexpr std::size_t MaxAnnouncementsPerBatch = 60;
+
+} // namespace
+
+peer_contacts::peer_contacts(const router_settings &Settings, fleet_view &View,
+                             freshness_guard &Guard,
+                             endpoint_registry &Registry)
+    : Settings(Settings), View(View), Guard(Guard), Registry(Registry) {
+  for (const auto &Entry : Settings.Entries)
+    if (Entry != Settings.Self)
+      Entries.try_emplace(Entry);
+  for (const auto &Control : Settings.Controls)
+    Controls.try_emplace(Control, false);
+}
+
+void peer_contacts::onPeerChange(const std::string &Peer, bool IsUp,
+                                 core::time_point Now) {
+  auto Entry = Entries.find(Peer);
+  if (Entry != Entries.end()) {
+    Entry->second = {};
+    Entry->second.IsUp = IsUp;
+    if (IsUp)
+      Messages.push_back(
+          {Peer, peer_probe{Guard.startProbe(Peer, Now), View.index()}});
+  }
+  auto Control = Controls.find(Peer);
+  if (Control == Controls.end())
+    return;
+  Control->second = IsUp;
+  if (IsUp)
+    Messages.push_back(
+        {Peer, probe{Guard.startProbe(Peer, Now), View.index()}});
+  else if (Leader == Peer)
+    Leader.clear();
+}
+
+void peer_contacts::onProbeReply(const std::string &Peer,
+                                 const probe_reply &Reply,
+                                 core::time_point Now) {
+  auto Sent = Guard.sentAt(Peer, Reply.Nonce);
+  if (!Sent || !isControl(Peer))
+    return;
+  if (Reply.Confirmed) {
+    View.apply(Reply.Delta);
+    Guard.confirmDirect(Peer, Reply.Nonce);
+    if (!LeaderAnswered || *Sent >= *LeaderAnswered) {
+      Leader = Peer;
+      LeaderAnswered = *Sent;
+    }
+    return;
+  }
+  // A hint of a follower matters only when the known leader is silent.
+  bool IsLeaderSilent = leader(Now).empty() || Leader == Peer;
+  if (!IsLeaderSilent || !isControl(Reply.Leader) || Reply.Leader == Peer ||
+      Now - *Sent > LeaderSilence)
+    return;
+  Leader = Reply.Leader;
+  LeaderAnswered = *Sent;
+}
+
+void peer_contacts::onPeerProbe(const std::string &Peer,
+                                const peer_probe &Probe, core::time_point Now) {
+  auto Entry = Entries.find(Peer);
+  if (Entry == Entries.end())
+    return;
+  Entry->second.LastNonce = std::max(Entry->second.LastNonce, Probe.Nonce);
+  peer_reply Reply;
+  Reply.Nonce = Probe.Nonce;
+  Reply.Serving = isServing(Now);
+  Reply.ConfirmationAgeMs = Guard.confirmationAgeMs(Now);
+  Reply.Anchored = Guard.isAnchored();
+  Reply.Delta = View.deltaSince(Probe.KnownViewIndex);
+  Messages.push_back({Peer, std::move(Reply)});
+}
+
+void peer_contacts::onPeerReply(const std::string &Peer,
+                                const peer_reply &Reply, core::time_point Now) {
+  auto Entry = Entries.find(Peer);
+  auto Sent = Guard.sentAt(Peer, Reply.Nonce);
+  if (Entry == Entries.end() || !Sent)
+    return;
+  View.apply(Reply.Delta);
+  Guard.confirmByPeer(Peer, Reply.Nonce, Reply.ConfirmationAgeMs,
+                      Reply.Anchored);
+  auto &Contact = Entry->second;
+  if (Now - *Sent > PeerSilence ||
+      (Contact.Answered && *Sent < *Contact.Answered))
+    return;
+  Contact.Answered = *Sent;
+  Contact.IsServing = Reply.Serving;
+}
+
+void peer_contacts::onAnnouncements(const std::string &Peer,
+                                    const announcements &Batch,
+                                    core::time_point Now) {
+  if (!isEntry(Peer))
+    return;
+  auto Sent = Guard.sentAt(Peer, Batch.EchoNonce);
+  for (const auto &News : Batch.List) {
+    // Without a known nonce the age is unbounded; then only the end of an
+    // endpoint is believed.
+    if (!Sent && !News.Leaving)
+      continue;
+    auto At = Sent ? *Sent - std::chrono::milliseconds(News.AgeMs)
+                   : Now - Settings.AnnouncementLease;
+    Registry.apply(News, At, Now);
+  }
+}
+
+void peer_contacts::onPeerStops(const std::string &Peer) {
+  auto Entry = Entries.find(Peer);
+  if (Entry != Entries.end())
+    Entry->second.IsServing = false;
+}
+
+void peer_contacts::tick(core::time_point Now) {
+  if (!LastProbes || Now - *LastProbes >= Settings.ProbeInterval) {
+    LastProbes = Now;
+    sendProbes(Now);
+  }
+  if (!LastGossip || Now - *LastGossip >= Settings.GossipInterval)
+    sendGossip(Now);
+}
+
+void peer_contacts::sendProbes(core::time_point Now) {
+  for (const auto &[Name, Contact] : Entries)
+    if (Contact.IsUp)
+      Messages.push_back(
+          {Name, peer_probe{Guard.startProbe(Name, Now), View.index()}});
+  auto Known = leader(Now);
+  for (const auto &[Name, IsUp] : Controls)
+    if (IsUp && (Known.empty() || Known == Name))
+      Messages.push_back(
+          {Name, probe{Guard.startProbe(Name, Now), View.index()}});
+}
+
+void peer_contacts::sendUrgentGossip(core::time_point Now) {
+  if (Registry.hasUrgentGossip())
+    sendGossip(Now);
+}
+
+void peer_contacts::sendGossip(core::time_point Now) {
+  LastGossip = Now;
+  auto News = Registry.takeGossip(Now);
+  for (std::size_t First = 0; First < News.size();
+       First += MaxAnnouncementsPerBatch) {
+    auto Last = std::min(First + MaxAnnouncementsPerBatch, News.size());
+    announcements Batch;
+    Batch.List.assign(News.begin() + First, News.begin() + Last);
+    for (const auto &[Name, Contact] : Entries) {
+      if (!Contact.IsUp)
+        continue;
+      Batch.EchoNonce = Contact.LastNonce;
+      Messages.push_back({Name, Batch});
+    }
+  }
+}
+
+std::set<std::string> peer_contacts::liveEntries(core::time_point Now) const {
+  std::set<std::string> Live;
+  if (isServing(Now))
+    Live.insert(Settings.Self);
+  for (const auto &[Name, Contact] : Entries)
+    if (Contact.IsUp && Contact.IsServing && Contact.Answered &&
+        Now - *Contact.Answered <= PeerSilence)
+      Live.insert(Name);
+  // The last entry that stops brokers for itself until its requests have ended.
+  if (Live.empty() && Guard.isFresh(Now))
+    Live.insert(Settings.Self);
+  return Live;
+}
+
+std::string peer_contacts::leader(core::time_point Now) const {
+  if (!LeaderAnswered || Now - *LeaderAnswered > LeaderSilence)
+    return {};
+  return Leader;
+}
+
+std::vector<outgoing> peer_contacts::takeMessages() {
+  return std::exchange(Messages, {});
+}
+
+} // namespace lycheetrestle::routing
--- /dev/null
+++ b/routing/peer_contacts.h
@@ -0,0 +1,86 @@
+#ifndef LYCHEETRESTLE_ROUTING_PEER_CONTACTS_H
+#define LYCHEETRESTLE_ROUTING_PEER_CONTACTS_H
+
+#include "core/clock.h"
+#include "routing/endpoint_registry.h"
+#include "routing/entry_router.h"
+#include "routing/fleet_view.h"
+#include "routing/freshness_guard.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+/// Probes and gossip with the other entries and with control: which of them are
+/// live, who leads control, and what they tell about the fleet.
+class peer_contacts {
+public:
+  /// The referenced objects are changed by what peers tell.
+  peer_contacts(const router_settings &Settings, fleet_view &View,
+                freshness_guard &Guard, endpoint_registry &Registry);
+
+  void onPeerChange(const std::string &Peer, bool IsUp, core::time_point Now);
+  void onProbeReply(const std::string &Peer, const probe_reply &Reply,
+                    core::time_point Now);
+  void onPeerProbe(const std::string &Peer, const peer_probe &Probe,
+                   core::time_point Now);
+  void onPeerReply(const std::string &Peer, const peer_reply &Reply,
+                   core::time_point Now);
+  void onAnnouncements(const std::string &Peer, const announcements &Batch,
+                       core::time_point Now);
+  /// A peer sent a request back because it stops.
+  void onPeerStops(const std::string &Peer);
+  void beginShutdown() { IsStopping = true; }
+  /// Sends the probes and the gossip that are due.
+  void tick(core::time_point Now);
+  /// Sends gossip now when it must not be delayed.
+  void sendUrgentGossip(core::time_point Now);
+
+  /// \returns the entries that can own services, this one included when it
+  /// serves.
+  std::set<std::string> liveEntries(core::time_point Now) const;
+  /// \returns the control replica that leads, or an empty string.
+  std::string leader(core::time_point Now) const;
+  bool isServing(core::time_point Now) const {
+    return !IsStopping && Guard.isFresh(Now);
+  }
+  bool isEntry(std::string_view Peer) const {
+    return Entries.find(Peer) != Entries.end();
+  }
+  bool isControl(std::string_view Peer) const {
+    return Controls.find(Peer) != Controls.end();
+  }
+  std::vector<outgoing> takeMessages();
+
+private:
+  struct contact {
+    bool IsUp = false;
+    bool IsServing = false;
+    std::optional<core::time_point> Answered; ///< Sending of that probe.
+    std::uint64_t LastNonce = 0;              ///< Newest nonce of the peer.
+  };
+  void sendProbes(core::time_point Now);
+  void sendGossip(core::time_point Now);
+
+  const router_settings &Settings;
+  fleet_view &View;
+  freshness_guard &Guard;
+  endpoint_registry &Registry;
+  std::map<std::string, contact, std::less<>> Entries; ///< Without this one.
+  std::map<std::string, bool, std::less<>> Controls;   ///< Whether up.
+  std::string Leader;
+  std::optional<core::time_point> LeaderAnswered;
+  std::optional<core::time_point> LastProbes;
+  std::optional<core::time_point> LastGossip;
+  bool IsStopping = false;
+  std::vector<outgoing> Messages;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/request_queue.h
@@ -0,0 +1,94 @@
+#ifndef LYCHEETRESTLE_ROUTING_REQUEST_QUEUE_H
+#define LYCHEETRESTLE_ROUTING_REQUEST_QUEUE_H
+
+#include "core/clock.h"
+#include "fleet/types.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+/// A request that waits for a slot at the broker of its service.
+struct waiting_request {
+  std::string Holder;          ///< Entry that holds the caller's connection.
+  std::uint64_t RequestId = 0; ///< Unique together with Holder.
+  std::uint64_t Incarnation = 0;
+  fleet::work_class Class = fleet::work_class::Normal;
+  core::time_point Deadline;
+  std::vector<std::string> Avoid;
+};
+
+struct queue_settings {
+  std::uint32_t MaxPerClass = 1000;
+  /// While a less urgent class waits, it gets one of so many grants.
+  std::uint32_t Share = 8;
+};
+
+/// Measured service, for the refusal of requests that cannot meet their
+/// deadline.
+struct service_capacity {
+  double MeanServiceMs = 0; ///< 0 while unknown.
+  std::uint32_t Slots = 0;  ///< Of all usable endpoints.
+  bool HasFreeSlot = false;
+};
+
+/// The queue of one service: one bounded queue for each class, ordered by
+/// deadline.
+class request_queue {
+public:
+  explicit request_queue(queue_settings Settings);
+
+  /// Adds a request.
+  /// \returns the reason of a refusal, or an empty string.
+  std::string push(waiting_request Request, const service_capacity &Capacity,
+                   core::time_point Now);
+  /// Takes the next request that can be placed. Urgent requests come first; a
+  /// share of the grants is kept for each of the other classes while it waits.
+  /// \param CanPlace says whether an endpoint is free for the request.
+  std::optional<waiting_request>
+  pop(const std::function<bool(const waiting_request &)> &CanPlace);
+  /// Removes the requests whose deadline has passed.
+  std::vector<waiting_request> takeExpired(core::time_point Now);
+  /// Removes a request.
+  /// \returns whether it waited.
+  bool cancel(const std::string &Holder, std::uint64_t RequestId);
+  /// Removes the requests of one holder.
+  void removeHolder(const std::string &Holder);
+  /// Removes all requests.
+  std::vector<waiting_request> takeAll();
+  bool contains(const std::string &Holder, std::uint64_t RequestId) const;
+  std::size_t size() const;
+  std::size_t size(fleet::work_class Class) const;
+
+private:
+  using position = std::pair<core::time_point, std::uint64_t>;
+  using class_queue = std::map<position, waiting_request>;
+  static constexpr std::size_t Classes = 3;
+
+  bool meetsDeadline(const waiting_request &Request,
+                     const service_capacity &Capacity,
+                     core::time_point Now) const;
+  std::array<std::size_t, Classes> classOrder() const;
+  waiting_request take(std::size_t Class, class_queue::iterator Where);
+  void countGrant(std::size_t Class);
+
+  queue_settings Settings;
+  std::array<class_queue, Classes> Queues;
+  /// Grants to other classes since the class last got one.
+  std::array<std::uint32_t, Classes> Passed{};
+  std::map<std::pair<std::string, std::uint64_t>,
+           std::pair<std::size_t, position>>
+      Index;
+  std::uint64_t NextPosition = 0;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/retry_budget.h
@@ -0,0 +1,36 @@
+#ifndef LYCHEETRESTLE_ROUTING_RETRY_BUDGET_H
+#define LYCHEETRESTLE_ROUTING_RETRY_BUDGET_H
+
+#include "core/clock.h"
+
+#include <array>
+#include <cstdint>
+
+namespace lycheetrestle::routing {
+
+/// Limits the retries of a service to a share of its requests of the last 10 s,
+/// so that retries cannot multiply the load of an overloaded service.
+class retry_budget {
+public:
+  /// \param Share retries allowed for each recent request.
+  explicit retry_budget(double Share) : Share(Share) {}
+
+  void recordRequest(core::time_point Now);
+  /// \returns whether one more retry is allowed; it is counted when it is.
+  bool tryRetry(core::time_point Now);
+
+private:
+  struct second_count {
+    std::int64_t Second = -1;
+    std::uint64_t Requests = 0;
+    std::uint64_t Retries = 0;
+  };
+  second_count &at(core::time_point Now);
+
+  double Share;
+  std::array<second_count, 10> Seconds;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
--- /dev/null
+++ b/routing/slot_holder.h
@@ -0,0 +1,76 @@
+#ifndef LYCHEETRESTLE_ROUTING_SLOT_HOLDER_H
+#define LYCHEETRESTLE_ROUTING_SLOT_HOLDER_H
+
+#include "core/clock.h"
+#include "routing/messages.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lycheetrestle::routing {
+
+/// A message for another entry, or for the broker of this one.
+struct slot_message {
+  std::string Peer;
+  message Message;
+};
+
+/// The slots that this entry waits for and holds for its callers' requests.
+class slot_holder {
+public:
+  explicit slot_holder(std::uint64_t Incarnation) : Incarnation(Incarnation) {}
+
+  /// Asks the broker of the service for a slot.
+  /// \param Request RequestId is unique for each try to get a slot.
+  void request(slot_request Request, core::time_point Deadline,
+               core::time_point Now);
+  /// Withdraws a request that waits.
+  void cancel(std::uint64_t RequestId);
+  /// \returns whether the grant is for a request that waits; otherwise the slot
+  /// goes back at once.
+  bool onGrant(const std::string &Peer, const slot_grant &Grant);
+  /// \returns whether a request that waits is refused. A request that is sent
+  /// back because its broker moved is kept and sent again.
+  bool onRefusal(const std::string &Peer, const slot_refusal &Refusal);
+  /// Gives a held slot back.
+  void release(std::uint64_t RequestId, std::uint32_t ServiceMs, bool Failed);
+  /// Names the entry that owns a service. On a change the new owner gets a
+  /// report and all waiting requests.
+  /// \param Owner empty while no entry can own it.
+  void setOwner(const std::string &Service, const std::string &Owner,
+                core::time_point Now);
+  std::string ownerOf(std::string_view Service) const;
+  /// Repeats requests without an answer.
+  void tick(core::time_point Now);
+  std::vector<slot_message> takeMessages();
+  std::size_t waiting() const { return Waits.size(); }
+  std::size_t held() const { return Holds.size(); }
+
+private:
+  struct wait {
+    slot_request Request;
+    core::time_point Deadline;
+    std::string Broker; ///< Empty while no broker is known.
+    core::time_point LastSent;
+  };
+  struct hold {
+    slot_grant Grant;
+    std::string Broker;
+    core::time_point Deadline;
+  };
+  void send(wait &Wait, core::time_point Now);
+  void sendRelease(const std::string &Broker, slot_release Release);
+
+  std::uint64_t Incarnation;
+  std::map<std::string, std::string, std::less<>> Owners;
+  std::map<std::uint64_t, wait> Waits;
+  std::map<std::uint64_t, hold> Holds;
+  std::vector<slot_message> Messages;
+};
+
+} // namespace lycheetrestle::routing
+
+#endif
