Test the classes of routing

Cause: the classes behind entry_router had no tests. Two lint findings and a move before use are corrected.

--- a/routing/broker_set.cpp
+++ b/routing/broker_set.cpp
@@ -43,7 +43,8 @@
 void broker_set::becomeOwner(const std::string &Service,
                              std::set<std::string> Reporters,
                              core::time_point Now) {
-  brokerOf(Service, Reporters, Now).rebuild(std::move(Reporters), Now);
+  auto &Broker = brokerOf(Service, Reporters, Now);
+  Broker.rebuild(std::move(Reporters), Now);
 }
 
 void broker_set::request(const std::string &Holder, const slot_request &Request,
--- a/routing/entry_router.cpp
+++ b/routing/entry_router.cpp
@@ -339,9 +339,9 @@
   Status["keys_in_work"] = Handler.keyCount();
   Status["owners"] = Owners;
   auto &Services = Status["services"] = nlohmann::json::object();
-  for (const auto &[Service, Spec] : View.services()) {
-    auto &Item = Services[Service];
-    auto &List = Item["endpoints"] = nlohmann::json::array();
+  for (const auto &Item : View.services()) {
+    const auto &Service = Item.first;
+    auto &List = Services[Service]["endpoints"] = nlohmann::json::array();
     Registry.forEachUsable(Service, Now, [&](const announcement &Endpoint) {
       List.push_back({{"endpoint", Endpoint.Endpoint},
                       {"host", Endpoint.Host},
--- a/routing/messages.cpp
+++ b/routing/messages.cpp
@@ -381,9 +381,10 @@
 bool readMessage(std::string_view Type, const json &Body, message &Message,
                  std::index_sequence<Indexes...>) {
   bool IsRead = false;
-  ((TypeNames[Indexes] == Type &&
-    (IsRead = readAlternative<Indexes>(Body, Message), true)) ||
-   ...);
+  static_cast<void>(
+      ((TypeNames[Indexes] == Type &&
+        (IsRead = readAlternative<Indexes>(Body, Message), true)) ||
+       ...));
   return IsRead;
 }
 
--- /dev/null
+++ b/tests/routing/test_entry_router.cpp
@@ -0,0 +1,361 @@
+#include "routing/entry_router.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One entry with one control replica and no peers that are up.
+struct router_fixture {
+  core::metrics_registry Metrics;
+  core::time_point Now{1000s};
+  entry_router Router{settings(), Metrics, Now};
+  router_output Last;
+
+  static router_settings settings() {
+    router_settings Settings;
+    Settings.Self = "e1";
+    Settings.Incarnation = 7;
+    Settings.Entries = {"e1", "e2", "e3"};
+    Settings.Controls = {"c1"};
+    Settings.MaxInFlight = 20;
+    return Settings;
+  }
+
+  template <typename Type> std::vector<Type> messages() {
+    std::vector<Type> List;
+    for (auto &Message : Last.Messages)
+      if (auto *Found = std::get_if<Type>(&Message.Message))
+        List.push_back(*Found);
+    return List;
+  }
+  void take() { Last = Router.takeOutput(); }
+
+  void confirm() {
+    for (const auto &Probe : messages<probe>()) {
+      probe_reply Reply;
+      Reply.Nonce = Probe.Nonce;
+      Reply.Confirmed = true;
+      Reply.Leader = "c1";
+      Reply.Delta.ViewIndex = 3;
+      Reply.Delta.DeclarationNumber = 1;
+      Reply.Delta.IsFull = true;
+      Reply.Delta.Hosts = {
+          {"w01", "gate", "kv-1", fleet::host_state::InService, 1, 3}};
+      Reply.Delta.Services = {
+          {{"plots", "gate", fleet::work_class::Urgent, 2000}}};
+      Router.onMessage("c1", Reply, Now);
+    }
+  }
+  void announce(std::string Endpoint, std::uint64_t Sequence = 1,
+                bool Leaving = false) {
+    announcement News{
+        std::move(Endpoint), 1, Sequence, "plots", "gate", "w01", "kv-1",
+        "10.0.0.1:80",       1, 64,       Leaving, 0,      0};
+    auto Failure =
+        core::captureFailure([&] { return Router.onAnnouncement(News, Now); });
+    CHECK_FALSE(Failure);
+  }
+  void start() {
+    Router.onPeerChange("c1", true, Now);
+    take();
+    confirm();
+    announce("ep1");
+    take();
+  }
+  void pass(core::duration Time) {
+    for (core::duration Step = 0ms; Step < Time; Step += 10ms) {
+      Now += 10ms;
+      Router.tick(Now);
+    }
+    take();
+  }
+  void call(std::uint64_t Id, std::string Method = "POST",
+            std::string Key = "") {
+    caller_request Request;
+    Request.Id = Id;
+    Request.Method = std::move(Method);
+    Request.Service = "plots";
+    Request.CorrelationId = "c" + std::to_string(Id);
+    Request.Key = std::move(Key);
+    Router.onCallerRequest(std::move(Request), Now);
+    take();
+  }
+  void finish(upstream_status Status, bool SaysNotRun = false) {
+    REQUIRE(Last.Dispatch.size() == 1);
+    Router.onUpstreamResult({Last.Dispatch[0].Attempt, Status,
+                             SaysNotRun ? 503u : 200u, SaysNotRun, "text/plain",
+                             "body", ""},
+                            Now);
+    take();
+  }
+  void keyReply(key_outcome Outcome, std::string Body = "") {
+    REQUIRE(messages<key_reserve>().size() == 1);
+    Router.onMessage("c1",
+                     key_reply{messages<key_reserve>()[0].RequestId, Outcome,
+                               "full", 201, "text/plain", std::move(Body),
+                               false},
+                     Now);
+    take();
+  }
+  void checkResponse(std::uint32_t Status, core::verdict Verdict,
+                     std::string Refusal = "") {
+    REQUIRE(Last.Responses.size() == 1);
+    CHECK(Last.Responses[0].Status == Status);
+    CHECK(Last.Responses[0].Verdict == Verdict);
+    CHECK(Last.Responses[0].Refusal == Refusal);
+  }
+};
+
+constexpr auto NotRun = core::verdict::NotRun;
+constexpr auto MayHaveRun = core::verdict::MayHaveRun;
+constexpr auto Ran = core::verdict::Ran;
+
+} // namespace
+
+TEST_CASE_METHOD(router_fixture, "a request runs once and gets its response") {
+  start();
+  CHECK(Router.isReady(Now));
+  call(1);
+  REQUIRE(Last.Dispatch.size() == 1);
+  CHECK(Last.Dispatch[0].Address == "10.0.0.1:80");
+  CHECK(Last.Dispatch[0].DeadlineMs == 2000);
+  auto Attempt = Last.Dispatch[0].Attempt;
+  finish(upstream_status::Complete);
+  checkResponse(200, Ran);
+  CHECK(Last.Responses[0].CorrelationId == "c1");
+  CHECK(Last.Responses[0].Body == "body");
+  // The endpoint answers again.
+  Router.onUpstreamResult(
+      {Attempt, upstream_status::Complete, 200, false, "", "other", ""}, Now);
+  take();
+  CHECK(Last.Responses.empty());
+  CHECK(Router.isIdle());
+  CHECK(Metrics.counter("requests_total{verdict=\"ran\",class=\"urgent\"}") ==
+        1);
+}
+
+TEST_CASE_METHOD(router_fixture, "arrivals that cannot be served are not run") {
+  call(1);
+  checkResponse(503, NotRun, "not-fresh");
+  start();
+  Router.onCallerRequest({2, "GET", "water", "/", "", "", "", "", {}, {}}, Now);
+  take();
+  checkResponse(404, NotRun, "unknown-service");
+  Router.onCallerRequest({3, "GET", "plots", "/", "", "", "", "", {}, 0}, Now);
+  take();
+  checkResponse(400, NotRun, "bad-deadline");
+  call(4, "POST", "a b");
+  checkResponse(400, NotRun, "bad-key");
+  for (std::uint64_t Id = 10; Id < 30; ++Id)
+    call(Id);
+  call(31);
+  checkResponse(503, NotRun, "overloaded");
+}
+
+// An isolated entry must stop to use a version that may be stale.
+TEST_CASE_METHOD(router_fixture,
+                 "an entry without confirmation refuses after 3 s") {
+  start();
+  pass(2990ms);
+  CHECK(Router.isReady(Now));
+  pass(20ms);
+  CHECK_FALSE(Router.isReady(Now));
+  call(1);
+  checkResponse(503, NotRun, "not-fresh");
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "a request that waited is checked again at dispatch") {
+  start();
+  call(1, "GET");
+  auto Attempt = Last.Dispatch.at(0).Attempt;
+  pass(1500ms);
+  announce("ep1", 2);
+  call(2);
+  // The freshness ends while the second request waits for the only slot.
+  Now += 1510ms;
+  Router.onUpstreamResult(
+      {Attempt, upstream_status::Complete, 200, false, "", "", ""}, Now);
+  take();
+  CHECK(Last.Dispatch.empty());
+  REQUIRE(Last.Responses.size() == 2);
+  CHECK(Last.Responses[1].Id == 2);
+  CHECK(Last.Responses[1].Refusal == "not-fresh");
+}
+
+TEST_CASE_METHOD(router_fixture, "an endpoint that leaves gets nothing new") {
+  start();
+  announce("ep1", 2, true);
+  take();
+  call(1);
+  CHECK(Last.Dispatch.empty());
+  pass(2010ms);
+  checkResponse(504, NotRun, "deadline");
+}
+
+// Announcements that waited in a socket while the process was frozen are old.
+TEST_CASE_METHOD(router_fixture, "a frozen entry grants no lease afterwards") {
+  start();
+  Now += 10s;
+  announce("ep1", 2);
+  take();
+  confirm();
+  Router.tick(Now);
+  take();
+  confirm();
+  CHECK(Router.isReady(Now));
+  call(1);
+  CHECK(Last.Dispatch.empty());
+  Now += 400ms;
+  announce("ep1", 3);
+  take();
+  CHECK(Last.Dispatch.empty());
+  Now += 200ms;
+  announce("ep1", 4);
+  take();
+  CHECK(Last.Dispatch.empty());
+  pass(10ms);
+  CHECK(Last.Dispatch.size() == 1);
+}
+
+TEST_CASE_METHOD(router_fixture, "idempotent requests are retried elsewhere") {
+  start();
+  announce("ep2");
+  take();
+  call(1, "GET");
+  auto First = Last.Dispatch.at(0).Endpoint;
+  finish(upstream_status::Unknown);
+  CHECK(Last.Responses.empty());
+  REQUIRE(Last.Dispatch.size() == 1);
+  CHECK(Last.Dispatch[0].Endpoint != First);
+  finish(upstream_status::NotSent);
+  // Both endpoints failed; the third attempt is the last.
+  finish(upstream_status::NotSent);
+  checkResponse(502, MayHaveRun, "endpoint-unreachable");
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "requests that are not idempotent are dispatched once") {
+  start();
+  call(1, "POST");
+  SECTION("an unknown outcome") {
+    finish(upstream_status::Unknown);
+    checkResponse(502, MayHaveRun, "upstream-failed");
+  }
+  SECTION("certainly not sent") {
+    finish(upstream_status::NotSent);
+    checkResponse(503, NotRun, "endpoint-unreachable");
+  }
+  SECTION("refused by the endpoint") {
+    finish(upstream_status::Complete, true);
+    checkResponse(503, NotRun, "endpoint-refused");
+  }
+  SECTION("no response until the deadline") {
+    auto Attempt = Last.Dispatch.at(0).Attempt;
+    pass(2010ms);
+    checkResponse(504, MayHaveRun, "deadline");
+    CHECK(Last.CancelUpstream == std::vector<std::uint64_t>{Attempt});
+  }
+  CHECK(Last.Dispatch.empty());
+}
+
+TEST_CASE_METHOD(router_fixture, "a keyed request runs after its reservation") {
+  start();
+  call(1, "POST", "k");
+  CHECK(Last.Dispatch.empty());
+  keyReply(key_outcome::Granted);
+  finish(upstream_status::Complete);
+  checkResponse(200, Ran);
+  REQUIRE(messages<key_complete>().size() == 1);
+  CHECK(messages<key_complete>()[0].Body == "body");
+  CHECK_FALSE(Router.isIdle());
+}
+
+TEST_CASE_METHOD(router_fixture, "control decides on duplicates of a key") {
+  start();
+  call(1, "POST", "k");
+  SECTION("a stored response") {
+    keyReply(key_outcome::Stored, "earlier");
+    checkResponse(201, Ran);
+    CHECK(Last.Responses[0].Body == "earlier");
+  }
+  SECTION("another request") {
+    keyReply(key_outcome::Mismatch);
+    checkResponse(409, NotRun, "key-conflict");
+  }
+  SECTION("a refusal") {
+    keyReply(key_outcome::Refused);
+    checkResponse(503, NotRun, "key-refused");
+  }
+  SECTION("held by another entry until the deadline") {
+    keyReply(key_outcome::Held);
+    pass(2010ms);
+    checkResponse(504, MayHaveRun, "key-held");
+  }
+  SECTION("no answer until the deadline") {
+    pass(2010ms);
+    checkResponse(503, NotRun, "control-unavailable");
+    CHECK(messages<key_abandon>().size() == 1);
+  }
+  CHECK(Last.Dispatch.empty());
+}
+
+TEST_CASE_METHOD(router_fixture,
+                 "a keyed request is retried only when certainly not run") {
+  start();
+  call(1, "POST", "k");
+  keyReply(key_outcome::Granted);
+  finish(upstream_status::Complete, true);
+  REQUIRE(Last.Dispatch.size() == 1);
+  finish(upstream_status::Unknown);
+  checkResponse(502, MayHaveRun, "upstream-failed");
+  pass(1s);
+  CHECK(messages<key_abandon>().empty());
+}
+
+TEST_CASE_METHOD(router_fixture, "a caller that disconnects stops waiting") {
+  start();
+  call(1);
+  auto First = Last;
+  call(2);
+  Router.onCallerGone(2, Now);
+  Router.onCallerGone(1, Now);
+  take();
+  CHECK(Last.Responses.empty());
+  CHECK_FALSE(Router.isIdle());
+  Last = First;
+  finish(upstream_status::Complete);
+  CHECK(Last.Responses.empty());
+  CHECK(Last.Dispatch.empty());
+  CHECK(Router.isIdle());
+}
+
+TEST_CASE_METHOD(router_fixture, "a stop refuses new requests and finishes") {
+  start();
+  call(1);
+  auto First = Last;
+  call(2);
+  Router.beginShutdown(Now);
+  CHECK_FALSE(Router.isReady(Now));
+  call(3);
+  checkResponse(503, NotRun, "stopping");
+  Last = First;
+  finish(upstream_status::Complete);
+  checkResponse(200, Ran);
+  // No other entry is live, so this one still brokers for itself.
+  pass(10ms);
+  finish(upstream_status::Complete);
+  checkResponse(200, Ran);
+  CHECK(Router.isIdle());
+}
+
+TEST_CASE_METHOD(router_fixture, "the status shows version and endpoints") {
+  start();
+  auto Status = Router.statusJson(Now);
+  CHECK(Status.find("\"view_index\":3") != std::string::npos);
+  CHECK(Status.find("\"endpoint\":\"ep1\"") != std::string::npos);
+}
