Add the wave planner and the pool sizer with their baselines

Cause: waves and pool sizes need decisions that keep every budget. Change: planWaveStep fills the slack of every pool up to the parallel limit, finishes started racks and zones first and pauses at the failure limit. pool_sizer follows the need with a fast rise and a slow decay, lends only what the spare pool does not need itself, and returns hosts after they were idle.

--- /dev/null
+++ b/maintenance/wave_planner.cpp
@@ -0,0 +1,96 @@
+#include "maintenance/wave_planner.h"
+
+#include "maintenance/wave_limits_check.h"
+
+#include <map>
+#include <tuple>
+
+namespace lycheetrestle::maintenance {
+
+namespace {
+
+// How far the wave has got in a zone or rack of one pool.
+struct domain_progress {
+  std::uint32_t Waiting = 0;
+  std::uint32_t Touched = 0; // Busy or done.
+};
+
+struct pool_plan {
+  std::uint32_t Slack = 0;
+  std::vector<const wave_host *> Waiting;
+  std::size_t Next = 0;
+  std::map<std::string_view, domain_progress> Zones;
+  std::map<std::pair<std::string_view, std::string_view>, domain_progress>
+      Racks;
+
+  std::size_t left() const { return Waiting.size() - Next; }
+};
+
+// Domains that the wave has entered come first, the one with the fewest hosts
+// left in front, so that at any moment as few domains as possible are reduced.
+auto orderOf(const pool_plan &Plan, const wave_host &Host) {
+  const auto &Zone = Plan.Zones.at(Host.Zone);
+  const auto &Rack = Plan.Racks.at({Host.Zone, Host.Rack});
+  return std::make_tuple(Zone.Touched == 0, Zone.Waiting, Host.Zone,
+                         Rack.Touched == 0, Rack.Waiting, Host.Rack, Host.Name);
+}
+
+void sortByDomain(pool_plan &Plan) {
+  std::sort(Plan.Waiting.begin(), Plan.Waiting.end(),
+            [&](const wave_host *Left, const wave_host *Right) {
+              return orderOf(Plan, *Left) < orderOf(Plan, *Right);
+            });
+}
+
+} // namespace
+
+wave_step planWaveStep(std::span<const wave_pool> Pools,
+                       std::span<const wave_host> Hosts,
+                       const wave_limits &Limits) {
+  if (auto Decided = planWithoutChoice(Hosts, Limits))
+    return *Decided;
+  std::map<std::string_view, pool_plan> Plans;
+  for (const auto &Pool : Pools)
+    Plans[Pool.Name].Slack =
+        Pool.Available > Pool.Minimum ? Pool.Available - Pool.Minimum : 0;
+  std::uint32_t Busy = 0;
+  for (const auto &Host : Hosts) {
+    if (Host.Phase == host_phase::Busy)
+      ++Busy;
+    auto Found = Plans.find(Host.Pool);
+    if (Found == Plans.end() || Host.Phase == host_phase::Lost)
+      continue;
+    auto &Plan = Found->second;
+    auto &Zone = Plan.Zones[Host.Zone];
+    auto &Rack = Plan.Racks[{Host.Zone, Host.Rack}];
+    bool Waits = Host.Phase == host_phase::Waiting;
+    (Waits ? Zone.Waiting : Zone.Touched) += 1;
+    (Waits ? Rack.Waiting : Rack.Touched) += 1;
+    if (Waits)
+      Plan.Waiting.push_back(&Host);
+  }
+  std::vector<pool_plan *> Open;
+  for (auto &[Name, Plan] : Plans)
+    if (Plan.Slack > 0 && !Plan.Waiting.empty()) {
+      sortByDomain(Plan);
+      Open.push_back(&Plan);
+    }
+  wave_step Step;
+  while (Busy < Limits.MaxParallelHosts && !Open.empty()) {
+    // The pool that needs the most rounds for the rest decides when the wave
+    // ends, so it gets the next place.
+    auto Longest = std::max_element(
+        Open.begin(), Open.end(),
+        [](const pool_plan *Left, const pool_plan *Right) {
+          return Left->left() * Right->Slack < Right->left() * Left->Slack;
+        });
+    auto &Plan = **Longest;
+    Step.Start.push_back(Plan.Waiting[Plan.Next++]->Name);
+    ++Busy;
+    if (--Plan.Slack == 0 || Plan.left() == 0)
+      Open.erase(Longest);
+  }
+  return Step;
+}
+
+} // namespace lycheetrestle::maintenance
--- /dev/null
+++ b/tests/capacity/test_pool_sizer.cpp
@@ -0,0 +1,98 @@
+#include "capacity/fixed_share.h"
+#include "capacity/pool_sizer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::capacity;
+
+namespace {
+
+core::time_point at(std::int64_t Seconds) {
+  return core::time_point(std::chrono::seconds(1000 + Seconds));
+}
+
+pool_load gate(double Needed, std::uint32_t Available,
+               std::uint32_t Borrowed = 0, std::uint32_t Arriving = 0) {
+  return {"gate", Needed, Available, 6, Borrowed, Arriving, false, true};
+}
+
+pool_load spare(double Needed, std::uint32_t Available) {
+  return {"records", Needed, Available, 4, 0, 0, true, false};
+}
+
+std::uint32_t lent(const std::vector<host_transfer> &Transfers,
+                   std::string_view To) {
+  std::uint32_t Count = 0;
+  for (const auto &Transfer : Transfers)
+    if (Transfer.ToPool == To)
+      Count += Transfer.Hosts;
+  return Count;
+}
+
+} // namespace
+
+// One odd report must not move hosts; a lasting need must.
+TEST_CASE("a host is lent only after the need has lasted") {
+  pool_sizer Sizer({});
+  auto Plan = [&](double Needed, int Second) {
+    std::vector<pool_load> Pools = {gate(Needed, 8), spare(1, 10)};
+    return lent(Sizer.plan(Pools, at(Second)), "gate");
+  };
+  CHECK(Plan(4, 0) == 0);
+  CHECK(Plan(12, 1) == 0);
+  CHECK(Plan(12, 2) == 0);
+  CHECK(Plan(12, 3) > 0);
+}
+
+// Lending must never take the spare pool under its minimum or its own need.
+TEST_CASE("the spare pool keeps its minimum and its own load") {
+  for (auto [Own, Limit] : {std::pair{1.0, 6u}, std::pair{6.0, 2u}}) {
+    pool_sizer Sizer({});
+    std::uint32_t Last = 0;
+    for (int Second = 0; Second < 10; ++Second) {
+      std::vector<pool_load> Pools = {gate(100, 8), spare(Own, 10)};
+      Last = lent(Sizer.plan(Pools, at(Second)), "gate");
+    }
+    CHECK(Last == Limit);
+  }
+}
+
+TEST_CASE("hosts on their way are not lent again") {
+  pool_sizer Sizer({});
+  std::uint32_t Last = 0;
+  for (int Second = 0; Second < 10; ++Second) {
+    std::vector<pool_load> Pools = {gate(10, 8, 0, 5), spare(1, 10)};
+    Last = lent(Sizer.plan(Pools, at(Second)), "gate");
+  }
+  CHECK(Last == 0);
+}
+
+// Returning a host between two peaks costs two moves for nothing.
+TEST_CASE("a borrowed host returns only after ten idle minutes") {
+  pool_sizer Sizer({});
+  auto Returned = [&](double Needed, int Second) {
+    std::vector<pool_load> Pools = {gate(Needed, 10, 3), spare(1, 7)};
+    return lent(Sizer.plan(Pools, at(Second)), "records");
+  };
+  CHECK(Returned(7, 0) == 0);
+  int First = -1;
+  for (int Second = 1; Second < 3000 && First < 0; ++Second) {
+    auto Count = Returned(0.4, Second);
+    CHECK(Count <= 3);
+    if (Count > 0)
+      First = Second;
+  }
+  CHECK(First > 600);
+  CHECK(First < 2400);
+}
+
+TEST_CASE("the baseline gives each pool its fixed share once") {
+  std::vector<pool_load> Pools = {gate(9, 8), spare(1, 10)};
+  CHECK(lent(planFixedShare(Pools, 2), "gate") == 2);
+  Pools[0].Borrowed = 2;
+  CHECK(planFixedShare(Pools, 2).empty());
+  Pools[0].Borrowed = 0;
+  Pools[1].Available = 5;
+  CHECK(lent(planFixedShare(Pools, 2), "gate") == 1);
+}
