--- /dev/null
+++ b/placement/failure_counts.cpp
@@ -0,0 +1,63 @@
+#include "placement/failure_counts.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace lycheetrestle::placement {
+
+namespace {
+
+// Each round can only settle more verdicts; in practice two are enough.
+constexpr int MaxRounds = 4;
+
+bool worksElsewhere(const fleet::job_record &Job) {
+  return Job.State == fleet::job_state::Running ||
+         Job.State == fleet::job_state::Succeeded ||
+         Job.State == fleet::job_state::Checkpointed;
+}
+
+} // namespace
+
+failure_verdicts judgeFailures(std::span<const fleet::job_record> Jobs,
+                               const placer_settings &Settings) {
+  std::vector<const fleet::job_record *> Suspects;
+  for (const auto &Job : Jobs)
+    if (!Job.FailedOn.empty())
+      Suspects.push_back(&Job);
+  failure_verdicts Verdicts;
+  // A job that failed everywhere so far is held back from the first count of
+  // the workers, because it may be the cause itself.
+  for (const auto *Job : Suspects)
+    if (Job->FailedOn.size() >= Settings.FailedWorkersForBadJob &&
+        !worksElsewhere(*Job))
+      Verdicts.BadJobs.insert(Job->Id);
+  for (int Round = 0; Round < MaxRounds; ++Round) {
+    std::map<std::string_view, std::uint32_t> FailedJobs;
+    for (const auto *Job : Suspects)
+      if (Verdicts.BadJobs.count(Job->Id) == 0)
+        for (const auto &Host : Job->FailedOn)
+          ++FailedJobs[Host];
+    failure_verdicts Next;
+    for (const auto &[Host, Count] : FailedJobs)
+      if (Count >= Settings.FailedJobsForBadWorker)
+        Next.BadWorkers.insert(Host);
+    for (const auto *Job : Suspects) {
+      auto Good = std::count_if(Job->FailedOn.begin(), Job->FailedOn.end(),
+                                [&](const std::string &Host) {
+                                  return Next.BadWorkers.count(Host) == 0;
+                                });
+      if (std::uint32_t(Good) >= Settings.FailedWorkersForBadJob &&
+          !worksElsewhere(*Job))
+        Next.BadJobs.insert(Job->Id);
+    }
+    bool Settled = Next.BadWorkers == Verdicts.BadWorkers &&
+                   Next.BadJobs == Verdicts.BadJobs;
+    Verdicts = std::move(Next);
+    if (Settled)
+      break;
+  }
+  return Verdicts;
+}
+
+} // namespace lycheetrestle::placement
--- /dev/null
+++ b/placement/placer.cpp
@@ -0,0 +1,222 @@
+#include "placement/placer.h"
+
+#include "placement/failure_counts.h"
+#include "placement/preemption.h"
+#include "placement/room.h"
+#include "placement/size_estimator.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace lycheetrestle::placement {
+
+namespace {
+
+using fleet::job_record;
+using fleet::job_state;
+using fleet::work_class;
+
+bool failedOn(const job_record &Job, std::string_view Host) {
+  return std::find(Job.FailedOn.begin(), Job.FailedOn.end(), Host) !=
+         Job.FailedOn.end();
+}
+
+// Smaller is a tighter fit. Workers with accelerators are the last choice for
+// jobs without, because only they can run the others.
+double looseness(const worker_room &Room, const amount &Size) {
+  const auto &Whole = Room.Worker->Size;
+  auto Share = [](std::int64_t Left, double Total) {
+    return Total > 0 ? double(Left) / Total : 0.0;
+  };
+  auto Score =
+      Share(Room.Free.Cores - Size.Cores, Whole.Cores) +
+      Share(Room.Free.MemoryMb - Size.MemoryMb, double(Whole.MemoryMb));
+  if (Whole.Accelerators > 0 && Size.Accelerators == 0)
+    Score += 10;
+  return Score;
+}
+
+class placement_round {
+public:
+  placement_round(std::span<const worker_view> Workers,
+                  std::span<const job_record> Jobs,
+                  std::span<const fleet::team_spec> Teams, std::int64_t NowMs,
+                  const placer_settings &Settings)
+      : Workers(Workers), Jobs(Jobs), NowMs(NowMs), Settings(Settings),
+        Estimator(Jobs), Verdicts(judgeFailures(Jobs, Settings)),
+        Rooms(Workers), Quotas(Teams) {}
+
+  std::vector<placement_action> run() {
+    setAsideBadWorkers();
+    std::vector<const job_record *> Waiting;
+    for (const auto &Job : Jobs) {
+      if (isBound(Job))
+        reserve(Job);
+      else if ((Job.State == job_state::Waiting ||
+                Job.State == job_state::Checkpointed) &&
+               !Job.CancelRequested)
+        Waiting.push_back(&Job);
+    }
+    relieveWorkers();
+    std::sort(Waiting.begin(), Waiting.end(), &placement_round::isBefore);
+    for (const auto *Job : Waiting)
+      place(*Job);
+    return std::move(Actions);
+  }
+
+private:
+  static bool isBefore(const job_record *Left, const job_record *Right) {
+    if (Left->Class != Right->Class)
+      return Left->Class < Right->Class;
+    if (Left->SubmittedMs != Right->SubmittedMs)
+      return Left->SubmittedMs < Right->SubmittedMs;
+    return Left->Id < Right->Id;
+  }
+
+  void add(action_kind Kind, const job_record &Job, std::string_view Host,
+           std::string Reason) {
+    Actions.push_back({Kind, Job.Id, std::string(Host), 0, std::move(Reason)});
+  }
+
+  void setAsideBadWorkers() {
+    for (const auto &Worker : Workers)
+      if (Worker.InService && Verdicts.BadWorkers.count(Worker.Host) != 0)
+        Actions.push_back({action_kind::SetAside, 0, std::string(Worker.Host),
+                           Worker.Epoch, "distinct jobs failed on the worker"});
+  }
+
+  // An expired job keeps its resources for this round, because the action is
+  // only a proposal until it is committed.
+  void reserve(const job_record &Job) {
+    auto Size = Estimator.estimate(Job);
+    Quotas.charge(Job.Team, Size);
+    bool Expired = isExpired(Job, NowMs, Settings);
+    if (Expired)
+      add(action_kind::ExpireLease, Job, Job.Host, "the lease expired");
+    auto *Room = Rooms.find(Job.Host);
+    if (!Room)
+      return;
+    Room->Free -= amount(Size);
+    // Room on a bad worker is of no use to urgent work.
+    if (Job.Class != work_class::Batch || Expired || Job.CancelRequested ||
+        Verdicts.BadWorkers.count(Job.Host) != 0)
+      return;
+    Room->BatchJobs.push_back(&Job);
+    Room->Preemptible += amount(Size);
+  }
+
+  void relieveWorkers() {
+    for (const auto &Worker : Workers) {
+      auto &Room = *Rooms.find(Worker.Host);
+      auto Victims = chooseRelief(Room, Estimator);
+      for (const auto *Victim : Victims)
+        add(action_kind::Checkpoint, *Victim, Worker.Host,
+            "the jobs of the worker use more than it has");
+      releaseVictims(Room, Victims, Estimator);
+    }
+  }
+
+  std::optional<std::string> reasonForNever(const job_record &Job,
+                                            const fleet::resources &Size) {
+    if (Verdicts.BadJobs.count(Job.Id) != 0)
+      return "the job failed on " + std::to_string(Job.FailedOn.size()) +
+             " different workers";
+    if (!Rooms.couldEverFit(Job.Pool, Size))
+      return "no worker of pool " + Job.Pool + " has " +
+             std::to_string(Size.Cores) + " cores, " +
+             std::to_string(Size.MemoryMb) + " MB and " +
+             std::to_string(Size.Accelerators) + " accelerators";
+    if (!Quotas.couldEverAllow(Job.Team, Size))
+      return "the job is larger than the quota of team " + Job.Team;
+    return std::nullopt;
+  }
+
+  void place(const job_record &Job) {
+    auto Size = Estimator.estimate(Job);
+    if (auto Reason = reasonForNever(Job, Size)) {
+      add(action_kind::Impossible, Job, "", std::move(*Reason));
+      return;
+    }
+    if (!Quotas.allows(Job.Team, Size))
+      return;
+    auto &Pool = Rooms.poolRooms(Job.Pool);
+    if (auto *Room = findTightest(Pool, Job, Size)) {
+      Actions.push_back({action_kind::Start, Job.Id,
+                         std::string(Room->Worker->Host), Room->Worker->Epoch,
+                         ""});
+      take(*Room, Job, Size);
+    } else if (Job.Class == work_class::Urgent) {
+      preempt(Pool, Job, Size);
+    }
+  }
+
+  worker_room *findTightest(const std::vector<worker_room *> &Pool,
+                            const job_record &Job,
+                            const fleet::resources &Size) {
+    // Without a failed worker, a job at least as large as one that found no
+    // room in this round finds none either.
+    auto &NoRoom = NoRoomByPool[Job.Pool];
+    if (std::any_of(NoRoom.begin(), NoRoom.end(), [&](const amount &Known) {
+          return Known.fitsIn(amount(Size));
+        }))
+      return nullptr;
+    worker_room *Best = nullptr;
+    double BestScore = 0;
+    for (auto *Room : Pool) {
+      if (!Room->Worker->InService || !amount(Size).fitsIn(Room->Free) ||
+          Verdicts.BadWorkers.count(Room->Worker->Host) != 0 ||
+          failedOn(Job, Room->Worker->Host))
+        continue;
+      auto Score = looseness(*Room, amount(Size));
+      if (Best && Score >= BestScore)
+        continue;
+      Best = Room;
+      BestScore = Score;
+    }
+    if (!Best && Job.FailedOn.empty())
+      NoRoom.push_back(amount(Size));
+    return Best;
+  }
+
+  // The room is kept free for the urgent job until the checkpoints are done.
+  void preempt(std::vector<worker_room *> &Pool, const job_record &Job,
+               const fleet::resources &Size) {
+    auto Choice = choosePreemption(Pool, Job, Size, Estimator);
+    if (!Choice.Room)
+      return;
+    for (const auto *Victim : Choice.Victims)
+      add(action_kind::Checkpoint, *Victim, Choice.Room->Worker->Host,
+          "urgent job " + std::to_string(Job.Id) + " needs the room");
+    releaseVictims(*Choice.Room, Choice.Victims, Estimator);
+    take(*Choice.Room, Job, Size);
+  }
+
+  void take(worker_room &Room, const job_record &Job,
+            const fleet::resources &Size) {
+    Room.Free -= amount(Size);
+    Quotas.charge(Job.Team, Size);
+  }
+
+  std::span<const worker_view> Workers;
+  std::span<const job_record> Jobs;
+  std::int64_t NowMs;
+  const placer_settings &Settings;
+  size_estimator Estimator;
+  failure_verdicts Verdicts;
+  room_map Rooms;
+  quota_book Quotas;
+  std::map<std::string_view, std::vector<amount>> NoRoomByPool;
+  std::vector<placement_action> Actions;
+};
+
+} // namespace
+
+std::vector<placement_action>
+planPlacement(std::span<const worker_view> Workers,
+              std::span<const job_record> Jobs,
+              std::span<const fleet::team_spec> Teams, std::int64_t NowMs,
+              const placer_settings &Settings) {
+  return placement_round(Workers, Jobs, Teams, NowMs, Settings).run();
+}
+
+} // namespace lycheetrestle::placement
--- /dev/null
+++ b/placement/size_estimator.cpp
@@ -0,0 +1,77 @@
+#include "placement/size_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace lycheetrestle::placement {
+
+namespace {
+
+// Usage lags and varies, so a learnt size is reserved with a tenth more.
+constexpr double LearntMargin = 1.1;
+// Fewer jobs say too little about a team.
+constexpr std::size_t JobsToLearnFrom = 3;
+// A job that is larger than estimated overcommits its worker until the next
+// report, a smaller one only wastes room; so the estimate is above most jobs.
+constexpr double Quantile = 0.8;
+constexpr double LowestRatio = 0.05;
+constexpr double HighestRatio = 8;
+
+double quantileOf(std::vector<double> &Values) {
+  if (Values.size() < JobsToLearnFrom)
+    return 1;
+  auto Middle =
+      Values.begin() + std::ptrdiff_t(double(Values.size() - 1) * Quantile);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return std::clamp(*Middle, LowestRatio, HighestRatio);
+}
+
+std::uint64_t scaled(std::uint64_t Value, double Factor) {
+  return std::max<std::uint64_t>(
+      1, std::uint64_t(std::ceil(double(Value) * Factor - 1e-9)));
+}
+
+} // namespace
+
+bool hasLearnt(const fleet::job_record &Job) {
+  return Job.Learnt.Cores != 0 || Job.Learnt.MemoryMb != 0;
+}
+
+size_estimator::size_estimator(std::span<const fleet::job_record> Jobs) {
+  struct samples {
+    std::vector<double> Cores, Memory;
+  };
+  std::map<std::string_view, samples> ByTeam;
+  for (const auto &Job : Jobs) {
+    if (!hasLearnt(Job))
+      continue;
+    auto &Team = ByTeam[Job.Team];
+    if (Job.Declared.Cores != 0)
+      Team.Cores.push_back(double(Job.Learnt.Cores) / Job.Declared.Cores);
+    if (Job.Declared.MemoryMb != 0)
+      Team.Memory.push_back(double(Job.Learnt.MemoryMb) /
+                            double(Job.Declared.MemoryMb));
+  }
+  for (auto &[Name, Samples] : ByTeam)
+    Ratios[Name] = {quantileOf(Samples.Cores), quantileOf(Samples.Memory)};
+}
+
+fleet::resources size_estimator::estimate(const fleet::job_record &Job) const {
+  fleet::resources Size;
+  // Accelerators are handed out whole, so nothing can be saved on them.
+  Size.Accelerators = Job.Declared.Accelerators;
+  if (hasLearnt(Job)) {
+    Size.Cores = std::uint32_t(scaled(Job.Learnt.Cores, LearntMargin));
+    Size.MemoryMb = scaled(Job.Learnt.MemoryMb, LearntMargin);
+    return Size;
+  }
+  team_ratio Ratio;
+  if (auto Found = Ratios.find(Job.Team); Found != Ratios.end())
+    Ratio = Found->second;
+  Size.Cores = std::uint32_t(scaled(Job.Declared.Cores, Ratio.Cores));
+  Size.MemoryMb = scaled(Job.Declared.MemoryMb, Ratio.Memory);
+  return Size;
+}
+
+} // namespace lycheetrestle::placement
--- /dev/null
+++ b/tests/placement/test_failure_counts.cpp
@@ -0,0 +1,47 @@
+#include "placement/failure_counts.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::placement;
+
+namespace {
+
+fleet::job_record failed(std::uint64_t Id, std::vector<std::string> Hosts,
+                         fleet::job_state State = fleet::job_state::Waiting) {
+  fleet::job_record Job;
+  Job.Id = Id;
+  Job.FailedOn = std::move(Hosts);
+  Job.State = State;
+  return Job;
+}
+
+} // namespace
+
+// A bad job must not take good workers out of service.
+TEST_CASE("a job that fails everywhere is bad, its workers are not") {
+  std::vector<fleet::job_record> Jobs = {failed(1, {"a", "b", "c", "d"}),
+                                         failed(2, {"a", "b", "c"}),
+                                         failed(3, {"a", "b", "c"})};
+  auto Verdicts = judgeFailures(Jobs, {});
+  CHECK(Verdicts.BadJobs == std::set<std::uint64_t>{1, 2, 3});
+  CHECK(Verdicts.BadWorkers.empty());
+}
+
+// A bad worker must not make good jobs fail for good.
+TEST_CASE("workers that fail distinct jobs are bad, the jobs are not") {
+  std::vector<fleet::job_record> Jobs = {
+      failed(1, {"x", "y", "z"}), failed(2, {"x", "y"}), failed(3, {"x", "z"}),
+      failed(4, {"x", "y", "z"}, fleet::job_state::Succeeded),
+      failed(5, {"y", "z"})};
+  auto Verdicts = judgeFailures(Jobs, {});
+  CHECK(Verdicts.BadWorkers == std::set<std::string_view>{"x", "y", "z"});
+  CHECK(Verdicts.BadJobs.empty());
+}
+
+TEST_CASE("repeated failures of one job on one worker are one failure") {
+  std::vector<fleet::job_record> Jobs = {failed(1, {"x"}), failed(2, {"x"})};
+  auto Verdicts = judgeFailures(Jobs, {});
+  CHECK(Verdicts.BadWorkers.empty());
+  CHECK(Verdicts.BadJobs.empty());
+}
