Add the reconciler

Cause: the leader needs a loop that turns state, platform reports and entry reports into the next commands and orders. A round keeps the budgets that its own steps have left and allows one step for each host.

--- /dev/null
+++ b/reconciler/job_steps.cpp
@@ -0,0 +1,265 @@
+#include "reconciler/job_steps.h"
+
+#include "placement/room.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::reconciler {
+
+namespace {
+
+using fleet::host_record;
+using fleet::host_state;
+using fleet::job_record;
+using fleet::job_state;
+using placement::action_kind;
+using platform::order_kind;
+using platform::task_report;
+
+// The lease is renewed when less than this share of it is left, so that two
+// lost rounds do no harm.
+constexpr double RenewalShare = 0.6;
+// The platform's copy of a lease is renewed when it is this much behind.
+constexpr std::int64_t RenewalLagMs = 1000;
+// A learnt size is recorded when it has grown by this factor; each record is
+// a command in the log.
+constexpr double LearntStep = 1.1;
+
+bool isEnded(job_state State) {
+  return State == job_state::Succeeded || State == job_state::Failed ||
+         State == job_state::Checkpointed;
+}
+
+fleet::resources largest(const fleet::resources &Left,
+                         const fleet::resources &Right) {
+  return {std::max(Left.Cores, Right.Cores),
+          std::max(Left.MemoryMb, Right.MemoryMb),
+          std::max(Left.Accelerators, Right.Accelerators)};
+}
+
+bool hasGrown(const fleet::resources &Known, const fleet::resources &Now) {
+  return double(Now.Cores) > double(Known.Cores) * LearntStep ||
+         double(Now.MemoryMb) > double(Known.MemoryMb) * LearntStep;
+}
+
+class job_round {
+public:
+  job_round(round &Round, lease_memory &Memory)
+      : Round(Round), Memory(Memory) {}
+
+  void run() {
+    readReports();
+    rememberLeases();
+    for (const auto &[Id, Job] : Round.State.jobs())
+      if (placement::isBound(Job) && Changed.count(Id) == 0)
+        keepRunning(Job);
+    place();
+  }
+
+private:
+  const host_record *hostOf(std::string_view Name) const {
+    auto Found = Round.State.hosts().find(Name);
+    return Found == Round.State.hosts().end() ? nullptr : &Found->second;
+  }
+
+  void change(const job_record &Job, job_state To, fleet::resources Learnt,
+              std::string Reason) {
+    fleet::change_job_state Change;
+    Change.Job = Job.Id;
+    Change.Lease = Job.Lease;
+    Change.To = To;
+    Change.Learnt = Learnt;
+    Change.Reason = std::move(Reason);
+    Round.Output.Commands.push_back(std::move(Change));
+    Changed.insert(Job.Id);
+  }
+
+  void orderTask(const host_record &Host, order_kind Kind, std::uint64_t Job,
+                 std::uint64_t Lease, std::int64_t LeaseMs = 0,
+                 fleet::resources Size = {}) {
+    auto &Order = Round.order(Host, Kind);
+    Order.Job = Job;
+    Order.Lease = Lease;
+    Order.LeaseMs = std::uint32_t(std::max<std::int64_t>(0, LeaseMs));
+    Order.Size = Size;
+  }
+
+  void readReports() {
+    for (const auto &[Name, Host] : Round.State.hosts())
+      if (const auto *Report = Round.report(Name);
+          Report && Report->Condition != platform::host_condition::Down)
+        for (const auto &Task : Report->Tasks)
+          readTask(Host, Task);
+  }
+
+  void readTask(const host_record &Host, const task_report &Task) {
+    auto Found = Round.State.jobs().find(Task.Job);
+    bool Known = Found != Round.State.jobs().end() &&
+                 Found->second.Lease == Task.Lease &&
+                 Found->second.Host == Host.Spec.Name &&
+                 placement::isBound(Found->second);
+    if (!Known) {
+      // An older lease, or the report of an end that is already recorded.
+      orderTask(Host, order_kind::StopTask, Task.Job, Task.Lease);
+      return;
+    }
+    const auto &Job = Found->second;
+    Tasks[Job.Id] = &Task;
+    auto Learnt = largest(Job.Learnt, Task.Used);
+    if (isEnded(Task.State)) {
+      bool Cancels =
+          Job.CancelRequested && Task.State == job_state::Checkpointed;
+      change(Job, Cancels ? job_state::Cancelled : Task.State, Learnt,
+             Task.Reason);
+    } else if (Job.CancelRequested) {
+      orderTask(Host, order_kind::StopTask, Job.Id, Job.Lease);
+      Stopping.insert(Job.Id);
+    } else if (Job.State == job_state::Starting ||
+               hasGrown(Job.Learnt, Task.Used)) {
+      change(Job, job_state::Running, Learnt, "");
+    }
+  }
+
+  void rememberLeases() {
+    for (auto Entry = Memory.Seen.begin(); Entry != Memory.Seen.end();) {
+      auto Job = Round.State.jobs().find(Entry->first);
+      bool Bound =
+          Job != Round.State.jobs().end() && placement::isBound(Job->second);
+      Entry = Bound ? std::next(Entry) : Memory.Seen.erase(Entry);
+    }
+    for (const auto &[Id, Job] : Round.State.jobs()) {
+      if (!placement::isBound(Job))
+        continue;
+      auto &Sighting = Memory.Seen[Id];
+      if (Sighting.Lease != Job.Lease ||
+          Sighting.LeaseUntilMs != Job.LeaseUntilMs)
+        Sighting = {Job.Lease, Job.LeaseUntilMs, Round.Now};
+    }
+  }
+
+  // The wall clocks of two leaders may differ, so a lease only counts as over
+  // when this leader has also seen it unrenewed for its full length.
+  bool hasSeenExpire(const job_record &Job) const {
+    auto Found = Memory.Seen.find(Job.Id);
+    const auto &Placer = Round.Settings.Placer;
+    return Found != Memory.Seen.end() &&
+           Round.Now - Found->second.Since >=
+               std::chrono::milliseconds(Placer.LeaseMs + Placer.LeaseMarginMs);
+  }
+
+  void keepRunning(const job_record &Job) {
+    const auto *Host = hostOf(Job.Host);
+    if (!Host)
+      return;
+    auto LeftMs = Job.LeaseUntilMs - Round.NowMs;
+    auto Found = Tasks.find(Job.Id);
+    if (Found == Tasks.end()) {
+      startAgain(Job, *Host, LeftMs);
+      return;
+    }
+    if (Stopping.count(Job.Id) != 0)
+      return;
+    if (Host->State == host_state::Draining) {
+      orderTask(*Host, order_kind::CheckpointTask, Job.Id, Job.Lease);
+      Stopping.insert(Job.Id);
+    }
+    renew(Job, *Host, *Found->second, LeftMs);
+  }
+
+  void renew(const job_record &Job, const host_record &Host,
+             const task_report &Task, std::int64_t LeftMs) {
+    auto LeaseMs = Round.Settings.Placer.LeaseMs;
+    if (double(LeftMs) < double(LeaseMs) * RenewalShare)
+      Round.Output.Commands.push_back(
+          fleet::renew_job_lease{Job.Id, Job.Lease, Round.NowMs + LeaseMs});
+    // Only what is committed may be promised to the platform.
+    if (LeftMs > 0 && std::int64_t(Task.LeaseLeftMs) + RenewalLagMs < LeftMs)
+      orderTask(Host, order_kind::RenewTask, Job.Id, Job.Lease, LeftMs);
+  }
+
+  // A job that was started under the host's present epoch and is not reported
+  // yet gets its order again, for what is left of its lease.
+  void startAgain(const job_record &Job, const host_record &Host,
+                  std::int64_t LeftMs) {
+    if (Job.CancelRequested) {
+      change(Job, job_state::Cancelled, Job.Learnt, "cancelled");
+      return;
+    }
+    if (Job.State == job_state::Starting && LeftMs > 0 &&
+        Host.State == host_state::InService && Host.Epoch == Job.HostEpoch &&
+        !Round.hasStepped(Job.Host))
+      orderTask(Host, order_kind::StartTask, Job.Id, Job.Lease, LeftMs,
+                Job.Declared);
+  }
+
+  void place() {
+    std::vector<placement::worker_view> Workers;
+    for (const auto &[Name, Host] : Round.State.hosts()) {
+      const auto *Report = Round.report(Name);
+      bool Up = Report && Report->Condition == platform::host_condition::Up;
+      bool Takes = Host.State == host_state::InService &&
+                   Host.Goal == fleet::host_goal::None && Up &&
+                   !Round.hasStepped(Name);
+      Workers.push_back({Name, Host.Pool, Host.Spec.Zone, Host.Spec.Rack,
+                         Host.Spec.Size, Host.Epoch, Takes});
+    }
+    std::vector<job_record> Jobs;
+    Jobs.reserve(Round.State.jobs().size());
+    for (const auto &[Id, Job] : Round.State.jobs())
+      Jobs.push_back(Job);
+    for (const auto &Action : placement::planPlacement(
+             Workers, Jobs, Round.State.currentDeclaration().Teams, Round.NowMs,
+             Round.Settings.Placer))
+      apply(Action);
+  }
+
+  void apply(const placement::placement_action &Action) {
+    if (Action.Kind == action_kind::SetAside) {
+      if (const auto *Host = hostOf(Action.Host))
+        Round.step(*Host, host_state::SetAside, Action.Reason);
+      return;
+    }
+    auto Found = Round.State.jobs().find(Action.Job);
+    if (Found == Round.State.jobs().end() || Changed.count(Action.Job) != 0)
+      return;
+    const auto &Job = Found->second;
+    switch (Action.Kind) {
+    case action_kind::Start:
+      if (!Round.hasStepped(Action.Host))
+        Round.Output.Commands.push_back(
+            fleet::start_job{Job.Id, Action.Host, Action.HostEpoch,
+                             Round.NowMs + Round.Settings.Placer.LeaseMs});
+      return;
+    case action_kind::Checkpoint:
+    case action_kind::Throttle:
+      if (const auto *Host = hostOf(Job.Host);
+          Host && Stopping.insert(Job.Id).second && Tasks.count(Job.Id) != 0)
+        orderTask(*Host, order_kind::CheckpointTask, Job.Id, Job.Lease);
+      return;
+    case action_kind::Impossible:
+      change(Job, job_state::Impossible, Job.Learnt, Action.Reason);
+      return;
+    case action_kind::ExpireLease:
+      if (hasSeenExpire(Job))
+        change(Job, job_state::Waiting, Job.Learnt, Action.Reason);
+      return;
+    case action_kind::SetAside:
+      return;
+    }
+  }
+
+  round &Round;
+  lease_memory &Memory;
+  std::map<std::uint64_t, const task_report *> Tasks;
+  std::set<std::uint64_t> Changed;
+  std::set<std::uint64_t> Stopping;
+};
+
+} // namespace
+
+void planJobs(round &Round, lease_memory &Memory) {
+  job_round(Round, Memory).run();
+}
+
+} // namespace lycheetrestle::reconciler
--- /dev/null
+++ b/reconciler/job_steps.h
@@ -0,0 +1,25 @@
+#ifndef LYCHEETRESTLE_RECONCILER_JOB_STEPS_H
+#define LYCHEETRESTLE_RECONCILER_JOB_STEPS_H
+
+#include "reconciler/round.h"
+
+namespace lycheetrestle::reconciler {
+
+/// Memory about leases that a new leader rebuilds.
+struct lease_memory {
+  struct sighting {
+    std::uint64_t Lease = 0;
+    std::int64_t LeaseUntilMs = 0;
+    core::time_point Since{};
+  };
+  /// When this leader first saw the present term of each bound job's lease.
+  std::map<std::uint64_t, sighting> Seen;
+};
+
+/// Records what the platform reports about tasks, renews leases, repeats the
+/// orders on tasks, and places the waiting jobs.
+void planJobs(round &Round, lease_memory &Memory);
+
+} // namespace lycheetrestle::reconciler
+
+#endif
--- a/reconciler/reconciler.h
+++ b/reconciler/reconciler.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -51,6 +52,9 @@
 class reconciler {
 public:
   explicit reconciler(reconciler_settings Settings);
+  ~reconciler();
+  reconciler(reconciler &&) noexcept;
+  reconciler &operator=(reconciler &&) noexcept;
   /// Forgets what earlier leadership learnt; call it when becoming leader.
   void reset(core::time_point Now);
   /// \param State the state, applied up to the commit index.
@@ -58,17 +62,27 @@
   /// unreachable.
   /// \param Entries every configured entry.
   /// \param Now the time of the round.
+  /// \param WallMs the leader's wall time, which stamps leases. Without it the
+  /// time is taken from the last committed command and Now, which is behind
+  /// after a change of leader until the next command.
   reconciler_output
   plan(const fleet::fleet_state &State,
        const std::optional<std::vector<platform::host_report>> &Reports,
-       std::span<const entry_status> Entries, core::time_point Now);
+       std::span<const entry_status> Entries, core::time_point Now,
+       std::int64_t WallMs = 0);
 
 private:
+  struct memory;
+  std::int64_t estimateWallMs(std::int64_t StateMs, std::int64_t WallMs,
+                              core::time_point Now);
+
   reconciler_settings Settings;
   capacity::pool_sizer Sizer;
-  std::map<std::string, core::time_point, std::less<>> DownSince;
+  std::unique_ptr<memory> Memory;
   core::time_point LastSizing{};
   core::time_point StartedAt{};
+  std::int64_t AnchorMs = 0; ///< Wall time at AnchorAt.
+  core::time_point AnchorAt{};
 };
 
 } // namespace lycheetrestle::reconciler
