--- a/placement/placer.cpp
+++ b/placement/placer.cpp
@@ -43,8 +43,9 @@
                   std::span<const fleet::team_spec> Teams, std::int64_t NowMs,
                   const placer_settings &Settings)
       : Workers(Workers), Jobs(Jobs), NowMs(NowMs), Settings(Settings),
-        Estimator(Jobs), Verdicts(judgeFailures(Jobs, Settings)),
-        Rooms(Workers), Quotas(Teams) {}
+        Estimator(Jobs, Settings.ScaleUnlearnt),
+        Verdicts(judgeFailures(Jobs, Settings)), Rooms(Workers), Quotas(Teams) {
+  }
 
   std::vector<placement_action> run() {
     setAsideBadWorkers();
@@ -56,6 +57,8 @@
                 Job.State == job_state::Checkpointed) &&
                !Job.CancelRequested)
         Waiting.push_back(&Job);
+      else if (Job.State == job_state::Failed && !Job.CancelRequested)
+        judgeFailed(Job);
     }
     relieveWorkers();
     std::sort(Waiting.begin(), Waiting.end(), &placement_round::isBefore);
@@ -85,6 +88,18 @@
                            Worker.Epoch, "distinct jobs failed on the worker"});
   }
 
+  void judgeFailed(const job_record &Job) {
+    if (Verdicts.BadJobs.count(Job.Id) != 0)
+      add(action_kind::Impossible, Job, "", failedReason(Job));
+    else
+      add(action_kind::Retry, Job, "", "waits for another worker");
+  }
+
+  static std::string failedReason(const job_record &Job) {
+    return "the job failed on " + std::to_string(Job.FailedOn.size()) +
+           " different workers";
+  }
+
   // An expired job keeps its resources for this round, because the action is
   // only a proposal until it is committed.
   void reserve(const job_record &Job) {
@@ -119,8 +134,13 @@
   std::optional<std::string> reasonForNever(const job_record &Job,
                                             const fleet::resources &Size) {
     if (Verdicts.BadJobs.count(Job.Id) != 0)
-      return "the job failed on " + std::to_string(Job.FailedOn.size()) +
-             " different workers";
+      return failedReason(Job);
+    const auto &Pool = Rooms.poolRooms(Job.Pool);
+    if (!Pool.empty() && !Job.FailedOn.empty() &&
+        std::all_of(Pool.begin(), Pool.end(), [&](const worker_room *Room) {
+          return failedOn(Job, Room->Worker->Host);
+        }))
+      return "the job failed on every worker of pool " + Job.Pool;
     if (!Rooms.couldEverFit(Job.Pool, Size))
       return "no worker of pool " + Job.Pool + " has " +
              std::to_string(Size.Cores) + " cores, " +
@@ -132,11 +152,16 @@
   }
 
   void place(const job_record &Job) {
-    auto Size = Estimator.estimate(Job);
-    if (auto Reason = reasonForNever(Job, Size)) {
+    auto Smallest = Estimator.smallest(Job);
+    if (auto Reason = reasonForNever(Job, Smallest)) {
       add(action_kind::Impossible, Job, "", std::move(*Reason));
       return;
     }
+    // The margin must not make a job impossible that fits without it.
+    auto Size = Estimator.estimate(Job);
+    if (!Rooms.couldEverFit(Job.Pool, Size) ||
+        !Quotas.couldEverAllow(Job.Team, Size))
+      Size = Smallest;
     if (!Quotas.allows(Job.Team, Size))
       return;
     auto &Pool = Rooms.poolRooms(Job.Pool);
--- a/placement/placer.h
+++ b/placement/placer.h
@@ -25,6 +25,7 @@
   Throttle,    ///< Throttle the job to make room for urgent work.
   Impossible,  ///< No worker of the pool can ever run it; Reason says why.
   SetAside,    ///< Host fails distinct jobs that run elsewhere.
+  Retry,       ///< The job failed and may wait for another worker.
   ExpireLease, ///< The lease and its margin are over; the job may wait again.
 };
 
@@ -39,6 +40,10 @@
 struct placer_settings {
   std::int64_t LeaseMs = 10000;
   std::int64_t LeaseMarginMs = 2000; ///< After LeaseUntilMs, still live.
+  /// Reserves less than the declared size for a job without reports when its
+  /// team uses less. fleet_state reserves the declared size for such jobs and
+  /// refuses a start that does not fit by it, so the reconciler leaves it off.
+  bool ScaleUnlearnt = false;
   std::uint32_t FailedWorkersForBadJob = 3;
   std::uint32_t FailedJobsForBadWorker = 3;
 };
--- a/placement/size_estimator.cpp
+++ b/placement/size_estimator.cpp
@@ -38,7 +38,9 @@
   return Job.Learnt.Cores != 0 || Job.Learnt.MemoryMb != 0;
 }
 
-size_estimator::size_estimator(std::span<const fleet::job_record> Jobs) {
+size_estimator::size_estimator(std::span<const fleet::job_record> Jobs,
+                               bool ScaleUnlearnt)
+    : ScaleUnlearnt(ScaleUnlearnt) {
   struct samples {
     std::vector<double> Cores, Memory;
   };
@@ -57,21 +59,37 @@
     Ratios[Name] = {quantileOf(Samples.Cores), quantileOf(Samples.Memory)};
 }
 
-fleet::resources size_estimator::estimate(const fleet::job_record &Job) const {
+fleet::resources size_estimator::sized(const fleet::job_record &Job,
+                                       team_ratio Ratio, double Margin) const {
   fleet::resources Size;
   // Accelerators are handed out whole, so nothing can be saved on them.
-  Size.Accelerators = Job.Declared.Accelerators;
-  if (hasLearnt(Job)) {
-    Size.Cores = std::uint32_t(scaled(Job.Learnt.Cores, LearntMargin));
-    Size.MemoryMb = scaled(Job.Learnt.MemoryMb, LearntMargin);
-    return Size;
-  }
+  Size.Accelerators =
+      std::max(Job.Declared.Accelerators, Job.Learnt.Accelerators);
+  Size.Cores = std::uint32_t(Job.Learnt.Cores != 0
+                                 ? scaled(Job.Learnt.Cores, Margin)
+                                 : scaled(Job.Declared.Cores, Ratio.Cores));
+  Size.MemoryMb = Job.Learnt.MemoryMb != 0
+                      ? scaled(Job.Learnt.MemoryMb, Margin)
+                      : scaled(Job.Declared.MemoryMb, Ratio.Memory);
+  return Size;
+}
+
+fleet::resources size_estimator::estimate(const fleet::job_record &Job) const {
   team_ratio Ratio;
   if (auto Found = Ratios.find(Job.Team); Found != Ratios.end())
     Ratio = Found->second;
-  Size.Cores = std::uint32_t(scaled(Job.Declared.Cores, Ratio.Cores));
-  Size.MemoryMb = scaled(Job.Declared.MemoryMb, Ratio.Memory);
-  return Size;
+  if (!ScaleUnlearnt)
+    Ratio = {std::max(1.0, Ratio.Cores), std::max(1.0, Ratio.Memory)};
+  return sized(Job, Ratio, LearntMargin);
+}
+
+fleet::resources size_estimator::smallest(const fleet::job_record &Job) const {
+  team_ratio Ratio;
+  if (auto Found = Ratios.find(Job.Team);
+      ScaleUnlearnt && Found != Ratios.end())
+    Ratio = {std::min(1.0, Found->second.Cores),
+             std::min(1.0, Found->second.Memory)};
+  return sized(Job, Ratio, 1);
 }
 
 } // namespace lycheetrestle::placement
--- a/placement/size_estimator.h
+++ b/placement/size_estimator.h
@@ -16,17 +16,25 @@
 public:
   /// \param Jobs every known job; those with reports are learnt from. They
   /// must outlive the estimator.
-  explicit size_estimator(std::span<const fleet::job_record> Jobs);
+  /// \param ScaleUnlearnt as in placer_settings.
+  size_estimator(std::span<const fleet::job_record> Jobs, bool ScaleUnlearnt);
 
   /// \returns the size to reserve for the job, at least one core and 1 MB.
   fleet::resources estimate(const fleet::job_record &Job) const;
+  /// \returns the smallest size that the job may be started with; a job is
+  /// impossible only when this does not fit.
+  fleet::resources smallest(const fleet::job_record &Job) const;
 
 private:
   struct team_ratio {
     double Cores = 1;
     double Memory = 1;
   };
+  fleet::resources sized(const fleet::job_record &Job, team_ratio Ratio,
+                         double Margin) const;
+
   std::map<std::string_view, team_ratio> Ratios;
+  bool ScaleUnlearnt;
 };
 
 /// \returns whether the platform has reported usage of the job.
--- a/reconciler/host_steps.cpp
+++ b/reconciler/host_steps.cpp
@@ -63,6 +63,18 @@
   return OthersSilent && Round.Now - Known.Since > Round.Settings.EntrySilence;
 }
 
+// The platform has executed an order of the host's current epoch.
+bool isCurrent(const platform::host_report *Report, const host_record &Host) {
+  return Report && Report->Epoch == Host.Epoch;
+}
+
+bool isEmpty(const round &Round, const host_record &Host) {
+  const auto *Report = Round.report(Host.Spec.Name);
+  return isCurrent(Report, Host) &&
+         Report->Condition == host_condition::Drained &&
+         !hasLiveTasks(*Report) && !Round.hasBoundJobs(Host.Spec.Name);
+}
+
 void planDrained(round &Round, const host_record &Host) {
   switch (Host.Goal) {
   case host_goal::Drain:
@@ -71,7 +83,9 @@
     Round.step(Host, host_state::Rebooting, "drained");
     return;
   case host_goal::Move:
-    Round.step(Host, host_state::Moving, "drained");
+    // A pool that losses took under its budget keeps the host.
+    if (Round.available(Host.Pool) >= Round.minimum(Host.Pool))
+      Round.step(Host, host_state::Moving, "drained");
     return;
   case host_goal::None:
     Round.step(Host, host_state::Returning, "nothing left to do");
@@ -79,14 +93,14 @@
   }
 }
 
-// The platform has executed an order of the host's current epoch.
-bool isCurrent(const platform::host_report *Report, const host_record &Host) {
-  return Report && Report->Epoch == Host.Epoch;
-}
-
-void giveOrder(round &Round, const host_record &Host) {
+void giveOrder(round &Round, const host_record &Host, host_memory &Memory) {
   const auto *Report = Round.report(Host.Spec.Name);
   switch (Host.State) {
+  case host_state::SetAside:
+    if (Host.Goal == host_goal::None || Host.Goal == host_goal::Drain ||
+        !entriesLetGo(Round, Host, Memory))
+      return;
+    [[fallthrough]];
   case host_state::Draining:
     if (!isCurrent(Report, Host) || Report->Condition == host_condition::Up)
       Round.order(Host, order_kind::Drain);
@@ -120,13 +134,20 @@
   switch (Host.State) {
   case host_state::Cordoned:
     if (Host.Goal == host_goal::None)
-      Round.step(Host, host_state::InService, "the goal was withdrawn");
+      Round.step(Host, host_state::Returning, "the goal was withdrawn");
     else if (entriesLetGo(Round, Host, Memory))
       Round.step(Host, host_state::Draining, "entries have let go");
     return;
   case host_state::Draining:
-    if (Current && Condition == host_condition::Drained &&
-        !hasLiveTasks(*Report) && !Round.hasBoundJobs(Host.Spec.Name))
+    if (Host.Goal == host_goal::None)
+      Round.step(Host, host_state::Returning, "the goal was withdrawn");
+    else if (isEmpty(Round, Host))
+      Round.step(Host, host_state::Drained, "no work is left");
+    return;
+  case host_state::SetAside:
+    if (Host.Goal == host_goal::None)
+      Round.step(Host, host_state::Returning, "its operator asked for it");
+    else if (Host.Goal != host_goal::Drain && isEmpty(Round, Host))
       Round.step(Host, host_state::Drained, "no work is left");
     return;
   case host_state::Drained:
@@ -151,7 +172,6 @@
       Round.step(Host, host_state::Returning, "the platform has it again");
     return;
   case host_state::InService:
-  case host_state::SetAside:
     return;
   }
 }
@@ -181,19 +201,20 @@
   for (const auto &[Name, Host] : Round.State.hosts()) {
     if (Host.State == host_state::InService)
       continue;
-    if (Host.State != host_state::Cordoned)
+    if (Host.State != host_state::Cordoned &&
+        Host.State != host_state::SetAside)
       Memory.ConfirmedSince.erase(Name);
     if (Round.hasStepped(Name))
       continue;
     planOne(Round, Host, Memory);
     if (!Round.hasStepped(Name))
-      giveOrder(Round, Host);
+      giveOrder(Round, Host, Memory);
   }
 }
 
-void repeatOrders(round &Round) {
+void repeatOrders(round &Round, host_memory &Memory) {
   for (const auto &[Name, Host] : Round.State.hosts())
-    giveOrder(Round, Host);
+    giveOrder(Round, Host, Memory);
 }
 
 void planGoals(round &Round) {
--- a/reconciler/host_steps.h
+++ b/reconciler/host_steps.h
@@ -27,7 +27,7 @@
 
 /// Repeats the orders of the current states; used while the platform cannot be
 /// reached and nothing new may start.
-void repeatOrders(round &Round);
+void repeatOrders(round &Round, host_memory &Memory);
 
 /// Starts what operators asked for, and moves hosts whose declared home is
 /// another pool.
--- a/reconciler/job_steps.cpp
+++ b/reconciler/job_steps.cpp
@@ -244,6 +244,9 @@
       if (hasSeenExpire(Job))
         change(Job, job_state::Waiting, Job.Learnt, Action.Reason);
       return;
+    case action_kind::Retry:
+      change(Job, job_state::Waiting, Job.Learnt, Action.Reason);
+      return;
     case action_kind::SetAside:
       return;
     }
--- a/reconciler/reconciler.cpp
+++ b/reconciler/reconciler.cpp
@@ -57,7 +57,7 @@
   round Round(State, Reports ? &*Reports : nullptr, Entries, Settings, Now,
               StartedAt, estimateWallMs(State.timeMs(), WallMs, Now));
   if (!Round.platformReachable()) {
-    repeatOrders(Round);
+    repeatOrders(Round, Memory->Hosts);
     return std::move(Round.Output);
   }
   planLosses(Round, Memory->Hosts);
