Add the entry role and the stand-ins

Cause: callers and endpoints need the process between them, and tests need endpoints with faults and a caller that checks every response.

--- /dev/null
+++ b/entry/entry_settings.h
@@ -0,0 +1,58 @@
+#ifndef LYCHEETRESTLE_ENTRY_ENTRY_SETTINGS_H
+#define LYCHEETRESTLE_ENTRY_ENTRY_SETTINGS_H
+
+#include "core/event_log.h"
+#include "core/failure.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::entry {
+
+struct socket_address {
+  std::string Address; ///< IPv4 or IPv6 address in text form.
+  std::uint16_t Port = 0;
+  bool operator==(const socket_address &) const = default;
+};
+
+/// Link address of a process of the system.
+struct named_address {
+  std::string Name;
+  socket_address Socket;
+};
+
+/// Settings of one entry process.
+struct entry_settings {
+  std::string Name;
+  std::string Zone;
+  socket_address Listen;              ///< HTTP for callers and endpoints.
+  socket_address Link;                ///< Links from other processes.
+  std::vector<named_address> Entries; ///< Every entry, this one included.
+  std::vector<named_address> Controls;
+
+  std::string LogFile; ///< Empty for standard error.
+  core::log_level LogLevel = core::log_level::Info;
+
+  std::uint32_t MaxInFlight = 4000;
+  std::uint32_t MaxQueued = 1000; ///< For each class of a service.
+  std::size_t MaxBodyBytes = 1u << 20;
+  std::size_t MaxResponseBytes = 4u << 20;
+  std::uint32_t MaxCallerConnections = 2000;
+
+  std::uint32_t FreshnessMs = 3000;
+  std::uint32_t ProbeIntervalMs = 250;
+  std::uint32_t LingerMs = 2000;
+  std::uint32_t ShutdownTimeoutMs = 30000;
+};
+
+/// Parses and checks the settings file of an entry.
+/// \param Text JSON with comments, at most 256 KB.
+/// \returns the settings, or BadInput naming the field, its value and the rule.
+core::result<entry_settings> parseEntrySettings(std::string_view Text);
+
+} // namespace lycheetrestle::entry
+
+#endif
--- /dev/null
+++ b/entry/front_messages.h
@@ -0,0 +1,42 @@
+#ifndef LYCHEETRESTLE_ENTRY_FRONT_MESSAGES_H
+#define LYCHEETRESTLE_ENTRY_FRONT_MESSAGES_H
+
+#include "routing/entry_router.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace lycheetrestle::entry {
+
+/// A caller closed its connection before its response was written.
+struct caller_gone {
+  std::uint64_t Id = 0;
+};
+/// `POST /v1/announcements`, already parsed.
+struct announcement_call {
+  std::uint64_t Id = 0;
+  routing::announcement Announcement;
+};
+/// `GET /v1/status`.
+struct status_call {
+  std::uint64_t Id = 0;
+};
+
+/// From the HTTP thread to the routing thread.
+using front_event = std::variant<routing::caller_request, caller_gone,
+                                 announcement_call, status_call>;
+
+/// Response to an announcement or a status call.
+struct service_reply {
+  std::uint64_t Id = 0;
+  std::uint32_t Status = 200;
+  std::string Body; ///< JSON.
+};
+
+/// From the routing thread to the HTTP thread.
+using front_reply = std::variant<routing::caller_response, service_reply>;
+
+} // namespace lycheetrestle::entry
+
+#endif
--- /dev/null
+++ b/entry/http_front.h
@@ -0,0 +1,69 @@
+#ifndef LYCHEETRESTLE_ENTRY_HTTP_FRONT_H
+#define LYCHEETRESTLE_ENTRY_HTTP_FRONT_H
+
+#include "core/bounded_ring.h"
+#include "core/metrics.h"
+#include "entry/entry_settings.h"
+#include "entry/front_messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheetrestle::entry {
+
+struct http_front_settings {
+  socket_address Listen;      ///< Port 0 takes a free port.
+  std::string CorrelationTag; ///< Prefix of generated correlation ids.
+  std::size_t MaxBodyBytes = 1u << 20;
+  std::size_t MaxConnections = 2000;
+  /// Longest time for a caller to send a request, and to stay idle.
+  core::duration ReadTimeout = std::chrono::seconds(15);
+  /// Longest time for a caller to take a response.
+  core::duration WriteTimeout = std::chrono::seconds(15);
+  /// Longest time until a request must be answered; above the longest deadline.
+  core::duration HandleTimeout = std::chrono::seconds(65);
+};
+
+/// The rings between the HTTP thread and the routing thread.
+struct front_rings {
+  core::bounded_ring<front_event> &Events;  ///< This class produces.
+  core::bounded_ring<front_reply> &Replies; ///< This class consumes.
+  core::ring_signal &RepliesSignal;         ///< The signal of Replies.
+};
+
+/// HTTP server for callers, endpoints and monitoring, on its own thread. Every
+/// request becomes one event and is answered by one reply, or at once with 503
+/// and verdict not-run when the ring of events is full.
+class http_front {
+public:
+  /// \param IsReady called on the HTTP thread for `/readyz`.
+  http_front(http_front_settings Settings, front_rings Rings,
+             core::metrics_registry &Metrics, std::function<bool()> IsReady);
+  ~http_front();
+  http_front(const http_front &) = delete;
+  http_front &operator=(const http_front &) = delete;
+
+  /// Binds the socket and starts the thread.
+  /// \returns an empty string, or the reason why the address cannot be bound.
+  std::string start();
+  /// \returns the bound port.
+  std::uint16_t port() const;
+  /// Closes each connection after its next response, so that callers move to
+  /// other entries. Safe from any thread.
+  void closeAfterResponses();
+  /// \returns whether every request is answered and every response is written
+  /// or its caller is gone. Safe from any thread.
+  bool isFlushed() const;
+  /// Closes all connections and joins the thread.
+  void stop();
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace lycheetrestle::entry
+
+#endif
--- /dev/null
+++ b/standin/load_client.cpp
@@ -0,0 +1,335 @@
+// A caller for tests, the demo and measurements: sends a bounded load to
+// entries and checks that every response is whole and its own.
+#include "standin/load_report.h"
+#include "standin/payload.h"
+
+#include <curl/curl.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <sstream>
+#include <strings.h>
+
+DEFINE_string(entries, "", "ip:port of entries, separated by commas");
+DEFINE_bool(direct, false, "the addresses are endpoints; for comparison");
+DEFINE_string(service, "plots", "service that is called");
+DEFINE_uint32(seconds, 5, "time after which no new request starts");
+DEFINE_uint32(requests, 10000, "most requests");
+DEFINE_uint32(rate, 0, "requests a second; 0 keeps `concurrency` in flight");
+DEFINE_uint32(concurrency, 8, "most requests in flight");
+DEFINE_uint32(keyed_percent, 0, "share of POST with an idempotency key");
+DEFINE_uint32(post_percent, 0, "share of POST without a key");
+DEFINE_uint32(body_bytes, 100, "body of a POST");
+DEFINE_string(request_class, "", "urgent, normal, batch or empty");
+DEFINE_uint32(deadline_ms, 5000, "deadline of a request");
+DEFINE_uint32(timeout_margin_ms, 1000, "time that it waits after the deadline");
+DEFINE_uint32(resends, 4, "most resends of a request");
+DEFINE_uint32(resend_wait_ms, 200, "time before a resend");
+DEFINE_bool(resend_not_run, false, "also resend after a refusal as not run");
+DEFINE_uint32(seed, 1, "seed of ids and of the mix of requests");
+DEFINE_string(report_file, "", "file that gets a line for each request");
+
+namespace lycheetrestle::standin {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr int PollMs = 1;
+
+std::vector<std::string> splitList(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    if (!Part.empty())
+      Parts.push_back(Part);
+  return Parts;
+}
+
+// A request over all its attempts.
+struct job {
+  finished_request Request;
+  std::string Target, Body;
+  std::size_t Entry = 0;
+  clock::time_point Started;
+  clock::time_point NotBefore;
+  attempt_result Result;
+  unsigned Sends = 0;
+  CURL *Easy = nullptr;
+  curl_slist *Headers = nullptr;
+};
+
+// libcurl sends again by itself when a reused connection is lost; that would
+// hide a lost response and run a POST twice, so the second call aborts.
+int onBeforeRequest(void *Context, char *, char *, int, int) {
+  auto &Job = *static_cast<job *>(Context);
+  return Job.Sends++ == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+std::size_t onHeader(char *Data, std::size_t, std::size_t Size, void *Context) {
+  auto &Result = static_cast<job *>(Context)->Result;
+  std::string_view Line(Data, Size);
+  auto Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return Size;
+  auto Value = Line.substr(Colon + 1);
+  auto First = Value.find_first_not_of(' ');
+  auto Last = Value.find_last_not_of(" \r\n");
+  Value = First == std::string_view::npos
+              ? std::string_view()
+              : Value.substr(First, Last - First + 1);
+  std::string Name(Line.substr(0, Colon));
+  if (strcasecmp(Name.c_str(), "X-Request-Id") == 0)
+    Result.EchoedId = Value;
+  else if (strcasecmp(Name.c_str(), "X-Verdict") == 0)
+    Result.Verdict = Value;
+  else if (strcasecmp(Name.c_str(), "X-Refusal") == 0)
+    Result.Refusal = Value;
+  return Size;
+}
+
+std::size_t onBody(char *Data, std::size_t, std::size_t Size, void *Context) {
+  static_cast<job *>(Context)->Result.Body.append(Data, Size);
+  return Size;
+}
+
+class load_client {
+public:
+  load_client()
+      : Entries(splitList(FLAGS_entries)), Random(FLAGS_seed),
+        Multi(curl_multi_init()) {
+    curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, 4096L);
+    Tag = std::to_string(FLAGS_seed) + "-" +
+          std::to_string(std::random_device()());
+  }
+
+  ~load_client() {
+    for (CURL *Easy : IdleHandles)
+      curl_easy_cleanup(Easy);
+    curl_multi_cleanup(Multi);
+  }
+
+  int run() {
+    if (Entries.empty()) {
+      std::cerr << "--entries is required\n";
+      return 2;
+    }
+    if (!Report.open(FLAGS_report_file)) {
+      std::cerr << "cannot open " << FLAGS_report_file << "\n";
+      return 2;
+    }
+    Begun = clock::now();
+    auto End = Begun + std::chrono::seconds(FLAGS_seconds);
+    for (;;) {
+      auto Now = clock::now();
+      if (Now < End)
+        startRequests(Now);
+      resendWaiting(Now);
+      if (Active == 0 && Waiting.empty() &&
+          (Now >= End || Created >= FLAGS_requests))
+        break;
+      int Running = 0;
+      curl_multi_perform(Multi, &Running);
+      finishAttempts();
+      curl_multi_poll(Multi, nullptr, 0, PollMs, nullptr);
+    }
+    std::chrono::duration<double> Taken = clock::now() - Begun;
+    std::cout << Report.json(Taken.count()) << std::endl;
+    return Report.wrong() == 0 ? 0 : 1;
+  }
+
+private:
+  void startRequests(clock::time_point Now) {
+    auto Allowed = [&] {
+      if (Created >= FLAGS_requests ||
+          Active + Waiting.size() >= FLAGS_concurrency)
+        return false;
+      if (FLAGS_rate == 0)
+        return true;
+      std::chrono::duration<double> Since = Now - Begun;
+      return static_cast<double>(Created) < Since.count() * FLAGS_rate;
+    };
+    while (Allowed())
+      startAttempt(makeJob(Now));
+  }
+
+  std::unique_ptr<job> makeJob(clock::time_point Now) {
+    auto Job = std::make_unique<job>();
+    auto Number = std::to_string(Created);
+    auto Draw = Random() % 100;
+    Job->Request.Id = "load-" + Tag + "-" + Number;
+    Job->Request.Method = "GET";
+    Job->Target = "/services/" + FLAGS_service + "/item/" + Number;
+    if (Draw < FLAGS_keyed_percent) {
+      Job->Request.Method = "POST";
+      Job->Request.Key = "key-" + Tag + "-" + Number;
+      // Entries do not pass the key on; the endpoint counts by this one.
+      Job->Target += "?key=" + Job->Request.Key;
+    } else if (Draw < FLAGS_keyed_percent + FLAGS_post_percent) {
+      Job->Request.Method = "POST";
+    }
+    if (Job->Request.Method == "POST")
+      Job->Body = std::string(FLAGS_body_bytes, 'b');
+    Job->Entry = Created % Entries.size();
+    // With a rate, a request that starts late counts from when it was due.
+    Job->Started = Now;
+    if (FLAGS_rate > 0)
+      Job->Started =
+          Begun + std::chrono::duration_cast<clock::duration>(
+                      std::chrono::duration<double>(
+                          static_cast<double>(Created) / FLAGS_rate));
+    ++Created;
+    return Job;
+  }
+
+  void startAttempt(std::unique_ptr<job> Owner) {
+    auto &Job = *Owner;
+    Job.Result = attempt_result();
+    Job.Sends = 0;
+    Job.Easy = takeHandle();
+    auto Url = "http://" + Entries[Job.Entry % Entries.size()] + Job.Target;
+    setHeaders(Job);
+    curl_easy_setopt(Job.Easy, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Job.Easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(Job.Easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(Job.Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(
+        Job.Easy, CURLOPT_TIMEOUT_MS,
+        static_cast<long>(FLAGS_deadline_ms + FLAGS_timeout_margin_ms));
+    curl_easy_setopt(Job.Easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+    curl_easy_setopt(Job.Easy, CURLOPT_PREREQDATA, &Job);
+    curl_easy_setopt(Job.Easy, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(Job.Easy, CURLOPT_HEADERDATA, &Job);
+    curl_easy_setopt(Job.Easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(Job.Easy, CURLOPT_WRITEDATA, &Job);
+    curl_easy_setopt(Job.Easy, CURLOPT_PRIVATE, &Job);
+    if (Job.Request.Method == "POST") {
+      curl_easy_setopt(Job.Easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(Job.Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(Job.Body.size()));
+      curl_easy_setopt(Job.Easy, CURLOPT_POSTFIELDS, Job.Body.data());
+    }
+    curl_multi_add_handle(Multi, Job.Easy);
+    Owner.release(); // The handle's private pointer owns it until it is done.
+    ++Active;
+  }
+
+  void setHeaders(job &Job) {
+    auto Add = [&Job](const std::string &Line) {
+      Job.Headers = curl_slist_append(Job.Headers, Line.c_str());
+    };
+    Add("X-Request-Id: " + Job.Request.Id);
+    Add("X-Deadline-Ms: " + std::to_string(FLAGS_deadline_ms));
+    Add("Expect:");
+    if (!Job.Request.Key.empty())
+      Add("Idempotency-Key: " + Job.Request.Key);
+    if (!FLAGS_request_class.empty())
+      Add("X-Request-Class: " + FLAGS_request_class);
+    curl_easy_setopt(Job.Easy, CURLOPT_HTTPHEADER, Job.Headers);
+  }
+
+  void finishAttempts() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      job *Raw = nullptr;
+      curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Raw);
+      std::unique_ptr<job> Job(Raw);
+      auto Code = Message->data.result;
+      long Status = 0;
+      curl_easy_getinfo(Job->Easy, CURLINFO_RESPONSE_CODE, &Status);
+      Job->Result.IsSent = Job->Sends > 0;
+      Job->Result.IsTimeout = Code == CURLE_OPERATION_TIMEDOUT;
+      Job->Result.IsWhole = Code == CURLE_OK;
+      Job->Result.Status = static_cast<unsigned>(Status);
+      curl_multi_remove_handle(Multi, Job->Easy);
+      curl_slist_free_all(Job->Headers);
+      Job->Headers = nullptr;
+      curl_easy_reset(Job->Easy);
+      IdleHandles.push_back(Job->Easy);
+      --Active;
+      finishAttempt(std::move(Job));
+    }
+  }
+
+  void finishAttempt(std::unique_ptr<job> Job) {
+    auto Kind = classify(Job->Result, Job->Request.Id, FLAGS_direct);
+    auto &Request = Job->Request;
+    Request.Attempts.push_back(Kind);
+    if (!Job->Result.Refusal.empty())
+      Request.Refusals.push_back(Job->Result.Refusal);
+    bool MayResend = Request.Attempts.size() <= FLAGS_resends;
+    if (MayResend && isResent(*Job, Kind)) {
+      ++Job->Entry;
+      Job->NotBefore =
+          clock::now() + std::chrono::milliseconds(FLAGS_resend_wait_ms);
+      Waiting.push_back(std::move(Job));
+      return;
+    }
+    std::chrono::duration<double, std::milli> Taken =
+        clock::now() - Job->Started;
+    Request.LatencyMs = Taken.count();
+    Report.add(Request);
+  }
+
+  // A POST without a key must never be sent again once it may have run.
+  bool isResent(const job &Job, attempt_kind Kind) const {
+    bool IsRepeatable = Job.Request.Method == "GET" || !Job.Request.Key.empty();
+    switch (Kind) {
+    case attempt_kind::NotRun:
+      return !Job.Result.IsSent || FLAGS_resend_not_run;
+    case attempt_kind::MayHaveRun:
+    case attempt_kind::Lost:
+    case attempt_kind::Timeout:
+      return IsRepeatable;
+    default:
+      return false;
+    }
+  }
+
+  void resendWaiting(clock::time_point Now) {
+    std::vector<std::unique_ptr<job>> Due;
+    for (auto &Job : Waiting)
+      if (Job->NotBefore <= Now)
+        Due.push_back(std::move(Job));
+    Waiting.erase(std::remove(Waiting.begin(), Waiting.end(), nullptr),
+                  Waiting.end());
+    for (auto &Job : Due)
+      startAttempt(std::move(Job));
+  }
+
+  CURL *takeHandle() {
+    if (IdleHandles.empty())
+      return curl_easy_init();
+    CURL *Easy = IdleHandles.back();
+    IdleHandles.pop_back();
+    return Easy;
+  }
+
+  std::vector<std::string> Entries;
+  std::mt19937 Random;
+  CURLM *Multi;
+  std::string Tag;
+  std::vector<CURL *> IdleHandles;
+  std::vector<std::unique_ptr<job>> Waiting;
+  load_report Report;
+  clock::time_point Begun;
+  std::size_t Active = 0;
+  std::uint64_t Created = 0;
+};
+
+} // namespace
+
+} // namespace lycheetrestle::standin
+
+int main(int Count, char **Arguments) {
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  return lycheetrestle::standin::load_client().run();
+}
--- /dev/null
+++ b/standin/payload.h
@@ -0,0 +1,28 @@
+#ifndef LYCHEETRESTLE_STANDIN_PAYLOAD_H
+#define LYCHEETRESTLE_STANDIN_PAYLOAD_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::standin {
+
+/// \param Id correlation id of the request that the response belongs to.
+/// \param Size length of the payload in bytes.
+/// \returns a body of the form `id=... length=... crc=...` and the payload,
+/// whose content depends on the id.
+std::string makePayload(std::string_view Id, std::size_t Size);
+
+enum class payload_check {
+  Good,
+  Broken,  ///< Not whole: the form, length or checksum is wrong.
+  Foreign, ///< Whole, but of another request.
+};
+
+/// \param Body the received body.
+/// \param Id correlation id of the request that was sent.
+payload_check checkPayload(std::string_view Body, std::string_view Id);
+
+} // namespace lycheetrestle::standin
+
+#endif
