--- /dev/null
+++ b/tests/entry/test_http_front.cpp
@@ -0,0 +1,301 @@
+#include "entry/http_front.h"
+#include "tests/entry/fake_endpoint.h"
+#include "tests/entry/raw_caller.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::entry;
+
+namespace {
+
+http_front_settings makeSettings() {
+  http_front_settings Settings;
+  Settings.Listen = {"127.0.0.1", 0};
+  Settings.CorrelationTag = "e1";
+  Settings.MaxBodyBytes = 1000;
+  return Settings;
+}
+
+// A running front; the test is the router.
+struct front_fixture {
+  explicit front_fixture(http_front_settings Settings = makeSettings(),
+                         std::size_t EventCapacity = 16)
+      : Events(EventCapacity, EventsSignal), Replies(16, RepliesSignal),
+        Front(std::move(Settings), {Events, Replies, RepliesSignal}, Metrics,
+              [this] { return Ready.load(); }) {
+    REQUIRE(Front.start().empty());
+  }
+
+  template <typename Event> Event wait() {
+    front_event Next;
+    REQUIRE(waitUntil([&] { return Events.pop(Next); }));
+    REQUIRE(std::holds_alternative<Event>(Next));
+    return std::get<Event>(std::move(Next));
+  }
+
+  void respond(std::uint64_t Id, const std::string &Body) {
+    routing::caller_response Response;
+    Response.Id = Id;
+    Response.Status = 200;
+    Response.Verdict = core::verdict::Ran;
+    Response.ContentType = "text/plain";
+    Response.Body = Body;
+    bool IsPushed = Replies.push(std::move(Response));
+    REQUIRE(IsPushed);
+  }
+
+  std::atomic<bool> Ready{true};
+  core::metrics_registry Metrics;
+  core::ring_signal EventsSignal, RepliesSignal;
+  core::bounded_ring<front_event> Events;
+  core::bounded_ring<front_reply> Replies;
+  http_front Front;
+};
+
+bool has(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+std::string get(const std::string &Target, const std::string &Headers = "") {
+  return "GET " + Target + " HTTP/1.1\r\nHost: x\r\n" + Headers + "\r\n";
+}
+
+std::string post(const std::string &Target, std::size_t Length,
+                 const std::string &Body) {
+  return "POST " + Target +
+         " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(Length) +
+         "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+TEST_CASE("a caller's request reaches the router whole") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send("POST /services/plots/a/b?c=%20 HTTP/1.1\r\nHost: x\r\n"
+              "X-Request-Id: id-1\r\nIdempotency-Key: k1\r\n"
+              "x-request-class: batch\r\nX-Deadline-Ms: 700\r\n"
+              "Content-Type: text/x\r\nContent-Length: 5\r\n\r\nhello");
+  auto Request = Fixture.wait<routing::caller_request>();
+  CHECK(Request.Method == "POST");
+  CHECK(Request.Service == "plots");
+  CHECK(Request.Path == "/a/b?c=%20");
+  CHECK(Request.CorrelationId == "id-1");
+  CHECK(Request.Key == "k1");
+  CHECK(Request.Class == fleet::work_class::Batch);
+  CHECK(Request.DeadlineMs == 700u);
+  CHECK(Request.ContentType == "text/x");
+  CHECK(Request.Body == "hello");
+  CHECK_FALSE(Fixture.Front.isFlushed());
+  Fixture.respond(Request.Id, "done");
+  auto Response = Caller.receive();
+  CHECK(has(Response, "HTTP/1.1 200 OK\r\n"));
+  CHECK(has(Response, "X-Request-Id: id-1\r\n"));
+  CHECK(has(Response, "X-Verdict: ran\r\n"));
+  CHECK(has(Response, "Content-Type: text/plain\r\n"));
+  CHECK(has(Response, "\r\n\r\ndone"));
+  CHECK(waitUntil([&] { return Fixture.Front.isFlushed(); }));
+}
+
+TEST_CASE("paths without a rest become the root") {
+  auto [Target, Path] = GENERATE(
+      table<std::string, std::string>({{"/services/plots", "/"},
+                                       {"/services/plots?a=1", "/?a=1"},
+                                       {"/services/plots/", "/"}}));
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(get(Target));
+  CHECK(Fixture.wait<routing::caller_request>().Path == Path);
+}
+
+TEST_CASE("a missing correlation id is generated and distinct") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  std::vector<std::string> Ids;
+  for (int Count = 0; Count < 2; ++Count) {
+    Caller.send(get("/services/plots"));
+    auto Request = Fixture.wait<routing::caller_request>();
+    Ids.push_back(Request.CorrelationId);
+    Fixture.respond(Request.Id, "");
+    CHECK(has(Caller.receive(), "X-Request-Id: " + Ids.back() + "\r\n"));
+  }
+  CHECK(Ids[0] != Ids[1]);
+}
+
+// Responses that come back in another order must not be swapped between
+// callers, or between the requests of one connection.
+TEST_CASE("responses in reverse order reach their own requests") {
+  front_fixture Fixture;
+  raw_caller First(Fixture.Front.port());
+  raw_caller Second(Fixture.Front.port());
+  First.send(get("/services/plots/1") + get("/services/plots/2"));
+  auto One = Fixture.wait<routing::caller_request>();
+  auto Two = Fixture.wait<routing::caller_request>();
+  Second.send(get("/services/plots/3"));
+  auto Three = Fixture.wait<routing::caller_request>();
+  Fixture.respond(Three.Id, "body" + Three.Path);
+  Fixture.respond(Two.Id, "body" + Two.Path);
+  Fixture.respond(One.Id, "body" + One.Path);
+  CHECK(has(First.receive(), "\r\n\r\nbody/1"));
+  CHECK(has(First.receive(), "\r\n\r\nbody/2"));
+  CHECK(has(Second.receive(), "\r\n\r\nbody/3"));
+}
+
+// A refused request must be certain not to run, so it must not reach the
+// router.
+TEST_CASE("bad requests are refused as not run") {
+  auto [Bytes, Status] = GENERATE(table<std::string, std::string>({
+      {get("/services/plots", "X-Request-Id: a b\r\n"), "400"},
+      {get("/services/plots", "X-Request-Id: \xc3\xa4\r\n"), "400"},
+      {get("/services/plots", "X-Request-Id: a\r\nX-Request-Id: b\r\n"), "400"},
+      {get("/services/plots", "Idempotency-Key: \r\n"), "400"},
+      {get("/services/plots", "Idempotency-Key: a\r\nidempotency-key: a\r\n"),
+       "400"},
+      {get("/services/plots", "X-Request-Class: high\r\n"), "400"},
+      {get("/services/plots", "X-Deadline-Ms: 0\r\n"), "400"},
+      {get("/services/plots", "X-Deadline-Ms: 5s\r\n"), "400"},
+      {get("/services/plots", "X-Deadline-Ms: 99999999999\r\n"), "400"},
+      {"TRACE /services/plots HTTP/1.1\r\nHost: x\r\n\r\n", "400"},
+      {get("/services/"), "404"},
+      {get("/services/pl%20ots/x"), "404"},
+      {post("/services/plots", 1001, std::string(1001, 'x')), "413"},
+  }));
+  INFO(Bytes.substr(0, 200));
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  auto Response = Caller.request(Bytes);
+  CHECK(has(Response, "HTTP/1.1 " + Status + " "));
+  CHECK(has(Response, "X-Verdict: not-run\r\n"));
+  CHECK(has(Response, "X-Refusal: "));
+  CHECK(has(Response, "X-Request-Id: "));
+  CHECK(has(Response, "\"rule\":"));
+  front_event Event;
+  CHECK_FALSE(Fixture.Events.pop(Event));
+}
+
+TEST_CASE("a body far over the limit closes the connection") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(post("/services/plots", 1u << 30, "x"));
+  CHECK(Caller.receive().empty());
+  front_event Event;
+  CHECK_FALSE(Fixture.Events.pop(Event));
+}
+
+// A caller that sends a part of its request and then nothing must not hold its
+// connection, and the part must not be dispatched.
+TEST_CASE("a slow caller is closed without an event") {
+  auto Settings = makeSettings();
+  Settings.ReadTimeout = std::chrono::milliseconds(50);
+  front_fixture Fixture(Settings);
+  auto Bytes = GENERATE(std::string("GET /services/pl"),
+                        post("/services/plots", 100, "only a part"));
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(Bytes);
+  CHECK(Caller.receive().empty());
+  front_event Event;
+  CHECK_FALSE(Fixture.Events.pop(Event));
+}
+
+// The request of a caller that disconnects must leave the queue.
+TEST_CASE("a closed connection is reported for each of its requests") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(get("/services/plots/1"));
+  auto Request = Fixture.wait<routing::caller_request>();
+  Caller.close();
+  CHECK(Fixture.wait<caller_gone>().Id == Request.Id);
+  CHECK(Fixture.Front.isFlushed());
+  // A response that is under way already finds nobody and does no harm.
+  Fixture.respond(Request.Id, "late");
+  raw_caller Next(Fixture.Front.port());
+  CHECK(has(Next.request(get("/healthz")), "200 OK"));
+}
+
+TEST_CASE("an answered request is not reported as gone") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(get("/services/plots/1"));
+  Fixture.respond(Fixture.wait<routing::caller_request>().Id, "done");
+  Caller.receive();
+  REQUIRE(waitUntil([&] { return Fixture.Front.isFlushed(); }));
+  Caller.close();
+  raw_caller Next(Fixture.Front.port());
+  Next.send(get("/v1/status"));
+  Fixture.wait<status_call>();
+}
+
+// Otherwise a request could run although its caller was told that it was not.
+TEST_CASE("a full ring refuses at once as not run") {
+  front_fixture Fixture(makeSettings(), 1);
+  raw_caller First(Fixture.Front.port());
+  raw_caller Second(Fixture.Front.port());
+  First.send(get("/services/plots/1"));
+  Second.send(get("/services/plots/2"));
+  const char *Refusals = "caller_refusals_total{reason=\"entry-overloaded\"}";
+  REQUIRE(waitUntil([&] { return Fixture.Metrics.counter(Refusals) == 1; }));
+  auto Accepted = Fixture.wait<routing::caller_request>();
+  auto &Refused = Accepted.Path == "/1" ? Second : First;
+  auto Response = Refused.receive();
+  CHECK(has(Response, "HTTP/1.1 503 "));
+  CHECK(has(Response, "X-Verdict: not-run\r\n"));
+  CHECK(has(Response, "X-Refusal: entry-overloaded\r\n"));
+}
+
+TEST_CASE("monitoring paths answer without the router") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  CHECK(has(Caller.request(get("/healthz")), "200 OK"));
+  CHECK(has(Caller.request(get("/readyz")), "200 OK"));
+  Fixture.Ready = false;
+  CHECK(has(Caller.request(get("/readyz")), "503 "));
+  Caller.request(get("/services/"));
+  CHECK(has(Caller.request(get("/metrics")),
+            "lycheetrestle_caller_responses_total{verdict=\"not-run\"} 1"));
+  CHECK(has(Caller.request(get("/other")), "404 "));
+}
+
+TEST_CASE("status and announcements are answered by the router") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(get("/v1/status"));
+  auto Status = Fixture.wait<status_call>();
+  REQUIRE(Fixture.Replies.push(service_reply{Status.Id, 200, "{\"a\":1}"}));
+  CHECK(has(Caller.receive(), "{\"a\":1}"));
+  const std::string Body =
+      R"({"endpoint":"x1","incarnation":2,"sequence":3,"service":"plots",)"
+      R"("pool":"gate","host":"w1","zone":"z1","address":"127.0.0.1:99",)"
+      R"("slots":8,"connections":64,"state":"leaving","in_flight":1})";
+  Caller.send(post("/v1/announcements", Body.size(), Body));
+  auto Call = Fixture.wait<announcement_call>();
+  CHECK(Call.Announcement.Endpoint == "x1");
+  CHECK(Call.Announcement.Leaving);
+  REQUIRE(Fixture.Replies.push(service_reply{Call.Id, 409, "{}"}));
+  CHECK(has(Caller.receive(), "HTTP/1.1 409 "));
+  auto Bad = Caller.request(post("/v1/announcements", 2, "{}"));
+  CHECK(has(Bad, "HTTP/1.1 400 "));
+  CHECK(has(Bad, "\"field\":\""));
+}
+
+// Without this, callers would stay on a connection until the process ends.
+TEST_CASE("connections close after the next response when it stops") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  CHECK(has(Caller.request(get("/healthz")), "200 OK"));
+  Fixture.Front.closeAfterResponses();
+  CHECK(has(Caller.request(get("/healthz")), "Connection: close\r\n"));
+  CHECK(Caller.receive().empty());
+}
+
+TEST_CASE("an address in use is reported") {
+  front_fixture Fixture;
+  auto Settings = makeSettings();
+  Settings.Listen.Port = Fixture.Front.port();
+  core::ring_signal Signal;
+  core::bounded_ring<front_event> Events(1, Signal);
+  core::bounded_ring<front_reply> Replies(1, Signal);
+  http_front Second(Settings, {Events, Replies, Signal}, Fixture.Metrics,
+                    [] { return true; });
+  CHECK_FALSE(Second.start().empty());
+}
