Add the operators' command-line tool

Cause: operators and build pipelines need a tool that finds the leader, makes each change at most once and says plainly when an outcome is unknown. Change: ctl/ with the tool and tests/ctl/ with 20 golden sessions against scripted replicas. Before: no tool.

--- /dev/null
+++ b/ctl/arguments.cpp
@@ -0,0 +1,33 @@
+#include "ctl/arguments.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lycheetrestle::ctl {
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 64;
+
+bool isNameCharacter(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || C == '.' || C == '_' || C == '-';
+}
+
+} // namespace
+
+std::optional<std::uint64_t> parseNumber(const std::string &Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Number);
+  if (Text.empty() || Error != std::errc() || Stop != End)
+    return std::nullopt;
+  return Number;
+}
+
+bool isName(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxNameLength && Text != "." &&
+         Text != ".." && std::all_of(Text.begin(), Text.end(), isNameCharacter);
+}
+
+} // namespace lycheetrestle::ctl
--- /dev/null
+++ b/ctl/arguments.h
@@ -0,0 +1,20 @@
+#ifndef LYCHEETRESTLE_CTL_ARGUMENTS_H
+#define LYCHEETRESTLE_CTL_ARGUMENTS_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace lycheetrestle::ctl {
+
+/// \returns the number, or nothing unless the text is all digits and fits.
+std::optional<std::uint64_t> parseNumber(const std::string &Text);
+
+/// \returns whether the text is a name as declarations accept it: letters,
+/// digits, '.', '_' and '-', at most 64. Such a name needs no escaping in a
+/// path.
+bool isName(const std::string &Text);
+
+} // namespace lycheetrestle::ctl
+
+#endif
--- /dev/null
+++ b/ctl/options.h
@@ -0,0 +1,27 @@
+#ifndef LYCHEETRESTLE_CTL_OPTIONS_H
+#define LYCHEETRESTLE_CTL_OPTIONS_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::ctl {
+
+/// Values of the command-line flags.
+struct options {
+  std::vector<std::string> Replicas; ///< `host:port` of control replicas.
+  bool Json = false;                 ///< Print JSON instead of tables.
+  std::string Actor;
+  std::string Submission; ///< Id of the change; equal ids are one change.
+  std::chrono::milliseconds Timeout{15000};     ///< For one call, with resends.
+  std::chrono::milliseconds WaitTimeout{60000}; ///< For a whole wait.
+  bool Wait = false;
+  std::string By, Object, Kind; ///< Audit filters, empty for all.
+  std::uint64_t After = 0;
+  std::uint32_t Limit = 100;
+};
+
+} // namespace lycheetrestle::ctl
+
+#endif
--- /dev/null
+++ b/ctl/replica_client.cpp
@@ -0,0 +1,143 @@
+#include "ctl/replica_client.h"
+
+#include "core/clock.h"
+#include "ctl/refusal.h"
+
+#include <algorithm>
+#include <ostream>
+#include <thread>
+
+namespace lycheetrestle::ctl {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Replicas may name each other as leader for a moment during an election.
+constexpr int MaxLeaderHops = 3;
+constexpr milliseconds RoundPause{100};
+// A shorter attempt would end in a timeout and make the outcome unknown.
+constexpr milliseconds ShortestAttempt{50};
+
+bool isAddress(std::string_view Text) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0 || Colon + 1 == Text.size())
+    return false;
+  auto Port = Text.substr(Colon + 1);
+  return Port.size() <= 5 && std::all_of(Port.begin(), Port.end(), [](char C) {
+           return C >= '0' && C <= '9';
+         });
+}
+
+milliseconds until(core::time_point Deadline) {
+  return std::chrono::duration_cast<milliseconds>(Deadline -
+                                                  core::boot_clock::now());
+}
+
+} // namespace
+
+std::string leaderAddress(std::string_view Header) {
+  while (!Header.empty()) {
+    auto End = Header.find_first_of(" ,;=");
+    auto Word = Header.substr(0, End);
+    if (isAddress(Word))
+      return std::string(Word);
+    if (End == std::string_view::npos)
+      break;
+    Header.remove_prefix(End + 1);
+  }
+  return {};
+}
+
+replica_client::replica_client(const options &Options, std::ostream &Log)
+    : Options(Options), Log(Log) {
+  tryNext();
+}
+
+void replica_client::tryNext() {
+  Target = Options.Replicas[NextListed];
+  NextListed = (NextListed + 1) % Options.Replicas.size();
+}
+
+call_outcome replica_client::read(const std::string &Path) {
+  return read(Path, Options.Timeout);
+}
+
+call_outcome replica_client::read(const std::string &Path, milliseconds Limit) {
+  return call({"GET", Path, {}, {}}, false, std::min(Limit, Options.Timeout));
+}
+
+call_outcome replica_client::examine(const std::string &Path,
+                                     std::string Body) {
+  return call({"POST", Path, std::move(Body), {{"X-Actor", Options.Actor}}},
+              false, Options.Timeout);
+}
+
+call_outcome replica_client::change(std::string Method, const std::string &Path,
+                                    std::string Body) {
+  return call(
+      {std::move(Method),
+       Path,
+       std::move(Body),
+       {{"X-Submission-Id", Options.Submission}, {"X-Actor", Options.Actor}}},
+      true, Options.Timeout);
+}
+
+call_outcome replica_client::call(const http_request &Request, bool Changes,
+                                  milliseconds Timeout) {
+  const auto Deadline = core::boot_clock::now() + Timeout;
+  // A frozen replica still accepts connections, so it must not use up the
+  // whole time.
+  const milliseconds AttemptLimit = std::max(Timeout / 3, RoundPause);
+  // Set once an attempt may have made the change. Only a reply to the same
+  // submission id settles it.
+  bool Uncertain = false;
+  std::string LastProblem = "no replica answered";
+  int Hops = 0;
+  std::size_t Failures = 0;
+
+  while (until(Deadline) >= ShortestAttempt) {
+    const std::string Address = Target;
+    auto Exchange =
+        Session.send(Address, Request, std::min(until(Deadline), AttemptLimit));
+    if (Exchange.Delivery != delivery::Answered) {
+      LastProblem = Address + ": " + Exchange.Problem;
+      if (Changes && Exchange.Delivery == delivery::Lost) {
+        Uncertain = true;
+        Log << "no answer from " << Address << " (" << Exchange.Problem
+            << "); resending submission " << Options.Submission << '\n';
+      }
+    } else if (Exchange.Reply.Status == 421) {
+      LastProblem = Address + ": not the leader";
+      auto Leader = leaderAddress(Exchange.Reply.Leader);
+      if (!Leader.empty() && Leader != Address && Hops < MaxLeaderHops) {
+        ++Hops;
+        Target = Leader;
+        continue;
+      }
+    } else {
+      const auto &Reply = Exchange.Reply;
+      if (Reply.Status >= 200 && Reply.Status < 300)
+        return {exit_code::Done, Reply.Body, {}};
+      auto Refusal = readRefusal(Reply);
+      if (Refusal.Final && (!Uncertain || Refusal.CertainlyNotRun))
+        return {Refusal.Code, Reply.Body, Refusal.Message};
+      LastProblem = Address + ": " + Refusal.Message;
+      Uncertain = Uncertain || (Changes && !Refusal.CertainlyNotRun);
+    }
+    tryNext();
+    Hops = 0;
+    if (++Failures % Options.Replicas.size() == 0)
+      std::this_thread::sleep_for(
+          std::clamp(until(Deadline), milliseconds(0), RoundPause));
+  }
+  if (Uncertain)
+    return {exit_code::Unknown,
+            {},
+            "the outcome is unknown: the change may have been made; repeat "
+            "the command with --submission=" +
+                Options.Submission + " to find out (" + LastProblem + ")"};
+  return {exit_code::Unavailable, {}, LastProblem};
+}
+
+} // namespace lycheetrestle::ctl
--- /dev/null
+++ b/ctl/wait_command.h
@@ -0,0 +1,35 @@
+#ifndef LYCHEETRESTLE_CTL_WAIT_COMMAND_H
+#define LYCHEETRESTLE_CTL_WAIT_COMMAND_H
+
+#include "ctl/command_context.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::ctl {
+
+/// The in-force part of a status reply.
+struct force_progress {
+  std::uint64_t Number = 0; ///< Newest accepted declaration.
+  bool InForce = false;     ///< Every entry confirmed it or refuses requests.
+  std::string Detail;       ///< For example `2 of 3 entries`, or empty.
+};
+
+/// \param Body reply of `GET /v1/status`.
+/// \returns the progress, or nothing when the reply lacks it.
+std::optional<force_progress> readProgress(std::string_view Body);
+
+/// Waits until a declaration, or a newer one, is in force everywhere. Progress
+/// goes to standard error.
+/// \returns Done, or TimedOut.
+exit_code waitUntilInForce(const command_context &Context,
+                           std::uint64_t Number);
+
+/// The command `wait NUMBER`.
+exit_code waitCommand(const command_context &Context);
+
+} // namespace lycheetrestle::ctl
+
+#endif
--- /dev/null
+++ b/tests/ctl/sessions.py
@@ -0,0 +1,156 @@
+"""The sessions: the replicas' scripts and the commands that are run."""
+
+ID = '--submission=s-1'
+# Long enough for a loaded machine where an answer is expected.
+SHORT = '--timeout_ms=900'
+
+
+def refusal(error, rule, field='', value='', verdict='not-run'):
+    return {'error': error, 'rule': rule, 'field': field, 'value': value, 'verdict': verdict}
+
+
+def status(number, in_force, confirmed):
+    return {'leader': 'control-2', 'term': 4,
+            'declaration': {'number': number, 'in_force': in_force,
+                            'confirmed': confirmed, 'entries': 3},
+            'pools': [
+                {'name': 'gate', 'hosts': 12, 'available': 11, 'minimum': 10, 'buffer': 1},
+                {'name': 'records', 'hosts': 6, 'available': 6, 'minimum': 0, 'buffer': 6}],
+            'entries': [
+                {'name': 'entry-1', 'version': 41, 'age_ms': 80},
+                {'name': 'entry-2', 'version': 40, 'age_ms': 2120}]}
+
+
+HOSTS = {'hosts': [
+    {'name': 'w01', 'pool': 'gate', 'home': 'gate', 'zone': 'kv-1', 'rack': 'kv-1-r1',
+     'state': 'in_service', 'epoch': 1, 'changed_ms': 0},
+    {'name': 'w02', 'pool': 'gate', 'home': 'records', 'zone': 'kv-2', 'rack': 'kv-2-r1',
+     'state': 'draining', 'epoch': 12, 'changed_ms': 1796365800000}]}
+WAVES = {'waves': [{'id': 3, 'state': 'paused', 'total': 50, 'done': 8, 'failures': 2,
+                    'pause_reason': '2 hosts failed', 'started_ms': 1796365800000}]}
+AUDIT = {'audit': [{'index': 17, 'time_ms': 1796365800000, 'actor': 'pipeline', 'kind': 'host',
+                    'object': 'w02', 'before': 'in_service', 'after': 'cordoned',
+                    'result': 'accepted'}]}
+ACCEPTED = {'number': 7, 'result': 'accepted'}
+NOT_LEADER = (421, refusal('not-leader', 'another replica leads'))
+LEADER_IS_B = (*NOT_LEADER, {'X-Leader': 'control-b {b}'})
+STATUS = (200, status(7, True, 3))
+
+SESSIONS = {
+    'tables': {
+        'replicas': {'a': [STATUS, (200, HOSTS), (200, WAVES), (200, AUDIT), (200, {'jobs': []})]},
+        'commands': [['status'], ['hosts'], ['waves'],
+                     ['audit', '--by=pipe line', '--object=w02', '--kind', 'host',
+                      '--after=16', '--limit=5'],
+                     ['jobs', 'list']],
+    },
+    'json': {
+        'replicas': {'a': [(200, WAVES), (409, refusal('conflict', 'no wave is paused'))]},
+        'commands': [['waves', '--output=json'],
+                     ['maintenance', 'resume', ID, '--output=json']],
+    },
+    # Each changing command must send the documented method, path and body.
+    'changes': {
+        'replicas': {'a': [(200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID, '--actor=ann'], ['reboot', 'w01', ID],
+                     ['move', 'w01', 'gate', ID], ['return', 'w01', ID],
+                     ['maintenance', 'start', ID], ['maintenance', 'pause', ID],
+                     ['maintenance', 'resume', ID], ['jobs', 'submit', 'job.jsonc', ID],
+                     ['jobs', 'cancel', '4', ID]],
+    },
+    'declarations': {
+        'replicas': {'a': [
+            (200, {'steps': [{'batch': 1, 'host': 'w01', 'action': 'move', 'from_pool': 'records',
+                              'to_pool': 'gate'}],
+                   'budgets': [{'pool': 'gate', 'hosts': 1, 'available': 1, 'minimum': 1,
+                                'lowest_available': 1}]}),
+            (200, ACCEPTED), (409, refusal('conflict', 'must be larger than 7', 'number', '7')),
+            (200, {'declarations': [{'number': 7, 'time_ms': 1796365800000, 'actor': 'ann'}]}),
+            (404, refusal('not-found', 'no such declaration', 'number', '9'))]},
+        'commands': [['plan', 'declaration.jsonc'], ['submit', 'declaration.jsonc', ID],
+                     ['submit', 'declaration.jsonc', '--submission=s-2'], ['declarations'],
+                     ['declarations', '9']],
+    },
+    # A follower's answer leads to the leader, with the same submission id.
+    'leader': {
+        'replicas': {'a': [LEADER_IS_B], 'b': [(200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
+    # A replica that is down, or does not know the leader, is passed over.
+    'next_replica': {
+        'replicas': {'dead': 'closed', 'a': [NOT_LEADER], 'b': [(200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
+    # Replicas that name each other must not cause an endless loop.
+    'no_leader': {
+        'replicas': {'a': [LEADER_IS_B], 'b': [(*NOT_LEADER, {'X-Leader': 'control-a {a}'})]},
+        'commands': [['status', SHORT]],
+        'repeats': True,
+    },
+    # A lost answer is followed by a resend under the same id.
+    'lost_answer': {
+        'replicas': {'a': ['lose', (200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
+    'cut_answer': {
+        'replicas': {'a': ['cut', (200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
+    # The change may have been made, so this must not be reported as not done.
+    'unknown': {
+        'replicas': {'a': ['lose and stop']},
+        'commands': [['drain', 'w01', ID, SHORT]],
+    },
+    # A verdict not-run about the second attempt says nothing about the first.
+    'unknown_then_refused': {
+        'replicas': {'a': ['lose', (503, refusal('unavailable', 'no majority'))]},
+        'commands': [['drain', 'w01', ID, SHORT]],
+        'repeats': True,
+    },
+    'unavailable': {
+        'replicas': {'a': 'closed'},
+        'commands': [['drain', 'w01', ID, SHORT], ['hosts', SHORT]],
+    },
+    'refused': {
+        'replicas': {'a': [
+            (409, refusal('budget-exceeded', 'pool gate would fall under its budget', 'host',
+                          'w01')),
+            (400, refusal('bad-input', 'must be a known pool', 'pool', 'gates')),
+            (404, 'no such page')]},
+        'commands': [['drain', 'w01', ID], ['move', 'w01', 'gates', ID], ['hosts']],
+    },
+    # Nothing may be sent when the command line or a file is wrong.
+    'usage': {
+        'replicas': {'a': [(200, {})]},
+        'commands': [[], ['drian', 'w01'], ['drain'], ['drain', '../w01'], ['move', 'w01'],
+                     ['wait', 'seven'], ['status', '--colour=red'], ['status', '--timeout_ms=soon'],
+                     ['status', '--timeout_ms'], ['status', '--output=xml'],
+                     ['jobs', 'submit', 'missing.jsonc'], ['jobs'],
+                     ['drain', 'w01', '--actor=a\nX-Evil: 1']],
+    },
+    'no_control': {'replicas': {}, 'commands': [['status'], ['help']]},
+    'wait': {
+        'replicas': {'a': [(200, status(6, True, 3)), (200, status(7, False, 1)),
+                           (200, status(7, False, 2)), STATUS]},
+        'commands': [['wait', '7']],
+    },
+    'submit_wait': {
+        'replicas': {'a': [(200, ACCEPTED), (200, status(7, False, 2)), STATUS]},
+        'commands': [['submit', 'declaration.jsonc', '--wait', ID]],
+    },
+    'wait_timeout': {
+        'replicas': {'a': [(200, status(7, False, 2))]},
+        'commands': [['wait', '7', '--wait_timeout_ms=500']],
+        'repeats': True,
+    },
+    # Text from a reply must not reach the terminal as an escape sequence.
+    'control_characters': {
+        'replicas': {'a': [(200, {'hosts': [{'name': 'w\u001b[2J', 'state': ''}]}), (200, '\x1b]0;x')]},
+        'commands': [['hosts'], ['hosts']],
+    },
+    'validate': {
+        'replicas': {},
+        'commands': [['validate', 'declaration.jsonc'], ['validate', 'unknown_field.jsonc'],
+                     ['validate', 'missing.jsonc']],
+    },
+}
--- /dev/null
+++ b/tests/ctl/test_sessions.py
@@ -0,0 +1,115 @@
+"""Runs whole sessions of lycheetrestlectl against fake replicas and compares
+standard output, standard error, exit codes and the requests that the replicas
+received with the golden files.
+
+Usage: test_sessions.py TOOL [--update] [SESSION...]
+"""
+
+import difflib
+import os
+import pathlib
+import subprocess
+import sys
+
+from fake_replica import ClosedReplica, FakeReplica
+from sessions import SESSIONS
+
+HERE = pathlib.Path(__file__).parent
+# A hung tool must not hang the test run.
+COMMAND_LIMIT_S = 60
+
+
+def start_replicas(session, journal):
+    replicas = {}
+    for name, script in session['replicas'].items():
+        replicas[name] = (ClosedReplica() if script == 'closed'
+                          else FakeReplica(name, script, journal))
+    addresses = {name: replica.address for name, replica in replicas.items()}
+    for replica in replicas.values():
+        if isinstance(replica, FakeReplica):
+            replica.script = [insert_addresses(step, addresses) for step in replica.script]
+    return replicas
+
+
+def insert_addresses(step, addresses):
+    if isinstance(step, str) or len(step) < 3:
+        return step
+    headers = {name: value.format(**addresses) for name, value in step[2].items()}
+    return (step[0], step[1], headers)
+
+
+def run_command(tool, arguments, addresses, files):
+    environment = {'PATH': os.environ['PATH'], 'USER': 'tester'}
+    if addresses:
+        environment['LYCHEETRESTLE_CONTROL'] = ','.join(addresses.values())
+    result = subprocess.run(
+        [tool] + arguments, env=environment, cwd=files, text=True,
+        capture_output=True, timeout=COMMAND_LIMIT_S)
+    text = '$ lycheetrestlectl %s\n' % ' '.join(arguments)
+    for title, part in (('stdout', result.stdout), ('stderr', result.stderr)):
+        if part:
+            text += '[%s]\n%s' % (title, part)
+    return text + '[exit %d]\n' % result.returncode
+
+
+def show_request(request):
+    line = '%s: %s %s' % (request['replica'], request['method'], request['path'])
+    for name in ('submission', 'actor'):
+        if request[name]:
+            line += ' %s=%s' % (name, request[name])
+    return line + (' body=' + show_body(request['body']) if request['body'] else '')
+
+
+def show_body(body):
+    for path in sorted((HERE / 'files').iterdir()):
+        if path.read_text() == body:
+            return '<%s>' % path.name
+    return body
+
+
+def run_session(tool, session):
+    journal = []
+    replicas = start_replicas(session, journal)
+    addresses = {name: replica.address for name, replica in replicas.items()}
+    text = ''
+    try:
+        for command in session['commands']:
+            first = len(journal)
+            text += run_command(tool, command, addresses, HERE / 'files')
+            requests = ['[request] %s\n' % show_request(request) for request in journal[first:]]
+            # How often a repeating session asks depends on the machine.
+            if session.get('repeats'):
+                requests = sorted(set(requests))
+            text += ''.join(requests)
+            text += '\n'
+    finally:
+        for replica in replicas.values():
+            replica.stop()
+    for name, address in addresses.items():
+        # Which replica of a repeating session is asked last depends on the machine.
+        text = text.replace(address, 'replica' if session.get('repeats') else name)
+    return text
+
+
+def main():
+    arguments = [word for word in sys.argv[1:] if word != '--update']
+    update = '--update' in sys.argv
+    tool, names = os.path.abspath(arguments[0]), arguments[1:] or sorted(SESSIONS)
+    failed = []
+    for name in names:
+        golden = HERE / 'golden' / (name + '.txt')
+        seen = run_session(tool, SESSIONS[name])
+        if update:
+            golden.write_text(seen)
+            continue
+        expected = golden.read_text() if golden.exists() else ''
+        if seen != expected:
+            failed.append(name)
+            sys.stdout.writelines(difflib.unified_diff(
+                expected.splitlines(True), seen.splitlines(True), str(golden.name), 'seen'))
+    print('sessions: %d run, failed: %s' % (len(names), ', '.join(failed) or 'none'))
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
