--- /dev/null
+++ b/tests/process/processes.py
@@ -0,0 +1,146 @@
+"""Starts and ends processes by id on free loopback ports and waits for
+conditions. Nothing here asserts on elapsed time; limits only end a hang."""
+
+import contextlib
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+# Below the usual ephemeral range, so that no outgoing connection takes a port
+# between its choice and its use.
+FIRST_PORT, LAST_PORT = 22000, 31999
+
+
+class Failed(Exception):
+    """A step that did not end as it had to."""
+
+
+def free_ports(count):
+    """Returns ports of the loopback address on which nothing listens now."""
+    ports = []
+    with contextlib.ExitStack() as probes:
+        for port in random.sample(range(FIRST_PORT, LAST_PORT + 1), LAST_PORT - FIRST_PORT):
+            probe = probes.enter_context(socket.socket())
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            ports.append(port)
+            if len(ports) == count:
+                return ports
+    raise Failed('no %d free ports' % count)
+
+
+def wait_until(condition, what, limit_s=60, period_s=0.05):
+    """Calls condition() until its result is true, and returns the result."""
+    deadline = time.monotonic() + limit_s
+    while True:
+        result = condition()
+        if result:
+            return result
+        if time.monotonic() >= deadline:
+            raise Failed('%s did not happen within %d s' % (what, limit_s))
+        time.sleep(period_s)
+
+
+def http_status(port, path):
+    """Returns the status of a GET, or 0 when there is no answer."""
+    try:
+        with urllib.request.urlopen('http://127.0.0.1:%d%s' % (port, path), timeout=2) as reply:
+            return reply.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    except (OSError, ValueError):
+        return 0
+
+
+def http_json(port, path):
+    """Returns the JSON of a GET, or None when there is no answer."""
+    try:
+        with urllib.request.urlopen('http://127.0.0.1:%d%s' % (port, path), timeout=2) as reply:
+            return json.load(reply)
+    except (OSError, ValueError):
+        return None
+
+
+class Process:
+    """One started process; its output goes to a file."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.log = pathlib.Path(folder) / (name + '.log')
+        with open(self.log, 'ab') as log:
+            self.child = subprocess.Popen([str(a) for a in arguments], cwd=folder,
+                                          stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+
+    def alive(self):
+        return self.child.poll() is None
+
+    def resident_kb(self):
+        for line in pathlib.Path('/proc/%d/status' % self.child.pid).read_text().splitlines():
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1])
+        raise Failed('%s has no resident memory' % self.name)
+
+    def signal(self, number):
+        if self.alive():
+            self.child.send_signal(number)
+
+    def wait(self, limit_s):
+        try:
+            return self.child.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def tail(self, lines=15):
+        text = self.log.read_text(errors='replace').splitlines()
+        return '\n'.join('  %s: %s' % (self.name, line) for line in text[-lines:])
+
+
+class ProcessGroup:
+    """Ends every process that it started when the `with` block is left."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.processes = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes.values():
+            process.signal(signal.SIGKILL)
+            process.wait(10)
+
+    def start(self, name, arguments):
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        return process
+
+    def check_alive(self):
+        for process in self.processes.values():
+            if not process.alive():
+                raise Failed('%s ended with %s:\n%s'
+                             % (process.name, process.child.returncode, process.tail()))
+
+    def end(self, names, limit_s=45):
+        """Sends SIGTERM to the processes and returns their exit codes by name;
+        None means that the process did not end and was killed."""
+        for name in names:
+            self.processes[name].signal(signal.SIGTERM)
+        codes = {}
+        for name in names:
+            process = self.processes[name]
+            codes[name] = process.wait(limit_s)
+            if codes[name] is None:
+                process.signal(signal.SIGKILL)
+                process.wait(10)
+            del self.processes[name]
+        return codes
