Test the reconciler with focused and randomised runs

Cause: the reconciler needs proof that budgets, epochs and work in flight hold under losses, operators, new leaders and silent entries. Change: fleet_run drives state machine, reconciler, platform_model and entries on a virtual clock and checks the invariants in each round. Found and fixed by it: a wave took a host in the round that found its second loss; starts were refused because sizes learnt in the same round were not counted; a set-aside host that returned was set aside again by its old record. A remembered need no longer raises the count of rounds before lending.

--- a/capacity/pool_sizer.cpp
+++ b/capacity/pool_sizer.cpp
@@ -72,7 +72,14 @@
         std::ceil(std::max(0.0, Known.SmoothedNeed) * Factor - 1e-6));
     Targets.push_back(std::max(Target, Pool.Minimum + RolloutHosts));
     auto Have = Pool.Available + Pool.Arriving;
-    Known.RoundsShort = Targets.back() > Have ? Known.RoundsShort + 1 : 0;
+    // A need that is only remembered keeps the count and does not raise it, so
+    // that one odd report moves nothing and repeated peaks do.
+    bool Lasts = std::max(Pool.NeededHosts * Factor,
+                          double(Pool.Minimum + RolloutHosts)) > Have;
+    if (Targets.back() <= Have)
+      Known.RoundsShort = 0;
+    else if (Lasts)
+      ++Known.RoundsShort;
     if (Targets.back() >= Have)
       Known.LastNeeded = Now;
   }
--- a/placement/failure_counts.cpp
+++ b/placement/failure_counts.cpp
@@ -19,13 +19,19 @@
 
 } // namespace
 
-failure_verdicts judgeFailures(std::span<const fleet::job_record> Jobs,
+failure_verdicts judgeFailures(std::span<const worker_view> Workers,
+                               std::span<const fleet::job_record> Jobs,
                                const placer_settings &Settings) {
+  std::map<std::string_view, std::int64_t> SinceMs;
   std::vector<const fleet::job_record *> Suspects;
   for (const auto &Job : Jobs)
     if (!Job.FailedOn.empty())
       Suspects.push_back(&Job);
   failure_verdicts Verdicts;
+  if (Suspects.empty())
+    return Verdicts;
+  for (const auto &Worker : Workers)
+    SinceMs[Worker.Host] = Worker.SinceMs;
   // A job that failed everywhere so far is held back from the first count of
   // the workers, because it may be the cause itself.
   for (const auto *Job : Suspects)
@@ -37,7 +43,8 @@
     for (const auto *Job : Suspects)
       if (Verdicts.BadJobs.count(Job->Id) == 0)
         for (const auto &Host : Job->FailedOn)
-          ++FailedJobs[Host];
+          if (Job->SubmittedMs >= SinceMs[Host])
+            ++FailedJobs[Host];
     failure_verdicts Next;
     for (const auto &[Host, Count] : FailedJobs)
       if (Count >= Settings.FailedJobsForBadWorker)
--- a/placement/failure_counts.h
+++ b/placement/failure_counts.h
@@ -17,9 +17,13 @@
 
 /// Tells bad jobs from bad workers: a failure on a bad worker says nothing
 /// about the job, and the failure of a bad job nothing about the worker.
+/// Jobs that were submitted before a worker's last return to service do not
+/// count against it, because it may have been repaired since they failed.
+/// \param Workers every worker.
 /// \param Jobs every known job; they must outlive the result.
 /// \param Settings thresholds of distinct workers and jobs.
-failure_verdicts judgeFailures(std::span<const fleet::job_record> Jobs,
+failure_verdicts judgeFailures(std::span<const worker_view> Workers,
+                               std::span<const fleet::job_record> Jobs,
                                const placer_settings &Settings);
 
 } // namespace lycheetrestle::placement
--- a/placement/placer.cpp
+++ b/placement/placer.cpp
@@ -44,8 +44,8 @@
                   const placer_settings &Settings)
       : Workers(Workers), Jobs(Jobs), NowMs(NowMs), Settings(Settings),
         Estimator(Jobs, Settings.ScaleUnlearnt),
-        Verdicts(judgeFailures(Jobs, Settings)), Rooms(Workers), Quotas(Teams) {
-  }
+        Verdicts(judgeFailures(Workers, Jobs, Settings)), Rooms(Workers),
+        Quotas(Teams) {}
 
   std::vector<placement_action> run() {
     setAsideBadWorkers();
--- a/placement/placer.h
+++ b/placement/placer.h
@@ -17,6 +17,9 @@
   fleet::resources Size;
   std::uint64_t Epoch = 0;
   bool InService = false;
+  /// Since when the worker is in service; what failed on it before says
+  /// nothing about it now.
+  std::int64_t SinceMs = 0;
 };
 
 enum class action_kind : std::uint8_t {
--- a/reconciler/job_steps.cpp
+++ b/reconciler/job_steps.cpp
@@ -72,7 +72,7 @@
     Change.Learnt = Learnt;
     Change.Reason = std::move(Reason);
     Round.Output.Commands.push_back(std::move(Change));
-    Changed.insert(Job.Id);
+    Changed[Job.Id] = To;
   }
 
   void orderTask(const host_record &Host, order_kind Kind, std::uint64_t Job,
@@ -107,6 +107,7 @@
     const auto &Job = Found->second;
     Tasks[Job.Id] = &Task;
     auto Learnt = largest(Job.Learnt, Task.Used);
+    LearntNow[Job.Id] = Learnt;
     if (isEnded(Task.State)) {
       bool Cancels =
           Job.CancelRequested && Task.State == job_state::Checkpointed;
@@ -202,12 +203,19 @@
                    Host.Goal == fleet::host_goal::None && Up &&
                    !Round.hasStepped(Name);
       Workers.push_back({Name, Host.Pool, Host.Spec.Zone, Host.Spec.Rack,
-                         Host.Spec.Size, Host.Epoch, Takes});
+                         Host.Spec.Size, Host.Epoch, Takes, Host.ChangedMs});
     }
     std::vector<job_record> Jobs;
     Jobs.reserve(Round.State.jobs().size());
     for (const auto &[Id, Job] : Round.State.jobs())
       Jobs.push_back(Job);
+    // What this round records is committed before its starts.
+    for (auto &Job : Jobs) {
+      if (auto Found = LearntNow.find(Job.Id); Found != LearntNow.end())
+        Job.Learnt = Found->second;
+      if (auto Found = Changed.find(Job.Id); Found != Changed.end())
+        Job.State = Found->second;
+    }
     for (const auto &Action : placement::planPlacement(
              Workers, Jobs, Round.State.currentDeclaration().Teams, Round.NowMs,
              Round.Settings.Placer))
@@ -255,7 +263,8 @@
   round &Round;
   lease_memory &Memory;
   std::map<std::uint64_t, const task_report *> Tasks;
-  std::set<std::uint64_t> Changed;
+  std::map<std::uint64_t, fleet::resources> LearntNow;
+  std::map<std::uint64_t, fleet::job_state> Changed;
   std::set<std::uint64_t> Stopping;
 };
 
--- a/reconciler/round.cpp
+++ b/reconciler/round.cpp
@@ -101,12 +101,19 @@
   if (Host.State == host_state::InService && Pool != Ledger.end() &&
       Pool->second.Available > 0 && Suspects.count(Host.Spec.Name) == 0)
     --Pool->second.Available;
+  if (Change.To == host_state::Failed || Change.To == host_state::SetAside)
+    ++LossesByWave[Host.Wave];
   Change.Host = Host.Spec.Name;
   Change.FromEpoch = Host.Epoch;
   Output.Commands.push_back(std::move(Change));
   return true;
 }
 
+std::uint32_t round::lossesOf(std::uint64_t Wave) const {
+  auto Found = LossesByWave.find(Wave);
+  return Found == LossesByWave.end() ? 0 : Found->second;
+}
+
 platform::order &round::order(const host_record &Host,
                               platform::order_kind Kind) {
   platform::order Order;
--- a/reconciler/round.h
+++ b/reconciler/round.h
@@ -60,6 +60,9 @@
   bool cordon(const fleet::host_record &Host, fleet::host_goal Goal,
               std::string TargetPool, std::uint64_t Wave, std::string Reason);
 
+  /// \returns hosts of the wave that this round found lost.
+  std::uint32_t lossesOf(std::uint64_t Wave) const;
+
   /// Adds an order under the host's current epoch.
   platform::order &order(const fleet::host_record &Host,
                          platform::order_kind Kind);
@@ -78,6 +81,7 @@
   std::set<std::string_view> Stepped;
   std::set<std::string_view> Suspects;
   std::set<std::string_view> HostsWithJobs;
+  std::map<std::uint64_t, std::uint32_t> LossesByWave;
 };
 
 /// \returns whether the host runs through a planned step.
--- a/reconciler/wave_steps.cpp
+++ b/reconciler/wave_steps.cpp
@@ -47,10 +47,10 @@
   for (const auto &Pool : Summaries)
     Pools.push_back(
         {Pool.Name, Round.available(Pool.Name), Round.minimum(Pool.Name)});
-  auto Step = maintenance::planWaveStep(Pools, Hosts,
-                                        {Maintenance.MaxParallelHosts + Parked,
-                                         Maintenance.PauseAfterFailures,
-                                         Wave.Failures});
+  auto Step = maintenance::planWaveStep(
+      Pools, Hosts,
+      {Maintenance.MaxParallelHosts + Parked, Maintenance.PauseAfterFailures,
+       Wave.Failures + Round.lossesOf(Wave.Id)});
   if (Step.Pause) {
     Round.Output.Commands.push_back(
         fleet::pause_wave{Wave.Id, std::move(Step.Reason)});
--- a/tests/capacity/test_pool_sizer.cpp
+++ b/tests/capacity/test_pool_sizer.cpp
@@ -45,6 +45,20 @@
   CHECK(Plan(12, 3) > 0);
 }
 
+TEST_CASE("one odd report moves nothing, repeated peaks do") {
+  pool_sizer Sizer({});
+  auto Plan = [&](double Needed, int Second) {
+    std::vector<pool_load> Pools = {gate(Needed, 8), spare(1, 10)};
+    return lent(Sizer.plan(Pools, at(Second)), "gate");
+  };
+  int Second = 0;
+  for (int Peak = 0; Peak < 3; ++Peak) {
+    CHECK(Plan(25, Second++) == (Peak < 2 ? 0 : 6));
+    for (int Quiet = 0; Quiet < 20; ++Quiet)
+      CHECK(Plan(1, Second++) == (Peak < 2 ? 0 : 6));
+  }
+}
+
 // Lending must never take the spare pool under its minimum or its own need.
 TEST_CASE("the spare pool keeps its minimum and its own load") {
   for (auto [Own, Limit] : {std::pair{1.0, 6u}, std::pair{6.0, 2u}}) {
--- /dev/null
+++ b/tests/reconciler/test_lending.cpp
@@ -0,0 +1,50 @@
+#include "tests/reconciler/fleet_run.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::testing;
+
+namespace {
+
+std::uint32_t hostsOf(const fleet_run &Run, std::string_view Pool) {
+  return std::uint32_t(std::count_if(
+      Run.State.hosts().begin(), Run.State.hosts().end(),
+      [&](const auto &Entry) { return Entry.second.Pool == Pool; }));
+}
+
+} // namespace
+
+TEST_CASE("a lasting need borrows from the spare pool, which keeps its minimum "
+          "and gets its hosts back") {
+  fleet_run Run(kelang(), 21);
+  Run.setBusySlots("gate-service", 92);
+  for (int Round = 0; Round < 400 && Run.Broken.empty(); ++Round)
+    Run.round();
+  INFO(Run.dump());
+  CHECK(hostsOf(Run, "gate") > 10);
+  auto Peak = Run.Moves;
+  for (const auto &Pool : Run.State.pools())
+    CHECK(Pool.Available >= Pool.Minimum);
+  // Lent hosts are not moved home as if their declaration had changed.
+  for (int Round = 0; Round < 200 && Run.Broken.empty(); ++Round)
+    Run.round();
+  CHECK(Run.Moves == Peak);
+  Run.setBusySlots("gate-service", 2);
+  for (int Round = 0; Round < 4000 && Run.Broken.empty(); ++Round)
+    Run.round();
+  CHECK(Run.Broken == "");
+  CHECK(hostsOf(Run, "gate") == 10);
+  CHECK(hostsOf(Run, "records") == 10);
+  CHECK(Run.Moves == 2 * Peak);
+}
+
+TEST_CASE("a peak of a second moves nothing") {
+  fleet_run Run(zhuldyz(), 22);
+  for (int Round = 0; Round < 1200 && Run.Broken.empty(); ++Round) {
+    Run.setBusySlots("bookings-service", Round < 10 ? 300 : 40);
+    Run.round();
+  }
+  CHECK(Run.Broken == "");
+  CHECK(Run.Moves == 0);
+}
--- /dev/null
+++ b/tests/reconciler/test_random_run.cpp
@@ -0,0 +1,235 @@
+// Randomised runs of the reconciler with the state machine, a platform and
+// entries on a virtual clock. LT_FIRST_SEED and LT_SEEDS choose the seeds; a
+// failure prints its seed, and the same seed repeats the run.
+
+#include "tests/reconciler/fleet_run.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::testing;
+
+namespace {
+
+constexpr std::int64_t FaultMs = 150'000;
+// Waves, leases and lent hosts have to end within this time after the faults.
+constexpr std::int64_t QuietMs = 1'500'000;
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Value = std::getenv(Name);
+  return Value ? std::strtoull(Value, nullptr, 10) : Default;
+}
+
+class random_faults {
+public:
+  random_faults(fleet_run &Run) : Run(Run) {
+    for (const auto &[Name, Host] : Run.State.hosts()) {
+      Names.push_back(Name);
+      Racks[Host.Spec.Rack].push_back(Name);
+      Zones[Host.Spec.Zone].push_back(Name);
+    }
+  }
+
+  void step() {
+    endDue();
+    switch (pick(100)) {
+    case 0:
+      lose({anyHost()}, 8000 + pick(60000));
+      break;
+    case 1:
+      if (pick(4) == 0)
+        lose(any(Racks), 8000 + pick(40000));
+      break;
+    case 2:
+      if (pick(25) == 0)
+        lose(any(Zones), 8000 + pick(30000));
+      break;
+    case 3:
+      fault(anyHost(), {false, true, false, false}, 30000 + pick(60000));
+      break;
+    case 4:
+      if (pick(3) == 0)
+        fault(anyHost(), {false, false, true, false}, 20000 + pick(30000));
+      break;
+    case 5:
+      fault(anyHost(), {false, false, false, true}, 20000 + pick(30000));
+      break;
+    case 6:
+      operate();
+      break;
+    case 7:
+      if (pick(3) == 0)
+        Run.changeLeader();
+      break;
+    case 8:
+      Run.Entries[pick(Run.Entries.size())].SilentUntilMs =
+          Run.NowMs + 1000 + std::int64_t(pick(20000));
+      break;
+    case 9:
+      if (pick(4) == 0)
+        UnreachableUntilMs = Run.NowMs + std::int64_t(pick(8000));
+      break;
+    case 10:
+      startOrResumeWave();
+      break;
+    case 11:
+      Run.setBusySlots(anyPool() + "-service", std::uint32_t(pick(160)));
+      break;
+    default:
+      if (pick(4) == 0)
+        submitJob();
+      break;
+    }
+    Run.PlatformReachable = Run.NowMs >= UnreachableUntilMs;
+  }
+
+  void endAll() {
+    for (const auto &Name : Names)
+      Run.setFaults(Name, {});
+    Ends.clear();
+    Run.PlatformReachable = true;
+    for (auto &Entry : Run.Entries)
+      Entry.SilentUntilMs = 0;
+    for (const auto &Pool : Run.State.pools())
+      Run.setBusySlots(Pool.Name + "-service", 0);
+    for (const auto &[Id, Job] : Run.State.jobs())
+      Jobs.push_back(Id);
+    for (auto Job : Jobs)
+      Run.commit(fleet::cancel_job{Job});
+  }
+
+  // An operator withdraws the drains and looks after paused waves.
+  void tidy() {
+    for (const auto &Name : Names) {
+      const auto &Host = Run.State.hosts().at(Name);
+      if (Host.Goal == fleet::host_goal::Drain)
+        Run.commit(fleet::request_host_goal{Name, fleet::host_goal::None, ""});
+    }
+    resumeWave();
+  }
+
+  void resumeWave() {
+    for (const auto &[Id, Wave] : Run.State.waves())
+      if (Wave.State == fleet::wave_state::Paused)
+        Run.commit(fleet::resume_wave{Id});
+  }
+  void startOrResumeWave() {
+    resumeWave();
+    // Refused while a wave is open.
+    Run.commit(fleet::start_wave{});
+  }
+
+private:
+  std::size_t pick(std::size_t Bound) { return Run.Random() % Bound; }
+  const std::string &anyHost() { return Names[pick(Names.size())]; }
+  std::string anyPool() {
+    auto Pools = Run.State.pools();
+    return Pools[pick(Pools.size())].Name;
+  }
+  template <typename Map> std::vector<std::string> any(const Map &Groups) {
+    auto Chosen = Groups.begin();
+    std::advance(Chosen, std::ptrdiff_t(pick(Groups.size())));
+    return Chosen->second;
+  }
+
+  void fault(const std::string &Host, standin::host_faults Faults,
+             std::size_t ForMs) {
+    Run.setFaults(Host, Faults);
+    Ends.emplace(Run.NowMs + std::int64_t(ForMs), Host);
+  }
+  void lose(const std::vector<std::string> &Hosts, std::size_t ForMs) {
+    for (const auto &Host : Hosts)
+      fault(Host, {true, false, false, false}, ForMs);
+  }
+  void endDue() {
+    while (!Ends.empty() && Ends.begin()->first <= Run.NowMs) {
+      Run.setFaults(Ends.begin()->second, {});
+      Ends.erase(Ends.begin());
+    }
+  }
+
+  void operate() {
+    auto Goal = fleet::host_goal(pick(4));
+    Run.commit(fleet::request_host_goal{
+        anyHost(), Goal, Goal == fleet::host_goal::Move ? anyPool() : ""});
+  }
+
+  void submitJob() {
+    fleet::submit_job Job;
+    Job.Team = pick(3) == 0 ? "transport" : "planning";
+    Job.Pool = anyPool();
+    Job.Class = fleet::work_class(pick(3));
+    Job.Declared = {std::uint32_t(1 + pick(24)), 1024 + pick(16384), 0};
+    auto Result = Run.commit(Job);
+    if (pick(10) == 0 && !Run.State.jobs().empty())
+      Run.commit(fleet::cancel_job{Run.State.jobs().rbegin()->first});
+  }
+
+  fleet_run &Run;
+  std::vector<std::string> Names;
+  std::map<std::string, std::vector<std::string>> Racks, Zones;
+  std::multimap<std::int64_t, std::string> Ends;
+  std::vector<std::uint64_t> Jobs;
+  std::int64_t UnreachableUntilMs = 0;
+};
+
+bool hasSettled(const fleet_run &Run) {
+  if (!Run.allInService())
+    return false;
+  for (const auto &[Id, Wave] : Run.State.waves())
+    if (Wave.State != fleet::wave_state::Finished)
+      return false;
+  for (const auto &[Name, Host] : Run.State.hosts())
+    if (Host.Pool != Host.Spec.HomePool)
+      return false;
+  return std::none_of(Run.State.jobs().begin(), Run.State.jobs().end(),
+                      [](const auto &Job) {
+                        return Job.second.State == fleet::job_state::Running ||
+                               Job.second.State == fleet::job_state::Starting;
+                      });
+}
+
+void runSeed(const deployment &Shape, std::uint64_t Seed) {
+  INFO("deployment " << Shape.Name << ", replay with LT_FIRST_SEED=" << Seed
+                     << " LT_SEEDS=1");
+  fleet_run Run(Shape, Seed);
+  random_faults Faults(Run);
+  auto Start = Run.NowMs;
+  while (Run.NowMs - Start < FaultMs && Run.Broken.empty()) {
+    Run.round();
+    Run.round();
+    Faults.step();
+  }
+  INFO(Run.dump());
+  REQUIRE(Run.Broken == "");
+  Faults.endAll();
+  Faults.startOrResumeWave();
+  auto Quiet = Run.NowMs;
+  while (Run.NowMs - Quiet < QuietMs && Run.Broken.empty() &&
+         !hasSettled(Run)) {
+    Run.round();
+    if ((Run.NowMs - Quiet) % 10'000 == 0 && !hasSettled(Run))
+      Faults.tidy();
+  }
+  INFO(Run.dump());
+  CHECK(Run.Broken == "");
+  CHECK(hasSettled(Run));
+  for (const auto &Pool : Run.State.pools())
+    CHECK(Pool.Available >= Pool.Minimum);
+}
+
+} // namespace
+
+// Guards against any combination of losses, operators, leaders and silent
+// entries that makes a planned step break a budget, stop work, use an old
+// epoch, or leaves a wave or a host stuck after the faults have ended.
+TEST_CASE("randomised runs keep the invariants and settle") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 4);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    runSeed(kelang(), Seed);
+    runSeed(zhuldyz(), Seed);
+  }
+}
