Link the daemon with both roles

Change: the daemon starts an entry or a control replica by the role in the settings file and connects the platform client. The restart test waits until the restarted replica has applied what was committed before it compares digests; before, it compared a replica that had applied nothing yet.

Conclusion: the whole can be run as processes.

--- a/control/control_queries.cpp
+++ b/control/control_queries.cpp
@@ -28,54 +28,6 @@
   return "unknown";
 }
 
-std::string_view toString(fleet::host_goal Goal) {
-  switch (Goal) {
-  case fleet::host_goal::None:
-    return "none";
-  case fleet::host_goal::Drain:
-    return "drain";
-  case fleet::host_goal::Reboot:
-    return "reboot";
-  case fleet::host_goal::Move:
-    return "move";
-  }
-  return "unknown";
-}
-
-std::string_view toString(fleet::wave_state State) {
-  switch (State) {
-  case fleet::wave_state::Running:
-    return "running";
-  case fleet::wave_state::Paused:
-    return "paused";
-  case fleet::wave_state::Finished:
-    return "finished";
-  }
-  return "unknown";
-}
-
-std::string_view toString(fleet::job_state State) {
-  switch (State) {
-  case fleet::job_state::Waiting:
-    return "waiting";
-  case fleet::job_state::Starting:
-    return "starting";
-  case fleet::job_state::Running:
-    return "running";
-  case fleet::job_state::Checkpointed:
-    return "checkpointed";
-  case fleet::job_state::Succeeded:
-    return "succeeded";
-  case fleet::job_state::Failed:
-    return "failed";
-  case fleet::job_state::Cancelled:
-    return "cancelled";
-  case fleet::job_state::Impossible:
-    return "impossible";
-  }
-  return "unknown";
-}
-
 std::string write(const json &Value) {
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -165,7 +117,7 @@
                      {"size", toJson(Host.Spec.Size)},
                      {"state", std::string(fleet::toString(Host.State))},
                      {"epoch", Host.Epoch},
-                     {"goal", std::string(toString(Host.Goal))},
+                     {"goal", std::string(fleet::toString(Host.Goal))},
                      {"target_pool", Host.TargetPool},
                      {"wave", Host.Wave},
                      {"last_wave", Host.LastWave},
@@ -178,7 +130,7 @@
   json Waves = json::array();
   for (const auto &[Id, Wave] : State.waves())
     Waves.push_back({{"id", Id},
-                     {"state", std::string(toString(Wave.State))},
+                     {"state", std::string(fleet::toString(Wave.State))},
                      {"total", Wave.Total},
                      {"done", Wave.Done},
                      {"failures", Wave.Failures},
@@ -195,7 +147,7 @@
                     {"team", Job.Team},
                     {"pool", Job.Pool},
                     {"class", std::string(fleet::toString(Job.Class))},
-                    {"state", std::string(toString(Job.State))},
+                    {"state", std::string(fleet::toString(Job.State))},
                     {"declared", toJson(Job.Declared)},
                     {"learnt", toJson(Job.Learnt)},
                     {"run_seconds", Job.DeclaredRunSeconds},
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,6 +3,10 @@
 #include "core/event_log.h"
 #include "core/failure.h"
 #include "core/object_reader.h"
+#include "entry/entry_process.h"
+#include "entry/entry_settings.h"
+#include "entry/stop_source.h"
+#include "platform/http_client.h"
 
 #include <gflags/gflags.h>
 
@@ -10,11 +14,14 @@
 #include <csignal>
 #include <ctime>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 DEFINE_string(settings, "", "path of the settings file");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -48,17 +55,19 @@
 core::result<std::string> readRole(const std::string &Text) {
   BOOST_LEAF_AUTO(Value, core::parseJson(Text, control::MaxSettingsBytes));
   core::object_reader Reader(Value, "");
-  auto Role = Reader.readChoice("role", {"control"});
+  auto Role = Reader.readChoice("role", {"control", "entry"});
   if (Reader.error())
     return core::fail(*Reader.error());
   return Role;
 }
 
-/// Counts SIGTERM and SIGINT on a thread of its own. All other threads are
-/// started after it with these signals blocked.
-class signal_counter {
+/// Passes SIGTERM and SIGINT on to the role as stop requests. It waits for them
+/// on a thread of its own; all threads started after it have them blocked.
+class signal_thread {
 public:
-  signal_counter() {
+  /// \param OnStop called for each signal on the thread.
+  explicit signal_thread(std::function<void()> NewOnStop)
+      : OnStop(std::move(NewOnStop)) {
     sigemptyset(&Signals);
     sigaddset(&Signals, SIGTERM);
     sigaddset(&Signals, SIGINT);
@@ -68,27 +77,40 @@
     Thread = std::thread([this] { run(); });
   }
 
-  ~signal_counter() {
+  ~signal_thread() {
     Ending = true;
     Thread.join();
   }
 
-  const std::atomic<int> &requests() const { return Requests; }
-
 private:
   void run() {
     timespec Timeout{0, 100'000'000};
     while (!Ending)
       if (sigtimedwait(&Signals, nullptr, &Timeout) > 0)
-        ++Requests;
+        OnStop();
   }
 
+  std::function<void()> OnStop;
   sigset_t Signals{};
-  std::atomic<int> Requests = 0;
   std::atomic<bool> Ending = false;
   std::thread Thread;
 };
 
+std::optional<control::platform_adapter>
+makePlatform(const control::control_settings &Settings) {
+  if (Settings.PlatformUrl.empty())
+    return std::nullopt;
+  platform::http_client_settings Client;
+  Client.Url = Settings.PlatformUrl;
+  auto Shared = std::make_shared<platform::http_client>(std::move(Client));
+  control::platform_adapter Adapter;
+  Adapter.Execute = [Shared](const platform::order &Order) {
+    return Shared->execute(Order);
+  };
+  Adapter.Report = [Shared] { return Shared->report(); };
+  return Adapter;
+}
+
 int runControlRole(const std::string &Text) {
   auto Outcome =
       core::capture([&] { return control::parseControlSettings(Text); });
@@ -98,10 +120,11 @@
     return 0;
   const auto &Settings = std::get<0>(Outcome);
   core::initializeLog(Settings.LogFile, Settings.LogLevel, Settings.Name);
-  signal_counter Signals;
+  std::atomic<int> StopRequests = 0;
+  signal_thread Signals([&] { ++StopRequests; });
   auto Failure = core::captureFailure([&] {
-    return control::runControl(Settings, FLAGS_init, std::nullopt,
-                               Signals.requests());
+    return control::runControl(Settings, FLAGS_init, makePlatform(Settings),
+                               StopRequests);
   });
   if (!Failure)
     return 0;
@@ -112,6 +135,19 @@
   return report(*Failure, ExitFailure);
 }
 
+int runEntryRole(const std::string &Text) {
+  auto Outcome = core::capture([&] { return entry::parseEntrySettings(Text); });
+  if (const auto *Failure = std::get_if<core::failure>(&Outcome))
+    return report(*Failure, ExitBadSettings);
+  if (FLAGS_check)
+    return 0;
+  const auto &Settings = std::get<0>(Outcome);
+  core::initializeLog(Settings.LogFile, Settings.LogLevel, Settings.Name);
+  entry::stop_source Stop;
+  signal_thread Signals([&] { Stop.requestStop(); });
+  return entry::runEntry(Settings, Stop);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -131,5 +167,12 @@
   auto Role = core::capture([&] { return readRole(*Text); });
   if (const auto *Failure = std::get_if<core::failure>(&Role))
     return report(*Failure, ExitBadSettings);
-  return runControlRole(*Text);
+  if (std::get<0>(Role) == "control")
+    return runControlRole(*Text);
+  if (FLAGS_init)
+    return report({core::error_code::BadInput,
+                   "--init is for the role control only", "init", "",
+                   core::verdict::NotRun},
+                  ExitBadSettings);
+  return runEntryRole(*Text);
 }
--- a/tests/control/test_control_loop.cpp
+++ b/tests/control/test_control_loop.cpp
@@ -360,11 +360,14 @@
   }
   CHECK(replicasAreEqual(Cluster));
   auto Digest = Cluster.loop("c1").state().digest();
+  auto Index = Cluster.loop("c1").appliedIndex();
   for (const char *Name : {"c1", "c2", "c3"}) {
     Cluster.kill(Name);
     Cluster.restart(Name);
   }
-  REQUIRE_FALSE(Cluster.awaitLeader().empty());
+  // A replica that has restarted knows what is committed from a new leader.
+  REQUIRE(Cluster.runUntil(
+      [&] { return Cluster.loop("c1").appliedIndex() >= Index; }));
   CHECK(replicasAreEqual(Cluster));
   CHECK(Cluster.loop("c1").state().digest() == Digest);
 }
