Test the log store with crashes, damage and full disks

Cause: the store had one test on real files only. The run found that an identity read from the cache could be lost by a later power cut; readIdentity now syncs the folder.

--- a/storage/log_store_impl.h
+++ b/storage/log_store_impl.h
@@ -37,6 +37,8 @@
     auto Identity = decodeIdentity(Record->Payload);
     if (!Identity)
       return failCorrupt(IdentityName, 0, "the identity has an unknown form");
+    // The process that wrote it may have ended before it synced the name.
+    BOOST_LEAF_CHECK(Folder.syncFolder());
     Sizes[IdentityName] = Bytes.size();
     return Identity;
   }
@@ -65,13 +67,15 @@
     Position = {};
     Segments.clear();
     Loaded = NeedsTruncation = NeedsSegment = false;
+    std::erase_if(Sizes,
+                  [](const auto &File) { return File.first != IdentityName; });
     BOOST_LEAF_AUTO(Names, Folder.list());
     BOOST_LEAF_AUTO(Found, readSegments(Names));
     replication::persistent_state State;
     State.Hard = Position.Hard;
     State.Entries = std::move(Found);
     if (Position.Snapshot.LastIndex != 0) {
-      BOOST_LEAF_AUTO(Snapshot, readSnapshot());
+      BOOST_LEAF_AUTO(Snapshot, readSnapshot(Names));
       State.Snapshot = std::move(Snapshot);
     }
     Loaded = true;
@@ -146,9 +150,9 @@
     return Replay.takeEntries();
   }
 
-  /// Rewrites the last segment. A write that was not acknowledged may be
-  /// readable from the page cache although it never reached the disk, and a
-  /// later sync of the same file does not report that.
+  /// Rewrites the last segment. A write whose sync failed before this process
+  /// started may be readable from the page cache although it never reached the
+  /// disk, and a later sync of the same file does not report that.
   core::result<void> secureTail(std::string_view Bytes) {
     auto &Last = Segments.back();
     auto Name = segmentName(Last.Number);
@@ -164,6 +168,7 @@
     if (Failure->Code != core::error_code::Overloaded)
       return core::fail(std::move(*Failure));
     // The disk is too full for a second copy, and a replica must still start.
+    // This syncs all but a write whose sync failed just before a kill.
     discardTemporary();
     BOOST_LEAF_CHECK(Folder.truncate(Name, Last.Size));
     BOOST_LEAF_CHECK(Folder.sync(Name));
@@ -187,20 +192,21 @@
     return Numbers;
   }
 
-  core::result<replication::snapshot> readSnapshot() {
+  core::result<replication::snapshot>
+  readSnapshot(const std::vector<std::string> &Names) {
     auto Name = snapshotName(Position.Snapshot.LastIndex);
-    auto Bytes = Folder.read(Name);
-    if (!Bytes)
-      return Bytes.error();
-    auto Record = readRecord(*Bytes, 0, 0);
+    if (std::find(Names.begin(), Names.end(), Name) == Names.end())
+      return failCorrupt(Name, 0, "the snapshot is missing");
+    BOOST_LEAF_AUTO(Bytes, Folder.read(Name));
+    auto Record = readRecord(Bytes, 0, 0);
     if (!Record || Record->Type != record_type::Snapshot ||
-        Record->Size != Bytes->size())
+        Record->Size != Bytes.size())
       return failCorrupt(Name, 0, "the snapshot is damaged");
     auto Snapshot = decodeSnapshot(Record->Payload);
     if (!Snapshot || Snapshot->LastIndex != Position.Snapshot.LastIndex ||
         Snapshot->LastTerm != Position.Snapshot.LastTerm)
       return failCorrupt(Name, 0, "the snapshot is not the expected one");
-    Sizes[Name] = Bytes->size();
+    Sizes[Name] = Bytes.size();
     return std::move(*Snapshot);
   }
 
--- a/storage/posix_files.cpp
+++ b/storage/posix_files.cpp
@@ -8,6 +8,7 @@
 #include <system_error>
 #include <utility>
 
+#include <dirent.h>
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
@@ -146,15 +147,25 @@
 
 core::result<std::vector<std::string>> posix_files::list() {
   BOOST_LEAF_CHECK(Impl->check());
+  int Copy = ::openat(Impl->folder(), ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  DIR *Stream = Copy < 0 ? nullptr : ::fdopendir(Copy);
+  if (Stream == nullptr) {
+    int Error = errno;
+    if (Copy >= 0)
+      ::close(Copy);
+    return core::fail(makeFailure(Error, "listing", "the data folder"));
+  }
   std::vector<std::string> Names;
-  std::error_code Error;
-  std::filesystem::directory_iterator Entry(
-      "/proc/self/fd/" + std::to_string(Impl->folder()), Error);
-  for (; !Error && Entry != std::filesystem::directory_iterator();
-       Entry.increment(Error))
-    Names.push_back(Entry->path().filename().string());
-  if (Error)
-    return core::fail(makeFailure(Error.value(), "listing", "the data folder"));
+  errno = 0;
+  while (const dirent *Entry = ::readdir(Stream)) {
+    std::string Name(Entry->d_name);
+    if (Name != "." && Name != "..")
+      Names.push_back(std::move(Name));
+  }
+  int Error = errno;
+  ::closedir(Stream);
+  if (Error != 0)
+    return core::fail(makeFailure(Error, "listing", "the data folder"));
   return Names;
 }
 
--- a/tests/storage/test_posix_files.cpp
+++ b/tests/storage/test_posix_files.cpp
@@ -1,5 +1,6 @@
 #include "storage/log_store.h"
 #include "storage/posix_files.h"
+#include "tests/storage/store_model.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +10,7 @@
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::storage;
+using namespace lycheetrestle::storage::test;
 
 namespace {
 
@@ -22,18 +24,6 @@
   std::string Path;
 };
 
-template <typename Callable> auto must(Callable &&Function) {
-  auto Outcome = core::capture(Function);
-  if (auto *Failure = std::get_if<1>(&Outcome))
-    FAIL(Failure->Message);
-  return std::get<0>(std::move(Outcome));
-}
-
-template <typename Callable> void mustSucceed(Callable &&Function) {
-  if (auto Failure = core::captureFailure(Function))
-    FAIL(Failure->Message);
-}
-
 } // namespace
 
 // Guards against a store that works only on the fake file system.
@@ -64,3 +54,46 @@
   REQUIRE(State.Entries.size() == 1);
   CHECK(State.Entries[0] == First.Append[1]);
 }
+
+// Guards against two processes that write one folder.
+TEST_CASE("a data folder in use is refused") {
+  scratch_folder Folder("lock");
+  posix_files First(Folder.Path);
+  posix_files Second(Folder.Path);
+  mustSucceed([&] { return First.append("file", "bytes"); });
+  auto Failure =
+      core::captureFailure([&] { return Second.append("file", "more"); });
+  REQUIRE(Failure);
+  CHECK(Failure->Code == core::error_code::Conflict);
+  CHECK(must([&] { return First.read("file"); }) == "bytes");
+}
+
+// Guards against a full disk that is reported as a broken one.
+TEST_CASE("a full device fails with Overloaded") {
+  scratch_folder Folder("full");
+  posix_files Files(Folder.Path);
+  std::filesystem::create_symlink("/dev/full", Folder.Path + "/file");
+  auto Failure =
+      core::captureFailure([&] { return Files.append("file", "bytes"); });
+  REQUIRE(Failure);
+  CHECK(Failure->Code == core::error_code::Overloaded);
+}
+
+// Guards against an append that goes to a replaced or removed file through a
+// descriptor that is still open.
+TEST_CASE("open descriptors follow renames and removals") {
+  scratch_folder Folder("rename");
+  posix_files Files(Folder.Path);
+  mustSucceed([&] { return Files.append("old", "replaced"); });
+  mustSucceed([&] { return Files.append("new", "a"); });
+  mustSucceed([&] { return Files.rename("new", "old"); });
+  mustSucceed([&] { return Files.append("old", "bc"); });
+  mustSucceed([&] { return Files.truncate("old", 2); });
+  mustSucceed([&] { return Files.append("old", "d"); });
+  CHECK(must([&] { return Files.read("old"); }) == "abd");
+  CHECK(must([&] { return Files.list(); }) == std::vector<std::string>{"old"});
+  mustSucceed([&] { return Files.remove("old"); });
+  mustSucceed([&] { return Files.remove("old"); });
+  mustSucceed([&] { return Files.append("old", "e"); });
+  CHECK(must([&] { return Files.read("old"); }) == "e");
+}
