Test the link hub on loopback and split it into files

Change: hub_core (life cycle, events) and hub_links (choice between connections, dialling). A protocol error now ends the link at once instead of after the closing handshake; ending a connection no longer touches its state after the socket may have removed it; a dial that was given up cannot come back; the bind error is reported with its reason.

--- a/tests/transport/hub_fixture.cpp
+++ b/tests/transport/hub_fixture.cpp
@@ -80,9 +80,9 @@
   return Messages;
 }
 
-void recorder::unblock() {
+void recorder::setBlocked(bool Value) {
   std::lock_guard<std::mutex> Lock(Mutex);
-  Blocked = false;
+  Blocked = Value;
   Changed.notify_all();
 }
 
--- a/tests/transport/hub_fixture.h
+++ b/tests/transport/hub_fixture.h
@@ -41,16 +41,18 @@
   std::vector<std::string> Messages;
   std::vector<std::pair<std::string, bool>> PeerChanges;
   std::vector<std::string> Errors; ///< `peer: reason`.
-  /// While set, the hub's thread waits in OnMessage.
-  bool Blocked = false;
 
-  void unblock();
+  /// Makes the hub's thread wait in OnMessage until unblock().
+  void block() { setBlocked(true); }
+  void unblock() { setBlocked(false); }
 
 private:
+  void setBlocked(bool Value);
   bool isUp(const std::string &Peer) const;
 
   std::mutex Mutex;
   std::condition_variable Changed;
+  bool Blocked = false;
 };
 
 /// A hub on a free loopback port with its recorder.
--- a/tests/transport/test_link_hub.cpp
+++ b/tests/transport/test_link_hub.cpp
@@ -2,11 +2,17 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <optional>
+#include <thread>
+
 using namespace lycheetrestle::transport;
 using namespace lycheetrestle::transport::test;
 
 namespace {
 
+using peer_changes = std::vector<std::pair<std::string, bool>>;
+
 std::vector<std::string> numbered(int Count) {
   std::vector<std::string> Messages;
   for (int I = 0; I < Count; ++I)
@@ -32,3 +38,133 @@
   CHECK(Left.Seen.messages() == Expected);
   CHECK(Right.Seen.messages() == Expected);
 }
+
+// Guards against two connections in use at once, which would reorder messages,
+// and against each side closing the connection that the other one keeps.
+TEST_CASE("peers that dial each other use one connection") {
+  for (int Round = 0; Round < 20; ++Round) {
+    auto LeftSettings = settingsOf("left");
+    test_hub Right("right", {{"left", "127.0.0.1", LeftSettings.ListenPort}});
+    LeftSettings.Peers = {Right.asPeer()};
+    test_hub Left(LeftSettings);
+    REQUIRE(Left.Seen.waitForUp("right"));
+    REQUIRE(Right.Seen.waitForUp("left"));
+    auto Expected = numbered(50);
+    for (const auto &Message : Expected) {
+      REQUIRE(Left.sendSurely("right", Message));
+      REQUIRE(Right.sendSurely("left", Message));
+    }
+    REQUIRE(Left.Seen.waitForMessages(Expected.size()));
+    REQUIRE(Right.Seen.waitForMessages(Expected.size()));
+    CHECK(Left.Seen.messages() == Expected);
+    CHECK(Right.Seen.messages() == Expected);
+    CHECK(Left.Seen.waitFor([&] {
+      return Left.Seen.PeerChanges == peer_changes{{"right", true}};
+    }));
+    CHECK(Right.Seen.waitFor([&] {
+      return Right.Seen.PeerChanges == peer_changes{{"left", true}};
+    }));
+  }
+}
+
+// Guards against a hub that gives up on a peer, or keeps the dead link.
+TEST_CASE("a peer that restarts is found again") {
+  std::optional<test_hub> Right(std::in_place, "right");
+  auto RightSettings = Right->Settings;
+  test_hub Left("left", {Right->asPeer()});
+  for (int Round = 0; Round < 3; ++Round) {
+    REQUIRE(Left.Seen.waitForUp("right"));
+    REQUIRE(Left.sendSurely("right", "hello"));
+    REQUIRE(Right->Seen.waitForMessages(1));
+    Right.reset();
+    REQUIRE(Left.Seen.waitForDown("right"));
+    CHECK(!Left.Hub.send("right", "lost"));
+    Right.emplace(RightSettings);
+  }
+  REQUIRE(Left.Seen.waitForUp("right"));
+  REQUIRE(Left.sendSurely("right", "again"));
+  REQUIRE(Right->Seen.waitForMessages(1));
+  CHECK(Right->Seen.messages() == std::vector<std::string>{"again"});
+}
+
+// Guards against unbounded memory for a peer that does not read, and against a
+// message that was refused and sent nevertheless.
+TEST_CASE("a full queue refuses and loses nothing") {
+  auto Settings = settingsOf("left");
+  Settings.MaxQueuedBytes = 100000;
+  test_hub Left(Settings);
+  test_hub Right("right", {Left.asPeer()});
+  REQUIRE(Left.Seen.waitForUp("right"));
+  Right.Seen.block();
+  std::vector<std::string> Accepted;
+  std::string Filler(20000, 'x');
+  int Refusals = 0;
+  for (int I = 0; Refusals < 100; ++I) {
+    auto Message = std::to_string(I) + Filler;
+    if (Left.Hub.send("right", Message))
+      Accepted.push_back(Message);
+    else
+      ++Refusals;
+    // The kernel's buffers hold some megabytes.
+    REQUIRE(Accepted.size() < 10000);
+  }
+  Right.Seen.unblock();
+  REQUIRE(Left.sendSurely("right", "last"));
+  Accepted.push_back("last");
+  REQUIRE(Right.Seen.waitForMessages(Accepted.size()));
+  CHECK(Right.Seen.messages() == Accepted);
+}
+
+// Guards against a stop that hangs on senders or open links, and against
+// handlers that run after it.
+TEST_CASE("a hub stops while it is busy") {
+  for (int Round = 0; Round < 10; ++Round) {
+    test_hub Left("left");
+    test_hub Right("right", {Left.asPeer()});
+    REQUIRE(Left.Seen.waitForUp("right"));
+    REQUIRE(Right.Seen.waitForUp("left"));
+    std::atomic<bool> Done = false;
+    std::thread Sender([&] {
+      while (!Done) {
+        Left.Hub.send("right", std::string(1000, 'l'));
+        Right.Hub.send("left", std::string(1000, 'r'));
+      }
+    });
+    CHECK(Left.Seen.waitForMessages(10));
+    CHECK(Right.Seen.waitForMessages(10));
+    Left.Hub.stop();
+    auto Count = Left.Seen.messages().size();
+    CHECK(!Left.Hub.send("right", "late"));
+    CHECK(Right.Seen.waitForDown("left"));
+    Done = true;
+    Sender.join();
+    CHECK(Left.Seen.messages().size() == Count);
+  }
+}
+
+// Guards against a hub that cannot be told about new addresses, or keeps a link
+// to a removed peer.
+TEST_CASE("peers are added, moved and removed while the hub runs") {
+  test_hub Left("left");
+  test_hub First("right");
+  CHECK(!Left.Hub.send("right", "no link"));
+  Left.Hub.addPeer(First.asPeer());
+  REQUIRE(Left.Seen.waitForUp("right"));
+  test_hub Second("right");
+  Left.Hub.addPeer(Second.asPeer());
+  REQUIRE(Second.Seen.waitForUp("left"));
+  REQUIRE(First.Seen.waitForDown("left"));
+  Left.Hub.removePeer("right");
+  REQUIRE(Second.Seen.waitForDown("left"));
+  REQUIRE(Left.Seen.waitForDown("right"));
+  CHECK(!Left.Hub.send("right", "removed"));
+}
+
+// Guards against a process that runs without its listening socket.
+TEST_CASE("a port in use is reported by start") {
+  test_hub Left("left");
+  recorder Seen;
+  link_hub Other(settingsOf("other", {}, Left.Settings.ListenPort),
+                 Seen.handlers());
+  CHECK(Other.start().find("in use") != std::string::npos);
+}
--- /dev/null
+++ b/transport/hub_core.cpp
@@ -0,0 +1,375 @@
+#include "transport/hub_core.h"
+
+#include "transport/hello.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lycheetrestle::transport {
+
+namespace {
+
+using std::chrono::milliseconds;
+using asio_error = boost::system::error_code;
+
+constexpr milliseconds TickPeriod(250);
+constexpr milliseconds PingPeriod(1000);
+/// Three lost pings; the entries' freshness bound is 3 s as well.
+constexpr milliseconds SilenceLimit(3000);
+/// Connecting and the handshake may take 2 s each.
+constexpr milliseconds HelloLimit(4500);
+/// A hub that did not run for this long cannot tell whether its peers were
+/// silent, so it gives them a whole period more.
+constexpr milliseconds StallLimit(1000);
+/// Time for the closing handshakes of a stop.
+constexpr milliseconds StopLimit(500);
+/// websocketpp does not report when its queue drains, so a link with queued
+/// bytes looks again after this time.
+constexpr milliseconds DrainPeriod(5);
+/// Accepted connections that have not named themselves yet.
+constexpr std::size_t MaxUnnamed = 256;
+
+/// websocketpp does not pass the reason on, so this binds once more.
+std::string bindError(const boost::asio::ip::tcp::endpoint &Endpoint) {
+  try {
+    boost::asio::io_context Context;
+    boost::asio::ip::tcp::acceptor Acceptor(Context, Endpoint);
+  } catch (const boost::system::system_error &Exception) {
+    return Exception.code().message();
+  }
+  return "the address was in use";
+}
+
+std::string closeReason(const websocket_connection &Connection) {
+  auto Code = Connection.get_remote_close_code();
+  auto Reason = Connection.get_remote_close_reason();
+  std::string Side = "the peer closed the link: ";
+  if (Code == websocketpp::close::status::blank ||
+      Code == websocketpp::close::status::abnormal_close) {
+    Code = Connection.get_local_close_code();
+    Reason = Connection.get_local_close_reason();
+    Side = "the link was lost: ";
+  }
+  if (Reason.empty())
+    Reason = websocketpp::close::status::get_string(Code);
+  return Side + Reason;
+}
+
+} // namespace
+
+link_hub::implementation::implementation(link_settings Settings,
+                                         link_handlers Handlers)
+    : Settings(std::move(Settings)), Handlers(std::move(Handlers)),
+      TickTimer(Context), StopTimer(Context), Random(std::random_device{}()) {}
+
+link_hub::implementation::~implementation() { stop(); }
+
+std::string link_hub::implementation::start() {
+  try {
+    return listen();
+  } catch (const std::exception &Exception) {
+    return Exception.what();
+  }
+}
+
+void link_hub::implementation::stop() {
+  if (!Thread.joinable())
+    return;
+  boost::asio::post(Context, [this] { beginStop(); });
+  Thread.join();
+  Outboxes.clear();
+}
+
+bool link_hub::implementation::send(const std::string &Peer,
+                                    std::string Bytes) {
+  if (Bytes.size() > Settings.MaxMessageBytes)
+    return false;
+  auto Box = Outboxes.find(Peer);
+  if (!Box)
+    return false;
+  auto Result = Box->push(std::move(Bytes), Settings.MaxQueuedBytes);
+  if (Result == push_result::AcceptedFirst)
+    boost::asio::post(Context, [this, Box] { flush(*Box); });
+  return Result != push_result::Refused;
+}
+
+void link_hub::implementation::addPeer(link_peer Peer) {
+  boost::asio::post(Context,
+                    [this, Peer = std::move(Peer)] { configurePeer(Peer); });
+}
+
+void link_hub::implementation::removePeer(const std::string &Name) {
+  boost::asio::post(Context, [this, Name] { forgetPeer(Name); });
+}
+
+std::string link_hub::implementation::listen() {
+  if (Settings.SelfName.empty() || Settings.SelfName.size() > MaxNameBytes)
+    return "the process name must have 1 to " + std::to_string(MaxNameBytes) +
+           " bytes";
+  boost::system::error_code AddressError;
+  auto Address =
+      boost::asio::ip::make_address(Settings.ListenAddress, AddressError);
+  if (AddressError)
+    return "listen address " + Settings.ListenAddress + ": " +
+           AddressError.message();
+  prepare(Server, false);
+  prepare(Client, true);
+  Server.set_reuse_addr(true);
+  boost::asio::ip::tcp::endpoint Endpoint(Address, Settings.ListenPort);
+  websocketpp::lib::error_code Error;
+  Server.listen(Endpoint, Error);
+  if (!Error)
+    Server.start_accept(Error);
+  if (Error)
+    return "listening on " + Settings.ListenAddress + ":" +
+           std::to_string(Settings.ListenPort) + ": " + bindError(Endpoint);
+  for (const auto &Peer : Settings.Peers)
+    addPeer(Peer);
+  LastTick = clock_type::now();
+  scheduleTick();
+  Thread = std::thread([this] { run(); });
+  return {};
+}
+
+template <typename Endpoint>
+void link_hub::implementation::prepare(Endpoint &Side, bool IsClient) {
+  Side.clear_access_channels(websocketpp::log::alevel::all);
+  Side.clear_error_channels(websocketpp::log::elevel::all);
+  Side.init_asio(&Context);
+  Side.set_max_message_size(MaxHelloBytes);
+  Side.set_tcp_post_init_handler(
+      [this, IsClient](handle Handle) { onConnected(Handle, IsClient); });
+  Side.set_open_handler([this](handle Handle) { onOpen(Handle); });
+  Side.set_fail_handler([this](handle Handle) { onFail(Handle); });
+  Side.set_close_handler([this](handle Handle) { onClose(Handle); });
+  Side.set_message_handler([this](handle Handle, websocket_message Message) {
+    onMessage(Handle, Message);
+  });
+  Side.set_ping_handler([this](handle Handle, std::string) {
+    onReceived(Handle);
+    return true;
+  });
+  Side.set_pong_handler(
+      [this](handle Handle, std::string) { onReceived(Handle); });
+  Side.set_http_handler([this](handle Handle) { onHttp(Handle); });
+}
+
+void link_hub::implementation::run() {
+  for (;;) {
+    try {
+      Context.run();
+      return;
+    } catch (const std::exception &Exception) {
+      reportError("", std::string("a handler failed: ") + Exception.what());
+    }
+  }
+}
+
+void link_hub::implementation::beginStop() {
+  Stopping = true;
+  websocketpp::lib::error_code Ignored;
+  Server.stop_listening(Ignored);
+  TickTimer.cancel();
+  std::vector<websocket_pointer> Open;
+  for (const auto &[Handle, State] : Connections)
+    if (auto Connection = lock(Handle))
+      Open.push_back(std::move(Connection));
+  Outboxes.forEach([](outbox &Box) { Box.flush(); });
+  for (auto &[Name, Peer] : Peers) {
+    Peer.DialTimer.cancel();
+    Peer.Attempt.reset();
+    if (std::exchange(Peer.Link, nullptr)) {
+      Outboxes.erase(Name);
+      notify(Name, false);
+    }
+  }
+  for (const auto &Connection : Open) {
+    if (auto *State = find(Connection))
+      State->Ended = true;
+    closeSocket(Connection, "the process stops",
+                websocketpp::close::status::going_away);
+  }
+  if (Connections.empty()) {
+    Context.stop();
+    return;
+  }
+  StopTimer.expires_after(StopLimit);
+  StopTimer.async_wait([this](asio_error) { Context.stop(); });
+}
+
+void link_hub::implementation::onConnected(const handle &Handle,
+                                           bool IsClient) {
+  auto Connection = lock(Handle);
+  if (!Connection)
+    return;
+  asio_error Ignored;
+  Connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                          Ignored);
+  if (IsClient) {
+    // An attempt that was given up may still connect.
+    if (auto *State = find(Handle); !State || State->Ended)
+      Connection->get_raw_socket().close(Ignored);
+    return;
+  }
+  auto &State = Connections[Handle];
+  State.Address = Connection->get_remote_endpoint();
+  State.Started = clock_type::now();
+  auto Unnamed = std::count_if(
+      Connections.begin(), Connections.end(), [](const auto &Entry) {
+        return !Entry.second.Dialled && !Entry.second.Up;
+      });
+  if (static_cast<std::size_t>(Unnamed) > MaxUnnamed)
+    cut(Connection, State, "too many connections without a hello");
+}
+
+void link_hub::implementation::onOpen(const handle &Handle) {
+  auto Connection = lock(Handle);
+  auto *State = find(Handle);
+  if (!Connection || !State || State->Ended)
+    return;
+  State->LastReceived = State->LastPing = clock_type::now();
+  if (State->Dialled)
+    sendHello(Connection, *State);
+}
+
+void link_hub::implementation::onFail(const handle &Handle) {
+  auto Connection = lock(Handle);
+  if (auto *State = find(Handle); Connection && State)
+    end(Connection, *State, Connection->get_ec().message());
+  forget(Handle);
+}
+
+void link_hub::implementation::onClose(const handle &Handle) {
+  auto Connection = lock(Handle);
+  if (auto *State = find(Handle); Connection && State)
+    end(Connection, *State, closeReason(*Connection));
+  forget(Handle);
+}
+
+void link_hub::implementation::forget(const handle &Handle) {
+  Connections.erase(Handle);
+  if (Stopping && Connections.empty())
+    Context.stop();
+}
+
+void link_hub::implementation::onHttp(const handle &Handle) {
+  auto Connection = lock(Handle);
+  if (auto *State = find(Handle); Connection && State)
+    end(Connection, *State, "the request is not for a websocket");
+  if (Connection)
+    Connection->set_status(websocketpp::http::status_code::upgrade_required);
+}
+
+void link_hub::implementation::onReceived(const handle &Handle) {
+  if (auto *State = find(Handle))
+    State->LastReceived = clock_type::now();
+}
+
+void link_hub::implementation::onMessage(const handle &Handle,
+                                         const websocket_message &Message) {
+  auto Connection = lock(Handle);
+  auto *State = find(Handle);
+  if (!Connection || !State || State->Ended || Stopping)
+    return;
+  State->LastReceived = clock_type::now();
+  if (Message->get_opcode() != websocketpp::frame::opcode::binary) {
+    close(Connection, *State, "a frame is not binary",
+          websocketpp::close::status::unsupported_data);
+    return;
+  }
+  if (!State->Up) {
+    acceptHello(Connection, *State, Message->get_payload());
+    return;
+  }
+  if (Handlers.OnMessage) {
+    // The handler may end this connection.
+    auto Peer = State->Peer;
+    Handlers.OnMessage(Peer, std::move(Message->get_raw_payload()));
+  }
+}
+
+websocket_pointer link_hub::implementation::lock(const handle &Handle) {
+  return std::static_pointer_cast<websocket_connection>(Handle.lock());
+}
+
+link_hub::implementation::connection_state *
+link_hub::implementation::find(const handle &Handle) {
+  auto Found = Connections.find(Handle);
+  return Found == Connections.end() ? nullptr : &Found->second;
+}
+
+void link_hub::implementation::flush(outbox &Box) {
+  if (Box.flush())
+    return;
+  if (std::exchange(DrainScheduled, true))
+    return;
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+  Timer->expires_after(DrainPeriod);
+  Timer->async_wait([this, Timer](asio_error) {
+    DrainScheduled = false;
+    Outboxes.forEach([this](outbox &Waiting) { flush(Waiting); });
+  });
+}
+
+void link_hub::implementation::scheduleTick() {
+  TickTimer.expires_after(TickPeriod);
+  TickTimer.async_wait([this](asio_error Error) {
+    if (Error || Stopping)
+      return;
+    tick(clock_type::now());
+    scheduleTick();
+  });
+}
+
+void link_hub::implementation::tick(clock_type::time_point Now) {
+  bool Stalled = Now - std::exchange(LastTick, Now) > StallLimit;
+  // Ending a connection changes the table.
+  std::vector<handle> Handles;
+  for (auto Entry = Connections.begin(); Entry != Connections.end();) {
+    if (Entry->first.expired()) {
+      Entry = Connections.erase(Entry);
+      continue;
+    }
+    if (Stalled)
+      Entry->second.LastReceived = Entry->second.Started = Now;
+    Handles.push_back(Entry->first);
+    ++Entry;
+  }
+  for (const auto &Handle : Handles)
+    if (auto *State = find(Handle); State && !State->Ended)
+      if (auto Connection = lock(Handle))
+        supervise(Connection, *State, Now);
+}
+
+void link_hub::implementation::supervise(const websocket_pointer &Connection,
+                                         connection_state &State,
+                                         clock_type::time_point Now) {
+  if (!State.Up) {
+    if (Now - State.Started > HelloLimit)
+      cut(Connection, State, "no hello in time");
+    return;
+  }
+  if (Now - State.LastReceived > SilenceLimit) {
+    cut(Connection, State, "the peer is silent");
+    return;
+  }
+  if (Now - State.LastPing < PingPeriod)
+    return;
+  State.LastPing = Now;
+  websocketpp::lib::error_code Ignored;
+  Connection->ping("", Ignored);
+}
+
+void link_hub::implementation::notify(const std::string &Peer, bool IsUp) {
+  if (Handlers.OnPeerChange)
+    Handlers.OnPeerChange(Peer, IsUp);
+}
+
+void link_hub::implementation::reportError(const std::string &Peer,
+                                           const std::string &Reason) {
+  if (Handlers.OnError)
+    Handlers.OnError(Peer, Reason);
+}
+
+} // namespace lycheetrestle::transport
--- /dev/null
+++ b/transport/hub_core.h
@@ -0,0 +1,150 @@
+#ifndef LYCHEETRESTLE_TRANSPORT_HUB_CORE_H
+#define LYCHEETRESTLE_TRANSPORT_HUB_CORE_H
+
+#include "transport/link_hub.h"
+#include "transport/link_table.h"
+#include "transport/websocket_types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace lycheetrestle::transport {
+
+/// State of a link_hub. All members but the outboxes belong to the hub's thread
+/// once it runs. hub_core.cpp holds life cycle and events, hub_links.cpp the
+/// choice between connections and the dialling.
+class link_hub::implementation {
+public:
+  implementation(link_settings Settings, link_handlers Handlers);
+  ~implementation();
+
+  std::string start();
+  void stop();
+  bool send(const std::string &Peer, std::string Bytes);
+  void addPeer(link_peer Peer);
+  void removePeer(const std::string &Name);
+
+private:
+  using clock_type = std::chrono::steady_clock;
+  using handle = websocketpp::connection_hdl;
+
+  /// Between two dial attempts. A pause is drawn from half of the backoff to
+  /// all of it, so 50 ms is the shortest.
+  static constexpr std::chrono::milliseconds FirstBackoff{100};
+  static constexpr std::chrono::milliseconds LastBackoff{1000};
+
+  /// Close code for the second of two connections that both sides dialled.
+  static constexpr websocketpp::close::status::value DuplicateDial = 4000;
+
+  struct connection_state {
+    bool Dialled = false;
+    std::string Address;
+    std::string Peer; ///< Expected name when dialled, else known after hello.
+    std::uint64_t Stamp = 0; ///< Of the peer's hello.
+    bool HelloSent = false;
+    bool Up = false;
+    bool Ended = false; ///< The reason is reported; only the close is left.
+    clock_type::time_point Started;
+    clock_type::time_point LastReceived;
+    clock_type::time_point LastPing;
+  };
+
+  struct peer_state {
+    explicit peer_state(boost::asio::io_context &Context)
+        : DialTimer(Context) {}
+    std::optional<link_peer> Target; ///< Set for peers that are dialled.
+    websocket_pointer Attempt;       ///< Dialled and not up yet.
+    websocket_pointer Link;          ///< The one that is up.
+    boost::asio::steady_timer DialTimer;
+    std::chrono::milliseconds Backoff = FirstBackoff;
+    std::string LastError; ///< Repeated dial errors are reported once.
+  };
+
+  // Life cycle.
+  std::string listen();
+  template <typename Endpoint> void prepare(Endpoint &Side, bool IsClient);
+  void run();
+  void beginStop();
+
+  // Events of a connection.
+  void onConnected(const handle &Handle, bool IsClient);
+  void onOpen(const handle &Handle);
+  void onFail(const handle &Handle);
+  void onClose(const handle &Handle);
+  void onHttp(const handle &Handle);
+  void onReceived(const handle &Handle);
+  void onMessage(const handle &Handle, const websocket_message &Message);
+  void forget(const handle &Handle);
+  static websocket_pointer lock(const handle &Handle);
+  connection_state *find(const handle &Handle);
+
+  // Hello and the choice between connections.
+  void sendHello(const websocket_pointer &Connection, connection_state &State);
+  void acceptHello(const websocket_pointer &Connection, connection_state &State,
+                   const std::string &Bytes);
+  void bringUp(const websocket_pointer &Connection, connection_state &State,
+               peer_state &Peer);
+  void giveUpAttempt(peer_state &Peer);
+
+  // End of a connection.
+  /// Ends a connection with a closing handshake that tells the peer why.
+  void close(const websocket_pointer &Connection, connection_state &State,
+             const std::string &Reason,
+             websocketpp::close::status::value Code =
+                 websocketpp::close::status::policy_violation);
+  /// Ends a connection whose peer does not answer.
+  void cut(const websocket_pointer &Connection, connection_state &State,
+           const std::string &Reason);
+  /// Reports the end of a connection and dials again when that is needed.
+  void end(const websocket_pointer &Connection, connection_state &State,
+           const std::string &Reason);
+  static void closeSocket(const websocket_pointer &Connection,
+                          const std::string &Reason,
+                          websocketpp::close::status::value Code);
+  static void terminate(const websocket_pointer &Connection);
+
+  // Dialling.
+  peer_state &peer(const std::string &Name);
+  void configurePeer(const link_peer &Target);
+  void forgetPeer(const std::string &Name);
+  void scheduleDial(const std::string &Name);
+  void dial(const std::string &Name);
+
+  // Sending and supervision.
+  void flush(outbox &Box);
+  void scheduleTick();
+  void tick(clock_type::time_point Now);
+  void supervise(const websocket_pointer &Connection, connection_state &State,
+                 clock_type::time_point Now);
+
+  void notify(const std::string &Peer, bool IsUp);
+  void reportError(const std::string &Peer, const std::string &Reason);
+
+  link_settings Settings;
+  link_handlers Handlers;
+  /// Outlives the connections, whose sockets belong to it.
+  boost::asio::io_context Context{1};
+  websocket_server Server;
+  websocket_client Client;
+  boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer StopTimer;
+  std::map<handle, connection_state, std::owner_less<handle>> Connections;
+  std::map<std::string, peer_state> Peers;
+  link_table Outboxes; ///< Used by the senders' threads too; locked inside.
+  clock_type::time_point LastTick;
+  std::uint64_t LastStamp = 0;
+  std::mt19937 Random;
+  bool DrainScheduled = false;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace lycheetrestle::transport
+
+#endif
--- /dev/null
+++ b/transport/hub_links.cpp
@@ -0,0 +1,234 @@
+#include "transport/hub_core.h"
+
+#include "transport/hello.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::transport {
+
+namespace {
+using std::chrono::milliseconds;
+} // namespace
+
+void link_hub::implementation::sendHello(const websocket_pointer &Connection,
+                                         connection_state &State) {
+  LastStamp = std::max<std::uint64_t>(
+      LastStamp + 1, std::chrono::duration_cast<std::chrono::microseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count());
+  State.HelloSent = true;
+  Connection->send(encodeHello({Settings.SelfName, LastStamp}),
+                   websocketpp::frame::opcode::binary);
+}
+
+// A connection is used once both hellos are exchanged; the dialling side sends
+// first. When both sides dial at once, the side with the smaller name refuses
+// the other's connection if its own hello is already sent, and gives up its own
+// dial otherwise; the other side accepts. Both decisions are made where the
+// hellos are sent, so the sides cannot choose differently. Against an
+// established link, the newer stamp wins.
+void link_hub::implementation::acceptHello(const websocket_pointer &Connection,
+                                           connection_state &State,
+                                           const std::string &Bytes) {
+  auto Hello = decodeHello(Bytes);
+  if (!Hello) {
+    close(Connection, State, "the first message is not a valid hello");
+    return;
+  }
+  if (Hello->Name == Settings.SelfName) {
+    close(Connection, State, "the peer has this process's own name");
+    return;
+  }
+  if (State.Dialled && Hello->Name != State.Peer) {
+    close(Connection, State, "the peer names itself " + Hello->Name);
+    return;
+  }
+  State.Peer = Hello->Name;
+  State.Stamp = Hello->Stamp;
+  auto &Peer = peer(State.Peer);
+  if (Peer.Link) {
+    auto *Existing = find(Peer.Link);
+    if (Existing && Existing->Stamp >= State.Stamp) {
+      close(Connection, State, "a newer link exists");
+      return;
+    }
+    if (Existing)
+      close(websocket_pointer(Peer.Link), *Existing,
+            "a newer connection replaces the link");
+  }
+  if (Peer.Attempt && Peer.Attempt != Connection) {
+    auto *Own = find(Peer.Attempt);
+    if (Own && Own->HelloSent && Settings.SelfName < State.Peer) {
+      State.Ended = true;
+      closeSocket(Connection, "both sides dial", DuplicateDial);
+      return;
+    }
+    giveUpAttempt(Peer);
+  }
+  bringUp(Connection, State, Peer);
+}
+
+void link_hub::implementation::bringUp(const websocket_pointer &Connection,
+                                       connection_state &State,
+                                       peer_state &Peer) {
+  if (!State.Dialled)
+    sendHello(Connection, State);
+  Connection->set_max_message_size(Settings.MaxMessageBytes);
+  State.Up = true;
+  State.LastReceived = State.LastPing = clock_type::now();
+  Peer.Attempt.reset();
+  Peer.Link = Connection;
+  Peer.DialTimer.cancel();
+  Peer.Backoff = FirstBackoff;
+  Peer.LastError.clear();
+  Outboxes.insert(State.Peer, std::make_shared<outbox>(Connection));
+  notify(State.Peer, true);
+}
+
+void link_hub::implementation::giveUpAttempt(peer_state &Peer) {
+  auto Attempt = std::exchange(Peer.Attempt, nullptr);
+  if (auto *Own = find(Attempt))
+    Own->Ended = true;
+  terminate(Attempt);
+  // This cancels a connect that is under way.
+  boost::system::error_code Ignored;
+  Attempt->get_raw_socket().close(Ignored);
+}
+
+void link_hub::implementation::close(const websocket_pointer &Connection,
+                                     connection_state &State,
+                                     const std::string &Reason,
+                                     websocketpp::close::status::value Code) {
+  // The socket may be closed at once, and that removes the state.
+  end(Connection, State, Reason);
+  closeSocket(Connection, Reason, Code);
+}
+
+void link_hub::implementation::cut(const websocket_pointer &Connection,
+                                   connection_state &State,
+                                   const std::string &Reason) {
+  end(Connection, State, Reason);
+  terminate(Connection);
+}
+
+void link_hub::implementation::end(const websocket_pointer &Connection,
+                                   connection_state &State,
+                                   const std::string &Reason) {
+  if (std::exchange(State.Ended, true))
+    return;
+  // The other connection of a pair that both sides dialled is in use.
+  bool IsDuplicate =
+      State.Dialled && Connection->get_remote_close_code() == DuplicateDial;
+  bool WasUp = std::exchange(State.Up, false);
+  if (State.Peer.empty()) {
+    reportError("", State.Address + ": " + Reason);
+    return;
+  }
+  auto Name = State.Peer;
+  auto &Peer = peer(Name);
+  if (Peer.Attempt == Connection)
+    Peer.Attempt.reset();
+  if (Peer.Link == Connection)
+    Peer.Link.reset();
+  if (WasUp) {
+    Outboxes.erase(Name);
+    notify(Name, false);
+  }
+  if (!IsDuplicate &&
+      (WasUp || std::exchange(Peer.LastError, Reason) != Reason))
+    reportError(Name, Reason);
+  scheduleDial(Name);
+}
+
+void link_hub::implementation::closeSocket(
+    const websocket_pointer &Connection, const std::string &Reason,
+    websocketpp::close::status::value Code) {
+  websocketpp::lib::error_code Error;
+  // A control frame holds at most 125 bytes, two of them the code.
+  Connection->close(Code, Reason.substr(0, 123), Error);
+  if (Error)
+    terminate(Connection);
+}
+
+void link_hub::implementation::terminate(const websocket_pointer &Connection) {
+  Connection->terminate(websocketpp::error::make_error_code(
+      websocketpp::error::operation_canceled));
+}
+
+link_hub::implementation::peer_state &
+link_hub::implementation::peer(const std::string &Name) {
+  return Peers.try_emplace(Name, Context).first->second;
+}
+
+void link_hub::implementation::configurePeer(const link_peer &Target) {
+  if (Stopping || Target.Name == Settings.SelfName)
+    return;
+  auto &Peer = peer(Target.Name);
+  bool Moved = Peer.Target && (Peer.Target->Address != Target.Address ||
+                               Peer.Target->Port != Target.Port);
+  Peer.Target = Target;
+  if (Moved && Peer.Attempt)
+    giveUpAttempt(Peer);
+  if (Moved && Peer.Link)
+    if (auto *State = find(Peer.Link); State && State->Dialled)
+      close(websocket_pointer(Peer.Link), *State,
+            "the address of the peer changed");
+  Peer.Backoff = FirstBackoff;
+  dial(Target.Name);
+}
+
+void link_hub::implementation::forgetPeer(const std::string &Name) {
+  auto Found = Peers.find(Name);
+  if (Found == Peers.end())
+    return;
+  auto &Peer = Found->second;
+  Peer.Target.reset();
+  Peer.DialTimer.cancel();
+  if (Peer.Attempt)
+    giveUpAttempt(Peer);
+  if (Peer.Link)
+    if (auto *State = find(Peer.Link))
+      close(websocket_pointer(Peer.Link), *State, "the peer was removed",
+            websocketpp::close::status::going_away);
+}
+
+void link_hub::implementation::scheduleDial(const std::string &Name) {
+  auto &Peer = peer(Name);
+  if (Stopping || !Peer.Target || Peer.Link || Peer.Attempt)
+    return;
+  std::uniform_int_distribution<long> Jitter(Peer.Backoff.count() / 2,
+                                             Peer.Backoff.count());
+  Peer.DialTimer.expires_after(milliseconds(Jitter(Random)));
+  Peer.Backoff = std::min(2 * Peer.Backoff, LastBackoff);
+  Peer.DialTimer.async_wait([this, Name](boost::system::error_code Error) {
+    if (!Error)
+      dial(Name);
+  });
+}
+
+void link_hub::implementation::dial(const std::string &Name) {
+  auto &Peer = peer(Name);
+  if (Stopping || !Peer.Target || Peer.Link || Peer.Attempt)
+    return;
+  bool IsVersion6 = Peer.Target->Address.find(':') != std::string::npos;
+  auto Host =
+      IsVersion6 ? "[" + Peer.Target->Address + "]" : Peer.Target->Address;
+  websocketpp::lib::error_code Error;
+  auto Connection = Client.get_connection(
+      "ws://" + Host + ":" + std::to_string(Peer.Target->Port) + "/", Error);
+  if (Error) {
+    reportError(Name, "dialling " + Host + ": " + Error.message());
+    scheduleDial(Name);
+    return;
+  }
+  auto &State = Connections[Connection];
+  State.Dialled = true;
+  State.Peer = Name;
+  State.Address = Host;
+  State.Started = clock_type::now();
+  Peer.Attempt = Connection;
+  Client.connect(Connection);
+}
+
+} // namespace lycheetrestle::transport
--- a/transport/websocket_types.h
+++ b/transport/websocket_types.h
@@ -29,6 +29,8 @@
   static const long timeout_open_handshake = 2000;
   static const long timeout_close_handshake = 1000;
   static const size_t max_http_body_size = 0;
+  // A closing handshake would keep the link up for another second.
+  static const bool drop_on_protocol_error = true;
 };
 // NOLINTEND(readability-identifier-naming)
 
