--- a/tests/fleet/test_jobs.cpp
+++ b/tests/fleet/test_jobs.cpp
@@ -10,9 +10,9 @@
   job_fixture() { REQUIRE(declare(smallDeclaration(1)) == "accepted"); }
 
   std::uint64_t submit(resources Size = {8, 1024, 0},
-                       std::string Team = "planning") {
-    REQUIRE(code(submit_job{std::move(Team), "gate", work_class::Normal, Size,
-                            60}) == "accepted");
+                       const std::string &Team = "planning") {
+    REQUIRE(code(submit_job{Team, "gate", work_class::Normal, Size, 60}) ==
+            "accepted");
     return State.jobs().rbegin()->first;
   }
   std::string start(std::uint64_t Job, const std::string &Host = "w1") {
