--- a/fleet/cbor_sequence.cpp
+++ b/fleet/cbor_sequence.cpp
@@ -1,6 +1,8 @@
 #include "fleet/cbor_sequence.h"
 
 #include <iterator>
+#include <utility>
+#include <vector>
 
 namespace lycheetrestle::fleet {
 
@@ -8,41 +10,55 @@
 
 using nlohmann::json;
 
-constexpr int MaxDepth = 16;
+constexpr std::size_t MaxDepth = 16;
 // A declaration of 20,000 hosts has about 160,000 values.
 constexpr std::size_t MaxValues = 1'000'000;
 
-/// Accepts a document within the bounds and builds nothing.
-class bounds_checker final : public nlohmann::json_sax<json> {
+/// Builds a document while its bounds are kept. The formats read here consist
+/// of arrays and plain values, so maps are refused.
+class bounded_builder final : public nlohmann::json_sax<json> {
 public:
-  bool null() override { return count(); }
-  bool boolean(bool) override { return count(); }
-  bool number_integer(number_integer_t) override { return count(); }
-  bool number_unsigned(number_unsigned_t) override { return count(); }
-  bool number_float(number_float_t, const string_t &) override {
-    return count();
+  bool null() override { return add(nullptr); }
+  bool boolean(bool Value) override { return add(Value); }
+  bool number_integer(number_integer_t Value) override { return add(Value); }
+  bool number_unsigned(number_unsigned_t Value) override { return add(Value); }
+  bool number_float(number_float_t, const string_t &) override { return false; }
+  bool string(string_t &Value) override { return add(std::move(Value)); }
+  bool binary(binary_t &Value) override { return add(std::move(Value)); }
+  bool start_object(std::size_t) override { return false; }
+  bool key(string_t &) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(std::size_t) override {
+    if (Open.size() >= MaxDepth || !add(json::array()))
+      return false;
+    // No other value is added to the parent while its array is open, so the
+    // address stays valid.
+    Open.push_back(Open.empty() ? &Root : &Open.back()->back());
+    return true;
+  }
+  bool end_array() override {
+    Open.pop_back();
+    return true;
   }
-  bool string(string_t &) override { return count(); }
-  bool binary(binary_t &) override { return count(); }
-  bool start_object(std::size_t) override { return enter(); }
-  bool key(string_t &) override { return count(); }
-  bool end_object() override { return leave(); }
-  bool start_array(std::size_t) override { return enter(); }
-  bool end_array() override { return leave(); }
   bool parse_error(std::size_t, const std::string &,
                    const nlohmann::detail::exception &) override {
     return false;
   }
+  json take() { return std::move(Root); }
 
 private:
-  bool count() { return ++Values <= MaxValues; }
-  bool enter() { return ++Depth <= MaxDepth && count(); }
-  bool leave() {
-    --Depth;
+  bool add(json Value) {
+    if (++Values > MaxValues)
+      return false;
+    if (Open.empty())
+      Root = std::move(Value);
+    else
+      Open.back()->push_back(std::move(Value));
     return true;
   }
 
-  int Depth = 0;
+  json Root;
+  std::vector<json *> Open;
   std::size_t Values = 0;
 };
 
@@ -83,13 +99,12 @@
   try {
     const char *Position = Rest.data();
     const char *End = Rest.data() + Rest.size();
-    bounds_checker Checker;
+    bounded_builder Builder;
     if (!json::sax_parse(shared_position(&Position), shared_position(&End),
-                         &Checker, json::input_format_t::cbor, false))
+                         &Builder, json::input_format_t::cbor, false))
       return std::nullopt;
-    auto Item = json::from_cbor(Rest.data(), Position, true);
     Rest.remove_prefix(static_cast<std::size_t>(Position - Rest.data()));
-    return Item;
+    return Builder.take();
   } catch (const std::exception &) {
     return std::nullopt;
   }
--- a/fleet/cbor_sequence.h
+++ b/fleet/cbor_sequence.h
@@ -11,8 +11,8 @@
 namespace lycheetrestle::fleet {
 
 /// Reads one CBOR item after the other from untrusted bytes. Depth and number
-/// of values are checked before an item is built, because the parser recurses
-/// and would overflow the stack on deeply nested input.
+/// of values are checked while an item is parsed, because the parser recurses
+/// and would overflow the stack on deeply nested input. Maps are refused.
 class cbor_sequence {
 public:
   /// \param Bytes the items; they must outlive the sequence.
--- a/fleet/declaration_check.cpp
+++ b/fleet/declaration_check.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <cctype>
-#include <map>
-#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace lycheetrestle::fleet {
 
@@ -18,7 +18,9 @@
 constexpr std::size_t MaxNameBytes = 64;
 
 using maybe_failure = std::optional<core::failure>;
-using name_set = std::set<std::string_view>;
+// Names are only looked up, so the order of a hash cannot matter.
+using name_set = std::unordered_set<std::string_view>;
+using host_counts = std::unordered_map<std::string_view, std::uint32_t>;
 
 std::string pathOf(std::string_view List, std::size_t Index,
                    std::string_view Field) {
@@ -51,6 +53,7 @@
 template <typename Type>
 maybe_failure collectNames(std::string_view List,
                            const std::vector<Type> &Items, name_set &Names) {
+  Names.reserve(Items.size());
   for (std::size_t Index = 0; Index < Items.size(); ++Index) {
     const auto &Name = Items[Index].Name;
     if (!isName(Name))
@@ -77,8 +80,8 @@
 }
 
 maybe_failure checkHosts(const declaration &Next, const name_set &Pools,
-                         std::map<std::string_view, std::uint32_t> &HomeHosts) {
-  std::map<std::string_view, std::string_view> ZoneOfRack;
+                         host_counts &HomeHosts) {
+  std::unordered_map<std::string_view, std::string_view> ZoneOfRack;
   for (std::size_t Index = 0; Index < Next.Hosts.size(); ++Index) {
     const auto &Host = Next.Hosts[Index];
     if (!Pools.count(Host.HomePool))
@@ -103,9 +106,8 @@
   return std::nullopt;
 }
 
-maybe_failure
-checkBudgets(const declaration &Next,
-             const std::map<std::string_view, std::uint32_t> &HomeHosts) {
+maybe_failure checkBudgets(const declaration &Next,
+                           const host_counts &HomeHosts) {
   bool HasSpare = false;
   for (std::size_t Index = 0; Index < Next.Pools.size(); ++Index) {
     const auto &Pool = Next.Pools[Index];
@@ -161,7 +163,7 @@
       return Failure;
   if (auto Failure = checkServices(Next, Pools))
     return Failure;
-  std::map<std::string_view, std::uint32_t> HomeHosts;
+  host_counts HomeHosts;
   if (auto Failure = checkHosts(Next, Pools, HomeHosts))
     return Failure;
   return checkBudgets(Next, HomeHosts);
--- a/fleet/declaration_rules.cpp
+++ b/fleet/declaration_rules.cpp
@@ -1,9 +1,9 @@
 #include "fleet/rules.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -52,7 +52,8 @@
 std::optional<core::failure>
 checkRemovals(const state_data &State, const declaration &Next,
               std::vector<std::string_view> &Removed) {
-  std::set<std::string_view> Hosts, Pools;
+  // Names are only looked up, so the order of a hash cannot matter.
+  std::unordered_set<std::string_view> Hosts(Next.Hosts.size()), Pools;
   for (const auto &Host : Next.Hosts)
     Hosts.insert(Host.Name);
   for (const auto &Pool : Next.Pools)
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -2,8 +2,8 @@
 
 #include "core/checksum.h"
 #include "core/invariant.h"
-#include "fleet/cbor_sequence.h"
 #include "fleet/fields.h"
+#include "fleet/flat_writer.h"
 #include "fleet/rules.h"
 #include "fleet/snapshot.h"
 
@@ -60,8 +60,10 @@
 
 /// Tells a resend from another command under the same submission.
 std::uint64_t digestOf(const command &Command) {
-  command Essence{"", Command.Actor, 0, Command.Body};
-  return core::stableHash(encode(Essence));
+  flat_writer Writer;
+  Writer(Command.Actor, static_cast<std::uint32_t>(Command.Body.index()));
+  std::visit([&](const auto &Body) { Writer(Body); }, Command.Body);
+  return core::stableHash(Writer.take());
 }
 
 std::optional<core::failure> checkOrigin(const command &Command) {
