Run several routers under random faults

Cause: the guarantees of an entry depend on several entries, control and endpoints failing together. Change: a virtual clock, a fake of control, endpoints, callers and links that lose, delay and cut; entries freeze and restart.

--- a/routing/key_client.cpp
+++ b/routing/key_client.cpp
@@ -89,9 +89,9 @@
   auto &Session = Where->second;
   if (Reply.RequestId == Session.Reserve.RequestId)
     return onReserveReply(Where, Reply, Now);
-  // An answer to an abandon or a completion. Every outcome but Refused means
-  // that this holder has nothing left to free or to store.
-  if (Reply.Outcome != key_outcome::Refused)
+  // An answer to an abandon or a completion. A final refusal means that the key
+  // has another holder, for example after an earlier sending of the abandon.
+  if (!isTemporary(Reply))
     erase(Where);
   return std::nullopt;
 }
--- /dev/null
+++ b/tests/routing/fault_world.cpp
@@ -0,0 +1,442 @@
+#include "fault_world.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace lycheetrestle::routing::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int EntryCount = 5;
+constexpr int ControlCount = 3;
+constexpr int EndpointCount = 8;
+constexpr core::duration TickInterval = 10ms;
+// A probe that was sent just before the isolation may still be answered.
+constexpr core::duration FreshnessBound = 3s;
+
+bool isControlName(const std::string &Name) { return Name[0] == 'c'; }
+
+} // namespace
+
+void virtual_clock::runUntil(core::time_point End) {
+  while (!Events.empty() && Events.begin()->first <= End) {
+    auto First = Events.extract(Events.begin());
+    Now = First.key();
+    First.mapped()();
+  }
+  Now = End;
+}
+
+fault_world::fault_world(std::uint64_t Seed) : Random(Seed) {
+  for (int Index = 1; Index <= EntryCount; ++Index) {
+    auto Name = "e" + std::to_string(Index);
+    Entries[Name].Name = Name;
+    Processes.push_back(Name);
+  }
+  for (int Index = 1; Index <= ControlCount; ++Index)
+    Processes.push_back("c" + std::to_string(Index));
+  Leader = "c1";
+  for (int Index = 0; Index < EndpointCount; ++Index) {
+    endpoint Endpoint;
+    Endpoint.Name = "ep" + std::to_string(Index);
+    Endpoint.Host = "w" + std::to_string(Index % 6);
+    Endpoint.Service = Index % 2 ? "plots" : "water";
+    Endpoint.Address = "10.0.0." + std::to_string(Index + 1) + ":80";
+    Endpoints.push_back(Endpoint);
+  }
+}
+
+bool fault_world::chance(double Probability) {
+  return std::uniform_real_distribution<>()(Random) < Probability;
+}
+
+core::duration fault_world::milliseconds(std::uint64_t Low,
+                                         std::uint64_t High) {
+  return std::chrono::microseconds(Low * 1000 + pick((High - Low) * 1000 + 1));
+}
+
+void fault_world::require(bool Holds, const std::string &What) const {
+  if (Holds)
+    return;
+  auto Time = std::chrono::duration<double>(Clock.now().time_since_epoch());
+  throw std::logic_error(What + " at " + std::to_string(Time.count()) + " s");
+}
+
+void fault_world::deliver(const std::string &Name,
+                          std::function<void(entry_router &)> Event) {
+  auto &Entry = Entries.at(Name);
+  if (!Entry.Router)
+    return;
+  if (Entry.IsFrozen) {
+    Entry.Backlog.push_back(std::move(Event));
+    return;
+  }
+  Event(*Entry.Router);
+  pump(Entry);
+}
+
+void fault_world::pump(entry &Entry) {
+  auto Output = Entry.Router->takeOutput();
+  for (const auto &Response : Output.Responses)
+    onResponse(Response);
+  for (const auto &Attempt : Output.Dispatch)
+    dispatch(Entry, Attempt);
+  for (const auto &Message : Output.Messages)
+    send(Entry.Name, Message.Peer, Message.Message);
+}
+
+void fault_world::startEntry(entry &Entry) {
+  router_settings Settings;
+  Settings.Self = Entry.Name;
+  Settings.Incarnation = Random();
+  for (const auto &Name : Processes)
+    (isControlName(Name) ? Settings.Controls : Settings.Entries)
+        .push_back(Name);
+  Entry.Incarnation = Settings.Incarnation;
+  Entry.Metrics = std::make_unique<core::metrics_registry>();
+  Entry.Router =
+      std::make_unique<entry_router>(Settings, *Entry.Metrics, Clock.now());
+  Entry.LastIndex = 0;
+  refreshLinks();
+}
+
+void fault_world::stopEntry(entry &Entry) {
+  Entry.Router.reset();
+  Entry.Backlog.clear();
+  Entry.IsFrozen = false;
+  Entry.IsolatedSince.reset();
+  refreshLinks();
+  // The callers see their connections close.
+  for (auto &[Id, Submission] : Submissions) {
+    if (Submission.Entry != Entry.Name || Submission.Responses > 0 ||
+        Submission.IsLost)
+      continue;
+    Submission.IsLost = true;
+    Clock.after(milliseconds(1, 500),
+                [this, Copy = Submission] { resend(Copy); });
+  }
+}
+
+void fault_world::tickEntries() {
+  for (auto &[Name, Entry] : Entries) {
+    if (!Entry.Router || Entry.IsFrozen)
+      continue;
+    deliver(Name, [this](entry_router &Router) { Router.tick(Clock.now()); });
+    checkEntry(Entry);
+  }
+  Clock.after(TickInterval, [this] { tickEntries(); });
+}
+
+void fault_world::checkEntry(entry &Entry) {
+  bool IsReady = Entry.Router->isReady(Clock.now());
+  require(!IsReady || !Entry.IsolatedSince ||
+              Clock.now() - *Entry.IsolatedSince <= FreshnessBound,
+          Entry.Name + " serves although it is cut off");
+  // The status is costly to write, so the version is checked each 50 ms.
+  if (Clock.now().time_since_epoch() % 50ms != 0us)
+    return;
+  auto Index = viewIndex(*Entry.Router);
+  require(Index >= Entry.LastIndex, Entry.Name + " reverted its version");
+  Entry.LastIndex = Index;
+}
+
+std::uint64_t fault_world::viewIndex(const entry_router &Router) const {
+  auto Status = nlohmann::json::parse(Router.statusJson(Clock.now()));
+  return Status["view_index"].get<std::uint64_t>();
+}
+
+fault_world::link &fault_world::linkOf(const std::string &Left,
+                                       const std::string &Right) {
+  return Links[std::minmax(Left, Right)];
+}
+
+bool fault_world::isAlive(const std::string &Name) const {
+  return isControlName(Name) || Entries.at(Name).Router;
+}
+
+void fault_world::refreshLinks() {
+  for (std::size_t Left = 0; Left < Processes.size(); ++Left) {
+    for (std::size_t Right = 0; Right < Left; ++Right) {
+      const auto &A = Processes[Left];
+      const auto &B = Processes[Right];
+      auto &Link = linkOf(A, B);
+      bool IsWanted = !Link.IsCut && isAlive(A) && isAlive(B);
+      if (Link.IsUp == IsWanted)
+        continue;
+      Link.IsUp = IsWanted;
+      ++Link.Epoch;
+      for (const auto &[Name, Peer] : {std::pair(A, B), std::pair(B, A)})
+        if (!isControlName(Name))
+          deliver(Name, [this, Peer = Peer, IsWanted](entry_router &Router) {
+            Router.onPeerChange(Peer, IsWanted, Clock.now());
+          });
+    }
+  }
+}
+
+void fault_world::send(const std::string &From, const std::string &To,
+                       const message &Message) {
+  auto &Link = linkOf(From, To);
+  if (!Link.IsUp || Link.IsCut || chance(Loss))
+    return;
+  auto Delay =
+      chance(0.01) && AreFaultsOn ? milliseconds(20, 600) : milliseconds(1, 3);
+  auto &Last = Link.LastArrival[From < To];
+  auto Arrival = std::max(Clock.now() + Delay, Last + 1us);
+  Last = Arrival;
+  Clock.after(Arrival - Clock.now(), [this, From, To, Epoch = Link.Epoch,
+                                      Bytes = encode(Message)] {
+    auto &Now = linkOf(From, To);
+    if (Now.Epoch != Epoch || !Now.IsUp || Now.IsCut)
+      return;
+    auto Outcome = core::capture([&] { return decodeMessage(Bytes); });
+    require(Outcome.index() == 0, "a message cannot be decoded");
+    auto Message = std::get<0>(Outcome);
+    if (isControlName(To))
+      return onControlMessage(To, From, Message);
+    deliver(To, [this, From, Message](entry_router &Router) {
+      Router.onMessage(From, Message, Clock.now());
+    });
+  });
+}
+
+void fault_world::cut(const std::string &Left, const std::string &Right,
+                      core::duration Length) {
+  linkOf(Left, Right).IsCut = true;
+  // Nobody notices at first.
+  Clock.after(milliseconds(0, 1500), [this] { refreshLinks(); });
+  Clock.after(Length, [this, Left, Right] {
+    linkOf(Left, Right).IsCut = false;
+    refreshLinks();
+    for (const auto &Name : {Left, Right})
+      if (!isControlName(Name))
+        Entries.at(Name).IsolatedSince.reset();
+  });
+}
+
+void fault_world::isolate(const std::string &Name, core::duration Length) {
+  auto &Entry = Entries.at(Name);
+  bool WasIsolated = Entry.IsolatedSince.has_value();
+  for (const auto &Other : Processes)
+    if (Other != Name)
+      cut(Name, Other, Length);
+  if (Entry.Router && !WasIsolated)
+    Entry.IsolatedSince = Clock.now();
+}
+
+void fault_world::onControlMessage(const std::string &To,
+                                   const std::string &From,
+                                   const message &Message) {
+  if (auto *Probe = std::get_if<probe>(&Message)) {
+    bool IsLeader = To == Leader;
+    Clock.after(IsLeader ? milliseconds(1, 120) : 0us,
+                [this, To, From, IsLeader, Probe = *Probe] {
+                  if (IsLeader && (To != Leader || !HasMajority))
+                    return;
+                  probe_reply Reply;
+                  Reply.Nonce = Probe.Nonce;
+                  Reply.Leader = Leader;
+                  Reply.Confirmed = IsLeader;
+                  if (IsLeader)
+                    Reply.Delta = Control.deltaSince(Probe.KnownViewIndex);
+                  send(To, From, Reply);
+                });
+  } else if (auto *Report = std::get_if<entry_report>(&Message)) {
+    if (To == Leader)
+      Control.onReport(From, *Report, EntryCount, Clock.now());
+  } else if (auto *Reserve = std::get_if<key_reserve>(&Message)) {
+    commit(To, From, *Reserve);
+  } else if (auto *Complete = std::get_if<key_complete>(&Message)) {
+    commit(To, From, *Complete);
+  } else if (auto *Abandon = std::get_if<key_abandon>(&Message)) {
+    commit(To, From, *Abandon);
+  }
+}
+
+template <typename Command>
+void fault_world::commit(const std::string &To, const std::string &From,
+                         const Command &Key) {
+  if (To != Leader) {
+    key_reply Reply;
+    Reply.RequestId = Key.RequestId;
+    Reply.Reason = "not-leader";
+    return send(To, From, Reply);
+  }
+  Clock.after(milliseconds(2, AreFaultsOn && chance(0.05) ? 400 : 8),
+              [this, To, From, Key, Term = Term] {
+                bool IsLeader = Term == this->Term && HasMajority;
+                // A command of a leader that lost its place may commit or not.
+                if (!IsLeader && chance(0.5))
+                  return;
+                auto Reply = Control.apply(Key);
+                if (IsLeader)
+                  send(To, From, Reply);
+              });
+}
+
+void fault_world::faultLoop(core::time_point Until) {
+  if (Clock.now() >= Until)
+    return;
+  auto Name = "e" + std::to_string(1 + pick(EntryCount));
+  auto &Entry = Entries.at(Name);
+  switch (pick(11)) {
+  case 0:
+  case 1: {
+    auto Other = Processes[pick(Processes.size())];
+    if (Other != Name)
+      cut(Name, Other, milliseconds(50, 5000));
+    break;
+  }
+  case 2:
+    isolate(Name, milliseconds(200, 8000));
+    break;
+  case 3:
+  case 4:
+    if (!Entry.Router || Entry.IsFrozen)
+      break;
+    Entry.IsFrozen = true;
+    Clock.after(milliseconds(100, 7000),
+                [this, Name, Incarnation = Entry.Incarnation] {
+                  auto &Thawed = Entries.at(Name);
+                  if (Thawed.Incarnation != Incarnation || !Thawed.Router)
+                    return;
+                  Thawed.IsFrozen = false;
+                  for (auto &Event : std::exchange(Thawed.Backlog, {}))
+                    deliver(Name, std::move(Event));
+                });
+    break;
+  case 5:
+    if (!Entry.Router)
+      break;
+    stopEntry(Entry);
+    Clock.after(milliseconds(10, 3000), [this, Name] {
+      if (!Entries.at(Name).Router)
+        startEntry(Entries.at(Name));
+    });
+    break;
+  case 6:
+    Leader = "c" + std::to_string(1 + pick(ControlCount));
+    ++Term;
+    break;
+  case 7:
+    // Most of the time control must work, or few keyed requests run.
+    if (chance(0.6))
+      break;
+    HasMajority = false;
+    Clock.after(milliseconds(500, 6000), [this] { HasMajority = true; });
+    break;
+  case 8:
+    if (HasMajority)
+      Control.changeView(Random());
+    break;
+  case 9:
+    replaceEndpoint(Endpoints[pick(Endpoints.size())]);
+    break;
+  default:
+    Loss = chance(0.5) ? 0.02 : 0;
+    break;
+  }
+  Clock.after(milliseconds(50, 500), [this, Until] { faultLoop(Until); });
+}
+
+void fault_world::heal() {
+  AreFaultsOn = false;
+  Loss = 0;
+  HasMajority = true;
+  Control.restoreView();
+  for (auto &[Pair, Link] : Links)
+    Link.IsCut = false;
+  for (auto &[Name, Entry] : Entries) {
+    Entry.IsolatedSince.reset();
+    if (!Entry.Router)
+      startEntry(Entry);
+  }
+  refreshLinks();
+}
+
+void fault_world::run() {
+  for (auto &[Name, Entry] : Entries)
+    startEntry(Entry);
+  for (std::size_t Index = 0; Index < Endpoints.size(); ++Index)
+    Clock.after(milliseconds(0, 1000), [this, Index] { announceLoop(Index); });
+  tickEntries();
+  auto Start = Clock.now();
+  Clock.after(2s, [this, Start] { callLoop(Start + 26s); });
+  Clock.after(4s, [this, Start] { faultLoop(Start + 24s); });
+  Clock.runUntil(Start + 33s); // The longest fault lasts 8 s.
+  heal();
+  Clock.runUntil(Start + 50s);
+  FirstMustRun = NextId + 1;
+  callLoop(Clock.now() + 2s);
+  Clock.runUntil(Start + 65s);
+  checkEnd();
+}
+
+void fault_world::checkEnd() {
+  std::map<std::string, std::vector<const execution *>> ByCorrelation, ByKey;
+  for (const auto &Execution : Executions) {
+    ByCorrelation[Execution.Correlation].push_back(&Execution);
+    if (!Execution.Key.empty())
+      ByKey[Execution.Key].push_back(&Execution);
+  }
+  for (const auto &[Key, Runs] : ByKey)
+    require(Runs.size() == 1, "key " + Key + " ran more than once");
+  for (const auto &[Id, Submission] : Submissions) {
+    const auto &Response = Submission.Response;
+    auto What = "request " + Submission.Correlation + " (" + Submission.Key +
+                ", " + std::to_string(Response.Status) + " " +
+                Response.Refusal + ") ";
+    const auto &Runs = ByCorrelation[Submission.Correlation];
+    require(Submission.Kind == call_kind::Get || Runs.size() <= 1,
+            What + "ran more than once");
+    require(Submission.Responses == 1 || Submission.IsLost,
+            What + "has no response");
+    if (Submission.Responses == 0)
+      continue;
+    if (Response.Verdict == core::verdict::NotRun)
+      require(Runs.empty(), What + "ran although it was refused as not run");
+    if (Response.Verdict != core::verdict::Ran)
+      continue;
+    const auto &Own =
+        Submission.Kind == call_kind::Keyed ? ByKey[Submission.Key] : Runs;
+    require(std::any_of(Own.begin(), Own.end(),
+                        [&](const execution *Execution) {
+                          return Execution->Body == Response.Body;
+                        }),
+            What + "got the response of another request");
+  }
+  for (const auto &[Name, Entry] : Entries) {
+    require(Entry.Router->isReady(Clock.now()), Name + " is not ready");
+    require(Entry.Router->isIdle(),
+            Name + " did not drain: " + Entry.Router->statusJson(Clock.now()));
+    auto Status = nlohmann::json::parse(Entry.Router->statusJson(Clock.now()));
+    for (const auto &[Service, Broker] : Status["brokers"].items())
+      require(Broker["waiting"] == 0 && Broker["busy_slots"] == 0,
+              Name + " still brokers " + Service);
+  }
+}
+
+std::string fault_world::summary() const {
+  std::map<std::string, int> Verdicts;
+  for (const auto &[Id, Submission] : Submissions)
+    ++Verdicts[Submission.Responses == 0
+                   ? "lost"
+                   : std::string(core::toString(Submission.Response.Verdict))];
+  std::map<std::string, int> Refusals;
+  for (const auto &[Id, Submission] : Submissions)
+    ++Refusals[Submission.Response.Refusal];
+  std::string Text = "executed=" + std::to_string(Executions.size()) +
+                     " refused_by_endpoint=" + std::to_string(Overflows);
+  for (const auto &[Verdict, Count] : Verdicts)
+    Text += " " + Verdict + "=" + std::to_string(Count);
+  for (const auto &[Reason, Count] : Refusals)
+    if (!Reason.empty())
+      Text += " " + Reason + "=" + std::to_string(Count);
+  return Text;
+}
+
+} // namespace lycheetrestle::routing::test
--- /dev/null
+++ b/tests/routing/fault_world.h
@@ -0,0 +1,157 @@
+#ifndef LYCHEETRESTLE_TESTS_ROUTING_FAULT_WORLD_H
+#define LYCHEETRESTLE_TESTS_ROUTING_FAULT_WORLD_H
+
+#include "fake_control.h"
+#include "routing/entry_router.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::routing::test {
+
+/// Events on a virtual clock, in the order of time, then of insertion.
+class virtual_clock {
+public:
+  core::time_point now() const { return Now; }
+  void after(core::duration Delay, std::function<void()> Event) {
+    Events.emplace(Now + Delay, std::move(Event));
+  }
+  void runUntil(core::time_point End);
+
+private:
+  core::time_point Now{std::chrono::seconds(1000)};
+  std::multimap<core::time_point, std::function<void()>> Events;
+};
+
+/// Several routers, a fake of control, fake endpoints and callers, joined by
+/// links that lose, delay and cut messages. It throws std::logic_error when
+/// something happens that must never happen.
+class fault_world {
+public:
+  explicit fault_world(std::uint64_t Seed);
+  /// Runs load with faults, then load without, and checks that all drains.
+  void run();
+
+  std::uint64_t executed() const { return Executions.size(); }
+  std::uint64_t refusedByEndpoints() const { return Overflows; }
+  std::string summary() const;
+
+private:
+  struct entry {
+    std::string Name;
+    std::uint64_t Incarnation = 0;
+    std::unique_ptr<core::metrics_registry> Metrics;
+    std::unique_ptr<entry_router> Router; ///< Null while it is stopped.
+    bool IsFrozen = false;
+    std::vector<std::function<void(entry_router &)>> Backlog;
+    std::uint64_t LastIndex = 0;
+    std::optional<core::time_point> IsolatedSince;
+  };
+  struct link {
+    bool IsCut = false;
+    bool IsUp = false;
+    std::uint64_t Epoch = 0;
+    core::time_point LastArrival[2];
+  };
+  enum class endpoint_state { Ready, Leaving, Gone };
+  struct endpoint {
+    std::string Name, Host, Service, Address;
+    endpoint_state State = endpoint_state::Ready;
+    std::uint64_t Incarnation = 1;
+    std::uint64_t Sequence = 0;
+    std::uint32_t Active = 0;
+    core::time_point LastReady; ///< Sending of the last ready announcement.
+    std::optional<core::time_point> LeftAt;
+  };
+  enum class call_kind { Keyed, Post, Get };
+  struct submission {
+    call_kind Kind = call_kind::Get;
+    std::string Correlation, Key, Entry, Service;
+    std::uint64_t Incarnation = 0;
+    int Try = 0;
+    int Responses = 0;
+    bool IsLost = false; ///< The caller or its entry is gone.
+    caller_response Response;
+  };
+  struct execution {
+    std::string Correlation, Key, Body;
+  };
+
+  // Time, chance and processes.
+  std::uint64_t pick(std::uint64_t Bound) { return Random() % Bound; }
+  bool chance(double Probability);
+  core::duration milliseconds(std::uint64_t Low, std::uint64_t High);
+  void require(bool Holds, const std::string &What) const;
+  void deliver(const std::string &Name,
+               std::function<void(entry_router &)> Event);
+  void pump(entry &Entry);
+  void startEntry(entry &Entry);
+  void stopEntry(entry &Entry);
+  void tickEntries();
+  void checkEntry(entry &Entry);
+  std::uint64_t viewIndex(const entry_router &Router) const;
+
+  // Links.
+  link &linkOf(const std::string &Left, const std::string &Right);
+  bool isAlive(const std::string &Name) const;
+  void refreshLinks();
+  void send(const std::string &From, const std::string &To,
+            const message &Message);
+  void cut(const std::string &Left, const std::string &Right,
+           core::duration Length);
+  void isolate(const std::string &Name, core::duration Length);
+
+  // Control.
+  void onControlMessage(const std::string &To, const std::string &From,
+                        const message &Message);
+  template <typename Command>
+  void commit(const std::string &To, const std::string &From,
+              const Command &Key);
+
+  // Endpoints.
+  void announceLoop(std::size_t Index);
+  void dispatch(const entry &Entry, const upstream_request &Attempt);
+  void execute(const std::string &Name, std::uint64_t Incarnation,
+               const upstream_request &Attempt, endpoint &Endpoint);
+  void result(const std::string &Name, std::uint64_t Incarnation,
+              upstream_result Result, core::duration Delay);
+  void replaceEndpoint(endpoint &Endpoint);
+
+  // Callers.
+  void callLoop(core::time_point Until);
+  void submit(submission Submission);
+  void onResponse(const caller_response &Response);
+  void resend(const submission &Failed);
+
+  // Faults and checks.
+  void faultLoop(core::time_point Until);
+  void heal();
+  void checkEnd();
+
+  std::mt19937_64 Random;
+  virtual_clock Clock;
+  fake_control Control;
+  std::string Leader;
+  std::uint64_t Term = 1;
+  bool HasMajority = true;
+  std::map<std::string, entry> Entries;
+  std::vector<std::string> Processes;
+  std::map<std::pair<std::string, std::string>, link> Links;
+  std::vector<endpoint> Endpoints;
+  std::map<std::uint64_t, submission> Submissions; ///< By caller id.
+  std::vector<execution> Executions;
+  std::uint64_t NextId = 0;
+  std::uint64_t Overflows = 0;
+  double Loss = 0;
+  bool AreFaultsOn = true;
+  std::uint64_t FirstMustRun = UINT64_MAX; ///< From this id all must run.
+};
+
+} // namespace lycheetrestle::routing::test
+
+#endif
