--- a/tests/ctl/fake_replica.py
+++ b/tests/ctl/fake_replica.py
@@ -76,3 +76,14 @@
 
     def stop(self):
         self.probe.close()
+
+
+class FrozenReplica:
+    """Accepts connections but never answers, like a stopped process."""
+
+    def __init__(self):
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.address = '127.0.0.1:%d' % self.listener.getsockname()[1]
+
+    def stop(self):
+        self.listener.close()
--- a/tests/ctl/sessions.py
+++ b/tests/ctl/sessions.py
@@ -72,8 +72,10 @@
                      ['declarations', '9']],
     },
     # A follower's answer leads to the leader, with the same submission id.
+    # The leader need not be listed.
     'leader': {
         'replicas': {'a': [LEADER_IS_B], 'b': [(200, {'result': 'accepted'})]},
+        'unlisted': ['b'],
         'commands': [['drain', 'w01', ID]],
     },
     # A replica that is down, or does not know the leader, is passed over.
@@ -86,6 +88,8 @@
         'replicas': {'a': [LEADER_IS_B], 'b': [(*NOT_LEADER, {'X-Leader': 'control-a {a}'})]},
         'commands': [['status', SHORT]],
         'repeats': True,
+        # At most 4 requests for each of the 2 replicas in each of 9 rounds.
+        'most_requests': 80,
     },
     # A lost answer is followed by a resend under the same id.
     'lost_answer': {
@@ -96,6 +100,34 @@
         'replicas': {'a': ['cut', (200, {'result': 'accepted'})]},
         'commands': [['drain', 'w01', ID]],
     },
+    # A frozen replica must not use up the time for the others.
+    'frozen': {
+        'replicas': {'a': 'frozen', 'b': [(200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID, '--timeout_ms=3000']],
+    },
+    # The first attempt was lost: a refusal settles the outcome only when it
+    # says that the change was not made.
+    'lost_then_refused': {
+        'replicas': {'a': ['lose', (409, refusal('conflict', 'must be larger than 7'))]},
+        'commands': [['submit', 'declaration.jsonc', ID]],
+    },
+    'lost_then_no_verdict': {
+        'replicas': {'a': ['lose', (409, {'error': 'conflict'})]},
+        'commands': [['submit', 'declaration.jsonc', ID, SHORT]],
+        'repeats': True,
+    },
+    'may_have_run': {
+        'replicas': {'a': [(503, refusal('unavailable', 'leadership was lost',
+                                         verdict='may-have-run'))]},
+        'commands': [['drain', 'w01', ID, SHORT]],
+        'repeats': True,
+    },
+    # A refusal that says "not now" is tried again, as it was not run.
+    'busy': {
+        'replicas': {'a': [(503, refusal('overloaded', 'the queue is full')),
+                           (200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
     # The change may have been made, so this must not be reported as not done.
     'unknown': {
         'replicas': {'a': ['lose and stop']},
--- a/tests/ctl/test_refusal.cpp
+++ b/tests/ctl/test_refusal.cpp
@@ -29,3 +29,9 @@
   CHECK_FALSE(readRefusal({503, "", "", "not-run"}).Final);
   CHECK_FALSE(readRefusal({409, "", "", "may-have-run"}).Final);
 }
+
+TEST_CASE("bad input is told from other refusals") {
+  CHECK(readRefusal({400, "", "", ""}).Code == exit_code::BadInput);
+  CHECK(readRefusal({413, "", "", ""}).Code == exit_code::BadInput);
+  CHECK(readRefusal({404, "", "", ""}).Code == exit_code::Refused);
+}
--- a/tests/ctl/test_sessions.py
+++ b/tests/ctl/test_sessions.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 
-from fake_replica import ClosedReplica, FakeReplica
+from fake_replica import ClosedReplica, FakeReplica, FrozenReplica
 from sessions import SESSIONS
 
 HERE = pathlib.Path(__file__).parent
@@ -22,8 +22,12 @@
 def start_replicas(session, journal):
     replicas = {}
     for name, script in session['replicas'].items():
-        replicas[name] = (ClosedReplica() if script == 'closed'
-                          else FakeReplica(name, script, journal))
+        if script == 'closed':
+            replicas[name] = ClosedReplica()
+        elif script == 'frozen':
+            replicas[name] = FrozenReplica()
+        else:
+            replicas[name] = FakeReplica(name, script, journal)
     addresses = {name: replica.address for name, replica in replicas.items()}
     for replica in replicas.values():
         if isinstance(replica, FakeReplica):
@@ -38,10 +42,10 @@
     return (step[0], step[1], headers)
 
 
-def run_command(tool, arguments, addresses, files):
+def run_command(tool, arguments, listed, files):
     environment = {'PATH': os.environ['PATH'], 'USER': 'tester'}
-    if addresses:
-        environment['LYCHEETRESTLE_CONTROL'] = ','.join(addresses.values())
+    if listed:
+        environment['LYCHEETRESTLE_CONTROL'] = ','.join(listed)
     result = subprocess.run(
         [tool] + arguments, env=environment, cwd=files, text=True,
         capture_output=True, timeout=COMMAND_LIMIT_S)
@@ -71,14 +75,18 @@
     journal = []
     replicas = start_replicas(session, journal)
     addresses = {name: replica.address for name, replica in replicas.items()}
+    listed = [address for name, address in addresses.items()
+              if name not in session.get('unlisted', [])]
     text = ''
     try:
         for command in session['commands']:
             first = len(journal)
-            text += run_command(tool, command, addresses, HERE / 'files')
+            text += run_command(tool, command, listed, HERE / 'files')
             requests = ['[request] %s\n' % show_request(request) for request in journal[first:]]
             # How often a repeating session asks depends on the machine.
             if session.get('repeats'):
+                if len(requests) > session.get('most_requests', 1000):
+                    text += 'too many requests\n'
                 requests = sorted(set(requests))
             text += ''.join(requests)
             text += '\n'
