--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -54,10 +54,10 @@
   return Text.data();
 }
 
-// Header values must not end a line.
+// The rule of the control replicas for the two headers.
 bool isHeaderSafe(const std::string &Text) {
-  for (unsigned char C : Text)
-    if (C < 0x20 || C == 0x7f)
+  for (char C : Text)
+    if (C <= ' ' || C > '~')
       return false;
   return Text.size() <= 128;
 }
@@ -122,8 +122,8 @@
     if (Value < MinTimeoutMs || Value > MaxTimeoutMs)
       return "--timeout_ms and --wait_timeout_ms must be 100 to 3600000";
   if (!isHeaderSafe(FLAGS_actor) || !isHeaderSafe(FLAGS_submission))
-    return "--actor and --submission must have at most 128 bytes and no "
-           "control characters";
+    return "--actor and --submission must have at most 128 printable ASCII "
+           "characters and no spaces";
   return {};
 }
 
--- a/ctl/declaration_commands.cpp
+++ b/ctl/declaration_commands.cpp
@@ -31,11 +31,11 @@
   if (auto *Failure = std::get_if<1>(&File))
     return Context.rejectInput(*Failure);
   const auto &Declaration = std::get<0>(File).Declaration;
-  Context.Out << "declaration " << Declaration.Number
-              << " is valid: " << Declaration.Pools.size() << " pools, "
-              << Declaration.Services.size() << " services, "
-              << Declaration.Hosts.size() << " hosts, "
-              << Declaration.Teams.size() << " teams\n";
+  Context.Out << "declaration " << Declaration.Number << " is valid (pools "
+              << Declaration.Pools.size() << ", services "
+              << Declaration.Services.size() << ", hosts "
+              << Declaration.Hosts.size() << ", teams "
+              << Declaration.Teams.size() << ")\n";
   return exit_code::Done;
 }
 
--- a/ctl/report.cpp
+++ b/ctl/report.cpp
@@ -27,9 +27,9 @@
     "host",      "object",  "actor",  "kind",  "action",  "pool",
     "from_pool", "to_pool", "zone",   "rack",  "state",   "role"};
 // Wall times in milliseconds; other members in milliseconds are durations.
-constexpr std::array<std::string_view, 7> WallTimeMembers = {
-    "time_ms",      "started_ms",  "finished_ms",   "changed_ms",
-    "submitted_ms", "accepted_ms", "lease_until_ms"};
+constexpr std::array<std::string_view, 8> WallTimeMembers = {
+    "time_ms",      "started_ms",  "finished_ms",    "changed_ms",
+    "submitted_ms", "accepted_ms", "lease_until_ms", "since"};
 
 bool isWallTime(std::string_view Name) {
   return std::find(WallTimeMembers.begin(), WallTimeMembers.end(), Name) !=
@@ -86,7 +86,7 @@
 
 std::string headerOf(std::string Column) {
   if (isWallTime(Column))
-    Column.resize(Column.size() - std::string_view("_ms").size());
+    Column = Column.substr(0, Column.rfind("_ms"));
   std::transform(Column.begin(), Column.end(), Column.begin(),
                  [](unsigned char C) { return C == '_' ? '-' : toupper(C); });
   return Column;
--- a/ctl/wait_command.cpp
+++ b/ctl/wait_command.cpp
@@ -18,31 +18,33 @@
 constexpr std::chrono::milliseconds PollPeriod{100};
 constexpr std::chrono::milliseconds ShortestCall{500};
 
-std::string countOf(const nlohmann::json &Object) {
-  auto Confirmed = Object.find("confirmed");
-  auto Total = Object.find("entries");
-  if (Confirmed == Object.end() || Total == Object.end() ||
-      !Confirmed->is_number_unsigned() || !Total->is_number_unsigned())
-    return {};
-  return Confirmed->dump() + " of " + Total->dump() + " entries";
+std::string progressLine(std::uint64_t Number, const force_progress &Progress) {
+  std::string Line = "declaration " + std::to_string(Number);
+  if (Progress.Accepted < Number)
+    return Line + " is not accepted yet; the newest is " +
+           std::to_string(Progress.Accepted);
+  Line += " is not in force yet";
+  if (!Progress.Waiting.empty())
+    Line += "; waiting for " + Progress.Waiting;
+  return Line;
 }
 
 } // namespace
 
 std::optional<force_progress> readProgress(std::string_view Body) {
   auto Status = nlohmann::json::parse(Body, nullptr, false);
-  if (!Status.is_object() || !Status.contains("declaration"))
+  try {
+    const auto &InForce = Status.at("in_force");
+    force_progress Progress;
+    Progress.Accepted = Status.at("declaration_number");
+    Progress.InForce = InForce.at("number");
+    for (const auto &Entry : InForce.at("waiting"))
+      Progress.Waiting += (Progress.Waiting.empty() ? "" : ", ") +
+                          printable(Entry.get<std::string>());
+    return Progress;
+  } catch (const nlohmann::json::exception &) {
     return std::nullopt;
-  const auto &Declaration = Status["declaration"];
-  if (!Declaration.is_object())
-    return std::nullopt;
-  auto Number = Declaration.find("number");
-  auto InForce = Declaration.find("in_force");
-  if (Number == Declaration.end() || !Number->is_number_unsigned() ||
-      InForce == Declaration.end() || !InForce->is_boolean())
-    return std::nullopt;
-  return force_progress{Number->get<std::uint64_t>(), InForce->get<bool>(),
-                        countOf(Declaration)};
+  }
 }
 
 exit_code waitUntilInForce(const command_context &Context,
@@ -63,17 +65,11 @@
                        "in force\n";
         return exit_code::Unavailable;
       }
-      if (Progress->Number >= Number && Progress->InForce) {
+      if (Progress->InForce >= Number) {
         Context.Err << "declaration " << Number << " is in force\n";
         return exit_code::Done;
       }
-      Line =
-          "declaration " + std::to_string(Number) +
-          (Progress->Number < Number
-               ? " is not accepted yet; the newest is " +
-                     std::to_string(Progress->Number)
-               : " is not in force yet" +
-                     (Progress->Detail.empty() ? "" : ": " + Progress->Detail));
+      Line = progressLine(Number, *Progress);
     } else {
       Line = "no status: " + printable(Outcome.Problem);
     }
--- a/ctl/wait_command.h
+++ b/ctl/wait_command.h
@@ -12,9 +12,9 @@
 
 /// The in-force part of a status reply.
 struct force_progress {
-  std::uint64_t Number = 0; ///< Newest accepted declaration.
-  bool InForce = false;     ///< Every entry confirmed it or refuses requests.
-  std::string Detail;       ///< For example `2 of 3 entries`, or empty.
+  std::uint64_t Accepted = 0; ///< Newest accepted declaration.
+  std::uint64_t InForce = 0;  ///< Newest declaration in force everywhere.
+  std::string Waiting;        ///< Entries without it, separated by commas.
 };
 
 /// \param Body reply of `GET /v1/status`.
--- a/scripts/make_examples.py
+++ b/scripts/make_examples.py
@@ -126,7 +126,7 @@
         'entries': link_list(entries_of(deployment)),
         'platform': {'url': 'http://%s:%d' % (ADDRESS, deployment['base_port'] + 501)},
         'log': {'file': '', 'level': 'info'},
-        'snapshot': {'every_entries': 10000},
+        'snapshot': {'every_entries': 5000},
     }
 
 
