--- a/tests/control/fake_cluster.cpp
+++ b/tests/control/fake_cluster.cpp
@@ -176,15 +176,15 @@
   Now += Step;
   sendReports();
   auto Arrived = std::exchange(OnWire, {});
-  for (const auto &[From, To, Bytes] : Arrived) {
-    if (Isolated.count(From) || Isolated.count(To))
+  for (const auto &Transfer : Arrived) {
+    if (Isolated.count(Transfer.From) || Isolated.count(Transfer.To))
       continue;
-    auto Node = Nodes.find(To);
+    auto Node = Nodes.find(Transfer.To);
     if (Node == Nodes.end())
-      Inboxes[To].push_back(std::get<0>(
-          core::capture([&] { return routing::decodeMessage(Bytes); })));
+      Inboxes[Transfer.To].push_back(std::get<0>(core::capture(
+          [&] { return routing::decodeMessage(Transfer.Bytes); })));
     else if (Node->second.Loop)
-      Node->second.Loop->receive(From, Bytes, Now);
+      Node->second.Loop->receive(Transfer.From, Transfer.Bytes, Now);
   }
   for (auto &[Name, Node] : Nodes)
     if (Node.Loop)
