--- a/routing/broker_set.cpp
+++ b/routing/broker_set.cpp
@@ -10,6 +10,9 @@
 
 // Bounds the brokers that peers can make this entry create.
 constexpr std::size_t MaxBrokers = 1000;
+// While entries disagree on the owner, a broker that is used now and then need
+// not be rebuilt for every request.
+constexpr core::duration LongestUnused = std::chrono::seconds(10);
 
 } // namespace
 
@@ -22,6 +25,7 @@
 slot_broker &broker_set::brokerOf(const std::string &Service,
                                   const std::set<std::string> &Reporters,
                                   core::time_point Now) {
+  LastUsed[Service] = Now;
   auto Found = Brokers.find(Service);
   if (Found != Brokers.end()) {
     if (Lost.erase(Service) > 0)
@@ -43,6 +47,7 @@
 void broker_set::becomeOwner(const std::string &Service,
                              std::set<std::string> Reporters,
                              core::time_point Now) {
+  Owned.insert(Service);
   auto &Broker = brokerOf(Service, Reporters, Now);
   Broker.rebuild(std::move(Reporters), Now);
 }
@@ -87,6 +92,7 @@
 }
 
 void broker_set::loseOwner(const std::string &Service) {
+  Owned.erase(Service);
   if (Brokers.count(Service) > 0)
     Lost.insert(Service);
 }
@@ -98,8 +104,18 @@
 }
 
 void broker_set::update(core::time_point Now) {
-  for (auto &[Service, Broker] : Brokers)
+  for (auto Where = Brokers.begin(); Where != Brokers.end();) {
+    auto &[Service, Broker] = *Where;
     Broker.update(Now);
+    if (!Broker.isIdle() || Owned.count(Service) > 0 ||
+        Now - LastUsed[Service] < LongestUnused) {
+      ++Where;
+      continue;
+    }
+    LastUsed.erase(Service);
+    Lost.erase(Service);
+    Where = Brokers.erase(Where);
+  }
 }
 
 std::vector<broker_reply> broker_set::takeReplies() {
--- a/routing/broker_set.h
+++ b/routing/broker_set.h
@@ -36,6 +36,7 @@
   /// Sends every waiting request back to its holder and accepts no more from
   /// other entries. This entry may still have to broker for itself.
   void close();
+  /// Updates every broker and removes those that are neither owned nor used.
   void update(core::time_point Now);
 
   std::vector<broker_reply> takeReplies();
@@ -53,6 +54,8 @@
   broker_settings Settings;
   const endpoint_source &Endpoints;
   std::map<std::string, slot_broker> Brokers;
+  std::map<std::string, core::time_point> LastUsed;
+  std::set<std::string> Owned;
   std::set<std::string> Lost; ///< Services that another entry owned since.
   std::uint64_t Created = 0;
   bool IsClosed = false;
--- a/routing/entry_router.cpp
+++ b/routing/entry_router.cpp
@@ -1,6 +1,7 @@
 #include "routing/entry_router.h"
 
 #include "core/checksum.h"
+#include "core/invariant.h"
 #include "routing/broker_set.h"
 #include "routing/peer_contacts.h"
 #include "routing/request_handler.h"
@@ -23,6 +24,7 @@
 // in socket buffers, so their leases count from before the gap.
 constexpr core::duration LongestGap = std::chrono::milliseconds(500);
 constexpr core::duration PauseShadow = std::chrono::milliseconds(500);
+constexpr int MaxRounds = 100000;
 // Weight of the newest second in the reported demand.
 constexpr double DemandWeight = 0.5;
 
@@ -200,9 +202,10 @@
 }
 
 void entry_router::implementation::settle(core::time_point Now) {
-  // Each round moves requests forward, so the loop ends; the bound turns a
-  // mistake into an invariant instead of a hang.
-  for (int Round = 0; Round < 100000; ++Round) {
+  for (int Round = 0;; ++Round) {
+    // Each round moves requests forward, so the loop ends.
+    core::checkInvariant(Round < MaxRounds,
+                         "messages inside an entry come to an end");
     std::deque<slot_message> Local;
     for (auto &Message : Handler.takeSlotMessages()) {
       if (Message.Peer == Settings.Self)
@@ -235,6 +238,15 @@
     return;
   LastLive = Live;
   LastViewIndex = View.index();
+  for (auto Known = Owners.begin(); Known != Owners.end();) {
+    if (View.findService(Known->first)) {
+      ++Known;
+      continue;
+    }
+    Brokers.loseOwner(Known->first);
+    Handler.setOwner(Known->first, "", Now);
+    Known = Owners.erase(Known);
+  }
   for (const auto &[Service, Spec] : View.services()) {
     auto Owner = serviceOwner(Service, Live);
     auto &Known = Owners[Service];
--- a/routing/peer_contacts.cpp
+++ b/routing/peer_contacts.cpp
@@ -13,6 +13,10 @@
 // An election takes 1 to 2 s. Keyed requests wait for a leader that was heard
 // this recently; afterwards they are refused at once.
 constexpr core::duration LeaderSilence = std::chrono::milliseconds(2000);
+// A leader that confirmed nothing for so long may have been replaced; then
+// every replica is probed. Followers can name a dead leader until an election
+// ends.
+constexpr core::duration ConfirmationSilence = std::chrono::milliseconds(750);
 // Every member of an announcement is bounded, so that 60 of them fit into the
 // 64 KB of a batch.
 constexpr std::size_t MaxAnnouncementsPerBatch = 60;
@@ -60,6 +64,7 @@
   if (Reply.Confirmed) {
     View.apply(Reply.Delta);
     Guard.confirmDirect(Peer, Reply.Nonce);
+    LastConfirmed = LastConfirmed ? std::max(*LastConfirmed, *Sent) : *Sent;
     if (!LeaderAnswered || *Sent >= *LeaderAnswered) {
       Leader = Peer;
       LeaderAnswered = *Sent;
@@ -144,9 +149,10 @@
     if (Contact.IsUp)
       Messages.push_back(
           {Name, peer_probe{Guard.startProbe(Name, Now), View.index()}});
-  auto Known = leader(Now);
+  bool IsLeaderKnown = !leader(Now).empty() && LastConfirmed &&
+                       Now - *LastConfirmed <= ConfirmationSilence;
   for (const auto &[Name, IsUp] : Controls)
-    if (IsUp && (Known.empty() || Known == Name))
+    if (IsUp && (!IsLeaderKnown || Leader == Name))
       Messages.push_back(
           {Name, probe{Guard.startProbe(Name, Now), View.index()}});
 }
--- a/routing/peer_contacts.h
+++ b/routing/peer_contacts.h
@@ -75,6 +75,7 @@
   std::map<std::string, bool, std::less<>> Controls;   ///< Whether up.
   std::string Leader;
   std::optional<core::time_point> LeaderAnswered;
+  std::optional<core::time_point> LastConfirmed;
   std::optional<core::time_point> LastProbes;
   std::optional<core::time_point> LastGossip;
   bool IsStopping = false;
--- a/routing/slot_broker.cpp
+++ b/routing/slot_broker.cpp
@@ -215,6 +215,14 @@
       refuse(*Request, "deadline");
       continue;
     }
+    // A request that would end after its deadline wastes the slot of one that
+    // can still be served, and the endpoint is busy after the slot returned.
+    if (Queue.size() > 0 &&
+        Request->Deadline - Now <
+            std::chrono::duration<double, std::milli>(meanServiceMs())) {
+      refuse(*Request, "deadline-unreachable");
+      continue;
+    }
     auto Token = NextToken++;
     auto &Grant = Grants[Token];
     Grant = {Request->Holder,
--- a/routing/slot_holder.cpp
+++ b/routing/slot_holder.cpp
@@ -92,12 +92,13 @@
 
 void slot_holder::setOwner(const std::string &Service, const std::string &Owner,
                            core::time_point Now) {
-  auto &Known = Owners[Service];
-  if (Known == Owner)
+  if (ownerOf(Service) == Owner)
     return;
-  Known = Owner;
-  if (Owner.empty())
+  if (Owner.empty()) {
+    Owners.erase(Service);
     return;
+  }
+  Owners[Service] = Owner;
   slot_report Report;
   Report.Service = Service;
   Report.Incarnation = Incarnation;
--- a/tests/routing/fault_world.cpp
+++ b/tests/routing/fault_world.cpp
@@ -108,6 +108,7 @@
   Entry.Router.reset();
   Entry.Backlog.clear();
   Entry.IsFrozen = false;
+  Entry.IsStopping = false;
   Entry.IsolatedSince.reset();
   refreshLinks();
   // The callers see their connections close.
@@ -283,7 +284,7 @@
     return;
   auto Name = "e" + std::to_string(1 + pick(EntryCount));
   auto &Entry = Entries.at(Name);
-  switch (pick(11)) {
+  switch (pick(12)) {
   case 0:
   case 1: {
     auto Other = Processes[pick(Processes.size())];
@@ -318,6 +319,15 @@
         startEntry(Entries.at(Name));
     });
     break;
+  case 10:
+    if (!Entry.Router || Entry.IsFrozen || Entry.IsStopping)
+      break;
+    Entry.IsStopping = true;
+    deliver(Name, [this](entry_router &Router) {
+      Router.beginShutdown(Clock.now());
+    });
+    stopWhenIdle(Name, Entry.Incarnation, Clock.now() + 12s);
+    break;
   case 6:
     Leader = "c" + std::to_string(1 + pick(ControlCount));
     ++Term;
@@ -343,6 +353,30 @@
   Clock.after(milliseconds(50, 500), [this, Until] { faultLoop(Until); });
 }
 
+void fault_world::stopWhenIdle(const std::string &Name,
+                               std::uint64_t Incarnation,
+                               core::time_point Until) {
+  auto &Entry = Entries.at(Name);
+  if (Entry.Incarnation != Incarnation || !Entry.Router)
+    return;
+  if (Entry.Router->isIdle() && !Entry.IsFrozen) {
+    auto Lost = countLost();
+    stopEntry(Entry);
+    require(countLost() == Lost,
+            Name + " stopped gracefully and lost requests");
+  } else if (Clock.now() >= Until) {
+    stopEntry(Entry);
+  }
+  if (!Entry.Router)
+    return startEntry(Entry);
+  Clock.after(20ms, [=, this] { stopWhenIdle(Name, Incarnation, Until); });
+}
+
+std::size_t fault_world::countLost() const {
+  return std::count_if(Submissions.begin(), Submissions.end(),
+                       [](const auto &Item) { return Item.second.IsLost; });
+}
+
 void fault_world::heal() {
   AreFaultsOn = false;
   Loss = 0;
--- a/tests/routing/fault_world.h
+++ b/tests/routing/fault_world.h
@@ -48,6 +48,7 @@
     std::unique_ptr<core::metrics_registry> Metrics;
     std::unique_ptr<entry_router> Router; ///< Null while it is stopped.
     bool IsFrozen = false;
+    bool IsStopping = false;
     std::vector<std::function<void(entry_router &)>> Backlog;
     std::uint64_t LastIndex = 0;
     std::optional<core::time_point> IsolatedSince;
@@ -130,6 +131,9 @@
 
   // Faults and checks.
   void faultLoop(core::time_point Until);
+  void stopWhenIdle(const std::string &Name, std::uint64_t Incarnation,
+                    core::time_point Until);
+  std::size_t countLost() const;
   void heal();
   void checkEnd();
 
--- a/tests/routing/test_slot_broker.cpp
+++ b/tests/routing/test_slot_broker.cpp
@@ -166,6 +166,28 @@
   CHECK(grants(Broker).at(0).RequestId == 2);
 }
 
+// Late requests kept endpoints busy after their slots had returned.
+TEST_CASE_METHOD(broker_fixture,
+                 "a slot goes to a request that can still be served") {
+  Endpoints = {{"ep1", 1}};
+  Broker.request("e1", request(1), at(0s));
+  auto First = grants(Broker).at(0);
+  Broker.request("e1", request(2, 250), at(0s));
+  Broker.request("e1", request(3), at(0s));
+  Broker.release({"plots", "ep1", First.Token, 100, false}, at(200ms));
+  auto Replies = Broker.takeReplies();
+  REQUIRE(Replies.size() == 2);
+  CHECK(std::get<slot_refusal>(Replies[0].Message).Reason ==
+        "deadline-unreachable");
+  CHECK(std::get<slot_grant>(Replies[1].Message).RequestId == 3);
+  // Without others that wait, the slot would stay unused.
+  Broker.request("e1", request(4, 250), at(200ms));
+  Broker.release({"plots", "ep1",
+                  std::get<slot_grant>(Replies[1].Message).Token, 100, false},
+                 at(400ms));
+  CHECK(grants(Broker).size() == 1);
+}
+
 TEST_CASE_METHOD(broker_fixture, "requests that stop waiting are answered") {
   Endpoints = {};
   Broker.request("e1", request(1, 100), at(0s));
