--- a/routing/entry_router.cpp
+++ b/routing/entry_router.cpp
@@ -58,6 +58,7 @@
   broker_settings Broker;
   Broker.Queue.MaxPerClass = Settings.MaxQueuedPerClass;
   Broker.Queue.Share = Settings.BatchShare;
+  Broker.MaxDeadlineMs = Settings.MaxDeadlineMs;
   return Broker;
 }
 
--- a/routing/request_queue.cpp
+++ b/routing/request_queue.cpp
@@ -17,7 +17,10 @@
 
 } // namespace
 
-request_queue::request_queue(queue_settings Settings) : Settings(Settings) {}
+request_queue::request_queue(queue_settings Initial) : Settings(Initial) {
+  // Two shares are kept for the less urgent classes; one must remain.
+  Settings.Share = std::max(Settings.Share, 3u);
+}
 
 std::string request_queue::push(waiting_request Request,
                                 const service_capacity &Capacity,
--- a/routing/request_queue.h
+++ b/routing/request_queue.h
@@ -43,7 +43,7 @@
 /// deadline.
 class request_queue {
 public:
-  explicit request_queue(queue_settings Settings);
+  explicit request_queue(queue_settings Initial);
 
   /// Adds a request.
   /// \returns the reason of a refusal, or an empty string.
--- a/routing/slot_broker.cpp
+++ b/routing/slot_broker.cpp
@@ -90,6 +90,10 @@
   return Found == BusyByEndpoint.end() ? 0 : Found->second;
 }
 
+core::duration slot_broker::boundedDeadline(std::uint32_t Ms) const {
+  return std::chrono::milliseconds(std::min(Ms, Settings.MaxDeadlineMs));
+}
+
 service_capacity slot_broker::capacity(core::time_point Now) const {
   service_capacity Capacity;
   Capacity.MeanServiceMs = meanServiceMs();
@@ -115,7 +119,7 @@
                           Request.RequestId,
                           Request.Incarnation,
                           Request.Class,
-                          Now + std::chrono::milliseconds(Request.DeadlineMs),
+                          Now + boundedDeadline(Request.DeadlineMs),
                           Request.Avoid};
   auto Reason = Queue.push(Waiting, capacity(Now), Now);
   if (!Reason.empty())
@@ -153,8 +157,8 @@
     Grant.Holder = Holder;
     Grant.Incarnation = Report.Incarnation;
     Grant.Endpoint = Held.Endpoint;
-    Grant.Until = Now + std::chrono::milliseconds(Held.DeadlineMs) +
-                  Settings.ReturnMargin;
+    Grant.Until =
+        Now + boundedDeadline(Held.DeadlineMs) + Settings.ReturnMargin;
     ++BusyByEndpoint[Held.Endpoint];
   }
   // A grant that was lost with the link is not in the report of the same start
--- a/routing/slot_broker.h
+++ b/routing/slot_broker.h
@@ -26,6 +26,8 @@
   /// A slot is returned so long after the deadline of its request at the
   /// latest, which covers the time that the request was under way.
   core::duration ReturnMargin = std::chrono::milliseconds(500);
+  /// Longer deadlines of other entries are cut to this.
+  std::uint32_t MaxDeadlineMs = 60000;
   /// An endpoint that failed is used so long only when no other has a slot.
   core::duration FailurePenalty = std::chrono::seconds(1);
   std::uint64_t FirstToken = 1; ///< Differs for every start of every entry.
@@ -84,6 +86,7 @@
   using grant_map = std::map<std::uint64_t, grant>;
 
   bool isRebuilding(core::time_point Now);
+  core::duration boundedDeadline(std::uint32_t Ms) const;
   service_capacity capacity(core::time_point Now) const;
   void grantWaiting(core::time_point Now);
   void refuse(const waiting_request &Request, std::string_view Reason);
