Add random runs of the replicated log and pause blocked followers

Cause: with a full disk at a follower the first random run never ended: each accepted but empty reply made the leader send the same entries again at once. Change: tests/replication with a virtual clock, fake network and fake disks; a reply now says that the disk takes no entries, and the leader waits for the next heartbeat.

--- a/replication/messages.cpp
+++ b/replication/messages.cpp
@@ -147,6 +147,7 @@
     Object["type"] = "append_reply";
     Object["round"] = Body.Round;
     Object["accepted"] = Body.Accepted;
+    Object["blocked"] = Body.Blocked;
     Object["match"] = Body.Match;
     Object["received"] = Body.Received;
     Object["rejected"] = Body.Rejected;
@@ -207,6 +208,7 @@
   Body.Term = counterAt(Object, "term");
   Body.Round = counterAt(Object, "round");
   Body.Accepted = flagAt(Object, "accepted");
+  Body.Blocked = flagAt(Object, "blocked");
   Body.Match = counterAt(Object, "match");
   Body.Received = counterAt(Object, "received");
   Body.Rejected = counterAt(Object, "rejected");
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -27,6 +27,7 @@
   std::uint64_t Term = 0;
   std::uint64_t Round = 0;
   bool Accepted = false;
+  bool Blocked = false;        ///< Accepted, but the disk takes no entries now.
   std::uint64_t Match = 0;     ///< Accepted: equal to the leader's and synced.
   std::uint64_t Received = 0;  ///< Accepted: equal, perhaps not yet synced.
   std::uint64_t Rejected = 0;  ///< Otherwise: PrevIndex that did not match.
--- a/replication/raft_append.cpp
+++ b/replication/raft_append.cpp
@@ -52,6 +52,10 @@
   replyMatch(Append.Round);
 }
 
+bool raft_node::implementation::isStorageBlocked() const {
+  return StorageFailing || Log.unstoredBytes() > Settings.MaxUnstoredBytes;
+}
+
 std::optional<std::uint64_t>
 raft_node::implementation::takeEntries(const append_message &Append) {
   if (Append.PrevIndex > Log.lastIndex())
@@ -68,7 +72,7 @@
         Log.truncateFrom(Entry.Index);
       if (Entry.Index > Log.lastIndex()) {
         // The leader sends the rest again once the disk has caught up.
-        if (StorageFailing || Log.unstoredBytes() > Settings.MaxUnstoredBytes)
+        if (isStorageBlocked())
           break;
         Log.append(Entry);
       }
@@ -83,6 +87,7 @@
   send(*Leader, append_reply{.Term = Hard.Term,
                              .Round = AckedRound,
                              .Accepted = true,
+                             .Blocked = isStorageBlocked(),
                              .Match = ReportedMatch,
                              .Received = Matched});
 }
--- a/replication/raft_leader.cpp
+++ b/replication/raft_leader.cpp
@@ -278,11 +278,19 @@
     return;
   }
   const bool Advanced = Progress.advance(Reply.Match);
-  Progress.Next = std::max(Progress.Next, Reply.Received + 1);
-  if (Progress.Mode == progress_mode::Probe ||
-      (Progress.Mode == progress_mode::Snapshot &&
-       Reply.Received >= Progress.Sending->LastIndex))
+  if (Reply.Blocked && Progress.Mode != progress_mode::Snapshot) {
+    // Tries again with the next heartbeat; sending at once would repeat the
+    // same entries in a loop.
+    Progress.startProbe(Reply.Received + 1);
+    Progress.ProbeSent = true;
+  } else if ((Progress.Mode == progress_mode::Probe &&
+              Reply.Received + 1 >= Progress.Next) ||
+             (Progress.Mode == progress_mode::Snapshot &&
+              Reply.Received >= Progress.Sending->LastIndex)) {
     Progress.startReplicate();
+  }
+  if (Progress.Mode != progress_mode::Probe)
+    Progress.Next = std::max(Progress.Next, Reply.Received + 1);
   if (!Advanced)
     return;
   advanceCommit();
--- a/replication/raft_node_implementation.h
+++ b/replication/raft_node_implementation.h
@@ -96,6 +96,7 @@
               core::time_point Now);
   bool followLeader(const replica_id &From, core::time_point Now);
   std::optional<std::uint64_t> takeEntries(const append_message &Append);
+  bool isStorageBlocked() const;
   void replyMatch(std::uint64_t Round);
   void replyRejected(const append_message &Append);
 
--- /dev/null
+++ b/tests/replication/random_run.cpp
@@ -0,0 +1,165 @@
+#include "random_run.h"
+
+#include "virtual_cluster.h"
+
+#include <algorithm>
+
+namespace lycheetrestle::replication {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto Step = milliseconds(20);
+constexpr int FaultySteps = 500; // 10 s
+constexpr auto RecoveryTime = seconds(30);
+
+class random_run {
+public:
+  explicit random_run(std::uint64_t Seed)
+      : Cluster(Seed % 2 == 0 ? 3 : 5, Seed, settings()) {}
+
+  run_totals run();
+
+private:
+  virtual_cluster Cluster;
+  std::uint64_t NextProposal = 1;
+  run_totals Totals;
+
+  static raft_settings settings() {
+    raft_settings Settings;
+    Settings.MaxAppendBytes = 2048; // several batches and parts each time
+    Settings.SnapshotPartBytes = 1000;
+    Settings.MaxInFlightBytes = 8192;
+    Settings.MaxUnstoredBytes = 16384;
+    return Settings;
+  }
+
+  std::size_t anyHost() { return Cluster.Random() % Cluster.size(); }
+  bool chance(unsigned Percent) { return Cluster.Random() % 100 < Percent; }
+  void clientStep();
+  void faultStep();
+  void partition();
+  void recover();
+};
+
+void random_run::clientStep() {
+  // Clients also ask replicas that wrongly believe that they lead.
+  for (std::size_t Host = 0; Host < Cluster.size(); ++Host) {
+    const std::size_t Proposals = chance(60) ? Cluster.Random() % 4 : 0;
+    for (std::size_t I = 0; I < Proposals; ++I)
+      Cluster.propose(Host, "p" + std::to_string(NextProposal++) +
+                                std::string(Cluster.Random() % 300, 'x'));
+    if (chance(30))
+      Cluster.read(Host);
+  }
+  if (chance(30))
+    Cluster.repairMembership();
+}
+
+void random_run::partition() {
+  const bool OneWay = chance(50);
+  const std::uint64_t Side = Cluster.Random();
+  for (std::size_t A = 0; A < Cluster.size(); ++A)
+    for (std::size_t B = 0; B < Cluster.size(); ++B)
+      if ((Side >> A & 1u) == 1 && (Side >> B & 1u) == 0) {
+        Cluster.setBlocked(A, B, true);
+        if (!OneWay)
+          Cluster.setBlocked(B, A, true);
+      }
+}
+
+void random_run::faultStep() {
+  const std::size_t Host = anyHost();
+  switch (Cluster.Random() % 12) {
+  case 0:
+    Cluster.Faults = {static_cast<unsigned>(Cluster.Random() % 40),
+                      static_cast<unsigned>(Cluster.Random() % 30),
+                      chance(50) ? 3 : 400};
+    return;
+  case 1:
+    partition();
+    return;
+  case 2:
+  case 3:
+    for (std::size_t A = 0; A < Cluster.size(); ++A)
+      for (std::size_t B = 0; B < Cluster.size(); ++B)
+        Cluster.setBlocked(A, B, false);
+    Cluster.Faults = {};
+    return;
+  case 4:
+    Cluster.freeze(Host, milliseconds(Cluster.Random() % 4000));
+    return;
+  case 5:
+    Cluster.crash(Host);
+    return;
+  case 6:
+  case 7:
+    for (std::size_t I = 0; I < Cluster.size(); ++I)
+      Cluster.restart(I);
+    return;
+  case 8:
+    Cluster.setDiskFull(Host, chance(40));
+    return;
+  case 9:
+    if (!Cluster.mayLoseDisk(Host))
+      return;
+    Cluster.loseDisk(Host);
+    ++Totals.LostDisks;
+    return;
+  case 10:
+    Cluster.changeMembership();
+    return;
+  default:
+    if (const auto Leader = Cluster.leader()) {
+      Cluster.node(*Leader).transferLeadership(Cluster.now());
+      Cluster.pump(*Leader);
+    }
+    return;
+  }
+}
+
+void random_run::recover() {
+  Cluster.healAll();
+  const bool Repaired = Cluster.runUntil(RecoveryTime, [&] {
+    Cluster.repairMembership();
+    return Cluster.hasFullMembership();
+  });
+  expect(Repaired, "all replicas are voters again after the faults");
+  std::optional<std::uint64_t> Last;
+  const bool Commits = Cluster.runUntil(RecoveryTime, [&] {
+    const auto Leader = Cluster.leader();
+    if (Leader && !Last)
+      Last = Cluster.propose(*Leader, "last");
+    if (!Last)
+      return false;
+    for (std::size_t I = 0; I < Cluster.size(); ++I)
+      if (Cluster.host(I).State.Index < *Last)
+        return false;
+    return true;
+  });
+  expect(Commits, "a leader commits again after the faults");
+  for (std::size_t I = 0; I < Cluster.size(); ++I)
+    Cluster.Checks.checkAcknowledgedKept(Cluster.host(I).State);
+}
+
+run_totals random_run::run() {
+  Cluster.run(seconds(3));
+  for (int I = 0; I < FaultySteps; ++I) {
+    clientStep();
+    if (chance(8))
+      faultStep();
+    Cluster.run(Step);
+  }
+  recover();
+  Totals.Committed = Cluster.Checks.lastCommitted();
+  Totals.ConfirmedReads = Cluster.Checks.confirmedReads();
+  return Totals;
+}
+
+} // namespace
+
+run_totals runSeed(std::uint64_t Seed) { return random_run(Seed).run(); }
+
+} // namespace lycheetrestle::replication
