--- a/tests/replication/random_run.cpp
+++ b/tests/replication/random_run.cpp
@@ -14,6 +14,7 @@
 constexpr auto Step = milliseconds(20);
 constexpr int FaultySteps = 500; // 10 s
 constexpr auto RecoveryTime = seconds(30);
+constexpr auto CommitTime = seconds(10);
 
 class random_run {
 public:
@@ -127,17 +128,20 @@
     return Cluster.hasFullMembership();
   });
   expect(Repaired, "all replicas are voters again after the faults");
+  // A proposal may be lost with a leader that is replaced before it commits,
+  // so the client proposes again.
   std::optional<std::uint64_t> Last;
-  const bool Commits = Cluster.runUntil(RecoveryTime, [&] {
+  core::time_point NextTry = Cluster.now();
+  const bool Commits = Cluster.runUntil(CommitTime, [&] {
     const auto Leader = Cluster.leader();
-    if (Leader && !Last)
+    if (Leader && Cluster.now() >= NextTry) {
       Last = Cluster.propose(*Leader, "last");
-    if (!Last)
-      return false;
+      NextTry = Cluster.now() + seconds(1);
+    }
     for (std::size_t I = 0; I < Cluster.size(); ++I)
-      if (Cluster.host(I).State.Index < *Last)
+      if (!Last || Cluster.host(I).State.Index < *Last)
         return false;
-    return true;
+    return Cluster.Checks.lastAcknowledged() >= *Last;
   });
   expect(Commits, "a leader commits again after the faults");
   for (std::size_t I = 0; I < Cluster.size(); ++I)
