--- a/fleet/snapshot.cpp
+++ b/fleet/snapshot.cpp
@@ -194,7 +194,8 @@
     if (holdsLease(Job.State) &&
         State.Hosts.find(Job.Host) == State.Hosts.end())
       return false;
-    if (hasEnded(Job.State) != (Job.EndedIndex != 0))
+    // The counters of a team tell an idle team by a use of zero.
+    if (hasEnded(Job.State) != (Job.EndedIndex != 0) || Job.Declared.Cores == 0)
       return false;
     auto Added = State.Jobs.emplace(Job.Id, std::move(Job));
     if (!Added.second)
