--- a/tests/entry/raw_caller.h
+++ b/tests/entry/raw_caller.h
@@ -18,22 +18,28 @@
     asio::write(Socket, asio::buffer(Bytes));
   }
 
-  /// \returns the next response, head and body, or an empty string when the
-  /// connection was closed before it was whole.
+  /// \returns the next response, head and body; an empty string when the
+  /// connection was closed before it was whole; `timeout` after 10 s, so that
+  /// a fault ends in a failure and not in a test that hangs.
   std::string receive() {
-    asio::error_code Error;
-    auto Size = asio::read_until(Socket, asio::dynamic_buffer(Buffer),
-                                 "\r\n\r\n", Error);
-    if (Error)
-      return {};
+    auto Size = wait([this](auto Done) {
+      asio::async_read_until(Socket, asio::dynamic_buffer(Buffer), "\r\n\r\n",
+                             Done);
+    });
+    if (Size == 0)
+      return HasTimedOut ? "timeout" : "";
     auto Found = Buffer.find("Content-Length: ");
     if (Found != std::string::npos && Found < Size)
       Size += std::stoul(Buffer.substr(Found + 16));
-    if (Size > Buffer.size())
-      asio::read(Socket, asio::dynamic_buffer(Buffer),
-                 asio::transfer_exactly(Size - Buffer.size()), Error);
-    if (Error)
-      return {};
+    while (Buffer.size() < Size) {
+      auto Missing = Size - Buffer.size();
+      auto Read = wait([&, this](auto Done) {
+        asio::async_read(Socket, asio::dynamic_buffer(Buffer),
+                         asio::transfer_exactly(Missing), Done);
+      });
+      if (Read == 0)
+        return HasTimedOut ? "timeout" : "";
+    }
     auto Response = Buffer.substr(0, Size);
     Buffer.erase(0, Size);
     return Response;
@@ -47,9 +53,30 @@
   void close() { Socket.close(); }
 
 private:
+  // Runs one operation. Returns its number of bytes, 0 after an error.
+  template <typename Operation> std::size_t wait(Operation &&Start) {
+    std::size_t Result = 0;
+    bool IsDone = false;
+    Start([&](const asio::error_code &Error, std::size_t Size) {
+      Result = Error ? 0 : Size;
+      IsDone = true;
+    });
+    Io.restart();
+    Io.run_for(std::chrono::seconds(10));
+    HasTimedOut = !IsDone;
+    if (!IsDone) {
+      Socket.close();
+      Io.restart();
+      Io.run();
+      return 0;
+    }
+    return Result;
+  }
+
   asio::io_context Io;
   asio::ip::tcp::socket Socket;
   std::string Buffer;
+  bool HasTimedOut = false;
 };
 
 } // namespace lycheetrestle::entry
--- a/tests/entry/test_http_front.cpp
+++ b/tests/entry/test_http_front.cpp
@@ -174,10 +174,11 @@
   CHECK_FALSE(Fixture.Events.pop(Event));
 }
 
+// Bodies over twice the limit are not even read.
 TEST_CASE("a body far over the limit closes the connection") {
   front_fixture Fixture;
   raw_caller Caller(Fixture.Front.port());
-  Caller.send(post("/services/plots", 1u << 30, "x"));
+  Caller.send(post("/services/plots", 2001, std::string(2001, 'x')));
   CHECK(Caller.receive().empty());
   front_event Event;
   CHECK_FALSE(Fixture.Events.pop(Event));
@@ -226,6 +227,26 @@
   Fixture.wait<status_call>();
 }
 
+// The router has forgotten an answered request, so it must not be told of it,
+// also when the caller leaves while the response is being written.
+TEST_CASE("a caller that leaves during its response is not reported") {
+  front_fixture Fixture;
+  raw_caller Caller(Fixture.Front.port());
+  Caller.send(get("/services/plots/1"));
+  // Larger than the socket buffers, so that the write cannot end.
+  Fixture.respond(Fixture.wait<routing::caller_request>().Id,
+                  std::string(64u << 20, 'x'));
+  REQUIRE(waitUntil([&] {
+    return Fixture.Metrics.counter("caller_responses_total{verdict=\"ran\"}") ==
+           1;
+  }));
+  CHECK_FALSE(Fixture.Front.isFlushed());
+  Caller.close();
+  REQUIRE(waitUntil([&] { return Fixture.Front.isFlushed(); }));
+  front_event Event;
+  CHECK_FALSE(Fixture.Events.pop(Event));
+}
+
 // Otherwise a request could run although its caller was told that it was not.
 TEST_CASE("a full ring refuses at once as not run") {
   front_fixture Fixture(makeSettings(), 1);
--- a/tests/entry/test_upstream_client.cpp
+++ b/tests/entry/test_upstream_client.cpp
@@ -116,6 +116,19 @@
   CHECK(Result.SaysNotRun == Expected);
 }
 
+// Trailers come after the body; they must not turn a response that ran into one
+// that did not.
+TEST_CASE("trailers do not change the verdict") {
+  fake_endpoint Endpoint(
+      always({"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: id-1\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+              "0\r\nX-Verdict: not-run\r\n\r\n"}));
+  client_fixture Fixture;
+  auto Result = Fixture.send(makeRequest(Endpoint.address()));
+  CHECK(Result.Status == upstream_status::Complete);
+  CHECK_FALSE(Result.SaysNotRun);
+}
+
 // Nothing can have run without a connection, so the router may try again.
 TEST_CASE("a refused connection is not sent") {
   std::string Address;
