Count the link traffic of each process

Cause: the target bounds control traffic to 27 KB a second for a node, and no process could report what it sends. Change: link_hub counts messages and bytes; both roles publish them as gauges. Before: no figure. After: transport, entry, control and process_demo pass. Conclusion: docs/CAPACITY.md can take its message slopes from /metrics.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -9,6 +9,7 @@
 #include "core/metrics.h"
 #include "storage/log_store.h"
 #include "transport/link_hub.h"
+#include "transport/traffic_metrics.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -231,6 +232,7 @@
     Metrics.set("commit_index", static_cast<double>(Status.CommitIndex));
     Metrics.set("applied_index", static_cast<double>(Loop.appliedIndex()));
     Metrics.set("is_leader", Status.Role == replication::raft_role::Leader);
+    transport::publishTraffic(Metrics, Hub.traffic());
     Metrics.set("is_voter", Status.Role != replication::raft_role::Learner);
   }
 
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -10,6 +10,7 @@
 #include "entry/upstream_client.h"
 #include "routing/entry_router.h"
 #include "transport/link_hub.h"
+#include "transport/traffic_metrics.h"
 
 #include <algorithm>
 #include <atomic>
@@ -26,6 +27,7 @@
 using core::time_point;
 
 constexpr auto TickInterval = std::chrono::milliseconds(10);
+constexpr auto TrafficInterval = std::chrono::milliseconds(500);
 // Readiness that the routing thread published longer ago is not trusted: the
 // thread may be stuck, or the process was frozen.
 constexpr auto MaxReadyAge = std::chrono::milliseconds(500);
@@ -330,7 +332,15 @@
     return Phase;
   }
 
+  void publishTraffic(time_point Now) {
+    if (Now < NextTraffic)
+      return;
+    NextTraffic = Now + TrafficInterval;
+    transport::publishTraffic(Metrics, Hub.traffic());
+  }
+
   void publishReadiness(bool IsServing, time_point Now) {
+    publishTraffic(Now);
     bool Ready = IsServing && Router.isReady(Now);
     if (Ready != WasReady)
       logEvent(log_level::Info, "readiness", {{"ready", Ready}});
@@ -365,6 +375,7 @@
   shutdown_plan Plan;
   time_point NextTick;
   bool WasReady = false;
+  time_point NextTraffic{};
   std::atomic<core::duration::rep> ReadyUntil{0}; ///< Boot clock, us.
 };
 
--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -88,12 +88,21 @@
   auto Box = Outboxes.find(Peer);
   if (!Box)
     return false;
+  auto Size = Bytes.size();
   auto Result = Box->push(std::move(Bytes), Settings.MaxQueuedBytes);
+  if (Result != push_result::Refused) {
+    ++MessagesSent;
+    BytesSent += Size;
+  }
   if (Result == push_result::AcceptedFirst)
     boost::asio::post(Context, [this, Box] { flush(*Box); });
   return Result != push_result::Refused;
 }
 
+link_traffic link_hub::implementation::traffic() const {
+  return {MessagesSent, BytesSent, MessagesReceived, BytesReceived};
+}
+
 void link_hub::implementation::addPeer(link_peer Peer) {
   boost::asio::post(Context,
                     [this, Peer = std::move(Peer)] { configurePeer(Peer); });
@@ -282,6 +291,8 @@
     acceptHello(Connection, *State, Message->get_payload());
     return;
   }
+  ++MessagesReceived;
+  BytesReceived += Message->get_payload().size();
   if (Handlers.OnMessage) {
     // The handler may end this connection.
     auto Peer = State->Peer;
--- a/transport/hub_core.h
+++ b/transport/hub_core.h
@@ -5,6 +5,7 @@
 #include "transport/link_table.h"
 #include "transport/websocket_types.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
   std::string start();
   void stop();
   bool send(const std::string &Peer, std::string Bytes);
+  link_traffic traffic() const;
   void addPeer(link_peer Peer);
   void removePeer(const std::string &Name);
 
@@ -136,6 +138,8 @@
   boost::asio::steady_timer StopTimer;
   std::map<handle, connection_state, std::owner_less<handle>> Connections;
   std::map<std::string, peer_state> Peers;
+  std::atomic<std::uint64_t> MessagesSent{0}, BytesSent{0};
+  std::atomic<std::uint64_t> MessagesReceived{0}, BytesReceived{0};
   link_table Outboxes; ///< Used by the senders' threads too; locked inside.
   clock_type::time_point LastTick;
   std::uint64_t LastStamp = 0;
--- a/transport/link_hub.cpp
+++ b/transport/link_hub.cpp
@@ -16,6 +16,8 @@
 
 void link_hub::stop() { Impl->stop(); }
 
+link_traffic link_hub::traffic() const { return Impl->traffic(); }
+
 bool link_hub::send(const std::string &Peer, std::string Bytes) {
   return Impl->send(Peer, std::move(Bytes));
 }
--- a/transport/link_hub.h
+++ b/transport/link_hub.h
@@ -28,6 +28,15 @@
   std::size_t MaxMessageBytes = 4u << 20; ///< Larger messages end the link.
 };
 
+/// Messages that a hub queued for its links and received from them, since its
+/// start. Bytes are those of the messages, without framing.
+struct link_traffic {
+  std::uint64_t MessagesSent = 0;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t MessagesReceived = 0;
+  std::uint64_t BytesReceived = 0;
+};
+
 /// Called on the hub's own thread; handlers must not block.
 struct link_handlers {
   std::function<void(const std::string &Peer, std::string Bytes)> OnMessage;
@@ -59,6 +68,8 @@
   /// \returns false when the link is down or its queue is full; the message is
   /// then certainly not sent.
   bool send(const std::string &Peer, std::string Bytes);
+  /// \returns what was sent and received so far. Safe from any thread.
+  link_traffic traffic() const;
   /// Adds a peer to dial, or changes its address.
   void addPeer(link_peer Peer);
   /// Closes the link to a peer and stops dialling it.
