Give the hosts of the random run own clocks and slow disks

With equal clocks check-quorum stops a replaced leader in time, and writes were too short for a crash to lose them. Change: clocks of half to double speed, slow disks, and crashes of several hosts at once. The run ends only when a new proposal is acknowledged, all replicas have applied it and are voters.

--- a/tests/replication/random_run.cpp
+++ b/tests/replication/random_run.cpp
@@ -73,7 +73,7 @@
 
 void random_run::faultStep() {
   const std::size_t Host = anyHost();
-  switch (Cluster.Random() % 12) {
+  switch (Cluster.Random() % 14) {
   case 0:
     Cluster.Faults = {static_cast<unsigned>(Cluster.Random() % 40),
                       static_cast<unsigned>(Cluster.Random() % 30),
@@ -112,9 +112,18 @@
   case 10:
     Cluster.changeMembership();
     return;
+  case 11:
+    // A slow disk leaves much that is not synced when its host crashes.
+    Cluster.host(Host).MaxSyncMs = chance(50) ? 10 : 300;
+    return;
+  case 12:
+    for (std::size_t I = 0; I < Cluster.size(); ++I)
+      if (chance(70))
+        Cluster.crash(I);
+    return;
   default:
     if (const auto Leader = Cluster.leader()) {
-      Cluster.node(*Leader).transferLeadership(Cluster.now());
+      Cluster.node(*Leader).transferLeadership(Cluster.localNow(*Leader));
       Cluster.pump(*Leader);
     }
     return;
@@ -130,18 +139,21 @@
   expect(Repaired, "all replicas are voters again after the faults");
   // A proposal may be lost with a leader that is replaced before it commits,
   // so the client proposes again.
-  std::optional<std::uint64_t> Last;
+  const std::uint64_t Before = Cluster.Checks.lastAcknowledged();
   core::time_point NextTry = Cluster.now();
   const bool Commits = Cluster.runUntil(CommitTime, [&] {
     const auto Leader = Cluster.leader();
     if (Leader && Cluster.now() >= NextTry) {
-      Last = Cluster.propose(*Leader, "last");
+      Cluster.propose(*Leader, "last");
       NextTry = Cluster.now() + seconds(1);
     }
+    const std::uint64_t Last = Cluster.Checks.lastAcknowledged();
+    if (Last <= Before || !Cluster.hasFullMembership())
+      return false;
     for (std::size_t I = 0; I < Cluster.size(); ++I)
-      if (!Last || Cluster.host(I).State.Index < *Last)
+      if (Cluster.host(I).State.Index < Last)
         return false;
-    return Cluster.Checks.lastAcknowledged() >= *Last;
+    return true;
   });
   expect(Commits, "a leader commits again after the faults");
   for (std::size_t I = 0; I < Cluster.size(); ++I)
@@ -149,6 +161,12 @@
 }
 
 run_totals random_run::run() {
+  // Clocks of different speed let a replaced leader lead on for some time, as
+  // check-quorum alone then does not stop stale reads.
+  if (chance(50))
+    for (std::size_t I = 0; I < Cluster.size(); ++I)
+      Cluster.host(I).ClockRate =
+          0.5 + 1.5 * static_cast<double>(Cluster.Random() % 100) / 100;
   Cluster.run(seconds(3));
   for (int I = 0; I < FaultySteps; ++I) {
     clientStep();
--- a/tests/replication/virtual_cluster.cpp
+++ b/tests/replication/virtual_cluster.cpp
@@ -87,18 +87,27 @@
   Slot.Proposals.clear();
   Slot.Reads.clear();
   Slot.SyncScheduled = false;
-  Slot.Node =
-      std::make_unique<raft_node>(Own, Slot.Disk.contents(), Slot.Initial, Now);
+  Slot.Node = std::make_unique<raft_node>(Own, Slot.Disk.contents(),
+                                          Slot.Initial, localNow(Host));
   pump(Host);
   scheduleTick(Host);
 }
 
+core::time_point virtual_cluster::localNow(std::size_t Host) const {
+  const auto Real = static_cast<double>(Now.time_since_epoch().count());
+  return core::time_point(core::duration(
+      static_cast<core::duration::rep>(Real * Hosts[Host].ClockRate)));
+}
+
 void virtual_cluster::scheduleTick(std::size_t Host) {
-  const core::time_point Next =
-      std::max(Hosts[Host].Node->nextTick(), Now + milliseconds(1));
+  const core::duration Left = Hosts[Host].Node->nextTick() - localNow(Host);
+  const core::time_point Next = std::max(
+      Now + core::duration(static_cast<core::duration::rep>(
+                static_cast<double>(Left.count()) / Hosts[Host].ClockRate)),
+      Now + milliseconds(1));
   // Ticks at least every 50 ms, because the deadline moves.
   at(std::min(Next, Now + milliseconds(50)), Host, [this, Host] {
-    Hosts[Host].Node->tick(Now);
+    Hosts[Host].Node->tick(localNow(Host));
     scheduleTick(Host);
   });
 }
@@ -108,15 +117,16 @@
   if (Slot.SyncScheduled || Slot.Disk.isIdle())
     return;
   Slot.SyncScheduled = true;
-  const auto Delay =
-      Slot.DiskFull ? milliseconds(200) : milliseconds(1 + Random() % 10);
+  const auto Delay = Slot.DiskFull
+                         ? milliseconds(200)
+                         : milliseconds(1 + Random() % Slot.MaxSyncMs);
   at(Now + Delay, Host, [this, Host] {
     virtual_host &Slot = Hosts[Host];
     Slot.SyncScheduled = false;
     if (Slot.DiskFull)
-      Slot.Node->storageFailed(Now);
+      Slot.Node->storageFailed(localNow(Host));
     else
-      Slot.Node->stored(Slot.Disk.syncOldest(), Now);
+      Slot.Node->stored(Slot.Disk.syncOldest(), localNow(Host));
   });
 }
 
@@ -131,7 +141,7 @@
         500 + Random() % (1000u * static_cast<unsigned>(Faults.MaxDelayMs)));
     at(Now + Delay, To,
        [this, To, Sender = Hosts[From].Id, Bytes = Message.Bytes] {
-         Hosts[To].Node->receive(Sender, Bytes, Now);
+         Hosts[To].Node->receive(Sender, Bytes, localNow(To));
        });
   }
 }
@@ -206,7 +216,8 @@
   virtual_host &Slot = Hosts[Host];
   if (!Slot.Node || Slot.FrozenUntil > Now)
     return std::nullopt;
-  const auto Token = core::capture([&] { return Slot.Node->requestRead(Now); });
+  const auto Token =
+      core::capture([&] { return Slot.Node->requestRead(localNow(Host)); });
   if (!std::holds_alternative<std::uint64_t>(Token))
     return std::nullopt;
   Slot.Reads[std::get<0>(Token)] = Checks.lastAcknowledged();
@@ -279,6 +290,7 @@
   Faults = {};
   for (std::size_t I = 0; I < Hosts.size(); ++I) {
     Hosts[I].DiskFull = false;
+    Hosts[I].MaxSyncMs = 10;
     Hosts[I].FrozenUntil = std::min(Hosts[I].FrozenUntil, Now);
     restart(I);
   }
@@ -351,7 +363,7 @@
 
 void virtual_cluster::inject(std::size_t Host, const replica_id &From,
                              std::string Bytes) {
-  Hosts[Host].Node->receive(From, Bytes, Now);
+  Hosts[Host].Node->receive(From, Bytes, localNow(Host));
   pump(Host);
 }
 
--- a/tests/replication/virtual_cluster.h
+++ b/tests/replication/virtual_cluster.h
@@ -24,7 +24,9 @@
   fake_disk Disk;
   bool DiskFull = false;
   bool SyncScheduled = false;
+  unsigned MaxSyncMs = 10;
   core::time_point FrozenUntil;
+  double ClockRate = 1; ///< Speed of the host's clock.
   applied_state State;
   std::map<std::uint64_t, std::uint64_t> Proposals; ///< Index to term.
   std::map<std::uint64_t, std::uint64_t> Reads;     ///< Token to least index.
@@ -55,6 +57,8 @@
   raft_node &node(std::size_t Host) { return *Hosts[Host].Node; }
   virtual_host &host(std::size_t Host) { return Hosts[Host]; }
   core::time_point now() const { return Now; }
+  /// \returns the time that the clock of a host shows.
+  core::time_point localNow(std::size_t Host) const;
   /// Processes the output of a node after a direct call.
   void pump(std::size_t Host);
 
