Make the fake disk lose all later writes to a file whose sync failed

Cause: a trial fault that kept appending to the same segment after a failed sync, behind a truncation, was not caught, because the fake let the rewritten pages reach the disk. Change: after a failed sync the fake never makes later bytes of that file durable, although later syncs report success.

--- a/tests/storage/fake_files.cpp
+++ b/tests/storage/fake_files.cpp
@@ -77,7 +77,7 @@
     }
     auto &File = *Found->second;
     File.Cached += Bytes.substr(0, Size);
-    File.Marks.resize(File.Cached.size(), Dirty);
+    File.Marks.resize(File.Cached.size(), File.Broken ? Lost : Dirty);
   };
   if (Crashed)
     return failIo(Name);
@@ -113,8 +113,10 @@
     writeBack(File);
     Done = true;
   });
-  if (!Result && !Done && !Crashed)
+  if (!Result && !Done && !Crashed) {
     std::replace(File.Marks.begin(), File.Marks.end(), Dirty, Lost);
+    File.Broken = true;
+  }
   return Result;
 }
 
@@ -188,6 +190,7 @@
   }
   File.Cached = File.Durable = After;
   File.Marks.assign(After.size(), Clean);
+  File.Broken = false;
 }
 
 void fake_disk::cutPower() {
@@ -225,7 +228,7 @@
   Pending.clear();
   for (const auto &[Name, Bytes] : Contents)
     Cached[Name] = std::make_shared<file>(
-        file{Bytes, Bytes, std::string(Bytes.size(), Clean)});
+        file{Bytes, Bytes, std::string(Bytes.size(), Clean), false});
   Durable = Cached;
 }
 
--- a/tests/storage/fake_files.h
+++ b/tests/storage/fake_files.h
@@ -78,6 +78,9 @@
     std::string Cached;
     std::string Durable;
     std::string Marks; ///< One for each cached byte.
+    /// A sync failed: what is appended later never reaches the disk either,
+    /// although later syncs report success.
+    bool Broken = false;
   };
   using name_table = std::map<std::string, std::shared_ptr<file>, std::less<>>;
   struct name_change {
