State how often an entry router must be called

Cause: the freeze detection needs calls in short intervals, which its header did not say. Change: comments on tick and beginShutdown. Conclusion: the entry role must tick at least every 50 ms.

--- a/routing/entry_router.h
+++ b/routing/entry_router.h
@@ -117,8 +117,13 @@
   void onMessage(const std::string &Peer, message Message,
                  core::time_point Now);
   void onPeerChange(const std::string &Peer, bool IsUp, core::time_point Now);
+  /// Does what is due. Call it at least every 50 ms: more than 500 ms without
+  /// any call is taken for a freeze of the process, and announcements that
+  /// arrive right after it count as old.
   void tick(core::time_point Now);
-  /// Refuses new requests from now on, and hands its brokered slots back.
+  /// Refuses new requests from now on, and sends the requests that wait here
+  /// for a slot back to their entries, which ask the next broker. Keep ticking
+  /// until isIdle().
   void beginShutdown(core::time_point Now);
 
   router_output takeOutput();
