--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -62,7 +62,7 @@
             'services': [
                 {'name': 'plots', 'pool': 'gate', 'default_class': 'urgent', 'deadline_ms': 5000},
                 {'name': 'replanning', 'pool': 'planning', 'default_class': 'batch',
-                 'deadline_ms': 30000}],
+                 'deadline_ms': 30000 + number}],
             'hosts': [{'name': host, 'pool': pool, 'zone': ZONES[index % 3],
                        'rack': ZONES[index % 3] + '-r1', 'cores': 8, 'memory_mb': 16384}
                       for index, (host, pool) in enumerate(HOSTS.items())],
--- a/demo/run.py
+++ b/demo/run.py
@@ -50,7 +50,7 @@
              '--actor', 'demo', *arguments], text=True, capture_output=True)
         if result.returncode != 0:
             raise Failed('lycheetrestlectl %s gave %d: %s'
-                         % (' '.join(arguments), result.returncode, result.stderr.strip()))
+                         % (' '.join(map(str, arguments)), result.returncode, result.stderr.strip()))
         return result.stdout
 
     def ctl_json(self, *arguments):
@@ -95,16 +95,24 @@
                     '--service_ms', SERVICE_MS, '--max_seconds', MAX_SECONDS,
                     '--execution_file', self.folder / ('executions-%s.txt' % host)])
 
-    def submit(self):
+    def write_declaration(self, number):
+        path = self.folder / ('declaration-%d.jsonc' % number)
+        path.write_text(json.dumps(self.deployment.declaration(number), indent=2))
+        return path
+
+    def submit(self, number, name):
+        path = self.write_declaration(number)
         begun = time.monotonic()
-        self.ctl('submit', str(self.files['declaration']), '--wait')
-        self.note('submit to in force', '%.2f s' % (time.monotonic() - begun))
+        self.ctl('submit', path, '--wait')
+        self.note(name, '%.2f s' % (time.monotonic() - begun))
 
     def load(self, name, addresses, *flags):
         """Starts the load client; finish_load() takes its report."""
         return self.group.start(name, [
             self.program('load_client'), '--entries', addresses, '--seconds', self.seconds,
-            '--requests', 1000000, '--concurrency', 8, *flags])
+            '--requests', 1000000, '--concurrency', 8,
+            # A request that is cut must be seen here, not sent again.
+            '--resends', 0, *flags])
 
     def finish_load(self, process):
         code = process.wait(self.seconds + 120)
@@ -198,11 +206,13 @@
         for name in ENTRIES:
             self.start_daemon(name)
         self.start_endpoints()
-        self.say('submitting the declaration')
-        self.submit()
         self.wait_ready(ENTRIES)
+        self.say('submitting the declaration')
+        self.submit(1, 'submit to in force')
         self.say('sending requests through the entries and directly')
         self.compare()
+        self.say('submitting a change')
+        self.submit(2, 'change to in force')
         self.say('draining %s under load' % DRAINED_HOST)
         self.drain()
         self.group.check_alive()
