--- a/tests/ctl/sessions.py
+++ b/tests/ctl/sessions.py
@@ -9,16 +9,19 @@
     return {'error': error, 'rule': rule, 'field': field, 'value': value, 'verdict': verdict}
 
 
-def status(number, in_force, confirmed):
-    return {'leader': 'control-2', 'term': 4,
-            'declaration': {'number': number, 'in_force': in_force,
-                            'confirmed': confirmed, 'entries': 3},
+def status(accepted, in_force, waiting):
+    return {'leader': 'control-2', 'term': 4, 'applied_index': 41, 'declaration_number': accepted,
+            'in_force': {'number': in_force, 'since': 1796365800000, 'waiting': waiting},
             'pools': [
-                {'name': 'gate', 'hosts': 12, 'available': 11, 'minimum': 10, 'buffer': 1},
-                {'name': 'records', 'hosts': 6, 'available': 6, 'minimum': 0, 'buffer': 6}],
+                {'name': 'gate', 'hosts': 12, 'home_hosts': 12, 'available': 11, 'budget': 10,
+                 'in_use': 4, 'buffer': 1},
+                {'name': 'records', 'hosts': 6, 'home_hosts': 6, 'available': 6, 'budget': 0,
+                 'in_use': 0, 'buffer': 6}],
             'entries': [
-                {'name': 'entry-1', 'version': 41, 'age_ms': 80},
-                {'name': 'entry-2', 'version': 40, 'age_ms': 2120}]}
+                {'name': 'entry-1', 'serving': True, 'version': 7, 'view_index': 41, 'age_ms': 80},
+                {'name': 'entry-2', 'serving': False, 'version': 0, 'view_index': 0,
+                 'age_ms': None}],
+            'hosts_by_state': {'in_service': 17, 'draining': 1}, 'keys': 0}
 
 
 HOSTS = {'hosts': [
@@ -34,7 +37,7 @@
 ACCEPTED = {'number': 7, 'result': 'accepted'}
 NOT_LEADER = (421, refusal('not-leader', 'another replica leads'))
 LEADER_IS_B = (*NOT_LEADER, {'X-Leader': 'control-b {b}'})
-STATUS = (200, status(7, True, 3))
+STATUS = (200, status(7, 7, []))
 
 SESSIONS = {
     'tables': {
@@ -62,18 +65,20 @@
         'replicas': {'a': [
             (200, {'steps': [{'batch': 1, 'host': 'w01', 'action': 'move', 'from_pool': 'records',
                               'to_pool': 'gate'}],
-                   'budgets': [{'pool': 'gate', 'hosts': 1, 'available': 1, 'minimum': 1,
+                   'budgets': [{'pool': 'gate', 'hosts': 1, 'available': 1, 'budget': 1,
                                 'lowest_available': 1}]}),
             (200, ACCEPTED), (409, refusal('conflict', 'must be larger than 7', 'number', '7')),
-            (200, {'declarations': [{'number': 7, 'time_ms': 1796365800000, 'actor': 'ann'}]}),
+            (200, {'current': 7, 'numbers': [3, 7]}),
             (404, refusal('not-found', 'no such declaration', 'number', '9'))]},
         'commands': [['plan', 'declaration.jsonc'], ['submit', 'declaration.jsonc', ID],
                      ['submit', 'declaration.jsonc', '--submission=s-2'], ['declarations'],
                      ['declarations', '9']],
     },
     # A follower's answer leads to the leader, with the same submission id.
+    # The leader need not be listed.
     'leader': {
         'replicas': {'a': [LEADER_IS_B], 'b': [(200, {'result': 'accepted'})]},
+        'unlisted': ['b'],
         'commands': [['drain', 'w01', ID]],
     },
     # A replica that is down, or does not know the leader, is passed over.
@@ -86,6 +91,8 @@
         'replicas': {'a': [LEADER_IS_B], 'b': [(*NOT_LEADER, {'X-Leader': 'control-a {a}'})]},
         'commands': [['status', SHORT]],
         'repeats': True,
+        # At most 4 requests for each of the 2 replicas in each of 9 rounds.
+        'most_requests': 80,
     },
     # A lost answer is followed by a resend under the same id.
     'lost_answer': {
@@ -96,6 +103,34 @@
         'replicas': {'a': ['cut', (200, {'result': 'accepted'})]},
         'commands': [['drain', 'w01', ID]],
     },
+    # A frozen replica must not use up the time for the others.
+    'frozen': {
+        'replicas': {'a': 'frozen', 'b': [(200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID, '--timeout_ms=3000']],
+    },
+    # The first attempt was lost: a refusal settles the outcome only when it
+    # says that the change was not made.
+    'lost_then_refused': {
+        'replicas': {'a': ['lose', (409, refusal('conflict', 'must be larger than 7'))]},
+        'commands': [['submit', 'declaration.jsonc', ID]],
+    },
+    'lost_then_no_verdict': {
+        'replicas': {'a': ['lose', (409, {'error': 'conflict'})]},
+        'commands': [['submit', 'declaration.jsonc', ID, SHORT]],
+        'repeats': True,
+    },
+    'may_have_run': {
+        'replicas': {'a': [(503, refusal('unavailable', 'leadership was lost',
+                                         verdict='may-have-run'))]},
+        'commands': [['drain', 'w01', ID, SHORT]],
+        'repeats': True,
+    },
+    # A refusal that says "not now" is tried again, as it was not run.
+    'busy': {
+        'replicas': {'a': [(503, refusal('overloaded', 'the queue is full')),
+                           (200, {'result': 'accepted'})]},
+        'commands': [['drain', 'w01', ID]],
+    },
     # The change may have been made, so this must not be reported as not done.
     'unknown': {
         'replicas': {'a': ['lose and stop']},
@@ -130,16 +165,16 @@
     },
     'no_control': {'replicas': {}, 'commands': [['status'], ['help']]},
     'wait': {
-        'replicas': {'a': [(200, status(6, True, 3)), (200, status(7, False, 1)),
-                           (200, status(7, False, 2)), STATUS]},
+        'replicas': {'a': [(200, status(6, 6, [])), (200, status(7, 6, ['entry-1', 'entry-2'])),
+                           (200, status(7, 6, ['entry-2'])), STATUS]},
         'commands': [['wait', '7']],
     },
     'submit_wait': {
-        'replicas': {'a': [(200, ACCEPTED), (200, status(7, False, 2)), STATUS]},
+        'replicas': {'a': [(200, ACCEPTED), (200, status(7, 6, ['entry-2'])), STATUS]},
         'commands': [['submit', 'declaration.jsonc', '--wait', ID]],
     },
     'wait_timeout': {
-        'replicas': {'a': [(200, status(7, False, 2))]},
+        'replicas': {'a': [(200, status(7, 6, ['entry-2']))]},
         'commands': [['wait', '7', '--wait_timeout_ms=500']],
         'repeats': True,
     },
