Test keyed requests under faults and rolling restarts with real processes

Cause: the promises on keyed requests and planned stops were tested only in memory. The demo's deployment takes its size as arguments; load_client stops early on SIGTERM. Before: not tested.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -10,12 +10,19 @@
 HOSTS = {host: pool for pool, hosts in POOLS.items() for host in hosts}
 
 
+def zone_of(names, name):
+    """Spreads the processes of one role over the zones in turn."""
+    return ZONES[names.index(name) % len(ZONES)]
+
+
 class Deployment:
     """Names, ports and files of one deployment in one folder."""
 
-    def __init__(self, folder, free_ports):
+    def __init__(self, folder, free_ports, controls=CONTROLS, entries=ENTRIES):
         self.folder = folder
-        names = CONTROLS + ENTRIES
+        self.controls = list(controls)
+        self.entries = list(entries)
+        names = self.controls + self.entries
         ports = iter(free_ports(2 * len(names) + 1 + len(HOSTS)))
         self.http = {name: next(ports) for name in names}
         self.link = {name: next(ports) for name in names}
@@ -23,10 +30,10 @@
         self.platform = next(ports)
 
     def control_option(self):
-        return ','.join('127.0.0.1:%d' % self.http[name] for name in CONTROLS)
+        return ','.join('127.0.0.1:%d' % self.http[name] for name in self.controls)
 
     def entry_list(self):
-        return ','.join('127.0.0.1:%d' % self.http[name] for name in ENTRIES)
+        return ','.join('127.0.0.1:%d' % self.http[name] for name in self.entries)
 
     def endpoint_list(self, pool):
         return ','.join('127.0.0.1:%d' % self.endpoint[host] for host in POOLS[pool])
@@ -42,15 +49,15 @@
                 'log': {'file': '', 'level': 'info'}}
 
     def settings(self, name):
-        if name in ENTRIES:
-            return {**self.common('entry', name, ZONES[ENTRIES.index(name)]),
-                    'entries': self.links(ENTRIES), 'controls': self.links(CONTROLS)}
-        controls = [{**link, 'zone': zone, 'http_address': '127.0.0.1',
-                     'http_port': self.http[link['name']]}
-                    for link, zone in zip(self.links(CONTROLS), ZONES)]
-        return {**self.common('control', name, ZONES[CONTROLS.index(name)]),
+        if name in self.entries:
+            return {**self.common('entry', name, zone_of(self.entries, name)),
+                    'entries': self.links(self.entries), 'controls': self.links(self.controls)}
+        controls = [{**link, 'zone': zone_of(self.controls, link['name']),
+                     'http_address': '127.0.0.1', 'http_port': self.http[link['name']]}
+                    for link in self.links(self.controls)]
+        return {**self.common('control', name, zone_of(self.controls, name)),
                 'cluster': 'demo', 'data_folder': str(self.folder / 'data' / name),
-                'controls': controls, 'entries': self.links(ENTRIES),
+                'controls': controls, 'entries': self.links(self.entries),
                 'platform': {'url': 'http://127.0.0.1:%d' % self.platform}}
 
     def declaration(self, number):
@@ -72,7 +79,7 @@
     def write(self):
         """Writes all files and returns their paths by name."""
         paths = {}
-        documents = {name: self.settings(name) for name in CONTROLS + ENTRIES}
+        documents = {name: self.settings(name) for name in self.controls + self.entries}
         documents['declaration'] = self.declaration(1)
         for name, document in documents.items():
             paths[name] = self.folder / (name + '.jsonc')
--- a/demo/run.py
+++ b/demo/run.py
@@ -21,12 +21,12 @@
 
 
 class Demo:
-    def __init__(self, arguments, group):
+    def __init__(self, arguments, group, controls=CONTROLS, entries=ENTRIES):
         self.programs = arguments.programs.resolve()
         self.seconds = arguments.seconds
         self.folder = group.folder
         self.group = group
-        self.deployment = Deployment(self.folder, free_ports)
+        self.deployment = Deployment(self.folder, free_ports, controls, entries)
         self.files = self.deployment.write()
         self.summary = []
 
@@ -62,19 +62,19 @@
             '--declaration', self.files['declaration'], '--max_seconds', MAX_SECONDS])
 
     def start_controls(self):
-        for name in CONTROLS:
+        for name in self.deployment.controls:
             self.start_daemon(name, '--init')
         self.wait_leader()
         # A founded replica starts from its data folder, without --init.
         self.end(['control-3'])
         self.start_daemon('control-3')
-        self.wait_ready(CONTROLS)
+        self.wait_ready(self.deployment.controls)
 
     def wait_leader(self):
         def leads():
             self.group.check_alive()
             return any((http_json(self.deployment.http[name], '/v1/status') or {}).get('leader')
-                       for name in CONTROLS)
+                       for name in self.deployment.controls)
         wait_until(leads, 'a leader')
 
     def wait_ready(self, names):
@@ -84,16 +84,20 @@
                        for name in names)
         wait_until(ready, 'readiness of ' + ', '.join(names))
 
+    def start_endpoint(self, host):
+        pool = HOSTS[host]
+        service = next(name for name in SERVICES if SERVICES[name] == pool)
+        self.group.start('endpoint-' + host, [
+            self.program('endpoint_standin'), '--name', 'endpoint-' + host,
+            '--service', service, '--pool', pool, '--host', host,
+            '--port', self.deployment.endpoint[host],
+            '--entries', self.deployment.entry_list(),
+            '--service_ms', SERVICE_MS, '--max_seconds', MAX_SECONDS,
+            '--execution_file', self.folder / ('executions-%s.txt' % host)])
+
     def start_endpoints(self):
-        for service, pool in SERVICES.items():
-            for host in [host for host in HOSTS if HOSTS[host] == pool]:
-                self.group.start('endpoint-' + host, [
-                    self.program('endpoint_standin'), '--name', 'endpoint-' + host,
-                    '--service', service, '--pool', pool, '--host', host,
-                    '--port', self.deployment.endpoint[host],
-                    '--entries', self.deployment.entry_list(),
-                    '--service_ms', SERVICE_MS, '--max_seconds', MAX_SECONDS,
-                    '--execution_file', self.folder / ('executions-%s.txt' % host)])
+        for host in HOSTS:
+            self.start_endpoint(host)
 
     def write_declaration(self, number):
         path = self.folder / ('declaration-%d.jsonc' % number)
@@ -144,7 +148,7 @@
 
     def serves(self, service):
         return all(http_status(self.deployment.http[name], '/services/%s/first' % service) == 200
-                   for name in ENTRIES)
+                   for name in self.deployment.entries)
 
     def executions(self, host):
         path = self.folder / ('executions-%s.txt' % host)
@@ -186,7 +190,7 @@
         self.check_keys()
 
     def note_memory(self):
-        roles = {'control': CONTROLS, 'entry': ENTRIES,
+        roles = {'control': self.deployment.controls, 'entry': self.deployment.entries,
                  'endpoint stand-in': ['endpoint-' + host for host in HOSTS],
                  'platform stand-in': ['platform']}
         for role, names in roles.items():
@@ -199,14 +203,15 @@
                 raise Failed('%s ended with %s after SIGTERM' % (name, code))
 
     def run(self):
-        self.say('starting the platform stand-in and %d control replicas' % len(CONTROLS))
+        controls, entries = self.deployment.controls, self.deployment.entries
+        self.say('starting the platform stand-in and %d control replicas' % len(controls))
         self.start_platform()
         self.start_controls()
-        self.say('starting %d entries and %d endpoints' % (len(ENTRIES), len(HOSTS)))
-        for name in ENTRIES:
+        self.say('starting %d entries and %d endpoints' % (len(entries), len(HOSTS)))
+        for name in entries:
             self.start_daemon(name)
         self.start_endpoints()
-        self.wait_ready(ENTRIES)
+        self.wait_ready(self.deployment.entries)
         self.say('submitting the declaration')
         self.submit(1, 'submit to in force')
         self.say('sending requests through the entries and directly')
@@ -219,11 +224,11 @@
         self.note_memory()
         self.say('ending all processes')
         self.end(['endpoint-' + host for host in HOSTS])
-        self.end(ENTRIES)
-        self.end(CONTROLS)
+        self.end(entries)
+        self.end(controls)
         self.end(['platform'])
         self.note('exit codes after SIGTERM',
-                  'all 0 (%d processes)' % (len(HOSTS) + len(ENTRIES) + len(CONTROLS) + 2))
+                  'all 0 (%d processes)' % (len(HOSTS) + len(entries) + len(controls) + 2))
 
     def print_summary(self):
         width = max(len(name) for name, _ in self.summary)
--- a/standin/load_client.cpp
+++ b/standin/load_client.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -97,6 +98,11 @@
   return Size;
 }
 
+volatile std::sig_atomic_t StopRequested = 0;
+
+// Ends the load early; requests in flight are finished.
+void requestStop(int) { StopRequested = 1; }
+
 class load_client {
 public:
   load_client()
@@ -127,6 +133,8 @@
     auto End = Begun + std::chrono::seconds(FLAGS_seconds);
     for (;;) {
       auto Now = clock::now();
+      if (StopRequested)
+        End = std::min(End, Now);
       if (Now < End)
         startRequests(Now);
       resendWaiting(Now);
@@ -331,5 +339,6 @@
 int main(int Count, char **Arguments) {
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   curl_global_init(CURL_GLOBAL_DEFAULT);
+  std::signal(SIGTERM, lycheetrestle::standin::requestStop);
   return lycheetrestle::standin::load_client().run();
 }
--- /dev/null
+++ b/tests/process/test_keyed_faults.py
@@ -0,0 +1,65 @@
+"""Keyed requests, resent through other entries, while entries, endpoints and
+control leaders are killed and frozen. Guards against a key that runs twice, a
+refusal as not run of a request that ran, and an answer of another request.
+
+Usage: test_keyed_faults.py FOLDER_OF_PROGRAMS FOLDER [--requests N]
+"""
+
+import sys
+import time
+
+from fleet_run import run_test
+from processes import Failed, wait_until
+
+# A frozen process must outlive the freshness bound and an election.
+FROZEN_S = 5
+
+
+def still_running(load):
+    if not load.alive():
+        raise Failed('the load ended before the faults did; use more --requests')
+
+
+def wait_executions(fleet, more):
+    """Waits until the endpoints executed this many more requests."""
+    target = sum(fleet.executions_by('id').values()) + more
+    wait_until(lambda: sum(fleet.executions_by('id').values()) >= target,
+               'progress of the load', 120)
+
+
+def freeze_for(fleet, name):
+    fleet.freeze(name)
+    time.sleep(FROZEN_S)
+    fleet.resume(name)
+
+
+def test(fleet, arguments):
+    load = fleet.start_load('load-keyed', arguments.requests, '--keyed_percent', 100,
+                            '--concurrency', 24, '--rate', max(40, arguments.requests // 40),
+                            '--resend_not_run', '--resends', 20,
+                            '--resend_wait_ms', 500, '--deadline_ms', 3000)
+    wait_executions(fleet, 50)
+    fleet.kill('entry-1')
+    wait_executions(fleet, 50)
+    fleet.start_daemon('entry-1')
+    leader = fleet.wait_any_leader()
+    fleet.kill(leader)
+    wait_executions(fleet, 50)
+    fleet.start_daemon(leader)
+    fleet.kill('endpoint-w01')
+    wait_executions(fleet, 50)
+    fleet.start_endpoint('w01')
+    freeze_for(fleet, 'entry-2')
+    freeze_for(fleet, fleet.wait_any_leader())
+    freeze_for(fleet, 'endpoint-w02')
+    still_running(load)
+    report = fleet.finish(load)
+    kinds = fleet.check_requests('load-keyed')
+    print('keyed requests %d, attempts %d, final verdicts %s'
+          % (report['requests'], report['attempts'], dict(kinds)))
+    if kinds['ran'] < report['requests'] * 0.5:
+        raise Failed('fewer than half of the requests ran: %s' % dict(kinds))
+
+
+if __name__ == '__main__':
+    sys.exit(run_test(test))
--- /dev/null
+++ b/tests/process/test_rolling_restart.py
@@ -0,0 +1,50 @@
+"""Restarts every entry, endpoint and control replica in turn by SIGTERM under
+load. Guards against a planned stop that cuts a request, gives a wrong verdict
+or ends with an error.
+
+Usage: test_rolling_restart.py FOLDER_OF_PROGRAMS FOLDER
+"""
+
+import sys
+
+from fleet_run import HOSTS, run_test
+from processes import Failed
+
+
+def restart(fleet, name, start):
+    code = fleet.group.end([name])[name]
+    if code != 0:
+        raise Failed('%s ended with %s after SIGTERM' % (name, code))
+    start()
+
+
+def restart_all(fleet):
+    for host in HOSTS:
+        restart(fleet, 'endpoint-' + host, lambda: fleet.start_endpoint(host))
+    for name in fleet.deployment.entries:
+        restart(fleet, name, lambda: fleet.start_daemon(name))
+        fleet.wait_ready([name])
+    for name in fleet.deployment.controls:
+        restart(fleet, name, lambda: fleet.start_daemon(name))
+        fleet.wait_ready([name])
+        fleet.wait_any_leader()
+
+
+def test(fleet, arguments):
+    # The client takes the place of the load balancer: it sends again, through
+    # the next entry, only what was refused as not run or never sent.
+    load = fleet.start_load('load-rolling', 1000000, '--concurrency', 8, '--rate', 100,
+                            '--keyed_percent', 30, '--resend_not_run', '--resends', 30,
+                            '--resend_wait_ms', 200, '--deadline_ms', 5000)
+    restart_all(fleet)
+    fleet.stop_load(load)
+    kinds = fleet.check_requests('load-rolling')
+    cut = {kind: count for kind, count in kinds.items() if kind != 'ran'}
+    attempts = fleet.attempt_kinds('load-rolling')
+    print('requests by final verdict %s, attempts %s' % (dict(kinds), dict(attempts)))
+    if cut or attempts['lost'] or attempts['timeout'] or attempts['may-have-run']:
+        raise Failed('requests were cut: %s, attempts %s' % (cut, dict(attempts)))
+
+
+if __name__ == '__main__':
+    sys.exit(run_test(test, controls=3, entries=3))
