Check the state of the replicated log at each output

Cause: an error inside the log should stop the process before its effects leave, and a vote request could claim a handover for a replica that is not a member.

--- a/replication/outbox.cpp
+++ b/replication/outbox.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t MaxWaitingMessages = 8192;
+// About a minute of heartbeat replies; older ones are of no use.
+constexpr std::size_t MaxWaitingMessages = 1024;
 constexpr std::size_t MaxWaitingBytes = 64u << 20;
 
 } // namespace
--- a/replication/raft_election.cpp
+++ b/replication/raft_election.cpp
@@ -78,7 +78,9 @@
 void raft_node::implementation::onBody(const replica_id &From,
                                        const vote_request &Request,
                                        core::time_point Now) {
-  if (hearsLeader(Now) && !Request.Transfer) {
+  // Only a member can have been asked by the leader to take over.
+  const bool IsHandover = Request.Transfer && isMember(From);
+  if (hearsLeader(Now) && !IsHandover) {
     // A removed replica asks for votes until it learns of its removal.
     if (Role == raft_role::Leader && !isMember(From) && hasCommittedInTerm() &&
         Log.membersIndex() <= Log.commitIndex())
--- a/replication/raft_log.cpp
+++ b/replication/raft_log.cpp
@@ -26,6 +26,8 @@
   Commit = Returned = Base->LastIndex;
   IssuedLast = Found.Entries.empty() ? lastIndex() : Found.Entries.back().Index;
   for (log_entry &Entry : Found.Entries) {
+    if (Entry.Index <= Base->LastIndex)
+      continue;
     core::checkInvariant(Entry.Index == lastIndex() + 1,
                          "stored entries are contiguous");
     // A crash between the parts of a write can leave a new snapshot in front
--- a/replication/raft_node.cpp
+++ b/replication/raft_node.cpp
@@ -181,7 +181,25 @@
   Log.compact(Index, std::move(State));
 }
 
+void raft_node::implementation::checkInvariants() const {
+  core::checkInvariant(Log.snapshotIndex() <= Log.commitIndex() &&
+                           Log.commitIndex() <= Log.lastIndex(),
+                       "snapshot, commit and last index are in order");
+  core::checkInvariant(Log.lastTerm() <= Hard.Term,
+                       "no entry is of a newer term than the replica");
+  core::checkInvariant(Log.durableIndex() <= Log.lastIndex(),
+                       "only entries of the log are counted as synced");
+  core::checkInvariant(Matched <= Log.lastIndex(),
+                       "only entries of the log match the leader's");
+  core::checkInvariant(Role != raft_role::Leader ||
+                           (Hard.Vote == Settings.Self &&
+                            Leader == Settings.Self &&
+                            TermStartIndex <= Log.lastIndex()),
+                       "a leader voted for itself and leads its own term");
+}
+
 raft_output raft_node::implementation::takeOutput() {
+  checkInvariants();
   if (Role == raft_role::Leader)
     for (auto &[Id, Progress] : Followers)
       sendPending(Id, Progress);
--- a/replication/raft_node_implementation.h
+++ b/replication/raft_node_implementation.h
@@ -58,6 +58,7 @@
   bool acceptTerm(const message &Message, core::time_point Now);
   void commitTo(std::uint64_t Index);
   bool isMember(const replica_id &Id) const;
+  void checkInvariants() const;
 
   // raft_election.cpp
   bool hearsLeader(core::time_point Now) const;
