Damage records before the tail of the last segment in the test

Cause: the written store had a single record in its last segment, so a trial fault that cut damage before the tail was not caught. Before: the trial fault passed. Conclusion: damage before the tail is reported, and the test shows it.

--- a/tests/storage/test_damage.cpp
+++ b/tests/storage/test_damage.cpp
@@ -31,7 +31,7 @@
         replication::snapshot{3, 1, {{{{"control-1", 7}, true}}}, "state"};
     First.Append[0].Index = 4;
     execute(Store, First);
-    for (int I = 0; I < 9; ++I) {
+    for (int I = 0; I < 11; ++I) {
       BeforeLast = State;
       execute(Store, appendWrite(State, 2, 20));
     }
@@ -42,10 +42,14 @@
     const auto &Bytes = Files[LastSegment];
     auto Number = *parseNumber("segment-", LastSegment);
     std::uint64_t Offset = 0;
+    int Records = 0;
     while (auto Record = readRecord(Bytes, Number, Offset)) {
       LastRecord = Offset;
       Offset += Record->Size;
+      ++Records;
     }
+    // The tests damage records of the last segment that are not its last.
+    REQUIRE(Records >= 4);
   }
 
   void execute(log_store<fake_files> &Store,
