Test four more rules that put-in faults had passed

Cause: on a scratch copy, four faults passed the focused tests or could not be told apart: stored bodies dropped in another order after a restore, time taken from the newest stamp, a host that was lost while moving changing its pool, and a paused wave that still takes hosts. Change: one focused check for each.

--- a/tests/fleet/test_hosts.cpp
+++ b/tests/fleet/test_hosts.cpp
@@ -53,6 +53,17 @@
   CHECK(Fleet.host("w1").TargetPool.empty());
 }
 
+// The platform has not moved a host that failed before its move.
+TEST_CASE("a host that is lost before its move ends keeps its pool") {
+  auto Fleet = startedFleet();
+  drain(Fleet, "w1", host_goal::Move, "records");
+  Fleet.step("w1", host_state::Moving);
+  Fleet.step("w1", host_state::Failed);
+  REQUIRE(Fleet.step("w1", host_state::Returning) == "accepted");
+  CHECK(Fleet.host("w1").Pool == "gate");
+  CHECK(Fleet.host("w1").Goal == host_goal::Move);
+}
+
 // An old leader's decision must not act on a host that has moved on.
 TEST_CASE("a transition from an older epoch is refused") {
   auto Fleet = startedFleet();
--- a/tests/fleet/test_keys.cpp
+++ b/tests/fleet/test_keys.cpp
@@ -72,11 +72,12 @@
   Fleet.complete("k", "a");
   Fleet.TimeMs += 24ll * 3600 * 1000;
   CHECK(Fleet.reserve("k", "b") == "stored");
-  // An older stamp does not turn time back.
   Fleet.TimeMs += 1;
-  Fleet.reserve("other", "a");
-  Fleet.TimeMs -= 1;
   CHECK(Fleet.reserve("k", "b") == "granted");
+  // An older stamp does not turn time back.
+  Fleet.TimeMs -= 5;
+  CHECK(Fleet.reserve("other", "b") == "granted");
+  CHECK(Fleet.State.findKey("other").TimeMs == Fleet.TimeMs + 5);
 }
 
 TEST_CASE("oversized keys, holders and bodies are bounded") {
@@ -106,6 +107,29 @@
   CHECK(Fleet.reserve("k0", "b") == "stored");
 }
 
+// The order of completion is not that of reservation, and a replica that
+// restarted must drop the same bodies as the others.
+TEST_CASE("a restored state drops the same bodies first") {
+  key_fixture Fleet;
+  const std::string Body(16 << 10, 'b');
+  for (const auto *Key : {"first", "second"})
+    Fleet.reserve(Key, "a");
+  for (const auto *Key : {"second", "first"})
+    Fleet.complete(Key, "a", Body);
+  auto Bytes = Fleet.State.snapshot();
+  auto Restored =
+      lycheetrestle::core::capture([&] { return fleet_state::restore(Bytes); });
+  REQUIRE(Restored.index() == 0);
+  Fleet.State = std::move(std::get<0>(Restored));
+  for (int Key = 0; Key < 511; ++Key) {
+    auto Name = "k" + std::to_string(Key);
+    Fleet.reserve(Name, "a");
+    Fleet.complete(Name, "a", Body);
+  }
+  CHECK(Fleet.State.findKey("second").BodyDropped);
+  CHECK(Fleet.State.findKey("first").Body == Body);
+}
+
 TEST_CASE("a full table refuses new keys as not run") {
   key_fixture Fleet;
   for (int Key = 0; Key < 200'000; ++Key)
--- a/tests/fleet/test_waves.cpp
+++ b/tests/fleet/test_waves.cpp
@@ -88,6 +88,7 @@
   CHECK(Fleet.code(resume_wave{1}) == "conflict");
   CHECK(Fleet.code(pause_wave{1, "surge"}) == "accepted");
   CHECK(wave(Fleet).PauseReason == "surge");
+  CHECK(cordon(Fleet, "w1") == "conflict");
   CHECK(Fleet.code(pause_wave{1, ""}) == "conflict");
   CHECK(Fleet.code(finish_wave{1}) == "conflict");
   CHECK(Fleet.code(resume_wave{1}) == "accepted");
