--- a/tests/fleet/test_waves.cpp
+++ b/tests/fleet/test_waves.cpp
@@ -104,6 +104,19 @@
   CHECK(cordon(Fleet, "w9") == "conflict");
 }
 
+// A replaced host must not leave the wave short of its total for ever.
+TEST_CASE("a host that is removed during a wave leaves its total") {
+  auto Fleet = startedWave();
+  maintain(Fleet, "w7");
+  for (const auto *Host : {"w7", "w8"})
+    Fleet.step(Host, host_state::Failed);
+  auto Next = smallDeclaration(2);
+  Next.Hosts.erase(Next.Hosts.begin() + 6, Next.Hosts.begin() + 8);
+  REQUIRE(Fleet.declare(Next) == "accepted");
+  CHECK(wave(Fleet).Total == 11);
+  CHECK(wave(Fleet).Done == 1);
+}
+
 TEST_CASE("an operator's other goal takes a host out of its wave") {
   auto Fleet = startedWave();
   cordon(Fleet, "w1");
