Make the fleet tests clean for clang-tidy 14

Cause: clang-tidy 14 refuses a captured structured binding and a move inside Catch2's REQUIRE, which it sees as a loop. Change: a plain variable and a const reference; the checks are the same. Before: two lint errors in tests/fleet. After: lint clean; all 3 test programs pass (67 cases in test_fleet). Conclusion: no change of what is tested.

--- a/tests/fleet/state_model.cpp
+++ b/tests/fleet/state_model.cpp
@@ -249,11 +249,10 @@
         expect(Host.LastWave >= Id || Host.State == host_state::Failed ||
                    Host.State == host_state::SetAside,
                "a finished wave has no host left");
-    auto Lost = [&] {
-      return Old != Before.Waves.end() && Wave.Failures > Old->second.Failures;
-    };
-    if (Lost() && Wave.Failures >=
-                      State.currentDeclaration().Maintenance.PauseAfterFailures)
+    bool Lost =
+        Old != Before.Waves.end() && Wave.Failures > Old->second.Failures;
+    if (Lost && Wave.Failures >=
+                    State.currentDeclaration().Maintenance.PauseAfterFailures)
       expect(Wave.State == wave_state::Paused,
              "a wave pauses at its limit of losses");
   }
--- a/tests/fleet/test_hosts.cpp
+++ b/tests/fleet/test_hosts.cpp
@@ -19,9 +19,8 @@
 
 /// Takes a host in service to Drained for a goal.
 void drain(fleet_fixture &Fleet, const std::string &Name, host_goal Goal,
-           std::string Pool = "") {
-  REQUIRE(Fleet.step(Name, host_state::Cordoned, Goal, std::move(Pool)) ==
-          "accepted");
+           const std::string &Pool = "") {
+  REQUIRE(Fleet.step(Name, host_state::Cordoned, Goal, Pool) == "accepted");
   REQUIRE(Fleet.step(Name, host_state::Draining) == "accepted");
   REQUIRE(Fleet.step(Name, host_state::Drained) == "accepted");
 }
