--- a/tests/fleet/test_hosts.cpp
+++ b/tests/fleet/test_hosts.cpp
@@ -19,9 +19,8 @@
 
 /// Takes a host in service to Drained for a goal.
 void drain(fleet_fixture &Fleet, const std::string &Name, host_goal Goal,
-           std::string Pool = "") {
-  REQUIRE(Fleet.step(Name, host_state::Cordoned, Goal, std::move(Pool)) ==
-          "accepted");
+           const std::string &Pool = "") {
+  REQUIRE(Fleet.step(Name, host_state::Cordoned, Goal, Pool) == "accepted");
   REQUIRE(Fleet.step(Name, host_state::Draining) == "accepted");
   REQUIRE(Fleet.step(Name, host_state::Drained) == "accepted");
 }
@@ -53,6 +52,17 @@
   CHECK(Fleet.host("w1").TargetPool.empty());
 }
 
+// The platform has not moved a host that failed before its move.
+TEST_CASE("a host that is lost before its move ends keeps its pool") {
+  auto Fleet = startedFleet();
+  drain(Fleet, "w1", host_goal::Move, "records");
+  Fleet.step("w1", host_state::Moving);
+  Fleet.step("w1", host_state::Failed);
+  REQUIRE(Fleet.step("w1", host_state::Returning) == "accepted");
+  CHECK(Fleet.host("w1").Pool == "gate");
+  CHECK(Fleet.host("w1").Goal == host_goal::Move);
+}
+
 // An old leader's decision must not act on a host that has moved on.
 TEST_CASE("a transition from an older epoch is refused") {
   auto Fleet = startedFleet();
