Test the digest of a keyed request and the depth of messages

Cause: with the body left out of the digest, or without the limit on depth, all tests still passed. Change: one test for each; the digest test also checks that two requests with one key have different holders.

--- a/tests/routing/test_entry_router.cpp
+++ b/tests/routing/test_entry_router.cpp
@@ -304,6 +304,31 @@
   CHECK(Last.Dispatch.empty());
 }
 
+// A key that is used for another request must be told apart, whatever differs.
+TEST_CASE_METHOD(router_fixture, "the digest covers the whole request") {
+  start();
+  std::uint64_t Id = 0;
+  auto Digest = [&](std::string Method, std::string Path, std::string Type,
+                    std::string Body) {
+    Router.onCallerRequest(
+        {++Id, Method, "plots", Path, "", "k", Type, Body, {}, {}}, Now);
+    take();
+    return messages<key_reserve>().at(0).RequestDigest;
+  };
+  auto First = Digest("POST", "/a", "text", "body");
+  CHECK(Digest("POST", "/a", "text", "body") == First);
+  CHECK(Digest("PUT", "/a", "text", "body") != First);
+  CHECK(Digest("POST", "/b", "text", "body") != First);
+  CHECK(Digest("POST", "/a", "json", "body") != First);
+  CHECK(Digest("POST", "/a", "text", "other") != First);
+  CHECK(Digest("POST", "/a", "textbody", "") != First);
+  // Each request has a holder of its own, or both would be granted.
+  call(++Id, "POST", "same");
+  auto Holder = messages<key_reserve>().at(0).Holder;
+  call(++Id, "POST", "same");
+  CHECK(messages<key_reserve>().at(0).Holder != Holder);
+}
+
 TEST_CASE_METHOD(router_fixture,
                  "a keyed request is retried only when certainly not run") {
   start();
--- a/tests/routing/test_messages.cpp
+++ b/tests/routing/test_messages.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("malformed and oversized bytes are refused") {
   CHECK(isRefused(""));
   CHECK(isRefused("\x01"));
-  CHECK(isRefused(std::string(100000, '\x81')));
+  CHECK(isRefused(std::string((4u << 20) - 1, '\x81')));
   // An array that claims 2^60 elements.
   CHECK(isRefused(std::string("\x9b\x10\0\0\0\0\0\0\0", 9)));
   CHECK(isRefused(std::string((4u << 20) + 1, '\0')));
@@ -119,6 +119,22 @@
   CHECK(isRefused(Bytes));
 }
 
+// The parser recurses, so a limit on depth protects the stack.
+TEST_CASE("deep members are refused, although unknown members are ignored") {
+  auto Document = nlohmann::json::from_cbor(encode(slot_cancel{1, "plots"}));
+  nlohmann::json Nested = 1;
+  auto IsRefusedAt = [&](int Depth) {
+    for (int Level = 0; Level < Depth; ++Level)
+      Nested = nlohmann::json::array({Nested});
+    Document["body"]["unknown"] = Nested;
+    std::string Bytes;
+    nlohmann::json::to_cbor(Document, Bytes);
+    return isRefused(Bytes);
+  };
+  CHECK_FALSE(IsRefusedAt(6));
+  CHECK(IsRefusedAt(1));
+}
+
 TEST_CASE("damaged bytes never throw") {
   std::mt19937_64 Random(7);
   auto Bytes = encode(fullReply());
