--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "entry/http_front.h"
+#include "entry/readiness_gate.h"
 #include "entry/request_reader.h"
 #include "entry/ring_sender.h"
 #include "entry/shutdown_plan.h"
@@ -333,7 +334,7 @@
   }
 
   void publishReadiness(bool IsServing, time_point Now) {
-    bool Ready = IsServing && Router.isReady(Now);
+    bool Ready = Gate.update(Router.isReady(Now), Now) && IsServing;
     if (Ready != WasReady)
       logEvent(log_level::Info, "readiness", {{"ready", Ready}});
     WasReady = Ready;
@@ -365,6 +366,7 @@
   upstream_client Upstream;
   transport::link_hub Hub;
   shutdown_plan Plan;
+  readiness_gate Gate;
   time_point NextTick;
   bool WasReady = false;
   std::atomic<core::duration::rep> ReadyUntil{0}; ///< Boot clock, us.
--- /dev/null
+++ b/tests/entry/test_readiness_gate.cpp
@@ -0,0 +1,42 @@
+#include "entry/readiness_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point at(core::duration Time) { return core::time_point(Time); }
+
+// Updates each 10 ms and returns the first time at which it is ready.
+core::duration firstReady(readiness_gate &Gate, core::duration From) {
+  for (auto Time = From; Time < From + 10s; Time += 10ms)
+    if (Gate.update(true, at(Time)))
+      return Time;
+  return core::duration::max();
+}
+
+} // namespace
+
+// An entry that knows no endpoint refuses everything, so it must not be ready.
+TEST_CASE("readiness waits for one round of announcements after a start") {
+  readiness_gate Gate;
+  CHECK(firstReady(Gate, 100s) == 101200ms);
+}
+
+TEST_CASE("readiness waits again after a freeze and not after a short gap") {
+  readiness_gate Gate;
+  firstReady(Gate, 100s);
+  CHECK(Gate.update(true, at(102s)));
+  CHECK_FALSE(Gate.update(true, at(105s)));
+  CHECK(firstReady(Gate, 105s) == 106200ms);
+}
+
+TEST_CASE("it is never ready when the router is not") {
+  readiness_gate Gate;
+  firstReady(Gate, 100s);
+  CHECK_FALSE(Gate.update(false, at(101300ms)));
+  CHECK(Gate.update(true, at(101310ms)));
+}
