--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -11,6 +11,7 @@
 #include "entry/upstream_client.h"
 #include "routing/entry_router.h"
 #include "transport/link_hub.h"
+#include "transport/traffic_metrics.h"
 
 #include <algorithm>
 #include <atomic>
@@ -27,6 +28,7 @@
 using core::time_point;
 
 constexpr auto TickInterval = std::chrono::milliseconds(10);
+constexpr auto TrafficInterval = std::chrono::milliseconds(500);
 // Readiness that the routing thread published longer ago is not trusted: the
 // thread may be stuck, or the process was frozen.
 constexpr auto MaxReadyAge = std::chrono::milliseconds(500);
@@ -146,6 +148,7 @@
       passOutputs(Now);
       Phase = advanceShutdown(Phase, Now);
       publishReadiness(Phase == shutdown_phase::Serving, Now);
+      publishTraffic(Now);
     }
     stopThreads();
     logEvent(log_level::Info, "entry_stopped",
@@ -333,6 +336,13 @@
     return Phase;
   }
 
+  void publishTraffic(time_point Now) {
+    if (Now < NextTraffic)
+      return;
+    NextTraffic = Now + TrafficInterval;
+    transport::publishTraffic(Metrics, Hub.traffic());
+  }
+
   void publishReadiness(bool IsServing, time_point Now) {
     bool Ready = Gate.update(Router.isReady(Now), Now) && IsServing;
     if (Ready != WasReady)
@@ -369,6 +379,7 @@
   readiness_gate Gate;
   time_point NextTick;
   bool WasReady = false;
+  time_point NextTraffic{};
   std::atomic<core::duration::rep> ReadyUntil{0}; ///< Boot clock, us.
 };
 
