Test that a stopping entry waits and lingers

Cause: of 7 faults put into a scratch copy of entry_process.cpp, ending while a request is in flight and staying ready during the linger time went unnoticed. Change: the graceful stop is held open beyond the quiet time, and a lingering entry must serve while /readyz fails.

--- a/tests/entry/test_entry_process.cpp
+++ b/tests/entry/test_entry_process.cpp
@@ -71,7 +71,8 @@
 
 // A whole entry on a thread, with a control and one endpoint.
 struct process_fixture {
-  explicit process_fixture(fake_endpoint::answer Answer)
+  explicit process_fixture(fake_endpoint::answer Answer,
+                           std::uint32_t LingerMs = 0)
       : Endpoint(std::move(Answer)), Control(ControlPort) {
     Settings.Name = "e1";
     Settings.Zone = "z1";
@@ -79,7 +80,7 @@
     Settings.Link = {"127.0.0.1", freePort()};
     Settings.Entries = {{"e1", Settings.Link}};
     Settings.Controls = {{"c1", {"127.0.0.1", ControlPort}}};
-    Settings.LingerMs = 0;
+    Settings.LingerMs = LingerMs;
     Exit = std::async(std::launch::async,
                       [this] { return runEntry(Settings, Stop); });
     bool IsReady =
@@ -158,9 +159,17 @@
   bool IsUnready =
       waitUntil([&] { return Fixture.get("/readyz").find(" 503 ") == 8; });
   auto Refused = Fixture.get("/services/plots/b");
+  // It must not close its listener or end while the request is in flight; the
+  // quiet time of 200 ms passes meanwhile.
+  bool IsListening = true;
+  for (int Count = 0; Count < 60; ++Count) {
+    IsListening = IsListening && !Fixture.get("/healthz").empty();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   Release.set_value();
   CHECK(IsSent);
   CHECK(IsUnready);
+  CHECK(IsListening);
   CHECK(Refused.find("X-Verdict: not-run\r\n") != std::string::npos);
   auto Response = Caller.receive();
   CHECK(Response.find(" 200 ") == 8);
@@ -170,6 +179,19 @@
   CHECK(Fixture.Endpoint.requests() == 1);
 }
 
+// The load balancer needs time to see that the entry is not ready; callers that
+// it still sends must be served.
+TEST_CASE("a lingering entry is not ready and still serves") {
+  process_fixture Fixture(
+      [](const std::string &Head, int) { return fake_action{echo(Head)}; },
+      20000);
+  Fixture.Stop.requestStop();
+  REQUIRE(waitUntil([&] { return Fixture.get("/readyz").find(" 503 ") == 8; }));
+  auto Response = Fixture.get("/services/plots/a");
+  CHECK(Response.find(" 200 ") == 8);
+  CHECK(Response.find("Connection: close\r\n") != std::string::npos);
+}
+
 TEST_CASE("a second stop request ends at once and says so") {
   process_fixture Fixture(
       [](const std::string &, int) { return fake_action{}; });
