--- a/control/control_loop.h
+++ b/control/control_loop.h
@@ -96,7 +96,7 @@
   // control_requests.cpp
   void submit(std::uint64_t Id, submit_operation Operation,
               core::time_point Now);
-  std::optional<core::failure> resolve(fleet::command_body &Body,
+  std::optional<core::failure> resolve(fleet::command_body &Body, bool IsResend,
                                        core::time_point Now) const;
   void receiveEntryMessage(const std::string &Peer, std::string_view Bytes,
                            core::time_point Now);
--- a/control/control_requests.cpp
+++ b/control/control_requests.cpp
@@ -17,15 +17,6 @@
 // 100 bytes, so this many fit into two rounds of the log's own bound.
 constexpr std::size_t MaxWaiting = 20000;
 
-std::uint64_t latestWave(const fleet::fleet_state &State,
-                         fleet::wave_state Wanted) {
-  const auto &Waves = State.waves();
-  for (auto Wave = Waves.rbegin(); Wave != Waves.rend(); ++Wave)
-    if (Wave->second.State == Wanted)
-      return Wave->first;
-  return 0;
-}
-
 } // namespace
 
 void control_loop::handle(control_request Request, core::time_point Now) {
@@ -59,21 +50,16 @@
 
 void control_loop::submit(std::uint64_t Id, submit_operation Operation,
                           core::time_point Now) {
-  // The applied state holds committed submissions only, so an earlier result
-  // stands whether or not this replica still leads.
-  if (auto Earlier = State.findSubmission(Operation.Submission)) {
-    if (Earlier->Failure)
-      answerFailure(Id, *Earlier->Failure);
-    else
-      Answers.push_back({Id, 200, Earlier->Response, ""});
-    return;
-  }
   if (Queued.size() >= MaxWaiting) {
     answerFailure(Id, {error_code::Overloaded, "too many changes wait", "", "",
                        verdict::NotRun});
     return;
   }
-  if (auto Failure = resolve(Operation.Body, Now)) {
+  // A resend is recorded again: only the state machine can tell it from
+  // another change under the same id, and it answers both without running
+  // anything.
+  bool IsResend = State.findSubmission(Operation.Submission).has_value();
+  if (auto Failure = resolve(Operation.Body, IsResend, Now)) {
     answerFailure(Id, *Failure);
     return;
   }
@@ -87,34 +73,31 @@
 }
 
 std::optional<failure> control_loop::resolve(fleet::command_body &Body,
+                                             bool IsResend,
                                              core::time_point Now) const {
-  if (std::holds_alternative<fleet::submit_declaration>(Body)) {
-    // A declaration that most entries cannot learn of would not come into
-    // force within its bound.
-    if (Entries.hasFreshMajority(Now))
-      return std::nullopt;
+  // A declaration that most entries cannot learn of would not come into force
+  // within its bound.
+  if (std::holds_alternative<fleet::submit_declaration>(Body) && !IsResend &&
+      !Entries.hasFreshMajority(Now))
     return failure{error_code::Unavailable,
                    "fewer than a majority of the entries reported within the "
                    "freshness bound; nothing was changed",
                    "entries", "", verdict::NotRun};
-  }
   std::uint64_t *Wave = nullptr;
-  auto Wanted = fleet::wave_state::Running;
   if (auto *Pause = std::get_if<fleet::pause_wave>(&Body))
     Wave = &Pause->Wave;
-  if (auto *Resume = std::get_if<fleet::resume_wave>(&Body)) {
+  if (auto *Resume = std::get_if<fleet::resume_wave>(&Body))
     Wave = &Resume->Wave;
-    Wanted = fleet::wave_state::Paused;
-  }
   if (!Wave || *Wave != 0)
     return std::nullopt;
-  *Wave = latestWave(State, Wanted);
-  if (*Wave != 0)
-    return std::nullopt;
-  return failure{error_code::NotFound,
-                 Wanted == fleet::wave_state::Running ? "no wave runs"
-                                                      : "no wave is paused",
-                 "wave", "", verdict::NotRun};
+  // Whether the latest wave has the right state is left to the state machine,
+  // so that a resend names the same wave and is recognised.
+  const auto &Waves = State.waves();
+  if (Waves.empty())
+    return failure{error_code::NotFound, "no wave was started", "wave", "",
+                   verdict::NotRun};
+  *Wave = Waves.rbegin()->first;
+  return std::nullopt;
 }
 
 void control_loop::receive(const std::string &Peer, std::string_view Bytes,
--- a/tests/control/test_control_frames.cpp
+++ b/tests/control/test_control_frames.cpp
@@ -2,6 +2,7 @@
 #include "control/control_frames.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::control;
@@ -55,6 +56,19 @@
     REQUIRE(Outcome.index() == 1);
     CHECK(std::get<1>(Outcome).Code == core::error_code::Corrupt);
   }
+  auto Refused = [](const nlohmann::json &Value) {
+    std::string Text;
+    nlohmann::json::to_cbor(Value, Text);
+    return core::capture([&] { return decodeFrame(Text); }).index() == 1;
+  };
+  auto Whole = nlohmann::json::from_cbor(Bytes);
+  CHECK_FALSE(Refused(Whole));
+  auto Longer = Whole;
+  Longer.push_back(0);
+  CHECK(Refused(Longer));
+  auto Unknown = Whole;
+  Unknown[0] = 4;
+  CHECK(Refused(Unknown));
   CHECK_FALSE(isControlFrame(""));
   CHECK_FALSE(isControlFrame("\xa2")); // A CBOR map: a message of an entry.
 }
--- a/tests/control/test_control_settings.cpp
+++ b/tests/control/test_control_settings.cpp
@@ -115,6 +115,8 @@
       {"link.port", [](json &S) { S["link"]["port"] = 7102; }},
       {"controls", [](json &S) { S["controls"] = "a"; }},
       {"controls", [](json &S) { S.erase("controls"); }},
+      {"controls[1].address",
+       [](json &S) { S["controls"][1]["address"] = "host-2"; }},
       {"controls[1].name",
        [](json &S) { S["controls"][1]["name"] = "control-1"; }},
       {"controls[2].port", [](json &S) { S["controls"][2]["port"] = 7102; }},
