Refuse addresses without a port and reused submission ids in the tool

Conclusion: host and job changes can't be told apart by their answers; for them the replica has to compare the command.

--- a/ctl/arguments.cpp
+++ b/ctl/arguments.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t MaxNameLength = 64;
+constexpr std::uint64_t MaxPort = 65535;
 
 bool isNameCharacter(char C) {
   return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
@@ -25,6 +26,14 @@
   return Number;
 }
 
+bool isAddress(std::string_view Text) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  auto Port = parseNumber(std::string(Text.substr(Colon + 1)));
+  return Port && *Port >= 1 && *Port <= MaxPort;
+}
+
 bool isName(const std::string &Text) {
   return !Text.empty() && Text.size() <= MaxNameLength && Text != "." &&
          Text != ".." && std::all_of(Text.begin(), Text.end(), isNameCharacter);
--- a/ctl/arguments.h
+++ b/ctl/arguments.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace lycheetrestle::ctl {
 
@@ -15,6 +16,9 @@
 /// path.
 bool isName(const std::string &Text);
 
+/// \returns whether the text is `host:port` with a port of 1 to 65535.
+bool isAddress(std::string_view Text);
+
 } // namespace lycheetrestle::ctl
 
 #endif
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -174,6 +174,10 @@
   if (Line.Options.Replicas.empty())
     return rejectUsage(
         Err, "--control or LYCHEETRESTLE_CONTROL must name a control replica");
+  for (const auto &Replica : Line.Options.Replicas)
+    if (!isAddress(Replica))
+      return rejectUsage(Err, "control replica \"" + Replica +
+                                  "\" is not host:port");
   replica_client Client(Line.Options, Err);
   Context.Client = &Client;
   return Command->Run(Context);
--- a/ctl/declaration_commands.cpp
+++ b/ctl/declaration_commands.cpp
@@ -4,6 +4,8 @@
 #include "ctl/wait_command.h"
 #include "declaration/declaration.h"
 
+#include <nlohmann/json.hpp>
+
 #include <ostream>
 
 namespace lycheetrestle::ctl {
@@ -23,6 +25,20 @@
   return File;
 }
 
+// A replica answers an earlier submission id with the earlier answer. That
+// must not pass for the acceptance of another declaration.
+void checkNumber(call_outcome &Outcome, std::uint64_t Number) {
+  if (Outcome.Code != exit_code::Done)
+    return;
+  auto Reply = nlohmann::json::parse(Outcome.Body, nullptr, false);
+  if (!Reply.is_object() || !Reply.contains("number") ||
+      Reply["number"] == Number)
+    return;
+  Outcome.Code = exit_code::Refused;
+  Outcome.Problem = "the submission id was used before, for declaration " +
+                    Reply["number"].dump() + "; this one was not submitted";
+}
+
 } // namespace
 
 exit_code validateCommand(const command_context &Context) {
@@ -54,8 +70,9 @@
   if (auto *Failure = std::get_if<1>(&File))
     return Context.rejectInput(*Failure);
   const auto &Checked = std::get<0>(File);
-  auto Code =
-      Context.finish(Context.change("POST", "/v1/declarations", Checked.Text));
+  auto Outcome = Context.change("POST", "/v1/declarations", Checked.Text);
+  checkNumber(Outcome, Checked.Declaration.Number);
+  auto Code = Context.finish(Outcome);
   if (Code != exit_code::Done || !Context.Options.Wait)
     return Code;
   return waitUntilInForce(Context, Checked.Declaration.Number);
--- a/ctl/replica_client.cpp
+++ b/ctl/replica_client.cpp
@@ -1,6 +1,7 @@
 #include "ctl/replica_client.h"
 
 #include "core/clock.h"
+#include "ctl/arguments.h"
 #include "ctl/refusal.h"
 
 #include <algorithm>
@@ -19,16 +20,6 @@
 // A shorter attempt would end in a timeout and make the outcome unknown.
 constexpr milliseconds ShortestAttempt{50};
 
-bool isAddress(std::string_view Text) {
-  auto Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos || Colon == 0 || Colon + 1 == Text.size())
-    return false;
-  auto Port = Text.substr(Colon + 1);
-  return Port.size() <= 5 && std::all_of(Port.begin(), Port.end(), [](char C) {
-           return C >= '0' && C <= '9';
-         });
-}
-
 milliseconds until(core::time_point Deadline) {
   return std::chrono::duration_cast<milliseconds>(Deadline -
                                                   core::boot_clock::now());
--- a/tests/ctl/sessions.py
+++ b/tests/ctl/sessions.py
@@ -74,6 +74,11 @@
                      ['submit', 'declaration.jsonc', '--submission=s-2'], ['declarations'],
                      ['declarations', '9']],
     },
+    # The answer to an earlier submission must not confirm another declaration.
+    'reused_submission': {
+        'replicas': {'a': [(200, {'number': 6})]},
+        'commands': [['submit', 'declaration.jsonc', '--wait', ID]],
+    },
     # A follower's answer leads to the leader, with the same submission id.
     # The leader need not be listed.
     'leader': {
@@ -160,6 +165,8 @@
         'commands': [[], ['drian', 'w01'], ['drain'], ['drain', '../w01'], ['move', 'w01'],
                      ['wait', 'seven'], ['status', '--colour=red'], ['status', '--timeout_ms=soon'],
                      ['status', '--timeout_ms'], ['status', '--output=xml'],
+                     ['status', '--control=a'], ['status', '--control=:1'],
+                     ['status', '--control=a:70000'],
                      ['jobs', 'submit', 'missing.jsonc'], ['jobs'],
                      ['drain', 'w01', '--actor=a\nX-Evil: 1']],
     },
