Check the host in the answer to a change

Cause: trial on loopback: after `drain w01` a `drain w04` under the same submission id ended with exit 0 and left w04 in service. Change: checkSubject compares number or host of the answer with the request. Before: exit 0. After: exit 1 with the earlier subject named; 26 of 26 sessions pass, as do process_demo and process_leader_loss. Conclusion: jobs and maintenance still depend on the replica's own check.

--- a/ctl/command_context.cpp
+++ b/ctl/command_context.cpp
@@ -3,6 +3,8 @@
 #include "ctl/printable.h"
 #include "ctl/report.h"
 
+#include <nlohmann/json.hpp>
+
 #include <ostream>
 
 namespace lycheetrestle::ctl {
@@ -28,6 +30,23 @@
   return Client->change(std::move(Method), Path, std::move(Body));
 }
 
+void checkSubject(call_outcome &Outcome, const char *Member,
+                  const std::string &Expected) {
+  if (Outcome.Code != exit_code::Done)
+    return;
+  auto Reply = nlohmann::json::parse(Outcome.Body, nullptr, false);
+  if (!Reply.is_object() || !Reply.contains(Member))
+    return;
+  const auto &Value = Reply[Member];
+  auto Found = Value.is_string() ? Value.get<std::string>() : Value.dump();
+  if (Found == Expected)
+    return;
+  Outcome.Code = exit_code::Refused;
+  Outcome.Problem = "the submission id was used before, for " +
+                    std::string(Member) + " " + Found +
+                    "; this change was not submitted";
+}
+
 exit_code command_context::rejectInput(const core::failure &Failure) const {
   Err << "error: " << core::toString(Failure.Code) << ": "
       << printable(Failure.Message);
--- a/ctl/command_context.h
+++ b/ctl/command_context.h
@@ -31,6 +31,16 @@
   exit_code rejectInput(const core::failure &Failure) const;
 };
 
+/// Turns the answer to a reused submission id into a refusal. A replica
+/// answers a known id with the earlier answer, which must not confirm another
+/// change.
+/// \param Outcome the outcome of a change.
+/// \param Member member of the answer that names what was changed; an answer
+/// without it is left as it is.
+/// \param Expected its value as text.
+void checkSubject(call_outcome &Outcome, const char *Member,
+                  const std::string &Expected);
+
 } // namespace lycheetrestle::ctl
 
 #endif
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -42,8 +42,10 @@
   std::string Body;
   if (Context.Arguments.size() > 1)
     Body = nlohmann::json{{"pool", Context.Arguments[1]}}.dump();
-  return Context.finish(Context.change(
-      "POST", "/v1/hosts/" + Context.Arguments[0] + "/" + Action, Body));
+  auto Outcome = Context.change(
+      "POST", "/v1/hosts/" + Context.Arguments[0] + "/" + Action, Body);
+  checkSubject(Outcome, "host", Context.Arguments[0]);
+  return Context.finish(Outcome);
 }
 
 exit_code submitJob(const command_context &Context) {
--- a/ctl/declaration_commands.cpp
+++ b/ctl/declaration_commands.cpp
@@ -4,8 +4,6 @@
 #include "ctl/wait_command.h"
 #include "declaration/declaration.h"
 
-#include <nlohmann/json.hpp>
-
 #include <ostream>
 
 namespace lycheetrestle::ctl {
@@ -25,20 +23,6 @@
   return File;
 }
 
-// A replica answers an earlier submission id with the earlier answer. That
-// must not pass for the acceptance of another declaration.
-void checkNumber(call_outcome &Outcome, std::uint64_t Number) {
-  if (Outcome.Code != exit_code::Done)
-    return;
-  auto Reply = nlohmann::json::parse(Outcome.Body, nullptr, false);
-  if (!Reply.is_object() || !Reply.contains("number") ||
-      Reply["number"] == Number)
-    return;
-  Outcome.Code = exit_code::Refused;
-  Outcome.Problem = "the submission id was used before, for declaration " +
-                    Reply["number"].dump() + "; this one was not submitted";
-}
-
 } // namespace
 
 exit_code validateCommand(const command_context &Context) {
@@ -71,7 +55,7 @@
     return Context.rejectInput(*Failure);
   const auto &Checked = std::get<0>(File);
   auto Outcome = Context.change("POST", "/v1/declarations", Checked.Text);
-  checkNumber(Outcome, Checked.Declaration.Number);
+  checkSubject(Outcome, "number", std::to_string(Checked.Declaration.Number));
   auto Code = Context.finish(Outcome);
   if (Code != exit_code::Done || !Context.Options.Wait)
     return Code;
--- a/tests/ctl/sessions.py
+++ b/tests/ctl/sessions.py
@@ -76,8 +76,9 @@
     },
     # The answer to an earlier submission must not confirm another declaration.
     'reused_submission': {
-        'replicas': {'a': [(200, {'number': 6})]},
-        'commands': [['submit', 'declaration.jsonc', '--wait', ID]],
+        'replicas': {'a': [(200, {'number': 6}), (200, {'host': 'w01'}), (200, {'host': 'w02'})]},
+        'commands': [['submit', 'declaration.jsonc', '--wait', ID], ['drain', 'w02', ID],
+                     ['drain', 'w02', ID]],
     },
     # A follower's answer leads to the leader, with the same submission id.
     # The leader need not be listed.
