--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -42,8 +42,10 @@
   std::string Body;
   if (Context.Arguments.size() > 1)
     Body = nlohmann::json{{"pool", Context.Arguments[1]}}.dump();
-  return Context.finish(Context.change(
-      "POST", "/v1/hosts/" + Context.Arguments[0] + "/" + Action, Body));
+  auto Outcome = Context.change(
+      "POST", "/v1/hosts/" + Context.Arguments[0] + "/" + Action, Body);
+  checkSubject(Outcome, "host", Context.Arguments[0]);
+  return Context.finish(Outcome);
 }
 
 exit_code submitJob(const command_context &Context) {
@@ -174,6 +176,10 @@
   if (Line.Options.Replicas.empty())
     return rejectUsage(
         Err, "--control or LYCHEETRESTLE_CONTROL must name a control replica");
+  for (const auto &Replica : Line.Options.Replicas)
+    if (!isAddress(Replica))
+      return rejectUsage(Err, "control replica \"" + Replica +
+                                  "\" is not host:port");
   replica_client Client(Line.Options, Err);
   Context.Client = &Client;
   return Command->Run(Context);
--- a/ctl/declaration_commands.cpp
+++ b/ctl/declaration_commands.cpp
@@ -54,8 +54,9 @@
   if (auto *Failure = std::get_if<1>(&File))
     return Context.rejectInput(*Failure);
   const auto &Checked = std::get<0>(File);
-  auto Code =
-      Context.finish(Context.change("POST", "/v1/declarations", Checked.Text));
+  auto Outcome = Context.change("POST", "/v1/declarations", Checked.Text);
+  checkSubject(Outcome, "number", std::to_string(Checked.Declaration.Number));
+  auto Code = Context.finish(Outcome);
   if (Code != exit_code::Done || !Context.Options.Wait)
     return Code;
   return waitUntilInForce(Context, Checked.Declaration.Number);
