Test that a wave stops in the round of its second loss

Change: a focused test with two losses and free places in one round. Conclusion: the count of losses in the round is guarded.

--- a/tests/reconciler/test_host_steps.cpp
+++ b/tests/reconciler/test_host_steps.cpp
@@ -172,6 +172,36 @@
   CHECK(Hosts.at(Rest.front()).State == host_state::InService);
 }
 
+// The losses are only committed after this round; by the state alone the wave
+// could go on.
+TEST_CASE("a wave takes no host in the round that finds its second loss") {
+  cordon_fixture F;
+  F.commit(fleet::start_wave{});
+  F.run(200);
+  int Lost = 0;
+  for (auto &Report : F.Reports)
+    if (F.State.hosts().at(Report.Host).Wave != 0 && Lost < 2) {
+      Report.Condition = platform::host_condition::Down;
+      ++Lost;
+    }
+  REQUIRE(Lost == 2);
+  F.run(1000);
+  // The wave gets free places in the same round.
+  auto Declaration = F.State.currentDeclaration();
+  Declaration.Number = 2;
+  Declaration.Maintenance.MaxParallelHosts = 12;
+  F.commit(fleet::submit_declaration{Declaration});
+  auto Output =
+      F.Reconciler.plan(F.State, F.Reports, F.Entries, at(6200), 7200);
+  int Failed = 0;
+  for (const auto &Command : Output.Commands)
+    if (const auto *Change = std::get_if<fleet::change_host_state>(&Command)) {
+      CHECK(Change->To != host_state::Cordoned);
+      Failed += Change->To == host_state::Failed ? 1 : 0;
+    }
+  CHECK(Failed == 2);
+}
+
 TEST_CASE("a host whose declared home changes is moved there once") {
   fleet_run Run(kelang(), 11);
   auto Declaration = declarationOf(kelang());
