--- a/tests/reconciler/test_host_steps.cpp
+++ b/tests/reconciler/test_host_steps.cpp
@@ -132,6 +132,22 @@
   CHECK(F.state() == host_state::Drained);
 }
 
+// A host that restarts by itself in the middle of a drain is up again, and the
+// platform repeats the result of the drain order without executing it.
+TEST_CASE("a drain that the host has forgotten fails in the end") {
+  cordon_fixture F;
+  F.confirm(12, 100);
+  F.run(200);
+  REQUIRE(F.state() == host_state::Draining);
+  F.Reports[0].Epoch = F.State.hosts().at("w100").Epoch;
+  F.run(590'000);
+  CHECK(F.state() == host_state::Draining);
+  F.run(601'000);
+  CHECK(F.state() == host_state::Failed);
+  F.run(601'200);
+  CHECK(F.state() == host_state::Returning);
+}
+
 TEST_CASE("a short outage is no failure, a long one is") {
   cordon_fixture F;
   F.Reports[1].Condition = platform::host_condition::Down;
