--- a/tests/reconciler/test_host_steps.cpp
+++ b/tests/reconciler/test_host_steps.cpp
@@ -132,6 +132,22 @@
   CHECK(F.state() == host_state::Drained);
 }
 
+// A host that restarts by itself in the middle of a drain is up again, and the
+// platform repeats the result of the drain order without executing it.
+TEST_CASE("a drain that the host has forgotten fails in the end") {
+  cordon_fixture F;
+  F.confirm(12, 100);
+  F.run(200);
+  REQUIRE(F.state() == host_state::Draining);
+  F.Reports[0].Epoch = F.State.hosts().at("w100").Epoch;
+  F.run(590'000);
+  CHECK(F.state() == host_state::Draining);
+  F.run(601'000);
+  CHECK(F.state() == host_state::Failed);
+  F.run(601'200);
+  CHECK(F.state() == host_state::Returning);
+}
+
 TEST_CASE("a short outage is no failure, a long one is") {
   cordon_fixture F;
   F.Reports[1].Condition = platform::host_condition::Down;
@@ -172,6 +188,36 @@
   CHECK(Hosts.at(Rest.front()).State == host_state::InService);
 }
 
+// The losses are only committed after this round; by the state alone the wave
+// could go on.
+TEST_CASE("a wave takes no host in the round that finds its second loss") {
+  cordon_fixture F;
+  F.commit(fleet::start_wave{});
+  F.run(200);
+  int Lost = 0;
+  for (auto &Report : F.Reports)
+    if (F.State.hosts().at(Report.Host).Wave != 0 && Lost < 2) {
+      Report.Condition = platform::host_condition::Down;
+      ++Lost;
+    }
+  REQUIRE(Lost == 2);
+  F.run(1000);
+  // The wave gets free places in the same round.
+  auto Declaration = F.State.currentDeclaration();
+  Declaration.Number = 2;
+  Declaration.Maintenance.MaxParallelHosts = 12;
+  F.commit(fleet::submit_declaration{Declaration});
+  auto Output =
+      F.Reconciler.plan(F.State, F.Reports, F.Entries, at(6200), 7200);
+  int Failed = 0;
+  for (const auto &Command : Output.Commands)
+    if (const auto *Change = std::get_if<fleet::change_host_state>(&Command)) {
+      CHECK(Change->To != host_state::Cordoned);
+      Failed += Change->To == host_state::Failed ? 1 : 0;
+    }
+  CHECK(Failed == 2);
+}
+
 TEST_CASE("a host whose declared home changes is moved there once") {
   fleet_run Run(kelang(), 11);
   auto Declaration = declarationOf(kelang());
