--- a/tests/process/fleet_run.py
+++ b/tests/process/fleet_run.py
@@ -118,8 +118,9 @@
         return kinds
 
 
-def run_test(test, controls=5, entries=12):
-    """Runs test(fleet) with programs and folder from the command line."""
+def run_test(test, controls=5, entries=12, prepare=None):
+    """Runs prepare(fleet), if any, before the start of the processes, and then
+    test(fleet, arguments), with programs and folder from the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument('programs', type=pathlib.Path)
     parser.add_argument('folder', type=pathlib.Path)
@@ -133,6 +134,8 @@
     with ProcessGroup(folder, 400) as group:
         fleet = FleetRun(arguments, group, controls, entries)
         try:
+            if prepare:
+                prepare(fleet)
             fleet.start_all()
             test(fleet, arguments)
         except Failed as failure:
