--- a/tests/replication/test_raft_node.cpp
+++ b/tests/replication/test_raft_node.cpp
@@ -92,6 +92,19 @@
   CHECK_FALSE(Second[0].Granted);
 }
 
+// A replica whose disk was lost must not vote for what its predecessor knew.
+TEST_CASE("messages for another incarnation are ignored") {
+  raft_node Node({.Self = Self}, {}, ThreeVoters, {});
+  const replica_id Predecessor{Self.Name, Self.Incarnation + 7};
+  Node.receive(
+      Peer, encodeMessage({Peer, Predecessor, vote_request{5, false, false}}),
+      {});
+  CHECK(Node.status().Term == 0);
+  const auto Output = Node.takeOutput();
+  CHECK_FALSE(Output.Write);
+  CHECK(Output.Messages.empty());
+}
+
 // A leader without a committed entry would replace it.
 TEST_CASE("a candidate with an older log gets no vote") {
   persistent_state Found;
@@ -134,6 +147,16 @@
   CHECK(Early[0].Received == 2);
 }
 
+// Entries after the matched ones may differ from those that were committed.
+TEST_CASE("a follower commits only what matches the leader's log") {
+  persistent_state Found;
+  Found.Hard.Term = 1;
+  Found.Entries = {{1, 1, entry_kind::Noop, ""}, {2, 1, entry_kind::Noop, ""}};
+  raft_node Node({.Self = Self}, Found, ThreeVoters, {});
+  deliver(Node, append_message{2, 1, 1, 1, 2, {}}, {});
+  CHECK(Node.status().CommitIndex == 1);
+}
+
 TEST_CASE("a single replica commits only what it has stored") {
   raft_node Node({.Self = Self}, {}, {{{Self, true}}}, {});
   Node.tick(afterMs(3000));
