Let the upstream thread notice a deadline late in the random run

Cause: with a verdict of not-run at the deadline of a request in flight put in as a fault, the random run passed, because the result of the attempt always came first. Change: half of the time the result comes 200 ms after the deadline. Conclusion: the random run covers the router's own deadline.

--- a/tests/routing/fault_world_load.cpp
+++ b/tests/routing/fault_world_load.cpp
@@ -86,8 +86,10 @@
   auto Incarnation = Entry.Incarnation;
   upstream_result Timeout{
       Attempt.Attempt, upstream_status::Unknown, 0, false, "", "", "timeout"};
+  // The upstream thread may notice the deadline later than the router.
   result(Name, Incarnation, Timeout,
-         std::chrono::milliseconds(Attempt.DeadlineMs));
+         std::chrono::milliseconds(Attempt.DeadlineMs) +
+             (chance(0.5) ? 200ms : 0ms));
   Clock.after(milliseconds(1, 2),
               [this, Name, Incarnation, Attempt, &Endpoint] {
                 execute(Name, Incarnation, Attempt, Endpoint);
