Expire keys by bounded steps of time

Change: keys expire by a clock that counts at most a minute for each step of the stamps. An idle cluster keeps its keys longer. Conclusion: a wrong clock can no longer break at-most-once.

--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t MaxOriginBytes = 128;
+constexpr std::int64_t MaxKeyClockStepMs = 60 * 1000;
 
 template <typename Type>
 constexpr bool IsKeyCommand =
@@ -107,6 +108,7 @@
   apply_result apply(const command &Command, std::uint64_t Index);
 
 private:
+  void advanceTime(std::int64_t StampMs);
   /// Runs the rules of the command and writes the audit trail.
   apply_result run(const command &Command, std::uint64_t Index);
   void audit(const command &Command, std::uint64_t Index,
@@ -149,12 +151,21 @@
   return {std::get<core::failure>(Outcome), ""};
 }
 
+void fleet_state::implementation::advanceTime(std::int64_t StampMs) {
+  if (StampMs <= State.TimeMs)
+    return;
+  // A longer step is an idle cluster or a wrong clock; counting it as a minute
+  // only keeps keys longer.
+  State.KeyClockMs += std::min(StampMs - State.TimeMs, MaxKeyClockStepMs);
+  State.TimeMs = StampMs;
+}
+
 apply_result fleet_state::implementation::apply(const command &Command,
                                                 std::uint64_t Index) {
   core::checkInvariant(Index > State.AppliedIndex, "log indexes only grow");
   State.AppliedIndex = Index;
-  State.TimeMs = std::max(State.TimeMs, Command.TimeMs);
-  State.Keys.expire(State.TimeMs);
+  advanceTime(Command.TimeMs);
+  State.Keys.expire(State.KeyClockMs);
 
   if (auto Failure = checkOrigin(Command)) {
     audit(Command, Index, *Failure);
--- a/fleet/fleet_state.h
+++ b/fleet/fleet_state.h
@@ -32,7 +32,7 @@
   std::string ContentType;
   std::string Body;
   bool BodyDropped = false;
-  std::int64_t TimeMs = 0;
+  std::int64_t TimeMs = 0; ///< Reservation, by the clock that expires keys.
 };
 
 struct pool_summary {
--- a/fleet/key_table.cpp
+++ b/fleet/key_table.cpp
@@ -205,7 +205,7 @@
 
 change_outcome applyTo(state_data &State, const reserve_key &Command,
                        const origin &) {
-  return State.Keys.reserve(Command, State.TimeMs);
+  return State.Keys.reserve(Command, State.KeyClockMs);
 }
 
 change_outcome applyTo(state_data &State, const complete_key &Command,
--- a/fleet/snapshot.cpp
+++ b/fleet/snapshot.cpp
@@ -20,7 +20,7 @@
   std::string Name = FormatName;
   std::uint32_t Version = FormatVersion;
   std::uint64_t AppliedIndex = 0;
-  std::int64_t TimeMs = 0;
+  std::int64_t TimeMs = 0, KeyClockMs = 0;
   std::uint64_t ViewIndex = 0, DeclarationIndex = 0;
   std::uint64_t NextWave = 1, NextJob = 1, RetiredEpoch = 0, NextKey = 1;
   std::uint64_t Declarations = 0, Hosts = 0, Waves = 0, Jobs = 0, Keys = 0,
@@ -47,7 +47,7 @@
 
 template <typename Archive, record_of<snapshot_head> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Name, R.Version, R.AppliedIndex, R.TimeMs, R.ViewIndex,
+  A(R.Name, R.Version, R.AppliedIndex, R.TimeMs, R.KeyClockMs, R.ViewIndex,
     R.DeclarationIndex, R.NextWave, R.NextJob, R.RetiredEpoch, R.NextKey,
     R.Declarations, R.Hosts, R.Waves, R.Jobs, R.Keys, R.Submissions,
     R.AuditRecords);
@@ -109,6 +109,7 @@
     return false;
   State.AppliedIndex = Head.AppliedIndex;
   State.TimeMs = Head.TimeMs;
+  State.KeyClockMs = Head.KeyClockMs;
   State.ViewIndex = Head.ViewIndex;
   State.DeclarationIndex = Head.DeclarationIndex;
   State.NextWave = Head.NextWave;
@@ -262,6 +263,7 @@
   snapshot_head Head;
   Head.AppliedIndex = State.AppliedIndex;
   Head.TimeMs = State.TimeMs;
+  Head.KeyClockMs = State.KeyClockMs;
   Head.ViewIndex = State.ViewIndex;
   Head.DeclarationIndex = State.DeclarationIndex;
   Head.NextWave = State.NextWave;
--- a/fleet/state_data.h
+++ b/fleet/state_data.h
@@ -69,7 +69,10 @@
 /// the first, so that no command has to walk over all hosts or jobs.
 struct state_data {
   std::uint64_t AppliedIndex = 0;
-  std::int64_t TimeMs = 0;
+  std::int64_t TimeMs = 0; ///< Largest stamp so far.
+  /// Age of the cluster by bounded steps of TimeMs. Keys expire by it, so that
+  /// a leader whose clock is far ahead cannot expire them early.
+  std::int64_t KeyClockMs = 0;
   std::uint64_t ViewIndex = 0;
   std::uint64_t DeclarationIndex = 0;
   std::shared_ptr<const declaration> Current =
--- a/tests/fleet/state_model.h
+++ b/tests/fleet/state_model.h
@@ -66,6 +66,7 @@
   std::map<std::uint64_t, std::string> Winners;
   std::map<std::string, std::uint64_t> LargestEpochs;
   std::map<std::string, held_key> Keys;
+  std::int64_t KeyClockMs = 0;
   view Before;
   std::uint64_t Accepted = 0, Refused = 0, Resent = 0;
 };
