Probe peers half as often and measure traffic by entries and endpoints

Cause: at 12 entries and 48 endpoints one entry sent 24.7 KB/s and received 15.2 KB/s of control messages; 88 of 116 messages a second were probes between entries. Ruled out: announcements, which grow by 150 B/s for each endpoint. Change: entries probe each other every 500 ms; control is still probed every 250 ms. bench/traffic.py takes sizes of entries x endpoints.

--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -1,7 +1,9 @@
 """Measures what an idle deployment spends for control: link traffic, processor
-time and resident memory of each role, for growing numbers of entries.
+time and resident memory of each role, for growing numbers of entries and
+endpoints.
 
-Usage: traffic.py FOLDER_OF_PROGRAMS FOLDER [--entries 3,6,12] [--seconds 15]
+Usage: traffic.py FOLDER_OF_PROGRAMS FOLDER [--sizes 3x6,6x6,12x6,12x24,12x48]
+                  [--seconds 15]
 """
 
 import argparse
@@ -13,8 +15,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / 'tests' / 'process'))
-from fleet_run import FleetRun  # noqa: E402
-from processes import ProcessGroup  # noqa: E402
+from fleet_run import FleetRun, HOSTS  # noqa: E402
+from processes import ProcessGroup, free_ports  # noqa: E402
 
 TICKS_PER_SECOND = 100
 PREFIX = 'lycheetrestle_'
@@ -57,12 +59,25 @@
     return roles
 
 
-def report(entries, roles):
+def start_more_endpoints(fleet, count):
+    """Adds endpoints that announce themselves to the entries in turn, as behind
+    a load balancer, up to this number."""
+    entries = fleet.deployment.entry_list().split(',')
+    ports = free_ports(count)
+    for index in range(len(HOSTS), count):
+        turn = index % len(entries)
+        fleet.group.start('endpoint-%d' % index, [
+            fleet.program('endpoint_standin'), '--name', 'endpoint-%d' % index,
+            '--service', 'plots', '--pool', 'gate', '--host', 'w01', '--port', ports[index],
+            '--entries', ','.join(entries[turn:] + entries[:turn]), '--max_seconds', 200])
+
+
+def report(size, roles):
     for role, rates in roles.items():
         worst = {key: max(rate[key] for rate in rates) for key in rates[0]}
-        print('%3d entries  %-8s  sent %6.0f B/s  received %6.0f B/s  %5.1f messages/s  '
+        print('%-6s  %-8s  sent %6.0f B/s  received %6.0f B/s  %5.1f messages/s  '
               'core %4.2f %%  resident %.1f MB'
-              % (entries, role, worst['link_bytes{direction="sent"}'],
+              % (size, role, worst['link_bytes{direction="sent"}'],
                  worst['link_bytes{direction="received"}'],
                  worst['link_messages{direction="sent"}'], 100 * worst['processor_s'],
                  worst['resident_mb']), flush=True)
@@ -72,18 +87,21 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('programs', type=pathlib.Path)
     parser.add_argument('folder', type=pathlib.Path)
-    parser.add_argument('--entries', default='3,6,12')
+    parser.add_argument('--sizes', default='3x6,6x6,12x6,12x24,12x48',
+                        help='entries x endpoints')
     parser.add_argument('--seconds', type=int, default=15)
     arguments = parser.parse_args()
-    for entries in map(int, arguments.entries.split(',')):
+    for size in arguments.sizes.split(','):
+        entries, endpoints = map(int, size.split('x'))
         folder = arguments.folder.resolve()
         shutil.rmtree(folder, ignore_errors=True)
         (folder / 'data').mkdir(parents=True)
         with ProcessGroup(folder, 200) as group:
             fleet = FleetRun(arguments, group, controls=5, entries=entries)
             fleet.start_all()
-            time.sleep(3)
-            report(entries, measure(fleet, arguments.seconds))
+            start_more_endpoints(fleet, endpoints)
+            time.sleep(5)
+            report(size, measure(fleet, arguments.seconds))
 
 
 if __name__ == '__main__':
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -69,6 +69,7 @@
     Router.Controls.push_back(Control.Name);
   Router.Freshness = std::chrono::milliseconds(Settings.FreshnessMs);
   Router.ProbeInterval = std::chrono::milliseconds(Settings.ProbeIntervalMs);
+  Router.PeerProbeInterval = 2 * Router.ProbeInterval;
   Router.MaxQueuedPerClass = Settings.MaxQueued;
   Router.MaxInFlight = Settings.MaxInFlight;
   return Router;
--- a/routing/entry_router.h
+++ b/routing/entry_router.h
@@ -22,6 +22,9 @@
   std::vector<std::string> Controls; ///< Every configured control replica.
   core::duration Freshness = std::chrono::milliseconds(3000);
   core::duration ProbeInterval = std::chrono::milliseconds(250);
+  /// Each entry probes every other one, so this interval decides most of the
+  /// traffic between entries.
+  core::duration PeerProbeInterval = std::chrono::milliseconds(500);
   core::duration AnnouncementLease = std::chrono::milliseconds(3000);
   core::duration GossipInterval = std::chrono::milliseconds(100);
   std::uint32_t MaxQueuedPerClass = 1000; ///< For each service at its broker.
--- a/routing/peer_contacts.cpp
+++ b/routing/peer_contacts.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// A peer that did not answer a probe of the last 1.5 s, six probes, is frozen
+// A peer that did not answer a probe of the last 1.5 s, three probes, is frozen
 // or cut off, even if its link still looks alive.
 constexpr core::duration PeerSilence = std::chrono::milliseconds(1500);
 // An election takes 1 to 2 s. Keyed requests wait for a leader that was heard
@@ -138,17 +138,24 @@
 void peer_contacts::tick(core::time_point Now) {
   if (!LastProbes || Now - *LastProbes >= Settings.ProbeInterval) {
     LastProbes = Now;
-    sendProbes(Now);
+    sendControlProbes(Now);
+  }
+  if (!LastPeerProbes || Now - *LastPeerProbes >= Settings.PeerProbeInterval) {
+    LastPeerProbes = Now;
+    sendPeerProbes(Now);
   }
   if (!LastGossip || Now - *LastGossip >= Settings.GossipInterval)
     sendGossip(Now);
 }
 
-void peer_contacts::sendProbes(core::time_point Now) {
+void peer_contacts::sendPeerProbes(core::time_point Now) {
   for (const auto &[Name, Contact] : Entries)
     if (Contact.IsUp)
       Messages.push_back(
           {Name, peer_probe{Guard.startProbe(Name, Now), View.index()}});
+}
+
+void peer_contacts::sendControlProbes(core::time_point Now) {
   bool IsLeaderKnown = !leader(Now).empty() && LastConfirmed &&
                        Now - *LastConfirmed <= ConfirmationSilence;
   for (const auto &[Name, IsUp] : Controls)
--- a/routing/peer_contacts.h
+++ b/routing/peer_contacts.h
@@ -64,7 +64,8 @@
     std::optional<core::time_point> Answered; ///< Sending of that probe.
     std::uint64_t LastNonce = 0;              ///< Newest nonce of the peer.
   };
-  void sendProbes(core::time_point Now);
+  void sendPeerProbes(core::time_point Now);
+  void sendControlProbes(core::time_point Now);
   void sendGossip(core::time_point Now);
 
   const router_settings &Settings;
@@ -77,6 +78,7 @@
   std::optional<core::time_point> LeaderAnswered;
   std::optional<core::time_point> LastConfirmed;
   std::optional<core::time_point> LastProbes;
+  std::optional<core::time_point> LastPeerProbes;
   std::optional<core::time_point> LastGossip;
   bool IsStopping = false;
   std::vector<outgoing> Messages;
