--- a/bench/waves.cpp
+++ b/bench/waves.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <map>
 #include <random>
+#include <string_view>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::bench;
@@ -14,8 +15,7 @@
 
 namespace {
 
-constexpr std::int64_t StepSeconds = 5;
-constexpr std::int64_t MaxSeconds = 48 * 3600;
+constexpr std::int64_t MaxSeconds = 21ll * 24 * 3600;
 // A paused wave is resumed by its operator after this time.
 constexpr std::int64_t ResumeSeconds = 600;
 constexpr std::int64_t RepairSeconds = 1800;
@@ -27,6 +27,17 @@
 using planner = wave_step (*)(std::span<const wave_pool>,
                               std::span<const wave_host>, const wave_limits &);
 
+struct wave_shape {
+  const char *Name;
+  std::uint32_t Zones, Hosts, Pools;
+  std::uint32_t MaxParallelHosts, PauseAfterFailures;
+  std::int64_t StepSeconds; ///< Between two decisions.
+};
+
+constexpr std::uint32_t MaxParallelHosts = 8;
+constexpr std::uint32_t PauseAfterFailures = 2;
+constexpr wave_shape TargetShape = {"target", 31, 10000, 47, 64, 8, 30};
+
 struct sim_host {
   std::string Name, Pool, Zone, Rack;
   host_phase Phase = host_phase::Waiting;
@@ -44,20 +55,20 @@
 
 class wave_run {
 public:
-  wave_run(const deployment_shape &Shape, std::uint64_t Seed, planner Plan)
-      : Random(Seed), Plan(Plan) {
+  wave_run(const wave_shape &Shape, std::uint64_t Seed, planner Plan)
+      : Shape(Shape), Random(Seed), Plan(Plan) {
     for (std::uint32_t Index = 0; Index < Shape.Hosts; ++Index) {
       auto Rack = Index / HostsPerRack;
-      Hosts.push_back({"w" + std::to_string(100 + Index),
-                       "pool" + std::to_string(Index % PoolCount),
+      Hosts.push_back({"w" + std::to_string(10000 + Index),
+                       "pool" + std::to_string(Index % Shape.Pools),
                        "z" + std::to_string(Rack % Shape.Zones),
-                       "r" + std::to_string(10 + Rack)});
+                       "r" + std::to_string(1000 + Rack)});
       ++Homes[Hosts.back().Pool];
     }
   }
 
   outcome run() {
-    for (Second = 0; Second < MaxSeconds; Second += StepSeconds) {
+    for (Second = 0; Second < MaxSeconds; Second += Shape.StepSeconds) {
       advance();
       if (PausedUntil > Second)
         continue;
@@ -72,20 +83,21 @@
   double uniform() {
     return std::uniform_real_distribution<double>(0, 1)(Random);
   }
-  std::uint32_t available(const std::string &Pool) const {
-    return std::uint32_t(
-        std::count_if(Hosts.begin(), Hosts.end(), [&](const sim_host &Host) {
-          return Host.Pool == Pool && (Host.Phase == host_phase::Waiting ||
-                                       Host.Phase == host_phase::Done);
-        }));
+  std::map<std::string, std::uint32_t> available() const {
+    std::map<std::string, std::uint32_t> Counts;
+    for (const auto &Host : Hosts)
+      Counts[Host.Pool] +=
+          Host.Phase == host_phase::Waiting || Host.Phase == host_phase::Done;
+    return Counts;
   }
   std::uint32_t minimum(const std::string &Pool) const {
     return (Homes.at(Pool) * BudgetPercent + 99) / 100;
   }
   double left() const {
     double Least = 1e9;
+    auto Available = available();
     for (const auto &[Pool, Count] : Homes)
-      Least = std::min(Least, double(available(Pool)) - minimum(Pool));
+      Least = std::min(Least, double(Available[Pool]) - minimum(Pool));
     return Least;
   }
 
@@ -98,7 +110,7 @@
     for (auto &Host : Hosts) {
       bool In =
           Host.Phase == host_phase::Waiting || Host.Phase == host_phase::Done;
-      if (In && uniform() < LossPerSecond * StepSeconds) {
+      if (In && uniform() < LossPerSecond * double(Shape.StepSeconds)) {
         lose(Host);
       } else if (!In && Second >= Host.UntilSecond) {
         if (Host.Phase == host_phase::Busy && uniform() < LossInWave) {
@@ -119,9 +131,12 @@
     for (const auto &Host : Hosts)
       Views.push_back({Host.Name, Host.Pool, Host.Zone, Host.Rack, Host.Phase});
     std::vector<wave_pool> Pools;
+    auto Available = available();
     for (const auto &[Pool, Count] : Homes)
-      Pools.push_back({Pool, available(Pool), minimum(Pool)});
-    auto Step = Plan(Pools, Views, {8, 2, Failures});
+      Pools.push_back({Pool, Available[Pool], minimum(Pool)});
+    auto Step =
+        Plan(Pools, Views,
+             {Shape.MaxParallelHosts, Shape.PauseAfterFailures, Failures});
     if (Step.Pause) {
       ++Outcome.Pauses;
       Failures = 0;
@@ -148,6 +163,7 @@
     return false;
   }
 
+  wave_shape Shape;
   std::mt19937_64 Random;
   planner Plan;
   std::vector<sim_host> Hosts;
@@ -158,9 +174,10 @@
   outcome Outcome;
 };
 
-void compare(const deployment_shape &Shape, const char *Name, planner Plan) {
+void compare(const wave_shape &Shape, const char *Name, planner Plan,
+             std::uint64_t Seeds) {
   seed_summary Minutes, Pauses, Planned, Left, Racks;
-  for (auto Seed = FirstSeed; Seed < FirstSeed + SeedCount; ++Seed) {
+  for (auto Seed = FirstSeed; Seed < FirstSeed + Seeds; ++Seed) {
     auto Outcome = wave_run(Shape, Seed, Plan).run();
     Minutes.add(Outcome.Minutes);
     Pauses.add(Outcome.Pauses);
@@ -178,12 +195,26 @@
 
 } // namespace
 
-int main() {
+int main(int Count, char **Arguments) {
+  // The target size takes minutes, so it runs only on request.
+  if (Count == 2 && std::string_view(Arguments[1]) == "--target") {
+    constexpr std::uint64_t Seeds = 3;
+    compare(TargetShape, "planner", planWaveStep, Seeds);
+    compare(TargetShape, "one-by-one (baseline)", planWaveStepOneByOne, Seeds);
+    return EXIT_SUCCESS;
+  }
   std::printf("waves: seeds %d to %d; no moves are part of a wave\n",
               int(FirstSeed), int(FirstSeed + SeedCount - 1));
-  for (const auto &Shape : Deployments) {
-    compare(Shape, "planner", planWaveStep);
-    compare(Shape, "one-by-one (baseline)", planWaveStepOneByOne);
+  for (const auto &Deployment : Deployments) {
+    wave_shape Shape = {Deployment.Name,
+                        Deployment.Zones,
+                        Deployment.Hosts,
+                        PoolCount,
+                        MaxParallelHosts,
+                        PauseAfterFailures,
+                        5};
+    compare(Shape, "planner", planWaveStep, SeedCount);
+    compare(Shape, "one-by-one (baseline)", planWaveStepOneByOne, SeedCount);
   }
   return EXIT_SUCCESS;
 }
