Read addresses and log settings of both roles with one piece of code

Cause: entry_settings and control_settings each had their own address, log and nested readers, with two ways to check an IP address. Change: core/common_settings holds them; both roles use it.

--- a/control/control_settings.cpp
+++ b/control/control_settings.cpp
@@ -2,8 +2,6 @@
 
 #include "core/object_reader.h"
 
-#include <arpa/inet.h>
-
 #include <map>
 #include <set>
 
@@ -16,45 +14,10 @@
 constexpr std::size_t MaxReplicas = 9;
 constexpr std::size_t MaxEntries = 64;
 
-bool isIpAddress(const std::string &Text) {
-  in6_addr Buffer{};
-  return inet_pton(AF_INET, Text.c_str(), &Buffer) == 1 ||
-         inet_pton(AF_INET6, Text.c_str(), &Buffer) == 1;
-}
-
 bool isAnyAddress(const std::string &Text) {
   return Text == "0.0.0.0" || Text == "::";
 }
 
-socket_address readAddress(object_reader &Reader, std::string_view AddressName,
-                           std::string_view PortName) {
-  socket_address Result;
-  Result.Address = Reader.readString(AddressName, 1, 64);
-  if (!Result.Address.empty() && !isIpAddress(Result.Address))
-    Reader.reject(AddressName, Result.Address, "must be an IP address");
-  Result.Port =
-      static_cast<std::uint16_t>(Reader.readInteger(PortName, 1, 65535));
-  return Result;
-}
-
-void finishNested(object_reader &Outer, object_reader &Inner) {
-  if (auto Failure = core::captureFailure([&] { return Inner.finish(); }))
-    Outer.reject(std::move(*Failure));
-}
-
-socket_address readSocket(object_reader &Reader, std::string_view Name) {
-  const auto *Value = Reader.readObject(Name);
-  if (!Value) {
-    if (!Reader.has(Name))
-      Reader.reject(Name, "", "is required and must be an object");
-    return {};
-  }
-  object_reader Nested(*Value, Reader.pathOf(Name));
-  auto Result = readAddress(Nested, "address", "port");
-  finishNested(Reader, Nested);
-  return Result;
-}
-
 void readControls(object_reader &Reader, control_settings &Settings) {
   auto Elements = Reader.readArray("controls", MaxReplicas);
   for (std::size_t Index = 0; Index != Elements.size(); ++Index) {
@@ -62,9 +25,9 @@
     replica_settings Replica;
     Replica.Name = Nested.readName("name");
     Replica.Zone = Nested.readName("zone");
-    Replica.Link = readAddress(Nested, "address", "port");
-    Replica.Http = readAddress(Nested, "http_address", "http_port");
-    finishNested(Reader, Nested);
+    Replica.Link = core::readAddress(Nested);
+    Replica.Http = core::readAddress(Nested, "http_address", "http_port");
+    core::finishNested(Reader, Nested);
     Settings.Controls.push_back(std::move(Replica));
   }
 }
@@ -75,42 +38,19 @@
     object_reader Nested(*Elements[Index], Reader.pathOf("entries", Index));
     entry_settings Entry;
     Entry.Name = Nested.readName("name");
-    Entry.Link = readAddress(Nested, "address", "port");
-    finishNested(Reader, Nested);
+    Entry.Link = core::readAddress(Nested);
+    core::finishNested(Reader, Nested);
     Settings.Entries.push_back(std::move(Entry));
   }
 }
 
 void readPlatform(object_reader &Reader, control_settings &Settings) {
-  const auto *Value = Reader.readObject("platform");
-  if (!Value)
-    return;
-  object_reader Nested(*Value, Reader.pathOf("platform"));
-  Settings.PlatformUrl = Nested.readString("url");
-  if (!Settings.PlatformUrl.empty() &&
-      Settings.PlatformUrl.rfind("http://", 0) != 0)
-    Nested.reject("url", Settings.PlatformUrl, "must start with http://");
-  finishNested(Reader, Nested);
-}
-
-void readLog(object_reader &Reader, control_settings &Settings) {
-  const auto *Value = Reader.readObject("log");
-  if (!Value)
-    return;
-  object_reader Nested(*Value, Reader.pathOf("log"));
-  Settings.LogFile = Nested.readString("file", "", 0, 4096);
-  if (Nested.has("level")) {
-    static const std::map<std::string_view, core::log_level> Levels = {
-        {"debug", core::log_level::Debug},
-        {"info", core::log_level::Info},
-        {"warning", core::log_level::Warning},
-        {"error", core::log_level::Error}};
-    auto Level =
-        Nested.readChoice("level", {"debug", "info", "warning", "error"});
-    if (auto Found = Levels.find(Level); Found != Levels.end())
-      Settings.LogLevel = Found->second;
-  }
-  finishNested(Reader, Nested);
+  core::readNested(Reader, "platform", [&](object_reader &Nested) {
+    Settings.PlatformUrl = Nested.readString("url");
+    if (!Settings.PlatformUrl.empty() &&
+        Settings.PlatformUrl.rfind("http://", 0) != 0)
+      Nested.reject("url", Settings.PlatformUrl, "must start with http://");
+  });
 }
 
 core::duration readMilliseconds(object_reader &Reader, std::string_view Name,
@@ -122,12 +62,7 @@
       Reader.readInteger(Name, Minimum, Maximum, Count));
 }
 
-void readTiming(object_reader &Reader, control_settings &Settings) {
-  const auto *Value = Reader.readObject("timing");
-  if (!Value)
-    return;
-  object_reader Nested(*Value, Reader.pathOf("timing"));
-  auto &Timing = Settings.Timing;
+void readTiming(object_reader &Nested, timing_settings &Timing) {
   Timing.Heartbeat =
       readMilliseconds(Nested, "heartbeat_ms", 10, 5000, Timing.Heartbeat);
   Timing.ElectionTimeout = readMilliseconds(Nested, "election_timeout_ms", 50,
@@ -145,17 +80,6 @@
                            Timing.ElectionTimeout)
                            .count()),
         "must be at least three times heartbeat_ms");
-  finishNested(Reader, Nested);
-}
-
-void readSnapshot(object_reader &Reader, control_settings &Settings) {
-  const auto *Value = Reader.readObject("snapshot");
-  if (!Value)
-    return;
-  object_reader Nested(*Value, Reader.pathOf("snapshot"));
-  Settings.SnapshotEveryEntries = static_cast<std::uint64_t>(
-      Nested.readInteger("every_entries", 10, 1000000, 5000));
-  finishNested(Reader, Nested);
 }
 
 /// Checks that names and addresses occur once.
@@ -170,7 +94,7 @@
   void address(const std::string &Path, const socket_address &Address) {
     if (Address.Port == 0)
       return;
-    auto Text = Address.Address + ":" + std::to_string(Address.Port);
+    auto Text = core::toString(Address);
     if (!Addresses.insert(Text).second)
       Reader.reject(Path, Text, "is used by another listener");
   }
@@ -246,14 +170,19 @@
   Settings.Zone = Reader.readName("zone");
   Settings.Cluster = Reader.readName("cluster");
   Settings.DataFolder = Reader.readString("data_folder", 1, 4096);
-  Settings.Listen = readSocket(Reader, "listen");
-  Settings.Link = readSocket(Reader, "link");
+  Settings.Listen = core::readSocket(Reader, "listen");
+  Settings.Link = core::readSocket(Reader, "link");
   readControls(Reader, Settings);
   readEntries(Reader, Settings);
   readPlatform(Reader, Settings);
-  readLog(Reader, Settings);
-  readTiming(Reader, Settings);
-  readSnapshot(Reader, Settings);
+  Settings.Log = core::readLog(Reader);
+  core::readNested(Reader, "timing", [&](object_reader &Nested) {
+    readTiming(Nested, Settings.Timing);
+  });
+  core::readNested(Reader, "snapshot", [&](object_reader &Nested) {
+    Settings.SnapshotEveryEntries = static_cast<std::uint64_t>(
+        Nested.readInteger("every_entries", 10, 1000000, 5000));
+  });
   if (!Reader.error()) {
     checkUnique(Reader, Settings);
     checkSelf(Reader, Settings);
--- a/control/control_settings.h
+++ b/control/control_settings.h
@@ -2,7 +2,7 @@
 #define LYCHEETRESTLE_CONTROL_CONTROL_SETTINGS_H
 
 #include "core/clock.h"
-#include "core/event_log.h"
+#include "core/common_settings.h"
 #include "core/failure.h"
 
 #include <cstdint>
@@ -16,11 +16,7 @@
 /// Largest accepted settings file, in bytes.
 constexpr std::size_t MaxSettingsBytes = 1u << 20;
 
-struct socket_address {
-  std::string Address; ///< IP address.
-  std::uint16_t Port = 0;
-  bool operator==(const socket_address &) const = default;
-};
+using core::socket_address;
 
 /// One control replica as all processes know it.
 struct replica_settings {
@@ -53,8 +49,7 @@
   std::vector<replica_settings> Controls; ///< All replicas, this one included.
   std::vector<entry_settings> Entries;
   std::string PlatformUrl; ///< Empty when there is no platform.
-  std::string LogFile;     ///< Empty for standard error.
-  core::log_level LogLevel = core::log_level::Info;
+  core::log_settings Log;
   timing_settings Timing;
   std::uint64_t SnapshotEveryEntries = 5000;
 };
--- /dev/null
+++ b/core/common_settings.h
@@ -0,0 +1,59 @@
+#ifndef LYCHEETRESTLE_CORE_COMMON_SETTINGS_H
+#define LYCHEETRESTLE_CORE_COMMON_SETTINGS_H
+
+#include "core/event_log.h"
+#include "core/object_reader.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::core {
+
+/// Address of a listening socket.
+struct socket_address {
+  std::string Address; ///< IPv4 or IPv6 address in text form.
+  std::uint16_t Port = 0;
+  bool operator==(const socket_address &) const = default;
+};
+
+/// \returns `address:port`, for messages.
+std::string toString(const socket_address &Socket);
+
+struct log_settings {
+  std::string File; ///< Empty for standard error.
+  log_level Level = log_level::Info;
+};
+
+/// Finishes a nested reader and records its first error at the outer one.
+void finishNested(object_reader &Outer, object_reader &Nested);
+
+/// Calls a function with a reader of an optional nested object.
+/// \param Name the member's name.
+/// \param Read called with the nested reader when the member is present.
+/// \returns whether the member is present and an object.
+template <typename Callable>
+bool readNested(object_reader &Reader, std::string_view Name, Callable &&Read) {
+  const auto *Value = Reader.readObject(Name);
+  if (!Value)
+    return false;
+  object_reader Nested(*Value, Reader.pathOf(Name));
+  Read(Nested);
+  finishNested(Reader, Nested);
+  return true;
+}
+
+/// Reads an IP address and a port from two members of the object.
+socket_address readAddress(object_reader &Reader,
+                           std::string_view AddressName = "address",
+                           std::string_view PortName = "port");
+
+/// Reads a required nested object with the members `address` and `port`.
+socket_address readSocket(object_reader &Reader, std::string_view Name);
+
+/// Reads the optional nested object `log` with the members `file` and `level`.
+log_settings readLog(object_reader &Reader);
+
+} // namespace lycheetrestle::core
+
+#endif
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -119,7 +119,7 @@
   if (FLAGS_check)
     return 0;
   const auto &Settings = std::get<0>(Outcome);
-  core::initializeLog(Settings.LogFile, Settings.LogLevel, Settings.Name);
+  core::initializeLog(Settings.Log.File, Settings.Log.Level, Settings.Name);
   std::atomic<int> StopRequests = 0;
   signal_thread Signals([&] { ++StopRequests; });
   auto Failure = core::captureFailure([&] {
@@ -142,7 +142,7 @@
   if (FLAGS_check)
     return 0;
   const auto &Settings = std::get<0>(Outcome);
-  core::initializeLog(Settings.LogFile, Settings.LogLevel, Settings.Name);
+  core::initializeLog(Settings.Log.File, Settings.Log.Level, Settings.Name);
   entry::stop_source Stop;
   signal_thread Signals([&] { Stop.requestStop(); });
   return entry::runEntry(Settings, Stop);
--- a/entry/entry_settings.cpp
+++ b/entry/entry_settings.cpp
@@ -2,8 +2,6 @@
 
 #include "core/object_reader.h"
 
-#include <asio/ip/address.hpp>
-
 #include <map>
 
 namespace lycheetrestle::entry {
@@ -14,50 +12,6 @@
 constexpr std::size_t MaxEntries = 64;
 constexpr std::size_t MaxControls = 9;
 
-core::log_level toLogLevel(std::string_view Name) {
-  if (Name == "debug")
-    return core::log_level::Debug;
-  if (Name == "warning")
-    return core::log_level::Warning;
-  if (Name == "error")
-    return core::log_level::Error;
-  return core::log_level::Info;
-}
-
-// Reads the members `address` and `port` of an object that may have others.
-socket_address readSocket(core::object_reader &Reader) {
-  socket_address Socket;
-  Socket.Address = Reader.readString("address", 1, 64);
-  asio::error_code Error;
-  asio::ip::make_address(Socket.Address, Error);
-  if (Error && !Reader.error())
-    Reader.reject("address", Socket.Address, "must be an IP address");
-  Socket.Port =
-      static_cast<std::uint16_t>(Reader.readInteger("port", 1, 65535));
-  return Socket;
-}
-
-void finishNested(core::object_reader &Outer, core::object_reader &Nested) {
-  if (auto Failure = core::captureFailure([&] { return Nested.finish(); }))
-    Outer.reject(std::move(*Failure));
-}
-
-// Calls a function with a reader of a nested object, when it is present.
-template <typename Callable>
-void readNested(core::object_reader &Reader, std::string_view Name,
-                bool IsRequired, Callable &&Read) {
-  bool IsPresent = Reader.has(Name);
-  const auto *Value = Reader.readObject(Name);
-  if (!Value) {
-    if (!IsPresent && IsRequired)
-      Reader.reject(Name, "", "is required and must be an object");
-    return;
-  }
-  core::object_reader Nested(*Value, Reader.pathOf(Name));
-  Read(Nested);
-  finishNested(Reader, Nested);
-}
-
 std::vector<named_address> readAddresses(core::object_reader &Reader,
                                          std::string_view Name,
                                          std::size_t MaxElements) {
@@ -69,17 +23,13 @@
     core::object_reader Nested(*Elements[Index], Reader.pathOf(Name, Index));
     named_address Address;
     Address.Name = Nested.readName("name");
-    Address.Socket = readSocket(Nested);
-    finishNested(Reader, Nested);
+    Address.Socket = core::readAddress(Nested);
+    core::finishNested(Reader, Nested);
     Addresses.push_back(std::move(Address));
   }
   return Addresses;
 }
 
-std::string shown(const socket_address &Socket) {
-  return Socket.Address + ":" + std::to_string(Socket.Port);
-}
-
 // Names and addresses must differ over entries and controls, because links are
 // addressed by name and two processes cannot share a listening socket.
 void checkDistinct(core::object_reader &Reader,
@@ -93,7 +43,7 @@
     if (!Name.second)
       Reader.reject(Place + ".name", Address.Name,
                     "must differ from " + Name.first->second + ".name");
-    auto Text = shown(Address.Socket);
+    auto Text = core::toString(Address.Socket);
     auto Socket = PathByAddress.try_emplace(Text, Place);
     if (!Socket.second)
       Reader.reject(Place + ".address", Text,
@@ -103,12 +53,13 @@
     Check("entries", Index, Settings.Entries[Index]);
   for (std::size_t Index = 0; Index < Settings.Controls.size(); ++Index)
     Check("controls", Index, Settings.Controls[Index]);
-  auto Listen = PathByAddress.find(shown(Settings.Listen));
+  auto Listen = PathByAddress.find(core::toString(Settings.Listen));
   if (Listen != PathByAddress.end())
-    Reader.reject("listen", shown(Settings.Listen),
+    Reader.reject("listen", core::toString(Settings.Listen),
                   "must differ from the address of " + Listen->second);
   if (Settings.Listen == Settings.Link)
-    Reader.reject("link", shown(Settings.Link), "must differ from listen");
+    Reader.reject("link", core::toString(Settings.Link),
+                  "must differ from listen");
 }
 
 void checkSelf(core::object_reader &Reader, const entry_settings &Settings) {
@@ -137,19 +88,12 @@
   Reader.readChoice("role", {"entry"});
   Settings.Name = Reader.readName("name");
   Settings.Zone = Reader.readName("zone");
-  readNested(Reader, "listen", true,
-             [&](auto &Nested) { Settings.Listen = readSocket(Nested); });
-  readNested(Reader, "link", true,
-             [&](auto &Nested) { Settings.Link = readSocket(Nested); });
+  Settings.Listen = core::readSocket(Reader, "listen");
+  Settings.Link = core::readSocket(Reader, "link");
   Settings.Entries = readAddresses(Reader, "entries", MaxEntries);
   Settings.Controls = readAddresses(Reader, "controls", MaxControls);
-  readNested(Reader, "log", false, [&](auto &Nested) {
-    Settings.LogFile = Nested.readString("file", "", 0, 4096);
-    if (Nested.has("level"))
-      Settings.LogLevel = toLogLevel(
-          Nested.readChoice("level", {"debug", "info", "warning", "error"}));
-  });
-  readNested(Reader, "limits", false, [&](auto &Nested) {
+  Settings.Log = core::readLog(Reader);
+  core::readNested(Reader, "limits", [&](auto &Nested) {
     auto Read = [&](std::string_view Name, std::int64_t Maximum, auto &Value) {
       Value = static_cast<std::decay_t<decltype(Value)>>(Nested.readInteger(
           Name, 1, Maximum, static_cast<std::int64_t>(Value)));
@@ -160,7 +104,7 @@
     Read("response_bytes", 64 << 20, Settings.MaxResponseBytes);
     Read("caller_connections", 100000, Settings.MaxCallerConnections);
   });
-  readNested(Reader, "timing", false, [&](auto &Nested) {
+  core::readNested(Reader, "timing", [&](auto &Nested) {
     auto Read = [&](std::string_view Name, std::int64_t Minimum,
                     std::int64_t Maximum, std::uint32_t &Value) {
       Value = static_cast<std::uint32_t>(
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETRESTLE_ENTRY_ENTRY_SETTINGS_H
 #define LYCHEETRESTLE_ENTRY_ENTRY_SETTINGS_H
 
-#include "core/event_log.h"
+#include "core/common_settings.h"
 #include "core/failure.h"
 
 #include <cstddef>
@@ -12,11 +12,7 @@
 
 namespace lycheetrestle::entry {
 
-struct socket_address {
-  std::string Address; ///< IPv4 or IPv6 address in text form.
-  std::uint16_t Port = 0;
-  bool operator==(const socket_address &) const = default;
-};
+using core::socket_address;
 
 /// Link address of a process of the system.
 struct named_address {
@@ -33,8 +29,7 @@
   std::vector<named_address> Entries; ///< Every entry, this one included.
   std::vector<named_address> Controls;
 
-  std::string LogFile; ///< Empty for standard error.
-  core::log_level LogLevel = core::log_level::Info;
+  core::log_settings Log;
 
   std::uint32_t MaxInFlight = 4000;
   std::uint32_t MaxQueued = 1000; ///< For each class of a service.
--- a/tests/control/test_control_settings.cpp
+++ b/tests/control/test_control_settings.cpp
@@ -62,7 +62,7 @@
   CHECK(Settings.Controls[1].Http.Port == 8102);
   CHECK(Settings.Entries[0].Link.Port == 7201);
   CHECK(Settings.PlatformUrl == "http://127.0.0.1:9000");
-  CHECK(Settings.LogLevel == core::log_level::Warning);
+  CHECK(Settings.Log.Level == core::log_level::Warning);
   CHECK(Settings.Timing.Heartbeat == std::chrono::milliseconds(50));
   CHECK(Settings.SnapshotEveryEntries == 100);
 }
--- a/tests/entry/test_entry_settings.cpp
+++ b/tests/entry/test_entry_settings.cpp
@@ -55,8 +55,8 @@
   CHECK(Settings.Entries[1].Name == "e2");
   CHECK(Settings.Entries[1].Socket.Port == 9002);
   REQUIRE(Settings.Controls.size() == 1);
-  CHECK(Settings.LogFile == "run/e1.log");
-  CHECK(Settings.LogLevel == core::log_level::Debug);
+  CHECK(Settings.Log.File == "run/e1.log");
+  CHECK(Settings.Log.Level == core::log_level::Debug);
   CHECK(Settings.MaxInFlight == 10);
   CHECK(Settings.MaxQueued == 20);
   CHECK(Settings.MaxBodyBytes == 30);
