Name the bench shapes by their zones

Cause: code carried the names of deployments; the examples hold them. Change: three-zone and four-zone in bench and tests.

--- a/bench/seed_summary.h
+++ b/bench/seed_summary.h
@@ -21,8 +21,8 @@
   std::uint64_t MemoryMb;
 };
 
-constexpr deployment_shape Deployments[] = {{"kelang", 3, 50, 64, 131072},
-                                            {"zhuldyz", 4, 50, 32, 65536}};
+constexpr deployment_shape Deployments[] = {{"three-zone", 3, 50, 64, 131072},
+                                            {"four-zone", 4, 50, 32, 65536}};
 constexpr std::uint32_t PoolCount = 5;
 constexpr std::uint32_t HostsPerRack = 4;
 
@@ -52,7 +52,7 @@
 inline void printMeasure(const char *Deployment, const char *Policy,
                          const char *Measure, const seed_summary &Summary,
                          bool LessIsWorse = false) {
-  std::printf("%-8s %-22s %-34s median=%10.2f worst=%10.2f\n", Deployment,
+  std::printf("%-10s %-22s %-34s median=%10.2f worst=%10.2f\n", Deployment,
               Policy, Measure, Summary.median(),
               LessIsWorse ? Summary.smallest() : Summary.largest());
 }
--- a/tests/control/test_control_frames.cpp
+++ b/tests/control/test_control_frames.cpp
@@ -12,7 +12,7 @@
 control_settings threeReplicas() {
   control_settings Settings;
   Settings.Name = "c1";
-  Settings.Cluster = "kelang";
+  Settings.Cluster = "alpha";
   for (const char *Name : {"c1", "c2", "c3"})
     Settings.Controls.push_back({Name, "z", {}, {}});
   return Settings;
@@ -21,7 +21,7 @@
 std::string replyFrom(const std::string &Name, bool IsFormed) {
   control_frame Frame;
   Frame.Kind = frame_kind::ClusterReply;
-  Frame.Cluster = "kelang";
+  Frame.Cluster = "alpha";
   Frame.From = {Name, 1};
   Frame.IsFormed = IsFormed;
   return encodeFrame(Frame);
@@ -32,7 +32,7 @@
 TEST_CASE("a frame keeps all its fields") {
   control_frame Frame;
   Frame.Kind = frame_kind::Replication;
-  Frame.Cluster = "kelang";
+  Frame.Cluster = "alpha";
   Frame.From = {"c1", 0xffffffffffffffffu};
   Frame.To = {"c2", 3};
   Frame.Bytes = std::string("\0\xff binary", 9);
--- a/tests/control/test_control_settings.cpp
+++ b/tests/control/test_control_settings.cpp
@@ -24,7 +24,7 @@
   return {{"role", "control"},
           {"name", "control-1"},
           {"zone", "z1"},
-          {"cluster", "kelang"},
+          {"cluster", "alpha"},
           {"data_folder", "data"},
           {"listen", {{"address", "127.0.0.1"}, {"port", 8101}}},
           {"link", {{"address", "0.0.0.0"}, {"port", 7101}}},
--- a/tests/reconciler/deployments.h
+++ b/tests/reconciler/deployments.h
@@ -18,16 +18,16 @@
   fleet::resources Worker;
 };
 
-inline deployment kelang() {
-  return {"kelang",
+inline deployment threeZones() {
+  return {"three-zone",
           {"k1", "k2", "k3"},
           {"gate", "plots", "water", "sanitation", "records"},
           50,
           {64, 131072, 2}};
 }
 
-inline deployment zhuldyz() {
-  return {"zhuldyz",
+inline deployment fourZones() {
+  return {"four-zone",
           {"z1", "z2", "z3", "z4"},
           {"box-office", "bookings", "coordinators", "crews", "back-office"},
           50,
--- a/tests/reconciler/test_host_steps.cpp
+++ b/tests/reconciler/test_host_steps.cpp
@@ -23,7 +23,7 @@
   std::uint64_t Index = 0;
 
   cordon_fixture() : Entries(12) {
-    auto Declaration = declarationOf(kelang());
+    auto Declaration = declarationOf(threeZones());
     for (const auto &Host : Declaration.Hosts)
       Reports.push_back(
           {Host.Name, Host.HomePool, platform::host_condition::Up, 0, {}});
@@ -219,8 +219,8 @@
 }
 
 TEST_CASE("a host whose declared home changes is moved there once") {
-  fleet_run Run(kelang(), 11);
-  auto Declaration = declarationOf(kelang());
+  fleet_run Run(threeZones(), 11);
+  auto Declaration = declarationOf(threeZones());
   Declaration.Number = 2;
   auto &Spec = Declaration.Hosts[0];
   auto Target = Spec.HomePool == "plots" ? "water" : "plots";
--- a/tests/reconciler/test_jobs.cpp
+++ b/tests/reconciler/test_jobs.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 TEST_CASE("jobs run to their end and outlive their first lease") {
-  fleet_run Run(kelang(), 31);
+  fleet_run Run(threeZones(), 31);
   for (int Count = 0; Count < 20; ++Count)
     submit(Run, work_class::Normal, 4);
   runFor(Run, 60'000);
@@ -45,7 +45,7 @@
 }
 
 TEST_CASE("urgent work checkpoints batch work and starts within 1.1 s") {
-  fleet_run Run(kelang(), 32);
+  fleet_run Run(threeZones(), 32);
   for (int Count = 0; Count < 10; ++Count)
     submit(Run, work_class::Batch, 60);
   runFor(Run, 1000);
@@ -59,7 +59,7 @@
 // The platform stops a task when its lease ends; until then another copy must
 // not start.
 TEST_CASE("the job of a lost worker starts elsewhere after its lease") {
-  fleet_run Run(kelang(), 33);
+  fleet_run Run(threeZones(), 33);
   submit(Run, work_class::Normal, 4);
   runFor(Run, 600);
   auto Host = job(Run, 1).Host;
@@ -77,7 +77,7 @@
 }
 
 TEST_CASE("a job that fits no worker is reported as impossible") {
-  fleet_run Run(zhuldyz(), 34);
+  fleet_run Run(fourZones(), 34);
   fleet::submit_job Job;
   Job.Team = "planning";
   Job.Pool = "crews";
@@ -89,7 +89,7 @@
 }
 
 TEST_CASE("a worker that fails every task is set aside, its jobs succeed") {
-  fleet_run Run(kelang(), 35);
+  fleet_run Run(threeZones(), 35);
   submit(Run, work_class::Normal, 1);
   runFor(Run, 400);
   auto Bad = job(Run, 1).Host;
@@ -105,7 +105,7 @@
 }
 
 TEST_CASE("a cancelled job is stopped on its worker") {
-  fleet_run Run(kelang(), 36);
+  fleet_run Run(threeZones(), 36);
   submit(Run, work_class::Normal, 4);
   runFor(Run, 1000);
   Run.commit(fleet::cancel_job{1});
@@ -116,7 +116,7 @@
 }
 
 TEST_CASE("a drained host's jobs are checkpointed and continue elsewhere") {
-  fleet_run Run(kelang(), 37);
+  fleet_run Run(threeZones(), 37);
   submit(Run, work_class::Normal, 4);
   runFor(Run, 1000);
   auto Host = job(Run, 1).Host;
--- a/tests/reconciler/test_lending.cpp
+++ b/tests/reconciler/test_lending.cpp
@@ -17,7 +17,7 @@
 
 TEST_CASE("a lasting need borrows from the spare pool, which keeps its minimum "
           "and gets its hosts back") {
-  fleet_run Run(kelang(), 21);
+  fleet_run Run(threeZones(), 21);
   Run.setBusySlots("gate-service", 92);
   for (int Round = 0; Round < 1000 && Run.Broken.empty(); ++Round)
     Run.round();
@@ -40,7 +40,7 @@
 }
 
 TEST_CASE("a peak of a second moves nothing") {
-  fleet_run Run(zhuldyz(), 22);
+  fleet_run Run(fourZones(), 22);
   for (int Round = 0; Round < 1200 && Run.Broken.empty(); ++Round) {
     Run.setBusySlots("bookings-service", Round < 10 ? 300 : 40);
     Run.round();
--- a/tests/reconciler/test_random_run.cpp
+++ b/tests/reconciler/test_random_run.cpp
@@ -229,7 +229,7 @@
   auto First = fromEnvironment("LT_FIRST_SEED", 1);
   auto Count = fromEnvironment("LT_SEEDS", 4);
   for (auto Seed = First; Seed < First + Count; ++Seed) {
-    runSeed(kelang(), Seed);
-    runSeed(zhuldyz(), Seed);
+    runSeed(threeZones(), Seed);
+    runSeed(fourZones(), Seed);
   }
 }
--- a/tests/reconciler/test_waves.cpp
+++ b/tests/reconciler/test_waves.cpp
@@ -21,7 +21,7 @@
 // A new leader knows nothing but the log; it must neither repeat a reboot nor
 // leave a host behind.
 TEST_CASE("a wave continues under new leaders and reboots each host once") {
-  for (const auto &Shape : {kelang(), zhuldyz()}) {
+  for (const auto &Shape : {threeZones(), fourZones()}) {
     fleet_run Run(Shape, 7);
     Run.commit(fleet::start_wave{});
     for (int Round = 0; Round < 6000 && Run.Broken.empty() &&
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE("hosts that do not come back from a reboot pause the wave") {
-  fleet_run Run(kelang(), 3);
+  fleet_run Run(threeZones(), 3);
   for (const auto &[Name, Host] : Run.State.hosts())
     Run.setFaults(Name, {false, true, false, false});
   Run.commit(fleet::start_wave{});
@@ -58,7 +58,7 @@
 
 // Losses outside the plan use up the budget, so the wave has to wait.
 TEST_CASE("a lost zone leaves no budget for a wave") {
-  fleet_run Run(kelang(), 5);
+  fleet_run Run(threeZones(), 5);
   for (const auto &[Name, Host] : Run.State.hosts())
     if (Host.Spec.Zone == "k1")
       Run.setFaults(Name, {true, false, false, false});
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("an operator's goal wins against the wave") {
-  fleet_run Run(zhuldyz(), 9);
+  fleet_run Run(fourZones(), 9);
   Run.commit(fleet::start_wave{});
   Run.commit(fleet::request_host_goal{"w100", fleet::host_goal::Drain, ""});
   runFor(Run, 200'000);
