Test a whole wave, a move and jobs at full size with real processes

Cause: budgets, waves, moves and jobs were tested only in memory. Change: test_full_size.py runs the declaration of one deployment with 5 control replicas, 12 entries and 52 hosts, under load and with the leader killed. Ruled out: a watch that never looks; the test fails unless every pool was seen. Before: not tested.

--- a/demo/run.py
+++ b/demo/run.py
@@ -29,6 +29,7 @@
         self.deployment = Deployment(self.folder, free_ports, controls, entries)
         self.files = self.deployment.write()
         self.summary = []
+        self.platform_flags = []
 
     def program(self, name):
         return self.programs / name
@@ -59,7 +60,8 @@
     def start_platform(self):
         self.group.start('platform', [
             self.program('platform_standin'), '--port', self.deployment.platform,
-            '--declaration', self.files['declaration'], '--max_seconds', MAX_SECONDS])
+            '--declaration', self.files['declaration'], '--max_seconds', MAX_SECONDS,
+            *self.platform_flags])
 
     def start_controls(self):
         for name in self.deployment.controls:
--- /dev/null
+++ b/tests/process/test_full_size.py
@@ -0,0 +1,154 @@
+"""The deployment of examples/kelang at full size: 5 control replicas, 12
+entries, 52 hosts. A whole maintenance wave, a planned move, jobs and a lost
+leader under load. Guards against a pool under its budget, a cut request, a host
+maintained twice or not at all, and a job that never ends.
+
+Usage: test_full_size.py FOLDER_OF_PROGRAMS FOLDER
+"""
+
+import json
+import sys
+import threading
+import time
+
+from fleet_run import ROOT, run_test
+from processes import Failed, free_ports, http_json, wait_until
+
+SERVICE, POOL = 'plots', 'gate'
+JOBS = 6
+
+
+def strip_comments(text):
+    return '\n'.join(line for line in text.splitlines() if not line.lstrip().startswith('//'))
+
+
+class BudgetWatch(threading.Thread):
+    """Polls the pools and remembers each one that was under its minimum."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet, self.faults, self.lowest, self.polls = fleet, set(), {}, 0
+        self.ended = threading.Event()
+
+    def run(self):
+        while not self.ended.wait(0.1):
+            for name in self.fleet.deployment.controls:
+                status = http_json(self.fleet.deployment.http[name], '/v1/status')
+                if status and 'pools' in status:
+                    self.check(status['pools'])
+                    break
+
+    def check(self, pools):
+        self.polls += 1
+        for pool in pools:
+            left = pool['available'] - pool['budget']
+            self.lowest[pool['name']] = min(left, self.lowest.get(pool['name'], left))
+            if left < 0:
+                self.faults.add(pool['name'])
+
+
+def prepare(fleet):
+    """Replaces the small declaration of the demo by the example."""
+    example = json.loads(strip_comments((ROOT / 'examples/kelang/declaration.jsonc').read_text()))
+    fleet.example = example
+    fleet.deployment.declaration = lambda number: {**example, 'number': number}
+    fleet.files['declaration'].write_text(json.dumps(example))
+    fleet.start_endpoints = lambda: start_endpoints(fleet)
+    fleet.platform_flags = ['--reboot_ms', 1000, '--drain_ms', 200, '--move_ms', 500]
+
+
+def start_endpoints(fleet):
+    hosts = [host['name'] for host in fleet.example['hosts'] if host['pool'] == POOL]
+    for host, port in zip(hosts, free_ports(len(hosts))):
+        fleet.group.start('endpoint-' + host, [
+            fleet.program('endpoint_standin'), '--name', 'endpoint-' + host,
+            '--service', SERVICE, '--pool', POOL, '--host', host, '--port', port,
+            '--entries', fleet.deployment.entry_list(), '--max_seconds', 300,
+            '--execution_file', fleet.folder / ('executions-%s.txt' % host)])
+
+
+def host(fleet, name):
+    return next(record for record in fleet.ctl_json('hosts')['hosts'] if record['name'] == name)
+
+
+def move_home(fleet):
+    """Gives one host of the spare pool a new home and waits for the move."""
+    moved = next(h for h in fleet.example['hosts'] if h['pool'] == 'records')
+    moved['pool'] = 'planning'
+    plan = fleet.ctl_json('plan', fleet.write_declaration(2))
+    if moved['name'] not in json.dumps(plan):
+        raise Failed('the dry run does not show the move: %s' % plan)
+    fleet.submit(2, 'second declaration')
+    wait_until(lambda: host(fleet, moved['name'])['pool'] == 'planning'
+               and host(fleet, moved['name'])['state'] == 'in_service', 'the move')
+
+
+def run_jobs(fleet):
+    job = fleet.folder / 'job.json'
+    job.write_text(json.dumps({'team': 'planning', 'pool': 'planning', 'class': 'batch', 'cores': 4,
+                               'memory_mb': 1024, 'accelerators': 0, 'run_seconds': 1}))
+    for _ in range(JOBS):
+        fleet.ctl('jobs', 'submit', job)
+    wait_until(lambda: [j['state'] for j in fleet.ctl_json('jobs', 'list')['jobs']]
+               .count('succeeded') == JOBS, 'the end of all jobs', 120)
+
+
+def wave(fleet):
+    return fleet.ctl_json('waves')['waves'][-1]
+
+
+def run_wave(fleet):
+    begun = time.monotonic()
+    fleet.ctl('maintenance', 'start')
+    wait_until(lambda: wave(fleet)['done'] >= 5, 'the first hosts of the wave', 120)
+    fleet.ctl('maintenance', 'pause')
+    fleet.ctl('maintenance', 'resume')
+    lost = fleet.wait_any_leader()
+    fleet.kill(lost)
+    fleet.wait_any_leader()
+    fleet.start_daemon(lost)
+    wait_until(lambda: wave(fleet)['state'] == 'finished', 'the end of the wave', 200, 0.5)
+    result = wave(fleet)
+    hosts = fleet.ctl_json('hosts')['hosts']
+    missed = [h['name'] for h in hosts if h['last_wave'] != result['id']]
+    if result['done'] != len(hosts) or result['failures'] or missed:
+        raise Failed('the wave ended as %s, missed %s' % (result, missed))
+    print('wave over %d hosts: %.0f s' % (len(hosts), time.monotonic() - begun))
+
+
+def check_reboots(fleet):
+    orders = http_json(fleet.deployment.platform, '/orders')
+    reboots = {}
+    for order in orders['orders']:
+        if order['kind'] == 'reboot':
+            reboots.setdefault(order['host'], set()).add(order['epoch'])
+    twice = [name for name, epochs in reboots.items() if len(epochs) != 1]
+    if twice or len(reboots) != len(fleet.example['hosts']):
+        raise Failed('%d hosts rebooted, more than once: %s' % (len(reboots), twice))
+
+
+def test(fleet, arguments):
+    watch = BudgetWatch(fleet)
+    watch.start()
+    load = fleet.start_load('load-full', 1000000, '--concurrency', 16, '--rate', 100,
+                            '--keyed_percent', 20, '--resend_not_run', '--resends', 30)
+    move_home(fleet)
+    run_jobs(fleet)
+    run_wave(fleet)
+    fleet.stop_load(load)
+    watch.ended.set()
+    watch.join()
+    kinds = fleet.check_requests('load-full')
+    check_reboots(fleet)
+    print('budget left at the worst moment %s in %d polls; requests %s'
+          % (watch.lowest, watch.polls, dict(kinds)))
+    if len(watch.lowest) != len(fleet.example['pools']):
+        raise Failed('not every pool was seen: %s' % watch.lowest)
+    if watch.faults:
+        raise Failed('pools under their budget: %s' % sorted(watch.faults))
+    if set(kinds) != {'ran'}:
+        raise Failed('requests were cut: %s' % dict(kinds))
+
+
+if __name__ == '__main__':
+    sys.exit(run_test(test, prepare=prepare))
