Give each process test its own block of ports

Ruled out: the ephemeral range (32768 to 60999), which lies above. Change: a test claims blocks of 100 ports and keeps the first one bound as the lock.

--- a/reconciler/host_steps.cpp
+++ b/reconciler/host_steps.cpp
@@ -144,7 +144,7 @@
     if (Host.Goal == host_goal::None)
       Round.step(Host, host_state::Returning, "the goal was withdrawn");
     else if (entriesLetGo(Round, Host, Memory))
-      Round.step(Host, host_state::Draining, "entries have let go");
+      Round.step(Host, host_state::Draining, "no entry uses the host");
     return;
   case host_state::Draining:
     if (Host.Goal == host_goal::None)
--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -1,7 +1,6 @@
 """Starts and ends processes by id on free loopback ports and waits for
 conditions. Nothing here asserts on elapsed time; limits only end a hang."""
 
-import contextlib
 import json
 import pathlib
 import random
@@ -15,26 +14,54 @@
 # Below the usual ephemeral range, so that no outgoing connection takes a port
 # between its choice and its use.
 FIRST_PORT, LAST_PORT = 22000, 31999
+PORTS_PER_BLOCK = 100
 
 
 class Failed(Exception):
     """A step that did not end as it had to."""
 
 
-def free_ports(count):
-    """Returns ports of the loopback address on which nothing listens now."""
-    ports = []
-    with contextlib.ExitStack() as probes:
-        for port in random.sample(range(FIRST_PORT, LAST_PORT + 1), LAST_PORT - FIRST_PORT):
-            probe = probes.enter_context(socket.socket())
+class PortBlocks:
+    """Hands out ports of blocks that belong to this process alone. Tests run at
+    the same time, and a port is used seconds after it was found free, so free
+    alone is not enough: the first port of a block stays bound as its lock."""
+
+    def __init__(self):
+        self.locks, self.unused = [], []
+
+    def claim(self):
+        for first in random.sample(range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK),
+                                   (LAST_PORT - FIRST_PORT) // PORTS_PER_BLOCK):
+            lock = socket.socket()
             try:
-                probe.bind(('127.0.0.1', port))
+                lock.bind(('127.0.0.1', first))
             except OSError:
+                lock.close()
                 continue
-            ports.append(port)
-            if len(ports) == count:
-                return ports
-    raise Failed('no %d free ports' % count)
+            self.locks.append(lock)
+            self.unused.extend(range(first + 1, first + PORTS_PER_BLOCK))
+            return
+        raise Failed('every block of ports is in use')
+
+    def take(self):
+        while True:
+            if not self.unused:
+                self.claim()
+            port = self.unused.pop(0)
+            with socket.socket() as probe:
+                try:
+                    probe.bind(('127.0.0.1', port))
+                    return port
+                except OSError:
+                    continue
+
+
+PORT_BLOCKS = PortBlocks()
+
+
+def free_ports(count):
+    """Returns ports of the loopback address that only this process uses."""
+    return [PORT_BLOCKS.take() for _ in range(count)]
 
 
 def wait_until(condition, what, limit_s=60, period_s=0.05):
