--- a/core/common_settings.cpp
+++ b/core/common_settings.cpp
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
+
 namespace lycheetrestle::core {
 
 namespace {
@@ -15,6 +17,18 @@
          inet_pton(AF_INET6, Text.c_str(), &Buffer) == 1;
 }
 
+bool splitAddress(const std::string &Text, socket_address &Socket) {
+  auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  Socket.Address = Text.substr(0, Colon);
+  const char *First = Text.data() + Colon + 1;
+  const char *Last = Text.data() + Text.size();
+  auto Parsed = std::from_chars(First, Last, Socket.Port);
+  return isIpAddress(Socket.Address) && Parsed.ec == std::errc() &&
+         Parsed.ptr == Last && Socket.Port != 0;
+}
+
 log_level toLogLevel(std::string_view Name) {
   if (Name == "debug")
     return log_level::Debug;
@@ -68,4 +82,29 @@
   return Log;
 }
 
+socket_address readSocketText(object_reader &Reader, std::string_view Name) {
+  auto Text = Reader.readString(Name);
+  socket_address Socket;
+  if (!Reader.error() && !splitAddress(Text, Socket))
+    Reader.reject(Name, Text,
+                  "must be an IP address and a port, as in 10.0.0.1:8080");
+  return Socket;
+}
+
+std::vector<std::string> readSeeds(object_reader &Reader) {
+  constexpr std::size_t MaxSeeds = 16;
+  std::vector<std::string> Seeds;
+  for (const auto *Element : Reader.readArray("seeds", MaxSeeds)) {
+    socket_address Socket;
+    if (!Element->is_string() ||
+        !splitAddress(Element->get<std::string>(), Socket)) {
+      Reader.reject("seeds", Element->dump(),
+                    "must hold IP addresses with ports");
+      return {};
+    }
+    Seeds.push_back(Socket.Address);
+  }
+  return Seeds;
+}
+
 } // namespace lycheetrestle::core
--- a/core/common_settings.h
+++ b/core/common_settings.h
@@ -7,9 +7,13 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lycheetrestle::core {
 
+/// Largest settings file in bytes.
+inline constexpr std::size_t MaxSettingsBytes = 64u << 10;
+
 /// Address of a listening socket.
 struct socket_address {
   std::string Address; ///< IPv4 or IPv6 address in text form.
@@ -21,7 +25,7 @@
 std::string toString(const socket_address &Socket);
 
 struct log_settings {
-  std::string File; ///< Empty for standard error.
+  std::string File; ///< Empty for standard output.
   log_level Level = log_level::Info;
 };
 
@@ -51,6 +55,13 @@
 /// Reads a required nested object with the members `address` and `port`.
 socket_address readSocket(object_reader &Reader, std::string_view Name);
 
+/// Reads a required address in the form `ip:port` from one member.
+socket_address readSocketText(object_reader &Reader, std::string_view Name);
+
+/// Reads the required list `seeds` of addresses in the form `ip:port`.
+/// \returns the IP addresses without the ports.
+std::vector<std::string> readSeeds(object_reader &Reader);
+
 /// Reads the optional nested object `log` with the members `file` and `level`.
 log_settings readLog(object_reader &Reader);
 
--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -68,7 +68,7 @@
                    std::string_view ProcessName) {
   log4cplus::SharedAppenderPtr Appender;
   if (Path.empty())
-    Appender = new log4cplus::ConsoleAppender(true, true);
+    Appender = new log4cplus::ConsoleAppender(false, true);
   else
     Appender = new log4cplus::FileAppender(std::string(Path),
                                            std::ios_base::app, true);
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -36,7 +36,7 @@
 };
 
 /// Sets up the log. Call it once, before the first event.
-/// \param Path file to append to, or empty for standard error.
+/// \param Path file to append to, or empty for standard output.
 /// \param Minimum events under this level are dropped.
 /// \param ProcessName written as `process=` on every line.
 void initializeLog(std::string_view Path, log_level Minimum,
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -6,12 +6,18 @@
 #include "entry/entry_process.h"
 #include "entry/entry_settings.h"
 #include "entry/stop_source.h"
+#include "gateway/gateway_process.h"
+#include "gateway/gateway_settings.h"
 #include "platform/http_client.h"
+#include "platform/site_messages.h"
+#include "scheduling/scheduler_process.h"
+#include "scheduling/scheduler_settings.h"
 
 #include <gflags/gflags.h>
 
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <fstream>
 #include <functional>
@@ -55,7 +61,7 @@
 core::result<std::string> readRole(const std::string &Text) {
   BOOST_LEAF_AUTO(Value, core::parseJson(Text, control::MaxSettingsBytes));
   core::object_reader Reader(Value, "");
-  auto Role = Reader.readChoice("role", {"control", "entry"});
+  auto Role = Reader.readChoice("role", {"control", "entry", "scheduler", "gateway"});
   if (Reader.error())
     return core::fail(*Reader.error());
   return Role;
@@ -148,6 +154,61 @@
   return entry::runEntry(Settings, Stop);
 }
 
+/// Runs a role whose settings have a name and a log.
+/// \param Parse reads the settings.
+/// \param Run runs the role with them until the stop requests end it.
+template <typename Settings, typename Callable>
+int runRole(core::result<Settings> (*Parse)(std::string_view),
+            const std::string &Text, Callable &&Run) {
+  auto Outcome = core::capture([&] { return Parse(Text); });
+  if (const auto *Failure = std::get_if<core::failure>(&Outcome))
+    return report(*Failure, ExitBadSettings);
+  if (FLAGS_check)
+    return 0;
+  const auto &Parsed = std::get<0>(Outcome);
+  core::initializeLog(Parsed.Log.File, Parsed.Log.Level, Parsed.Name);
+  std::atomic<int> StopRequests = 0;
+  signal_thread Signals([&] { ++StopRequests; });
+  auto Failure =
+      core::captureFailure([&] { return Run(Parsed, StopRequests); });
+  if (!Failure)
+    return 0;
+  core::logEvent(core::log_level::Error, "start_failed",
+                 {{"field", Failure->Field},
+                  {"value", Failure->Value},
+                  {"reason", Failure->Message}});
+  return report(*Failure, ExitFailure);
+}
+
+int runSchedulerRole(const std::string &Text) {
+  return runRole(scheduling::parseSchedulerSettings, Text,
+                 [](const scheduling::scheduler_settings &Settings,
+                    const std::atomic<int> &StopRequests) {
+                   auto Adapter = platform::makeSiteAdapter(
+                       {Settings.PlatformAddress, Settings.AdviserAddress,
+                        Settings.Name});
+                   return scheduling::runScheduler(Settings, Adapter,
+                                                   StopRequests);
+                 });
+}
+
+int runGatewayRole(const std::string &Text) {
+  return runRole(gateway::parseGatewaySettings, Text,
+                 [](const gateway::gateway_settings &Settings,
+                    const std::atomic<int> &StopRequests) {
+                   gateway::gateway_dialect Dialect{platform::DeadlineHeader,
+                                                    platform::ReadinessPath};
+                   return gateway::runGateway(Settings, Dialect, StopRequests);
+                 });
+}
+
+/// \returns the path of the settings file: the flag, or the variable in which
+/// the platform passes it.
+std::string settingsPath() {
+  const char *Variable = std::getenv("LYCHEETRESTLE_BOOT");
+  return FLAGS_settings.empty() && Variable ? Variable : FLAGS_settings;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -158,11 +219,12 @@
     return report({core::error_code::BadInput, "unexpected argument", "",
                    Arguments[1], core::verdict::NotRun},
                   ExitBadSettings);
-  auto Text = readFile(FLAGS_settings);
+  auto Path = settingsPath();
+  auto Text = readFile(Path);
   if (!Text)
     return report({core::error_code::IoError,
                    "cannot read the settings file named by --settings",
-                   "settings", FLAGS_settings, core::verdict::NotRun},
+                   "settings", Path, core::verdict::NotRun},
                   ExitBadSettings);
   auto Role = core::capture([&] { return readRole(*Text); });
   if (const auto *Failure = std::get_if<core::failure>(&Role))
@@ -174,5 +236,9 @@
                    "--init is for the role control only", "init", "",
                    core::verdict::NotRun},
                   ExitBadSettings);
+  if (std::get<0>(Role) == "scheduler")
+    return runSchedulerRole(*Text);
+  if (std::get<0>(Role) == "gateway")
+    return runGatewayRole(*Text);
   return runEntryRole(*Text);
 }
--- /dev/null
+++ b/gateway/forwarder.cpp
@@ -0,0 +1,216 @@
+#include "gateway/forwarder.h"
+
+#include "core/event_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::gateway {
+
+namespace {
+
+// An election takes about this long.
+constexpr std::uint32_t RetryAfterElectionS = 1;
+// Two schedulers that both say that the other one leads are in an election.
+constexpr std::uint32_t MaxRefusals = 4;
+
+double toMs(core::duration Duration) {
+  return std::chrono::duration<double, std::milli>(Duration).count();
+}
+
+} // namespace
+
+forwarder::forwarder(forwarder_settings Settings,
+                     std::vector<std::string> Seeds,
+                     core::metrics_registry &Metrics)
+    : Settings(Settings), Metrics(Metrics) {
+  for (auto &Seed : Seeds) {
+    Schedulers[Seed];
+    Actions.NewPeers.push_back(std::move(Seed));
+  }
+}
+
+std::optional<std::string> forwarder::leader(core::time_point Now) const {
+  std::optional<std::string> Best;
+  std::uint64_t Term = 0;
+  for (const auto &[Address, View] : Schedulers) {
+    if (!View.IsLinked || !View.Status.IsLeading ||
+        Now - View.SeenAt > Settings.LeaderSilence || View.Status.Term < Term)
+      continue;
+    Best = Address;
+    Term = View.Status.Term;
+  }
+  return Best;
+}
+
+bool forwarder::isReady(core::time_point Now) const {
+  return leader(Now).has_value();
+}
+
+void forwarder::request(http::server_request Request, core::time_point Deadline,
+                        core::time_point Now) {
+  auto Peer = leader(Now);
+  if (!Peer) {
+    Metrics.add("requests_total{outcome=\"no_leader\"}");
+    core::logEvent(core::log_level::Info, "request_refused",
+                   {{"method", Request.Request.Method},
+                    {"path", Request.Request.Target},
+                    {"reason", "no scheduler leads"},
+                    {"verdict", "not-run"}});
+    Actions.Responses.push_back(
+        {Request.Id,
+         {503,
+          {{"Retry-After", std::to_string(RetryAfterElectionS)}},
+          R"({"error":"unavailable"})"}});
+    return;
+  }
+  auto Id = ++LastId;
+  auto &Call = Open[Id];
+  Call.RequestId = Request.Id;
+  Call.Deadline = Deadline - Settings.ResponseMargin;
+  Call.Since = Now;
+  Call.Call = {Id, std::move(Request.Request.Method),
+               std::move(Request.Request.Host),
+               std::move(Request.Request.Target),
+               std::move(Request.Request.Body)};
+  send(Call, *Peer);
+}
+
+void forwarder::send(open_call &Call, const std::string &Peer) {
+  Call.SentTo = Peer;
+  Actions.Calls.push_back({Peer, Call.Call});
+}
+
+void forwarder::callNotSent(std::uint64_t Id, core::time_point Now) {
+  auto Found = Open.find(Id);
+  if (Found == Open.end())
+    return;
+  Found->second.SentTo.clear();
+  if (!Found->second.IsUnknown)
+    finish(Id, 503, RetryAfterElectionS, R"({"error":"unavailable"})",
+           "link down", Now);
+}
+
+void forwarder::receive(const std::string &Peer, message Message,
+                        core::time_point Now) {
+  if (auto *Status = std::get_if<status_message>(&Message)) {
+    for (const auto &Address : Status->Schedulers)
+      if (Schedulers.try_emplace(Address).second)
+        Actions.NewPeers.push_back(Address);
+    auto &View = Schedulers[Peer];
+    View.Status = std::move(*Status);
+    View.SeenAt = Now;
+    View.IsLinked = true;
+    return;
+  }
+  auto *Reply = std::get_if<reply_message>(&Message);
+  if (!Reply)
+    return;
+  auto Found = Open.find(Reply->Id);
+  if (Found == Open.end() || Found->second.SentTo != Peer)
+    return;
+  auto &Call = Found->second;
+  if (Reply->IsHandled) {
+    finish(Reply->Id, Reply->Status, Reply->RetryAfterS,
+           std::move(Reply->Body), "answered", Now);
+    return;
+  }
+  // The receiver did not lead, so this copy has not run. An earlier copy that
+  // got no reply may have.
+  Call.SentTo.clear();
+  Schedulers[Peer].Status.IsLeading = false;
+  if (++Call.Refusals == 1 && !Call.IsUnknown && !leader(Now))
+    finish(Reply->Id, 503, RetryAfterElectionS, R"({"error":"unavailable"})",
+           "not leading", Now);
+}
+
+void forwarder::linkChanged(const std::string &Peer, bool IsUp,
+                            core::time_point Now) {
+  auto &View = Schedulers[Peer];
+  if (View.IsLinked != IsUp)
+    core::logEvent(core::log_level::Info,
+                   IsUp ? "scheduler_linked" : "scheduler_unlinked",
+                   {{"scheduler", Peer},
+                    {"status_age_ms", toMs(Now - View.SeenAt)}});
+  View.IsLinked = IsUp;
+  if (IsUp)
+    return;
+  for (auto &[Id, Call] : Open)
+    if (Call.SentTo == Peer) {
+      Call.SentTo.clear();
+      Call.IsUnknown = true;
+    }
+}
+
+void forwarder::tick(core::time_point Now) {
+  auto Current = leader(Now);
+  if (Current.value_or("") != LastLeader) {
+    core::logEvent(core::log_level::Info, "leader_changed",
+                   {{"before", LastLeader}, {"after", Current.value_or("")}});
+    LastLeader = Current.value_or("");
+  }
+  std::vector<std::uint64_t> Late;
+  for (auto &[Id, Call] : Open) {
+    if (Now >= Call.Deadline) {
+      Late.push_back(Id);
+      continue;
+    }
+    // A leader that went silent may have taken it; the next one is asked the
+    // same, and knows the job by its id.
+    if (!Call.SentTo.empty() && Current && Call.SentTo != *Current) {
+      Call.IsUnknown = true;
+      Call.SentTo.clear();
+    }
+    if (!Call.SentTo.empty() || !Current)
+      continue;
+    if (Call.Refusals > MaxRefusals && !Call.IsUnknown) {
+      Late.push_back(Id);
+      continue;
+    }
+    send(Call, *Current);
+  }
+  for (auto Id : Late) {
+    const auto &Call = Open.find(Id)->second;
+    // Only a copy that is out, or was lost, makes the outcome unknown.
+    bool IsNotRun = Call.SentTo.empty() && !Call.IsUnknown;
+    finish(Id, IsNotRun ? 503 : 504, IsNotRun ? RetryAfterElectionS : 0,
+           IsNotRun ? R"({"error":"unavailable"})" : R"({"error":"unknown"})",
+           "deadline", Now);
+  }
+}
+
+void forwarder::finish(std::uint64_t Id, std::uint16_t Status,
+                       std::uint32_t RetryAfterS, std::string Body,
+                       std::string_view Why, core::time_point Now) {
+  auto Found = Open.find(Id);
+  auto &Call = Found->second;
+  http::server_response Response;
+  Response.Id = Call.RequestId;
+  Response.Response.Status = Status;
+  Response.Response.Body = std::move(Body);
+  if (!Response.Response.Body.empty())
+    Response.Response.Headers.push_back({"Content-Type", "application/json"});
+  if (RetryAfterS > 0)
+    Response.Response.Headers.push_back(
+        {"Retry-After", std::to_string(RetryAfterS)});
+  Actions.Responses.push_back(std::move(Response));
+  auto Took = toMs(Now - Call.Since);
+  Metrics.observe("request_ms", Took);
+  Metrics.add("requests_total{status=\"" + std::to_string(Status) + "\"}");
+  bool IsRead = Call.Call.Method == "GET" && Status < 500;
+  core::logEvent(IsRead ? core::log_level::Debug : core::log_level::Info,
+                 "request_answered",
+                 {{"method", Call.Call.Method},
+                  {"path", Call.Call.Target},
+                  {"status", Status},
+                  {"reason", Why},
+                  {"scheduler", Call.SentTo},
+                  {"took_ms", Took}});
+  Open.erase(Found);
+}
+
+forwarder_actions forwarder::takeActions() {
+  return std::exchange(Actions, {});
+}
+
+} // namespace lycheetrestle::gateway
--- /dev/null
+++ b/gateway/gateway_process.cpp
@@ -0,0 +1,223 @@
+#include "gateway/gateway_process.h"
+
+#include "core/bounded_ring.h"
+#include "core/event_log.h"
+#include "core/metrics.h"
+#include "gateway/forwarder.h"
+#include "http/server.h"
+#include "transport/link_hub.h"
+#include "transport/traffic_metrics.h"
+
+#include <charconv>
+#include <deque>
+#include <utility>
+
+namespace lycheetrestle::gateway {
+
+namespace {
+
+using core::boot_clock;
+
+// Bounds how late a deadline or a stop request is noticed.
+constexpr core::duration LongestWait = std::chrono::milliseconds(50);
+constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
+constexpr std::size_t MaxBodyBytes = 1u << 20;
+
+/// An event of a link, in the order of its arrival.
+struct link_event {
+  std::string Peer;
+  std::string Bytes; ///< Empty for a change of the link.
+  bool IsUp = false;
+};
+
+core::failure ioFailure(std::string Message, std::string Field) {
+  return {core::error_code::IoError, std::move(Message), std::move(Field), "",
+          core::verdict::NotRun};
+}
+
+class gateway_process {
+public:
+  gateway_process(const gateway_settings &Settings,
+                  const gateway_dialect &Dialect,
+                  const std::atomic<int> &StopRequests)
+      : Settings(Settings), Dialect(Dialect), StopRequests(StopRequests),
+        LinkEvents(8192, Signal), Requests(8192, Signal),
+        Hub(linkSettings(), linkHandlers()),
+        Front(frontSettings(),
+              [this](const http::request &Request) {
+                return answerLocally(Request);
+              },
+              Requests),
+        Forwarder({}, Settings.Seeds, Metrics) {}
+
+  core::result<void> run() {
+    if (auto Reason = Hub.start(); !Reason.empty())
+      return core::fail(ioFailure(std::move(Reason), "link_port"));
+    if (auto Reason = Front.start(); !Reason.empty())
+      return core::fail(ioFailure(std::move(Reason), "listen"));
+    core::logEvent(core::log_level::Info, "gateway_started",
+                   {{"listen", core::toString(Settings.Listen)},
+                    {"seeds", Settings.Seeds.size()}});
+    drive();
+    Front.stop();
+    Hub.stop();
+    core::logEvent(core::log_level::Info, "gateway_stopped",
+                   {{"open_calls", Forwarder.openCalls()}});
+    return {};
+  }
+
+private:
+  http::server_settings frontSettings() const {
+    http::server_settings Result;
+    Result.Listen = {Settings.Listen, Settings.Readiness};
+    if (Settings.Metrics.Port != 0)
+      Result.Listen.push_back(Settings.Metrics);
+    Result.WantedHeaders = {Dialect.DeadlineHeader};
+    Result.MaxBodyBytes = MaxBodyBytes;
+    return Result;
+  }
+
+  std::optional<http::response> answerLocally(const http::request &Request) {
+    if (Request.Target == Dialect.ReadinessPath)
+      return http::response{
+          static_cast<std::uint16_t>(IsReady ? 200 : 503), {}, ""};
+    if (Request.Target == "/metrics")
+      return http::response{200,
+                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                            Metrics.expose()};
+    return std::nullopt;
+  }
+
+  transport::link_settings linkSettings() const {
+    transport::link_settings Result;
+    Result.SelfName = linkName(Settings.Address);
+    Result.ListenAddress = Settings.Address;
+    Result.ListenPort = Settings.LinkPort;
+    return Result;
+  }
+
+  transport::link_handlers linkHandlers() {
+    transport::link_handlers Handlers;
+    Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
+      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+        Metrics.add("link_messages_dropped_total");
+    };
+    Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
+      if (!LinkEvents.push({Peer, "", IsUp}))
+        Metrics.add("link_messages_dropped_total");
+    };
+    Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
+      core::logEvent(core::log_level::Debug, "link_error",
+                     {{"peer", Peer}, {"reason", Reason}});
+    };
+    return Handlers;
+  }
+
+  void drive() {
+    std::optional<core::time_point> StopSince;
+    while (true) {
+      auto Now = boot_clock::now();
+      LinkEvents.drain([&](link_event &&Event) { receive(Event, Now); });
+      Requests.drain([&](http::server_request &&Request) {
+        auto Deadline = Now + deadlineOf(Request.Request);
+        Forwarder.request(std::move(Request), Deadline, Now);
+      });
+      Forwarder.tick(Now);
+      execute(Now);
+      IsReady = !StopSince && Forwarder.isReady(Now);
+      publish(Now);
+      if (StopRequests > 0 && !StopSince) {
+        StopSince = Now;
+        core::logEvent(core::log_level::Info, "shutdown_started", {});
+        Front.closeAfterResponses();
+      }
+      if (StopSince && isStopDue(*StopSince, Now))
+        return;
+      Signal.waitFor(LongestWait);
+    }
+  }
+
+  bool isStopDue(core::time_point Since, core::time_point Now) const {
+    if (StopRequests > 1)
+      return true;
+    auto Elapsed = Now - Since;
+    if (Elapsed < Settings.StopLinger)
+      return false;
+    return (Forwarder.openCalls() == 0 && Pending.empty() &&
+            Front.pendingRequests() == 0) ||
+           Elapsed >= Settings.StopLinger + Settings.StopDrain;
+  }
+
+  core::duration deadlineOf(const http::request &Request) const {
+    auto Text =
+        http::findHeader(Request.Headers, Dialect.DeadlineHeader.c_str());
+    std::int64_t Count = 0;
+    auto Parsed =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+    if (Parsed.ec != std::errc() || Count <= 0)
+      return forwarder_settings().DefaultDeadline;
+    return std::chrono::milliseconds(Count);
+  }
+
+  void receive(const link_event &Event, core::time_point Now) {
+    if (Event.Bytes.empty()) {
+      Forwarder.linkChanged(Event.Peer, Event.IsUp, Now);
+      return;
+    }
+    if (auto Message = decodeMessage(Event.Bytes))
+      Forwarder.receive(Event.Peer, std::move(*Message), Now);
+    else
+      Metrics.add("messages_dropped_total");
+  }
+
+  void execute(core::time_point Now) {
+    auto Actions = Forwarder.takeActions();
+    for (auto &Address : Actions.NewPeers)
+      Hub.addPeer({Address, Address, Settings.SchedulerLinkPort});
+    for (auto &Outgoing : Actions.Calls) {
+      auto Id = Outgoing.Call.Id;
+      if (!Hub.send(Outgoing.Peer, encodeMessage(std::move(Outgoing.Call))))
+        Forwarder.callNotSent(Id, Now);
+    }
+    auto More = Forwarder.takeActions();
+    for (auto *Set : {&Actions, &More})
+      for (auto &Response : Set->Responses)
+        Pending.push_back(std::move(Response));
+    while (!Pending.empty() && Front.deliver(std::move(Pending.front())))
+      Pending.pop_front();
+  }
+
+  void publish(core::time_point Now) {
+    if (Now < NextMetrics)
+      return;
+    NextMetrics = Now + MetricsInterval;
+    Metrics.set("is_ready", IsReady);
+    Metrics.set("open_calls", static_cast<double>(Forwarder.openCalls()));
+    transport::publishTraffic(Metrics, Hub.traffic());
+  }
+
+  const gateway_settings &Settings;
+  const gateway_dialect &Dialect;
+  const std::atomic<int> &StopRequests;
+  core::metrics_registry Metrics;
+  core::ring_signal Signal;
+  core::bounded_ring<link_event> LinkEvents;
+  core::bounded_ring<http::server_request> Requests;
+  std::atomic<bool> IsReady = false;
+  transport::link_hub Hub;
+  http::server Front;
+  forwarder Forwarder;
+  std::deque<http::server_response> Pending;
+  core::time_point NextMetrics{};
+};
+
+} // namespace
+
+core::result<void> runGateway(const gateway_settings &Settings,
+                              const gateway_dialect &Dialect,
+                              const std::atomic<int> &StopRequests) {
+  gateway_process Process(Settings, Dialect, StopRequests);
+  return Process.run();
+}
+
+} // namespace lycheetrestle::gateway
--- /dev/null
+++ b/gateway/gateway_settings.h
@@ -0,0 +1,39 @@
+#ifndef LYCHEETRESTLE_GATEWAY_GATEWAY_SETTINGS_H
+#define LYCHEETRESTLE_GATEWAY_GATEWAY_SETTINGS_H
+
+#include "core/clock.h"
+#include "core/common_settings.h"
+#include "core/failure.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::gateway {
+
+/// Settings of a process with the role `gateway`.
+struct gateway_settings {
+  std::string Name;
+  std::string Address;            ///< IP address.
+  core::socket_address Listen;    ///< For callers.
+  core::socket_address Readiness; ///< For the load balancer.
+  core::socket_address Metrics;   ///< Port 0: no metrics address.
+  std::uint16_t LinkPort = 0;     ///< Of this process.
+  std::uint16_t SchedulerLinkPort = 0;
+  std::vector<std::string> Seeds; ///< IP addresses of schedulers.
+  core::log_settings Log;
+  /// How long it serves on after a stop request: the load balancer needs two
+  /// failed checks, a second apart, to stop sending connections.
+  core::duration StopLinger = std::chrono::milliseconds(3000);
+  /// Longest wait for open requests after that.
+  core::duration StopDrain = std::chrono::milliseconds(2000);
+};
+
+/// \param Text the settings file, JSON with comments.
+/// \returns the settings, or BadInput with the field at fault.
+core::result<gateway_settings> parseGatewaySettings(std::string_view Text);
+
+} // namespace lycheetrestle::gateway
+
+#endif
--- /dev/null
+++ b/http/client.cpp
@@ -0,0 +1,302 @@
+#include "http/client.h"
+
+#include "core/event_log.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheetrestle::http {
+
+namespace {
+
+using core::boot_clock;
+
+// Below the idle limits that servers usually have, so that a request is seldom
+// sent on a connection that is just being closed.
+constexpr long MaxIdleSeconds = 50;
+constexpr long MaxCachedConnections = 2048;
+constexpr std::size_t MaxIdleHandles = 1024;
+constexpr int PollMs = 500;
+constexpr int RetryFlushMs = 1;
+// A connection whose peer acknowledges nothing for so long is given up. It is
+// above two retransmissions and below the shortest lease.
+constexpr unsigned UserTimeoutMs = 2000;
+
+void initializeLibrary() {
+  static std::once_flag Once;
+  std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+struct transfer {
+  client_call Call;
+  std::size_t MaxResponseBytes = 0;
+  CURL *Easy = nullptr;
+  curl_slist *Headers = nullptr;
+  unsigned Starts = 0; ///< How often the library was about to send it.
+  response Response;
+  const char *AbortReason = nullptr;
+};
+
+// libcurl sends a request again on a fresh connection when a reused one is lost
+// before the response. The first copy may have been executed by then, so the
+// second call ends the transfer and the deciding thread chooses what to do.
+int onBeforeRequest(void *Context, char *, char *, int, int) {
+  auto &Transfer = *static_cast<transfer *>(Context);
+  if (Transfer.Starts > 0) {
+    Transfer.AbortReason = "connection lost";
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++Transfer.Starts;
+  return CURL_PREREQFUNC_OK;
+}
+
+int onSocket(void *, curl_socket_t Socket, curlsocktype) {
+  // Without the option the system's default applies, which is longer.
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
+             sizeof UserTimeoutMs);
+  return CURL_SOCKOPT_OK;
+}
+
+std::size_t onHeader(char *Data, std::size_t, std::size_t Size, void *Context) {
+  auto &Transfer = *static_cast<transfer *>(Context);
+  std::string_view Line(Data, Size);
+  auto Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return Size;
+  auto First = Line.find_first_not_of(" \t", Colon + 1);
+  auto Last = Line.find_last_not_of(" \t\r\n");
+  if (First != std::string_view::npos && Last >= First)
+    Transfer.Response.Headers.push_back(
+        {std::string(Line.substr(0, Colon)),
+         std::string(Line.substr(First, Last - First + 1))});
+  return Size;
+}
+
+std::size_t onBody(char *Data, std::size_t, std::size_t Size, void *Context) {
+  auto &Transfer = *static_cast<transfer *>(Context);
+  auto &Body = Transfer.Response.Body;
+  if (Body.size() + Size > Transfer.MaxResponseBytes) {
+    Transfer.AbortReason = "response too large";
+    return 0;
+  }
+  Body.append(Data, Size);
+  return Size;
+}
+
+long toMilliseconds(core::duration Duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
+      .count();
+}
+
+} // namespace
+
+class client::implementation {
+public:
+  implementation(client_settings Settings,
+                 core::bounded_ring<client_call> &Calls,
+                 core::ring_signal &CallsSignal,
+                 core::bounded_ring<client_result> &Results)
+      : Settings(Settings), Calls(Calls), CallsSignal(CallsSignal),
+        Results(Results) {
+    initializeLibrary();
+    Multi = curl_multi_init();
+    curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
+  }
+
+  ~implementation() {
+    stop();
+    while (!Transfers.empty())
+      release(Transfers.begin()->first);
+    for (CURL *Easy : IdleHandles)
+      curl_easy_cleanup(Easy);
+    curl_multi_cleanup(Multi);
+  }
+
+  void start() {
+    CallsSignal.setForward([this] {
+      if (!Woken.exchange(true))
+        curl_multi_wakeup(Multi);
+    });
+    Thread = std::thread([this] { run(); });
+  }
+
+  void stop() {
+    if (!Thread.joinable())
+      return;
+    IsStopping = true;
+    curl_multi_wakeup(Multi);
+    Thread.join();
+    CallsSignal.setForward({});
+  }
+
+private:
+  void run() {
+    while (!IsStopping) {
+      Woken = false;
+      Calls.drain([this](client_call &&Call) { begin(std::move(Call)); });
+      int Running = 0;
+      curl_multi_perform(Multi, &Running);
+      finishTransfers();
+      curl_multi_poll(Multi, nullptr, 0, flush() ? PollMs : RetryFlushMs,
+                      nullptr);
+    }
+  }
+
+  bool flush() {
+    while (!Unsent.empty() && Results.push(std::move(Unsent.front())))
+      Unsent.pop_front();
+    return Unsent.empty();
+  }
+
+  void begin(client_call Call) {
+    auto Now = boot_clock::now();
+    if (Now - Call.Issued > Settings.MaxCallAge) {
+      Unsent.push_back({Call.Id, false, false, {}, "call too old"});
+      return;
+    }
+    auto Transfer = std::make_unique<transfer>();
+    Transfer->Call = std::move(Call);
+    Transfer->MaxResponseBytes = Settings.MaxResponseBytes;
+    Transfer->Easy = takeHandle();
+    configure(*Transfer, Now);
+    auto *Raw = Transfer.get();
+    Transfers.emplace(Raw->Easy, std::move(Transfer));
+    if (curl_multi_add_handle(Multi, Raw->Easy) != CURLM_OK) {
+      Unsent.push_back({Raw->Call.Id, false, false, {}, "library error"});
+      release(Raw->Easy);
+    }
+  }
+
+  void configure(transfer &Transfer, core::time_point Now) {
+    CURL *Easy = Transfer.Easy;
+    const auto &Request = Transfer.Call.Request;
+    auto Left = Transfer.Call.Issued + Transfer.Call.Timeout - Now;
+    long LeftMs = std::max(1L, toMilliseconds(Left));
+    std::string Url = "http://" + Transfer.Call.Address + Request.Target;
+    curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, LeftMs);
+    curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     std::min(LeftMs, toMilliseconds(Settings.ConnectTimeout)));
+    curl_easy_setopt(Easy, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Transfer);
+    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Transfer);
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Transfer);
+    curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Transfer);
+    if (Request.Method == "POST") {
+      curl_easy_setopt(Easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(Request.Body.size()));
+      curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.Body.data());
+    } else {
+      curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
+    }
+    for (const auto &Header : Request.Headers)
+      addHeader(Transfer, Header.Name + ": " + Header.Value);
+    // Waiting for 100-continue costs up to a second with a server that does
+    // not send it.
+    addHeader(Transfer, "Expect:");
+    curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Transfer.Headers);
+  }
+
+  static void addHeader(transfer &Transfer, const std::string &Line) {
+    Transfer.Headers = curl_slist_append(Transfer.Headers, Line.c_str());
+  }
+
+  void finishTransfers() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      transfer *Transfer = nullptr;
+      curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Transfer);
+      Unsent.push_back(makeResult(*Transfer, Message->data.result));
+      release(Transfer->Easy);
+    }
+  }
+
+  static client_result makeResult(transfer &Transfer, CURLcode Code) {
+    client_result Result;
+    Result.Id = Transfer.Call.Id;
+    Result.WasSent = Transfer.Starts > 0;
+    if (Code != CURLE_OK) {
+      Result.Reason = Transfer.AbortReason ? Transfer.AbortReason
+                                           : curl_easy_strerror(Code);
+      return Result;
+    }
+    long Status = 0;
+    curl_easy_getinfo(Transfer.Easy, CURLINFO_RESPONSE_CODE, &Status);
+    Result.IsComplete = true;
+    Result.Response = std::move(Transfer.Response);
+    Result.Response.Status = static_cast<std::uint16_t>(Status);
+    return Result;
+  }
+
+  // Ending a transfer that is under way closes its connection.
+  void release(CURL *Easy) {
+    auto Found = Transfers.find(Easy);
+    if (Found == Transfers.end())
+      return;
+    curl_multi_remove_handle(Multi, Easy);
+    curl_slist_free_all(Found->second->Headers);
+    Transfers.erase(Found);
+    if (IdleHandles.size() >= MaxIdleHandles) {
+      curl_easy_cleanup(Easy);
+      return;
+    }
+    curl_easy_reset(Easy);
+    IdleHandles.push_back(Easy);
+  }
+
+  CURL *takeHandle() {
+    if (IdleHandles.empty())
+      return curl_easy_init();
+    CURL *Easy = IdleHandles.back();
+    IdleHandles.pop_back();
+    return Easy;
+  }
+
+  client_settings Settings;
+  core::bounded_ring<client_call> &Calls;
+  core::ring_signal &CallsSignal;
+  core::bounded_ring<client_result> &Results;
+  CURLM *Multi = nullptr;
+  std::vector<CURL *> IdleHandles;
+  std::unordered_map<CURL *, std::unique_ptr<transfer>> Transfers;
+  std::deque<client_result> Unsent;
+  std::atomic<bool> Woken = false;
+  std::atomic<bool> IsStopping = false;
+  std::thread Thread;
+};
+
+client::client(client_settings Settings, core::bounded_ring<client_call> &Calls,
+               core::ring_signal &CallsSignal,
+               core::bounded_ring<client_result> &Results)
+    : Impl(std::make_unique<implementation>(Settings, Calls, CallsSignal,
+                                            Results)) {}
+
+client::~client() = default;
+
+void client::start() { Impl->start(); }
+
+void client::stop() { Impl->stop(); }
+
+} // namespace lycheetrestle::http
--- /dev/null
+++ b/http/server.cpp
@@ -0,0 +1,244 @@
+#include "http/server.h"
+
+#include "core/event_log.h"
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+#include <future>
+#include <list>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace lycheetrestle::http {
+
+namespace {
+
+using handler =
+    std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+
+struct server_traits : public restinio::default_single_thread_traits_t {
+  using request_handler_t = handler;
+};
+
+constexpr std::size_t ResponseRingSize = 8192;
+// Callers keep connections open between their requests.
+constexpr auto IdleLimit = std::chrono::seconds(120);
+constexpr auto RequestLimit = std::chrono::seconds(60);
+// Queued responses need one turn of the event loop; slow readers get this long.
+constexpr auto StopLinger = std::chrono::milliseconds(200);
+
+std::string toText(restinio::string_view_t View) {
+  return std::string(View.data(), View.size());
+}
+
+std::string withoutPort(std::string Host) {
+  auto Colon = Host.rfind(':');
+  return Colon == std::string::npos ? Host : Host.substr(0, Colon);
+}
+
+const char *reasonPhrase(std::uint16_t Status) {
+  if (Status < 300)
+    return "OK";
+  return Status < 400 ? "Redirect" : "Error";
+}
+
+} // namespace
+
+class server::implementation {
+public:
+  implementation(server_settings NewSettings, local_handler NewLocal,
+                 core::bounded_ring<server_request> &Requests)
+      : Settings(std::move(NewSettings)), Local(std::move(NewLocal)),
+        Requests(Requests), Responses(ResponseRingSize, ResponseSignal),
+        Work(asio::make_work_guard(Context)), StopTimer(Context) {
+    ResponseSignal.setForward([this] {
+      if (!Posted.exchange(true))
+        asio::post(Context, [this] { sendResponses(); });
+    });
+  }
+
+  ~implementation() { stop(); }
+
+  std::string start() {
+    std::list<std::promise<std::string>> Opened;
+    for (const auto &Address : Settings.Listen) {
+      auto &Promise = Opened.emplace_back();
+      try {
+        open(Address, Promise);
+      } catch (const std::exception &Exception) {
+        Promise.set_value(Exception.what());
+      }
+    }
+    Thread = std::thread([this] { run(); });
+    std::string Reason;
+    auto Address = Settings.Listen.begin();
+    for (auto &Promise : Opened) {
+      auto Result = Promise.get_future().get();
+      if (!Result.empty() && Reason.empty())
+        Reason = "cannot listen on " + core::toString(*Address) + ": " + Result;
+      ++Address;
+    }
+    return Reason;
+  }
+
+  bool deliver(server_response &&Response) {
+    return Responses.push(std::move(Response));
+  }
+
+  void closeAfterResponses() { CloseConnections = true; }
+
+  std::size_t pendingRequests() const { return PendingCount; }
+
+  void stop() {
+    if (!Thread.joinable())
+      return;
+    asio::post(Context, [this] {
+      sendResponses();
+      Pending.clear();
+      for (auto &Server : Servers)
+        Server->close_sync();
+      StopTimer.expires_after(StopLinger);
+      StopTimer.async_wait([this](const auto &) { Context.stop(); });
+    });
+    Thread.join();
+  }
+
+private:
+  using server_type = restinio::http_server_t<server_traits>;
+
+  void open(const core::socket_address &Address,
+            std::promise<std::string> &Opened) {
+    auto Limits = restinio::incoming_http_msg_limits_t()
+                      .max_url_size(8192)
+                      .max_field_name_size(256)
+                      .max_field_value_size(8192)
+                      .max_field_count(64)
+                      .max_body_size(Settings.MaxBodyBytes);
+    Servers.push_back(std::make_unique<server_type>(
+        restinio::external_io_context(Context), [&](auto &Server) {
+          Server.address(Address.Address)
+              .port(Address.Port)
+              .request_handler(
+                  [this](auto Request) { return accept(std::move(Request)); })
+              .incoming_http_msg_limits(Limits)
+              .read_next_http_message_timelimit(IdleLimit)
+              .handle_request_timeout(RequestLimit)
+              .write_http_response_timelimit(std::chrono::seconds(10));
+        }));
+    Servers.back()->open_async(
+        [&Opened] { Opened.set_value(""); },
+        [&Opened](std::exception_ptr Error) {
+          try {
+            std::rethrow_exception(Error);
+          } catch (const std::exception &Exception) {
+            Opened.set_value(Exception.what());
+          }
+        });
+  }
+
+  void run() {
+    while (!Context.stopped()) {
+      try {
+        Context.run();
+      } catch (const std::exception &Exception) {
+        core::logEvent(core::log_level::Error, "http_failed",
+                       {{"reason", Exception.what()}});
+      }
+    }
+  }
+
+  restinio::request_handling_status_t
+  accept(restinio::request_handle_t Handle) {
+    request Request = read(*Handle);
+    if (Local)
+      if (auto Response = Local(Request)) {
+        respond(Handle, *Response);
+        return restinio::request_accepted();
+      }
+    if (Pending.size() >= Settings.MaxPending ||
+        !Requests.push({++LastId, std::move(Request)})) {
+      respond(Handle, {503, {{"Retry-After", "1"}}, ""});
+      return restinio::request_accepted();
+    }
+    Pending.emplace(LastId, std::move(Handle));
+    PendingCount = Pending.size();
+    return restinio::request_accepted();
+  }
+
+  request read(const restinio::request_t &Message) const {
+    const auto &Header = Message.header();
+    request Request;
+    Request.Method = Header.method().c_str();
+    Request.Target = toText(Header.request_target());
+    Request.Host = withoutPort(Header.get_field_or("Host", ""));
+    for (const auto &Name : Settings.WantedHeaders)
+      if (Header.has_field(Name))
+        Request.Headers.push_back({Name, Header.get_field(Name)});
+    Request.Body = Message.body();
+    return Request;
+  }
+
+  void sendResponses() {
+    Posted = false;
+    Responses.drain([this](server_response &&Response) {
+      auto Found = Pending.find(Response.Id);
+      if (Found == Pending.end())
+        return;
+      respond(Found->second, Response.Response);
+      Pending.erase(Found);
+    });
+    PendingCount = Pending.size();
+  }
+
+  void respond(const restinio::request_handle_t &Handle,
+               const response &Response) const {
+    auto Message = Handle->create_response(restinio::http_status_line_t(
+        restinio::http_status_code_t(Response.Status),
+        reasonPhrase(Response.Status)));
+    for (const auto &Header : Response.Headers)
+      Message.append_header(Header.Name, Header.Value);
+    if (CloseConnections)
+      Message.connection_close();
+    Message.set_body(Response.Body);
+    Message.done();
+  }
+
+  server_settings Settings;
+  local_handler Local;
+  core::bounded_ring<server_request> &Requests;
+  core::ring_signal ResponseSignal;
+  core::bounded_ring<server_response> Responses;
+  asio::io_context Context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  asio::steady_timer StopTimer;
+  std::vector<std::unique_ptr<server_type>> Servers;
+  std::map<std::uint64_t, restinio::request_handle_t> Pending;
+  std::atomic<std::size_t> PendingCount = 0;
+  std::atomic<bool> Posted = false;
+  std::atomic<bool> CloseConnections = false;
+  std::uint64_t LastId = 0;
+  std::thread Thread;
+};
+
+server::server(server_settings Settings, local_handler Local,
+               core::bounded_ring<server_request> &Requests)
+    : Impl(std::make_unique<implementation>(std::move(Settings),
+                                            std::move(Local), Requests)) {}
+
+server::~server() = default;
+
+std::string server::start() { return Impl->start(); }
+
+bool server::deliver(server_response &&Response) {
+  return Impl->deliver(std::move(Response));
+}
+
+void server::closeAfterResponses() { Impl->closeAfterResponses(); }
+
+std::size_t server::pendingRequests() const { return Impl->pendingRequests(); }
+
+void server::stop() { Impl->stop(); }
+
+} // namespace lycheetrestle::http
--- a/replication/raft_node.cpp
+++ b/replication/raft_node.cpp
@@ -235,6 +235,7 @@
   Status.DroppedMessages = DroppedMessages;
   Status.ConflictingMessages = ConflictingMessages;
   Status.StorageFailing = StorageFailing;
+  Status.IsRemoved = Removed;
   return Status;
 }
 
--- a/replication/raft_node.h
+++ b/replication/raft_node.h
@@ -69,6 +69,7 @@
   /// replica lost synced data or a peer is hostile.
   std::uint64_t ConflictingMessages = 0;
   bool StorageFailing = false;
+  bool IsRemoved = false; ///< A leader said that it is no longer a member.
 };
 
 /// One replica of the log (Raft): pre-vote, a leader that steps down without a
--- /dev/null
+++ b/scheduling/contact.h
@@ -0,0 +1,80 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_CONTACT_H
+#define LYCHEETRESTLE_SCHEDULING_CONTACT_H
+
+#include "core/clock.h"
+#include "scheduling/commands.h"
+#include "scheduling/endpoint_health.h"
+#include "scheduling/orders.h"
+#include "scheduling/pacer.h"
+#include "scheduling/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::scheduling {
+
+enum class run_phase : std::uint8_t {
+  Unsent,   ///< Committed, the order was not sent by this leader.
+  Sent,     ///< The order was sent and not answered.
+  Doubtful, ///< The next list decides whether it is there.
+  Present,
+  Stopping,
+};
+
+/// What the leader knows about one run at an endpoint.
+struct run_contact {
+  std::uint32_t Attempt = 0;
+  run_phase Phase = run_phase::Unsent;
+  bool IsOrderOpen = false; ///< An order for it has no answer yet.
+  /// Start orders without an answer; each may still be carried out.
+  std::uint32_t LostStarts = 0;
+  core::time_point NextOrder{};  ///< Not before.
+  core::time_point KnownSince{}; ///< A list asked for later must show it.
+  bool IsStopAcknowledged = false;
+  bool IsEnded = false; ///< Its end is on the way into the log.
+  std::string Checkpoint;
+  std::uint32_t Percent = 0;
+  core::time_point PercentSince{}; ///< When the share of work last changed.
+  std::uint32_t PacedPercent = 100;
+};
+
+/// What the leader knows about one life of an endpoint beyond the replicated
+/// facts. All of it can be lost.
+struct contact {
+  std::uint32_t Endpoint = 0;
+  std::map<task_key, run_contact> Runs;
+  /// Listed as running, but given up or never assigned; by attempt.
+  std::map<task_key, std::uint32_t> Strays;
+  std::uint64_t Sequence = 0;
+  core::time_point LastBeat{};
+  core::time_point LastAnswer{};
+  bool IsSuspect = false;    ///< An order got no answer, and nothing since.
+  bool IsFenced = false;     ///< It obeys a later leader.
+  std::optional<std::uint32_t> RemainingMs; ///< While it drains.
+  core::time_point RemainingAt{};
+  std::optional<core::time_point> LeavesAt; ///< It said that it ends.
+
+  // Its clock, from the newest sample.
+  std::uint64_t ClockMs = 0;
+  core::time_point ClockAt{};
+  /// No lease that was issued to it lasts longer, whatever its clock does.
+  core::time_point LeaseOver{};
+
+  std::uint64_t Cursor = 0;   ///< Ends up to it are recorded.
+  std::uint64_t EndsSeen = 0; ///< Largest number of an end in its lists.
+  std::uint64_t CursorSent = 0;
+  std::vector<end_run> NewEnds;
+  std::optional<std::uint64_t> OpenHold; ///< Order without an answer.
+  core::time_point NextHold{};
+
+  pacer Pacer;
+  bool MayInterfere = false; ///< Tasks that serve and that fill share it.
+  endpoint_health Health;
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/endpoint_health.cpp
@@ -0,0 +1,48 @@
+#include "scheduling/endpoint_health.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+// Failures of jobs that never succeed make up a few percent of all runs, so
+// three different jobs within a short time point at the endpoint.
+constexpr std::size_t MinFailedJobs = 3;
+constexpr double MaxFailedShare = 0.5;
+constexpr core::duration Window = std::chrono::seconds(4);
+constexpr std::size_t MaxOutcomes = 64;
+// Faults last some seconds; an endpoint that fails again is avoided twice as
+// long.
+constexpr core::duration FirstPenalty = std::chrono::seconds(3);
+constexpr core::duration LastPenalty = std::chrono::seconds(12);
+
+} // namespace
+
+void endpoint_health::note(const std::string &Job, bool IsGood,
+                           core::time_point Now) {
+  Recent.push_back({Job, IsGood, Now});
+  while (Recent.size() > MaxOutcomes || Recent.front().At + Window < Now)
+    Recent.pop_front();
+  if (IsGood)
+    return;
+  std::set<std::string> FailedJobs;
+  std::size_t Failed = 0;
+  for (const auto &Outcome : Recent) {
+    if (Outcome.IsGood)
+      continue;
+    ++Failed;
+    FailedJobs.insert(Outcome.Job);
+  }
+  if (FailedJobs.size() < MinFailedJobs ||
+      static_cast<double>(Failed) <
+          MaxFailedShare * static_cast<double>(Recent.size()))
+    return;
+  Penalty = Penalty == core::duration() ? FirstPenalty
+                                        : std::min(2 * Penalty, LastPenalty);
+  AvoidedUntil = Now + Penalty;
+  Recent.clear();
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/fields.h
@@ -0,0 +1,145 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_FIELDS_H
+#define LYCHEETRESTLE_SCHEDULING_FIELDS_H
+
+#include "fleet/cbor_archive.h"
+#include "scheduling/commands.h"
+#include "scheduling/schedule_state.h"
+
+#include <concepts>
+#include <type_traits>
+
+namespace lycheetrestle::fleet {
+
+template <>
+inline constexpr auto LastOf<scheduling::job_state> =
+    scheduling::job_state::Cancelled;
+template <>
+inline constexpr auto LastOf<scheduling::run_end> = scheduling::run_end::Lost;
+
+} // namespace lycheetrestle::fleet
+
+namespace lycheetrestle::scheduling {
+
+/// Matches a record for both archives: const when written.
+template <typename Type, typename Record>
+concept record_of = std::same_as<std::remove_const_t<Type>, Record>;
+
+template <typename Archive, record_of<amounts> Type>
+void fields(Archive &A, Type &R) {
+  A(R.MilliCores, R.MemoryMb, R.Accelerators);
+}
+template <typename Archive, record_of<advice_terms> Type>
+void fields(Archive &A, Type &R) {
+  A(R.DecisionMs, R.PerEndpointMs, R.ValidMs);
+}
+template <typename Archive, record_of<queue_spec> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Name, R.HostName, R.PathPrefix, R.Pool, R.Priority, R.MaxAttempts,
+    R.TimeoutMs, R.TargetLatencyMs, R.SlackThousandths, R.Advice);
+}
+template <typename Archive, record_of<pool_spec> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Name, R.HealthPath, R.EnforcesLimits, R.IsStandby);
+}
+template <typename Archive, record_of<configuration> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Version, R.Queues, R.Pools);
+  A.bytes(R.Text);
+}
+template <typename Archive, record_of<step_spec> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Count, R.Size, R.EstimateMs, R.DependsOn, R.IsCheckpointable, R.IsGang,
+    R.WantsOneRack, R.RequiredLabel, R.DataRack, R.MaxPerEndpoint,
+    R.MayHaveCopies, R.IsLongRunning, R.Image, R.TargetMs, R.FillsIdle,
+    R.MayMiss);
+}
+template <typename Archive, record_of<job_spec> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Id);
+  A.bytes(R.Payload);
+  A(R.Steps, R.RepeatCount, R.StartAtMs, R.IntervalMs);
+}
+template <typename Archive, record_of<task_key> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Job, R.Occurrence, R.Step, R.Index);
+}
+template <typename Archive, record_of<endpoint_facts> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Id, R.BornMs, R.Address, R.Pool, R.Zone, R.Capacity, R.Labels,
+    R.IsDraining);
+}
+
+template <typename Archive, record_of<set_configuration> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Configuration);
+}
+template <typename Archive, record_of<submit_job> Type>
+void fields(Archive &A, Type &R) {
+  A(R.HostName, R.Path, R.Job);
+}
+template <typename Archive, record_of<cancel_job> Type>
+void fields(Archive &A, Type &R) {
+  A(R.HostName, R.Path, R.Job);
+}
+template <typename Archive, record_of<open_occurrence> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Job, R.Occurrence);
+}
+template <typename Archive, record_of<start_run> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt, R.Endpoint);
+}
+template <typename Archive, record_of<end_run> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt, R.How, R.Checkpoint);
+}
+template <typename Archive, record_of<note_endpoint> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Facts);
+}
+template <typename Archive, record_of<end_endpoint> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Endpoint);
+}
+template <typename Archive, record_of<start_wave> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Wave, R.Hosts, R.DeadlineMs, R.MaxCount);
+}
+template <typename Archive, record_of<order_upkeep> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Wave, R.Host);
+}
+template <typename Archive, record_of<note_upkeep> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Wave, R.Host);
+}
+
+template <typename Archive, record_of<task_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Attempt, R.Failures, R.Endpoint, R.IsDone, R.Checkpoint);
+}
+template <typename Archive, record_of<step_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Tasks, R.Done);
+}
+template <typename Archive, record_of<occurrence_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Number, R.Steps, R.StepsDone);
+}
+template <typename Archive, record_of<job_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Spec, R.QueueHost, R.QueuePrefix, R.Pool, R.State, R.SubmittedMs,
+    R.EndedMs, R.NextOccurrence, R.OccurrencesDone, R.Open, R.RunsLeft);
+}
+template <typename Archive, record_of<endpoint_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Number, R.Facts, R.Runs);
+}
+template <typename Archive, record_of<wave_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Wave, R.Hosts, R.Ordered, R.Begun, R.MaxCount, R.DeadlineMs, R.StartedMs);
+}
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/host_board.h
@@ -0,0 +1,51 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_HOST_BOARD_H
+#define LYCHEETRESTLE_SCHEDULING_HOST_BOARD_H
+
+#include "core/clock.h"
+#include "scheduling/orders.h"
+#include "scheduling/upkeep_planner.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lycheetrestle::scheduling {
+
+/// An order for a host that is not known to be finished.
+struct host_task {
+  std::optional<std::uint64_t> Wave; ///< Upkeep, or a move when empty.
+  std::string TargetPool;
+  bool IsOrderOpen = false;
+  bool HasBegun = false; ///< The platform confirmed it.
+  bool IsNoted = false;  ///< That it has begun is on the way into the log.
+  core::time_point BegunAt{};
+  core::time_point NextOrder{};
+};
+
+/// The leader's view of the hosts: the platform's newest list, hosts that take
+/// no new work, and orders under way.
+struct host_board {
+  std::map<std::string, host_row> Hosts;
+  std::map<std::string, std::string> HostOfEndpoint;
+  core::time_point ListedAt{};  ///< When the newest whole list was asked for.
+  std::map<std::string, core::time_point> Cordoned;
+  std::map<std::string, host_task> Tasks;
+
+  std::map<std::string, host_row> NextHosts; ///< Pages read so far.
+  core::time_point ListStartedAt{};
+  std::string PageToken;
+  bool IsListing = false;
+  bool IsPageOpen = false;
+  core::time_point NextList{};
+  core::time_point NextCall{};
+
+  const host_row *find(const std::string &Host) const {
+    auto Found = Hosts.find(Host);
+    return Found == Hosts.end() ? nullptr : &Found->second;
+  }
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/job_order.cpp
@@ -0,0 +1,62 @@
+#include "scheduling/job_order.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+/// \param IsDone tells whether a step no longer counts.
+template <typename Predicate>
+std::int64_t longestChain(const job_spec &Spec, Predicate &&IsDone) {
+  std::vector<std::int64_t> EndMs(Spec.Steps.size(), 0);
+  std::int64_t Longest = 0;
+  for (std::size_t Step = 0; Step != Spec.Steps.size(); ++Step) {
+    std::int64_t StartMs = 0;
+    for (auto Earlier : Spec.Steps[Step].DependsOn)
+      StartMs = std::max(StartMs, EndMs[Earlier]);
+    EndMs[Step] = StartMs + (IsDone(Step) ? 0 : Spec.Steps[Step].EstimateMs);
+    Longest = std::max(Longest, EndMs[Step]);
+  }
+  return Longest;
+}
+
+} // namespace
+
+std::int64_t remainingChainMs(const job_spec &Spec,
+                              const occurrence_record &Occurrence) {
+  return longestChain(Spec, [&](std::size_t Step) {
+    return Occurrence.Steps[Step].Done == Spec.Steps[Step].Count;
+  });
+}
+
+std::int64_t wholeChainMs(const job_spec &Spec) {
+  return longestChain(Spec, [](std::size_t) { return false; });
+}
+
+job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
+                const queue_spec *Queue, std::int64_t NowMs) {
+  job_rank Rank;
+  Rank.Priority = Queue ? Queue->Priority : 0;
+  std::int64_t DueMs =
+      Job.Spec.RepeatCount == 0
+          ? Job.SubmittedMs
+          : Job.Spec.StartAtMs + Occurrence.Number * Job.Spec.IntervalMs;
+  bool IsLongRunning = std::any_of(
+      Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
+      [](const step_spec &Step) { return Step.IsLongRunning; });
+  if (IsLongRunning) {
+    Rank.LatestStartMs = DueMs;
+    return Rank;
+  }
+  std::int64_t Slack = Queue ? Queue->SlackThousandths : 1000;
+  std::int64_t Target = Queue ? Queue->TargetLatencyMs : 0;
+  std::int64_t ObjectiveMs =
+      DueMs + wholeChainMs(Job.Spec) * Slack / 1000 + Target;
+  Rank.LatestStartMs = ObjectiveMs - remainingChainMs(Job.Spec, Occurrence);
+  Rank.Group = NowMs <= Rank.LatestStartMs ? 1 : 2;
+  return Rank;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/job_order.h
@@ -0,0 +1,45 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_JOB_ORDER_H
+#define LYCHEETRESTLE_SCHEDULING_JOB_ORDER_H
+
+#include "scheduling/schedule_state.h"
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace lycheetrestle::scheduling {
+
+/// Place of a job in the order of service: smaller goes first.
+///
+/// Answers the load of a pool that is asked for twice its capacity for some
+/// seconds: work that can still be in time goes before work that cannot, and
+/// long-running tasks, which are few and serve others, go before both.
+struct job_rank {
+  std::uint8_t Group = 0; ///< 0 long-running, 1 in time, 2 late.
+  std::uint32_t Priority = 0;
+  std::int64_t LatestStartMs = 0; ///< Wall time.
+  // clang-tidy 14 reports a variable inside the generated function.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  auto operator<=>(const job_rank &) const = default;
+};
+
+/// Duration of the longest chain of steps from a step on.
+/// \param Occurrence what is done already; its steps no longer count.
+/// \returns milliseconds by the declared estimates.
+std::int64_t remainingChainMs(const job_spec &Spec,
+                              const occurrence_record &Occurrence);
+
+/// \param Spec the job.
+/// \returns the longest chain of all its steps in milliseconds.
+std::int64_t wholeChainMs(const job_spec &Spec);
+
+/// \param Job the job that Occurrence belongs to.
+/// \param Queue its queue, or null when it was removed.
+/// \param NowMs wall time.
+/// \returns the rank of the occurrence's waiting tasks.
+job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
+                const queue_spec *Queue, std::int64_t NowMs);
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/leader.cpp
@@ -0,0 +1,307 @@
+#include "scheduling/leader.h"
+
+#include "core/event_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Missed announcements after which an endpoint gets no new work. One may be
+// lost or late; two in a row point at a fault.
+constexpr int MissedBeats = 3;
+// An endpoint that is silent for so long and has no runs is forgotten.
+constexpr core::duration ForgetAfter = std::chrono::seconds(30);
+// Starts in one log entry. It keeps an entry under 64 KB.
+constexpr std::size_t MaxStartsPerBatch = 400;
+// Ranks change with time even when nothing happens.
+constexpr core::duration PlacementInterval = milliseconds(100);
+// An endpoint that leaves ends its tasks within this time.
+constexpr core::duration LeaveMargin = milliseconds(300);
+constexpr core::duration TickInterval = milliseconds(20);
+
+} // namespace
+
+leader::leader(leader_settings Settings, std::uint64_t Fence,
+               const schedule_state &State, core::metrics_registry &Metrics,
+               core::time_point Now)
+    : Settings(Settings), Fence(Fence), State(State), Metrics(Metrics),
+      StartedAt(Now) {
+  adoptRuns(Now);
+}
+
+contact &leader::contactOf(std::uint32_t Endpoint, core::time_point Now) {
+  auto [Found, IsNew] = Contacts.try_emplace(Endpoint);
+  if (IsNew) {
+    Found->second.Endpoint = Endpoint;
+    Found->second.LastBeat = Now;
+  }
+  return Found->second;
+}
+
+void leader::adoptRuns(core::time_point Now) {
+  for (const auto &[Number, Endpoint] : State.endpoints()) {
+    auto &Contact = contactOf(Number, Now);
+    // An earlier leader may have issued a whole lease just before it lost
+    // its place; an endpoint's clock may be 2 % slow.
+    Contact.LeaseOver =
+        Now + Settings.EarlierLeader + Settings.Lease * 103 / 100;
+    for (const auto &Key : Endpoint.Runs)
+      Contact.Runs[Key].Attempt = State.findTask(Key)->Attempt;
+  }
+  for (const auto &[Id, Job] : State.jobs())
+    if (isOver(Job.State) && Job.RunsLeft > 0)
+      stopRunsOf(Job, Now);
+}
+
+void leader::stopRunsOf(const job_record &Job, core::time_point Now) {
+  for (const auto &Occurrence : Job.Open)
+    for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
+      const auto &Tasks = Occurrence.Steps[Step].Tasks;
+      for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
+        if (Tasks[Index].Endpoint == 0)
+          continue;
+        auto &Contact = contactOf(Tasks[Index].Endpoint, Now);
+        auto Run = Contact.Runs.find(
+            {Job.Spec.Id, Occurrence.Number, Step, Index});
+        if (Run == Contact.Runs.end())
+          continue;
+        Run->second.Phase = run_phase::Stopping;
+        Run->second.NextOrder = Now;
+      }
+    }
+}
+
+void leader::applied(const command &Command, apply_outcome Outcome,
+                     core::time_point Now) {
+  IsPlacementDue = true;
+  if (const auto *End = std::get_if<end_run>(&Command)) {
+    forgetRun(End->Task, End->Attempt);
+    const auto *Job = State.findJob(End->Task.Job);
+    if (Job && isOver(Job->State) && Job->RunsLeft > 0)
+      stopRunsOf(*Job, Now);
+    return;
+  }
+  if (Outcome == apply_outcome::Stale)
+    return;
+  if (const auto *Start = std::get_if<start_run>(&Command)) {
+    auto &Run = contactOf(Start->Endpoint, Now).Runs[Start->Task];
+    Run = {};
+    Run.Attempt = Start->Attempt;
+    return;
+  }
+  if (const auto *Cancel = std::get_if<cancel_job>(&Command)) {
+    const auto *Job = State.findJob(Cancel->Job);
+    if (Job && Job->RunsLeft > 0)
+      stopRunsOf(*Job, Now);
+    return;
+  }
+  if (const auto *Note = std::get_if<note_endpoint>(&Command)) {
+    // A later life may have ended an earlier one.
+    std::erase_if(Contacts, [this](const auto &Item) {
+      return State.endpoints().find(Item.first) == State.endpoints().end();
+    });
+    if (const auto *Endpoint =
+            State.findEndpoint(Note->Facts.Id, Note->Facts.BornMs))
+      contactOf(Endpoint->Number, Now);
+    Hosts.NextList = std::min(Hosts.NextList, Now);
+    return;
+  }
+  if (const auto *End = std::get_if<end_endpoint>(&Command)) {
+    Contacts.erase(End->Endpoint);
+    Over.erase(End->Endpoint);
+  }
+}
+
+void leader::forgetRun(const task_key &Task, std::uint32_t Attempt) {
+  for (auto &[Number, Contact] : Contacts) {
+    auto Run = Contact.Runs.find(Task);
+    if (Run != Contact.Runs.end() && Run->second.Attempt == Attempt)
+      Contact.Runs.erase(Run);
+  }
+}
+
+bool leader::noteBeat(const endpoint_beat &Beat, core::time_point Now) {
+  const auto *Endpoint = State.findEndpoint(Beat.Facts.Id, Beat.Facts.BornMs);
+  if (!Endpoint)
+    return std::any_of(State.endpoints().begin(), State.endpoints().end(),
+                       [&](const auto &Item) {
+                         const auto &Facts = Item.second.Facts;
+                         return Facts.Id == Beat.Facts.Id &&
+                                Facts.BornMs > Beat.Facts.BornMs;
+                       });
+  auto &Contact = contactOf(Endpoint->Number, Now);
+  if (Beat.Sequence < Contact.Sequence)
+    return true;
+  Contact.Sequence = Beat.Sequence;
+  Contact.LastBeat = Now;
+  if (Contact.ClockAt == core::time_point() || Beat.ClockMs > Contact.ClockMs) {
+    Contact.ClockMs = Beat.ClockMs;
+    Contact.ClockAt = Now;
+  }
+  if (Beat.RemainingMs) {
+    Contact.RemainingMs = Beat.RemainingMs;
+    Contact.RemainingAt = Now;
+  }
+  return Endpoint->Facts == Beat.Facts ||
+         (Endpoint->Facts.IsDraining && !Beat.Facts.IsDraining);
+}
+
+void leader::noteLeaving(std::string_view Id, core::time_point Now) {
+  for (const auto &[Number, Endpoint] : State.endpoints())
+    if (Endpoint.Facts.Id == Id)
+      contactOf(Number, Now).LeavesAt = Now + LeaveMargin;
+}
+
+std::vector<command> leader::takeCommands(core::time_point Now,
+                                          std::int64_t WallMs) {
+  std::vector<command> Commands;
+  for (auto &[Number, Cursor] : CursorAfterBatch) {
+    auto Found = Contacts.find(Number);
+    if (Found != Contacts.end())
+      Found->second.Cursor = std::max(Found->second.Cursor, Cursor);
+  }
+  CursorAfterBatch.clear();
+  collectEnds(Commands);
+  collectLost(Commands, Now);
+  collectOccurrences(Commands, WallMs);
+  planHosts(Commands, Now, WallMs);
+  if (IsPlacementDue || Now >= NextPlacement)
+    collectStarts(Commands, Now, WallMs);
+  return Commands;
+}
+
+void leader::collectEnds(std::vector<command> &Commands) {
+  for (auto &[Number, Contact] : Contacts) {
+    for (auto &End : Contact.NewEnds)
+      Commands.emplace_back(std::move(End));
+    Contact.NewEnds.clear();
+    if (Contact.EndsSeen > Contact.Cursor)
+      CursorAfterBatch[Number] = Contact.EndsSeen;
+  }
+  for (auto &End : Refused)
+    Commands.emplace_back(std::move(End));
+  Refused.clear();
+}
+
+void leader::collectLost(std::vector<command> &Commands, core::time_point Now) {
+  for (auto Number : Over)
+    Commands.emplace_back(end_endpoint{Number});
+  for (auto &[Number, Contact] : Contacts) {
+    if (Over.count(Number) > 0)
+      continue;
+    if (Contact.LeavesAt && Now >= *Contact.LeavesAt) {
+      Commands.emplace_back(end_endpoint{Number});
+      continue;
+    }
+    if (Contact.Runs.empty()) {
+      if (Now - std::max(Contact.LastBeat, Contact.LastAnswer) > ForgetAfter)
+        Commands.emplace_back(end_endpoint{Number});
+      continue;
+    }
+    if (Now < Contact.LeaseOver)
+      continue;
+    for (auto &[Key, Run] : Contact.Runs) {
+      if (Run.IsEnded)
+        continue;
+      Run.IsEnded = true;
+      core::logEvent(core::log_level::Warning, "run_lost",
+                     {{"job", Key.Job},
+                      {"step", Key.Step},
+                      {"index", Key.Index},
+                      {"attempt", Run.Attempt},
+                      {"endpoint", Number},
+                      {"reason", "lease over"}});
+      Commands.emplace_back(
+          end_run{Key, Run.Attempt, run_end::Lost, Run.Checkpoint});
+    }
+  }
+}
+
+void leader::collectOccurrences(std::vector<command> &Commands,
+                                std::int64_t WallMs) {
+  for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
+    const auto &Job = *State.findJob(Id);
+    if (Job.Spec.RepeatCount == 0)
+      continue;
+    if (Job.NextOccurrence < Job.Spec.RepeatCount &&
+        Job.Spec.StartAtMs + Job.NextOccurrence * Job.Spec.IntervalMs <= WallMs)
+      Commands.emplace_back(open_occurrence{Id, Job.NextOccurrence});
+  }
+}
+
+bool leader::mayTakeWork(const endpoint_record &Endpoint,
+                         const contact &Contact, core::time_point Now) const {
+  if (Endpoint.Facts.IsDraining || Contact.IsSuspect || Contact.IsFenced ||
+      Contact.LeavesAt || Contact.ClockAt == core::time_point() ||
+      Contact.Health.isAvoided(Now))
+    return false;
+  auto Heard = std::max(Contact.LastBeat, Contact.LastAnswer);
+  if (Now - Heard > MissedBeats * Settings.BeatInterval)
+    return false;
+  const auto *Pool = State.findPool(Endpoint.Facts.Pool);
+  if (!Pool || Pool->IsStandby)
+    return false;
+  auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
+  return Host == Hosts.HostOfEndpoint.end() ||
+         (Hosts.Cordoned.find(Host->second) == Hosts.Cordoned.end() &&
+          Hosts.Tasks.find(Host->second) == Hosts.Tasks.end());
+}
+
+std::vector<placement_target> leader::targets(core::time_point Now) const {
+  std::vector<placement_target> Targets;
+  for (const auto &[Number, Endpoint] : State.endpoints()) {
+    auto Contact = Contacts.find(Number);
+    if (Contact == Contacts.end() ||
+        !mayTakeWork(Endpoint, Contact->second, Now))
+      continue;
+    placement_target Target;
+    Target.Endpoint = Number;
+    Target.Pool = Endpoint.Facts.Pool;
+    Target.Free = Endpoint.Facts.Capacity;
+    Target.Labels = Endpoint.Facts.Labels;
+    for (const auto &Key : Endpoint.Runs) {
+      const auto &Step = State.findJob(Key.Job)->Spec.Steps[Key.Step];
+      auto Size = reservedSize(Step);
+      auto Take = [](std::uint32_t &Free, std::uint32_t Used) {
+        Free -= std::min(Free, Used);
+      };
+      Take(Target.Free.MilliCores, Size.MilliCores);
+      Take(Target.Free.MemoryMb, Size.MemoryMb);
+      Take(Target.Free.Accelerators, Size.Accelerators);
+      Target.ServingRuns += Step.TargetMs > 0;
+      Target.FillingRuns += Step.FillsIdle;
+      Target.LongRunning += Step.IsLongRunning;
+      if (Step.MaxPerEndpoint > 0)
+        ++Target.RunsByStep[stepKey(Key)];
+    }
+    Targets.push_back(std::move(Target));
+  }
+  return Targets;
+}
+
+void leader::collectStarts(std::vector<command> &Commands, core::time_point Now,
+                           std::int64_t WallMs) {
+  IsPlacementDue = false;
+  NextPlacement = Now + PlacementInterval;
+  std::erase_if(HeldBack, [&](const auto &Item) { return Item.second <= Now; });
+  auto Targets = targets(Now);
+  placement_request Request;
+  Request.NowMs = WallMs;
+  Request.MaxStarts = MaxStartsPerBatch;
+  Request.IsHeldBack = [&](const task_key &Key) {
+    return HeldBack.find(Key) != HeldBack.end();
+  };
+  for (auto &Placement : placeRuns(State, Targets, Request))
+    Commands.emplace_back(std::move(Placement.Start));
+}
+
+core::time_point leader::nextTime(core::time_point Now) const {
+  return Now + TickInterval;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/leader_hosts.cpp
@@ -0,0 +1,304 @@
+#include "core/event_log.h"
+#include "scheduling/leader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A list of hosts is one call for 200 hosts, and calls are charged.
+constexpr core::duration BusyListInterval = milliseconds(500);
+constexpr core::duration IdleListInterval = std::chrono::seconds(10);
+constexpr core::duration PlatformTimeout = milliseconds(1500);
+constexpr core::duration HostOrderPause = milliseconds(300);
+
+std::string_view name(host_verdict Verdict) {
+  switch (Verdict) {
+  case host_verdict::Accepted:
+    return "accepted";
+  case host_verdict::Fenced:
+    return "fenced";
+  case host_verdict::Busy:
+    return "busy";
+  case host_verdict::OtherWave:
+    return "other_wave";
+  case host_verdict::NoSuchHost:
+    return "no_such_host";
+  case host_verdict::Throttled:
+    return "throttled";
+  }
+  return "unknown";
+}
+
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+std::int64_t toMs(core::duration Duration) {
+  return std::chrono::duration_cast<milliseconds>(Duration).count();
+}
+
+} // namespace
+
+const contact *leader::contactOfHost(const std::string &Host) const {
+  const auto *Row = Hosts.find(Host);
+  if (!Row)
+    return nullptr;
+  for (const auto &[Number, Endpoint] : State.endpoints())
+    if (Endpoint.Facts.Id == Row->EndpointId) {
+      auto Found = Contacts.find(Number);
+      return Found == Contacts.end() ? nullptr : &Found->second;
+    }
+  return nullptr;
+}
+
+std::uint32_t leader::awayFrom(const task_key &Task) const {
+  const auto *Job = State.findJob(Task.Job);
+  const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
+  if (!Occurrence)
+    return 0;
+  std::uint32_t Away = 0;
+  auto Key = Task;
+  const auto &Tasks = Occurrence->Steps[Task.Step].Tasks;
+  for (Key.Index = 0; Key.Index != Tasks.size(); ++Key.Index) {
+    if (Key.Index == Task.Index)
+      continue;
+    auto Contact = Contacts.find(Tasks[Key.Index].Endpoint);
+    if (Contact == Contacts.end()) {
+      ++Away;
+      continue;
+    }
+    auto Run = Contact->second.Runs.find(Key);
+    bool IsAtWork = Run != Contact->second.Runs.end() &&
+                    Run->second.Phase == run_phase::Present &&
+                    !Run->second.IsEnded && Run->second.Percent >= 100 &&
+                    !Contact->second.IsSuspect;
+    const auto &Facts =
+        State.endpoints().find(Contact->first)->second.Facts;
+    auto Host = Hosts.HostOfEndpoint.find(Facts.Id);
+    bool IsLeaving = Facts.IsDraining ||
+                     (Host != Hosts.HostOfEndpoint.end() &&
+                      Hosts.Tasks.find(Host->second) != Hosts.Tasks.end());
+    Away += !IsAtWork || IsLeaving;
+  }
+  return Away;
+}
+
+bool leader::mayInterrupt(const contact &Contact) const {
+  return std::all_of(
+      Contact.Runs.begin(), Contact.Runs.end(), [this](const auto &Item) {
+        const auto *Job = State.findJob(Item.first.Job);
+        if (!Job || isOver(Job->State))
+          return true;
+        const auto &Step = Job->Spec.Steps[Item.first.Step];
+        return !Step.IsLongRunning ||
+               awayFrom(Item.first) < std::max(1u, Step.MayMiss);
+      });
+}
+
+std::vector<upkeep_host> leader::viewWave(const wave_record &Wave,
+                                          core::time_point Now) const {
+  std::vector<upkeep_host> View;
+  for (const auto &Name : Wave.Hosts) {
+    const auto *Row = Hosts.find(Name);
+    auto Task = Hosts.Tasks.find(Name);
+    upkeep_host Host;
+    Host.Name = Name;
+    Host.IsKnown = Row != nullptr;
+    Host.IsInUpkeep = Task != Hosts.Tasks.end() ||
+                      (Row && Row->State == host_state::Upkeep);
+    if (contains(Wave.Begun, Name) && !Host.IsInUpkeep)
+      continue;
+    Host.IsUp = Row && Row->State == host_state::Up;
+    if (Row)
+      Host.Pool = Row->Pool;
+    auto Cordon = Hosts.Cordoned.find(Name);
+    Host.IsCordoned = Cordon != Hosts.Cordoned.end();
+    if (Host.IsCordoned)
+      Host.CordonedMs = toMs(Now - Cordon->second);
+    if (const auto *Contact = contactOfHost(Name)) {
+      for (const auto &[Key, Run] : Contact->Runs) {
+        const auto *Job = State.findJob(Key.Job);
+        if (Job && Job->Spec.Steps[Key.Step].IsLongRunning)
+          ++Host.LongRuns;
+        else
+          ++Host.ShortRuns;
+      }
+      Host.MayInterrupt = mayInterrupt(*Contact);
+    }
+    View.push_back(std::move(Host));
+  }
+  return View;
+}
+
+void leader::planHosts(std::vector<command> &Commands, core::time_point Now,
+                       std::int64_t WallMs) {
+  for (auto &[Name, Task] : Hosts.Tasks)
+    if (Task.HasBegun && !Task.IsNoted && Task.Wave) {
+      Task.IsNoted = true;
+      Commands.emplace_back(note_upkeep{*Task.Wave, Name});
+      // Everything on the host ended when its upkeep began.
+      if (const auto *Contact = contactOfHost(Name))
+        Commands.emplace_back(end_endpoint{Contact->Endpoint});
+    }
+  // Without a list of its own a leader does not know which hosts are down.
+  if (Hosts.ListedAt < StartedAt)
+    return;
+  for (const auto &[Number, Wave] : State.waves()) {
+    if (Wave.isComplete())
+      continue;
+    for (const auto &Name : Wave.Ordered)
+      if (!contains(Wave.Begun, Name) &&
+          Hosts.Tasks.find(Name) == Hosts.Tasks.end())
+        Hosts.Tasks[Name].Wave = Number;
+    auto View = viewWave(Wave, Now);
+    auto Plan =
+        planUpkeep(Wave, View, WallMs - Wave.StartedMs, Settings.UpkeepMs);
+    for (const auto &Name : Plan.Cordon)
+      Hosts.Cordoned.emplace(Name, Now);
+    for (const auto &Name : Plan.Dropped)
+      Commands.emplace_back(note_upkeep{Number, Name});
+    for (const auto &Name : Plan.Order) {
+      // An earlier choice of this round may have used up a budget.
+      const auto *Contact = contactOfHost(Name);
+      if (Contact && !mayInterrupt(*Contact))
+        continue;
+      Hosts.Cordoned.emplace(Name, Now);
+      Hosts.Tasks[Name].Wave = Number;
+      Commands.emplace_back(order_upkeep{Number, Name});
+      core::logEvent(core::log_level::Info, "upkeep_chosen",
+                     {{"wave", Number},
+                      {"host", Name},
+                      {"begun", Wave.Begun.size()},
+                      {"hosts", Wave.Hosts.size()},
+                      {"list_age_ms", toMs(Now - Hosts.ListedAt)}});
+    }
+  }
+}
+
+void leader::orderHosts(std::vector<order> &Orders, core::time_point Now) {
+  if (!Settings.HasPlatform || Now < Hosts.NextCall)
+    return;
+  bool IsBusy = !Hosts.Tasks.empty();
+  for (const auto &[Number, Wave] : State.waves())
+    IsBusy |= !Wave.isComplete();
+  if (!Hosts.IsListing && Now >= Hosts.NextList) {
+    Hosts.IsListing = true;
+    Hosts.ListStartedAt = Now;
+    Hosts.NextHosts.clear();
+    Hosts.PageToken.clear();
+    Hosts.NextList = Now + (IsBusy ? BusyListInterval : IdleListInterval);
+  }
+  if (IsBusy)
+    Hosts.NextList = std::min(Hosts.NextList, Now + BusyListInterval);
+  if (Hosts.IsListing && !Hosts.IsPageOpen) {
+    Hosts.IsPageOpen = true;
+    addOrder(Orders, nullptr, list_hosts_order{Hosts.PageToken},
+             PlatformTimeout, Now);
+  }
+  for (auto &[Name, Task] : Hosts.Tasks) {
+    if (Task.IsOrderOpen || Task.HasBegun || Now < Task.NextOrder)
+      continue;
+    if (Task.Wave) {
+      const auto &Wave = State.waves().find(*Task.Wave)->second;
+      if (!contains(Wave.Ordered, Name))
+        continue; // Not committed yet.
+    }
+    Task.IsOrderOpen = true;
+    Task.NextOrder = Now + HostOrderPause;
+    if (Task.Wave)
+      addOrder(Orders, nullptr, upkeep_order{Name, *Task.Wave, Fence},
+               PlatformTimeout, Now);
+    else
+      addOrder(Orders, nullptr, move_host_order{Name, Task.TargetPool, Fence},
+               PlatformTimeout, Now);
+  }
+}
+
+void leader::finishHosts(const order &Order, const order_result &Result,
+                         core::time_point Now) {
+  const auto *Silence = std::get_if<no_answer>(&Result.Answer);
+  if (Silence) {
+    Metrics.add("unanswered_platform_calls_total");
+    core::logEvent(core::log_level::Warning, "platform_silent",
+                   {{"reason", Silence->Reason}});
+  }
+  if (std::holds_alternative<list_hosts_order>(Order.Body)) {
+    Hosts.IsPageOpen = false;
+    const auto *Page = std::get_if<hosts_answer>(&Result.Answer);
+    if (!Page) {
+      Hosts.NextCall = Now + HostOrderPause;
+      return;
+    }
+    finishPage(*Page);
+    return;
+  }
+  const auto *Upkeep = std::get_if<upkeep_order>(&Order.Body);
+  const auto *Move = std::get_if<move_host_order>(&Order.Body);
+  const auto &Name = Upkeep ? Upkeep->Host : Move->Host;
+  auto Found = Hosts.Tasks.find(Name);
+  if (Found == Hosts.Tasks.end())
+    return;
+  auto &Task = Found->second;
+  Task.IsOrderOpen = false;
+  const auto *Verdict = std::get_if<host_verdict>(&Result.Answer);
+  if (!Verdict)
+    return;
+  core::logEvent(core::log_level::Info,
+                 Upkeep ? "upkeep_answered" : "move_answered",
+                 {{"host", Name}, {"answer", name(*Verdict)}});
+  switch (*Verdict) {
+  case host_verdict::Accepted:
+    Task.HasBegun = true;
+    Task.BegunAt = Now;
+    Hosts.NextList = std::min(Hosts.NextList, Now + BusyListInterval);
+    return;
+  case host_verdict::NoSuchHost:
+  case host_verdict::OtherWave:
+    // Nothing is left to do for the host.
+    Task.HasBegun = Upkeep != nullptr;
+    Task.BegunAt = Now;
+    if (Move)
+      Hosts.Tasks.erase(Found);
+    return;
+  case host_verdict::Throttled:
+    Hosts.NextCall = Now + HostOrderPause;
+    return;
+  case host_verdict::Fenced:
+  case host_verdict::Busy:
+    Task.NextOrder = Now + 2 * HostOrderPause;
+    return;
+  }
+}
+
+void leader::finishPage(const hosts_answer &Page) {
+  for (const auto &Row : Page.Hosts)
+    Hosts.NextHosts[Row.Name] = Row;
+  Hosts.PageToken = Page.NextToken;
+  if (!Hosts.PageToken.empty())
+    return;
+  Hosts.IsListing = false;
+  Hosts.Hosts = std::exchange(Hosts.NextHosts, {});
+  Hosts.ListedAt = Hosts.ListStartedAt;
+  Hosts.HostOfEndpoint.clear();
+  for (const auto &[Name, Row] : Hosts.Hosts)
+    if (!Row.EndpointId.empty())
+      Hosts.HostOfEndpoint[Row.EndpointId] = Name;
+  std::erase_if(Hosts.Tasks, [this](const auto &Item) {
+    const auto &[Name, Task] = Item;
+    const auto *Row = Hosts.find(Name);
+    bool IsBack = Task.HasBegun && Hosts.ListedAt > Task.BegunAt &&
+                  (!Row || Row->State == host_state::Up) &&
+                  (!Task.Wave || Task.IsNoted);
+    if (IsBack)
+      Hosts.Cordoned.erase(Name);
+    return IsBack;
+  });
+  IsPlacementDue = true;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/member_keeper.h
@@ -0,0 +1,59 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_MEMBER_KEEPER_H
+#define LYCHEETRESTLE_SCHEDULING_MEMBER_KEEPER_H
+
+#include "core/clock.h"
+#include "replication/types.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheetrestle::scheduling {
+
+struct member_change {
+  replication::membership Target; ///< Differs in one member.
+  std::string_view What;          ///< For the log.
+  replication::replica_id Replica;
+};
+
+/// Decides the leader's next change of the membership, one at a time.
+///
+/// A replica that lost its disk asks to join under a new incarnation; the old
+/// one leaves first, so both never count together. A voter that stays silent
+/// while a replica of a new name waits is taken for lost, and the new replica
+/// gets its place.
+class member_keeper {
+public:
+  /// Silence after which a voter gives way to a new replica. Suspended hosts
+  /// come back within this time more often than not.
+  static constexpr core::duration SilenceLimit = std::chrono::seconds(4);
+
+  void noteJoin(const replication::replica_id &Replica, core::time_point Now);
+  void noteHeard(const std::string &Name, core::time_point Now);
+  /// Forgets what was heard; called when leadership begins.
+  void reset(core::time_point Now);
+
+  /// \param Members the current membership.
+  /// \param Self the leader.
+  /// \param HasCaughtUp tells whether a learner has all committed entries.
+  /// \returns the next change, or nothing.
+  std::optional<member_change>
+  next(const replication::membership &Members,
+       const replication::replica_id &Self, core::time_point Now,
+       const std::function<bool(const replication::replica_id &)> &HasCaughtUp);
+
+private:
+  const replication::member *
+  findSilent(const replication::membership &Members,
+             const replication::replica_id &Self, core::time_point Now) const;
+
+  std::map<std::string, replication::replica_id> Joining;
+  std::map<std::string, core::time_point> HeardAt;
+  core::time_point Since{};
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/placer.cpp
@@ -0,0 +1,264 @@
+#include "scheduling/placer.h"
+
+#include "scheduling/job_order.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+// Failed placements in one pool after which the rest of its queue is not tried:
+// what follows is rarely smaller, and a heavy backlog would cost a scan of all
+// endpoints for each task.
+constexpr std::uint32_t MaxMissesPerPool = 24;
+
+struct waiting_step {
+  job_rank Rank;
+  const job_record *Job = nullptr;
+  const occurrence_record *Occurrence = nullptr;
+  std::uint32_t Step = 0;
+};
+
+bool fits(const amounts &Free, const amounts &Size) {
+  return Size.MilliCores <= Free.MilliCores && Size.MemoryMb <= Free.MemoryMb &&
+         Size.Accelerators <= Free.Accelerators;
+}
+
+void take(amounts &Free, const amounts &Size) {
+  Free.MilliCores -= Size.MilliCores;
+  Free.MemoryMb -= Size.MemoryMb;
+  Free.Accelerators -= Size.Accelerators;
+}
+
+bool hasLabel(const placement_target &Target, const std::string &Label) {
+  return std::find(Target.Labels.begin(), Target.Labels.end(), Label) !=
+         Target.Labels.end();
+}
+
+bool isStepReady(const job_spec &Spec, const occurrence_record &Occurrence,
+                 std::uint32_t Step) {
+  const auto &Record = Occurrence.Steps[Step];
+  if (Record.Done == Spec.Steps[Step].Count)
+    return false;
+  for (auto Earlier : Spec.Steps[Step].DependsOn)
+    if (Occurrence.Steps[Earlier].Done != Spec.Steps[Earlier].Count)
+      return false;
+  return std::any_of(Record.Tasks.begin(), Record.Tasks.end(),
+                     [](const task_record &Task) { return Task.isWaiting(); });
+}
+
+/// One round of placement.
+class placement_round {
+public:
+  placement_round(std::vector<placement_target> &Targets,
+                  const placement_request &Request)
+      : Targets(Targets), Request(Request) {
+    for (auto &Target : Targets)
+      ByPool[Target.Pool].push_back(&Target);
+  }
+
+  void place(const waiting_step &Waiting) {
+    auto Pool = ByPool.find(Waiting.Job->Pool);
+    if (Pool == ByPool.end() || Misses[Waiting.Job->Pool] >= MaxMissesPerPool)
+      return;
+    const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
+    if (Spec.IsGang)
+      placeGang(Waiting, Spec, Pool->second);
+    else
+      placeTasks(Waiting, Spec, Pool->second);
+  }
+
+  bool isFull() const { return Placements.size() >= Request.MaxStarts; }
+  std::vector<placement> take() { return std::move(Placements); }
+
+private:
+  using target_list = std::vector<placement_target *>;
+
+  task_key keyOf(const waiting_step &Waiting, std::uint32_t Index) const {
+    return {Waiting.Job->Spec.Id, Waiting.Occurrence->Number, Waiting.Step,
+            Index};
+  }
+
+  void placeTasks(const waiting_step &Waiting, const step_spec &Spec,
+                  const target_list &Pool) {
+    const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
+    for (std::uint32_t Index = 0; Index != Tasks.size() && !isFull(); ++Index) {
+      if (!Tasks[Index].isWaiting())
+        continue;
+      auto Key = keyOf(Waiting, Index);
+      if (Request.IsHeldBack && Request.IsHeldBack(Key))
+        continue;
+      auto *Target = choose(Waiting, Spec, Key, Pool, "");
+      if (!Target) {
+        ++Misses[Waiting.Job->Pool];
+        return;
+      }
+      commit(Spec, Key, Tasks[Index].Attempt + 1, *Target);
+    }
+  }
+
+  void placeGang(const waiting_step &Waiting, const step_spec &Spec,
+                 const target_list &Pool) {
+    const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
+    std::uint32_t Attempt = 0;
+    for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
+      // Members of an earlier attempt must have ended everywhere.
+      if (!Tasks[Index].isWaiting() ||
+          (Request.IsHeldBack && Request.IsHeldBack(keyOf(Waiting, Index))))
+        return;
+      Attempt = std::max(Attempt, Tasks[Index].Attempt + 1);
+    }
+    auto Saved = Targets;
+    auto SavedCount = Placements.size();
+    std::vector<std::string> Racks{""};
+    if (Spec.WantsOneRack)
+      Racks = racksOf(Pool);
+    for (const auto &Rack : Racks) {
+      if (placeMembers(Waiting, Spec, Pool, Rack, Attempt))
+        return;
+      Targets = Saved;
+      Placements.resize(SavedCount);
+    }
+    ++Misses[Waiting.Job->Pool];
+  }
+
+  bool placeMembers(const waiting_step &Waiting, const step_spec &Spec,
+                    const target_list &Pool, const std::string &Rack,
+                    std::uint32_t Attempt) {
+    for (std::uint32_t Index = 0; Index != Spec.Count; ++Index) {
+      auto Key = keyOf(Waiting, Index);
+      auto *Target = choose(Waiting, Spec, Key, Pool, Rack);
+      if (!Target)
+        return false;
+      commit(Spec, Key, Attempt, *Target);
+    }
+    return true;
+  }
+
+  /// \returns each label of the pool, then none: labels other than racks
+  /// bring no member into a worse place.
+  static std::vector<std::string> racksOf(const target_list &Pool) {
+    std::vector<std::string> Racks;
+    for (const auto *Target : Pool)
+      for (const auto &Label : Target->Labels)
+        if (std::find(Racks.begin(), Racks.end(), Label) == Racks.end())
+          Racks.push_back(Label);
+    Racks.push_back("");
+    return Racks;
+  }
+
+  placement_target *choose(const waiting_step &Waiting, const step_spec &Spec,
+                           const task_key &Key, const target_list &Pool,
+                           const std::string &Rack) {
+    auto Size = reservedSize(Spec);
+    placement_target *Best = nullptr;
+    std::int64_t BestCost = 0;
+    for (auto *Target : Pool) {
+      if (!fits(Target->Free, Size))
+        continue;
+      if (!Spec.RequiredLabel.empty() && !hasLabel(*Target, Spec.RequiredLabel))
+        continue;
+      if (!Rack.empty() && !hasLabel(*Target, Rack))
+        continue;
+      if (Spec.MaxPerEndpoint > 0) {
+        auto Runs = Target->RunsByStep.find(stepKey(Key));
+        if (Runs != Target->RunsByStep.end() &&
+            Runs->second >= Spec.MaxPerEndpoint)
+          continue;
+      }
+      if (Request.IsAllowed &&
+          !Request.IsAllowed(Key, *Waiting.Job, Target->Endpoint))
+        continue;
+      auto Cost = costOf(Spec, *Target);
+      if (!Best || Cost < BestCost) {
+        Best = Target;
+        BestCost = Cost;
+      }
+    }
+    return Best;
+  }
+
+  static std::int64_t costOf(const step_spec &Spec,
+                             const placement_target &Target) {
+    // Each term outweighs all that follow it.
+    constexpr std::int64_t FarFromData = 1'000'000'000;
+    constexpr std::int64_t Disturbance = 10'000'000;
+    std::int64_t Cost = Target.Free.MilliCores;
+    if (!Spec.DataRack.empty() && !hasLabel(Target, Spec.DataRack))
+      Cost += FarFromData;
+    if (Spec.FillsIdle)
+      // They work on what is idle, so the emptiest endpoint suits best.
+      Cost = Disturbance * Target.ServingRuns - Target.Free.MilliCores;
+    else if (Spec.TargetMs > 0)
+      Cost = Disturbance * (Target.FillingRuns + Target.ServingRuns) -
+             Target.Free.MilliCores;
+    return Cost;
+  }
+
+  void commit(const step_spec &Spec, const task_key &Key, std::uint32_t Attempt,
+              placement_target &Target) {
+    auto Size = reservedSize(Spec);
+    scheduling::take(Target.Free, Size);
+    Target.ServingRuns += Spec.TargetMs > 0;
+    Target.FillingRuns += Spec.FillsIdle;
+    Target.LongRunning += Spec.IsLongRunning;
+    if (Spec.MaxPerEndpoint > 0)
+      ++Target.RunsByStep[stepKey(Key)];
+    Placements.push_back({{Key, Attempt, Target.Endpoint}, Size});
+  }
+
+  std::vector<placement_target> &Targets;
+  const placement_request &Request;
+  std::map<std::string, target_list> ByPool;
+  std::map<std::string, std::uint32_t> Misses;
+  std::vector<placement> Placements;
+};
+
+} // namespace
+
+std::string stepKey(const task_key &Task) {
+  return Task.Job + "." + std::to_string(Task.Occurrence) + "." +
+         std::to_string(Task.Step);
+}
+
+amounts reservedSize(const step_spec &Step) {
+  auto Size = Step.Size;
+  if (Step.FillsIdle)
+    Size.MilliCores = 0;
+  return Size;
+}
+
+std::vector<placement> placeRuns(const schedule_state &State,
+                                 std::vector<placement_target> &Targets,
+                                 const placement_request &Request) {
+  std::vector<waiting_step> Waiting;
+  for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
+    const auto *Job = State.findJob(Id);
+    for (const auto &Occurrence : Job->Open) {
+      std::optional<job_rank> Rank;
+      for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
+        if (!isStepReady(Job->Spec, Occurrence, Step))
+          continue;
+        if (!Rank)
+          Rank = rankOf(*Job, Occurrence, State.queueOf(*Job), Request.NowMs);
+        Waiting.push_back({*Rank, Job, &Occurrence, Step});
+      }
+    }
+  }
+  std::stable_sort(Waiting.begin(), Waiting.end(),
+                   [](const waiting_step &Left, const waiting_step &Right) {
+                     return Left.Rank < Right.Rank;
+                   });
+  placement_round Round(Targets, Request);
+  for (const auto &Step : Waiting) {
+    if (Round.isFull())
+      break;
+    Round.place(Step);
+  }
+  return Round.take();
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/schedule_node.cpp
@@ -0,0 +1,425 @@
+#include "scheduling/schedule_node.h"
+
+#include "core/event_log.h"
+#include "core/invariant.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Proposals wait for the write under way, so that one sync covers all that
+// arrived meanwhile; a slower disk no longer holds them up.
+constexpr core::duration SlowWrite = milliseconds(20);
+// Callers give up after some seconds; a change that takes longer is unknown.
+constexpr core::duration CallLimit = milliseconds(2500);
+constexpr core::duration TransferInterval = milliseconds(300);
+constexpr std::size_t MaxCommandsPerEntry = 1000;
+constexpr std::size_t MaxQueuedCommands = 20'000;
+// Outputs follow from one another, for example an order from an applied start.
+constexpr int MaxRounds = 4;
+
+replication::raft_settings raftSettings(const scheduler_settings &Settings,
+                                        const replication::replica_id &Self) {
+  replication::raft_settings Result;
+  Result.Self = Self;
+  Result.Heartbeat = Settings.Heartbeat;
+  Result.ElectionTimeout = Settings.ElectionTimeout;
+  Result.Seed = Self.Incarnation ^ std::hash<std::string>()(Self.Name);
+  return Result;
+}
+
+schedule_state restoreState(const std::string &Bytes) {
+  auto Outcome = core::capture([&] { return schedule_state::restore(Bytes); });
+  core::checkInvariant(Outcome.index() == 0,
+                       "the schedule restores its own snapshot");
+  return std::move(std::get<0>(Outcome));
+}
+
+std::string_view toText(apply_outcome Outcome) {
+  switch (Outcome) {
+  case apply_outcome::Accepted:
+    return "accepted";
+  case apply_outcome::Unchanged:
+    return "unchanged";
+  case apply_outcome::NoSuchQueue:
+    return "no_such_queue";
+  case apply_outcome::NoSuchJob:
+    return "no_such_job";
+  case apply_outcome::Stale:
+    return "stale";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+schedule_node::schedule_node(scheduler_settings NewSettings,
+                             replication::replica_id NewSelf,
+                             replication::persistent_state Found,
+                             replication::membership Initial,
+                             core::metrics_registry &Metrics,
+                             core::time_point Now)
+    : Settings(std::move(NewSettings)), Self(std::move(NewSelf)),
+      Metrics(Metrics),
+      Raft(raftSettings(Settings, Self), Found, std::move(Initial), Now) {
+  for (const auto &Seed : Settings.Seeds)
+    if (Seed != Self.Name)
+      NewPeers.push_back(Seed);
+  LinkedPeers = NewPeers;
+  if (!Found.Snapshot)
+    return;
+  State = restoreState(Found.Snapshot->State);
+  AppliedIndex = Found.Snapshot->LastIndex;
+  CompactedIndex = AppliedIndex;
+}
+
+std::string schedule_node::leaderAddress() const {
+  auto Known = Raft.status().Leader;
+  return Known ? Known->Name : "";
+}
+
+core::time_point schedule_node::nextTick(core::time_point Now) const {
+  auto Next = Raft.nextTick();
+  if (Leader)
+    Next = std::min(Next, Leader->nextTime(Now));
+  return Next;
+}
+
+void schedule_node::tick(core::time_point Now) {
+  Raft.tick(Now);
+  observeRole(Now);
+  expireWaiting(Now);
+  askToJoin(Now);
+  linkMembers();
+  if (LeaderTerm == 0)
+    return;
+  if (ShutdownSince && Now >= NextTransfer) {
+    NextTransfer = Now + TransferInterval;
+    Raft.transferLeadership(Now);
+    return;
+  }
+  changeMembers(Now);
+}
+
+void schedule_node::stored(std::uint64_t Ticket, core::time_point Now) {
+  WritesUnderWay.erase(WritesUnderWay.begin(),
+                       WritesUnderWay.upper_bound(Ticket));
+  Raft.stored(Ticket, Now);
+}
+
+void schedule_node::storageFailed(core::time_point Now) {
+  Raft.storageFailed(Now);
+  observeRole(Now);
+}
+
+void schedule_node::beginShutdown(core::time_point Now) {
+  if (!ShutdownSince)
+    ShutdownSince = Now;
+}
+
+bool schedule_node::isDrained(core::time_point Now) const {
+  if (!ShutdownSince || !WritesUnderWay.empty())
+    return false;
+  // Followers that are down cannot take over; waiting longer helps nobody.
+  return LeaderTerm == 0 ||
+         Now - *ShutdownSince > 2 * Settings.ElectionTimeout;
+}
+
+void schedule_node::observeRole(core::time_point Now) {
+  auto Status = Raft.status();
+  bool Leads = Status.Role == replication::raft_role::Leader;
+  if (LeaderTerm != 0 && (!Leads || Status.Term != LeaderTerm))
+    loseLeadership();
+  if (!Leads)
+    return;
+  if (LeaderTerm == 0) {
+    LeaderTerm = Status.Term;
+    LeaderStartIndex = Status.LastIndex;
+    Members.reset(Now);
+    Metrics.add("leaderships_total");
+    core::logEvent(core::log_level::Info, "elected",
+                   {{"term", Status.Term}, {"index", Status.LastIndex}});
+  }
+  if (Leader || AppliedIndex < LeaderStartIndex || ShutdownSince)
+    return;
+  Leader.emplace(Settings.Leader, LeaderTerm, State, Metrics, Now);
+  core::logEvent(core::log_level::Info, "leading",
+                 {{"term", LeaderTerm},
+                  {"applied", AppliedIndex},
+                  {"jobs", State.liveJobs().size()},
+                  {"endpoints", State.endpoints().size()},
+                  {"configuration", State.currentConfiguration().Version}});
+}
+
+void schedule_node::loseLeadership() {
+  core::logEvent(core::log_level::Warning, "leadership_lost",
+                 {{"term", LeaderTerm}});
+  LeaderTerm = 0;
+  Leader.reset();
+  IsLeaderBatchOpen = false;
+  // Entries that are in the log may still commit under the next leader.
+  for (const auto &[Index, Entry] : InLog)
+    for (auto Call : Entry.Calls)
+      answer(Call, reply_kind::Unknown);
+  InLog.clear();
+  for (const auto &Command : Queued)
+    answerNotLeader(Command.Call);
+  Queued.clear();
+  for (auto &[Token, Group] : Reads)
+    refuse(Group);
+  Reads.clear();
+  for (auto &Group : ConfirmedReads)
+    refuse(Group);
+  ConfirmedReads.clear();
+  refuse(Gathering);
+}
+
+void schedule_node::expireWaiting(core::time_point Now) {
+  for (auto &[Index, Entry] : InLog) {
+    if (Now - Entry.Since <= CallLimit)
+      continue;
+    for (auto &Call : Entry.Calls)
+      answer(std::exchange(Call, 0), reply_kind::Unknown);
+  }
+  for (auto Read = Reads.begin(); Read != Reads.end();) {
+    if (Now - Read->second.Since <= CallLimit) {
+      ++Read;
+      continue;
+    }
+    refuse(Read->second);
+    Read = Reads.erase(Read);
+  }
+}
+
+void schedule_node::queue(command Command, std::uint64_t Call,
+                          core::time_point Now) {
+  if (Queued.size() >= MaxQueuedCommands) {
+    answer(Call, reply_kind::Unavailable);
+    return;
+  }
+  Queued.push_back({std::move(Command), Call, Now});
+}
+
+void schedule_node::propose(core::time_point Now) {
+  if (LeaderTerm == 0)
+    return;
+  if (!WritesUnderWay.empty() &&
+      Now - WritesUnderWay.begin()->second <= SlowWrite)
+    return;
+  bool TakesLeaderBatch = Leader && !IsLeaderBatchOpen && !ShutdownSince;
+  std::vector<command> Decided;
+  auto WallMs = core::wallMilliseconds();
+  if (TakesLeaderBatch)
+    Decided = Leader->takeCommands(Now, WallMs);
+  for (auto &Command : Decided)
+    Queued.push_back({std::move(Command), 0, Now});
+  // A batch counts as open until its last command is applied, so that no
+  // decision is made on a state that lacks an earlier one.
+  if (!Decided.empty()) {
+    IsLeaderBatchOpen = true;
+    LeaderBatchLeft = Queued.size();
+  }
+  while (!Queued.empty()) {
+    auto Count = std::min(Queued.size(), MaxCommandsPerEntry);
+    command_batch Batch;
+    Batch.TimeMs = WallMs;
+    proposed_entry Entry;
+    Entry.Since = Now;
+    Entry.Term = LeaderTerm;
+    for (std::size_t Index = 0; Index != Count; ++Index) {
+      Batch.Commands.push_back(Queued[Index].Command);
+      Entry.Calls.push_back(Queued[Index].Call);
+    }
+    Entry.IsLeaderBatch = IsLeaderBatchOpen && Count >= LeaderBatchLeft &&
+                          LeaderBatchLeft > 0;
+    auto Outcome =
+        core::capture([&] { return Raft.propose(encodeBatch(Batch)); });
+    if (std::get_if<core::failure>(&Outcome))
+      return; // It stays queued until there is room or leadership is lost.
+    LeaderBatchLeft -= std::min(LeaderBatchLeft, Count);
+    InLog.emplace(std::get<0>(Outcome), std::move(Entry));
+    Queued.erase(Queued.begin(),
+                 Queued.begin() + static_cast<std::ptrdiff_t>(Count));
+    Metrics.add("entries_proposed_total");
+  }
+}
+
+node_actions schedule_node::takeActions(core::time_point Now) {
+  node_actions Actions;
+  for (int Round = 0; Round != MaxRounds; ++Round) {
+    flushReads(Now);
+    propose(Now);
+    auto Output = Raft.takeOutput();
+    bool IsIdle = Output.Messages.empty() && !Output.Write && !Output.Restore &&
+                  Output.Committed.empty() && Output.Reads.empty();
+    process(std::move(Output), Actions, Now);
+    observeRole(Now);
+    finishReads();
+    if (IsIdle)
+      break;
+  }
+  if (Leader && !ShutdownSince)
+    Actions.Orders = Leader->takeOrders(Now);
+  compactWhenDue();
+  std::move(Messages.begin(), Messages.end(),
+            std::back_inserter(Actions.Messages));
+  Messages.clear();
+  Actions.Replies = std::exchange(Replies, {});
+  Actions.NewPeers = std::exchange(NewPeers, {});
+  return Actions;
+}
+
+void schedule_node::process(replication::raft_output Output,
+                            node_actions &Actions, core::time_point Now) {
+  if (Output.Restore && Output.Restore->LastIndex > AppliedIndex) {
+    State = restoreState(Output.Restore->State);
+    AppliedIndex = Output.Restore->LastIndex;
+    CompactedIndex = AppliedIndex;
+    core::logEvent(core::log_level::Info, "snapshot_restored",
+                   {{"index", AppliedIndex}});
+  }
+  for (const auto &Entry : Output.Committed)
+    applyEntry(Entry, Now);
+  for (const auto &Read : Output.Reads) {
+    auto Found = Reads.find(Read.Token);
+    if (Found == Reads.end())
+      continue;
+    if (Read.Confirmed) {
+      Found->second.Index = Read.Index;
+      ConfirmedReads.push_back(std::move(Found->second));
+    } else {
+      refuse(Found->second);
+    }
+    Reads.erase(Found);
+  }
+  for (auto &Message : Output.Messages)
+    sendFrame(Message.To.Name, std::move(Message.Bytes), Message.To);
+  if (!Output.Write)
+    return;
+  WritesUnderWay.emplace(Output.Write->Ticket, Now);
+  Actions.Writes.push_back(std::move(*Output.Write));
+}
+
+void schedule_node::applyEntry(const replication::log_entry &Entry,
+                               core::time_point Now) {
+  if (Entry.Index <= AppliedIndex)
+    return; // The snapshot already contains it.
+  core::checkInvariant(Entry.Index == AppliedIndex + 1,
+                       "committed entries are applied without a gap");
+  AppliedIndex = Entry.Index;
+  std::optional<proposed_entry> Own;
+  if (auto Found = InLog.find(Entry.Index); Found != InLog.end()) {
+    Own = std::move(Found->second);
+    InLog.erase(Found);
+    if (Own->Term != Entry.Term) {
+      for (auto Call : Own->Calls)
+        answer(Call, reply_kind::Unknown);
+      Own.reset();
+    }
+  }
+  if (Entry.Kind != replication::entry_kind::Command)
+    return;
+  auto Batch = decodeBatch(Entry.Payload);
+  core::checkInvariant(Batch.has_value(), "committed entries can be read");
+  for (std::size_t Index = 0; Index != Batch->Commands.size(); ++Index) {
+    const auto &Command = Batch->Commands[Index];
+    auto Outcome = State.apply(Command, Batch->TimeMs);
+    if (Leader)
+      Leader->applied(Command, Outcome, Now);
+    if (!Own)
+      continue;
+    logApplied(Command, Outcome, Entry.Index);
+    answerApplied(Own->Calls[Index], Command, Outcome);
+  }
+  if (!Own)
+    return;
+  if (Own->IsLeaderBatch)
+    IsLeaderBatchOpen = false;
+  Metrics.observe(
+      "commit_latency_ms",
+      std::chrono::duration<double, std::milli>(Now - Own->Since).count());
+}
+
+void schedule_node::logApplied(const command &Command, apply_outcome Outcome,
+                               std::uint64_t Index) const {
+  auto Result = toText(Outcome);
+  auto Level = core::log_level::Info;
+  if (const auto *Submit = std::get_if<submit_job>(&Command)) {
+    core::logEvent(Level, "job_submitted",
+                   {{"job", Submit->Job.Id},
+                    {"queue", Submit->HostName + Submit->Path},
+                    {"steps", Submit->Job.Steps.size()},
+                    {"configuration", State.currentConfiguration().Version},
+                    {"index", Index},
+                    {"result", Result}});
+  } else if (const auto *Cancel = std::get_if<cancel_job>(&Command)) {
+    core::logEvent(
+        Level, "job_cancelled",
+        {{"job", Cancel->Job}, {"index", Index}, {"result", Result}});
+  } else if (const auto *Start = std::get_if<start_run>(&Command)) {
+    core::logEvent(Level, "run_assigned",
+                   {{"job", Start->Task.Job},
+                    {"occurrence", Start->Task.Occurrence},
+                    {"step", Start->Task.Step},
+                    {"index", Start->Task.Index},
+                    {"attempt", Start->Attempt},
+                    {"endpoint", Start->Endpoint},
+                    {"result", Result}});
+  } else if (const auto *End = std::get_if<end_run>(&Command)) {
+    const auto *Job = State.findJob(End->Task.Job);
+    core::logEvent(Level, "run_ended",
+                   {{"job", End->Task.Job},
+                    {"occurrence", End->Task.Occurrence},
+                    {"step", End->Task.Step},
+                    {"index", End->Task.Index},
+                    {"attempt", End->Attempt},
+                    {"how", static_cast<int>(End->How)},
+                    {"job_state", Job ? static_cast<int>(Job->State) : -1},
+                    {"result", Result}});
+  } else if (const auto *Set = std::get_if<set_configuration>(&Command)) {
+    core::logEvent(Level, "configuration_applied",
+                   {{"version", Set->Configuration.Version},
+                    {"in_force", State.currentConfiguration().Version},
+                    {"index", Index},
+                    {"result", Result}});
+  } else if (const auto *Note = std::get_if<note_endpoint>(&Command)) {
+    core::logEvent(Level, "endpoint_noted",
+                   {{"endpoint", Note->Facts.Id},
+                    {"born_ms", Note->Facts.BornMs},
+                    {"address", Note->Facts.Address},
+                    {"pool", Note->Facts.Pool},
+                    {"draining", Note->Facts.IsDraining},
+                    {"result", Result}});
+  } else if (const auto *Gone = std::get_if<end_endpoint>(&Command)) {
+    core::logEvent(Level, "endpoint_ended",
+                   {{"endpoint", Gone->Endpoint}, {"result", Result}});
+  } else if (const auto *Wave = std::get_if<start_wave>(&Command)) {
+    core::logEvent(Level, "wave_started",
+                   {{"wave", Wave->Wave},
+                    {"hosts", Wave->Hosts.size()},
+                    {"max_count", Wave->MaxCount},
+                    {"deadline_ms", Wave->DeadlineMs},
+                    {"result", Result}});
+  } else if (const auto *Upkeep = std::get_if<note_upkeep>(&Command)) {
+    core::logEvent(
+        Level, "upkeep_begun",
+        {{"wave", Upkeep->Wave}, {"host", Upkeep->Host}, {"result", Result}});
+  }
+}
+
+void schedule_node::compactWhenDue() {
+  if (AppliedIndex - CompactedIndex < Settings.SnapshotEveryEntries)
+    return;
+  CompactedIndex = AppliedIndex;
+  auto Bytes = State.snapshot();
+  core::logEvent(core::log_level::Info, "snapshot_taken",
+                 {{"index", AppliedIndex}, {"bytes", Bytes.size()}});
+  Raft.compact(AppliedIndex, std::move(Bytes));
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/schedule_node.h
@@ -0,0 +1,164 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_SCHEDULE_NODE_H
+#define LYCHEETRESTLE_SCHEDULING_SCHEDULE_NODE_H
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "replication/raft_node.h"
+#include "scheduling/calls.h"
+#include "scheduling/leader.h"
+#include "scheduling/member_keeper.h"
+#include "scheduling/schedule_state.h"
+#include "scheduling/scheduler_settings.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheetrestle::scheduling {
+
+struct peer_message {
+  std::string Peer;
+  std::string Bytes;
+};
+
+/// What the driver of a schedule_node must do.
+struct node_actions {
+  std::vector<peer_message> Messages;
+  std::vector<replication::storage_write> Writes; ///< In this order.
+  std::vector<reply> Replies;
+  std::vector<order> Orders;
+  std::vector<std::string> NewPeers; ///< IP addresses to link with.
+};
+
+/// One scheduler replica: replication, the state machine, answers to calls,
+/// membership and, while it leads, the decisions of `leader`. Single-threaded
+/// and without input or output.
+class schedule_node {
+public:
+  /// \param Self the identity of this replica; its name is its IP address.
+  /// \param Found what was on the disk.
+  /// \param Initial voters of a new cluster; empty to wait for being added.
+  schedule_node(scheduler_settings Settings, replication::replica_id Self,
+                replication::persistent_state Found,
+                replication::membership Initial,
+                core::metrics_registry &Metrics, core::time_point Now);
+
+  void tick(core::time_point Now);
+  /// \param Peer name of the sending replica as the link knows it.
+  void receive(const std::string &Peer, std::string_view Bytes,
+               core::time_point Now);
+  void handle(call Call, core::time_point Now);
+  void orderFinished(order_result Result, core::time_point Now);
+  void stored(std::uint64_t Ticket, core::time_point Now);
+  void storageFailed(core::time_point Now);
+  /// Hands leadership over and refuses calls.
+  void beginShutdown(core::time_point Now);
+  bool isDrained(core::time_point Now) const;
+
+  node_actions takeActions(core::time_point Now);
+  core::time_point nextTick(core::time_point Now) const;
+
+  replication::raft_status status() const { return Raft.status(); }
+  const schedule_state &state() const { return State; }
+  /// \returns whether this replica leads and has applied all earlier entries.
+  bool isLeading() const { return Leader.has_value(); }
+  /// \returns the IP address of the leader, or an empty string.
+  std::string leaderAddress() const;
+
+private:
+  /// A command and the call that waits for it.
+  struct queued_command {
+    command Command;
+    std::uint64_t Call = 0; ///< 0: nobody waits.
+    core::time_point Since{};
+  };
+  /// An entry that this leader proposed.
+  struct proposed_entry {
+    std::uint64_t Term = 0;
+    std::vector<std::uint64_t> Calls; ///< By position of the command.
+    bool IsLeaderBatch = false;
+    core::time_point Since{};
+  };
+  struct read_group {
+    std::vector<call> Calls;
+    std::uint64_t Index = 0;
+    core::time_point Since{};
+  };
+
+  // schedule_node.cpp
+  void observeRole(core::time_point Now);
+  void loseLeadership();
+  void propose(core::time_point Now);
+  void process(replication::raft_output Output, node_actions &Actions,
+               core::time_point Now);
+  void applyEntry(const replication::log_entry &Entry, core::time_point Now);
+  void logApplied(const command &Command, apply_outcome Outcome,
+                  std::uint64_t Index) const;
+  void compactWhenDue();
+  void expireWaiting(core::time_point Now);
+
+  // schedule_node_calls.cpp
+  void queue(command Command, std::uint64_t Call, core::time_point Now);
+  void answer(std::uint64_t Call, reply_kind Kind);
+  void answerNotLeader(std::uint64_t Call);
+  void answerApplied(std::uint64_t Call, const command &Command,
+                     apply_outcome Outcome);
+  void read(call Call, core::time_point Now);
+  void flushReads(core::time_point Now);
+  void finishReads();
+  void answerRead(const call &Call);
+  void refuse(read_group &Group);
+  void serve(std::uint64_t Id, submit_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, job_state_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, cancel_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, queue_length_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, beat_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, leave_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, configure_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, read_configuration_call Call,
+             core::time_point Now);
+  void serve(std::uint64_t Id, start_wave_call Call, core::time_point Now);
+  void serve(std::uint64_t Id, wave_state_call Call, core::time_point Now);
+
+  // schedule_node_members.cpp
+  void sendFrame(const std::string &Peer, std::string Bytes,
+                 const replication::replica_id &To);
+  void askToJoin(core::time_point Now);
+  void changeMembers(core::time_point Now);
+  void linkMembers();
+
+  scheduler_settings Settings;
+  replication::replica_id Self;
+  core::metrics_registry &Metrics;
+  replication::raft_node Raft;
+  schedule_state State;
+  std::uint64_t AppliedIndex = 0;
+  std::uint64_t CompactedIndex = 0;
+  std::uint64_t LeaderTerm = 0; ///< Term of this leadership, or 0.
+  std::uint64_t LeaderStartIndex = 0;
+  std::optional<leader> Leader;
+  bool IsLeaderBatchOpen = false;
+  std::size_t LeaderBatchLeft = 0; ///< Queued commands up to its last one.
+  std::deque<queued_command> Queued;
+  std::map<std::uint64_t, proposed_entry> InLog; ///< By index.
+  std::map<std::uint64_t, core::time_point> WritesUnderWay;
+  read_group Gathering;
+  std::map<std::uint64_t, read_group> Reads;
+  std::vector<read_group> ConfirmedReads;
+  member_keeper Members;
+  std::vector<std::string> LinkedPeers;
+  std::vector<std::string> NewPeers;
+  std::vector<peer_message> Messages;
+  std::vector<reply> Replies;
+  core::time_point NextJoin{};
+  std::optional<core::time_point> ShutdownSince;
+  core::time_point NextTransfer{};
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- /dev/null
+++ b/scheduling/schedule_node_calls.cpp
@@ -0,0 +1,240 @@
+#include "scheduling/schedule_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+std::string_view toString(reply_kind Kind) {
+  switch (Kind) {
+  case reply_kind::Accepted:
+    return "accepted";
+  case reply_kind::State:
+    return "state";
+  case reply_kind::QueueLength:
+    return "queue_length";
+  case reply_kind::Text:
+    return "text";
+  case reply_kind::WaveRunning:
+    return "wave_running";
+  case reply_kind::WaveComplete:
+    return "wave_complete";
+  case reply_kind::NoSuchQueue:
+    return "no_such_queue";
+  case reply_kind::NoSuchJob:
+    return "no_such_job";
+  case reply_kind::NoSuchWave:
+    return "no_such_wave";
+  case reply_kind::NotLeader:
+    return "not_leader";
+  case reply_kind::Unavailable:
+    return "unavailable";
+  case reply_kind::Unknown:
+    return "unknown";
+  }
+  return "invalid";
+}
+
+void schedule_node::answer(std::uint64_t Call, reply_kind Kind) {
+  if (Call == 0)
+    return;
+  reply Reply;
+  Reply.Id = Call;
+  Reply.Kind = Kind;
+  Replies.push_back(std::move(Reply));
+}
+
+void schedule_node::answerNotLeader(std::uint64_t Call) {
+  if (Call == 0)
+    return;
+  reply Reply;
+  Reply.Id = Call;
+  Reply.Kind = reply_kind::NotLeader;
+  Reply.Leader = leaderAddress();
+  // A leader that is not ready yet must not send callers to itself.
+  if (Reply.Leader == Self.Name)
+    Reply.Leader.clear();
+  Replies.push_back(std::move(Reply));
+}
+
+void schedule_node::handle(call Call, core::time_point Now) {
+  if (!Leader || ShutdownSince) {
+    answerNotLeader(Call.Id);
+    return;
+  }
+  std::visit([&](auto &&Typed) { serve(Call.Id, std::move(Typed), Now); },
+             std::move(Call.Body));
+}
+
+void schedule_node::serve(std::uint64_t Id, submit_call Call,
+                          core::time_point Now) {
+  if (!State.findQueue(Call.HostName, Call.Path) &&
+      !State.findJob(Call.Job.Id)) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
+  queue(submit_job{std::move(Call.HostName), std::move(Call.Path),
+                   std::move(Call.Job)},
+        Id, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, job_state_call Call,
+                          core::time_point Now) {
+  const auto *Job = State.findJob(Call.Job);
+  if (!Job) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
+  reply Reply;
+  Reply.Id = Id;
+  Reply.Kind = reply_kind::State;
+  Reply.State = Job->State;
+  Replies.push_back(std::move(Reply));
+}
+
+void schedule_node::serve(std::uint64_t Id, cancel_call Call,
+                          core::time_point Now) {
+  queue(cancel_job{std::move(Call.HostName), std::move(Call.Path),
+                   std::move(Call.Job)},
+        Id, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, queue_length_call Call,
+                          core::time_point Now) {
+  const auto *Queue = State.findQueue(Call.HostName, Call.Path);
+  if (!Queue) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
+  reply Reply;
+  Reply.Id = Id;
+  Reply.Kind = reply_kind::QueueLength;
+  Reply.Count = State.pendingJobs(Queue->HostName, Queue->PathPrefix);
+  Replies.push_back(std::move(Reply));
+}
+
+void schedule_node::serve(std::uint64_t Id, beat_call Call,
+                          core::time_point Now) {
+  if (Leader->noteBeat(Call.Beat, Now))
+    answer(Id, reply_kind::Accepted);
+  else
+    queue(note_endpoint{std::move(Call.Beat.Facts)}, Id, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, leave_call Call,
+                          core::time_point Now) {
+  Leader->noteLeaving(Call.EndpointId, Now);
+  answer(Id, reply_kind::Accepted);
+}
+
+void schedule_node::serve(std::uint64_t Id, configure_call Call,
+                          core::time_point Now) {
+  queue(set_configuration{std::move(Call.Configuration)}, Id, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, read_configuration_call Call,
+                          core::time_point Now) {
+  read({Id, Call}, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, start_wave_call Call,
+                          core::time_point Now) {
+  queue(start_wave{Call.Wave, std::move(Call.Hosts), Call.DeadlineMs,
+                   Call.MaxCount},
+        Id, Now);
+}
+
+void schedule_node::serve(std::uint64_t Id, wave_state_call Call,
+                          core::time_point Now) {
+  read({Id, Call}, Now);
+}
+
+void schedule_node::answerApplied(std::uint64_t Call, const command &Command,
+                                  apply_outcome Outcome) {
+  if (Call == 0)
+    return;
+  switch (Outcome) {
+  case apply_outcome::NoSuchQueue:
+    answer(Call, reply_kind::NoSuchQueue);
+    return;
+  case apply_outcome::NoSuchJob:
+    answer(Call, reply_kind::NoSuchJob);
+    return;
+  default:
+    break;
+  }
+  if (const auto *Submit = std::get_if<submit_job>(&Command))
+    Metrics.add("jobs_accepted_total"),
+        static_cast<void>(Submit);
+  answer(Call, reply_kind::Accepted);
+}
+
+void schedule_node::read(call Call, core::time_point Now) {
+  if (Gathering.Calls.empty())
+    Gathering.Since = Now;
+  Gathering.Calls.push_back(std::move(Call));
+}
+
+void schedule_node::flushReads(core::time_point Now) {
+  if (Gathering.Calls.empty())
+    return;
+  auto Outcome = core::capture([&] { return Raft.requestRead(Now); });
+  if (const auto *Token = std::get_if<0>(&Outcome))
+    Reads.emplace(*Token, std::exchange(Gathering, {}));
+  else
+    refuse(Gathering);
+}
+
+void schedule_node::refuse(read_group &Group) {
+  for (const auto &Call : std::exchange(Group.Calls, {}))
+    answerNotLeader(Call.Id);
+}
+
+void schedule_node::finishReads() {
+  std::erase_if(ConfirmedReads, [this](read_group &Group) {
+    if (Group.Index > AppliedIndex)
+      return false;
+    for (const auto &Call : Group.Calls)
+      answerRead(Call);
+    return true;
+  });
+}
+
+void schedule_node::answerRead(const call &Call) {
+  reply Reply;
+  Reply.Id = Call.Id;
+  if (const auto *Submit = std::get_if<submit_call>(&Call.Body)) {
+    // A configuration that committed meanwhile may have brought the queue.
+    Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
+                     ? reply_kind::Unavailable
+                     : reply_kind::NoSuchQueue;
+  } else if (const auto *State_ = std::get_if<job_state_call>(&Call.Body)) {
+    const auto *Job = State.findJob(State_->Job);
+    Reply.Kind = Job ? reply_kind::State : reply_kind::NoSuchJob;
+    if (Job)
+      Reply.State = Job->State;
+  } else if (const auto *Length = std::get_if<queue_length_call>(&Call.Body)) {
+    const auto *Queue = State.findQueue(Length->HostName, Length->Path);
+    Reply.Kind = Queue ? reply_kind::QueueLength : reply_kind::NoSuchQueue;
+    if (Queue)
+      Reply.Count = State.pendingJobs(Queue->HostName, Queue->PathPrefix);
+  } else if (const auto *Wave = std::get_if<wave_state_call>(&Call.Body)) {
+    auto Found = State.waves().find(Wave->Wave);
+    Reply.Kind = Found == State.waves().end() ? reply_kind::NoSuchWave
+                 : Found->second.isComplete() ? reply_kind::WaveComplete
+                                              : reply_kind::WaveRunning;
+  } else {
+    const auto &Configuration = State.currentConfiguration();
+    Reply.Kind = Configuration.Version == 0 ? reply_kind::Unavailable
+                                            : reply_kind::Text;
+    Reply.Text = Configuration.Text;
+  }
+  Replies.push_back(std::move(Reply));
+}
+
+void schedule_node::orderFinished(order_result Result, core::time_point Now) {
+  if (Leader)
+    Leader->finished(std::move(Result), Now);
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/schedule_node_members.cpp
@@ -0,0 +1,102 @@
+#include "control/control_frames.h"
+#include "core/event_log.h"
+#include "scheduling/schedule_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+constexpr core::duration JoinInterval = std::chrono::milliseconds(500);
+// All schedulers of a deployment belong to one cluster.
+constexpr const char *ClusterName = "schedulers";
+
+bool isMember(const replication::membership &Members,
+              const replication::replica_id &Id) {
+  return std::any_of(Members.Members.begin(), Members.Members.end(),
+                     [&](const auto &Member) { return Member.Id == Id; });
+}
+
+} // namespace
+
+void schedule_node::sendFrame(const std::string &Peer, std::string Bytes,
+                              const replication::replica_id &To) {
+  control::control_frame Frame;
+  Frame.Cluster = ClusterName;
+  Frame.From = Self;
+  Frame.To = To;
+  Frame.Bytes = std::move(Bytes);
+  Messages.push_back({Peer, control::encodeFrame(Frame)});
+}
+
+void schedule_node::receive(const std::string &Peer, std::string_view Bytes,
+                            core::time_point Now) {
+  auto Outcome = core::capture([&] { return control::decodeFrame(Bytes); });
+  const auto *Frame = std::get_if<0>(&Outcome);
+  if (!Frame || Frame->Cluster != ClusterName || Frame->From.Name != Peer) {
+    Metrics.add("messages_dropped_total");
+    return;
+  }
+  Members.noteHeard(Peer, Now);
+  if (Frame->Kind == control::frame_kind::Join) {
+    if (LeaderTerm != 0)
+      Members.noteJoin(Frame->From, Now);
+    return;
+  }
+  if (Frame->Kind != control::frame_kind::Replication || Frame->To != Self) {
+    Metrics.add("messages_dropped_total");
+    return;
+  }
+  Raft.receive(Frame->From, Frame->Bytes, Now);
+  observeRole(Now);
+}
+
+void schedule_node::askToJoin(core::time_point Now) {
+  if (Now < NextJoin || LeaderTerm != 0)
+    return;
+  NextJoin = Now + JoinInterval;
+  auto Status = Raft.status();
+  if (isMember(Status.Members, Self) && !Status.IsRemoved)
+    return;
+  control::control_frame Frame;
+  Frame.Kind = control::frame_kind::Join;
+  Frame.Cluster = ClusterName;
+  Frame.From = Self;
+  for (const auto &Peer : LinkedPeers)
+    Messages.push_back({Peer, control::encodeFrame(Frame)});
+}
+
+void schedule_node::changeMembers(core::time_point Now) {
+  if (!Leader || ShutdownSince)
+    return;
+  auto Change = Members.next(
+      Raft.status().Members, Self, Now,
+      [this](const replication::replica_id &Id) { return Raft.hasCaughtUp(Id); });
+  if (!Change)
+    return;
+  // While an earlier change is under way this fails, and the next tick tries
+  // again.
+  auto Outcome =
+      core::capture([&] { return Raft.proposeMembership(Change->Target); });
+  if (const auto *Index = std::get_if<0>(&Outcome))
+    core::logEvent(core::log_level::Info, "membership_proposed",
+                   {{"change", Change->What},
+                    {"replica", Change->Replica.Name},
+                    {"incarnation", Change->Replica.Incarnation},
+                    {"index", *Index}});
+}
+
+void schedule_node::linkMembers() {
+  for (const auto &Member : Raft.status().Members.Members) {
+    const auto &Name = Member.Id.Name;
+    if (Name == Self.Name || std::find(LinkedPeers.begin(), LinkedPeers.end(),
+                                       Name) != LinkedPeers.end())
+      continue;
+    LinkedPeers.push_back(Name);
+    NewPeers.push_back(Name);
+  }
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/schedule_state.cpp
@@ -0,0 +1,389 @@
+#include "scheduling/schedule_state.h"
+
+#include "core/invariant.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+bool startsWith(std::string_view Text, std::string_view Prefix) {
+  return Text.substr(0, Prefix.size()) == Prefix;
+}
+
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+occurrence_record makeOccurrence(const job_spec &Spec, std::uint32_t Number) {
+  occurrence_record Occurrence;
+  Occurrence.Number = Number;
+  for (const auto &Step : Spec.Steps)
+    Occurrence.Steps.emplace_back().Tasks.resize(Step.Count);
+  return Occurrence;
+}
+
+bool isReady(const job_spec &Spec, const occurrence_record &Occurrence,
+             std::uint32_t Step) {
+  return std::all_of(
+      Spec.Steps[Step].DependsOn.begin(), Spec.Steps[Step].DependsOn.end(),
+      [&](std::uint32_t Earlier) {
+        return Occurrence.Steps[Earlier].Done == Spec.Steps[Earlier].Count;
+      });
+}
+
+} // namespace
+
+const occurrence_record *
+job_record::findOpen(std::uint32_t Occurrence) const {
+  for (const auto &Candidate : Open)
+    if (Candidate.Number == Occurrence)
+      return &Candidate;
+  return nullptr;
+}
+
+occurrence_record *job_record::findOpen(std::uint32_t Occurrence) {
+  return const_cast<occurrence_record *>(
+      std::as_const(*this).findOpen(Occurrence));
+}
+
+apply_outcome schedule_state::apply(const command &Command,
+                                    std::int64_t NewTimeMs) {
+  TimeMs = std::max(TimeMs, NewTimeMs);
+  return std::visit([this](const auto &Typed) { return run(Typed); }, Command);
+}
+
+const queue_spec *schedule_state::findQueue(std::string_view HostName,
+                                            std::string_view Path) const {
+  const queue_spec *Best = nullptr;
+  for (const auto &Queue : Configuration.Queues)
+    if (Queue.HostName == HostName && startsWith(Path, Queue.PathPrefix) &&
+        (!Best || Queue.PathPrefix.size() > Best->PathPrefix.size()))
+      Best = &Queue;
+  return Best;
+}
+
+const queue_spec *schedule_state::queueOf(const job_record &Job) const {
+  for (const auto &Queue : Configuration.Queues)
+    if (Queue.HostName == Job.QueueHost && Queue.PathPrefix == Job.QueuePrefix)
+      return &Queue;
+  return nullptr;
+}
+
+const pool_spec *schedule_state::findPool(std::string_view Name) const {
+  for (const auto &Pool : Configuration.Pools)
+    if (Pool.Name == Name)
+      return &Pool;
+  return nullptr;
+}
+
+const job_record *schedule_state::findJob(std::string_view Id) const {
+  auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+const endpoint_record *
+schedule_state::findEndpoint(std::string_view Id, std::uint64_t BornMs) const {
+  for (const auto &[Number, Endpoint] : Endpoints)
+    if (Endpoint.Facts.Id == Id && Endpoint.Facts.BornMs == BornMs)
+      return &Endpoint;
+  return nullptr;
+}
+
+const task_record *schedule_state::findTask(const task_key &Task) const {
+  const auto *Job = findJob(Task.Job);
+  const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
+  if (!Occurrence || Task.Step >= Occurrence->Steps.size() ||
+      Task.Index >= Occurrence->Steps[Task.Step].Tasks.size())
+    return nullptr;
+  return &Occurrence->Steps[Task.Step].Tasks[Task.Index];
+}
+
+task_record *schedule_state::findTask(const task_key &Task) {
+  return const_cast<task_record *>(std::as_const(*this).findTask(Task));
+}
+
+std::uint32_t
+schedule_state::pendingJobs(std::string_view QueueHost,
+                            std::string_view QueuePrefix) const {
+  std::uint32_t Count = 0;
+  for (const auto &[SubmittedMs, Id] : Live) {
+    const auto &Job = Jobs.find(Id)->second;
+    Count += Job.State == job_state::Queued && Job.QueueHost == QueueHost &&
+             Job.QueuePrefix == QueuePrefix;
+  }
+  return Count;
+}
+
+std::uint32_t schedule_state::maxAttempts(const job_record &Job) const {
+  const auto *Queue = queueOf(Job);
+  return Queue ? std::max(1u, Queue->MaxAttempts) : 1;
+}
+
+apply_outcome schedule_state::run(const set_configuration &Command) {
+  if (Command.Configuration.Version <= Configuration.Version)
+    return apply_outcome::Unchanged;
+  Configuration = Command.Configuration;
+  for (const auto &[SubmittedMs, Id] : Live) {
+    auto &Job = Jobs.find(Id)->second;
+    if (const auto *Queue = queueOf(Job))
+      Job.Pool = Queue->Pool;
+  }
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const submit_job &Command) {
+  if (Jobs.find(Command.Job.Id) != Jobs.end())
+    return apply_outcome::Unchanged;
+  const auto *Queue = findQueue(Command.HostName, Command.Path);
+  if (!Queue)
+    return apply_outcome::NoSuchQueue;
+  forgetOldJobs();
+  auto &Job = Jobs[Command.Job.Id];
+  Job.Spec = Command.Job;
+  Job.QueueHost = Queue->HostName;
+  Job.QueuePrefix = Queue->PathPrefix;
+  Job.Pool = Queue->Pool;
+  Job.SubmittedMs = TimeMs;
+  Live.emplace(TimeMs, Job.Spec.Id);
+  if (Job.Spec.RepeatCount == 0) {
+    Job.Open.push_back(makeOccurrence(Job.Spec, 0));
+    Job.NextOccurrence = 1;
+  }
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const cancel_job &Command) {
+  auto Found = Jobs.find(Command.Job);
+  if (Found == Jobs.end())
+    return apply_outcome::NoSuchJob;
+  if (isOver(Found->second.State))
+    return apply_outcome::Unchanged;
+  finishJob(Found->second, job_state::Cancelled);
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const open_occurrence &Command) {
+  auto Found = Jobs.find(Command.Job);
+  if (Found == Jobs.end() || isOver(Found->second.State))
+    return apply_outcome::Stale;
+  auto &Job = Found->second;
+  if (Command.Occurrence != Job.NextOccurrence ||
+      Command.Occurrence >= Job.occurrences())
+    return apply_outcome::Stale;
+  Job.Open.push_back(makeOccurrence(Job.Spec, Job.NextOccurrence++));
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const start_run &Command) {
+  auto *Task = findTask(Command.Task);
+  auto Endpoint = Endpoints.find(Command.Endpoint);
+  if (!Task || Endpoint == Endpoints.end())
+    return apply_outcome::Stale;
+  auto &Job = Jobs.find(Command.Task.Job)->second;
+  if (isOver(Job.State) || !Task->isWaiting() ||
+      Command.Attempt <= Task->Attempt)
+    return apply_outcome::Stale;
+  // A configuration that lowers the attempts can commit between the decision
+  // and the start.
+  if (!Job.Spec.Steps[Command.Task.Step].IsLongRunning &&
+      Task->Failures >= maxAttempts(Job))
+    return apply_outcome::Stale;
+  core::checkInvariant(isReady(Job.Spec, *Job.findOpen(Command.Task.Occurrence),
+                               Command.Task.Step),
+                       "a run starts after the steps it depends on");
+  Task->Attempt = Command.Attempt;
+  Task->Endpoint = Command.Endpoint;
+  Endpoint->second.Runs.push_back(Command.Task);
+  ++Job.RunsLeft;
+  Job.State = job_state::Running;
+  return apply_outcome::Accepted;
+}
+
+void schedule_state::removeRun(job_record &Job, task_record &Task,
+                               const task_key &Key) {
+  auto Endpoint = Endpoints.find(Task.Endpoint);
+  if (Endpoint != Endpoints.end())
+    std::erase(Endpoint->second.Runs, Key);
+  Task.Endpoint = 0;
+  --Job.RunsLeft;
+}
+
+apply_outcome schedule_state::run(const end_run &Command) {
+  auto *Task = findTask(Command.Task);
+  if (!Task || Task->Endpoint == 0 || Task->Attempt != Command.Attempt)
+    return apply_outcome::Stale;
+  auto &Job = Jobs.find(Command.Task.Job)->second;
+  const auto &Spec = Job.Spec.Steps[Command.Task.Step];
+  removeRun(Job, *Task, Command.Task);
+  if (isOver(Job.State)) {
+    if (Job.RunsLeft == 0)
+      Job.Open.clear();
+    return apply_outcome::Accepted;
+  }
+  auto &Tasks = Job.findOpen(Command.Task.Occurrence)
+                    ->Steps[Command.Task.Step]
+                    .Tasks;
+  if (!Command.Checkpoint.empty()) {
+    Task->Checkpoint = Command.Checkpoint;
+    if (Spec.IsGang)
+      for (auto &Member : Tasks)
+        Member.Checkpoint = Command.Checkpoint;
+  }
+  if (Command.How == run_end::Done && !Spec.IsLongRunning) {
+    if (Spec.IsGang)
+      finishGang(Job, Command.Task, Command.Attempt);
+    else
+      finishTask(Job, Command.Task);
+    return apply_outcome::Accepted;
+  }
+  if (Command.How != run_end::Failed || Spec.IsLongRunning)
+    return apply_outcome::Accepted;
+  ++Task->Failures;
+  auto Failures = Task->Failures;
+  if (Spec.IsGang) {
+    Failures = 0;
+    for (const auto &Member : Tasks)
+      Failures += Member.Failures;
+  }
+  if (Failures >= maxAttempts(Job))
+    finishJob(Job, job_state::Failed);
+  return apply_outcome::Accepted;
+}
+
+void schedule_state::finishTask(job_record &Job, const task_key &Key) {
+  auto *Occurrence = Job.findOpen(Key.Occurrence);
+  auto &Step = Occurrence->Steps[Key.Step];
+  auto &Task = Step.Tasks[Key.Index];
+  core::checkInvariant(!Task.IsDone, "a task is done once");
+  Task.IsDone = true;
+  Task.Checkpoint.clear();
+  ++Step.Done;
+  if (Step.Done != Step.Tasks.size())
+    return;
+  if (++Occurrence->StepsDone != Occurrence->Steps.size())
+    return;
+  ++Job.OccurrencesDone;
+  if (Job.OccurrencesDone == Job.occurrences()) {
+    finishJob(Job, job_state::Complete);
+    return;
+  }
+  std::erase_if(Job.Open, [&](const occurrence_record &Candidate) {
+    return Candidate.Number == Key.Occurrence;
+  });
+}
+
+void schedule_state::finishGang(job_record &Job, const task_key &Key,
+                                std::uint32_t Attempt) {
+  auto Count = Job.Spec.Steps[Key.Step].Count;
+  for (std::uint32_t Index = 0; Index != Count; ++Index) {
+    task_key Member = Key;
+    Member.Index = Index;
+    auto *Task = findTask(Member);
+    if (!Task || Task->IsDone)
+      continue;
+    if (Task->Endpoint != 0 && Task->Attempt == Attempt)
+      removeRun(Job, *Task, Member);
+    finishTask(Job, Member);
+  }
+}
+
+void schedule_state::finishJob(job_record &Job, job_state State) {
+  Job.State = State;
+  Job.EndedMs = TimeMs;
+  Live.erase({Job.SubmittedMs, Job.Spec.Id});
+  Ended.emplace(TimeMs, Job.Spec.Id);
+  if (Job.RunsLeft == 0)
+    Job.Open.clear();
+  Job.Spec.Payload.clear();
+}
+
+void schedule_state::forgetOldJobs() {
+  while (!Ended.empty() && (Ended.begin()->first + JobRetentionMs < TimeMs ||
+                            Ended.size() > MaxEndedJobs)) {
+    auto Found = Jobs.find(Ended.begin()->second);
+    // Runs that still have to be stopped keep the job known.
+    if (Found->second.RunsLeft != 0)
+      return;
+    Jobs.erase(Found);
+    Ended.erase(Ended.begin());
+  }
+}
+
+apply_outcome schedule_state::run(const note_endpoint &Command) {
+  const auto &Facts = Command.Facts;
+  std::optional<std::uint32_t> Earlier;
+  for (auto &[Number, Endpoint] : Endpoints) {
+    if (Endpoint.Facts.Id != Facts.Id)
+      continue;
+    if (Endpoint.Facts.BornMs > Facts.BornMs)
+      return apply_outcome::Stale;
+    if (Endpoint.Facts.BornMs < Facts.BornMs) {
+      Earlier = Number;
+      continue;
+    }
+    if (Endpoint.Facts == Facts)
+      return apply_outcome::Unchanged;
+    bool WasDraining = Endpoint.Facts.IsDraining;
+    Endpoint.Facts = Facts;
+    // A life that drains never takes work again.
+    Endpoint.Facts.IsDraining = WasDraining || Facts.IsDraining;
+    return apply_outcome::Accepted;
+  }
+  if (Earlier)
+    run(end_endpoint{*Earlier});
+  auto &Endpoint = Endpoints[++LastEndpoint];
+  Endpoint.Number = LastEndpoint;
+  Endpoint.Facts = Facts;
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const end_endpoint &Command) {
+  auto Found = Endpoints.find(Command.Endpoint);
+  if (Found == Endpoints.end())
+    return apply_outcome::Stale;
+  for (const auto &Key : std::vector<task_key>(Found->second.Runs)) {
+    const auto *Task = findTask(Key);
+    run(end_run{Key, Task->Attempt, run_end::Lost, ""});
+  }
+  Endpoints.erase(Command.Endpoint);
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const start_wave &Command) {
+  if (Waves.find(Command.Wave) != Waves.end())
+    return apply_outcome::Unchanged;
+  auto &Wave = Waves[Command.Wave];
+  Wave.Wave = Command.Wave;
+  Wave.Hosts = Command.Hosts;
+  Wave.MaxCount = std::max(1u, Command.MaxCount);
+  Wave.DeadlineMs = Command.DeadlineMs;
+  Wave.StartedMs = TimeMs;
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const order_upkeep &Command) {
+  auto Found = Waves.find(Command.Wave);
+  if (Found == Waves.end() || !contains(Found->second.Hosts, Command.Host))
+    return apply_outcome::Stale;
+  if (contains(Found->second.Ordered, Command.Host))
+    return apply_outcome::Unchanged;
+  Found->second.Ordered.push_back(Command.Host);
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::run(const note_upkeep &Command) {
+  auto Found = Waves.find(Command.Wave);
+  if (Found == Waves.end())
+    return apply_outcome::Stale;
+  auto &Wave = Found->second;
+  if (!contains(Wave.Hosts, Command.Host) ||
+      contains(Wave.Begun, Command.Host))
+    return apply_outcome::Unchanged;
+  Wave.Begun.push_back(Command.Host);
+  return apply_outcome::Accepted;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/scheduler_process.cpp
@@ -0,0 +1,425 @@
+#include "scheduling/scheduler_process.h"
+
+#include "control/storage_worker.h"
+#include "core/bounded_ring.h"
+#include "core/event_log.h"
+#include "core/metrics.h"
+#include "gateway/messages.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "scheduling/schedule_node.h"
+#include "storage/log_store.h"
+#include "transport/link_hub.h"
+#include "transport/traffic_metrics.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using core::boot_clock;
+using log_type = storage::log_store<storage::posix_files>;
+
+// Bounds the time until a stop request is seen.
+constexpr core::duration LongestWait = std::chrono::milliseconds(50);
+constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
+// Gateways refuse callers when they hear no status for a second.
+constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
+// Incarnation of the first voters. Replicas that join later draw a larger one.
+constexpr std::uint64_t FirstIncarnation = 1;
+constexpr std::size_t MaxBodyBytes = 4u << 20;
+// Seconds after which a refused caller should come back: an election is over.
+constexpr std::uint32_t RetryAfterS = 1;
+
+core::failure ioFailure(std::string Message, std::string Field) {
+  return {core::error_code::IoError, std::move(Message), std::move(Field), "",
+          core::verdict::NotRun};
+}
+
+/// Where a reply goes.
+struct call_origin {
+  std::string Gateway;  ///< Link name, or empty for an HTTP request.
+  std::uint64_t Id = 0; ///< Of the request there.
+  std::string Target;   ///< For redirects.
+};
+
+/// A change of a link, or a message on it.
+struct link_event {
+  std::string Peer;
+  std::string Bytes; ///< Empty for a change.
+  bool IsUp = false;
+};
+
+storage::folder_identity newIdentity(const scheduler_settings &Settings) {
+  storage::folder_identity Identity;
+  Identity.ClusterId = "schedulers";
+  Identity.Replica.Name = Settings.Address;
+  bool IsSeed = std::find(Settings.Seeds.begin(), Settings.Seeds.end(),
+                          Settings.Address) != Settings.Seeds.end();
+  if (Settings.IsFounding && IsSeed) {
+    Identity.Replica.Incarnation = FirstIncarnation;
+    for (const auto &Seed : Settings.Seeds)
+      Identity.Initial.Members.push_back({{Seed, FirstIncarnation}, true});
+    return Identity;
+  }
+  std::random_device Device;
+  std::uint64_t Random = (std::uint64_t(Device()) << 20) ^ Device();
+  Identity.Replica.Incarnation = std::max(Random, FirstIncarnation + 1);
+  return Identity;
+}
+
+/// Threads, rings and the node of one scheduler replica.
+class scheduler_process {
+public:
+  scheduler_process(const scheduler_settings &Settings,
+                    const site_adapter &Adapter,
+                    const std::atomic<int> &StopRequests)
+      : Settings(Settings), Adapter(Adapter), StopRequests(StopRequests),
+        LinkEvents(16'384, Signal), Requests(8192, Signal),
+        Calls(16'384, CallsSignal), Results(16'384, Signal),
+        Client({}, Calls, CallsSignal, Results),
+        Hub(linkSettings(), linkHandlers()),
+        Front(frontSettings(),
+              [this](const http::request &Request) {
+                return answerLocally(Request);
+              },
+              Requests) {}
+
+  core::result<void> run() {
+    log_type Log{storage::posix_files(Settings.DataFolder)};
+    BOOST_LEAF_AUTO(Identity, Log.readIdentity());
+    if (!Identity) {
+      Identity = newIdentity(Settings);
+      BOOST_LEAF_CHECK(Log.writeIdentity(*Identity));
+    }
+    if (Identity->Replica.Name != Settings.Address)
+      return core::fail({core::error_code::Conflict,
+                         "the data folder belongs to another replica",
+                         "address", Identity->Replica.Name,
+                         core::verdict::NotRun});
+    BOOST_LEAF_AUTO(Found, Log.load());
+    core::logEvent(
+        core::log_level::Info, "replica_started",
+        {{"incarnation", Identity->Replica.Incarnation},
+         {"term", Found.Hard.Term},
+         {"snapshot_index", Found.Snapshot ? Found.Snapshot->LastIndex : 0},
+         {"entries", Found.Entries.size()},
+         {"founding", Settings.IsFounding}});
+    if (auto Reason = Hub.start(); !Reason.empty())
+      return core::fail(ioFailure(std::move(Reason), "link_port"));
+    if (auto Reason = Front.start(); !Reason.empty())
+      return core::fail(ioFailure(std::move(Reason), "listen"));
+    Client.start();
+    control::storage_worker<log_type> Storage(std::move(Log), Signal, Metrics);
+    Storage.start();
+    schedule_node Node(Settings, Identity->Replica, std::move(Found),
+                       Identity->Initial, Metrics, boot_clock::now());
+    drive(Node, Storage);
+    Front.stop();
+    Client.stop();
+    Storage.stop();
+    Hub.stop();
+    core::logEvent(core::log_level::Info, "replica_stopped", {});
+    return {};
+  }
+
+private:
+  http::server_settings frontSettings() const {
+    http::server_settings Result;
+    Result.Listen = {Settings.Listen};
+    if (Settings.Metrics.Port != 0)
+      Result.Listen.push_back(Settings.Metrics);
+    Result.MaxBodyBytes = MaxBodyBytes;
+    return Result;
+  }
+
+  std::optional<http::response> answerLocally(const http::request &Request) {
+    if (Request.Target != "/metrics")
+      return std::nullopt;
+    return http::response{200,
+                          {{"Content-Type", "text/plain; version=0.0.4"}},
+                          Metrics.expose()};
+  }
+
+  transport::link_settings linkSettings() const {
+    transport::link_settings Result;
+    Result.SelfName = Settings.Address;
+    Result.ListenAddress = Settings.Address;
+    Result.ListenPort = Settings.LinkPort;
+    return Result;
+  }
+
+  transport::link_handlers linkHandlers() {
+    transport::link_handlers Handlers;
+    Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
+      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+        Metrics.add("link_messages_dropped_total");
+    };
+    Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
+      if (!LinkEvents.push({Peer, "", IsUp}))
+        Metrics.add("link_messages_dropped_total");
+    };
+    Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
+      core::logEvent(core::log_level::Debug, "link_error",
+                     {{"peer", Peer}, {"reason", Reason}});
+    };
+    return Handlers;
+  }
+
+  void drive(schedule_node &Node, control::storage_worker<log_type> &Storage) {
+    core::time_point StopAt{};
+    while (true) {
+      auto Now = boot_clock::now();
+      LinkEvents.drain([&](link_event &&Event) { receive(Node, Event, Now); });
+      Requests.drain([&](http::server_request &&Request) {
+        handle(Node, Adapter.DecodeControlCall(Request.Request),
+               {"", Request.Id, Request.Request.Target}, Now);
+      });
+      Storage.results().drain([&](control::storage_result &&Result) {
+        if (Result.Stored)
+          Node.stored(Result.Ticket, Now);
+        else
+          Node.storageFailed(Now);
+      });
+      Results.drain([&](http::client_result &&Result) {
+        finishOrder(Node, Result, Now);
+      });
+      Node.tick(Now);
+      bool IsIdle = execute(Node.takeActions(Now), Storage, Now);
+      publish(Node, Now);
+      if (StopRequests > 0) {
+        if (StopAt == core::time_point()) {
+          core::logEvent(core::log_level::Info, "shutdown_started", {});
+          Node.beginShutdown(Now);
+          StopAt = Now + Settings.StopGrace;
+        }
+        if (Node.isDrained(Now) && IsIdle)
+          return;
+        if (StopRequests > 1 || Now >= StopAt)
+          endNow();
+      }
+      auto Wait = Node.nextTick(Now) - boot_clock::now();
+      Signal.waitFor(std::clamp(Wait, core::duration(1000), LongestWait));
+    }
+  }
+
+  [[noreturn]] void endNow() {
+    core::logEvent(core::log_level::Warning, "shutdown_forced", {});
+    // Joining the threads could block on a write that does not return. What
+    // was acknowledged is synced already.
+    std::_Exit(1);
+  }
+
+  void receive(schedule_node &Node, const link_event &Event,
+               core::time_point Now) {
+    bool IsGateway = gateway::isGateway(Event.Peer);
+    if (Event.Bytes.empty()) {
+      core::logEvent(core::log_level::Info,
+                     Event.IsUp ? "link_up" : "link_down",
+                     {{"peer", Event.Peer}});
+      if (IsGateway && Event.IsUp) {
+        Gateways.insert(Event.Peer);
+        NextStatus = Now;
+      } else if (IsGateway) {
+        Gateways.erase(Event.Peer);
+      }
+      return;
+    }
+    if (!IsGateway) {
+      Node.receive(Event.Peer, Event.Bytes, Now);
+      return;
+    }
+    auto Message = gateway::decodeMessage(Event.Bytes);
+    auto *Call =
+        Message ? std::get_if<gateway::call_message>(&*Message) : nullptr;
+    if (!Call) {
+      Metrics.add("messages_dropped_total");
+      return;
+    }
+    http::request Request;
+    Request.Method = std::move(Call->Method);
+    Request.Host = std::move(Call->HostName);
+    Request.Target = std::move(Call->Target);
+    Request.Body = std::move(Call->Body);
+    handle(Node, Adapter.DecodeCallerCall(Request),
+           {Event.Peer, Call->Id, Request.Target}, Now);
+  }
+
+  void handle(schedule_node &Node, decoded_call Decoded, call_origin Origin,
+              core::time_point Now) {
+    if (!Decoded.Call) {
+      core::logEvent(core::log_level::Info, "request_refused",
+                     {{"path", Origin.Target},
+                      {"status", Decoded.Refusal.Status},
+                      {"reason", Decoded.Refusal.Body},
+                      {"verdict", "not-run"}});
+      respond(Origin, std::move(Decoded.Refusal));
+      return;
+    }
+    auto Id = ++LastCall;
+    Origins.emplace(Id, std::move(Origin));
+    Node.handle({Id, std::move(*Decoded.Call)}, Now);
+  }
+
+  void reply(const scheduling::reply &Reply) {
+    auto Found = Origins.find(Reply.Id);
+    if (Found == Origins.end())
+      return;
+    auto Origin = std::move(Found->second);
+    Origins.erase(Found);
+    Metrics.add("replies_total{kind=\"" + std::string(toString(Reply.Kind)) +
+                "\"}");
+    if (Reply.Kind != reply_kind::NotLeader) {
+      respond(Origin, Adapter.EncodeReply(Reply));
+      return;
+    }
+    if (!Origin.Gateway.empty()) {
+      gateway::reply_message Message;
+      Message.Id = Origin.Id;
+      Hub.send(Origin.Gateway, gateway::encodeMessage(Message));
+      return;
+    }
+    http::response Response;
+    if (Reply.Leader.empty()) {
+      Response.Status = 503;
+      Response.Headers.push_back({"Retry-After", std::to_string(RetryAfterS)});
+    } else {
+      Response.Status = 307;
+      Response.Headers.push_back(
+          {"Location", "http://" + Reply.Leader + ":" +
+                           std::to_string(Settings.Listen.Port) +
+                           Origin.Target});
+    }
+    respond(Origin, std::move(Response));
+  }
+
+  void respond(const call_origin &Origin, http::response Response) {
+    if (Origin.Gateway.empty()) {
+      Responses.push_back({Origin.Id, std::move(Response)});
+      return;
+    }
+    gateway::reply_message Message;
+    Message.Id = Origin.Id;
+    Message.IsHandled = true;
+    Message.Status = Response.Status;
+    auto RetryAfter = http::findHeader(Response.Headers, "Retry-After");
+    Message.RetryAfterS =
+        static_cast<std::uint32_t>(std::strtoul(RetryAfter.c_str(), nullptr, 10));
+    Message.Body = std::move(Response.Body);
+    if (!Hub.send(Origin.Gateway, gateway::encodeMessage(Message)))
+      Metrics.add("link_messages_not_sent_total");
+  }
+
+  void finishOrder(schedule_node &Node, const http::client_result &Result,
+                   core::time_point Now) {
+    auto Found = Orders.find(Result.Id);
+    if (Found == Orders.end())
+      return;
+    Node.orderFinished({Result.Id, Adapter.DecodeAnswer(Found->second, Result)},
+                       Now);
+    Orders.erase(Found);
+  }
+
+  /// \returns whether nothing is left to hand to the other threads.
+  bool execute(node_actions Actions, control::storage_worker<log_type> &Storage,
+               core::time_point Now) {
+    for (const auto &Address : Actions.NewPeers)
+      Hub.addPeer({Address, Address, Settings.LinkPort});
+    for (auto &Message : Actions.Messages)
+      if (!Hub.send(Message.Peer, std::move(Message.Bytes)))
+        Metrics.add("link_messages_not_sent_total");
+    for (auto &Write : Actions.Writes)
+      PendingWrites.push_back(std::move(Write));
+    while (!PendingWrites.empty() &&
+           Storage.writes().push(std::move(PendingWrites.front())))
+      PendingWrites.pop_front();
+    for (auto &Order : Actions.Orders) {
+      auto Call = Adapter.EncodeOrder(Order);
+      Call.Id = Order.Id;
+      Call.Timeout = Order.Timeout;
+      Call.Issued = Now;
+      Orders.emplace(Order.Id, std::move(Order));
+      PendingCalls.push_back(std::move(Call));
+    }
+    while (!PendingCalls.empty() && Calls.push(std::move(PendingCalls.front())))
+      PendingCalls.pop_front();
+    for (const auto &Reply : Actions.Replies)
+      reply(Reply);
+    while (!Responses.empty() && Front.deliver(std::move(Responses.front())))
+      Responses.pop_front();
+    return PendingWrites.empty() && Responses.empty();
+  }
+
+  void publish(const schedule_node &Node, core::time_point Now) {
+    if (WasLeading != Node.isLeading()) {
+      WasLeading = Node.isLeading();
+      NextStatus = Now;
+    }
+    if (Now >= NextStatus && !Gateways.empty()) {
+      NextStatus = Now + StatusInterval;
+      gateway::status_message Status;
+      auto Raft = Node.status();
+      Status.IsLeading = Node.isLeading() && StopRequests == 0;
+      Status.Term = Raft.Term;
+      for (const auto &Member : Raft.Members.Members)
+        Status.Schedulers.push_back(Member.Id.Name);
+      auto Bytes = gateway::encodeMessage(Status);
+      for (const auto &Gateway : Gateways)
+        Hub.send(Gateway, Bytes);
+    }
+    if (Now < NextMetrics)
+      return;
+    NextMetrics = Now + MetricsInterval;
+    auto Status = Node.status();
+    Metrics.set("term", static_cast<double>(Status.Term));
+    Metrics.set("commit_index", static_cast<double>(Status.CommitIndex));
+    Metrics.set("is_leader", Node.isLeading());
+    Metrics.set("live_jobs", static_cast<double>(Node.state().liveJobs().size()));
+    Metrics.set("endpoints",
+                static_cast<double>(Node.state().endpoints().size()));
+    Metrics.set("open_orders", static_cast<double>(Orders.size()));
+    transport::publishTraffic(Metrics, Hub.traffic());
+  }
+
+  const scheduler_settings &Settings;
+  const site_adapter &Adapter;
+  const std::atomic<int> &StopRequests;
+  core::metrics_registry Metrics;
+  core::ring_signal Signal;
+  core::ring_signal CallsSignal;
+  core::bounded_ring<link_event> LinkEvents;
+  core::bounded_ring<http::server_request> Requests;
+  core::bounded_ring<http::client_call> Calls;
+  core::bounded_ring<http::client_result> Results;
+  http::client Client;
+  transport::link_hub Hub;
+  http::server Front;
+  std::set<std::string> Gateways;
+  std::map<std::uint64_t, call_origin> Origins;
+  std::map<std::uint64_t, order> Orders;
+  std::uint64_t LastCall = 0;
+  std::deque<replication::storage_write> PendingWrites;
+  std::deque<http::client_call> PendingCalls;
+  std::deque<http::server_response> Responses;
+  bool WasLeading = false;
+  core::time_point NextStatus{};
+  core::time_point NextMetrics{};
+};
+
+} // namespace
+
+core::result<void> runScheduler(const scheduler_settings &Settings,
+                                const site_adapter &Adapter,
+                                const std::atomic<int> &StopRequests) {
+  scheduler_process Process(Settings, Adapter, StopRequests);
+  return Process.run();
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/scheduler_settings.cpp
@@ -0,0 +1,70 @@
+#include "scheduling/scheduler_settings.h"
+
+#include "core/object_reader.h"
+
+#include <algorithm>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using core::object_reader;
+
+core::duration readMs(object_reader &Reader, std::string_view Name,
+                      core::duration Default) {
+  auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Default).count();
+  return std::chrono::milliseconds(Reader.readInteger(Name, 1, 600'000, Count));
+}
+
+void readTiming(object_reader &Reader, scheduler_settings &Settings) {
+  auto &Leader = Settings.Leader;
+  Leader.BeatInterval = readMs(Reader, "beat_ms", Leader.BeatInterval);
+  auto MaxLease = readMs(Reader, "max_lease_ms", std::chrono::seconds(10));
+  // Long enough for an election and some lost renewals, short enough that the
+  // work of a lost endpoint starts again soon.
+  Leader.Lease = std::min<core::duration>(Leader.Lease, MaxLease);
+  Leader.UpkeepMs =
+      static_cast<std::int64_t>(Reader.readNumber("upkeep_s", 0, 86'400, 2) *
+                                1000);
+  Leader.MoveMs = static_cast<std::int64_t>(
+      Reader.readNumber("move_s", 0, 86'400, 1.5) * 1000);
+  Settings.Heartbeat = readMs(Reader, "heartbeat_ms", Settings.Heartbeat);
+  Settings.ElectionTimeout =
+      readMs(Reader, "election_timeout_ms", Settings.ElectionTimeout);
+  if (Settings.ElectionTimeout < 3 * Settings.Heartbeat)
+    Reader.reject("election_timeout_ms",
+                  std::to_string(Settings.ElectionTimeout.count() / 1000),
+                  "must be at least three times heartbeat_ms");
+}
+
+} // namespace
+
+core::result<scheduler_settings> parseSchedulerSettings(std::string_view Text) {
+  BOOST_LEAF_AUTO(Value, core::parseJson(Text, core::MaxSettingsBytes));
+  object_reader Reader(Value, "");
+  scheduler_settings Settings;
+  Reader.readChoice("role", {"scheduler"});
+  Settings.Name = Reader.readName("name");
+  Settings.Address = Reader.readString("address");
+  Settings.Listen = core::readSocketText(Reader, "listen");
+  if (Reader.has("metrics"))
+    Settings.Metrics = core::readSocketText(Reader, "metrics");
+  Settings.LinkPort =
+      static_cast<std::uint16_t>(Reader.readInteger("link_port", 1, 65'535));
+  Settings.Seeds = core::readSeeds(Reader);
+  Settings.IsFounding = Reader.readBool("founding", false);
+  Settings.DataFolder = Reader.readString("data_folder");
+  Settings.PlatformAddress = Reader.readString("platform", "");
+  Settings.AdviserAddress = Reader.readString("adviser", "");
+  Settings.Leader.HasPlatform = !Settings.PlatformAddress.empty();
+  Settings.Leader.HasAdviser = !Settings.AdviserAddress.empty();
+  Settings.Log = core::readLog(Reader);
+  core::readNested(Reader, "timing", [&](object_reader &Nested) {
+    readTiming(Nested, Settings);
+  });
+  BOOST_LEAF_CHECK(Reader.finish());
+  return Settings;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/snapshot.cpp
@@ -0,0 +1,92 @@
+#include "scheduling/fields.h"
+#include "scheduling/schedule_state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using fleet::cbor_reader;
+using fleet::cbor_writer;
+
+enum part : std::size_t {
+  TimePart,
+  ConfigurationPart,
+  JobsPart,
+  LastEndpointPart,
+  EndpointsPart,
+  WavesPart,
+  PartCount
+};
+
+template <typename Map> nlohmann::json writeValues(const Map &Records) {
+  auto List = nlohmann::json::array();
+  for (const auto &[Key, Record] : Records)
+    List.push_back(cbor_writer::toJson(Record));
+  return List;
+}
+
+/// \param Add called with each record.
+/// \returns whether every element was one.
+template <typename Record, typename Callable>
+bool readValues(const nlohmann::json &List, Callable &&Add) {
+  if (!List.is_array())
+    return false;
+  for (const auto &Item : List) {
+    Record Value;
+    if (!cbor_reader::fromJson(Item, Value))
+      return false;
+    Add(std::move(Value));
+  }
+  return true;
+}
+
+} // namespace
+
+std::string schedule_state::snapshot() const {
+  auto Parts = nlohmann::json::array();
+  Parts.push_back(TimeMs);
+  Parts.push_back(cbor_writer::toJson(Configuration));
+  Parts.push_back(writeValues(Jobs));
+  Parts.push_back(LastEndpoint);
+  Parts.push_back(writeValues(Endpoints));
+  Parts.push_back(writeValues(Waves));
+  std::string Bytes;
+  nlohmann::json::to_cbor(Parts, Bytes);
+  return Bytes;
+}
+
+core::result<schedule_state> schedule_state::restore(std::string_view Bytes) {
+  schedule_state State;
+  auto Parts = nlohmann::json::from_cbor(Bytes, true, false);
+  bool Ok = Parts.is_array() && Parts.size() == PartCount &&
+            cbor_reader::fromJson(Parts[TimePart], State.TimeMs) &&
+            cbor_reader::fromJson(Parts[ConfigurationPart],
+                                  State.Configuration) &&
+            cbor_reader::fromJson(Parts[LastEndpointPart], State.LastEndpoint);
+  Ok = Ok && readValues<job_record>(Parts[JobsPart], [&](job_record Job) {
+         if (isOver(Job.State))
+           State.Ended.emplace(Job.EndedMs, Job.Spec.Id);
+         else
+           State.Live.emplace(Job.SubmittedMs, Job.Spec.Id);
+         auto Id = Job.Spec.Id;
+         State.Jobs.emplace(std::move(Id), std::move(Job));
+       });
+  Ok = Ok && readValues<endpoint_record>(
+                 Parts[EndpointsPart], [&](endpoint_record Endpoint) {
+                   auto Number = Endpoint.Number;
+                   State.Endpoints.emplace(Number, std::move(Endpoint));
+                 });
+  Ok = Ok && readValues<wave_record>(Parts[WavesPart], [&](wave_record Wave) {
+         auto Number = Wave.Wave;
+         State.Waves.emplace(Number, std::move(Wave));
+       });
+  if (!Ok)
+    return core::fail({core::error_code::Corrupt,
+                       "the snapshot of the schedule cannot be read", "", "",
+                       core::verdict::NotRun});
+  return State;
+}
+
+} // namespace lycheetrestle::scheduling
--- /dev/null
+++ b/scheduling/upkeep_planner.h
@@ -0,0 +1,50 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_UPKEEP_PLANNER_H
+#define LYCHEETRESTLE_SCHEDULING_UPKEEP_PLANNER_H
+
+#include "scheduling/schedule_state.h"
+
+#include <cstdint>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::scheduling {
+
+/// A host of a wave as the leader sees it.
+struct upkeep_host {
+  std::string Name;
+  std::string Pool;
+  bool IsKnown = false;    ///< The platform lists it.
+  bool IsUp = false;       ///< And it is neither moving nor down.
+  bool IsInUpkeep = false; ///< Ordered, and not seen up since.
+  bool IsCordoned = false; ///< It takes no new work already.
+  std::int64_t CordonedMs = 0;  ///< For how long.
+  std::uint32_t ShortRuns = 0;  ///< Runs that end by themselves.
+  std::uint32_t LongRuns = 0;   ///< Runs that last.
+  bool MayInterrupt = true; ///< Every run that lasts there may be taken away.
+};
+
+struct upkeep_plan {
+  std::vector<std::string> Cordon;  ///< Give no new work to these.
+  std::vector<std::string> Order;   ///< Order the upkeep of these now.
+  std::vector<std::string> Dropped; ///< No longer exist; they need no upkeep.
+};
+
+/// Chooses the hosts of one wave whose upkeep begins.
+///
+/// Answers a wave over two fifths of all hosts under load: at most the wave's
+/// limit at once, hosts with the least work first, each emptied of short work
+/// before it goes down, and none whose long-running tasks have no budget left.
+/// As the deadline nears, waiting for short work ends.
+/// \param Wave the wave.
+/// \param Hosts its hosts that have not begun, and those in upkeep.
+/// \param ElapsedMs time since the wave began.
+/// \param UpkeepMs how long one host is down.
+upkeep_plan planUpkeep(const wave_record &Wave,
+                       std::span<const upkeep_host> Hosts,
+                       std::int64_t ElapsedMs, std::int64_t UpkeepMs);
+
+} // namespace lycheetrestle::scheduling
+
+#endif
