--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -276,7 +276,7 @@
       Target.ServingRuns += Step.TargetMs > 0;
       Target.FillingRuns += Step.FillsIdle;
       Target.LongRunning += Step.IsLongRunning;
-      if (Step.MaxPerEndpoint > 0)
+      if (countsByStep(Step))
         ++Target.RunsByStep[stepKey(Key)];
     }
     Targets.push_back(std::move(Target));
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -80,7 +80,9 @@
     const auto &Facts =
         State.endpoints().find(Contact->first)->second.Facts;
     auto Host = Hosts.HostOfEndpoint.find(Facts.Id);
-    bool IsLeaving = Facts.IsDraining ||
+    // Tasks on one endpoint go away together.
+    bool IsLeaving = Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint ||
+                     Facts.IsDraining ||
                      (Host != Hosts.HostOfEndpoint.end() &&
                       Hosts.Tasks.find(Host->second) != Hosts.Tasks.end());
     Away += !IsAtWork || IsLeaving;
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -172,7 +172,7 @@
       if (Request.IsAllowed &&
           !Request.IsAllowed(Key, *Waiting.Job, Target->Endpoint))
         continue;
-      auto Cost = costOf(Spec, *Target);
+      auto Cost = costOf(Spec, Key, *Target);
       if (!Best || Cost < BestCost) {
         Best = Target;
         BestCost = Cost;
@@ -181,9 +181,10 @@
     return Best;
   }
 
-  static std::int64_t costOf(const step_spec &Spec,
+  static std::int64_t costOf(const step_spec &Spec, const task_key &Key,
                              const placement_target &Target) {
     // Each term outweighs all that follow it.
+    constexpr std::int64_t Together = 100'000'000'000;
     constexpr std::int64_t FarFromData = 1'000'000'000;
     constexpr std::int64_t Disturbance = 10'000'000;
     std::int64_t Cost = Target.Free.MilliCores;
@@ -195,6 +196,12 @@
     else if (Spec.TargetMs > 0)
       Cost = Disturbance * (Target.FillingRuns + Target.ServingRuns) -
              Target.Free.MilliCores;
+    // Planned work on an endpoint takes away all tasks of a step there.
+    if (Spec.MayMiss > 0) {
+      auto Runs = Target.RunsByStep.find(stepKey(Key));
+      if (Runs != Target.RunsByStep.end() && Runs->second >= Spec.MayMiss)
+        Cost += Together * Runs->second;
+    }
     return Cost;
   }
 
@@ -205,7 +212,7 @@
     Target.ServingRuns += Spec.TargetMs > 0;
     Target.FillingRuns += Spec.FillsIdle;
     Target.LongRunning += Spec.IsLongRunning;
-    if (Spec.MaxPerEndpoint > 0)
+    if (countsByStep(Spec))
       ++Target.RunsByStep[stepKey(Key)];
     Placements.push_back({{Key, Attempt, Target.Endpoint}, Size});
   }
@@ -224,6 +231,10 @@
          std::to_string(Task.Step);
 }
 
+bool countsByStep(const step_spec &Step) {
+  return Step.MaxPerEndpoint > 0 || Step.MayMiss > 0;
+}
+
 amounts reservedSize(const step_spec &Step) {
   auto Size = Step.Size;
   if (Step.FillsIdle)
