--- a/scheduling/host_board.h
+++ b/scheduling/host_board.h
@@ -31,6 +31,8 @@
   core::time_point ListedAt{};  ///< When the newest whole list was asked for.
   std::map<std::string, core::time_point> Cordoned;
   std::map<std::string, host_task> Tasks;
+  std::map<std::string, core::time_point> IdleSince; ///< Up without any run.
+  core::time_point NextMoves{};
 
   std::map<std::string, host_row> NextHosts; ///< Pages read so far.
   core::time_point ListStartedAt{};
--- /dev/null
+++ b/scheduling/host_mover.cpp
@@ -0,0 +1,142 @@
+#include "scheduling/host_mover.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+// A host in standby costs nothing and a move costs as much as a bit more than a
+// second of a host that is on, so a return trip pays after about two seconds.
+constexpr std::int64_t StandbyAfterMs = 2000;
+// Hosts that a pool keeps for its first work after a quiet time.
+constexpr double MinCoresShare = 1.0; // Of its smallest host.
+// A pool gives a host away only when this much of a host is left over, so that
+// hosts do not go back and forth.
+constexpr double DonorMargin = 0.25;
+
+struct pool_balance {
+  double Supply = 0;
+  double Needed = 0;
+  double SmallestHost = 0;
+  bool IsStandby = false;
+  std::vector<const mover_host *> Movable; ///< Longest idle first.
+
+  double keep() const {
+    return std::max(Needed, MinCoresShare * SmallestHost);
+  }
+  bool canGive(const mover_host &Host) const {
+    return IsStandby ||
+           Supply - Host.Cores >= keep() + DonorMargin * Host.Cores;
+  }
+};
+
+class move_planner {
+public:
+  move_planner(std::span<const pool_view> Pools,
+               std::span<const mover_host> Hosts, std::size_t MaxMoves)
+      : MaxMoves(MaxMoves) {
+    for (const auto &Pool : Pools) {
+      Balances[Pool.Name].Needed = Pool.NeededCores;
+      Balances[Pool.Name].IsStandby = Pool.IsStandby;
+    }
+    for (const auto &Host : Hosts) {
+      auto Found = Balances.find(Host.Pool);
+      if (Found == Balances.end())
+        continue;
+      auto &Balance = Found->second;
+      if (Host.IsTaking)
+        Balance.Supply += Host.Cores;
+      if (Balance.SmallestHost == 0 || Host.Cores < Balance.SmallestHost)
+        Balance.SmallestHost = Host.Cores;
+      if (Host.MayMove)
+        Balance.Movable.push_back(&Host);
+    }
+    for (auto &[Name, Balance] : Balances)
+      std::stable_sort(Balance.Movable.begin(), Balance.Movable.end(),
+                       [](const auto *Left, const auto *Right) {
+                         return Left->IdleMs > Right->IdleMs;
+                       });
+  }
+
+  std::vector<host_move> plan() {
+    while (Moves.size() < MaxMoves) {
+      auto *Taker = neediest();
+      if (!Taker)
+        break;
+      if (!serve(*Taker))
+        break;
+    }
+    park();
+    return std::move(Moves);
+  }
+
+private:
+  using balance_map = std::map<std::string, pool_balance>;
+
+  balance_map::value_type *neediest() {
+    balance_map::value_type *Best = nullptr;
+    double BestLack = 0;
+    for (auto &Item : Balances) {
+      const auto &Balance = Item.second;
+      if (Balance.IsStandby)
+        continue;
+      double Lack = Balance.keep() - Balance.Supply;
+      if (Lack > BestLack) {
+        Best = &Item;
+        BestLack = Lack;
+      }
+    }
+    return Best;
+  }
+
+  bool serve(balance_map::value_type &Taker) {
+    for (bool FromStandby : {false, true})
+      for (auto &[Name, Donor] : Balances) {
+        if (Name == Taker.first || Donor.IsStandby != FromStandby ||
+            Donor.Movable.empty() || !Donor.canGive(*Donor.Movable.front()))
+          continue;
+        move(Donor, Taker.first);
+        return true;
+      }
+    return false;
+  }
+
+  void move(pool_balance &Donor, const std::string &Target) {
+    const auto *Host = Donor.Movable.front();
+    Donor.Movable.erase(Donor.Movable.begin());
+    if (Host->IsTaking)
+      Donor.Supply -= Host->Cores;
+    Balances[Target].Supply += Host->Cores;
+    Moves.push_back({Host->Name, Target});
+  }
+
+  void park() {
+    auto Standby =
+        std::find_if(Balances.begin(), Balances.end(),
+                     [](const auto &Item) { return Item.second.IsStandby; });
+    if (Standby == Balances.end())
+      return;
+    for (auto &[Name, Balance] : Balances)
+      while (!Balance.IsStandby && !Balance.Movable.empty() &&
+             Moves.size() < MaxMoves &&
+             Balance.Movable.front()->IdleMs >= StandbyAfterMs &&
+             Balance.canGive(*Balance.Movable.front()))
+        move(Balance, Standby->first);
+  }
+
+  std::size_t MaxMoves;
+  balance_map Balances;
+  std::vector<host_move> Moves;
+};
+
+} // namespace
+
+std::vector<host_move> planMoves(std::span<const pool_view> Pools,
+                                 std::span<const mover_host> Hosts,
+                                 std::size_t MaxMoves) {
+  return move_planner(Pools, Hosts, MaxMoves).plan();
+}
+
+} // namespace lycheetrestle::scheduling
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -35,6 +35,15 @@
   return longestChain(Spec, [](std::size_t) { return false; });
 }
 
+double workCoreSeconds(const job_spec &Spec) {
+  double Work = 0;
+  for (const auto &Step : Spec.Steps)
+    if (!Step.IsLongRunning)
+      Work += Step.Count * (Step.Size.MilliCores / 1000.0) *
+              (Step.EstimateMs / 1000.0);
+  return Work;
+}
+
 job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
                 const queue_spec *Queue, std::int64_t NowMs) {
   job_rank Rank;
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -33,6 +33,10 @@
 /// \returns the longest chain of all its steps in milliseconds.
 std::int64_t wholeChainMs(const job_spec &Spec);
 
+/// \returns the work of one occurrence by the declared estimates, without
+/// long-running steps.
+double workCoreSeconds(const job_spec &Spec);
+
 /// \param Job the job that Occurrence belongs to.
 /// \param Queue its queue, or null when it was removed.
 /// \param NowMs wall time.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/leader.h"
 
 #include "core/event_log.h"
+#include "scheduling/job_order.h"
 
 #include <algorithm>
 #include <utility>
@@ -94,6 +95,12 @@
     Run.Attempt = Start->Attempt;
     return;
   }
+  if (const auto *Submit = std::get_if<submit_job>(&Command)) {
+    const auto *Job = State.findJob(Submit->Job.Id);
+    if (Job && Outcome == apply_outcome::Accepted && Job->Spec.RepeatCount == 0)
+      Demand.note(Job->Pool, workCoreSeconds(Job->Spec), Now);
+    return;
+  }
   if (const auto *Cancel = std::get_if<cancel_job>(&Command)) {
     const auto *Job = State.findJob(Cancel->Job);
     if (Job && Job->RunsLeft > 0)
@@ -276,7 +283,7 @@
       Target.ServingRuns += Step.TargetMs > 0;
       Target.FillingRuns += Step.FillsIdle;
       Target.LongRunning += Step.IsLongRunning;
-      if (countsByStep(Step))
+      if (Step.MaxPerEndpoint > 0)
         ++Target.RunsByStep[stepKey(Key)];
     }
     Targets.push_back(std::move(Target));
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "scheduling/contact.h"
+#include "scheduling/demand_meter.h"
 #include "scheduling/host_board.h"
 #include "scheduling/orders.h"
 #include "scheduling/placer.h"
@@ -112,6 +113,10 @@
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
+  void planHostMoves(core::time_point Now, std::int64_t WallMs);
+  std::map<std::string, double> neededCores(core::time_point Now,
+                                            std::int64_t WallMs) const;
+  void evacuate(core::time_point Now);
   void orderHosts(std::vector<order> &Orders, core::time_point Now);
   void finishHosts(const order &Order, const order_result &Result,
                    core::time_point Now);
@@ -119,7 +124,8 @@
   std::vector<upkeep_host> viewWave(const wave_record &Wave,
                                     core::time_point Now) const;
   bool mayInterrupt(const contact &Contact) const;
-  std::uint32_t awayFrom(const task_key &Task) const;
+  /// \param CountsNeighbours whether tasks on the same endpoint count as away.
+  std::uint32_t awayFrom(const task_key &Task, bool CountsNeighbours) const;
   const contact *contactOfHost(const std::string &Host) const;
 
   struct sent_order {
@@ -142,6 +148,7 @@
   bool IsPlacementDue = true;
   core::time_point NextPlacement{};
   host_board Hosts;
+  demand_meter Demand;
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -1,4 +1,6 @@
 #include "core/event_log.h"
+#include "scheduling/host_mover.h"
+#include "scheduling/job_order.h"
 #include "scheduling/leader.h"
 
 #include <algorithm>
@@ -15,6 +17,9 @@
 constexpr core::duration IdleListInterval = std::chrono::seconds(10);
 constexpr core::duration PlatformTimeout = milliseconds(1500);
 constexpr core::duration HostOrderPause = milliseconds(300);
+// Moves are decided about as often as one host's work changes.
+constexpr core::duration MoveInterval = milliseconds(100);
+constexpr std::size_t MaxOpenMoves = 16;
 
 std::string_view name(host_verdict Verdict) {
   switch (Verdict) {
@@ -56,7 +61,8 @@
   return nullptr;
 }
 
-std::uint32_t leader::awayFrom(const task_key &Task) const {
+std::uint32_t leader::awayFrom(const task_key &Task,
+                               bool CountsNeighbours) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
   if (!Occurrence)
@@ -80,9 +86,9 @@
     const auto &Facts =
         State.endpoints().find(Contact->first)->second.Facts;
     auto Host = Hosts.HostOfEndpoint.find(Facts.Id);
-    // Tasks on one endpoint go away together.
-    bool IsLeaving = Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint ||
-                     Facts.IsDraining ||
+    bool IsNeighbour =
+        Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint;
+    bool IsLeaving = (IsNeighbour && CountsNeighbours) || Facts.IsDraining ||
                      (Host != Hosts.HostOfEndpoint.end() &&
                       Hosts.Tasks.find(Host->second) != Hosts.Tasks.end());
     Away += !IsAtWork || IsLeaving;
@@ -98,7 +104,7 @@
           return true;
         const auto &Step = Job->Spec.Steps[Item.first.Step];
         return !Step.IsLongRunning ||
-               awayFrom(Item.first) < std::max(1u, Step.MayMiss);
+               awayFrom(Item.first, true) < std::max(1u, Step.MayMiss);
       });
 }
 
@@ -146,7 +152,13 @@
       // Everything on the host ended when its upkeep began.
       if (const auto *Contact = contactOfHost(Name))
         Commands.emplace_back(end_endpoint{Contact->Endpoint});
+    } else if (Task.HasBegun && !Task.IsNoted) {
+      Task.IsNoted = true;
+      if (const auto *Contact = contactOfHost(Name))
+        Commands.emplace_back(end_endpoint{Contact->Endpoint});
     }
+  evacuate(Now);
+  planHostMoves(Now, WallMs);
   // Without a list of its own a leader does not know which hosts are down.
   if (Hosts.ListedAt < StartedAt)
     return;
@@ -182,6 +194,127 @@
   }
 }
 
+void leader::evacuate(core::time_point Now) {
+  for (const auto &[Name, Since] : Hosts.Cordoned) {
+    const auto *Found = contactOfHost(Name);
+    if (!Found || Hosts.Tasks.find(Name) != Hosts.Tasks.end())
+      continue;
+    auto &Contact = Contacts.find(Found->Endpoint)->second;
+    for (auto &[Key, Run] : Contact.Runs) {
+      const auto *Job = State.findJob(Key.Job);
+      const auto &Step = Job->Spec.Steps[Key.Step];
+      if (!Step.IsLongRunning || Run.Phase != run_phase::Present ||
+          isOver(Job->State) ||
+          awayFrom(Key, false) >= std::max(1u, Step.MayMiss))
+        continue;
+      Run.Phase = run_phase::Stopping;
+      Run.NextOrder = Now;
+      core::logEvent(core::log_level::Info, "run_evacuated",
+                     {{"job", Key.Job},
+                      {"step", Key.Step},
+                      {"index", Key.Index},
+                      {"attempt", Run.Attempt},
+                      {"host", Name}});
+    }
+  }
+}
+
+std::map<std::string, double> leader::neededCores(core::time_point Now,
+                                                  std::int64_t WallMs) const {
+  // Waiting tasks of this length or longer count in full; shorter ones share
+  // the cores one after the other.
+  constexpr double ClearSeconds = 1.0;
+  std::map<std::string, double> Needed;
+  std::map<std::string, double> Working;
+  for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
+    const auto &Job = *State.findJob(Id);
+    const auto *Queue = State.queueOf(Job);
+    for (const auto &Occurrence : Job.Open) {
+      bool IsLate = rankOf(Job, Occurrence, Queue, WallMs).Group == 2;
+      for (std::size_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
+        const auto &Spec = Job.Spec.Steps[Step];
+        auto Cores = reservedSize(Spec).MilliCores / 1000.0;
+        bool IsReady = std::all_of(
+            Spec.DependsOn.begin(), Spec.DependsOn.end(),
+            [&](std::uint32_t Earlier) {
+              return Occurrence.Steps[Earlier].Done ==
+                     Job.Spec.Steps[Earlier].Count;
+            });
+        for (const auto &Task : Occurrence.Steps[Step].Tasks) {
+          if (Task.Endpoint != 0)
+            (Spec.IsLongRunning ? Needed : Working)[Job.Pool] += Cores;
+          else if (Task.isWaiting() && IsReady && Spec.IsLongRunning)
+            Needed[Job.Pool] += Cores;
+          else if (Task.isWaiting() && IsReady && !IsLate)
+            Working[Job.Pool] +=
+                Cores *
+                std::min(1.0, Spec.EstimateMs / 1000.0 / ClearSeconds);
+        }
+      }
+    }
+  }
+  // Room that stays unused because tasks do not fit together.
+  constexpr double Packing = 1.15;
+  auto Ahead = milliseconds(Settings.MoveMs);
+  for (const auto &Pool : State.currentConfiguration().Pools) {
+    auto Expected = Demand.expectedCores(Pool.Name, Now, Ahead);
+    Needed[Pool.Name] +=
+        Packing * std::max(Working[Pool.Name], Expected);
+  }
+  return Needed;
+}
+
+void leader::planHostMoves(core::time_point Now, std::int64_t WallMs) {
+  if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
+      Now < Hosts.NextMoves)
+    return;
+  Hosts.NextMoves = Now + MoveInterval;
+  auto Needed = neededCores(Now, WallMs);
+  std::vector<pool_view> Pools;
+  for (const auto &Pool : State.currentConfiguration().Pools)
+    Pools.push_back({Pool.Name, Pool.IsStandby, Needed[Pool.Name]});
+  std::vector<mover_host> View;
+  std::size_t OpenMoves = 0;
+  for (const auto &[Name, Row] : Hosts.Hosts) {
+    mover_host Host;
+    Host.Name = Name;
+    Host.Pool = Row.Pool;
+    Host.Cores = Row.Capacity.MilliCores / 1000.0;
+    const auto *Pool = State.findPool(Row.Pool);
+    auto Task = Hosts.Tasks.find(Name);
+    bool IsReserved = Task != Hosts.Tasks.end() ||
+                      Hosts.Cordoned.find(Name) != Hosts.Cordoned.end();
+    if (Task != Hosts.Tasks.end() && !Task->second.Wave) {
+      Host.Pool = Task->second.TargetPool;
+      Host.IsTaking = true;
+      OpenMoves += !Task->second.HasBegun;
+    }
+    const auto *Contact = contactOfHost(Name);
+    bool IsIdle = Row.State == host_state::Up && !IsReserved && Pool &&
+                  (Pool->IsStandby || (Contact && Contact->Runs.empty()));
+    if (IsIdle)
+      Host.IdleMs = toMs(Now - Hosts.IdleSince.emplace(Name, Now).first->second);
+    else
+      Hosts.IdleSince.erase(Name);
+    Host.MayMove = IsIdle;
+    Host.IsTaking |= Row.State == host_state::Up && !IsReserved && Pool &&
+                     !Pool->IsStandby;
+    View.push_back(std::move(Host));
+  }
+  if (OpenMoves >= MaxOpenMoves)
+    return;
+  for (auto &Move : planMoves(Pools, View, MaxOpenMoves - OpenMoves)) {
+    auto &Task = Hosts.Tasks[Move.Host];
+    Task.TargetPool = Move.Pool;
+    Hosts.IdleSince.erase(Move.Host);
+    core::logEvent(core::log_level::Info, "move_chosen",
+                   {{"host", Move.Host},
+                    {"pool", Move.Pool},
+                    {"needed_cores", Needed[Move.Pool]},
+                    {"list_age_ms", toMs(Now - Hosts.ListedAt)}});
+  }
+}
+
 void leader::orderHosts(std::vector<order> &Orders, core::time_point Now) {
   if (!Settings.HasPlatform || Now < Hosts.NextCall)
     return;
@@ -295,7 +428,7 @@
     const auto *Row = Hosts.find(Name);
     bool IsBack = Task.HasBegun && Hosts.ListedAt > Task.BegunAt &&
                   (!Row || Row->State == host_state::Up) &&
-                  (!Task.Wave || Task.IsNoted);
+                  Task.IsNoted;
     if (IsBack)
       Hosts.Cordoned.erase(Name);
     return IsBack;
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -172,7 +172,7 @@
       if (Request.IsAllowed &&
           !Request.IsAllowed(Key, *Waiting.Job, Target->Endpoint))
         continue;
-      auto Cost = costOf(Spec, Key, *Target);
+      auto Cost = costOf(Spec, *Target);
       if (!Best || Cost < BestCost) {
         Best = Target;
         BestCost = Cost;
@@ -181,12 +181,12 @@
     return Best;
   }
 
-  static std::int64_t costOf(const step_spec &Spec, const task_key &Key,
+  static std::int64_t costOf(const step_spec &Spec,
                              const placement_target &Target) {
     // Each term outweighs all that follow it.
-    constexpr std::int64_t Together = 100'000'000'000;
-    constexpr std::int64_t FarFromData = 1'000'000'000;
-    constexpr std::int64_t Disturbance = 10'000'000;
+    constexpr std::int64_t FarFromData = 100'000'000'000;
+    constexpr std::int64_t Disturbance = 1'000'000'000;
+    constexpr std::int64_t Together = 10'000'000;
     std::int64_t Cost = Target.Free.MilliCores;
     if (!Spec.DataRack.empty() && !hasLabel(Target, Spec.DataRack))
       Cost += FarFromData;
@@ -196,12 +196,9 @@
     else if (Spec.TargetMs > 0)
       Cost = Disturbance * (Target.FillingRuns + Target.ServingRuns) -
              Target.Free.MilliCores;
-    // Planned work on an endpoint takes away all tasks of a step there.
-    if (Spec.MayMiss > 0) {
-      auto Runs = Target.RunsByStep.find(stepKey(Key));
-      if (Runs != Target.RunsByStep.end() && Runs->second >= Spec.MayMiss)
-        Cost += Together * Runs->second;
-    }
+    // Long-running tasks pin their hosts, so they share as few as may be.
+    if (Spec.IsLongRunning && Target.LongRunning > 0)
+      Cost -= Together * Target.LongRunning;
     return Cost;
   }
 
@@ -212,7 +209,7 @@
     Target.ServingRuns += Spec.TargetMs > 0;
     Target.FillingRuns += Spec.FillsIdle;
     Target.LongRunning += Spec.IsLongRunning;
-    if (countsByStep(Spec))
+    if (Spec.MaxPerEndpoint > 0)
       ++Target.RunsByStep[stepKey(Key)];
     Placements.push_back({{Key, Attempt, Target.Endpoint}, Size});
   }
@@ -231,10 +228,6 @@
          std::to_string(Task.Step);
 }
 
-bool countsByStep(const step_spec &Step) {
-  return Step.MaxPerEndpoint > 0 || Step.MayMiss > 0;
-}
-
 amounts reservedSize(const step_spec &Step) {
   auto Size = Step.Size;
   if (Step.FillsIdle)
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -20,7 +20,7 @@
   std::uint32_t ServingRuns = 0; ///< Tasks with a tail latency target.
   std::uint32_t FillingRuns = 0;
   std::uint32_t LongRunning = 0;
-  /// Runs of each step of an occurrence there, for countsByStep().
+  /// Runs of each step of an occurrence there, for steps with a limit.
   std::map<std::string, std::uint32_t> RunsByStep;
 };
 
@@ -43,9 +43,6 @@
 /// \returns the key of RunsByStep.
 std::string stepKey(const task_key &Task);
 
-/// \returns whether RunsByStep counts runs of the step.
-bool countsByStep(const step_spec &Step);
-
 /// \returns what a task takes from an endpoint; tasks that fill idle capacity
 /// take no cores.
 amounts reservedSize(const step_spec &Step);
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -40,6 +40,27 @@
   return std::move(std::get<0>(Outcome));
 }
 
+/// \returns what placement depends on, for the log.
+std::string describe(const step_spec &Step) {
+  auto Text = std::to_string(Step.Count) + "x" +
+              std::to_string(Step.Size.MilliCores) + "m/" +
+              std::to_string(Step.Size.MemoryMb) + "MB/" +
+              std::to_string(Step.EstimateMs) + "ms";
+  if (Step.IsLongRunning)
+    Text += ",lasts";
+  if (Step.FillsIdle)
+    Text += ",fills";
+  if (Step.IsGang)
+    Text += ",gang";
+  if (Step.TargetMs > 0)
+    Text += ",target=" + std::to_string(Step.TargetMs);
+  if (Step.MaxPerEndpoint > 0)
+    Text += ",max=" + std::to_string(Step.MaxPerEndpoint);
+  if (Step.MayMiss > 0)
+    Text += ",may_miss=" + std::to_string(Step.MayMiss);
+  return Text;
+}
+
 std::string_view toText(apply_outcome Outcome) {
   switch (Outcome) {
   case apply_outcome::Accepted:
@@ -354,6 +375,8 @@
                    {{"job", Submit->Job.Id},
                     {"queue", Submit->HostName + Submit->Path},
                     {"steps", Submit->Job.Steps.size()},
+                    {"first_step", describe(Submit->Job.Steps.front())},
+                    {"repeats", Submit->Job.RepeatCount},
                     {"configuration", State.currentConfiguration().Version},
                     {"index", Index},
                     {"result", Result}});
