Use a new endpoint from its first announcement on

Cause: an endpoint's clock was taken only from its second announcement, 1.5 s after the first, and without it no run is started there. Hosts that had just moved stood idle while jobs became late.

--- a/scheduling/demand_meter.cpp
+++ b/scheduling/demand_meter.cpp
@@ -11,6 +11,9 @@
 constexpr core::duration Window = std::chrono::milliseconds(1000);
 // A trend may at most multiply the level by this.
 constexpr double MaxGrowth = 1.8;
+// Jobs in both windows at which the newer one counts as much as their mean; the
+// work of single jobs differs by a factor of several.
+constexpr double HalfTrustCount = 20;
 
 double seconds(core::duration Duration) {
   return std::chrono::duration<double>(Duration).count();
@@ -34,14 +37,20 @@
     return 0;
   double Recent = 0;
   double Earlier = 0;
+  std::size_t Count = 0;
   for (const auto &Arrival : Found->second) {
-    if (Arrival.At + Window >= Now)
-      Recent += Arrival.CoreSeconds;
-    else if (Arrival.At + 2 * Window >= Now)
-      Earlier += Arrival.CoreSeconds;
+    if (Arrival.At + 2 * Window < Now)
+      continue;
+    ++Count;
+    (Arrival.At + Window >= Now ? Recent : Earlier) += Arrival.CoreSeconds;
   }
-  double Level = Recent / seconds(Window);
-  double Trend = (Recent - Earlier) / seconds(Window) / seconds(Window);
+  // With few jobs in the windows, their difference is mostly chance.
+  double Trust = static_cast<double>(Count) /
+                 (static_cast<double>(Count) + HalfTrustCount);
+  double Mean = (Recent + Earlier) / 2;
+  double Level = (Trust * Recent + (1 - Trust) * Mean) / seconds(Window);
+  double Trend =
+      Trust * (Recent - Earlier) / seconds(Window) / seconds(Window);
   return std::clamp(Level + Trend * seconds(Ahead + Window / 2), 0.0,
                     MaxGrowth * Level);
 }
--- a/scheduling/host_board.h
+++ b/scheduling/host_board.h
@@ -32,7 +32,9 @@
   std::map<std::string, core::time_point> Cordoned;
   std::map<std::string, host_task> Tasks;
   std::map<std::string, core::time_point> IdleSince; ///< Up without any run.
+  std::map<std::string, double> SpareCores; ///< Supply less need, by pool.
   core::time_point NextMoves{};
+  core::time_point NextPoolLog{};
 
   std::map<std::string, host_row> NextHosts; ///< Pages read so far.
   core::time_point ListStartedAt{};
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -114,7 +114,7 @@
     });
     if (const auto *Endpoint =
             State.findEndpoint(Note->Facts.Id, Note->Facts.BornMs))
-      contactOf(Endpoint->Number, Now);
+      adoptFirstBeat(contactOf(Endpoint->Number, Now), Endpoint->Facts);
     Hosts.NextList = std::min(Hosts.NextList, Now);
     return;
   }
@@ -132,15 +132,32 @@
   }
 }
 
+void leader::adoptFirstBeat(contact &Contact, const endpoint_facts &Facts) {
+  auto First = FirstBeats.find(Facts.Id);
+  if (First == FirstBeats.end())
+    return;
+  const auto &[Beat, HeardAt] = First->second;
+  if (Beat.Facts.BornMs == Facts.BornMs &&
+      Contact.ClockAt == core::time_point()) {
+    Contact.ClockMs = Beat.ClockMs;
+    Contact.ClockAt = HeardAt;
+    Contact.LastBeat = HeardAt;
+  }
+  FirstBeats.erase(First);
+}
+
 bool leader::noteBeat(const endpoint_beat &Beat, core::time_point Now) {
   const auto *Endpoint = State.findEndpoint(Beat.Facts.Id, Beat.Facts.BornMs);
-  if (!Endpoint)
+  if (!Endpoint) {
+    // Its clock is needed as soon as the new life is committed.
+    FirstBeats[Beat.Facts.Id] = {Beat, Now};
     return std::any_of(State.endpoints().begin(), State.endpoints().end(),
                        [&](const auto &Item) {
                          const auto &Facts = Item.second.Facts;
                          return Facts.Id == Beat.Facts.Id &&
                                 Facts.BornMs > Beat.Facts.BornMs;
                        });
+  }
   auto &Contact = contactOf(Endpoint->Number, Now);
   if (Beat.Sequence < Contact.Sequence)
     return true;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -6,6 +6,7 @@
 #include "scheduling/contact.h"
 #include "scheduling/demand_meter.h"
 #include "scheduling/host_board.h"
+#include "scheduling/host_mover.h"
 #include "scheduling/orders.h"
 #include "scheduling/placer.h"
 #include "scheduling/schedule_state.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,6 +69,7 @@
   // leader.cpp
   contact &contactOf(std::uint32_t Endpoint, core::time_point Now);
   void adoptRuns(core::time_point Now);
+  void adoptFirstBeat(contact &Contact, const endpoint_facts &Facts);
   void forgetRun(const task_key &Task, std::uint32_t Attempt);
   void stopRunsOf(const job_record &Job, core::time_point Now);
   void collectEnds(std::vector<command> &Commands);
@@ -114,6 +117,8 @@
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
   void planHostMoves(core::time_point Now, std::int64_t WallMs);
+  void logPools(std::span<const pool_view> Pools,
+                std::span<const mover_host> View, core::time_point Now);
   std::map<std::string, double> neededCores(core::time_point Now,
                                             std::int64_t WallMs) const;
   void evacuate(core::time_point Now);
@@ -140,6 +145,8 @@
   core::time_point StartedAt{};
   std::uint64_t LastOrder = 0;
   std::map<std::uint32_t, contact> Contacts;
+  /// Announcements of lives that are not committed yet, by id.
+  std::map<std::string, std::pair<endpoint_beat, core::time_point>> FirstBeats;
   std::map<std::uint64_t, sent_order> Sent;
   std::map<task_key, core::time_point> HeldBack; ///< Not placed before.
   std::vector<end_run> Refused; ///< Runs that certainly did not start.
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -20,6 +20,8 @@
 // Moves are decided about as often as one host's work changes.
 constexpr core::duration MoveInterval = milliseconds(100);
 constexpr std::size_t MaxOpenMoves = 16;
+// One line for each pool shows how the hosts follow the demand.
+constexpr core::duration PoolLogInterval = std::chrono::seconds(1);
 
 std::string_view name(host_verdict Verdict) {
   switch (Verdict) {
@@ -124,6 +126,12 @@
     Host.IsUp = Row && Row->State == host_state::Up;
     if (Row)
       Host.Pool = Row->Pool;
+    const auto *Pool = Row ? State.findPool(Row->Pool) : nullptr;
+    auto Balance = Hosts.SpareCores.find(Host.Pool);
+    Host.IsSpare = Pool && (Pool->IsStandby ||
+                            (Balance != Hosts.SpareCores.end() &&
+                             Balance->second >=
+                                 Row->Capacity.MilliCores / 1000.0));
     auto Cordon = Hosts.Cordoned.find(Name);
     Host.IsCordoned = Cordon != Hosts.Cordoned.end();
     if (Host.IsCordoned)
@@ -264,6 +272,34 @@
   return Needed;
 }
 
+void leader::logPools(std::span<const pool_view> Pools,
+                      std::span<const mover_host> View, core::time_point Now) {
+  if (Now < Hosts.NextPoolLog)
+    return;
+  Hosts.NextPoolLog = Now + PoolLogInterval;
+  for (const auto &Pool : Pools) {
+    double Supply = 0;
+    int Idle = 0;
+    int All = 0;
+    for (const auto &Host : View) {
+      if (Host.Pool != Pool.Name)
+        continue;
+      ++All;
+      Idle += Host.MayMove;
+      Supply += Host.IsTaking ? Host.Cores : 0;
+    }
+    core::logEvent(core::log_level::Info, "pool_balance",
+                   {{"pool", Pool.Name},
+                    {"standby", Pool.IsStandby},
+                    {"hosts", All},
+                    {"idle", Idle},
+                    {"supply_cores", static_cast<int>(Supply)},
+                    {"needed_cores", static_cast<int>(Pool.NeededCores)},
+                    {"tasks", Hosts.Tasks.size()},
+                    {"cordoned", Hosts.Cordoned.size()}});
+  }
+}
+
 void leader::planHostMoves(core::time_point Now, std::int64_t WallMs) {
   if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
       Now < Hosts.NextMoves)
@@ -301,6 +337,13 @@
                      !Pool->IsStandby;
     View.push_back(std::move(Host));
   }
+  Hosts.SpareCores.clear();
+  for (const auto &Pool : Pools)
+    Hosts.SpareCores[Pool.Name] = -Pool.NeededCores;
+  for (const auto &Host : View)
+    if (Host.IsTaking)
+      Hosts.SpareCores[Host.Pool] += Host.Cores;
+  logPools(Pools, View, Now);
   if (OpenMoves >= MaxOpenMoves)
     return;
   for (auto &Move : planMoves(Pools, View, MaxOpenMoves - OpenMoves)) {
--- a/scheduling/upkeep_planner.cpp
+++ b/scheduling/upkeep_planner.cpp
@@ -9,6 +9,10 @@
 // Most short tasks end within this time; longer ones lose less than a host
 // that stands idle costs.
 constexpr std::int64_t DrainMs = 1500;
+// From an order until the host is seen up again, beside its upkeep.
+constexpr std::int64_t ReactionMs = 600;
+// Part of the wave's time after which upkeep no longer waits for anything.
+constexpr double UsableShare = 0.7;
 // While a host is down, the next one is emptied, so that the slots of the wave
 // are never idle.
 constexpr std::size_t CordonAhead = 1;
@@ -16,6 +20,8 @@
 bool isFirst(const upkeep_host &Left, const upkeep_host &Right) {
   if (Left.IsCordoned != Right.IsCordoned)
     return Left.IsCordoned;
+  if (Left.IsSpare != Right.IsSpare)
+    return Left.IsSpare;
   if (Left.MayInterrupt != Right.MayInterrupt)
     return Left.MayInterrupt;
   if (Left.LongRuns != Right.LongRuns)
@@ -43,22 +49,37 @@
   }
   std::sort(Waiting.begin(), Waiting.end(), isFirst);
   std::size_t Slots = Wave.MaxCount > Down ? Wave.MaxCount - Down : 0;
-  auto Rounds = static_cast<std::int64_t>(
-      (Waiting.size() + Wave.MaxCount - 1) / Wave.MaxCount);
-  bool IsUrgent = ElapsedMs + Rounds * (UpkeepMs + DrainMs) >=
-                  static_cast<std::int64_t>(Wave.DeadlineMs);
+  auto LeftMs = static_cast<std::int64_t>(Wave.DeadlineMs * UsableShare) -
+                ElapsedMs;
+  auto WorkMs = static_cast<std::int64_t>(Waiting.size()) *
+                (UpkeepMs + DrainMs + ReactionMs);
+  // Busy hosts go down no faster than the deadline asks for.
+  std::size_t Pace =
+      LeftMs <= 0 ? Wave.MaxCount
+                  : static_cast<std::size_t>((WorkMs + LeftMs - 1) / LeftMs);
+  std::size_t BusySlots =
+      std::min(Slots, Pace > Down ? Pace - Down : std::size_t(0));
+  bool IsUrgent = LeftMs <= 0 || Pace >= Wave.MaxCount;
   std::size_t Cordoned = 0;
   for (const auto &Host : Waiting) {
-    if (Cordoned >= Slots + CordonAhead)
-      break;
+    bool IsEmpty = Host.ShortRuns == 0 && Host.LongRuns == 0;
+    if (IsEmpty && Host.IsSpare && Slots > 0) {
+      Plan.Order.push_back(Host.Name);
+      --Slots;
+      BusySlots = std::min(BusySlots, Slots);
+      continue;
+    }
+    if (Cordoned >= BusySlots + (BusySlots > 0 ? CordonAhead : 0))
+      continue;
     ++Cordoned;
-    bool IsEmpty = Host.ShortRuns == 0;
     bool MayGo = Host.MayInterrupt &&
-                 (IsEmpty || (Host.IsCordoned &&
-                              (IsUrgent || Host.CordonedMs >= DrainMs)));
-    if (MayGo && Slots > 0) {
+                 (Host.ShortRuns == 0 ||
+                  (Host.IsCordoned &&
+                   (IsUrgent || Host.CordonedMs >= DrainMs)));
+    if (MayGo && Slots > 0 && BusySlots > 0) {
       Plan.Order.push_back(Host.Name);
       --Slots;
+      --BusySlots;
       continue;
     }
     if (!Host.IsCordoned)
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -18,6 +18,7 @@
   bool IsKnown = false;    ///< The platform lists it.
   bool IsUp = false;       ///< And it is neither moving nor down.
   bool IsInUpkeep = false; ///< Ordered, and not seen up since.
+  bool IsSpare = false; ///< Its pool has more than it needs without it.
   bool IsCordoned = false; ///< It takes no new work already.
   std::int64_t CordonedMs = 0;  ///< For how long.
   std::uint32_t ShortRuns = 0;  ///< Runs that end by themselves.
@@ -33,10 +34,11 @@
 
 /// Chooses the hosts of one wave whose upkeep begins.
 ///
-/// Answers a wave over two fifths of all hosts under load: at most the wave's
-/// limit at once, hosts with the least work first, each emptied of short work
-/// before it goes down, and none whose long-running tasks have no budget left.
-/// As the deadline nears, waiting for short work ends.
+/// Answers a wave over two fifths of all hosts under load: idle hosts that
+/// nobody needs go down at once, up to the wave's limit; busy ones no faster
+/// than the deadline asks for, each emptied of short work before, and none
+/// whose long-running tasks have no budget left. As the deadline nears, waiting
+/// ends.
 /// \param Wave the wave.
 /// \param Hosts its hosts that have not begun, and those in upkeep.
 /// \param ElapsedMs time since the wave began.
