End a life only when the list of hosts shows another one

Cause: an accepted order for a host was taken to end the life that the host's row named. The list now decides.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -126,6 +126,7 @@
   void finishHosts(const order &Order, const order_result &Result,
                    core::time_point Now);
   void finishPage(const hosts_answer &Page);
+  void endReplacedLives();
   std::vector<upkeep_host> viewWave(const wave_record &Wave,
                                     core::time_point Now) const;
   bool mayInterrupt(const contact &Contact) const;
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -153,18 +153,12 @@
 
 void leader::planHosts(std::vector<command> &Commands, core::time_point Now,
                        std::int64_t WallMs) {
-  for (auto &[Name, Task] : Hosts.Tasks)
-    if (Task.HasBegun && !Task.IsNoted && Task.Wave) {
-      Task.IsNoted = true;
+  for (auto &[Name, Task] : Hosts.Tasks) {
+    if (!Task.HasBegun || std::exchange(Task.IsNoted, true))
+      continue;
+    if (Task.Wave)
       Commands.emplace_back(note_upkeep{*Task.Wave, Name});
-      // Everything on the host ended when its upkeep began.
-      if (const auto *Contact = contactOfHost(Name))
-        Commands.emplace_back(end_endpoint{Contact->Endpoint});
-    } else if (Task.HasBegun && !Task.IsNoted) {
-      Task.IsNoted = true;
-      if (const auto *Contact = contactOfHost(Name))
-        Commands.emplace_back(end_endpoint{Contact->Endpoint});
-    }
+  }
   evacuate(Now);
   planHostMoves(Now, WallMs);
   // Without a list of its own a leader does not know which hosts are down.
@@ -433,7 +427,7 @@
   case host_verdict::Accepted:
     Task.HasBegun = true;
     Task.BegunAt = Now;
-    Hosts.NextList = std::min(Hosts.NextList, Now + BusyListInterval);
+    Hosts.NextList = Now;
     return;
   case host_verdict::NoSuchHost:
   case host_verdict::OtherWave:
@@ -453,6 +447,27 @@
   }
 }
 
+void leader::endReplacedLives() {
+  // An accepted order does not tell which life it ended: it may have been
+  // accepted before, and the host may be back with a new one. The list does.
+  for (const auto &[Number, Endpoint] : State.endpoints()) {
+    auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
+    if (Host == Hosts.HostOfEndpoint.end())
+      continue;
+    auto Row = Hosts.NextHosts.find(Host->second);
+    if (Row == Hosts.NextHosts.end() ||
+        (Row->second.EndpointId == Endpoint.Facts.Id &&
+         Row->second.State != host_state::Moving &&
+         Row->second.State != host_state::Upkeep))
+      continue;
+    if (Over.insert(Number).second)
+      core::logEvent(core::log_level::Info, "endpoint_gone_from_host",
+                     {{"endpoint", Endpoint.Facts.Id},
+                      {"host", Host->second},
+                      {"runs", Endpoint.Runs.size()}});
+  }
+}
+
 void leader::finishPage(const hosts_answer &Page) {
   for (const auto &Row : Page.Hosts)
     Hosts.NextHosts[Row.Name] = Row;
@@ -460,6 +475,7 @@
   if (!Hosts.PageToken.empty())
     return;
   Hosts.IsListing = false;
+  endReplacedLives();
   Hosts.Hosts = std::exchange(Hosts.NextHosts, {});
   Hosts.ListedAt = Hosts.ListStartedAt;
   Hosts.HostOfEndpoint.clear();
