Place long-running tasks before they leave a host; test the new slices

Now a task leaves only when it has a place, and a pool in which one finds none gets a host. A run is no longer taken for lost before its order was sent.

--- a/scheduling/host_board.h
+++ b/scheduling/host_board.h
@@ -33,6 +33,8 @@
   std::map<std::string, host_task> Tasks;
   std::map<std::string, core::time_point> IdleSince; ///< Up without any run.
   std::map<std::string, double> SpareCores; ///< Supply less need, by pool.
+  /// When a long-running task last found no place in a pool.
+  std::map<std::string, core::time_point> StarvedAt;
   core::time_point NextMoves{};
   core::time_point NextPoolLog{};
 
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -90,7 +90,11 @@
   if (Outcome == apply_outcome::Stale)
     return;
   if (const auto *Start = std::get_if<start_run>(&Command)) {
-    auto &Run = contactOf(Start->Endpoint, Now).Runs[Start->Task];
+    auto &Contact = contactOf(Start->Endpoint, Now);
+    // The order for it is about to be sent with a lease.
+    Contact.LeaseOver =
+        std::max(Contact.LeaseOver, Now + Settings.Lease * 103 / 100);
+    auto &Run = Contact.Runs[Start->Task];
     Run = {};
     Run.Attempt = Start->Attempt;
     return;
@@ -321,8 +325,29 @@
   Request.IsHeldBack = [&](const task_key &Key) {
     return HeldBack.find(Key) != HeldBack.end();
   };
-  for (auto &Placement : placeRuns(State, Targets, Request))
+  std::set<task_key> Placed;
+  for (auto &Placement : placeRuns(State, Targets, Request)) {
+    Placed.insert(Placement.Start.Task);
     Commands.emplace_back(std::move(Placement.Start));
+  }
+  noteStarvedPools(Placed, Now);
+}
+
+void leader::noteStarvedPools(const std::set<task_key> &Placed,
+                              core::time_point Now) {
+  for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
+    const auto &Job = *State.findJob(Id);
+    for (const auto &Occurrence : Job.Open)
+      for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
+        const auto &Tasks = Occurrence.Steps[Step].Tasks;
+        if (!Job.Spec.Steps[Step].IsLongRunning)
+          continue;
+        for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index)
+          if (Tasks[Index].isWaiting() &&
+              Placed.count({Id, Occurrence.Number, Step, Index}) == 0)
+            Hosts.StarvedAt[Job.Pool] = Now;
+      }
+  }
 }
 
 core::time_point leader::nextTime(core::time_point Now) const {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -77,6 +77,8 @@
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
+  /// Notes pools in which a long-running task finds no place.
+  void noteStarvedPools(const std::set<task_key> &Placed, core::time_point Now);
   std::vector<placement_target> targets(core::time_point Now) const;
   bool mayTakeWork(const endpoint_record &Endpoint, const contact &Contact,
                    core::time_point Now) const;
@@ -119,9 +121,14 @@
   void planHostMoves(core::time_point Now, std::int64_t WallMs);
   void logPools(std::span<const pool_view> Pools,
                 std::span<const mover_host> View, core::time_point Now);
+  /// \returns cores to add to a pool's need when a task found no place there.
+  double extraCores(const std::string &Pool, std::span<const mover_host> View,
+                    core::time_point Now) const;
   std::map<std::string, double> neededCores(core::time_point Now,
                                             std::int64_t WallMs) const;
   void evacuate(core::time_point Now);
+  bool hasPlaceElsewhere(const task_key &Task, std::uint32_t Endpoint,
+                         std::span<const placement_target> Targets) const;
   void orderHosts(std::vector<order> &Orders, core::time_point Now);
   void finishHosts(const order &Order, const order_result &Result,
                    core::time_point Now);
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -20,6 +20,8 @@
 // Moves are decided about as often as one host's work changes.
 constexpr core::duration MoveInterval = milliseconds(100);
 constexpr std::size_t MaxOpenMoves = 16;
+// Placement is tried at least this often while tasks wait.
+constexpr core::duration StarvedFor = milliseconds(400);
 // One line for each pool shows how the hosts follow the demand.
 constexpr core::duration PoolLogInterval = std::chrono::seconds(1);
 
@@ -194,7 +196,28 @@
   }
 }
 
+bool leader::hasPlaceElsewhere(
+    const task_key &Task, std::uint32_t Endpoint,
+    std::span<const placement_target> Targets) const {
+  const auto &Job = *State.findJob(Task.Job);
+  const auto &Step = Job.Spec.Steps[Task.Step];
+  auto Size = reservedSize(Step);
+  return std::any_of(
+      Targets.begin(), Targets.end(), [&](const placement_target &Target) {
+        auto Runs = Target.RunsByStep.find(stepKey(Task));
+        return Target.Endpoint != Endpoint && Target.Pool == Job.Pool &&
+               Size.MilliCores <= Target.Free.MilliCores &&
+               Size.MemoryMb <= Target.Free.MemoryMb &&
+               Size.Accelerators <= Target.Free.Accelerators &&
+               (Step.MaxPerEndpoint == 0 || Runs == Target.RunsByStep.end() ||
+                Runs->second < Step.MaxPerEndpoint);
+      });
+}
+
 void leader::evacuate(core::time_point Now) {
+  if (Hosts.Cordoned.empty())
+    return;
+  auto Targets = targets(Now);
   for (const auto &[Name, Since] : Hosts.Cordoned) {
     const auto *Found = contactOfHost(Name);
     if (!Found || Hosts.Tasks.find(Name) != Hosts.Tasks.end())
@@ -207,6 +230,10 @@
           isOver(Job->State) ||
           awayFrom(Key, false) >= std::max(1u, Step.MayMiss))
         continue;
+      if (!hasPlaceElsewhere(Key, Contact.Endpoint, Targets)) {
+        Hosts.StarvedAt[Job->Pool] = Now;
+        continue;
+      }
       Run.Phase = run_phase::Stopping;
       Run.NextOrder = Now;
       core::logEvent(core::log_level::Info, "run_evacuated",
@@ -289,15 +316,32 @@
   }
 }
 
+double leader::extraCores(const std::string &Pool,
+                          std::span<const mover_host> View,
+                          core::time_point Now) const {
+  auto Starved = Hosts.StarvedAt.find(Pool);
+  if (Starved == Hosts.StarvedAt.end() || Now - Starved->second > StarvedFor)
+    return 0;
+  // Limits for one endpoint can make a further host necessary although the
+  // pool has cores; one that is on its way is enough.
+  double Supply = 0;
+  for (const auto &Host : View) {
+    auto Task = Hosts.Tasks.find(Host.Name);
+    if (Task != Hosts.Tasks.end() && !Task->second.Wave &&
+        Task->second.TargetPool == Pool)
+      return 0;
+    if (Host.Pool == Pool && Host.IsTaking)
+      Supply += Host.Cores;
+  }
+  return Supply + 1;
+}
+
 void leader::planHostMoves(core::time_point Now, std::int64_t WallMs) {
   if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
       Now < Hosts.NextMoves)
     return;
   Hosts.NextMoves = Now + MoveInterval;
   auto Needed = neededCores(Now, WallMs);
-  std::vector<pool_view> Pools;
-  for (const auto &Pool : State.currentConfiguration().Pools)
-    Pools.push_back({Pool.Name, Pool.IsStandby, Needed[Pool.Name]});
   std::vector<mover_host> View;
   std::size_t OpenMoves = 0;
   for (const auto &[Name, Row] : Hosts.Hosts) {
@@ -327,6 +371,10 @@
         Row.State == host_state::Up && !IsReserved && Pool && !Pool->IsStandby;
     View.push_back(std::move(Host));
   }
+  std::vector<pool_view> Pools;
+  for (const auto &Pool : State.currentConfiguration().Pools)
+    Pools.push_back({Pool.Name, Pool.IsStandby,
+                     Needed[Pool.Name] + extraCores(Pool.Name, View, Now)});
   Hosts.SpareCores.clear();
   for (const auto &Pool : Pools)
     Hosts.SpareCores[Pool.Name] = -Pool.NeededCores;
--- /dev/null
+++ b/tests/gateway/test_forwarder.cpp
@@ -0,0 +1,180 @@
+#include "gateway/forwarder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point at(core::duration Time) { return core::time_point(Time); }
+
+/// A forwarder with two schedulers, `a` and `b`.
+class world {
+public:
+  world() : Forwarder({}, std::vector<std::string>{"a", "b"}, Metrics) {
+    CHECK(Forwarder.takeActions().NewPeers.size() == 2);
+    for (const char *Peer : {"a", "b"})
+      Forwarder.linkChanged(Peer, true, Now);
+  }
+
+  void status(const std::string &Peer, bool IsLeading, std::uint64_t Term) {
+    Forwarder.receive(Peer, status_message{IsLeading, Term, {"a", "b"}}, Now);
+  }
+  void pass(core::duration Time) {
+    Now += Time;
+    Forwarder.tick(Now);
+    collect();
+  }
+  void request(std::uint64_t Id) {
+    http::server_request Request;
+    Request.Id = Id;
+    Request.Request.Method = "POST";
+    Request.Request.Target = "/q/1";
+    Forwarder.request(std::move(Request), Now + 3s, Now);
+    collect();
+  }
+  void reply(const std::string &Peer, std::uint64_t Id, bool IsHandled,
+             std::uint16_t Status = 200) {
+    reply_message Reply;
+    Reply.Id = Id;
+    Reply.IsHandled = IsHandled;
+    Reply.Status = Status;
+    Forwarder.receive(Peer, Reply, Now);
+    collect();
+  }
+  void collect() {
+    auto Actions = Forwarder.takeActions();
+    for (auto &Call : Actions.Calls)
+      Calls.push_back(Call);
+    for (auto &Response : Actions.Responses)
+      Responses.push_back(Response);
+  }
+
+  core::metrics_registry Metrics;
+  core::time_point Now = at(100s);
+  forwarder Forwarder;
+  std::vector<forwarder_actions::outgoing> Calls;
+  std::vector<http::server_response> Responses;
+};
+
+} // namespace
+
+TEST_CASE("without a leader a request is refused at once as not run") {
+  world World;
+  World.request(1);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 503);
+  CHECK(http::findHeader(World.Responses[0].Response.Headers, "Retry-After") ==
+        "1");
+  CHECK(World.Calls.empty());
+  CHECK(!World.Forwarder.isReady(World.Now));
+}
+
+TEST_CASE("a request goes to the leader of the highest term and back") {
+  world World;
+  World.status("a", true, 3);
+  World.status("b", true, 4);
+  World.request(7);
+  REQUIRE(World.Calls.size() == 1);
+  CHECK(World.Calls[0].Peer == "b");
+  World.reply("b", World.Calls[0].Call.Id, true, 404);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Id == 7);
+  CHECK(World.Responses[0].Response.Status == 404);
+}
+
+TEST_CASE("a leader that sends no status any more gets no requests") {
+  world World;
+  World.status("a", true, 3);
+  World.pass(1100ms);
+  CHECK(!World.Forwarder.isReady(World.Now));
+  World.request(1);
+  CHECK(World.Calls.empty());
+}
+
+TEST_CASE("a request that was handed on is never called not run") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  World.Forwarder.linkChanged("a", false, World.Now);
+  World.pass(2900ms);
+  World.pass(200ms);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 504);
+}
+
+TEST_CASE("a request whose leader is lost goes to the next one") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  World.Forwarder.linkChanged("a", false, World.Now);
+  World.status("b", true, 4);
+  World.pass(10ms);
+  REQUIRE(World.Calls.size() == 2);
+  CHECK(World.Calls[1].Peer == "b");
+  CHECK(World.Calls[1].Call.Id == World.Calls[0].Call.Id);
+  World.reply("a", World.Calls[0].Call.Id, true, 503);
+  CHECK(World.Responses.empty());
+  World.reply("b", World.Calls[0].Call.Id, true, 200);
+  CHECK(World.Responses.size() == 1);
+}
+
+TEST_CASE("a copy that a scheduler did not take makes an earlier lost copy no "
+          "less unknown") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  World.Forwarder.linkChanged("a", false, World.Now);
+  World.status("b", true, 4);
+  World.pass(10ms);
+  World.reply("b", World.Calls[1].Call.Id, false);
+  CHECK(World.Responses.empty());
+  World.pass(3s);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 504);
+}
+
+TEST_CASE("a request that the receiver did not take is refused as not run") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  World.reply("a", World.Calls[0].Call.Id, false);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 503);
+}
+
+TEST_CASE("a call that the link did not take is refused as not run") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  World.Forwarder.callNotSent(World.Calls[0].Call.Id, World.Now);
+  World.collect();
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 503);
+}
+
+TEST_CASE("schedulers that a status names are linked once") {
+  world World;
+  World.Forwarder.receive("a", status_message{false, 1, {"a", "c", "b"}},
+                          World.Now);
+  World.Forwarder.receive("b", status_message{false, 1, {"c"}}, World.Now);
+  CHECK(World.Forwarder.takeActions().NewPeers ==
+        std::vector<std::string>{"c"});
+}
+
+TEST_CASE("messages survive the link, and malformed ones are refused") {
+  std::vector<message> Messages{
+      status_message{true, 9, {"10.0.0.1"}},
+      call_message{4, "POST", "h", "/p?q=1", std::string("\0\xff", 2)},
+      reply_message{4, true, 503, 1, "body"}};
+  for (const auto &Message : Messages) {
+    auto Bytes = encodeMessage(Message);
+    CHECK(decodeMessage(Bytes) == Message);
+    CHECK(!decodeMessage(Bytes.substr(1)));
+    CHECK(!decodeMessage(Bytes.substr(0, Bytes.size() - 1)));
+  }
+  CHECK(isGateway(linkName("10.0.0.1")));
+  CHECK(!isGateway("10.0.0.1"));
+}
--- /dev/null
+++ b/tests/platform/test_site_documents.cpp
@@ -0,0 +1,318 @@
+#include "platform/site_documents.h"
+#include "platform/site_messages.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::platform;
+using namespace lycheetrestle::scheduling;
+using nlohmann::json;
+
+namespace {
+
+template <typename Callable> std::string failingField(Callable &&Decode) {
+  auto Outcome = core::capture(std::forward<Callable>(Decode));
+  const auto *Failure = std::get_if<core::failure>(&Outcome);
+  return Failure ? Failure->Field : "none";
+}
+
+template <typename Callable> auto valueOf(Callable &&Decode) {
+  auto Outcome = core::capture(std::forward<Callable>(Decode));
+  REQUIRE(Outcome.index() == 0);
+  return std::get<0>(Outcome);
+}
+
+const std::string Configuration = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","pathPrefix":"/a/","kind":"unsafe",
+   "timeoutMs":3000,"targetLatencyMs":600,"priority":1,"service":"s1",
+   "maxAttempts":3,"slackFactor":1.6,
+   "advice":{"decisionMs":5,"perWorkerMs":1,"validMs":3000}}],
+ "services":[{"name":"s1","healthPath":"/healthz","maxConns":64,
+   "enforceLimits":true,"standby":true}],"limits":{"maxHeaderBytes":1}})";
+
+std::string changed(const std::string &Pointer, const json &Value) {
+  auto Document = json::parse(Configuration);
+  Document[json::json_pointer(Pointer)] = Value;
+  return Document.dump();
+}
+
+std::string configurationField(const std::string &Text) {
+  return failingField([&] { return decodeConfiguration(Text); });
+}
+
+const std::string Beat = R"({"service":"s1","addr":"10.0.0.9:80","zone":"z",
+  "version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+  "capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1-3"],
+  "clockMs":482113,"seq":4,"born":1700000000000})";
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into queues and pools") {
+  auto Result = valueOf([&] { return decodeConfiguration(Configuration); });
+  CHECK(Result.Version == 7);
+  CHECK(Result.Text == Configuration);
+  REQUIRE(Result.Queues.size() == 1);
+  CHECK(Result.Queues[0].HostName == "h.example");
+  CHECK(Result.Queues[0].Pool == "s1");
+  CHECK(Result.Queues[0].SlackThousandths == 1600);
+  CHECK(Result.Queues[0].Advice->ValidMs == 3000);
+  REQUIRE(Result.Pools.size() == 1);
+  CHECK(Result.Pools[0].IsStandby);
+  CHECK(Result.Pools[0].EnforcesLimits);
+}
+
+TEST_CASE("an invalid configuration is refused with its field") {
+  CHECK(configurationField(Configuration.substr(0, 80)) != "none");
+  CHECK(configurationField(changed("/routes/0/service", "other")) ==
+        "queues[0].pool");
+  CHECK(configurationField(changed("/routes/0/timeoutMs", 0)) ==
+        "queues[0].timeout_ms");
+  CHECK(configurationField(changed("/routes/0/priority", "x")) ==
+        "routes[0].priority");
+  CHECK(configurationField(changed("/version", -1)) == "version");
+  auto Twice = json::parse(Configuration);
+  Twice["routes"].push_back(Twice["routes"][0]);
+  CHECK(configurationField(Twice.dump()) == "queues[1].path_prefix");
+}
+
+TEST_CASE("a job is decoded with every field of its steps") {
+  auto Job = valueOf([&] {
+    return decodeJob(
+        R"({"spec":"text","phases":[{"count":4,"cpu":500,"memMb":256,
+          "estimateMs":900,"dataRack":"r1-3"},{"count":2,"cpu":2000,"gpu":1,
+          "estimateMs":7000,"dependsOn":[0],"checkpointable":true,"gang":true,
+          "sameRack":true,"requiredLabel":"a","maxPerServer":2,
+          "speculative":true,"longRunning":true,"image":"i","targetMs":50,
+          "fills":true,"mayMiss":1}],"repeatCount":3,"startAtMs":1000,
+          "intervalMs":500})",
+        "0123456789abcdef");
+  });
+  CHECK(Job.Payload == "text");
+  REQUIRE(Job.Steps.size() == 2);
+  CHECK(Job.Steps[0].Size == amounts{500, 256, 0});
+  CHECK(Job.Steps[0].DataRack == "r1-3");
+  const auto &Step = Job.Steps[1];
+  CHECK(Step.DependsOn == std::vector<std::uint32_t>{0});
+  CHECK((Step.IsCheckpointable && Step.IsGang && Step.WantsOneRack &&
+         Step.MayHaveCopies && Step.IsLongRunning && Step.FillsIdle));
+  CHECK(Step.MaxPerEndpoint == 2);
+  CHECK(Step.MayMiss == 1);
+  CHECK(Step.TargetMs == 50);
+  CHECK(Job.RepeatCount == 3);
+  CHECK(Job.IntervalMs == 500);
+}
+
+TEST_CASE("announcements that cannot be read name no endpoint") {
+  auto Result = valueOf([&] { return decodeBeat(Beat, "i-1"); });
+  CHECK(Result.Facts.Id == "i-1");
+  CHECK(Result.Facts.BornMs == 1700000000000);
+  CHECK(Result.Facts.Rack == "r1-3");
+  CHECK(Result.Facts.Capacity == amounts{16000, 32768, 2});
+  CHECK(Result.Sequence == 4);
+  CHECK(!Result.Facts.IsDraining);
+  for (const auto &[Name, Bad] :
+       std::vector<std::pair<std::string, json>>{{"state", "busy"},
+                                                 {"service", 5},
+                                                 {"addr", ""},
+                                                 {"seq", "x"},
+                                                 {"clockMs", nullptr},
+                                                 {"labels", "a"}}) {
+    auto Document = json::parse(Beat);
+    Document[Name] = Bad;
+    CHECK(failingField([&] { return decodeBeat(Document.dump(), "i"); }) ==
+          Name);
+  }
+  CHECK(failingField([] { return decodeBeat("\xff\x01", "i"); }) != "none");
+}
+
+TEST_CASE("task names are written and read") {
+  task_key Task{"0123456789abcdef", 2, 1, 17};
+  CHECK(encodeTask(Task) == "0123456789abcdef.2.1.17");
+  CHECK(decodeTask(encodeTask(Task)) == Task);
+  for (const char *Bad : {"", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2."})
+    CHECK(!decodeTask(Bad));
+}
+
+TEST_CASE("an endpoint's lists are decoded and unreadable rows left out") {
+  auto Answer = decodeEndpointAnswer(200, R"({"clockMs":5,"born":9,
+    "running":[["j.0.0.1",2,"c",41,12],[1],["bad",1,"",0]],
+    "finished":[[58,"j.0.0.9",1,"done",""],[59,"j.0.0.8",1,"lapsed","c"]]})");
+  CHECK(Answer.Verdict == endpoint_verdict::Accepted);
+  CHECK(Answer.BornMs == 9);
+  REQUIRE(Answer.Running.size() == 1);
+  CHECK(Answer.Running[0].Percent == 41);
+  CHECK(Answer.Running[0].Load == 12);
+  REQUIRE(Answer.Ended.size() == 2);
+  CHECK(Answer.Ended[0].How == run_end::Done);
+  CHECK(Answer.Ended[1].How == run_end::Lapsed);
+}
+
+TEST_CASE("each refusal of an endpoint keeps its meaning") {
+  auto Verdict = [](std::uint16_t Status, const char *Reason) {
+    return decodeEndpointAnswer(Status,
+                                json{{"clockMs", 1}, {"reason", Reason}}.dump())
+        .Verdict;
+  };
+  CHECK(Verdict(409, "fence") == endpoint_verdict::Fenced);
+  CHECK(Verdict(409, "old") == endpoint_verdict::OldRun);
+  CHECK(Verdict(409, "late") == endpoint_verdict::LateOrder);
+  CHECK(Verdict(409, "room") == endpoint_verdict::NoRoom);
+  CHECK(Verdict(409, "ticket") == endpoint_verdict::BadTicket);
+  CHECK(Verdict(421, "") == endpoint_verdict::OtherLife);
+  CHECK(Verdict(503, "") == endpoint_verdict::Unhealthy);
+  CHECK(Verdict(400, "") == endpoint_verdict::BadOrder);
+}
+
+TEST_CASE("a page of hosts is decoded") {
+  auto Page = decodeHosts(R"({"machines":[{"machine":"m-1","pool":"s1",
+    "state":"upkeep","zone":"z","labels":["a","r1-2"],
+    "capacity":{"cpu":16000,"memMb":1,"gpu":0},"id":null}],
+    "nextToken":"t"})");
+  REQUIRE(Page);
+  CHECK(Page->NextToken == "t");
+  REQUIRE(Page->Hosts.size() == 1);
+  CHECK(Page->Hosts[0].State == host_state::Upkeep);
+  CHECK(Page->Hosts[0].EndpointId.empty());
+  CHECK(!decodeHosts("{}"));
+  CHECK(!decodeHosts("\xff"));
+}
+
+namespace {
+
+http::request request(std::string Method, std::string Target,
+                      std::string Body = "") {
+  http::request Request;
+  Request.Method = std::move(Method);
+  Request.Target = std::move(Target);
+  Request.Host = "h.example";
+  Request.Body = std::move(Body);
+  return Request;
+}
+
+order endpointOrder(order_body Body) {
+  order Order;
+  Order.Endpoint = 1;
+  Order.Address = "10.0.0.9:80";
+  Order.EndpointId = "i-1";
+  Order.Body = std::move(Body);
+  return Order;
+}
+
+} // namespace
+
+TEST_CASE("golden session: callers' requests") {
+  auto Adapter = makeSiteAdapter({});
+  const std::string Path = "/q/0123456789abcdef";
+  auto Submit = Adapter.DecodeCallerCall(
+      request("POST", Path, R"({"spec":"s","phases":[{"count":1,"cpu":1}]})"));
+  REQUIRE(Submit.Call);
+  CHECK(std::get<submit_call>(*Submit.Call).Job.Id == "0123456789abcdef");
+  auto Bad = Adapter.DecodeCallerCall(request("POST", Path, "{"));
+  CHECK(!Bad.Call);
+  CHECK(Bad.Refusal.Status == 400);
+  auto State = Adapter.DecodeCallerCall(request("GET", Path + "?x=1"));
+  CHECK(std::get<job_state_call>(*State.Call).Path == Path);
+  auto Length = Adapter.DecodeCallerCall(request("GET", "/q/"));
+  CHECK(std::get<queue_length_call>(*Length.Call).Path == "/q/");
+  auto Cancel = Adapter.DecodeCallerCall(request("DELETE", Path));
+  CHECK(std::holds_alternative<cancel_call>(*Cancel.Call));
+  CHECK(Adapter.DecodeCallerCall(request("POST", "/q/short")).Refusal.Status ==
+        404);
+}
+
+TEST_CASE("golden session: replies keep what is known") {
+  auto Adapter = makeSiteAdapter({});
+  auto Status = [&](reply_kind Kind) {
+    reply Reply;
+    Reply.Kind = Kind;
+    return Adapter.EncodeReply(Reply).Status;
+  };
+  CHECK(Status(reply_kind::Accepted) == 200);
+  CHECK(Status(reply_kind::NoSuchQueue) == 404);
+  CHECK(Status(reply_kind::NoSuchJob) == 410);
+  CHECK(Status(reply_kind::Unavailable) == 503);
+  CHECK(Status(reply_kind::Unknown) == 504);
+  reply Complete;
+  Complete.Kind = reply_kind::State;
+  Complete.State = job_state::Complete;
+  CHECK(Adapter.EncodeReply(Complete).Body == R"({"state":"complete"})");
+}
+
+TEST_CASE("golden session: operators and endpoints") {
+  auto Adapter = makeSiteAdapter({});
+  auto Decode = [&](http::request Request) {
+    return Adapter.DecodeControlCall(Request);
+  };
+  auto Announced = Decode(request("POST", "/-/instances/i-7/heartbeat", Beat));
+  CHECK(std::get<beat_call>(*Announced.Call).Beat.Facts.Id == "i-7");
+  CHECK(Decode(request("POST", "/-/instances/i-7/heartbeat", "{}"))
+            .Refusal.Status == 400);
+  auto Left = Decode(request("POST", "/-/instances/i-7/deregister"));
+  CHECK(std::get<leave_call>(*Left.Call).EndpointId == "i-7");
+  CHECK(Decode(request("POST", "/-/config/replace", Configuration)).Call);
+  CHECK(Decode(request("POST", "/-/config/replace", "{}")).Refusal.Status ==
+        400);
+  CHECK(std::holds_alternative<read_configuration_call>(
+      *Decode(request("GET", "/-/config/read")).Call));
+  auto Wave = Decode(
+      request("POST", "/-/wave-start",
+              R"({"wave":1,"machines":["m-1"],"deadlineS":20,"maxCount":2})"));
+  CHECK(std::get<start_wave_call>(*Wave.Call).DeadlineMs == 20'000);
+  CHECK(
+      std::get<wave_state_call>(*Decode(request("GET", "/-/wave-get/12")).Call)
+          .Wave == 12);
+  CHECK(Decode(request("GET", "/-/wave-get/x")).Refusal.Status == 400);
+  CHECK(Decode(request("GET", "/other")).Refusal.Status == 404);
+}
+
+TEST_CASE("golden session: orders") {
+  auto Adapter = makeSiteAdapter({"10.0.0.1:1", "10.0.0.2:2", "holder"});
+  start_order Start;
+  Start.Task = {"j", 0, 1, 2};
+  Start.Attempt = 3;
+  Start.Payload = "s";
+  Start.LeaseUntilMs = 99;
+  Start.Fence = 7;
+  auto Call = Adapter.EncodeOrder(endpointOrder(Start));
+  CHECK(Call.Request.Target == "/-/run-start");
+  CHECK(http::findHeader(Call.Request.Headers,
+                         "Lycheetrestle-Expect-Instance") == "i-1");
+  CHECK(json::parse(Call.Request.Body) ==
+        json::parse(R"({"task":"j.0.1.2","attempt":3,"spec":"s",
+                        "deadlineMs":99,"fence":7})"));
+  hold_order Hold;
+  Hold.Fence = 7;
+  Hold.Cursor = 5;
+  Hold.WaitMs = 100;
+  CHECK(json::parse(Adapter.EncodeOrder(endpointOrder(Hold)).Request.Body) ==
+        json::parse(R"({"fence":7,"ackCursor":5,"waitMs":100})"));
+  order Upkeep;
+  Upkeep.Body = upkeep_order{"m-1", 4, 7};
+  Call = Adapter.EncodeOrder(Upkeep);
+  CHECK(Call.Address == "10.0.0.1:1");
+  CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Lease-Holder") ==
+        "holder");
+  CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Fencing-Token") ==
+        "7");
+  order List;
+  List.Body = list_hosts_order{"a/b"};
+  CHECK(Adapter.EncodeOrder(List).Request.Target ==
+        "/-/machines?pageToken=a%2Fb");
+}
+
+TEST_CASE("an answer that did not come, or cannot be read, is none") {
+  auto Adapter = makeSiteAdapter({});
+  http::client_result Lost;
+  Lost.WasSent = true;
+  Lost.Reason = "timeout";
+  auto Answer = Adapter.DecodeAnswer(endpointOrder(stop_order{}), Lost);
+  CHECK(std::get<no_answer>(Answer).MayHaveRun);
+  http::client_result Broken;
+  Broken.IsComplete = true;
+  Broken.Response.Status = 200;
+  Broken.Response.Body = "no document";
+  order List;
+  List.Body = list_hosts_order{};
+  CHECK(std::holds_alternative<no_answer>(Adapter.DecodeAnswer(List, Broken)));
+}
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -203,3 +203,48 @@
   World.commit();
   CHECK(!World.State.findEndpoint("old", 1));
 }
+
+TEST_CASE("a run is not taken for lost before its order was sent") {
+  fake_site Site(2, 1, {});
+  Site.run(1600);
+  Site.apply(submission(makeJob("j", {makeStep(4)})));
+  Site.run(100);
+  for (std::uint32_t Index = 0; Index != 4; ++Index)
+    CHECK(Site.State.findTask({"j", 0, 0, Index})->Attempt == 1);
+}
+
+TEST_CASE("a long-running task leaves a host only when it has another place") {
+  host_world World;
+  World.apply(note_endpoint{makeEndpoint("e1")});
+  auto Step = makeStep(2);
+  Step.IsLongRunning = true;
+  Step.MayMiss = 1;
+  World.apply(submission(makeJob("j", {Step})));
+  endpoint_beat Beat;
+  Beat.Facts = makeEndpoint("e1");
+  Beat.ClockMs = 1;
+  World.Leader->noteBeat(Beat, World.Now);
+  endpoint_answer Answer;
+  Answer.Verdict = endpoint_verdict::Accepted;
+  for (std::uint32_t Index = 0; Index != 2; ++Index) {
+    World.apply(start_run{{"j", 0, 0, Index}, 1, 1});
+    Answer.Running.push_back({{"j", 0, 0, Index}, 1, "", 100, std::nullopt});
+  }
+  for (auto &Order : World.take<hold_order>())
+    World.Leader->finished({Order.Id, Answer}, World.Now);
+  World.list({hostRow("h1", "e1")});
+  World.apply(start_wave{1, {"h1"}, 1, 1});
+  for (int Round = 0; Round != 3; ++Round)
+    World.Leader->takeCommands(World.Now, 1000);
+  CHECK(World.take<stop_order>().empty());
+  World.apply(note_endpoint{makeEndpoint("e2", 2)});
+  Beat.Facts = makeEndpoint("e2", 2);
+  World.Leader->noteBeat(Beat, World.Now);
+  for (int Round = 0; Round != 3; ++Round)
+    World.Leader->takeCommands(World.Now, 1000);
+  // One at a time, because only one may be missing.
+  for (auto &Order : World.take<start_order>())
+    World.Leader->finished({Order.Id, Answer}, World.Now);
+  CHECK(World.take<stop_order>().size() == 1);
+  CHECK(World.take<upkeep_order>().empty());
+}
