Serve the job with the least remaining work first

Cause: in a peak the earliest deadline went first, so all jobs of the peak were begun and became late together.

--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -44,6 +44,17 @@
   return Work;
 }
 
+std::int64_t remainingWork(const job_spec &Spec,
+                           const occurrence_record &Occurrence) {
+  std::int64_t Work = 0;
+  for (std::size_t Step = 0; Step != Spec.Steps.size(); ++Step)
+    Work += static_cast<std::int64_t>(Spec.Steps[Step].Count -
+                                      Occurrence.Steps[Step].Done) *
+            Spec.Steps[Step].Size.MilliCores * Spec.Steps[Step].EstimateMs /
+            1000;
+  return Work;
+}
+
 job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
                 const queue_spec *Queue, std::int64_t NowMs) {
   job_rank Rank;
@@ -65,6 +76,7 @@
       DueMs + wholeChainMs(Job.Spec) * Slack / 1000 + Target;
   Rank.LatestStartMs = ObjectiveMs - remainingChainMs(Job.Spec, Occurrence);
   Rank.Group = NowMs <= Rank.LatestStartMs ? 1 : 2;
+  Rank.RemainingWork = remainingWork(Job.Spec, Occurrence);
   return Rank;
 }
 
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -17,6 +17,7 @@
 struct job_rank {
   std::uint8_t Group = 0; ///< 0 long-running, 1 in time, 2 late.
   std::uint32_t Priority = 0;
+  std::int64_t RemainingWork = 0; ///< Core-milliseconds.
   std::int64_t LatestStartMs = 0; ///< Wall time.
   // clang-tidy 14 reports a variable inside the generated function.
   // NOLINTNEXTLINE(readability-identifier-naming)
@@ -37,6 +38,10 @@
 /// long-running steps.
 double workCoreSeconds(const job_spec &Spec);
 
+/// \returns the work that is not done, in core-milliseconds by the estimates.
+std::int64_t remainingWork(const job_spec &Spec,
+                           const occurrence_record &Occurrence);
+
 /// \param Job the job that Occurrence belongs to.
 /// \param Queue its queue, or null when it was removed.
 /// \param NowMs wall time.
