--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -115,9 +115,10 @@
            "answered", Now);
     return;
   }
-  // The receiver did not lead, so this copy has not run. An earlier copy that
-  // got no reply may have.
+  // This copy has not run unless the reply says so. An earlier copy that got
+  // no reply may have.
   Call.SentTo.clear();
+  Call.IsUnknown |= Reply->MayHaveRun;
   Schedulers[Peer].Status.IsLeading = false;
   if (++Call.Refusals == 1 && !Call.IsUnknown && !leader(Now))
     finish(Reply->Id, 503, RetryAfterElectionS, R"({"error":"unavailable"})",
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -25,9 +25,9 @@
   core::log_settings Log;
   /// How long it serves on after a stop request: the load balancer needs two
   /// failed checks, a second apart, to stop sending connections.
-  core::duration StopLinger = std::chrono::milliseconds(3000);
+  core::duration StopLinger = std::chrono::milliseconds(2500);
   /// Longest wait for open requests after that.
-  core::duration StopDrain = std::chrono::milliseconds(2000);
+  core::duration StopDrain = std::chrono::milliseconds(1500);
 };
 
 /// \param Text the settings file, JSON with comments.
--- a/gateway/messages.cpp
+++ b/gateway/messages.cpp
@@ -44,7 +44,7 @@
 }
 template <typename Archive, record_of<reply_message> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Id, R.IsHandled, R.Status, R.RetryAfterS);
+  A(R.Id, R.IsHandled, R.MayHaveRun, R.Status, R.RetryAfterS);
   A.bytes(R.Body);
 }
 
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -290,13 +290,18 @@
     Origins.erase(Found);
     Metrics.add("replies_total{kind=\"" + std::string(toString(Reply.Kind)) +
                 "\"}");
-    if (Reply.Kind != reply_kind::NotLeader) {
+    bool IsUnknown = Reply.Kind == reply_kind::Unknown;
+    // A gateway asks the next leader, which knows a job by its id.
+    bool IsForNext = Reply.Kind == reply_kind::NotLeader ||
+                     (IsUnknown && !Origin.Gateway.empty());
+    if (!IsForNext) {
       respond(Origin, Adapter.EncodeReply(Reply));
       return;
     }
     if (!Origin.Gateway.empty()) {
       gateway::reply_message Message;
       Message.Id = Origin.Id;
+      Message.MayHaveRun = IsUnknown;
       Hub.send(Origin.Gateway, gateway::encodeMessage(Message));
       return;
     }
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -136,6 +136,26 @@
   CHECK(World.Responses[0].Response.Status == 504);
 }
 
+TEST_CASE("a request whose outcome its leader does not know goes to the next "
+          "one") {
+  world World;
+  World.status("a", true, 3);
+  World.request(1);
+  reply_message Reply;
+  Reply.Id = World.Calls[0].Call.Id;
+  Reply.MayHaveRun = true;
+  World.Forwarder.receive("a", Reply, World.Now);
+  World.collect();
+  CHECK(World.Responses.empty());
+  World.status("b", true, 4);
+  World.pass(10ms);
+  REQUIRE(World.Calls.size() == 2);
+  CHECK(World.Calls[1].Peer == "b");
+  World.pass(3s);
+  REQUIRE(World.Responses.size() == 1);
+  CHECK(World.Responses[0].Response.Status == 504);
+}
+
 TEST_CASE("a request that the receiver did not take is refused as not run") {
   world World;
   World.status("a", true, 3);
@@ -168,7 +188,7 @@
   std::vector<message> Messages{
       status_message{true, 9, {"10.0.0.1"}},
       call_message{4, "POST", "h", "/p?q=1", std::string("\0\xff", 2)},
-      reply_message{4, true, 503, 1, "body"}};
+      reply_message{4, true, false, 503, 1, "body"}};
   for (const auto &Message : Messages) {
     auto Bytes = encodeMessage(Message);
     CHECK(decodeMessage(Bytes) == Message);
