--- a/http/client.cpp
+++ b/http/client.cpp
@@ -25,6 +25,9 @@
 // sent on a connection that is just being closed.
 constexpr long MaxIdleSeconds = 50;
 constexpr long MaxCachedConnections = 2048;
+// One call may wait for an event at the other side, and some short ones share
+// the rest; opening a connection for each of a burst costs more than waiting.
+constexpr long MaxHostConnections = 4;
 constexpr std::size_t MaxIdleHandles = 1024;
 constexpr int PollMs = 500;
 constexpr int RetryFlushMs = 1;
@@ -112,6 +115,7 @@
     Multi = curl_multi_init();
     curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
+    curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxHostConnections);
   }
 
   ~implementation() {
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -13,7 +13,7 @@
 
 // After an end, the next list waits a little, so that ends that are close
 // together share a list.
-constexpr core::duration EndGathering = milliseconds(15);
+constexpr core::duration EndGathering = milliseconds(40);
 // A task that was refused goes to another endpoint, or back after this time.
 constexpr core::duration RefusalPause = milliseconds(150);
 // Tasks without any progress for so long, and for three times their estimate,
