--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -1,13 +1,17 @@
 #include "core/event_log.h"
 
+#include "core/log_writer.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <memory>
 
 namespace lycheetrestle::core {
 
@@ -55,6 +59,39 @@
   Line += '"';
 }
 
+// Some seconds of lines under the heaviest load that was measured.
+constexpr std::size_t MaxQueuedBytes = 4u << 20;
+
+/// Hands formatted lines to a log_writer.
+class queue_appender : public log4cplus::Appender {
+public:
+  queue_appender()
+      : Writer(std::make_unique<log_writer>(
+            [](std::string_view Bytes) {
+              std::fwrite(Bytes.data(), 1, Bytes.size(), stdout);
+              std::fflush(stdout);
+            },
+            MaxQueuedBytes)) {}
+  ~queue_appender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+  void flush() { Writer->flush(); }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    Writer->write(formatEvent(Event));
+  }
+
+private:
+  std::unique_ptr<log_writer> Writer;
+};
+
+/// The appender of this process while it logs to standard output.
+queue_appender *&processAppender() {
+  static queue_appender *Appender = nullptr;
+  return Appender;
+}
+
 log4cplus::Logger &processLogger() {
   static log4cplus::Initializer Library;
   static log4cplus::Logger Logger =
@@ -67,11 +104,14 @@
 void initializeLog(std::string_view Path, log_level Minimum,
                    std::string_view ProcessName) {
   log4cplus::SharedAppenderPtr Appender;
-  if (Path.empty())
-    Appender = new log4cplus::ConsoleAppender(false, true);
-  else
+  processAppender() = nullptr;
+  if (Path.empty()) {
+    processAppender() = new queue_appender();
+    Appender = processAppender();
+  } else {
     Appender = new log4cplus::FileAppender(std::string(Path),
                                            std::ios_base::app, true);
+  }
   std::string Pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" +
                         std::string(ProcessName) + " %m%n";
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
@@ -81,6 +121,11 @@
   Logger.setLogLevel(toLibraryLevel(Minimum));
 }
 
+void flushLog() {
+  if (processAppender())
+    processAppender()->flush();
+}
+
 std::string formatEvent(std::string_view Event,
                         std::initializer_list<log_field> Fields) {
   std::string Line = "event=";
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -42,6 +42,10 @@
 void initializeLog(std::string_view Path, log_level Minimum,
                    std::string_view ProcessName);
 
+/// Waits until the lines written so far have left the process. Call it before
+/// ending without destructors.
+void flushLog();
+
 /// Writes one line: time, level, process, event and the fields. Values with
 /// spaces, quotes or control characters are quoted and escaped.
 /// \param Level the level of the event.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -254,7 +254,8 @@
         Commands.emplace_back(end_endpoint{Number});
       continue;
     }
-    if (Now < Contact.LeaseOver)
+    // An endpoint that answers tells by its list what became of its runs.
+    if (!Contact.IsSuspect || Now < Contact.LeaseOver)
       continue;
     for (auto &[Key, Run] : Contact.Runs) {
       if (Run.IsEnded)
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -228,6 +228,7 @@
     core::logEvent(core::log_level::Warning, "shutdown_forced", {});
     // Joining the threads could block on a write that does not return. What
     // was acknowledged is synced already.
+    core::flushLog();
     std::_Exit(1);
   }
 
