--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -67,11 +67,12 @@
   std::vector<order> Orders;
   for (auto &[Number, Contact] : Contacts) {
     if (Contact.IsFenced || Contact.IsReplaced || Over.count(Number) > 0 ||
-        Contact.ClockAt == core::time_point() ||
         State.endpoints().find(Number) == State.endpoints().end())
       continue;
-    releaseDraining(Contact, Now);
-    if (!Contact.IsSuspect) {
+    // Leases are times on the endpoint's clock.
+    bool KnowsClock = Contact.ClockAt != core::time_point();
+    if (KnowsClock && !Contact.IsSuspect) {
+      releaseDraining(Contact, Now);
       orderRuns(Contact, Orders, Now);
       orderPace(Contact, Orders, Now);
     }
@@ -146,9 +147,10 @@
   bool HasRuns = !Contact.Runs.empty();
   bool OwesAck = Contact.Cursor > Contact.CursorSent;
   bool IsHeard = Now - Contact.LastBeat < 2 * Settings.BeatInterval;
-  if (!HasRuns && !OwesAck && !(Contact.IsSuspect && IsHeard))
+  bool KnowsClock = Contact.ClockAt != core::time_point();
+  if (KnowsClock && !HasRuns && !OwesAck && !(Contact.IsSuspect && IsHeard))
     return;
-  if (!HasRuns && OwesAck && !Contact.IsSuspect &&
+  if (KnowsClock && !HasRuns && OwesAck && !Contact.IsSuspect &&
       Now - Contact.LastAnswer < AckDelay)
     return;
   hold_order Hold;
@@ -159,10 +161,10 @@
         return Item.second.Phase == run_phase::Doubtful ||
                Item.second.IsStopAcknowledged;
       });
-  if (HasRuns && !Contact.IsSuspect && !NeedsList)
+  if (KnowsClock && HasRuns && !Contact.IsSuspect && !NeedsList)
     Hold.WaitMs = Contact.MayInterfere ? WatchWaitMs : HoldWaitMs;
   // The lease of an endpoint that may be lost is not made longer.
-  if (HasRuns && !Contact.IsSuspect)
+  if (KnowsClock && HasRuns && !Contact.IsSuspect)
     Hold.LeaseUntilMs = leaseUntil(Contact, Now);
   auto Timeout = milliseconds(Hold.WaitMs) + HoldGrace;
   Contact.OpenHold = addOrder(Orders, &Contact, Hold, Timeout, Now).Id;
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -248,3 +248,28 @@
   CHECK(World.take<stop_order>().size() == 1);
   CHECK(World.take<upkeep_order>().empty());
 }
+
+TEST_CASE("work of an endpoint that died with the leader starts elsewhere") {
+  fake_site Site(2, 1, {});
+  Site.run(1600);
+  Site.apply(submission(makeJob("j", {makeStep(1, 1000, 5000)})));
+  Site.run(100);
+  REQUIRE(Site.Starts == 1);
+  for (std::uint32_t Index = 0; Index != 2; ++Index)
+    if (!Site.State.endpoints().at(Index + 1).Runs.empty())
+      Site.setReachable(Index, false);
+  // The next leader never hears the endpoint, so it does not know its clock.
+  Site.changeLeader();
+  Site.run(15'000);
+  CHECK(Site.MostAtOnce == 1);
+  CHECK(Site.State.findJob("j")->State == job_state::Complete);
+}
+
+TEST_CASE("a new leader asks for the clocks of endpoints at once") {
+  fake_site Site(2, 1, {});
+  Site.run(1600);
+  Site.changeLeader();
+  Site.apply(submission(makeJob("j", {makeStep(1)})));
+  Site.run(200);
+  CHECK(Site.Starts == 1);
+}
