Pass requests to join on to the leader; replace a voter that was lost just before

Found by the test with real processes: a wiped scheduler whose seeds did not include the leader never joined, because only its seeds heard it. A voter that dies shortly before its replacement is promoted now leaves too.

--- a/scheduling/member_keeper.cpp
+++ b/scheduling/member_keeper.cpp
@@ -35,6 +35,8 @@
 void member_keeper::reset(core::time_point Now) {
   Joining.clear();
   HeardAt.clear();
+  PromotedAt.clear();
+  Rejoining.clear();
   Since = Now;
 }
 
@@ -60,9 +62,11 @@
   });
   for (const auto &[Name, Id] : Joining) {
     for (const auto &Member : Members.Members)
-      if (Member.Id.Name == Name)
+      if (Member.Id.Name == Name) {
+        Rejoining = Name;
         return member_change{without(Members, Member.Id), "remove_lost",
                              Member.Id};
+      }
     auto Target = Members;
     Target.Members.push_back({Id, false});
     return member_change{Target, "add_learner", Id};
@@ -78,9 +82,19 @@
       continue;
     auto Target = Members;
     Target.Members[Index].Voter = true;
+    if (Member.Id.Name != Rejoining)
+      PromotedAt[Member.Id.Name] = Now;
     return member_change{Target, "promote", Member.Id};
   }
-  return std::nullopt;
+  std::erase_if(PromotedAt, [&](const auto &Item) {
+    return Now - Item.second > ReplacementTime;
+  });
+  const auto *Silent = findSilent(Members, Self, Now);
+  if (!Silent || PromotedAt.empty())
+    return std::nullopt;
+  PromotedAt.erase(PromotedAt.begin());
+  return member_change{without(Members, Silent->Id), "remove_silent",
+                       Silent->Id};
 }
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/member_keeper.h
+++ b/scheduling/member_keeper.h
@@ -30,6 +30,10 @@
   /// come back within this time more often than not.
   static constexpr core::duration SilenceLimit = std::chrono::seconds(4);
 
+  /// How long a promoted replica of a new name may still take the place of a
+  /// voter that falls silent: its loss may have come just before.
+  static constexpr core::duration ReplacementTime = std::chrono::seconds(20);
+
   void noteJoin(const replication::replica_id &Replica, core::time_point Now);
   void noteHeard(const std::string &Name, core::time_point Now);
   /// Forgets what was heard; called when leadership begins.
@@ -51,6 +55,8 @@
 
   std::map<std::string, replication::replica_id> Joining;
   std::map<std::string, core::time_point> HeardAt;
+  std::map<std::string, core::time_point> PromotedAt; ///< New names only.
+  std::string Rejoining; ///< Name whose earlier identity was removed.
   core::time_point Since{};
 };
 
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -130,6 +130,9 @@
   // schedule_node_members.cpp
   void sendFrame(const std::string &Peer, std::string Bytes,
                  const replication::replica_id &To);
+  void receiveJoin(const std::string &Peer,
+                   const replication::replica_id &Replica,
+                   std::string_view Bytes, core::time_point Now);
   void askToJoin(core::time_point Now);
   void changeMembers(core::time_point Now);
   void linkMembers();
--- a/scheduling/schedule_node_members.cpp
+++ b/scheduling/schedule_node_members.cpp
@@ -35,14 +35,16 @@
                             core::time_point Now) {
   auto Outcome = core::capture([&] { return control::decodeFrame(Bytes); });
   const auto *Frame = std::get_if<0>(&Outcome);
-  if (!Frame || Frame->Cluster != ClusterName || Frame->From.Name != Peer) {
+  bool IsJoin = Frame && Frame->Kind == control::frame_kind::Join;
+  // Only a request to join may be passed on by another replica.
+  if (!Frame || Frame->Cluster != ClusterName ||
+      (Frame->From.Name != Peer && !IsJoin)) {
     Metrics.add("messages_dropped_total");
     return;
   }
   Members.noteHeard(Peer, Now);
-  if (Frame->Kind == control::frame_kind::Join) {
-    if (LeaderTerm != 0)
-      Members.noteJoin(Frame->From, Now);
+  if (IsJoin) {
+    receiveJoin(Peer, Frame->From, Bytes, Now);
     return;
   }
   if (Frame->Kind != control::frame_kind::Replication || Frame->To != Self) {
@@ -53,6 +55,19 @@
   observeRole(Now);
 }
 
+void schedule_node::receiveJoin(const std::string &Peer,
+                                const replication::replica_id &Replica,
+                                std::string_view Bytes, core::time_point Now) {
+  if (LeaderTerm != 0) {
+    Members.noteJoin(Replica, Now);
+    return;
+  }
+  // The new replica may know none but this one.
+  auto Known = leaderAddress();
+  if (Replica.Name == Peer && !Known.empty() && Known != Self.Name)
+    Messages.push_back({Known, std::string(Bytes)});
+}
+
 void schedule_node::askToJoin(core::time_point Now) {
   if (Now < NextJoin || LeaderTerm != 0)
     return;
@@ -87,6 +102,11 @@
                     {"replica", Change->Replica.Name},
                     {"incarnation", Change->Replica.Incarnation},
                     {"index", *Index}});
+  else
+    core::logEvent(core::log_level::Debug, "membership_not_proposed",
+                   {{"change", Change->What},
+                    {"replica", Change->Replica.Name},
+                    {"reason", std::get<core::failure>(Outcome).Message}});
 }
 
 void schedule_node::addPeers(std::span<const std::string> Addresses) {
--- /dev/null
+++ b/standin/site_endpoint.py
@@ -0,0 +1,138 @@
+"""Stand-in of an endpoint on the users' platform: announces itself, runs tasks
+for their declared time under a lease and lists what runs and what ended.
+
+Usage: site_endpoint.py ADDRESS:PORT ID SERVICE CONTROL_ADDRESS:PORT...
+"""
+
+import http.client
+import http.server
+import json
+import sys
+import threading
+import time
+
+TASK_S = 0.2
+BEAT_S = 0.3
+
+
+class Endpoint:
+    def __init__(self, address, name, service, controls):
+        self.address, self.name, self.service = address, name, service
+        self.controls = controls
+        self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
+        self.lock = threading.Condition()
+        self.fence, self.lease_ms, self.last_end = 0, 0, 0
+        self.running, self.ended = {}, []
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.started) * 1000)
+
+    def end(self, task, how):
+        attempt, _ = self.running.pop(task)
+        self.last_end += 1
+        self.ended.append([self.last_end, task, attempt, how, ''])
+        self.lock.notify_all()
+
+    def advance(self):
+        while True:
+            time.sleep(0.02)
+            with self.lock:
+                for task, (_, until) in list(self.running.items()):
+                    if self.clock_ms() >= self.lease_ms:
+                        self.end(task, 'lapsed')
+                    elif time.monotonic() >= until:
+                        self.end(task, 'done')
+
+    def beat(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            body = json.dumps({
+                'service': self.service, 'addr': self.address, 'zone': 'z', 'version': 'v1',
+                'slots': 8, 'state': 'ready', 'coldLeftMs': 0, 'labels': ['a', 'r1'],
+                'capacity': {'cpu': 8000, 'memMb': 8000, 'gpu': 0}, 'born': self.born,
+                'clockMs': self.clock_ms(), 'seq': sequence})
+            for control in self.controls:
+                if self.announce(control, body):
+                    break
+            time.sleep(BEAT_S)
+
+    def announce(self, control, body, redirects=2):
+        try:
+            connection = http.client.HTTPConnection(control, timeout=1)
+            connection.request('POST', '/-/instances/%s/heartbeat' % self.name, body)
+            reply = connection.getresponse()
+            reply.read()
+            if reply.status == 307 and redirects > 0:
+                target = reply.getheader('Location').split('/')[2]
+                return self.announce(target, body, redirects - 1)
+            return reply.status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def answer(self, path, order):
+        with self.lock:
+            if order.get('fence', 0) < self.fence:
+                return 409, {'reason': 'fence'}
+            self.fence = order.get('fence', 0)
+            if path == '/-/run-start':
+                return self.start(order)
+            if path == '/-/run-stop':
+                if order['task'] in self.running:
+                    self.end(order['task'], 'stopped')
+                return 200, {}
+            if path != '/-/hold':
+                return 404, {}
+            self.lease_ms = max(self.lease_ms, order.get('deadlineMs', 0))
+            cursor = order.get('ackCursor', 0)
+            self.ended = [end for end in self.ended if end[0] > cursor]
+            if not self.ended:
+                self.lock.wait(order.get('waitMs', 0) / 1000)
+            return 200, {'running': [[task, attempt, '', 50]
+                                     for task, (attempt, _) in self.running.items()],
+                         'finished': self.ended}
+
+    def start(self, order):
+        if order['deadlineMs'] <= self.clock_ms():
+            return 409, {'reason': 'late'}
+        self.lease_ms = max(self.lease_ms, order['deadlineMs'])
+        print('start %s %d' % (order['task'], order['attempt']), flush=True)
+        self.running[order['task']] = (order['attempt'], time.monotonic() + TASK_S)
+        return 200, {}
+
+
+def handler(endpoint):
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = 'HTTP/1.1'
+
+        def do_POST(self):
+            order = json.loads(self.rfile.read(int(self.headers['Content-Length'])))
+            if self.headers['Lycheetrestle-Expect-Instance'] != endpoint.name:
+                status, body = 421, {}
+            else:
+                status, body = endpoint.answer(self.path, order)
+            body.update({'clockMs': endpoint.clock_ms(), 'born': endpoint.born})
+            data = json.dumps(body).encode()
+            self.send_response(status)
+            self.send_header('Content-Length', str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, *_):
+            pass
+
+    return Handler
+
+
+def main():
+    address, name, service, *controls = sys.argv[1:]
+    endpoint = Endpoint(address, name, service, controls)
+    host, port = address.split(':')
+    for duty in (endpoint.advance, endpoint.beat):
+        threading.Thread(target=duty, daemon=True).start()
+    http.server.ThreadingHTTPServer((host, int(port)), handler(endpoint)).serve_forever()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/process/site_run.py
@@ -0,0 +1,129 @@
+"""Schedulers, gateways and endpoint stand-ins as real processes, each on a
+loopback address of its own."""
+
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from processes import Failed, wait_until  # noqa: E402
+
+CONTROL_PORT, LINK_PORT, FRONT_PORT, READY_PORT, ENDPOINT_PORT = 7801, 7802, 7804, 7805, 7807
+HOST, PREFIX, SERVICE = 'q.example', '/jobs/', 'svc'
+
+
+class Site:
+    """Addresses are 127.NET.0.INDEX, so tests that run at the same time take
+    different nets and the same ports."""
+
+    def __init__(self, programs, folder, net, group):
+        self.programs, self.net, self.group = pathlib.Path(programs), net, group
+        self.folder = pathlib.Path(folder)
+        self.jobs = 0
+
+    def ip(self, index):
+        return '127.%d.0.%d' % (self.net, index)
+
+    def control(self, index):
+        return '%s:%d' % (self.ip(index), CONTROL_PORT)
+
+    def start_daemon(self, name, settings):
+        path = self.folder / (name + '.jsonc')
+        path.write_text(json.dumps(settings))
+        return self.group.start(name, [self.programs / 'lycheetrestled',
+                                       '--settings=%s' % path])
+
+    def start_scheduler(self, index, seeds, founding):
+        data = self.folder / ('data-%d' % index)
+        data.mkdir(exist_ok=True)
+        return self.start_daemon('scheduler-%d' % index, {
+            'role': 'scheduler', 'name': 's%d' % index, 'address': self.ip(index),
+            'listen': self.control(index), 'link_port': LINK_PORT,
+            'seeds': [self.control(seed) for seed in seeds], 'founding': founding,
+            'data_folder': str(data), 'timing': {'beat_ms': 500},
+            'log': {'level': 'debug'}})
+
+    def start_gateway(self, index, seeds):
+        ip = self.ip(index)
+        return self.start_daemon('gateway-%d' % index, {
+            'role': 'gateway', 'name': 'g%d' % index, 'address': ip,
+            'listen': '%s:%d' % (ip, FRONT_PORT), 'readiness': '%s:%d' % (ip, READY_PORT),
+            'link_port': LINK_PORT + 1, 'scheduler_link_port': LINK_PORT,
+            'seeds': [self.control(seed) for seed in seeds]})
+
+    def start_endpoint(self, index, controls):
+        return self.group.start('endpoint-%d' % index, [
+            sys.executable, '-B', ROOT / 'standin' / 'site_endpoint.py',
+            '%s:%d' % (self.ip(index), ENDPOINT_PORT), 'i-%d' % index, SERVICE]
+            + [self.control(control) for control in controls])
+
+    def kill(self, name):
+        process = self.group.processes.pop(name)
+        process.signal(signal.SIGKILL)
+        process.wait(10)
+
+    def wipe(self, index):
+        shutil.rmtree(self.folder / ('data-%d' % index))
+
+    def call(self, address, method, path, body=None, host=None, redirects=2):
+        """Returns (status, document), or (0, None) without an answer."""
+        connection = http.client.HTTPConnection(address, timeout=3)
+        try:
+            data = json.dumps(body) if body is not None else None
+            connection.request(method, path, data, {'Host': host} if host else {})
+            reply = connection.getresponse()
+            text = reply.read()
+            if reply.status == 307 and redirects > 0:
+                target = reply.getheader('Location').split('/')[2]
+                return self.call(target, method, path, body, host, redirects - 1)
+            return reply.status, json.loads(text) if text else None
+        except (OSError, ValueError, http.client.HTTPException):
+            return 0, None
+        finally:
+            connection.close()
+
+    def configure(self, version, indices):
+        body = {'version': version, 'routes': [{
+            'name': 'r', 'host': HOST, 'pathPrefix': PREFIX, 'timeoutMs': 3000,
+            'targetLatencyMs': 600, 'priority': 0, 'service': SERVICE, 'maxAttempts': 2,
+            'slackFactor': 2}], 'services': [{'name': SERVICE, 'enforceLimits': True}]}
+        wait_until(lambda: any(self.call(self.control(index), 'POST', '/-/config/replace',
+                                         body)[0] == 200 for index in indices),
+                   'acknowledging configuration %d' % version)
+
+    def read_version(self, index):
+        status, document = self.call(self.control(index), 'GET', '/-/config/read')
+        return document['version'] if status == 200 else None
+
+    def front(self, gateway, method, path, body=None):
+        return self.call('%s:%d' % (self.ip(gateway), FRONT_PORT), method, path, body, HOST)
+
+    def run_job(self, gateway, tasks=3):
+        """Submits a job until it is accepted and waits until it is complete."""
+        self.jobs += 1
+        path = '%s%016x' % (PREFIX, self.jobs)
+        body = {'spec': 'x', 'phases': [{'count': tasks, 'cpu': 100, 'estimateMs': 200}]}
+        wait_until(lambda: self.front(gateway, 'POST', path, body)[0] == 200,
+                   'accepting job %d' % self.jobs)
+        wait_until(lambda: self.front(gateway, 'GET', path)[1] == {'state': 'complete'},
+                   'completing job %d' % self.jobs)
+        return path
+
+    def starts(self):
+        """Returns every start that an endpoint executed, as (task, attempt)."""
+        result = []
+        for name, process in self.group.processes.items():
+            if name.startswith('endpoint'):
+                result += [tuple(line.split()[1:]) for line in
+                           process.log.read_text().splitlines() if line.startswith('start')]
+        return result
+
+    def check_single_starts(self):
+        starts = self.starts()
+        tasks = [task for task, _ in starts]
+        if len(tasks) != len(set(tasks)):
+            raise Failed('tasks were started twice: %s' % starts)
--- /dev/null
+++ b/tests/process/test_scheduler_membership.py
@@ -0,0 +1,81 @@
+"""Schedulers find each other from seeds only: started in any order, with a
+fourth one that is no seed; after a wiped disk under the same address; and with
+a replacement at another address. Work goes on after each loss, nothing runs
+twice and the configuration never goes back.
+
+Usage: test_scheduler_membership.py FOLDER_OF_PROGRAMS FOLDER
+"""
+
+import pathlib
+import shutil
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from processes import Failed, ProcessGroup, wait_until  # noqa: E402
+from site_run import Site  # noqa: E402
+
+NET = 81
+SEEDS = [1, 2, 3]
+GATEWAY = 9
+# Silence after which a voter gives way to a new replica, with some margin.
+REPLACEMENT_S = 6
+
+
+def run(site):
+    # The seeds start last, and in reverse order.
+    site.start_gateway(GATEWAY, SEEDS)
+    site.start_endpoint(10, [4, 1, 2, 3, 5])
+    site.start_scheduler(4, SEEDS, True)
+    for index in (3, 2, 1):
+        time.sleep(0.3)
+        site.start_scheduler(index, SEEDS, True)
+    site.configure(1, [4])
+    site.run_job(GATEWAY)
+
+    # A bad seed list: one is dead, the others are enough.
+    site.kill('scheduler-1')
+    site.wipe(1)
+    site.run_job(GATEWAY)
+    site.start_scheduler(1, [4, 2, 7], False)
+    site.configure(5, [1, 2])
+    # Without scheduler 2 the wiped one is needed for a majority of four.
+    time.sleep(REPLACEMENT_S)
+    site.kill('scheduler-2')
+    site.run_job(GATEWAY)
+
+    # A replacement at another address takes the place of scheduler 2.
+    site.start_scheduler(5, [1, 3], False)
+    time.sleep(REPLACEMENT_S)
+    site.kill('scheduler-3')
+    site.run_job(GATEWAY)
+    site.configure(3, [1, 4, 5])
+    for index in (1, 4, 5):
+        wait_until(lambda: site.read_version(index) == 5,
+                   'reading version 5 at scheduler %d' % index)
+    site.check_single_starts()
+
+    codes = site.group.end(['gateway-%d' % GATEWAY] + ['scheduler-%d' % index
+                                                       for index in (1, 4, 5)])
+    if any(codes[name] != 0 for name in codes if name.startswith('gateway')):
+        raise Failed('exit codes %s' % codes)
+
+
+def main():
+    programs, folder = sys.argv[1:]
+    shutil.rmtree(folder, ignore_errors=True)
+    with ProcessGroup(folder, 200) as group:
+        site = Site(programs, folder, NET, group)
+        try:
+            run(site)
+        except Failed as failure:
+            print('FAILED: %s' % failure, file=sys.stderr)
+            for process in group.processes.values():
+                print(process.tail(12), file=sys.stderr)
+            return 1
+    print('membership from seeds: wiped and replaced schedulers joined, %d jobs' % site.jobs)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -418,6 +418,27 @@
   CHECK(Change->Replica.Name == "c");
 }
 
+TEST_CASE("a voter that was lost just before its replacement joined leaves "
+          "once it is silent") {
+  member_keeper Keeper;
+  Keeper.reset(at(0s));
+  auto Members = voters({"a", "b", "c"});
+  Members.Members.push_back({{"d", 9}, false});
+  for (const char *Name : {"b", "d"})
+    Keeper.noteHeard(Name, at(5s));
+  Keeper.noteHeard("c", at(4s));
+  auto Change = Keeper.next(Members, {"a", 1}, at(5s), always);
+  REQUIRE(Change);
+  CHECK(Change->What == "promote");
+  for (const char *Name : {"b", "d"})
+    Keeper.noteHeard(Name, at(9s));
+  Change = Keeper.next(Change->Target, {"a", 1}, at(9s), always);
+  REQUIRE(Change);
+  CHECK(Change->What == "remove_silent");
+  CHECK(Change->Replica.Name == "c");
+  CHECK(!Keeper.next(Change->Target, {"a", 1}, at(60s), always));
+}
+
 TEST_CASE("without a new replica a silent voter stays") {
   member_keeper Keeper;
   Keeper.reset(at(0s));
