--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -119,6 +119,7 @@
   // no reply may have.
   Call.SentTo.clear();
   Call.IsUnknown |= Reply->MayHaveRun;
+  Call.LostAt = Now;
   Schedulers[Peer].Status.IsLeading = false;
   if (++Call.Refusals == 1 && !Call.IsUnknown && !leader(Now))
     finish(Reply->Id, 503, RetryAfterElectionS, R"({"error":"unavailable"})",
@@ -139,6 +140,7 @@
     if (Call.SentTo == Peer) {
       Call.SentTo.clear();
       Call.IsUnknown = true;
+      Call.LostAt = Now;
     }
 }
 
@@ -157,12 +159,19 @@
     }
     // A leader that went silent may have taken it; the next one is asked the
     // same, and knows the job by its id.
-    if (!Call.SentTo.empty() && Current && Call.SentTo != *Current) {
+    if (!Call.SentTo.empty() && Call.SentTo != Current.value_or("")) {
       Call.IsUnknown = true;
       Call.SentTo.clear();
+      Call.LostAt = Now;
     }
-    if (!Call.SentTo.empty() || !Current)
+    if (!Call.SentTo.empty())
       continue;
+    if (!Current) {
+      // The caller may reach the next leader sooner through another gateway.
+      if (Call.IsUnknown && Now - Call.LostAt > Settings.FailoverWait)
+        Late.push_back(Id);
+      continue;
+    }
     if (Call.Refusals > MaxRefusals && !Call.IsUnknown) {
       Late.push_back(Id);
       continue;
@@ -175,7 +184,7 @@
     bool IsNotRun = Call.SentTo.empty() && !Call.IsUnknown;
     finish(Id, IsNotRun ? 503 : 504, IsNotRun ? RetryAfterElectionS : 0,
            IsNotRun ? R"({"error":"unavailable"})" : R"({"error":"unknown"})",
-           "deadline", Now);
+           "no outcome in time", Now);
   }
 }
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -19,6 +19,9 @@
   /// A leader that sent no status for so long takes no calls. Three statuses
   /// are sent in this time.
   core::duration LeaderSilence = std::chrono::milliseconds(1000);
+  /// How long a request that a lost leader may have taken waits for the next
+  /// one. An election takes 0.6 to 1.2 s.
+  core::duration FailoverWait = std::chrono::milliseconds(1300);
   /// Time that is left for the response to reach the caller.
   core::duration ResponseMargin = std::chrono::milliseconds(60);
   core::duration DefaultDeadline = std::chrono::milliseconds(3000);
@@ -70,6 +73,7 @@
     std::string SentTo; ///< Empty while it waits for a leader.
     /// A copy went to a scheduler that was lost before it replied.
     bool IsUnknown = false;
+    core::time_point LostAt{}; ///< When it last had a scheduler.
     std::uint32_t Refusals = 0;
   };
 
--- a/gateway/messages.h
+++ b/gateway/messages.h
@@ -31,7 +31,7 @@
 
 struct reply_message {
   std::uint64_t Id = 0;
-  bool IsHandled = false; ///< Otherwise another scheduler must be asked.
+  bool IsHandled = false;  ///< Otherwise another scheduler must be asked.
   bool MayHaveRun = false; ///< Not handled, but it may take effect.
   std::uint16_t Status = 0;
   std::uint32_t RetryAfterS = 0; ///< 0: no such header.
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -4,6 +4,7 @@
 #include "core/invariant.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -61,6 +62,19 @@
   return Text;
 }
 
+std::string_view toText(run_end How) {
+  static constexpr std::array<std::string_view, 8> Names{
+      "done",   "failed", "stopped", "lapsed",
+      "broken", "alone",  "refused", "lost"};
+  return Names[static_cast<std::size_t>(How)];
+}
+
+std::string_view toText(job_state JobState) {
+  static constexpr std::array<std::string_view, 5> Names{
+      "queued", "running", "complete", "failed", "cancelled"};
+  return Names[static_cast<std::size_t>(JobState)];
+}
+
 std::string_view toText(apply_outcome Outcome) {
   switch (Outcome) {
   case apply_outcome::Accepted:
@@ -397,8 +411,8 @@
                     {"step", End->Task.Step},
                     {"index", End->Task.Index},
                     {"attempt", End->Attempt},
-                    {"how", static_cast<int>(End->How)},
-                    {"job_state", Job ? static_cast<int>(Job->State) : -1},
+                    {"how", toText(End->How)},
+                    {"job_state", Job ? toText(Job->State) : "forgotten"},
                     {"result", Result}});
   } else if (const auto *Set = std::get_if<set_configuration>(&Command)) {
     core::logEvent(Level, "configuration_applied",
@@ -407,12 +421,14 @@
                     {"index", Index},
                     {"result", Result}});
   } else if (const auto *Note = std::get_if<note_endpoint>(&Command)) {
+    const auto *Noted = State.findEndpoint(Note->Facts.Id, Note->Facts.BornMs);
     core::logEvent(Level, "endpoint_noted",
                    {{"endpoint", Note->Facts.Id},
                     {"born_ms", Note->Facts.BornMs},
                     {"address", Note->Facts.Address},
                     {"pool", Note->Facts.Pool},
                     {"draining", Note->Facts.IsDraining},
+                    {"number", Noted ? Noted->Number : 0},
                     {"result", Result}});
   } else if (const auto *Gone = std::get_if<end_endpoint>(&Command)) {
     core::logEvent(Level, "endpoint_ended",
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -163,8 +163,8 @@
   default:
     break;
   }
-  if (const auto *Submit = std::get_if<submit_job>(&Command))
-    Metrics.add("jobs_accepted_total"), static_cast<void>(Submit);
+  if (std::holds_alternative<submit_job>(Command))
+    Metrics.add("jobs_accepted_total");
   answer(Call, reply_kind::Accepted);
 }
 
@@ -207,8 +207,8 @@
     Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
                      ? reply_kind::Unavailable
                      : reply_kind::NoSuchQueue;
-  } else if (const auto *State_ = std::get_if<job_state_call>(&Call.Body)) {
-    const auto *Job = State.findJob(State_->Job);
+  } else if (const auto *Asked = std::get_if<job_state_call>(&Call.Body)) {
+    const auto *Job = State.findJob(Asked->Job);
     Reply.Kind = Job ? reply_kind::State : reply_kind::NoSuchJob;
     if (Job)
       Reply.State = Job->State;
