--- a/scheduling/host_board.h
+++ b/scheduling/host_board.h
@@ -20,6 +20,8 @@
   bool HasBegun = false; ///< The platform confirmed it.
   bool IsNoted = false;  ///< That it has begun is on the way into the log.
   core::time_point BegunAt{};
+  /// When the platform first said that there is no such host in the wave.
+  std::optional<core::time_point> RefusedAt;
   core::time_point NextOrder{};
 };
 
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -17,6 +17,8 @@
 constexpr core::duration IdleListInterval = std::chrono::seconds(10);
 constexpr core::duration PlatformTimeout = milliseconds(1500);
 constexpr core::duration HostOrderPause = milliseconds(300);
+// A host that the platform does not know for so long is gone.
+constexpr core::duration RefusalTime = std::chrono::seconds(3);
 // Moves are decided about as often as one host's work changes.
 constexpr core::duration MoveInterval = milliseconds(100);
 constexpr std::size_t MaxOpenMoves = 16;
@@ -118,20 +120,22 @@
     auto Task = Hosts.Tasks.find(Name);
     upkeep_host Host;
     Host.Name = Name;
-    Host.IsKnown = Row != nullptr;
     Host.IsInUpkeep =
         Task != Hosts.Tasks.end() || (Row && Row->State == host_state::Upkeep);
     if (contains(Wave.Begun, Name) && !Host.IsInUpkeep)
       continue;
-    Host.IsUp = Row && Row->State == host_state::Up;
+    // A list may lack a host for a while; only the platform's answer to an
+    // order says that there is none.
+    Host.IsUp = !Row || Row->State == host_state::Up;
     if (Row)
       Host.Pool = Row->Pool;
     const auto *Pool = Row ? State.findPool(Row->Pool) : nullptr;
     auto Balance = Hosts.SpareCores.find(Host.Pool);
     Host.IsSpare =
-        Pool && (Pool->IsStandby ||
-                 (Balance != Hosts.SpareCores.end() &&
-                  Balance->second >= Row->Capacity.MilliCores / 1000.0));
+        !Row ||
+        (Pool && (Pool->IsStandby ||
+                  (Balance != Hosts.SpareCores.end() &&
+                   Balance->second >= Row->Capacity.MilliCores / 1000.0)));
     auto Cordon = Hosts.Cordoned.find(Name);
     Host.IsCordoned = Cordon != Hosts.Cordoned.end();
     if (Host.IsCordoned)
@@ -176,8 +180,6 @@
         planUpkeep(Wave, View, WallMs - Wave.StartedMs, Settings.UpkeepMs);
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
-    for (const auto &Name : Plan.Dropped)
-      Commands.emplace_back(note_upkeep{Number, Name});
     for (const auto &Name : Plan.Order) {
       // An earlier choice of this round may have used up a budget.
       const auto *Contact = contactOfHost(Name);
@@ -477,11 +479,15 @@
     return;
   case host_verdict::NoSuchHost:
   case host_verdict::OtherWave:
-    // Nothing is left to do for the host.
-    Task.HasBegun = Upkeep != nullptr;
-    Task.BegunAt = Now;
-    if (Move)
+    if (Move) {
       Hosts.Tasks.erase(Found);
+      return;
+    }
+    // Nothing is left to do for a host that stays away.
+    Task.RefusedAt = Task.RefusedAt.value_or(Now);
+    Task.NextOrder = Now + 2 * HostOrderPause;
+    Task.HasBegun = Now - *Task.RefusedAt > RefusalTime;
+    Task.BegunAt = Now;
     return;
   case host_verdict::Throttled:
     Hosts.NextCall = Now + HostOrderPause;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -359,12 +359,13 @@
   core::checkInvariant(Batch.has_value(), "committed entries can be read");
   for (std::size_t Index = 0; Index != Batch->Commands.size(); ++Index) {
     const auto &Command = Batch->Commands[Index];
+    auto Endpoint = endpointOf(Command);
     auto Outcome = State.apply(Command, Batch->TimeMs);
     if (Leader)
       Leader->applied(Command, Outcome, Now);
     if (!Own)
       continue;
-    logApplied(Command, Outcome, Entry.Index);
+    logApplied(Command, Outcome, Entry.Index, Endpoint);
     answerApplied(Own->Calls[Index], Command, Outcome);
   }
   if (!Own)
@@ -376,8 +377,15 @@
       std::chrono::duration<double, std::milli>(Now - Own->Since).count());
 }
 
+std::uint32_t schedule_node::endpointOf(const command &Command) const {
+  const auto *End = std::get_if<end_run>(&Command);
+  const auto *Task = End ? State.findTask(End->Task) : nullptr;
+  return Task ? Task->Endpoint : 0;
+}
+
 void schedule_node::logApplied(const command &Command, apply_outcome Outcome,
-                               std::uint64_t Index) const {
+                               std::uint64_t Index,
+                               std::uint32_t Endpoint) const {
   auto Result = toText(Outcome);
   auto Level = core::log_level::Info;
   if (const auto *Submit = std::get_if<submit_job>(&Command)) {
@@ -411,6 +419,7 @@
                     {"step", End->Task.Step},
                     {"index", End->Task.Index},
                     {"attempt", End->Attempt},
+                    {"endpoint", Endpoint},
                     {"how", toText(End->How)},
                     {"job_state", Job ? toText(Job->State) : "forgotten"},
                     {"result", Result}});
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -99,8 +99,10 @@
   void process(replication::raft_output Output, node_actions &Actions,
                core::time_point Now);
   void applyEntry(const replication::log_entry &Entry, core::time_point Now);
+  /// \returns the endpoint of the run that the command ends, or 0.
+  std::uint32_t endpointOf(const command &Command) const;
   void logApplied(const command &Command, apply_outcome Outcome,
-                  std::uint64_t Index) const;
+                  std::uint64_t Index, std::uint32_t Endpoint) const;
   void compactWhenDue();
   void expireWaiting(core::time_point Now);
 
--- a/scheduling/upkeep_planner.cpp
+++ b/scheduling/upkeep_planner.cpp
@@ -42,8 +42,6 @@
   for (const auto &Host : Hosts) {
     if (Host.IsInUpkeep)
       ++Down;
-    else if (!Host.IsKnown)
-      Plan.Dropped.push_back(Host.Name);
     else if (Host.IsUp)
       Waiting.push_back(Host);
   }
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -15,8 +15,7 @@
 struct upkeep_host {
   std::string Name;
   std::string Pool;
-  bool IsKnown = false;        ///< The platform lists it.
-  bool IsUp = false;           ///< And it is neither moving nor down.
+  bool IsUp = false;           ///< It is neither moving nor down.
   bool IsInUpkeep = false;     ///< Ordered, and not seen up since.
   bool IsSpare = false;        ///< Its pool has more than it needs without it.
   bool IsCordoned = false;     ///< It takes no new work already.
@@ -27,9 +26,8 @@
 };
 
 struct upkeep_plan {
-  std::vector<std::string> Cordon;  ///< Give no new work to these.
-  std::vector<std::string> Order;   ///< Order the upkeep of these now.
-  std::vector<std::string> Dropped; ///< No longer exist; they need no upkeep.
+  std::vector<std::string> Cordon; ///< Give no new work to these.
+  std::vector<std::string> Order;  ///< Order the upkeep of these now.
 };
 
 /// Chooses the hosts of one wave whose upkeep begins.
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -273,3 +273,30 @@
   Site.run(200);
   CHECK(Site.Starts == 1);
 }
+
+TEST_CASE("a host that a list lacks gets its upkeep all the same") {
+  host_world World;
+  World.list({});
+  World.apply(start_wave{1, {"h1"}, 20'000, 1});
+  World.commit();
+  auto Orders = World.take<upkeep_order>();
+  REQUIRE(Orders.size() == 1);
+  CHECK(!World.State.waves().at(1).isComplete());
+  World.Leader->finished({Orders[0].Id, host_verdict::Accepted}, World.Now);
+  World.commit();
+  CHECK(World.State.waves().at(1).isComplete());
+}
+
+TEST_CASE("only a host that the platform keeps denying needs no upkeep") {
+  host_world World;
+  World.list({});
+  World.apply(start_wave{1, {"h1"}, 20'000, 1});
+  World.commit();
+  for (int Round = 0; Round != 6; ++Round) {
+    for (auto &Order : World.take<upkeep_order>())
+      World.Leader->finished({Order.Id, host_verdict::NoSuchHost}, World.Now);
+    World.commit();
+    CHECK(World.State.waves().at(1).isComplete() == (Round == 5));
+    World.pass(700ms);
+  }
+}
