--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -123,14 +123,6 @@
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
-  void planHostMoves(core::time_point Now, std::int64_t WallMs);
-  void logPools(std::span<const pool_view> Pools,
-                std::span<const mover_host> View, core::time_point Now);
-  /// \returns cores to add to a pool's need when a task found no place there.
-  double extraCores(const std::string &Pool, std::span<const mover_host> View,
-                    core::time_point Now) const;
-  std::map<std::string, double> neededCores(core::time_point Now,
-                                            std::int64_t WallMs) const;
   void evacuate(core::time_point Now);
   bool hasPlaceElsewhere(const task_key &Task, std::uint32_t Endpoint,
                          std::span<const placement_target> Targets) const;
@@ -146,6 +138,16 @@
   std::uint32_t awayFrom(const task_key &Task, bool CountsNeighbours) const;
   const contact *contactOfHost(const std::string &Host) const;
 
+  // leader_moves.cpp
+  void planHostMoves(core::time_point Now, std::int64_t WallMs);
+  void logPools(std::span<const pool_view> Pools,
+                std::span<const mover_host> View, core::time_point Now);
+  /// \returns cores to add to a pool's need when a task found no place there.
+  double extraCores(const std::string &Pool, std::span<const mover_host> View,
+                    core::time_point Now) const;
+  std::map<std::string, double> neededCores(core::time_point Now,
+                                            std::int64_t WallMs) const;
+
   struct sent_order {
     order Order;
     core::time_point SentAt{};
