Number queues by views into the configuration

Ruled out: room kept per endpoint (the run went to a pool of another queue, not beyond a limit).

Test: 'a job keeps its own queue', seen to fail on the earlier code.

--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -136,12 +136,12 @@
 }
 
 void schedule_state::numberQueues() {
-  std::map<std::pair<std::string_view, std::string_view>, std::uint32_t>
-      Numbers;
+  using name = std::pair<std::string_view, std::string_view>;
+  std::map<name, std::uint32_t> Numbers;
   for (std::uint32_t Number = 0; Number != Configuration.Queues.size();
        ++Number) {
     const auto &Queue = Configuration.Queues[Number];
-    Numbers.emplace(std::pair(Queue.HostName, Queue.PathPrefix), Number);
+    Numbers.emplace(name(Queue.HostName, Queue.PathPrefix), Number);
   }
   for (const auto &[SubmittedMs, Id] : Live) {
     auto &Job = Jobs.find(Id)->second;
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -310,3 +310,37 @@
   CHECK(*Decoded == Batch);
   CHECK(!decodeBatch(Bytes.substr(0, Bytes.size() - 1)));
 }
+
+TEST_CASE("a job keeps its own queue when a configuration reorders the queues "
+          "and after a restore") {
+  // Queues are numbered by position; a wrong number gives a job the pool and
+  // the attempts of another queue.
+  auto State = makeState(2);
+  State.apply(submission(makeJob("j", {makeStep(1)})), 10);
+  auto Changed = makeConfiguration(2, 5);
+  for (int Index = 0; Index != 3; ++Index) {
+    auto Other = Changed.Queues.back();
+    Other.PathPrefix =
+        "/a-longer-prefix-of-another-queue/" + std::to_string(Index) + "/";
+    Other.Pool = "b";
+    Other.MaxAttempts = 1;
+    Changed.Queues.insert(Changed.Queues.begin(), Other);
+  }
+  State.apply(set_configuration{Changed}, 20);
+  auto Check = [](const schedule_state &Checked) {
+    const auto &Job = *Checked.findJob("j");
+    REQUIRE(Checked.queueOf(Job));
+    CHECK(Checked.queueOf(Job)->PathPrefix == Prefix);
+    CHECK(Checked.queueOf(Job)->MaxAttempts == 5);
+    CHECK(Job.Pool == "a");
+  };
+  Check(State);
+  auto Restored =
+      core::capture([&] { return schedule_state::restore(State.snapshot()); });
+  REQUIRE(Restored.index() == 0);
+  Check(std::get<0>(Restored));
+  Changed.Version = 3;
+  Changed.Queues.pop_back();
+  State.apply(set_configuration{Changed}, 30);
+  CHECK(!State.queueOf(*State.findJob("j")));
+}
