--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -129,8 +129,12 @@
   for (auto &[Key, Run] : Contact.Runs) {
     if (Run.Phase == run_phase::Stopping)
       continue;
+    // An order that got no answer is not sent again; the stop makes sure that a
+    // late copy starts nothing.
+    bool IsStartDue = Run.Phase == run_phase::Unsent ||
+                      (Run.Phase == run_phase::Sent && !Run.IsOrderOpen);
     const auto &Step = State.findJob(Key.Job)->Spec.Steps[Key.Step];
-    if (!Step.IsLongRunning && !IsNearEnd)
+    if (!Step.IsLongRunning && !IsNearEnd && !IsStartDue)
       continue;
     Run.Phase = run_phase::Stopping;
     Run.NextOrder = Now;
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -320,3 +320,24 @@
   CHECK(MostOpen <= 256);
   CHECK(Site.Starts == 800);
 }
+
+TEST_CASE(
+    "a start without an answer is not sent again to a draining endpoint") {
+  fake_site Site(2, 1, {});
+  Site.run(1600);
+  Site.setFaults({1000, 0, 0, 0});
+  Site.apply(submission(makeJob("j", {makeStep(1)})));
+  Site.run(300);
+  auto Number = Site.State.findTask({"j", 0, 0, 0})->Endpoint;
+  REQUIRE(Number != 0);
+  auto Facts = Site.State.endpoints().at(Number).Facts;
+  Facts.IsDraining = true;
+  Site.apply(note_endpoint{Facts});
+  auto Before = Site.Seen.size();
+  Site.setFaults({});
+  Site.run(10'000);
+  CHECK(Site.State.findJob("j")->State == job_state::Complete);
+  for (auto Index = Before; Index != Site.Seen.size(); ++Index)
+    CHECK(!(Site.Seen[Index].Address == Facts.Address &&
+            std::holds_alternative<start_order>(Site.Seen[Index].Body)));
+}
--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,76 @@
+"""A TCP proxy on loopback that holds up, resets, silences or cuts one way the
+connections that pass through it."""
+
+import socket
+import struct
+import threading
+import time
+
+CONNECT_LIMIT_S = 2
+
+
+class FaultProxy:
+    """`delay_s` holds each piece of data up. `silent` and `one_way` stop all
+    data, or that of the target, without closing anything; connections that were
+    open then stay silent, new ones work again after heal()."""
+
+    def __init__(self, listen, target):
+        self.target = target
+        self.lock = threading.Lock()
+        self.delay_s, self.silent, self.one_way = 0, False, False
+        self.connections = []
+        self.listener = socket.create_server(listen, backlog=128)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def heal(self):
+        self.delay_s, self.silent, self.one_way = 0, False, False
+
+    def reset_connections(self):
+        with self.lock:
+            ended, self.connections = self.connections, []
+        for pair in ended:
+            for end in pair:
+                try:
+                    # With a linger time of zero, closing sends a reset.
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+                    end.shutdown(socket.SHUT_RDWR)
+                    end.close()
+                except OSError:
+                    pass
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            threading.Thread(target=self.connect, args=(client,), daemon=True).start()
+
+    def connect(self, client):
+        try:
+            server = socket.create_connection(self.target, CONNECT_LIMIT_S)
+            server.settimeout(None)
+        except OSError:
+            client.close()
+            return
+        with self.lock:
+            self.connections.append((client, server))
+        threading.Thread(target=self.pump, args=(client, server, False), daemon=True).start()
+        self.pump(server, client, True)
+
+    def pump(self, source, sink, is_answer):
+        lost = False
+        try:
+            while data := source.recv(65536):
+                lost = lost or self.silent or (self.one_way and is_answer)
+                if lost:
+                    continue
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                sink.sendall(data)
+        except OSError:
+            pass
+        if lost:
+            return
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
