--- a/scheduling/host_board.h
+++ b/scheduling/host_board.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_HOST_BOARD_H
 
 #include "core/clock.h"
+#include "scheduling/need_hold.h"
 #include "scheduling/orders.h"
 #include "scheduling/upkeep_planner.h"
 
@@ -40,6 +41,7 @@
   std::map<std::string, core::time_point> StarvedAt;
   core::time_point NextPlan{};
   core::time_point NextWavePlan{};
+  std::map<std::string, need_hold> Needs; ///< By pool.
   core::time_point NextMoves{};
   core::time_point NextPoolLog{};
 
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -64,7 +64,8 @@
   auto Ahead = milliseconds(Settings.MoveMs);
   for (const auto &Pool : State.currentConfiguration().Pools) {
     auto Expected = Demand.expectedCores(Pool.Name, Now, Ahead);
-    Needed[Pool.Name] += Packing * std::max(Working[Pool.Name], Expected);
+    auto Short = Packing * std::max(Working[Pool.Name], Expected);
+    Needed[Pool.Name] += Hosts.Needs[Pool.Name].update(Short, Now);
   }
   return Needed;
 }
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/demand_meter.h"
 #include "scheduling/endpoint_health.h"
 #include "scheduling/host_mover.h"
+#include "scheduling/need_hold.h"
 #include "scheduling/job_order.h"
 #include "scheduling/member_keeper.h"
 #include "scheduling/pacer.h"
@@ -435,3 +436,16 @@
   Keeper.reset(at(0s));
   CHECK(!Keeper.next(voters({"a", "b", "c"}), {"a", 1}, at(60s), always));
 }
+
+TEST_CASE("a need rises at once and falls by half in a second") {
+  // A need that falls as soon as waiting jobs turn late calls hosts off while
+  // the peak still grows.
+  need_hold Need;
+  auto At = [](int Ms) {
+    return core::time_point(std::chrono::milliseconds(Ms));
+  };
+  CHECK(Need.update(100, At(1000)) == Approx(100));
+  CHECK(Need.update(0, At(2000)) == Approx(50));
+  CHECK(Need.update(80, At(2100)) == Approx(80));
+  CHECK(Need.update(10, At(12'000)) == Approx(10));
+}
