Ask the adviser for steps of queues that want advice

Cause: advice was decoded and never asked for, so the endpoints refused every start of such a queue (bad_ticket) and its jobs waited for ever.

No queue of the four site files has advice, so this was shown by tests only.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -277,6 +277,7 @@
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
     Ranks.prune(WallMs);
+    Advice.prune(Now);
   }
   return Commands;
 }
@@ -423,6 +424,11 @@
   Request.IsHeldBack = [&](const task_key &Key) {
     return HeldBack.find(Key) != HeldBack.end();
   };
+  wantAdvice(Targets, Now);
+  Request.IsAllowed = [&](const task_key &Key, const job_record &Job,
+                          std::uint32_t Endpoint) {
+    return isAllowed(Key, Job, Endpoint, Now);
+  };
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(State, Targets, Request)) {
     Placed.insert(Placement.Start.Task);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "scheduling/advice_book.h"
 #include "scheduling/contact.h"
 #include "scheduling/demand_meter.h"
 #include "scheduling/duration_book.h"
@@ -94,6 +95,16 @@
   bool mayTakeWork(const endpoint_record &Endpoint, const contact &Contact,
                    core::time_point Now) const;
 
+  // leader_advice.cpp
+  /// Asks for advice on steps that wait and whose queue wants it.
+  void wantAdvice(std::span<const placement_target> Targets,
+                  core::time_point Now);
+  bool isAllowed(const task_key &Key, const job_record &Job,
+                 std::uint32_t Endpoint, core::time_point Now) const;
+  void orderAdvice(std::vector<order> &Orders, core::time_point Now);
+  void finishAdvice(const advise_order &Order, const order_result &Result,
+                    core::time_point Now);
+
   // leader_orders.cpp
   void orderAt(contact &Contact, std::vector<order> &Orders,
                core::time_point Now);
@@ -192,6 +203,8 @@
   demand_meter Demand;
   duration_book Durations;
   rank_book Ranks{Durations};
+  advice_book Advice;
+  core::time_point NextAdvice{};
   core::time_point NextPrune{};
 };
 
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -83,6 +83,7 @@
         orderAt(Found->second, Orders, Now);
   }
   orderHosts(Orders, Now);
+  orderAdvice(Orders, Now);
   if (!Orders.empty())
     Metrics.add("orders_total", Orders.size());
   return Orders;
@@ -172,6 +173,12 @@
     Start.LeaseUntilMs = leaseUntil(Contact, Now);
     Start.Fence = Fence;
     Start.Checkpoint = Task->Checkpoint;
+    const auto *Queue = State.queueOf(Job);
+    if (Queue && Queue->Advice) {
+      const auto &Id =
+          State.endpoints().find(Contact.Endpoint)->second.Facts.Id;
+      Start.Ticket = Advice.ticket(Key, Id, Now).value_or("");
+    }
     Run.Phase = run_phase::Sent;
     Run.IsOrderOpen = true;
     Run.NextOrder = Now + ResendInterval;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -55,6 +55,10 @@
   Sent.erase(Found);
   if (std::holds_alternative<start_order>(Done.Order.Body))
     --OpenStarts;
+  if (const auto *Advise = std::get_if<advise_order>(&Done.Order.Body)) {
+    finishAdvice(*Advise, Result, Now);
+    return;
+  }
   if (Done.Order.Endpoint == 0) {
     finishHosts(Done.Order, Result, Now);
     return;
@@ -186,6 +190,9 @@
   default:
     break;
   }
+  if (Answer->Verdict == endpoint_verdict::BadTicket)
+    Advice.refused(Order.Task,
+                   State.endpoints().find(Contact.Endpoint)->second.Facts.Id);
   if (Answer->Verdict == endpoint_verdict::Unhealthy)
     Contact.Health.note(Order.Task.Job, false, Now);
   if (Run.LostStarts == 0) {
--- a/scheduling/need_hold.h
+++ b/scheduling/need_hold.h
@@ -7,9 +7,9 @@
 
 /// Need of a pool that rises at once and falls slowly.
 ///
-/// Answers the first seconds of a peak: jobs that waited for hosts turn late and
-/// stop counting as need, and few jobs arrive in any one second, so the need as
-/// it is measured drops again while hosts are still on their way.
+/// Answers the first seconds of a peak: jobs that waited for hosts turn late
+/// and stop counting as need, and few jobs arrive in any one second, so the
+/// need as it is measured drops again while hosts are still on their way.
 class need_hold {
 public:
   /// \param Cores the need as it is measured.
--- /dev/null
+++ b/tests/scheduling/test_advice.cpp
@@ -0,0 +1,115 @@
+#include "schedule_fixture.h"
+#include "scheduling/advice_book.h"
+#include "scheduling/leader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::scheduling;
+using namespace lycheetrestle::scheduling::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point at(core::duration Time) { return core::time_point(Time); }
+
+const task_key Step{"j", 0, 0, 0};
+const advice_terms Terms{10, 1, 1000};
+
+} // namespace
+
+TEST_CASE("a ticket holds for all tasks of a step until its life is over") {
+  advice_book Advice;
+  Advice.want(Step, Terms, {"a", "b"}, at(1s));
+  auto Call = Advice.nextCall(at(1s));
+  REQUIRE(Call);
+  CHECK(Call->Endpoints == std::vector<std::string>{"a", "b"});
+  advice_answer Answer;
+  Answer.Allowed = {{"a", "t"}};
+  Advice.answered(&Answer, at(1100ms));
+  CHECK(Advice.ticket({"j", 0, 0, 5}, "a", at(1100ms)) == "t");
+  CHECK(!Advice.ticket(Step, "b", at(1100ms)));
+  CHECK(!Advice.ticket({"j", 0, 1, 0}, "a", at(1100ms)));
+  CHECK(!Advice.ticket(Step, "a", at(2s)));
+}
+
+TEST_CASE("one call at a time, and none about what is known") {
+  advice_book Advice;
+  Advice.want(Step, Terms, {"a"}, at(1s));
+  REQUIRE(Advice.nextCall(at(1s)));
+  Advice.want({"k", 0, 0, 0}, Terms, {"a"}, at(1s));
+  CHECK(!Advice.nextCall(at(1s)));
+  advice_answer Answer;
+  Answer.Allowed = {{"a", "t"}};
+  Advice.answered(&Answer, at(1s));
+  Advice.want(Step, Terms, {"a"}, at(1s));
+  auto Second = Advice.nextCall(at(1s));
+  REQUIRE(Second);
+  CHECK(Second->Step.Job == "k");
+  Advice.answered(&Answer, at(1s));
+  CHECK(!Advice.nextCall(at(1s)));
+}
+
+TEST_CASE("a busy or silent adviser is asked again after a pause") {
+  advice_book Advice;
+  Advice.want(Step, Terms, {"a"}, at(1s));
+  REQUIRE(Advice.nextCall(at(1s)));
+  advice_answer Busy;
+  Busy.IsBusy = true;
+  Advice.answered(&Busy, at(1s));
+  Advice.want(Step, Terms, {"a"}, at(1s));
+  CHECK(!Advice.nextCall(at(1s)));
+  REQUIRE(Advice.nextCall(at(1200ms)));
+  Advice.answered(nullptr, at(1200ms));
+  Advice.want(Step, Terms, {"a"}, at(1200ms));
+  CHECK(Advice.nextCall(at(1400ms)));
+}
+
+TEST_CASE("a queue with advice starts only where the adviser allows it") {
+  // Without a ticket an endpoint refuses the start, and the job waits for ever.
+  schedule_state State;
+  core::metrics_registry Metrics;
+  auto Configuration = makeConfiguration(1);
+  Configuration.Queues.back().Advice = Terms;
+  State.apply(set_configuration{Configuration}, 0);
+  leader_settings Settings;
+  Settings.HasAdviser = true;
+  leader Leader(Settings, 5, State, Metrics, at(1s));
+  auto Now = at(1s);
+  auto Apply = [&](const command &Command) {
+    Leader.applied(Command, State.apply(Command, 1000), Now);
+  };
+  for (const char *Id : {"e1", "e2"}) {
+    Apply(note_endpoint{makeEndpoint(Id)});
+    endpoint_beat Beat;
+    Beat.Facts = makeEndpoint(Id);
+    Beat.ClockMs = 1;
+    Leader.noteBeat(Beat, Now);
+  }
+  Apply(submission(makeJob("j", {makeStep(2)})));
+  std::vector<start_order> Starts;
+  std::size_t Calls = 0;
+  for (int Round = 0; Round != 20; ++Round) {
+    for (const auto &Command : Leader.takeCommands(Now, 1000))
+      Apply(Command);
+    for (const auto &Order : Leader.takeOrders(Now)) {
+      if (const auto *Start = std::get_if<start_order>(&Order.Body))
+        Starts.push_back(*Start);
+      if (!std::holds_alternative<advise_order>(Order.Body))
+        continue;
+      ++Calls;
+      CHECK(Starts.empty());
+      advice_answer Answer;
+      Answer.Allowed = {{"e2", "ticket"}};
+      Leader.finished({Order.Id, Answer}, Now);
+    }
+    Now += 20ms;
+  }
+  CHECK(Calls == 1);
+  REQUIRE(Starts.size() == 2);
+  for (const auto &Start : Starts) {
+    CHECK(Start.Ticket == "ticket");
+    CHECK(State.findTask(Start.Task)->Endpoint ==
+          State.findEndpoint("e2")->Number);
+  }
+}
