--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -183,6 +183,12 @@
   jobs submit FILE        JSON: team, pool, class, cores, memory_mb,
                           accelerators, run_seconds
   jobs cancel ID
+Schedulers (--control names one of them, with its listen or metrics port)
+  schedule status         role, leader, configuration and counts
+  schedule members        replicas of the schedule
+  schedule endpoints      lives of endpoints with pool and number of runs
+  schedule jobs           jobs that are not over, oldest first
+  schedule waves          upkeep in waves
 
 Flags
   --control=HOST:PORT,... control replicas; default LYCHEETRESTLE_CONTROL
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -83,10 +83,15 @@
                JobsPath[] = "/v1/jobs", StartPath[] = "/v1/maintenance/start",
                PausePath[] = "/v1/maintenance/pause",
                ResumePath[] = "/v1/maintenance/resume", Drain[] = "drain",
-               Reboot[] = "reboot", Move[] = "move", Return[] = "return";
+               Reboot[] = "reboot", Move[] = "move", Return[] = "return",
+               SchedulePath[] = "/v1/schedule",
+               MembersPath[] = "/v1/schedule/members",
+               EndpointsPath[] = "/v1/schedule/endpoints",
+               ScheduledJobsPath[] = "/v1/schedule/jobs",
+               ScheduledWavesPath[] = "/v1/schedule/waves";
 
 using enum argument;
-constexpr std::array<command_entry, 20> Commands = {{
+constexpr std::array<command_entry, 25> Commands = {{
     {"validate", {File, None}, 1, true, &validateCommand},
     {"plan", {File, None}, 1, false, &planCommand},
     {"submit", {File, None}, 1, false, &submitCommand},
@@ -107,6 +112,11 @@
     {"jobs submit", {File, None}, 1, false, &submitJob},
     {"jobs cancel", {Number, None}, 1, false, &cancelJob},
     {"audit", {None, None}, 0, false, &audit},
+    {"schedule status", {None, None}, 0, false, &readPath<SchedulePath>},
+    {"schedule members", {None, None}, 0, false, &readPath<MembersPath>},
+    {"schedule endpoints", {None, None}, 0, false, &readPath<EndpointsPath>},
+    {"schedule jobs", {None, None}, 0, false, &readPath<ScheduledJobsPath>},
+    {"schedule waves", {None, None}, 0, false, &readPath<ScheduledWavesPath>},
 }};
 
 const command_entry *findCommand(const std::vector<std::string> &Words) {
--- /dev/null
+++ b/scheduling/schedule_views.cpp
@@ -0,0 +1,126 @@
+#include "scheduling/schedule_views.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+const char *roleName(replication::raft_role Role) {
+  switch (Role) {
+  case replication::raft_role::Learner:
+    return "learner";
+  case replication::raft_role::Follower:
+    return "follower";
+  case replication::raft_role::Candidate:
+    return "candidate";
+  case replication::raft_role::Leader:
+    return "leader";
+  }
+  return "unknown";
+}
+
+json statusView(const schedule_node &Node) {
+  auto Raft = Node.status();
+  const auto &State = Node.state();
+  std::size_t Draining = 0;
+  for (const auto &[Number, Endpoint] : State.endpoints())
+    Draining += Endpoint.Facts.IsDraining;
+  std::size_t RunningWaves = 0;
+  for (const auto &[Number, Wave] : State.waves())
+    RunningWaves += !Wave.isComplete();
+  return {{"role", roleName(Raft.Role)},
+          {"leader", Node.leaderAddress()},
+          {"term", Raft.Term},
+          {"commit_index", Raft.CommitIndex},
+          {"configuration", State.currentConfiguration().Version},
+          {"endpoints", State.endpoints().size()},
+          {"draining", Draining},
+          {"live_jobs", State.liveJobs().size()},
+          {"running_waves", RunningWaves}};
+}
+
+json membersView(const schedule_node &Node) {
+  auto Rows = json::array();
+  auto Leader = Node.leaderAddress();
+  for (const auto &Member : Node.status().Members.Members)
+    Rows.push_back({{"name", Member.Id.Name},
+                    {"incarnation", Member.Id.Incarnation},
+                    {"voter", Member.Voter},
+                    {"leader", Member.Id.Name == Leader}});
+  return {{"members", std::move(Rows)}};
+}
+
+json endpointsView(const schedule_node &Node) {
+  auto Rows = json::array();
+  for (const auto &[Number, Endpoint] : Node.state().endpoints()) {
+    if (Rows.size() == MaxViewRows)
+      break;
+    const auto &Facts = Endpoint.Facts;
+    Rows.push_back({{"number", Number},
+                    {"name", Facts.Id},
+                    {"pool", Facts.Pool},
+                    {"zone", Facts.Zone},
+                    {"rack", Facts.Rack},
+                    {"address", Facts.Address},
+                    {"draining", Facts.IsDraining},
+                    {"runs", Endpoint.Runs.size()}});
+  }
+  return {{"endpoints", std::move(Rows)}};
+}
+
+json jobsView(const schedule_node &Node) {
+  static constexpr std::array Names{"queued", "running", "complete", "failed",
+                                    "cancelled"};
+  auto Rows = json::array();
+  for (const auto &[SubmittedMs, Id] : Node.state().liveJobs()) {
+    if (Rows.size() == MaxViewRows)
+      break;
+    const auto &Job = *Node.state().findJob(Id);
+    Rows.push_back({{"id", Id},
+                    {"pool", Job.Pool},
+                    {"state", Names[static_cast<std::size_t>(Job.State)]},
+                    {"queue", Job.QueueHost + Job.QueuePrefix},
+                    {"submitted_ms", SubmittedMs},
+                    {"steps", Job.Spec.Steps.size()},
+                    {"runs", Job.RunsLeft}});
+  }
+  return {{"jobs", std::move(Rows)}};
+}
+
+json wavesView(const schedule_node &Node) {
+  auto Rows = json::array();
+  for (const auto &[Number, Wave] : Node.state().waves())
+    Rows.push_back({{"number", Number},
+                    {"state", Wave.isComplete() ? "complete" : "running"},
+                    {"hosts", Wave.Hosts.size()},
+                    {"ordered", Wave.Ordered.size()},
+                    {"begun", Wave.Begun.size()},
+                    {"at_once", Wave.MaxCount},
+                    {"started_ms", Wave.StartedMs}});
+  return {{"waves", std::move(Rows)}};
+}
+
+} // namespace
+
+std::optional<std::string> viewOf(const schedule_node &Node,
+                                  std::string_view Path) {
+  using view = json (*)(const schedule_node &);
+  static constexpr std::array<std::pair<std::string_view, view>, 5> Views{
+      {{"/v1/schedule", statusView},
+       {"/v1/schedule/members", membersView},
+       {"/v1/schedule/endpoints", endpointsView},
+       {"/v1/schedule/jobs", jobsView},
+       {"/v1/schedule/waves", wavesView}}};
+  for (const auto &[Name, View] : Views)
+    if (Path == Name)
+      return View(Node).dump(-1, ' ', false, json::error_handler_t::replace);
+  return std::nullopt;
+}
+
+} // namespace lycheetrestle::scheduling
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "scheduling/call_relay.h"
 #include "scheduling/schedule_node.h"
+#include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
@@ -182,6 +183,13 @@
       auto Now = boot_clock::now();
       LinkEvents.drain([&](link_event &&Event) { receive(Node, Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
+        if (auto View = viewOf(Node, Request.Request.Target)) {
+          Responses.push_back({Request.Id,
+                               {200,
+                                {{"Content-Type", "application/json"}},
+                                std::move(*View)}});
+          return;
+        }
         handle(Node, Adapter.DecodeControlCall(Request.Request),
                {"", Request.Id, Request.Request.Target}, Now);
       });
--- a/tests/ctl/sessions.py
+++ b/tests/ctl/sessions.py
@@ -34,6 +34,10 @@
 AUDIT = {'audit': [{'index': 17, 'time_ms': 1796365800000, 'actor': 'pipeline', 'kind': 'host',
                     'object': 'w02', 'before': 'in_service', 'after': 'cordoned',
                     'result': 'accepted'}]}
+SCHEDULE = {'role': 'leader', 'leader': '10.0.0.1', 'term': 4, 'configuration': 7,
+            'live_jobs': 2}
+ENDPOINTS = {'endpoints': [{'number': 3, 'name': 'i-1', 'pool': 'gate', 'zone': 'kv-1',
+                            'draining': False, 'runs': 4}]}
 ACCEPTED = {'number': 7, 'result': 'accepted'}
 NOT_LEADER = (421, refusal('not-leader', 'another replica leads'))
 LEADER_IS_B = (*NOT_LEADER, {'X-Leader': 'control-b {b}'})
@@ -47,6 +51,10 @@
                       '--after=16', '--limit=5'],
                      ['jobs', 'list']],
     },
+    'schedule': {
+        'replicas': {'a': [(200, SCHEDULE), (200, ENDPOINTS)]},
+        'commands': [['schedule', 'status'], ['schedule', 'endpoints'], ['schedule', 'hosts']],
+    },
     'json': {
         'replicas': {'a': [(200, WAVES), (409, refusal('conflict', 'no wave is paused'))]},
         'commands': [['waves', '--output=json'],
--- a/tests/process/site_run.py
+++ b/tests/process/site_run.py
@@ -6,6 +6,7 @@
 import pathlib
 import shutil
 import signal
+import subprocess
 import sys
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -121,6 +122,15 @@
                    'completing job %d' % self.jobs)
         return path
 
+    def tool(self, index, *words):
+        """Returns what the operators' tool prints as JSON for a scheduler."""
+        result = subprocess.run(
+            [self.programs / 'lycheetrestlectl', '--control=' + self.control(index),
+             '--output=json', *words], text=True, capture_output=True, timeout=30)
+        if result.returncode != 0:
+            raise Failed('%s: exit code %d: %s' % (words, result.returncode, result.stderr))
+        return json.loads(result.stdout)
+
     def starts(self):
         """Returns every start that an endpoint executed, as (task, attempt)."""
         result = []
--- a/tests/process/test_scheduler_membership.py
+++ b/tests/process/test_scheduler_membership.py
@@ -54,6 +54,13 @@
         wait_until(lambda: site.read_version(index) == 5,
                    'reading version 5 at scheduler %d' % index)
     site.check_single_starts()
+    status = site.tool(4, 'schedule', 'status')
+    if status['configuration'] != 5:
+        raise Failed('the tool shows %s' % status)
+    members = site.tool(4, 'schedule', 'members')['members']
+    names = {member['name'] for member in members if member['voter']}
+    if not {site.ip(1), site.ip(4), site.ip(5)} <= names:
+        raise Failed('the tool shows the members %s' % members)
 
     codes = site.group.end(['gateway-%d' % GATEWAY] + ['scheduler-%d' % index
                                                        for index in (1, 4, 5)])
--- /dev/null
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -0,0 +1,89 @@
+#include "schedule_fixture.h"
+#include "scheduling/schedule_views.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::scheduling;
+using namespace lycheetrestle::scheduling::test;
+
+namespace {
+
+/// A scheduler alone in its cluster, whose writes end at once.
+class lone_scheduler {
+public:
+  lone_scheduler() : Node(makeNode()) {
+    while (!Node.isLeading())
+      pass();
+  }
+
+  void call(call_body Body) {
+    Node.handle({++LastCall, std::move(Body)}, Now);
+    pass();
+    pass();
+  }
+
+  nlohmann::json view(std::string_view Path) const {
+    auto Text = viewOf(Node, Path);
+    REQUIRE(Text);
+    return nlohmann::json::parse(*Text);
+  }
+
+  schedule_node Node;
+
+private:
+  schedule_node makeNode() {
+    scheduler_settings Settings;
+    Settings.Address = "10.0.0.1";
+    replication::replica_id Self{"10.0.0.1", 1};
+    replication::membership Initial;
+    Initial.Members.push_back({Self, true});
+    return {Settings, Self, {}, Initial, Metrics, Now};
+  }
+
+  void pass() {
+    Now += std::chrono::milliseconds(50);
+    Node.tick(Now);
+    auto Actions = Node.takeActions(Now);
+    for (const auto &Write : Actions.Writes)
+      Node.stored(Write.Ticket, Now);
+  }
+
+  core::metrics_registry Metrics;
+  core::time_point Now{std::chrono::seconds(1)};
+  std::uint64_t LastCall = 0;
+};
+
+} // namespace
+
+TEST_CASE("the views show members, endpoints, jobs and waves") {
+  lone_scheduler Scheduler;
+  Scheduler.call(configure_call{makeConfiguration(7)});
+  endpoint_beat Beat;
+  Beat.Facts = makeEndpoint("e1");
+  Scheduler.call(beat_call{Beat});
+  Scheduler.call(submit_call{Host, Prefix + "j", makeJob("j", {makeStep(2)})});
+  Scheduler.call(start_wave_call{3, {"h1", "h2"}, 1000, 1});
+  auto Status = Scheduler.view("/v1/schedule");
+  CHECK(Status["role"] == "leader");
+  CHECK(Status["leader"] == "10.0.0.1");
+  CHECK(Status["configuration"] == 7);
+  CHECK(Status["running_waves"] == 1);
+  CHECK(Scheduler.view("/v1/schedule/members")["members"][0]["voter"] == true);
+  auto Endpoint = Scheduler.view("/v1/schedule/endpoints")["endpoints"][0];
+  CHECK(Endpoint["name"] == "e1");
+  CHECK(Endpoint["pool"] == "a");
+  auto Job = Scheduler.view("/v1/schedule/jobs")["jobs"][0];
+  CHECK(Job["id"] == "j");
+  CHECK(Job["queue"] == Host + Prefix);
+  auto Wave = Scheduler.view("/v1/schedule/waves")["waves"][0];
+  CHECK(Wave["hosts"] == 2);
+  CHECK(Wave["state"] == "running");
+}
+
+TEST_CASE("other paths are no views") {
+  lone_scheduler Scheduler;
+  CHECK(!viewOf(Scheduler.Node, "/v1/schedule/"));
+  CHECK(!viewOf(Scheduler.Node, "/metrics"));
+}
