Give orders of two leaderships of one process different ids

Cause, found while reading: a leader counted its orders from 1, and the process keeps the orders that wait for an answer by their ids. A process that leads again within seconds could take the answer to an old order for that of a new one, for example a list for the acceptance of a start.

Test: 'a late answer to an earlier leader', seen to fail on the earlier code.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -34,6 +34,9 @@
 // An endpoint that leaves ends its tasks within this time.
 constexpr core::duration LeaveMargin = milliseconds(300);
 constexpr core::duration TickInterval = milliseconds(20);
+// Orders of one leadership fit into so many bits: at 10,000 a second it would
+// last three years.
+constexpr unsigned OrderBits = 40;
 
 } // namespace
 
@@ -41,7 +44,7 @@
                const schedule_state &State, core::metrics_registry &Metrics,
                core::time_point Now)
     : Settings(Settings), Fence(Fence), State(State), Metrics(Metrics),
-      StartedAt(Now) {
+      StartedAt(Now), LastOrder(Fence << OrderBits) {
   adoptRuns(Now);
 }
 
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -180,6 +180,8 @@
   const schedule_state &State;
   core::metrics_registry &Metrics;
   core::time_point StartedAt{};
+  /// Begins at a number that no earlier leader reached, because an answer to
+  /// an order of an earlier leader in this process may still arrive.
   std::uint64_t LastOrder = 0;
   std::map<std::uint32_t, contact> Contacts;
   /// The life that each run was given to.
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -341,3 +341,22 @@
     CHECK(!(Site.Seen[Index].Address == Facts.Address &&
             std::holds_alternative<start_order>(Site.Seen[Index].Body)));
 }
+
+TEST_CASE("a late answer to an earlier leader is not taken for a new one's") {
+  // The same process may lead again while answers are under way.
+  schedule_state State;
+  core::metrics_registry Metrics;
+  State.apply(set_configuration{makeConfiguration(1)}, 0);
+  State.apply(note_endpoint{makeEndpoint("e1")}, 0);
+  std::set<std::uint64_t> Ids;
+  std::size_t Orders = 0;
+  for (std::uint64_t Fence : {1, 2}) {
+    leader Leader({}, Fence, State, Metrics, at(1s));
+    for (const auto &Order : Leader.takeOrders(at(1s))) {
+      Ids.insert(Order.Id);
+      ++Orders;
+    }
+  }
+  CHECK(Orders == 2);
+  CHECK(Ids.size() == Orders);
+}
