--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -38,9 +38,17 @@
                 except OSError:
                     pass
 
+    def close(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.reset_connections()
+
     def accept(self):
         while True:
-            client, _ = self.listener.accept()
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return  # It was closed.
             threading.Thread(target=self.connect, args=(client,), daemon=True).start()
 
     def connect(self, client):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 """
 
 import argparse
+import contextlib
 import pathlib
 import random
 import shutil
@@ -148,10 +149,13 @@
 def run(programs, folder, seed, seconds, net):
     """Returns what was broken."""
     shutil.rmtree(folder, ignore_errors=True)
-    with ProcessGroup(folder, int(seconds) + 3 * FINISH_S) as group:
+    with ProcessGroup(folder, int(seconds) + 3 * FINISH_S) as group, \
+            contextlib.ExitStack() as links:
         site = Site(programs, folder, net, group)
         soak = Soak(site, seed)
         soak.start()
+        for proxy in soak.proxies.values():
+            links.callback(proxy.close)
         callers = Callers(site, GATEWAYS, SCHEDULERS, seed)
         callers.acknowledged = 1
         callers.start(CALLERS)
