Log and expose the load of the leader and the budget when a stop is sent

A line leader_load each second has the processor time of the process and of the phases of its event loop, the backlog and the age of the oldest work; run_stop_sent, maintenance_sent and move_sent have the budget and the age of the decision. Stops have a reason. No decision changes.

--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -4,14 +4,26 @@
 
 namespace lycheetrestle::core {
 
-time_point boot_clock::now() {
+namespace {
+
+duration read(clockid_t Clock) {
   timespec Spec{};
-  clock_gettime(CLOCK_BOOTTIME, &Spec);
-  return time_point(std::chrono::seconds(Spec.tv_sec) +
-                    std::chrono::duration_cast<duration>(
-                        std::chrono::nanoseconds(Spec.tv_nsec)));
+  clock_gettime(Clock, &Spec);
+  return std::chrono::seconds(Spec.tv_sec) +
+         std::chrono::duration_cast<duration>(
+             std::chrono::nanoseconds(Spec.tv_nsec));
+}
+
+} // namespace
+
+time_point boot_clock::now() { return time_point(read(CLOCK_BOOTTIME)); }
+
+thread_cpu_clock::time_point thread_cpu_clock::now() {
+  return time_point(read(CLOCK_THREAD_CPUTIME_ID));
 }
 
+duration processCpuTime() { return read(CLOCK_PROCESS_CPUTIME_ID); }
+
 std::int64_t wallMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -19,6 +19,7 @@
 struct host_operation {
   std::optional<std::uint64_t> Wave; ///< Of a maintenance; empty for a move.
   std::string TargetPool;            ///< Of a move.
+  core::time_point DecidedAt{};
   bool IsOrderPending = false;
   /// The platform accepted the order, or refused the host for so long that the
   /// maintenance is skipped.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -90,13 +90,20 @@
             Tracked.Runs.find({Job.Spec.Id, Occurrence.Number, Step, Index});
         if (Run == Tracked.Runs.end())
           continue;
-        Run->second.Phase = run_phase::Stopping;
-        Run->second.NextOrder = Now;
+        beginStop(Run->second, stop_reason::JobOver, Now);
         markDue(Tracked);
       }
     }
 }
 
+void leader::beginStop(tracked_run &Run, stop_reason Reason,
+                       core::time_point Now) {
+  Run.Phase = run_phase::Stopping;
+  Run.StopReason = Reason;
+  Run.StopDecidedAt = Now;
+  Run.NextOrder = Now;
+}
+
 void leader::markDue(tracked_endpoint &Tracked) {
   if (std::exchange(Tracked.DueAt, core::time_point()) != core::time_point())
     DueEndpoints.push_back(Tracked.Endpoint);
@@ -203,8 +210,7 @@
     auto &Run = Found->second;
     EndpointOfRun[Key] = Endpoint.Number;
     Run.Attempt = State.findTask(Key)->Attempt;
-    Run.Phase = run_phase::Stopping;
-    Run.NextOrder = Now;
+    beginStop(Run, stop_reason::Transferred, Now);
     for (const auto &[Number, Earlier] : TrackedEndpoints) {
       auto Previous = Earlier.Runs.find(Key);
       if (Number != Endpoint.Number && Previous != Earlier.Runs.end())
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -7,6 +7,7 @@
 #include "scheduling/demand_forecaster.h"
 #include "scheduling/duration_models.h"
 #include "scheduling/host_inventory.h"
+#include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
 #include "scheduling/placer.h"
 #include "scheduling/pool_rebalancer.h"
@@ -80,6 +81,9 @@
   /// \returns the time of the next call to takeCommands() and takeOrders() when
   /// no event comes before.
   core::time_point nextTime(core::time_point Now) const;
+  /// \param WallMs wall time.
+  /// \returns the work that waits for a decision or an answer.
+  leader_load load(core::time_point Now, std::int64_t WallMs) const;
 
 private:
   // leader.cpp
@@ -97,6 +101,9 @@
                            const endpoint_facts &Facts);
   void removeRun(const task_key &Task, std::uint32_t Attempt);
   void stopRunsOf(const job_record &Job, core::time_point Now);
+  /// Makes the next takeOrders() send a stop of the run.
+  static void beginStop(tracked_run &Run, stop_reason Reason,
+                        core::time_point Now);
   void collectEnds(std::vector<command> &Commands);
   void collectLosses(std::vector<command> &Commands, core::time_point Now);
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
@@ -148,6 +155,10 @@
   /// \returns the end of a new lease in milliseconds of the endpoint's clock.
   std::uint64_t issueLease(tracked_endpoint &Tracked, core::time_point Now);
   void stopDrainingRuns(tracked_endpoint &Tracked, core::time_point Now);
+  /// Logs the inputs of the unavailability budget when a long-running task is
+  /// stopped.
+  void logStop(const tracked_endpoint &Tracked, const task_key &Key,
+               const tracked_run &Run, core::time_point Now) const;
 
   // leader_results.cpp
   void finishStart(tracked_endpoint &Tracked, const start_order &Order,
@@ -176,6 +187,8 @@
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
+  void addMaintenance(const std::string &Host, std::uint64_t Wave,
+                      core::time_point Now);
   /// Stops long-running tasks on cordoned hosts, within their budgets, when
   /// another endpoint has capacity for them.
   void evacuate(core::time_point Now);
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -156,6 +156,13 @@
   return View;
 }
 
+void leader::addMaintenance(const std::string &Host, std::uint64_t Wave,
+                            core::time_point Now) {
+  auto &Operation = Hosts.Operations[Host];
+  Operation.Wave = Wave;
+  Operation.DecidedAt = Now;
+}
+
 void leader::planHosts(std::vector<command> &Commands, core::time_point Now,
                        std::int64_t WallMs) {
   for (auto &[Name, Operation] : Hosts.Operations) {
@@ -179,7 +186,7 @@
     for (const auto &Name : Wave.Ordered)
       if (!contains(Wave.Begun, Name) &&
           Hosts.Operations.find(Name) == Hosts.Operations.end())
-        Hosts.Operations[Name].Wave = Number;
+        addMaintenance(Name, Number, Now);
     auto View = maintenanceHosts(Wave, Now);
     auto Plan = planMaintenance(Wave, View, WallMs - Wave.StartedMs,
                                 Settings.MaintenanceMs);
@@ -191,7 +198,7 @@
       if (Tracked && !mayInterrupt(*Tracked))
         continue;
       Hosts.Cordoned.emplace(Name, Now);
-      Hosts.Operations[Name].Wave = Number;
+      addMaintenance(Name, Number, Now);
       Commands.emplace_back(order_maintenance{Number, Name});
       core::logEvent(core::log_level::Info, "maintenance_chosen",
                      {{"wave", Number},
@@ -241,8 +248,7 @@
         Hosts.UnplaceableAt[Job->Pool] = Now;
         continue;
       }
-      Run.Phase = run_phase::Stopping;
-      Run.NextOrder = Now;
+      beginStop(Run, stop_reason::Evacuated, Now);
       markDue(Tracked);
       core::logEvent(core::log_level::Info, "run_evacuated",
                      {{"job", Key.Job},
@@ -286,6 +292,14 @@
     }
     Operation.IsOrderPending = true;
     Operation.NextOrder = Now + HostOrderBackoff;
+    const auto *Tracked = trackedOnHost(Name);
+    core::logEvent(core::log_level::Info,
+                   Operation.Wave ? "maintenance_sent" : "move_sent",
+                   {{"host", Name},
+                    {"endpoint", Tracked ? Tracked->Endpoint : 0},
+                    {"runs", Tracked ? Tracked->Runs.size() : 0},
+                    {"may_interrupt", !Tracked || mayInterrupt(*Tracked)},
+                    {"decided_ms_ago", toMs(Now - Operation.DecidedAt)}});
     if (Operation.Wave)
       addOrder(Orders, nullptr, maintenance_order{Name, *Operation.Wave, Fence},
                PlatformTimeout, Now);
--- /dev/null
+++ b/scheduling/leader_load.h
@@ -0,0 +1,25 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_LEADER_LOAD_H
+#define LYCHEETRESTLE_SCHEDULING_LEADER_LOAD_H
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lycheetrestle::scheduling {
+
+/// Work of a leader that waits for a decision or an answer.
+struct leader_load {
+  std::size_t LiveJobs = 0;
+  std::size_t WaitingTasks = 0; ///< Without a run, of ready steps.
+  /// Time since the submission of the oldest job of which no task has started.
+  std::int64_t OldestWaitMs = 0;
+  std::size_t PendingOrders = 0; ///< Without an answer.
+  std::size_t PendingStarts = 0; ///< Start orders among them.
+  /// Time since the oldest order without an answer was created, apart from
+  /// polls, which wait at the endpoint.
+  std::int64_t OldestOrderMs = 0;
+  std::size_t SuspectEndpoints = 0;
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -175,6 +175,7 @@
   for (auto &Move : planMoves(Pools, View, MaxPendingMoves - PendingMoves)) {
     auto &Operation = Hosts.Operations[Move.Host];
     Operation.TargetPool = Move.Pool;
+    Operation.DecidedAt = Now;
     Hosts.IdleSince.erase(Move.Host);
     core::logEvent(core::log_level::Info, "move_chosen",
                    {{"host", Move.Host},
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -1,3 +1,4 @@
+#include "core/event_log.h"
 #include "scheduling/leader.h"
 
 #include <algorithm>
@@ -143,17 +144,43 @@
     const auto &Step = State.findJob(Key.Job)->Spec.Steps[Key.Step];
     if (!Step.IsLongRunning && !IsNearEnd && !IsStartDue)
       continue;
-    Run.Phase = run_phase::Stopping;
-    Run.NextOrder = Now;
+    beginStop(Run, stop_reason::Draining, Now);
   }
 }
 
+void leader::logStop(const tracked_endpoint &Tracked, const task_key &Key,
+                     const tracked_run &Run, core::time_point Now) const {
+  const auto *Job = State.findJob(Key.Job);
+  const auto &Step = Job->Spec.Steps[Key.Step];
+  if (!Step.IsLongRunning || isOver(Job->State))
+    return;
+  core::logEvent(core::log_level::Info, "run_stop_sent",
+                 {{"job", Key.Job},
+                  {"step", Key.Step},
+                  {"index", Key.Index},
+                  {"attempt", Run.Attempt},
+                  {"endpoint", Tracked.Endpoint},
+                  {"reason", toText(Run.StopReason)},
+                  {"percent", Run.Percent},
+                  {"peers_unavailable", unavailablePeers(Key, false)},
+                  {"may_miss", Step.MaxUnavailable},
+                  {"decided_ms_ago", toMs(Now - Run.StopDecidedAt)},
+                  {"answer_age_ms", toMs(Now - Tracked.LastAnswer)}});
+}
+
 void leader::addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                           core::time_point Now) {
   // If a stop is lost, the next poll lists the run again.
-  for (const auto &[Key, Attempt] : std::exchange(Tracked.OrphanedRuns, {}))
+  for (const auto &[Key, Attempt] : std::exchange(Tracked.OrphanedRuns, {})) {
+    core::logEvent(core::log_level::Warning, "orphan_stop_sent",
+                   {{"job", Key.Job},
+                    {"step", Key.Step},
+                    {"index", Key.Index},
+                    {"attempt", Attempt},
+                    {"endpoint", Tracked.Endpoint}});
     addOrder(Orders, &Tracked, stop_order{Key, Attempt, Fence}, OrderTimeout,
              Now);
+  }
   for (auto &[Key, Run] : Tracked.Runs) {
     if (Run.IsOrderPending || Run.IsEnded || Now < Run.NextOrder)
       continue;
@@ -162,6 +189,7 @@
         continue;
       Run.IsOrderPending = true;
       Run.NextOrder = Now + ResendInterval;
+      logStop(Tracked, Key, Run, Now);
       addOrder(Orders, &Tracked, stop_order{Key, Run.Attempt, Fence},
                OrderTimeout, Now);
       continue;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -205,8 +205,7 @@
   }
   // The endpoint may still execute an earlier copy of the order; a stop
   // prevents that.
-  Run.Phase = run_phase::Stopping;
-  Run.NextOrder = Now;
+  beginStop(Run, stop_reason::StartRejected, Now);
 }
 
 void leader::finishStop(tracked_endpoint &Tracked, const stop_order &Order,
@@ -291,8 +290,7 @@
                       {"endpoint", Tracked.Endpoint},
                       {"percent", Row.Percent}});
       Tracked.Health.record(Row.Task.Job, false, Now);
-      Run.Phase = run_phase::Stopping;
-      Run.NextOrder = Now;
+      beginStop(Run, stop_reason::Stalled, Now);
     }
   }
   bool HasEnds = false;
@@ -323,8 +321,7 @@
     else if (Run.Phase == run_phase::Running) {
       // The endpoint must list the run as running or ended. A stop keeps a late
       // copy of the start order from starting it again.
-      Run.Phase = run_phase::Stopping;
-      Run.NextOrder = Now;
+      beginStop(Run, stop_reason::NotListed, Now);
     }
   }
   Tracked.NextPoll = HasEnds ? Now + EndBatchDelay : Now;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -117,6 +117,12 @@
   return Known ? Known->Name : "";
 }
 
+std::optional<leader_load> schedule_node::load(core::time_point Now) const {
+  if (!Leader)
+    return std::nullopt;
+  return Leader->load(Now, core::wallMilliseconds());
+}
+
 core::time_point schedule_node::nextTick(core::time_point Now) const {
   auto Next = Raft.nextTick();
   if (Leader)
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -81,6 +81,8 @@
   /// \returns whether this replica leads and has applied all entries of earlier
   /// terms.
   bool isLeading() const { return Leader.has_value(); }
+  /// \returns the work that waits at this leader, or nothing for a follower.
+  std::optional<leader_load> load(core::time_point Now) const;
   /// \returns the IP address of the leader, or an empty string.
   std::string leaderAddress() const;
 
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -5,6 +5,7 @@
 #include "core/bounded_ring.h"
 #include "core/event_log.h"
 #include "core/metrics.h"
+#include "core/phase_timer.h"
 #include "gateway/messages.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -191,6 +192,7 @@
     core::time_point StopAt{};
     while (true) {
       auto Now = boot_clock::now();
+      Timer.beginIteration();
       LinkEvents.drain([&](link_event &&Event) { receive(Node, Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         if (auto View = viewOf(Node, Request.Request.Target)) {
@@ -214,9 +216,14 @@
           finishOrder(Node, Result, Now);
       });
       finishOrders(Node, Delegator.expire(Now), Now);
+      Timer.finishPhase(Receive);
       Node.tick(Now);
-      bool IsIdle = execute(Node.takeActions(Now), Storage, Now);
+      auto Actions = Node.takeActions(Now);
+      Timer.finishPhase(Decide);
+      bool IsIdle = execute(std::move(Actions), Storage, Now);
       sendDelegated(Node, Now);
+      Timer.finishPhase(Send);
+      Timer.finishIteration();
       publishStatusAndMetrics(Node, Now);
       reloadSeeds(Node);
       if (Signals.Stops > 0) {
@@ -474,6 +481,41 @@
                 static_cast<double>(Node.state().endpoints().size()));
     Metrics.set("open_orders", static_cast<double>(Orders.size()));
     transport::publishTraffic(Metrics, Hub.traffic());
+    publishLoad(Node, Now);
+  }
+
+  void publishLoad(const schedule_node &Node, core::time_point Now) {
+    auto Loop = Timer.take();
+    auto CpuBefore = std::exchange(CpuTime, core::processCpuTime());
+    auto ToMs = [](core::duration Duration) {
+      return std::chrono::duration<double, std::milli>(Duration).count();
+    };
+    Metrics.set("loop_cpu_ms{phase=\"receive\"}", ToMs(Loop.Phases[Receive]));
+    Metrics.set("loop_cpu_ms{phase=\"decide\"}", ToMs(Loop.Phases[Decide]));
+    Metrics.set("loop_cpu_ms{phase=\"send\"}", ToMs(Loop.Phases[Send]));
+    Metrics.observe("longest_iteration_cpu_ms", ToMs(Loop.Longest));
+    auto Load = Node.load(Now);
+    if (!Load)
+      return;
+    Metrics.set("waiting_tasks", static_cast<double>(Load->WaitingTasks));
+    Metrics.set("oldest_wait_ms", static_cast<double>(Load->OldestWaitMs));
+    Metrics.set("oldest_order_ms", static_cast<double>(Load->OldestOrderMs));
+    Metrics.set("suspect_endpoints",
+                static_cast<double>(Load->SuspectEndpoints));
+    core::logEvent(core::log_level::Info, "leader_load",
+                   {{"iterations", Loop.Iterations},
+                    {"process_cpu_ms", ToMs(CpuTime - CpuBefore)},
+                    {"receive_cpu_ms", ToMs(Loop.Phases[Receive])},
+                    {"decide_cpu_ms", ToMs(Loop.Phases[Decide])},
+                    {"send_cpu_ms", ToMs(Loop.Phases[Send])},
+                    {"longest_cpu_ms", ToMs(Loop.Longest)},
+                    {"live_jobs", Load->LiveJobs},
+                    {"waiting_tasks", Load->WaitingTasks},
+                    {"oldest_wait_ms", Load->OldestWaitMs},
+                    {"pending_orders", Load->PendingOrders},
+                    {"pending_starts", Load->PendingStarts},
+                    {"oldest_order_ms", Load->OldestOrderMs},
+                    {"suspects", Load->SuspectEndpoints}});
   }
 
   const scheduler_settings &Settings;
@@ -499,6 +541,9 @@
   std::deque<replication::storage_write> PendingWrites;
   std::deque<http::client_call> PendingCalls;
   std::deque<http::server_response> Responses;
+  enum loop_phase : std::size_t { Receive, Decide, Send, PhaseCount };
+  core::phase_timer<core::thread_cpu_clock, PhaseCount> Timer;
+  core::duration CpuTime{}; ///< Of the process, when it was last published.
   bool WasLeading = false;
   core::time_point NextStatus{};
   core::time_point NextMetrics{};
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -25,6 +26,19 @@
   Stopping,    ///< A stop order is due, sent or acknowledged.
 };
 
+/// Why a run is being stopped; for the log.
+enum class stop_reason : std::uint8_t {
+  JobOver,       ///< Its job was cancelled, failed or completed.
+  Draining,      ///< Its endpoint drains.
+  Evacuated,     ///< Its host is cordoned for maintenance.
+  Stalled,       ///< It made no progress.
+  NotListed,     ///< The endpoint does not list it any more.
+  StartRejected, ///< A repeated start was rejected; an earlier one may follow.
+  Transferred,   ///< It was assigned to an earlier incarnation.
+};
+
+std::string_view toText(stop_reason Reason);
+
 /// State that the leader keeps of one run on an endpoint.
 struct tracked_run {
   std::uint32_t Attempt = 0;
@@ -38,6 +52,8 @@
   /// When the start was accepted; empty after a change of leader.
   std::optional<core::time_point> StartedAt;
   bool IsStopAcknowledged = false;
+  stop_reason StopReason = stop_reason::JobOver; ///< While stopping.
+  core::time_point StopDecidedAt{};              ///< While stopping.
   bool IsEnded = false; ///< The end is about to be proposed or was proposed.
   std::string Checkpoint;
   std::uint32_t Percent = 0;           ///< Progress.
