Check the unavailability budget when an order takes effect

Cause: the budget was checked when the leader decided to stop a task or to order maintenance, but the order was sent later: a stop waits while its endpoint is suspected, a maintenance order while the platform throttles, and a new leader repeats the orders that an earlier one had logged. A peer also counted as available on any old answer, so a leader that is seconds behind saw tasks that had ended long ago.

Change: the budget is checked again when the stop or the order to a host is sent. A stop that is not allowed any more is withdrawn; an order to a host is held, its host is evacuated meanwhile, and its tasks count as available once no earlier copy of the order can take effect. Peers on an endpoint whose last answer is older than 2.5 s count as unavailable, and nothing is evacuated from a suspected endpoint.

Evidence: the three new tests of test_leader.cpp failed on the code before (a stop sent with the budget used up, a maintenance order repeated, and one sent although the peer had not answered for 4 s).

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -30,6 +30,11 @@
   /// the wave.
   std::optional<core::time_point> RefusedAt;
   core::time_point NextOrder{};
+  /// An order that was sent may still interrupt the host's runs.
+  core::time_point MayTakeEffectUntil{};
+  /// The order waits for the unavailability budgets of the host's runs, which
+  /// therefore count as available.
+  bool IsHeld = false;
 };
 
 /// The leader's view of the hosts: the platform's newest list, cordoned hosts,
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -187,8 +187,8 @@
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
-  void addMaintenance(const std::string &Host, std::uint64_t Wave,
-                      core::time_point Now);
+  host_operation &addMaintenance(const std::string &Host, std::uint64_t Wave,
+                                 core::time_point Now);
   /// Stops long-running tasks on cordoned hosts, within their budgets, when
   /// another endpoint has capacity for them.
   void evacuate(core::time_point Now);
@@ -204,14 +204,17 @@
                                                  core::time_point Now) const;
   /// \returns whether the unavailability budgets allow to interrupt all runs of
   /// the endpoint.
-  bool mayInterrupt(const tracked_endpoint &Tracked) const;
+  bool mayInterrupt(const tracked_endpoint &Tracked,
+                    core::time_point Now) const;
+  /// \returns whether the unavailability budget allows to stop this run only.
+  bool mayStop(const task_key &Task, core::time_point Now) const;
   /// \param CountsColocated whether tasks on the same endpoint count as
   /// unavailable, as when the whole endpoint stops.
   /// \returns the number of other tasks of the same step that are unavailable:
   /// not running, below 100 percent, or on an endpoint that does not answer,
-  /// drains or has a host operation.
-  std::uint32_t unavailablePeers(const task_key &Task,
-                                 bool CountsColocated) const;
+  /// drains or has a host operation that may take effect.
+  std::uint32_t unavailablePeers(const task_key &Task, bool CountsColocated,
+                                 core::time_point Now) const;
   const tracked_endpoint *trackedOnHost(const std::string &Host) const;
 
   // leader_moves.cpp
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -24,6 +24,13 @@
 // Minimum time between the starts of two lists, even when operations require a
 // new list earlier.
 constexpr core::duration MinListInterval = milliseconds(400);
+// An order to a host without an answer, or of an earlier leader, may still take
+// effect for this time: the time-out of a call, and as long again in queues of
+// the platform.
+constexpr core::duration HostOrderLifetime = 2 * PlatformTimeout;
+// Endpoints with runs answer a poll at least every 2.1 s. An older answer does
+// not show that a task is available: the leader may be too slow to see its end.
+constexpr core::duration MaxAnswerAge = milliseconds(2500);
 // A host that the platform reports as unknown or not part of the wave for this
 // long needs no maintenance any more.
 constexpr core::duration UnknownHostTimeout = std::chrono::seconds(3);
@@ -68,7 +75,8 @@
 }
 
 std::uint32_t leader::unavailablePeers(const task_key &Task,
-                                       bool CountsColocated) const {
+                                       bool CountsColocated,
+                                       core::time_point Now) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
   if (!Occurrence)
@@ -88,27 +96,40 @@
     bool IsAvailable = Run != Tracked->second.Runs.end() &&
                        Run->second.Phase == run_phase::Running &&
                        !Run->second.IsEnded && Run->second.Percent >= 100 &&
-                       !Tracked->second.IsSuspect;
+                       !Tracked->second.IsSuspect &&
+                       Now - Tracked->second.LastAnswer <= MaxAnswerAge;
     const auto &Facts = State.endpoints().find(Tracked->first)->second.Facts;
     auto Host = Hosts.HostOfEndpoint.find(Facts.Id);
     bool IsColocated = Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint;
+    auto Operation = Host == Hosts.HostOfEndpoint.end()
+                         ? Hosts.Operations.end()
+                         : Hosts.Operations.find(Host->second);
     bool IsLeaving =
         (IsColocated && CountsColocated) || Facts.IsDraining ||
-        (Host != Hosts.HostOfEndpoint.end() &&
-         Hosts.Operations.find(Host->second) != Hosts.Operations.end());
+        (Operation != Hosts.Operations.end() && !Operation->second.IsHeld);
     Unavailable += !IsAvailable || IsLeaving;
   }
   return Unavailable;
 }
 
-bool leader::mayInterrupt(const tracked_endpoint &Tracked) const {
+bool leader::mayStop(const task_key &Task, core::time_point Now) const {
+  const auto *Job = State.findJob(Task.Job);
+  if (!Job || isOver(Job->State))
+    return true;
+  const auto &Step = Job->Spec.Steps[Task.Step];
+  return !Step.IsLongRunning ||
+         unavailablePeers(Task, false, Now) < std::max(1u, Step.MaxUnavailable);
+}
+
+bool leader::mayInterrupt(const tracked_endpoint &Tracked,
+                          core::time_point Now) const {
   return std::all_of(
-      Tracked.Runs.begin(), Tracked.Runs.end(), [this](const auto &Item) {
+      Tracked.Runs.begin(), Tracked.Runs.end(), [&](const auto &Item) {
         const auto *Job = State.findJob(Item.first.Job);
         if (!Job || isOver(Job->State))
           return true;
         const auto &Step = Job->Spec.Steps[Item.first.Step];
-        return !Step.IsLongRunning || unavailablePeers(Item.first, true) <
+        return !Step.IsLongRunning || unavailablePeers(Item.first, true, Now) <
                                           std::max(1u, Step.MaxUnavailable);
       });
 }
@@ -149,18 +170,20 @@
         else
           ++Host.ShortRuns;
       }
-      Host.MayInterrupt = mayInterrupt(*Tracked);
+      Host.MayInterrupt = mayInterrupt(*Tracked, Now);
     }
     View.push_back(std::move(Host));
   }
   return View;
 }
 
-void leader::addMaintenance(const std::string &Host, std::uint64_t Wave,
-                            core::time_point Now) {
+host_operation &leader::addMaintenance(const std::string &Host,
+                                       std::uint64_t Wave,
+                                       core::time_point Now) {
   auto &Operation = Hosts.Operations[Host];
   Operation.Wave = Wave;
   Operation.DecidedAt = Now;
+  return Operation;
 }
 
 void leader::planHosts(std::vector<command> &Commands, core::time_point Now,
@@ -185,8 +208,12 @@
       continue;
     for (const auto &Name : Wave.Ordered)
       if (!contains(Wave.Begun, Name) &&
-          Hosts.Operations.find(Name) == Hosts.Operations.end())
-        addMaintenance(Name, Number, Now);
+          Hosts.Operations.find(Name) == Hosts.Operations.end()) {
+        // An earlier leader may have sent the order.
+        addMaintenance(Name, Number, Now).MayTakeEffectUntil =
+            StartedAt + HostOrderLifetime;
+        Hosts.Cordoned.emplace(Name, Now);
+      }
     auto View = maintenanceHosts(Wave, Now);
     auto Plan = planMaintenance(Wave, View, WallMs - Wave.StartedMs,
                                 Settings.MaintenanceMs);
@@ -195,7 +222,7 @@
     for (const auto &Name : Plan.Order) {
       // Hosts chosen earlier in this loop may have used up a budget.
       const auto *Tracked = trackedOnHost(Name);
-      if (Tracked && !mayInterrupt(*Tracked))
+      if (Tracked && !mayInterrupt(*Tracked, Now))
         continue;
       Hosts.Cordoned.emplace(Name, Now);
       addMaintenance(Name, Number, Now);
@@ -233,16 +260,18 @@
   auto Targets = schedulableTargets(Now);
   for (const auto &[Name, Since] : Hosts.Cordoned) {
     const auto *Found = trackedOnHost(Name);
-    if (!Found || Hosts.Operations.find(Name) != Hosts.Operations.end())
+    auto Operation = Hosts.Operations.find(Name);
+    bool IsReserved =
+        Operation != Hosts.Operations.end() && !Operation->second.IsHeld;
+    // Orders to a suspect endpoint wait until it answers.
+    if (!Found || Found->IsSuspect || IsReserved)
       continue;
     auto &Tracked = TrackedEndpoints.find(Found->Endpoint)->second;
     for (auto &[Key, Run] : Tracked.Runs) {
       const auto *Job = State.findJob(Key.Job);
       const auto &Step = Job->Spec.Steps[Key.Step];
       if (!Step.IsLongRunning || Run.Phase != run_phase::Running ||
-          isOver(Job->State) ||
-          // Only this run stops; others on the endpoint stay available.
-          unavailablePeers(Key, false) >= std::max(1u, Step.MaxUnavailable))
+          isOver(Job->State) || !mayStop(Key, Now))
         continue;
       if (!fitsElsewhere(Key, Tracked.Endpoint, Targets)) {
         Hosts.UnplaceableAt[Job->Pool] = Now;
@@ -290,15 +319,22 @@
       if (!contains(Wave.Ordered, Name))
         continue; // Not committed yet.
     }
-    Operation.IsOrderPending = true;
-    Operation.NextOrder = Now + HostOrderBackoff;
     const auto *Tracked = trackedOnHost(Name);
+    bool MayInterrupt = !Tracked || mayInterrupt(*Tracked, Now);
+    Operation.NextOrder = Now + HostOrderBackoff;
+    Operation.IsHeld = !MayInterrupt && Now >= Operation.MayTakeEffectUntil;
+    // Tasks may have become unavailable since the decision.
+    if (!MayInterrupt) {
+      Metrics.add("host_orders_held_total");
+      continue;
+    }
+    Operation.IsOrderPending = true;
+    Operation.MayTakeEffectUntil = Now + HostOrderLifetime;
     core::logEvent(core::log_level::Info,
                    Operation.Wave ? "maintenance_sent" : "move_sent",
                    {{"host", Name},
                     {"endpoint", Tracked ? Tracked->Endpoint : 0},
                     {"runs", Tracked ? Tracked->Runs.size() : 0},
-                    {"may_interrupt", !Tracked || mayInterrupt(*Tracked)},
                     {"decided_ms_ago", toMs(Now - Operation.DecidedAt)}});
     if (Operation.Wave)
       addOrder(Orders, nullptr, maintenance_order{Name, *Operation.Wave, Fence},
@@ -363,6 +399,7 @@
     return;
   case host_verdict::Throttled:
     Hosts.NextCall = Now + HostOrderBackoff;
+    Operation.MayTakeEffectUntil = {};
     return;
   case host_verdict::Fenced:
   case host_verdict::Busy:
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -162,7 +162,7 @@
                   {"endpoint", Tracked.Endpoint},
                   {"reason", toText(Run.StopReason)},
                   {"percent", Run.Percent},
-                  {"peers_unavailable", unavailablePeers(Key, false)},
+                  {"peers_unavailable", unavailablePeers(Key, false, Now)},
                   {"may_miss", Step.MaxUnavailable},
                   {"decided_ms_ago", toMs(Now - Run.StopDecidedAt)},
                   {"answer_age_ms", toMs(Now - Tracked.LastAnswer)}});
@@ -187,6 +187,14 @@
     if (Run.Phase == run_phase::Stopping) {
       if (Run.IsStopAcknowledged)
         continue;
+      // Tasks may have become unavailable since the decision.
+      if (Run.StopReason == stop_reason::Evacuated && !Run.IsStopSent &&
+          !mayStop(Key, Now)) {
+        Run.Phase = run_phase::Running;
+        Metrics.add("stops_withdrawn_total");
+        continue;
+      }
+      Run.IsStopSent = true;
       Run.IsOrderPending = true;
       Run.NextOrder = Now + ResendInterval;
       logStop(Tracked, Key, Run, Now);
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -51,6 +51,7 @@
   core::time_point VisibleSince{}; ///< Polls sent later must list the run.
   /// When the start was accepted; empty after a change of leader.
   std::optional<core::time_point> StartedAt;
+  bool IsStopSent = false;
   bool IsStopAcknowledged = false;
   stop_reason StopReason = stop_reason::JobOver; ///< While stopping.
   core::time_point StopDecidedAt{};              ///< While stopping.
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
@@ -74,6 +75,96 @@
   return Row;
 }
 
+/// A long-running step with two tasks, one on e1 and one on e2, of which one
+/// may be unavailable. e3 has capacity for another one.
+class budget_harness : public host_harness {
+public:
+  budget_harness() {
+    auto Step = makeStep(2);
+    Step.IsLongRunning = true;
+    Step.MaxUnavailable = 1;
+    Step.MaxPerEndpoint = 1;
+    for (std::uint32_t Number = 1; Number <= 3; ++Number) {
+      auto Id = "e" + std::to_string(Number);
+      apply(record_endpoint{makeEndpoint(Id)});
+      endpoint_heartbeat Heartbeat;
+      Heartbeat.Facts = makeEndpoint(Id);
+      Heartbeat.ClockMs = 1;
+      Leader->recordHeartbeat(Heartbeat, Now);
+    }
+    apply(submission(makeJob("j", {Step})));
+    for (std::uint32_t Number = 1; Number <= 2; ++Number)
+      apply(start_run{{"j", 0, 0, Number - 1}, 1, Number});
+    for (auto &Order : take<start_order>())
+      Leader->finishOrder({Order.Id, accepted()}, Now);
+    advanceTime(10ms);
+    for (std::uint32_t Number = 1; Number <= 2; ++Number)
+      answerPoll(Number, running(Number));
+    answerLists(rows());
+  }
+
+  static endpoint_answer accepted() {
+    endpoint_answer Answer;
+    Answer.Verdict = endpoint_verdict::Accepted;
+    Answer.ClockMs = 1;
+    return Answer;
+  }
+  static endpoint_answer running(std::uint32_t Number,
+                                 std::uint32_t Attempt = 1) {
+    auto Answer = accepted();
+    Answer.Running.push_back(
+        {{"j", 0, 0, Number - 1}, Attempt, "", 100, std::nullopt});
+    return Answer;
+  }
+  /// Answers the polls of an endpoint and takes those of the others.
+  void answerPoll(std::uint32_t Number, const order_answer &Answer) {
+    advanceTime(60ms);
+    for (auto &Order : take<poll_order>())
+      Polls[Order.Endpoint] = Order.Id;
+    auto Found = Polls.find(Number);
+    if (Found == Polls.end())
+      return;
+    auto Id = Found->second;
+    Polls.erase(Found);
+    Leader->finishOrder({Id, Answer}, Now);
+  }
+  /// Ends the run on an endpoint, as reported by its poll.
+  void endRun(std::uint32_t Number) {
+    auto Answer = accepted();
+    Answer.Ended.push_back(
+        {1, {"j", 0, 0, Number - 1}, 1, run_end::Failed, ""});
+    answerPoll(Number, Answer);
+    apply(end_run{{"j", 0, 0, Number - 1}, 1, run_end::Failed, ""});
+  }
+  void startWave() { apply(start_wave{1, {"h1"}, 20'000, 2}); }
+  /// Plans hosts; the leader's own starts are not committed.
+  void plan() {
+    advanceTime(200ms);
+    answerLists(rows());
+    for (const auto &Command : Leader->takeCommands(Now, 2000))
+      if (std::holds_alternative<order_maintenance>(Command))
+        apply(Command);
+  }
+  std::vector<order> waitForMaintenance() {
+    std::vector<order> Orders;
+    for (int Round = 0; Round != 20 && Orders.empty(); ++Round) {
+      plan();
+      Orders = take<maintenance_order>();
+      for (std::uint32_t Number = 1; Number <= 2; ++Number)
+        answerPoll(Number, running(Number, Attempts[Number]));
+    }
+    return Orders;
+  }
+
+private:
+  static std::vector<host_row> rows() {
+    return {hostRow("h1", "e1"), hostRow("h2", "e2"), hostRow("h3", "e3")};
+  }
+
+  std::map<std::uint32_t, std::uint64_t> Polls; ///< Open ones by endpoint.
+  std::map<std::uint32_t, std::uint32_t> Attempts{{1, 1}, {2, 1}};
+};
+
 } // namespace
 
 TEST_CASE("a new endpoint gets work after its first heartbeat") {
@@ -254,6 +345,58 @@
   CHECK(Harness.take<maintenance_order>().empty());
 }
 
+TEST_CASE("a stop that was held back is not sent when the budget of its step "
+          "is used up meanwhile") {
+  budget_harness Harness;
+  // A short task on e1 delays its maintenance, so that e1 is evacuated first.
+  Harness.apply(submission(makeJob("s", {makeStep(1)})));
+  Harness.apply(start_run{{"s", 0, 0, 0}, 1, 1});
+  Harness.take<start_order>();
+  Harness.startWave();
+  Harness.plan();
+  // An order to e1 is not answered, so a stop is held back.
+  Harness.answerPoll(1, no_answer{true, "timeout"});
+  Harness.plan();
+  Harness.endRun(2);
+  // e1 answers again.
+  Harness.answerPoll(1, Harness.running(1));
+  Harness.plan();
+  CHECK(Harness.take<stop_order>().empty());
+}
+
+TEST_CASE("a maintenance order is not repeated while the budget of a step on "
+          "the host is used up") {
+  budget_harness Harness;
+  Harness.startWave();
+  auto Orders = Harness.waitForMaintenance();
+  REQUIRE(Orders.size() == 1);
+  Harness.Leader->finishOrder({Orders[0].Id, host_verdict::Throttled},
+                              Harness.Now);
+  Harness.endRun(2);
+  for (int Round = 0; Round != 10; ++Round) {
+    Harness.plan();
+    Harness.answerPoll(1, Harness.running(1));
+  }
+  CHECK(Harness.take<maintenance_order>().empty());
+  Harness.apply(start_run{{"j", 0, 0, 1}, 2, 2});
+  for (auto &Order : Harness.take<start_order>())
+    Harness.Leader->finishOrder({Order.Id, Harness.accepted()}, Harness.Now);
+  Harness.answerPoll(2, Harness.running(2, 2));
+  CHECK(Harness.waitForMaintenance().size() == 1);
+}
+
+TEST_CASE("tasks on an endpoint that has not answered for seconds count "
+          "against the budget of their step") {
+  budget_harness Harness;
+  // The poll of e2 stays open, as when the leader is too slow to see its end.
+  Harness.advanceTime(4s);
+  Harness.answerPoll(1, Harness.running(1));
+  Harness.startWave();
+  Harness.plan();
+  CHECK(Harness.take<stop_order>().empty());
+  CHECK(Harness.take<maintenance_order>().empty());
+}
+
 TEST_CASE("runs of an endpoint that failed with the leader start elsewhere") {
   fake_site Site(2, 1, {});
   Site.run(1600);
