Do not suspect an endpoint for a failure of the schedulers

Cause: every order without an answer made its endpoint a suspect, which gets no work and no new lease, also when the order had never left the schedulers: the call was too old in the leader's own queue, or the delegate was frozen, disconnected or isolated.

Change: the result of a call says whether it failed locally.

Evidence: the new test of test_leader.cpp fails when IsLocal is ignored (no lease in the next poll, no start on the endpoint).

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -173,7 +173,8 @@
   void begin(client_call Call) {
     auto Now = boot_clock::now();
     if (Now - Call.Issued > Settings.MaxCallAge) {
-      PendingResults.push_back({Call.Id, false, false, {}, "call too old"});
+      PendingResults.push_back(
+          {Call.Id, false, false, {}, "call too old", true});
       return;
     }
     auto Transfer = std::make_unique<transfer>();
@@ -185,7 +186,7 @@
     Transfers.emplace(Raw->Easy, std::move(Transfer));
     if (!Transport.add(Raw->Easy)) {
       PendingResults.push_back(
-          {Raw->Call.Id, false, false, {}, "library error"});
+          {Raw->Call.Id, false, false, {}, "library error", true});
       release(Raw->Easy);
     }
   }
--- a/http/client.h
+++ b/http/client.h
@@ -28,6 +28,9 @@
   bool IsComplete = false; ///< Whether a complete response was received.
   response Response;       ///< Set when IsComplete.
   std::string Reason;      ///< Why the call failed; set when not IsComplete.
+  /// The call failed in this process or at a delegate, which says nothing about
+  /// the server.
+  bool IsLocal = false;
 };
 
 /// Limits of a client.
--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -22,6 +22,7 @@
   Result.Id = Id;
   Result.WasSent = true;
   Result.Reason = Reason;
+  Result.IsLocal = true;
   return Result;
 }
 
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -180,8 +180,9 @@
   /// endpoint obeys this leader.
   bool recordAnswer(tracked_endpoint &Tracked, const endpoint_answer &Answer,
                     core::time_point Now);
+  /// \param What the kind of the order, for the log.
   void recordNoAnswer(tracked_endpoint &Tracked, std::string_view What,
-                      std::string_view Reason, core::time_point Now);
+                      const no_answer &NoAnswer, core::time_point Now);
   /// Ends a run that certainly did not start and defers the task.
   void endUnstartedRun(tracked_endpoint &Tracked, const task_key &Task,
                        std::string_view Why, core::time_point Now);
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -14,6 +14,9 @@
 // Delay of the next poll after a run ended, so that ends in quick succession
 // share an answer.
 constexpr core::duration EndBatchDelay = milliseconds(40);
+// Delay of a poll after one that failed at a scheduler; repeating it at once
+// would add to the load that made it fail.
+constexpr core::duration LocalRetryInterval = milliseconds(100);
 // How long a task is not placed after an endpoint refused its start.
 constexpr core::duration RefusalBackoff = milliseconds(150);
 // A run counts as stalled when it makes no progress for the longer of this time
@@ -125,17 +128,22 @@
 }
 
 void leader::recordNoAnswer(tracked_endpoint &Tracked, std::string_view What,
-                            std::string_view Reason, core::time_point Now) {
+                            const no_answer &NoAnswer, core::time_point Now) {
   Metrics.add("unanswered_orders_total");
   if (Tracked.IsSuspect)
     return;
+  if (NoAnswer.IsLocal) {
+    Metrics.add("orders_failed_locally_total");
+    Tracked.NextPoll = std::max(Tracked.NextPoll, Now + LocalRetryInterval);
+    return;
+  }
   Tracked.IsSuspect = true;
   Tracked.NextPoll = Now;
   core::logEvent(
       core::log_level::Warning, "endpoint_suspected",
       {{"endpoint", State.endpoints().find(Tracked.Endpoint)->second.Facts.Id},
        {"order", What},
-       {"reason", Reason},
+       {"reason", NoAnswer.Reason},
        {"runs", Tracked.Runs.size()}});
 }
 
@@ -168,7 +176,7 @@
     const auto &NoAnswer = std::get<no_answer>(Result.Answer);
     if (IsCurrent && NoAnswer.MayHaveRun)
       ++Found->second.UnansweredStarts;
-    recordNoAnswer(Tracked, "start", NoAnswer.Reason, Now);
+    recordNoAnswer(Tracked, "start", NoAnswer, Now);
     return;
   }
   if (!recordAnswer(Tracked, *Answer, Now) || !IsCurrent ||
@@ -217,8 +225,7 @@
     Found->second.IsOrderPending = false;
   const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
   if (!Answer) {
-    recordNoAnswer(Tracked, "stop", std::get<no_answer>(Result.Answer).Reason,
-                   Now);
+    recordNoAnswer(Tracked, "stop", std::get<no_answer>(Result.Answer), Now);
     return;
   }
   if (!recordAnswer(Tracked, *Answer, Now) || !IsCurrent ||
@@ -235,8 +242,7 @@
     Tracked.PendingPoll.reset();
   const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
   if (!Answer) {
-    recordNoAnswer(Tracked, "hold", std::get<no_answer>(Result.Answer).Reason,
-                   Now);
+    recordNoAnswer(Tracked, "hold", std::get<no_answer>(Result.Answer), Now);
     return;
   }
   if (!recordAnswer(Tracked, *Answer, Now) ||
--- a/scheduling/orders.h
+++ b/scheduling/orders.h
@@ -163,6 +163,8 @@
 struct no_answer {
   bool MayHaveRun = false; ///< The order may have been executed.
   std::string Reason;
+  /// The order failed at a scheduler, which says nothing about its receiver.
+  bool IsLocal = false;
 };
 
 using order_answer = std::variant<no_answer, endpoint_answer, hosts_answer,
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -115,6 +115,7 @@
   auto Lost = Leader.peerDisconnected("delegate");
   REQUIRE(Lost.size() == 1);
   CHECK(Lost[0].WasSent);
+  CHECK(Lost[0].IsLocal);
   CHECK(!Lost[0].IsComplete);
   Leader.peerConnected("delegate");
   auto Second = makeCall(2);
@@ -125,6 +126,7 @@
   REQUIRE(Silent.size() == 1);
   CHECK(Silent[0].Id == 2);
   CHECK(Silent[0].WasSent);
+  CHECK(Silent[0].IsLocal);
   // A silent delegate gets no more calls until it answers.
   auto Third = makeCall(3);
   CHECK(!Leader.delegate(1, Third, at(3200ms)));
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -385,6 +385,23 @@
   CHECK(Harness.waitForMaintenance().size() == 1);
 }
 
+TEST_CASE("an endpoint whose delegate failed keeps its lease and gets work") {
+  budget_harness Harness;
+  Harness.answerPoll(1, no_answer{true, "delegate disconnected", true});
+  Harness.advanceTime(200ms);
+  bool HasLease = false;
+  for (const auto &Order : Harness.take<poll_order>())
+    if (Order.Endpoint == 1)
+      HasLease = std::get<poll_order>(Order.Body).LeaseExpiryMs.has_value();
+  CHECK(HasLease);
+  Harness.apply(submission(makeJob("s", {makeStep(3, 6500)})));
+  std::set<std::uint32_t> Endpoints;
+  for (const auto &Command : Harness.Leader->takeCommands(Harness.Now, 2000))
+    if (const auto *Start = std::get_if<start_run>(&Command))
+      Endpoints.insert(Start->Endpoint);
+  CHECK(Endpoints.count(1) == 1);
+}
+
 TEST_CASE("tasks on an endpoint that has not answered for seconds count "
           "against the budget of their step") {
   budget_harness Harness;
