Delegate all calls to endpoints when the leader has many

Cause: with 350 endpoints the leader made the calls to 60 of them itself.

Change: own_endpoints is now the number up to which the leader calls all endpoints itself; with more, all calls are delegated. An endpoint moves to a delegate with its next order and stays there.

The test of the leader's share is replaced by one of the new rule, which also checks the way back when no delegate is left; it fails on the code before.

--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -28,9 +28,10 @@
   std::string AdviserAddress;  ///< `ip:port`, or empty.
   core::log_settings Log;
   leader_settings Leader;
-  /// Number of endpoints that the leader calls itself; calls to the others are
-  /// delegated. The leader can send about 600 orders a second with a third of a
-  /// core, as many as 60 endpoints of 64 cores receive at peak load.
+  /// Number of endpoints up to which the leader calls all of them itself; with
+  /// more, all calls are delegated. The leader can send about 600 orders a
+  /// second with a third of a core, as many as 60 endpoints of 64 cores receive
+  /// at peak load.
   std::size_t OwnEndpoints = 60;
   /// Longest duration of a clean stop; the process then exits at once.
   core::duration StopGrace = std::chrono::milliseconds(4000);
--- a/scheduling/sender_table.cpp
+++ b/scheduling/sender_table.cpp
@@ -25,24 +25,18 @@
 
 std::string_view sender_table::senderOf(std::uint32_t Endpoint,
                                         core::time_point Now) {
-  auto Found = Assigned.find(Endpoint);
-  if (Found != Assigned.end()) {
-    Found->second.UsedAt = Now;
-    return Found->second.Delegate;
-  }
+  auto &Assignment = Assigned[Endpoint];
+  Assignment.UsedAt = Now;
+  if (!Assignment.Delegate.empty() || Delegates.empty() ||
+      Assigned.size() <= OwnEndpoints)
+    return Assignment.Delegate;
   auto LeastLoaded = std::min_element(Delegates.begin(), Delegates.end(),
                                       [](const auto &Left, const auto &Right) {
                                         return Left.second < Right.second;
                                       });
-  auto &New = Assigned[Endpoint];
-  New.UsedAt = Now;
-  if (OwnCount < OwnEndpoints || LeastLoaded == Delegates.end()) {
-    ++OwnCount;
-    return {};
-  }
   ++LeastLoaded->second;
-  New.Delegate = LeastLoaded->first;
-  return New.Delegate;
+  Assignment.Delegate = LeastLoaded->first;
+  return Assignment.Delegate;
 }
 
 void sender_table::prune(core::time_point Now) {
@@ -50,9 +44,7 @@
     const auto &[Endpoint, Assignment] = Item;
     if (Now - Assignment.UsedAt < UnusedRetention)
       return false;
-    if (Assignment.Delegate.empty())
-      --OwnCount;
-    else
+    if (!Assignment.Delegate.empty())
       --Delegates.find(Assignment.Delegate)->second;
     return true;
   });
--- a/scheduling/sender_table.h
+++ b/scheduling/sender_table.h
@@ -15,12 +15,15 @@
 ///
 /// Designed for hundreds of endpoints and a thousand starts a second, when
 /// sending takes more of the leader's processor time than deciding. The leader
-/// sends to a limited number of endpoints itself; the rest is spread evenly
-/// over its delegates. An endpoint keeps its sender, and so its open
-/// connections, as long as that sender is available.
+/// sends itself while it has few endpoints. With more, its processor time is
+/// the scarce one, and its own calls would wait behind its decisions until they
+/// time out, so all endpoints are spread evenly over its delegates. An endpoint
+/// keeps its sender, and so its open connections, as long as that sender is
+/// available.
 class sender_table {
 public:
-  /// \param OwnEndpoints number of endpoints that the leader sends to itself.
+  /// \param OwnEndpoints number of endpoints up to which the leader sends
+  /// itself.
   explicit sender_table(std::size_t OwnEndpoints)
       : OwnEndpoints(OwnEndpoints) {}
 
@@ -40,7 +43,6 @@
   };
 
   std::size_t OwnEndpoints;
-  std::size_t OwnCount = 0; ///< Endpoints assigned to the leader.
   std::map<std::string, std::size_t> Delegates; ///< Endpoints of each.
   std::map<std::uint32_t, assignment> Assigned;
 };
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -27,12 +27,17 @@
 
 } // namespace
 
-TEST_CASE("the leader sends to its share of endpoints without a delegate") {
+TEST_CASE("the leader sends itself only while it has few endpoints or no "
+          "delegate") {
   sender_table Senders(2);
   Senders.addDelegate("b");
   CHECK(Senders.senderOf(1, at(1s)).empty());
   CHECK(Senders.senderOf(2, at(1s)).empty());
-  CHECK(Senders.senderOf(3, at(1s)) == "b");
+  for (std::uint32_t Endpoint = 3; Endpoint != 0; --Endpoint)
+    CHECK(Senders.senderOf(Endpoint, at(1s)) == "b");
+  Senders.removeDelegate("b");
+  for (std::uint32_t Endpoint = 3; Endpoint != 0; --Endpoint)
+    CHECK(Senders.senderOf(Endpoint, at(1s)).empty());
 }
 
 TEST_CASE("delegates share the endpoints evenly, and an endpoint keeps its "
@@ -59,7 +64,7 @@
 
 TEST_CASE(
     "an endpoint that gets no more orders no longer counts for the leader's "
-    "share") {
+    "limit") {
   sender_table Senders(1);
   Senders.addDelegate("a");
   CHECK(Senders.senderOf(1, at(1s)).empty());
