Bound the lease that an order for an earlier incarnation may grant

Cause: an endpoint that restarts under its id accepts orders that the leader meant for its earlier incarnation, because they name only the id. The end of their lease is in the earlier clock, far ahead of the new one, so the endpoint takes its maximum. The leader assumed an ordinary lease, recorded runs as lost while they went on, started them elsewhere, and took the host down with tasks on it.

Change: after an endpoint restarted under its id its runs count as lost only after the longest delay of an order and the endpoint's maximum lease. The maximum is max_lease_ms, which was read before only to shorten the lease.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -35,6 +35,8 @@
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
+// An endpoint may execute an order without an answer this much later.
+constexpr core::duration MaxOrderDelay = std::chrono::seconds(12);
 constexpr core::duration TickInterval = milliseconds(20);
 // Bits of an order id below the fencing token: enough for three years of one
 // leadership at 10,000 orders per second.
@@ -219,9 +221,16 @@
     Tracked.LeaseExpiry = std::max(
         Tracked.LeaseExpiry, Now + Settings.Lease * MaxLeasePercent / 100);
   }
-  std::erase_if(TrackedEndpoints, [this](const auto &Item) {
+  auto Replaced = std::erase_if(TrackedEndpoints, [this](const auto &Item) {
     return State.endpoints().find(Item.first) == State.endpoints().end();
   });
+  // Orders for the earlier incarnation may reach this one, late ones too; their
+  // leases are in the other one's clock, so only the endpoint's maximum bounds
+  // them.
+  if (Replaced > 0)
+    Tracked.LeaseExpiry = std::max(
+        Tracked.LeaseExpiry,
+        Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
 }
 
 void leader::applyFirstHeartbeat(tracked_endpoint &Tracked,
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -32,6 +32,7 @@
   // The default lease outlasts an election and some lost renewals, and is short
   // enough that the work of a lost endpoint restarts soon.
   Leader.Lease = std::min<core::duration>(Leader.Lease, MaxLease);
+  Leader.MaxLease = MaxLease;
   Leader.MaintenanceMs = static_cast<std::int64_t>(
       Reader.readNumber("upkeep_s", 0, MaxHostOperationS, DefaultMaintenanceS) *
       1000);
