Keep runs that a restarted endpoint lists instead of stopping all of them

Cause: when an endpoint restarted under its id, the leader stopped all runs that were assigned to its earlier incarnation, because a start may reach the new one late. Start orders sent after the restart had been accepted there, so tasks that were available were stopped together, beyond the budget of their step.

Change: the first list of the new incarnation decides. A run that it shows goes on; any other is stopped, which keeps a late start from running, and then ends.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -212,7 +212,8 @@
     auto &Run = Found->second;
     EndpointOfRun[Key] = Endpoint.Number;
     Run.Attempt = State.findTask(Key)->Attempt;
-    beginStop(Run, stop_reason::Transferred, Now);
+    Run.Phase = run_phase::Unconfirmed;
+    Run.MayStartLate = true;
     for (const auto &[Number, Earlier] : TrackedEndpoints) {
       auto Previous = Earlier.Runs.find(Key);
       if (Number != Endpoint.Number && Previous != Earlier.Runs.end())
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -93,8 +93,8 @@
   /// Tracks the endpoints and runs of the replicated state after a change of
   /// leader, and stops the runs of jobs that are over.
   void restoreRuns(core::time_point Now);
-  /// Assigns the runs of an earlier incarnation with the same id to the new one
-  /// and stops them there.
+  /// Assigns the runs of an earlier incarnation with the same id to the new
+  /// one, which may have received their start orders.
   void transferRuns(tracked_endpoint &Tracked, const endpoint_record &Endpoint,
                     core::time_point Now);
   /// Records the clock sample of the heartbeat that announced a new
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -321,10 +321,11 @@
     if (Run.IsEnded || Run.IsOrderPending || Run.VisibleSince >= SentAt ||
         Present.count(Key) > 0)
       continue;
-    if (Run.Phase == run_phase::Unconfirmed ||
+    bool IsUnconfirmed = Run.Phase == run_phase::Unconfirmed;
+    if ((IsUnconfirmed && !Run.MayStartLate) ||
         (Run.Phase == run_phase::Stopping && Run.IsStopAcknowledged))
       endUnstartedRun(Tracked, Key, "not listed by the endpoint", Now);
-    else if (Run.Phase == run_phase::Running) {
+    else if (IsUnconfirmed || Run.Phase == run_phase::Running) {
       // The endpoint must list the run as running or ended. A stop keeps a late
       // copy of the start order from starting it again.
       beginStop(Run, stop_reason::NotListed, Now);
--- a/scheduling/tracked_endpoint.cpp
+++ b/scheduling/tracked_endpoint.cpp
@@ -16,8 +16,6 @@
     return "not_listed";
   case stop_reason::StartRejected:
     return "start_rejected";
-  case stop_reason::Transferred:
-    return "transferred";
   }
   return "unknown";
 }
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -34,7 +34,6 @@
   Stalled,       ///< It made no progress.
   NotListed,     ///< The endpoint does not list it any more.
   StartRejected, ///< A repeated start was rejected; an earlier one may follow.
-  Transferred,   ///< It was assigned to an earlier incarnation.
 };
 
 std::string_view toText(stop_reason Reason);
@@ -51,6 +50,9 @@
   core::time_point VisibleSince{}; ///< Polls sent later must list the run.
   /// When the start was accepted; empty after a change of leader.
   std::optional<core::time_point> StartedAt;
+  /// While unconfirmed: a start order for an earlier incarnation may still
+  /// start the run on this one.
+  bool MayStartLate = false;
   bool IsStopSent = false;
   bool IsStopAcknowledged = false;
   stop_reason StopReason = stop_reason::JobOver; ///< While stopping.
--- a/tests/scheduling/test_random_schedule.cpp
+++ b/tests/scheduling/test_random_schedule.cpp
@@ -127,7 +127,7 @@
 TEST_CASE("no order ends a long-running task beyond the budget of its step "
           "despite late, lost and repeated orders and changes of leader") {
   throwing_invariants Invariants;
-  auto Seed = GENERATE(range(1, 61));
+  auto Seed = GENERATE(range(1, 61), 85, 219, 337, 664, 687, 706, 1231);
   INFO("seed " << Seed);
   simulateWaves(static_cast<std::uint64_t>(Seed), {30, 30, 30, 20});
 }
