Apply the leader's own entries without decoding them again

The leader decoded each committed entry from the bytes that it had encoded itself; decodeBatch() took 2.6 % of its processor time in the profile of a peak. A proposed entry now keeps its batch until it is applied.

--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -283,6 +283,7 @@
         IsLeaderBatchOpen && Count >= LeaderBatchLeft && LeaderBatchLeft > 0;
     auto Outcome =
         core::capture([&] { return Raft.propose(encodeBatch(Batch)); });
+    Entry.Batch = std::move(Batch);
     if (std::get_if<core::failure>(&Outcome))
       return; // It stays queued until the log accepts it or leadership is lost.
     LeaderBatchLeft -= std::min(LeaderBatchLeft, Count);
@@ -383,7 +384,8 @@
   }
   if (Entry.Kind != replication::entry_kind::Command)
     return 0;
-  auto Batch = decodeBatch(Entry.Payload);
+  auto Batch =
+      Own ? std::optional(std::move(Own->Batch)) : decodeBatch(Entry.Payload);
   core::checkInvariant(Batch.has_value(), "committed entries can be decoded");
   for (std::size_t Index = 0; Index != Batch->Commands.size(); ++Index) {
     const auto &Command = Batch->Commands[Index];
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -96,6 +96,7 @@
   /// A log entry that this leader proposed and that is not applied yet.
   struct proposed_entry {
     std::uint64_t Term = 0;
+    command_batch Batch;
     std::vector<std::uint64_t> Calls; ///< One for each command, or 0.
     /// Contains the last command of a batch that `leader` decided.
     bool IsLeaderBatch = false;
