--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -339,7 +339,8 @@
     for (std::uint32_t Index = 0; Index != Job.Spec.Steps[0].Count; ++Index) {
       task_key Task{Id, 0, 0, Index};
       auto &Entry =
-          Availability.try_emplace(Task, false, NowMs, false).first->second;
+          Availability.try_emplace(Task, task_availability{false, NowMs, false})
+              .first->second;
       bool IsAvailable = Available.count(Task) > 0;
       if (IsAvailable != Entry.IsAvailable)
         Entry.ChangedMs = NowMs;
