Initialize the clock of a test fixture before the node that reads it

The fixture of the schedule views declared its node before the metrics and the clock that the node's construction uses, so the node started with an indeterminate time. On arm64 that time lay far in the future: no election timeout ever expired and the test ran for 13 minutes until it was ended by hand (the stack showed the loop of the constructor). On x86-64 it happened to pass.

The members are declared before the node now, as in the fixture of the node's own test; no check changed. test_scheduling: 98 test cases pass in 12 s.

--- a/tests/scheduling/test_schedule_views.cpp
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -30,6 +30,13 @@
     return nlohmann::json::parse(*Text);
   }
 
+private:
+  // Declared before Node, whose construction uses them.
+  core::metrics_registry Metrics;
+  core::time_point Now{std::chrono::seconds(1)};
+  std::uint64_t LastCall = 0;
+
+public:
   schedule_node Node;
 
 private:
@@ -49,10 +56,6 @@
     for (const auto &Write : Actions.Writes)
       Node.stored(Write.Ticket, Now);
   }
-
-  core::metrics_registry Metrics;
-  core::time_point Now{std::chrono::seconds(1)};
-  std::uint64_t LastCall = 0;
 };
 
 } // namespace
