Add failing tests: a change that the log refuses blocks all later changes

The tests fail on this code: no reply within 4 s to a configuration of 6,001 queues, to a submission behind it, to 400 submissions of 4,000 bytes that are queued together, or to calls while the log is full.

--- a/tests/scheduling/test_schedule_node.cpp
+++ b/tests/scheduling/test_schedule_node.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
 using namespace lycheetrestle::scheduling::test;
@@ -55,8 +60,158 @@
   }
 };
 
+/// The leader of a cluster of one, whose writes finish immediately unless its
+/// disk is stalled.
+class leading_scheduler {
+public:
+  leading_scheduler() : Node(makeNode()) {
+    while (!Node.isLeading())
+      advance();
+  }
+
+  void advance() {
+    Now += 10ms;
+    Node.tick(Now);
+    auto Actions = Node.takeActions(Now);
+    for (const auto &Write : Actions.Writes)
+      LastTicket = Write.Ticket;
+    if (!IsStalled)
+      Node.stored(LastTicket, Now);
+    for (const auto &Reply : Actions.Replies)
+      Replies[Reply.Id] = Reply.Kind;
+  }
+
+  /// \returns the id of the call.
+  std::uint64_t call(call_body Body) {
+    Node.handle({++LastCall, std::move(Body)}, Now);
+    return LastCall;
+  }
+
+  /// \returns the reply to the call, once there is one within the time.
+  std::optional<reply_kind> awaitReply(std::uint64_t Call,
+                                       core::duration Within) {
+    for (auto Until = Now + Within; Now < Until && Replies.count(Call) == 0;)
+      advance();
+    auto Found = Replies.find(Call);
+    return Found == Replies.end() ? std::nullopt : std::optional(Found->second);
+  }
+
+private:
+  // Declared before Node, whose construction uses them.
+  core::metrics_registry Metrics;
+  core::time_point Now{1s};
+  std::uint64_t LastCall = 0;
+  std::uint64_t LastTicket = 0;
+  std::map<std::uint64_t, reply_kind> Replies;
+
+public:
+  bool IsStalled = false;
+  schedule_node Node;
+
+private:
+  schedule_node makeNode() {
+    scheduler_settings Settings;
+    Settings.Address = "10.0.0.1";
+    replication::replica_id Self{Settings.Address, 1};
+    replication::membership Initial;
+    Initial.Members.push_back({Self, true});
+    return {Settings, Self, {}, Initial, Metrics, Now};
+  }
+};
+
+/// \returns a configuration with this many more queues, and a document of 190
+/// bytes for each, as the operator's has.
+configuration makeLargeConfiguration(std::uint64_t Version,
+                                     std::size_t Queues) {
+  auto Configuration = makeConfiguration(Version);
+  for (std::size_t Index = 0; Index != Queues; ++Index) {
+    auto Queue = Configuration.Queues.front();
+    Queue.Name = "r-" + std::to_string(Index);
+    Queue.PathPrefix = "/queue" + std::to_string(Index) + "/";
+    Configuration.Queues.push_back(std::move(Queue));
+  }
+  Configuration.Text = "{\"" + std::string(190 * Queues, 'r') + "\"}";
+  return Configuration;
+}
+
+submit_call submitCall(const std::string &Id, std::size_t PayloadBytes = 1) {
+  auto Job = makeJob(Id, {makeStep(1)});
+  Job.Payload.assign(PayloadBytes, 'x');
+  return {Host, Prefix + Id, std::move(Job)};
+}
+
+// Time in which the users require the acknowledgement of a change, without the
+// 3 ms for each route.
+constexpr core::duration AcknowledgementBound = 4s;
+
 } // namespace
 
+TEST_CASE("a configuration of 1 MB and more is acknowledged, and so is the "
+          "work that is submitted after it",
+          "[!shouldfail]") {
+  leading_scheduler Scheduler;
+  auto Change = Scheduler.call(configure_call{makeLargeConfiguration(2, 6000)});
+  auto Submission = Scheduler.call(submitCall("j"));
+  CHECK(Scheduler.awaitReply(Change, AcknowledgementBound) ==
+        reply_kind::Accepted);
+  CHECK(Scheduler.awaitReply(Submission, AcknowledgementBound) ==
+        reply_kind::Accepted);
+  CHECK(Scheduler.Node.state().currentConfiguration().Queues.size() == 6001);
+}
+
+TEST_CASE("submissions that were queued during a stall of the disk are "
+          "acknowledged after it, also when they exceed the largest entry",
+          "[!shouldfail]") {
+  leading_scheduler Scheduler;
+  Scheduler.call(configure_call{makeConfiguration(2)});
+  Scheduler.advance();
+  Scheduler.advance();
+  std::vector<std::uint64_t> Calls;
+  for (int Index = 0; Index != 400; ++Index)
+    Calls.push_back(
+        Scheduler.call(submitCall("j" + std::to_string(Index), 4000)));
+  for (auto Call : Calls)
+    CHECK(Scheduler.awaitReply(Call, AcknowledgementBound) ==
+          reply_kind::Accepted);
+}
+
+TEST_CASE("a change that is too large for the log is refused at once and "
+          "holds up nothing behind it",
+          "[!shouldfail]") {
+  leading_scheduler Scheduler;
+  Scheduler.call(configure_call{makeConfiguration(2)});
+  auto Change =
+      Scheduler.call(configure_call{makeLargeConfiguration(3, 60'000)});
+  auto Submission = Scheduler.call(submitCall("j"));
+  CHECK(Scheduler.awaitReply(Submission, AcknowledgementBound) ==
+        reply_kind::Accepted);
+  CHECK(Scheduler.awaitReply(Change, 100ms).has_value());
+  CHECK(Scheduler.Node.state().currentConfiguration().Version == 2);
+}
+
+TEST_CASE("calls that cannot reach the log are answered as not executed",
+          "[!shouldfail]") {
+  leading_scheduler Scheduler;
+  Scheduler.call(configure_call{makeConfiguration(2)});
+  Scheduler.advance();
+  Scheduler.advance();
+  Scheduler.IsStalled = true;
+  // More than the log accepts without a commit.
+  std::vector<std::uint64_t> Calls;
+  for (int Index = 0; Index != 400; ++Index)
+    Calls.push_back(
+        Scheduler.call(submitCall("j" + std::to_string(Index), 60'000)));
+  std::size_t NotExecuted = 0;
+  for (auto Call : Calls) {
+    auto Reply = Scheduler.awaitReply(Call, AcknowledgementBound);
+    CHECK(Reply.has_value());
+    NotExecuted += Reply == reply_kind::Unavailable;
+  }
+  CHECK(NotExecuted > 200);
+  auto Later = Scheduler.call(submitCall("later", 60'000));
+  CHECK(Scheduler.awaitReply(Later, 100ms) == reply_kind::Unavailable);
+}
+
 TEST_CASE("a restarted scheduler replays its log in steps that are short "
           "compared to the election time-out") {
   // 5,000 commands take 35 ms at a third of a core; the time-out is 600 ms.
