--- a/core/invariant.cpp
+++ b/core/invariant.cpp
@@ -11,6 +11,8 @@
 
 void abortProcess(std::string_view What) {
   logEvent(log_level::Error, "invariant_broken", {{"what", What}});
+  // The line is in the queue of another thread, which ends with the process.
+  flushLog();
   std::abort();
 }
 
