--- a/control/control_loop.cpp
+++ b/control/control_loop.cpp
@@ -292,6 +292,13 @@
   sendToEntry(Key->Peer, Reply);
 }
 
+void control_loop::removeFirstQueued() {
+  const auto &Waiter = QueuedProposals.front().Waiter;
+  if (const auto *Object = std::get_if<object_waiter>(&Waiter))
+    BusyObjects.erase(Object->Object);
+  QueuedProposals.pop_front();
+}
+
 void control_loop::expireWaiting(core::time_point Now) {
   while (!QueuedProposals.empty() &&
          Now - QueuedProposals.front().Since > RequestTimeout) {
@@ -300,10 +307,7 @@
         {error_code::Overloaded,
          "the change was not written to the log within the request timeout", "",
          "", verdict::NotRun});
-    if (auto *Object =
-            std::get_if<object_waiter>(&QueuedProposals.front().Waiter))
-      BusyObjects.erase(Object->Object);
-    QueuedProposals.pop_front();
+    removeFirstQueued();
   }
   for (auto &[Index, Proposal] : LoggedProposals) {
     if (Now - Proposal.Since <= RequestTimeout ||
@@ -338,8 +342,14 @@
     Next.Command.TimeMs = core::wallMilliseconds();
     auto Outcome = core::capture(
         [&] { return Raft.propose(fleet::encode(Next.Command)); });
-    if (std::get_if<failure>(&Outcome))
-      return; // Stays queued until accepted, expired or leadership is lost.
+    if (auto *Failure = std::get_if<failure>(&Outcome)) {
+      if (Failure->Code != error_code::TooLarge)
+        return; // Stays queued until accepted, expired or leadership is lost.
+      // The log never accepts it, and the changes behind it must not wait.
+      failProposal(Next, *Failure);
+      removeFirstQueued();
+      continue;
+    }
     Next.Term = LeaderTerm;
     Metrics.add("proposals_total");
     LoggedProposals.emplace(std::get<0>(Outcome), std::move(Next));
--- a/control/control_loop.h
+++ b/control/control_loop.h
@@ -102,6 +102,8 @@
   void compactWhenDue();
   void proposeQueued(core::time_point Now);
   void failProposal(const proposal &Proposal, const core::failure &Failure);
+  /// Removes the oldest change that is not in the log.
+  void removeFirstQueued();
   void expireWaiting(core::time_point Now);
   void reconcile(core::time_point Now);
   bool isLeader() const { return LeaderTerm != 0; }
--- a/tests/control/test_control_loop.cpp
+++ b/tests/control/test_control_loop.cpp
@@ -73,6 +73,28 @@
   CHECK(Cluster.loop("c1").state().currentDeclaration().Number == 1);
 }
 
+// Guards against a change that the log never accepts and that holds up all
+// changes behind it until it expires.
+TEST_CASE("a change that is too large for the log is refused at once") {
+  fake_cluster Cluster(3);
+  auto Leader = Cluster.awaitLeader();
+  auto Large = smallDeclaration(1);
+  for (int Index = 0; Index != 19'000; ++Index)
+    Large.Hosts.push_back({std::string(240, 'w') + std::to_string(Index),
+                           "gate",
+                           "z1",
+                           "r1",
+                           {64, 131072, 0}});
+  auto Refused =
+      Cluster.submit(Leader, "s-1", fleet::submit_declaration{Large});
+  auto Behind = Cluster.submit(Leader, "s-2", declare(2));
+  Cluster.run(seconds(1));
+  REQUIRE(Cluster.answer(Refused));
+  CHECK(Cluster.answer(Refused)->Status == 413);
+  REQUIRE(Cluster.answer(Behind));
+  CHECK(Cluster.answer(Behind)->Status == 200);
+}
+
 // Guards against executing a resent change twice or answering it differently.
 TEST_CASE("a resend under the same submission id gets the same answer") {
   fake_cluster Cluster(3);
