Send a request to at most two endpoints that may run it

A caller's idempotent request whose endpoint connection broke while it ran was retried elsewhere up to two times, so one request that ends the program that runs it could take three endpoints with it. Only MaxRetries and the retry budget of the service bounded it.

The entry counts the attempts of a request whose outcome is unknown and stops at two. The second covers an endpoint that failed by itself. Attempts that have certainly not run do not count, so refusals are retried as before, and requests that are not idempotent are still dispatched once.

--- a/routing/request_handler.cpp
+++ b/routing/request_handler.cpp
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr std::size_t MaxKeyBytes = 200;
+// Attempts of one request that may end with an unknown outcome. A request whose
+// connections break while it runs may itself end the endpoints that run it. A
+// second endpoint is tried because the first may have failed by itself; a third
+// is not, whatever the budget for all requests allows.
+constexpr std::uint32_t MaxUnknownAttempts = 2;
 // A grant can name an endpoint that this entry cannot use any more. After this
 // many such grants the entries have disagreed for longer than a lease.
 constexpr std::uint32_t MaxRegrants = 5;
@@ -248,10 +253,12 @@
                   {"correlation", Request.Request.CorrelationId},
                   {"certain", IsCertainlyNotRun},
                   {"reason", Result.Reason}});
-  if (!IsCertainlyNotRun)
+  if (!IsCertainlyNotRun) {
     Request.MayHaveRun = true;
-  else if (Request.isKeyed())
+    ++Request.UnknownAttempts;
+  } else if (Request.isKeyed()) {
     Keys.markNotRun(Request.Request.Id);
+  }
   if (mayRetry(Request, IsCertainlyNotRun, Now)) {
     Context.Metrics.add("retries_total");
     Request.Avoid.push_back(Request.Endpoint);
@@ -271,7 +278,8 @@
   bool IsAllowed =
       Request.IsIdempotent || (Request.isKeyed() && IsCertainlyNotRun);
   if (!IsAllowed || Request.IsCallerDisconnected || Now >= Request.Deadline ||
-      Request.Attempts > Context.Settings.MaxRetries)
+      Request.Attempts > Context.Settings.MaxRetries ||
+      Request.UnknownAttempts >= MaxUnknownAttempts)
     return false;
   return budgetOf(Request.Request.Service).tryRetry(Now);
 }
--- a/routing/request_tracker.h
+++ b/routing/request_tracker.h
@@ -31,10 +31,11 @@
   /// An attempt has an unknown outcome, or another holder has the key.
   bool MayHaveRun = false;
   std::uint32_t Attempts = 0;
-  std::uint32_t Regrants = 0; ///< Grants that this entry could not use.
-  std::uint64_t SlotId = 0;   ///< Slot that it waits for or holds.
-  std::uint64_t Attempt = 0;  ///< Id of the attempt in flight, or 0.
-  std::string Endpoint, Host; ///< Of the attempt in flight.
+  std::uint32_t UnknownAttempts = 0; ///< Attempts with an unknown outcome.
+  std::uint32_t Regrants = 0;        ///< Grants that this entry could not use.
+  std::uint64_t SlotId = 0;          ///< Slot that it waits for or holds.
+  std::uint64_t Attempt = 0;         ///< Id of the attempt in flight, or 0.
+  std::string Endpoint, Host;        ///< Of the attempt in flight.
   core::time_point AttemptStart;
   std::vector<std::string> Avoid; ///< Endpoints that failed or were unusable.
 
--- a/tests/routing/test_entry_router.cpp
+++ b/tests/routing/test_entry_router.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace lycheetrestle;
 using namespace lycheetrestle::routing;
 using namespace std::chrono_literals;
@@ -241,6 +243,24 @@
   checkResponse(502, MayHaveRun, "endpoint-unreachable");
 }
 
+// Guards against a request that breaks the connection of each endpoint which
+// runs it: the budget for all requests still has two retries left here.
+TEST_CASE_METHOD(router_fixture,
+                 "a request reaches at most two endpoints that may run it") {
+  start();
+  for (const char *Endpoint : {"ep2", "ep3", "ep4"})
+    announce(Endpoint);
+  take();
+  call(1, "GET");
+  std::set<std::string> Reached;
+  while (!Output.Dispatch.empty()) {
+    Reached.insert(Output.Dispatch[0].Endpoint);
+    finish(upstream_status::Unknown);
+  }
+  CHECK(Reached.size() == 2);
+  checkResponse(502, MayHaveRun, "upstream-failed");
+}
+
 TEST_CASE_METHOD(router_fixture,
                  "requests that are not idempotent are dispatched once") {
   start();
