Stop forwarding a request with which two schedulers were lost

A gateway sent a request whose scheduler was lost to each next leader until the caller's deadline. A request that ends the scheduler that handles it would have been carried from one to the next by the gateway itself.

A call counts the copies whose scheduler was lost before it replied, by a broken link or by missing statuses. After two its outcome is reported as unknown (504) and requests_lost_with_schedulers_total counts it. A change of leader that the request did not cause costs one copy, so failover works as before. Replies that a call may have run do not count, because their sender is alive.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -14,6 +14,10 @@
 // A request that has not run is abandoned after more refusals than this:
 // schedulers that refer to each other as the leader are in an election.
 constexpr std::uint32_t MaxRefusals = 4;
+// A request is not sent again after this many schedulers were lost before they
+// replied to it, because it may be what ends them. One that is lost by itself
+// costs a single copy.
+constexpr std::uint32_t MaxLostCopies = 2;
 
 double toMs(core::duration Duration) {
   return std::chrono::duration<double, std::milli>(Duration).count();
@@ -144,6 +148,7 @@
       Call.SentTo.clear();
       Call.MayHaveRun = true;
       Call.LostAt = Now;
+      ++Call.LostCopies;
     }
 }
 
@@ -166,9 +171,15 @@
       Call.MayHaveRun = true;
       Call.SentTo.clear();
       Call.LostAt = Now;
+      ++Call.LostCopies;
     }
     if (!Call.SentTo.empty())
       continue;
+    if (Call.LostCopies >= MaxLostCopies) {
+      Metrics.add("requests_lost_with_schedulers_total");
+      Expired.push_back(Id);
+      continue;
+    }
     if (!Current) {
       // The caller may reach the next leader sooner through another gateway, so
       // a call that may have run does not wait for its deadline.
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -45,8 +45,8 @@
 ///
 /// A request that no scheduler received is rejected as not run. A request that
 /// was forwarded but got no reply is sent again to the next leader, which is
-/// safe because jobs are identified by id; without a reply in time the outcome
-/// is reported as unknown.
+/// safe because jobs are identified by id; without a reply in time, or after
+/// two schedulers were lost with it, the outcome is reported as unknown.
 class forwarder {
 public:
   /// \param Seeds IP addresses of schedulers.
@@ -87,6 +87,8 @@
     /// When its scheduler was lost or replied that it was not handled.
     core::time_point LostAt{};
     std::uint32_t Refusals = 0; ///< Replies that it was not handled.
+    /// Copies whose scheduler was lost before it replied.
+    std::uint32_t LostCopies = 0;
   };
 
   /// \returns the IP address of the connected leader with the highest term.
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -175,6 +175,29 @@
   CHECK(Fixture.Responses[0].Response.Status == 504);
 }
 
+// Guards against a request that ends each scheduler which handles it: it must
+// not reach all schedulers, one after the other.
+TEST_CASE("a request with which two schedulers were lost is not sent to a "
+          "third") {
+  forwarder_fixture Fixture;
+  Fixture.status("a", true, 3);
+  Fixture.request(1);
+  Fixture.Forwarder.linkChanged("a", false, Fixture.Now);
+  Fixture.status("b", true, 4);
+  Fixture.advance(10ms);
+  REQUIRE(Fixture.Calls.size() == 2);
+  SECTION("its link broke") {
+    Fixture.Forwarder.linkChanged("b", false, Fixture.Now);
+  }
+  SECTION("it stopped sending statuses") { Fixture.advance(1100ms); }
+  Fixture.Forwarder.linkChanged("a", true, Fixture.Now);
+  Fixture.status("a", true, 5);
+  Fixture.advance(10ms);
+  CHECK(Fixture.Calls.size() == 2);
+  REQUIRE(Fixture.Responses.size() == 1);
+  CHECK(Fixture.Responses[0].Response.Status == 504);
+}
+
 TEST_CASE("a request that the receiver refused is rejected as not run") {
   forwarder_fixture Fixture;
   Fixture.status("a", true, 3);
