--- a/fleet/cbor_archive.h
+++ b/fleet/cbor_archive.h
@@ -14,13 +14,31 @@
 
 namespace lycheetrestle::fleet {
 
-/// Longest string and list that a reader accepts.
+/// Longest string and list that a reader of messages accepts.
 constexpr std::size_t MaxStringBytes = 4096;
 constexpr std::size_t MaxListItems = 20'000;
-/// Longest byte string that a reader accepts: a document of the largest size
-/// that an operator may send. It exceeds the limit of a stored response body,
-/// because the state machine drops larger bodies itself.
-constexpr std::size_t MaxByteStringBytes = 4u << 20;
+/// Longest byte string that a reader of messages accepts. It exceeds the limit
+/// of a stored response body, because the state machine drops larger bodies
+/// itself.
+constexpr std::size_t MaxByteStringBytes = 1u << 20;
+
+/// Limits of a reader of messages from other processes.
+struct message_limits {
+  static constexpr std::size_t StringBytes = MaxStringBytes;
+  static constexpr std::size_t ListItems = MaxListItems;
+  static constexpr std::size_t ByteStringBytes = MaxByteStringBytes;
+};
+
+/// Limits of a reader of the replicated log and of snapshots: none. What one
+/// replica has accepted and applied must be readable by every other one, or
+/// each of them stops when it replays the entry. Limits apply where a value
+/// enters the system.
+struct log_limits {
+  static constexpr std::size_t StringBytes =
+      std::numeric_limits<std::size_t>::max();
+  static constexpr std::size_t ListItems = StringBytes;
+  static constexpr std::size_t ByteStringBytes = StringBytes;
+};
 
 /// Last enumerator of an enumeration; readers refuse larger values.
 template <typename Type> inline constexpr Type LargestEnumerator{};
@@ -31,64 +49,46 @@
 class cbor_writer {
 public:
   template <typename... Types> void operator()(const Types &...Values) {
-    (Items.push_back(write(Values)), ...);
+    (Items.push_back(toJson(Values)), ...);
   }
   /// Writes bytes that need not be UTF-8.
   void bytes(const std::string &Value) {
-    Fits &= Value.size() <= MaxByteStringBytes;
     Items.push_back(nlohmann::json::binary(
         std::vector<std::uint8_t>(Value.begin(), Value.end())));
   }
   nlohmann::json take() { return std::move(Items); }
 
-  /// \returns the record, also when no reader accepts it.
   template <typename Type> static nlohmann::json toJson(const Type &Value) {
-    return cbor_writer().write(Value);
-  }
-  /// \returns the record, or nothing when a reader would refuse it because of
-  /// the length of a string or list.
-  template <typename Type>
-  static std::optional<nlohmann::json> toReadableJson(const Type &Value) {
-    cbor_writer Writer;
-    auto Json = Writer.write(Value);
-    return Writer.Fits ? std::optional(std::move(Json)) : std::nullopt;
-  }
-
-private:
-  template <typename Type> nlohmann::json write(const Type &Value) {
     if constexpr (std::is_enum_v<Type>) {
       return static_cast<std::underlying_type_t<Type>>(Value);
-    } else if constexpr (std::same_as<Type, std::string>) {
-      Fits &= Value.size() <= MaxStringBytes;
-      return Value;
-    } else if constexpr (std::is_arithmetic_v<Type>) {
+    } else if constexpr (std::is_arithmetic_v<Type> ||
+                         std::same_as<Type, std::string>) {
       return Value;
     } else if constexpr (requires { Value.has_value(); }) {
-      return Value ? write(*Value) : nlohmann::json();
+      return Value ? toJson(*Value) : nlohmann::json();
     } else if constexpr (requires { Value.begin(); }) {
-      Fits &= Value.size() <= MaxListItems;
       auto List = nlohmann::json::array();
       for (const auto &Item : Value)
-        List.push_back(write(Item));
+        List.push_back(toJson(Item));
       return List;
     } else {
       cbor_writer Nested;
       fields(Nested, Value);
-      Fits &= Nested.Fits;
       return Nested.take();
     }
   }
 
-  bool Fits = true; ///< No length exceeds what a reader accepts.
+private:
   nlohmann::json Items = nlohmann::json::array();
 };
 
 /// Reads what cbor_writer wrote. It never throws; from the first value of a
 /// wrong type or range on, all values keep their defaults and complete() is
 /// false.
-class cbor_reader {
+/// \tparam Limits message_limits or log_limits.
+template <typename Limits> class basic_cbor_reader {
 public:
-  explicit cbor_reader(const nlohmann::json &Value)
+  explicit basic_cbor_reader(const nlohmann::json &Value)
       : Items(Value), Ok(Value.is_array()) {}
 
   template <typename... Types> void operator()(Types &...Values) {
@@ -98,7 +98,8 @@
     const auto *Item = next();
     if (!Item)
       return;
-    if (!Item->is_binary() || Item->get_binary().size() > MaxByteStringBytes) {
+    if (!Item->is_binary() ||
+        Item->get_binary().size() > Limits::ByteStringBytes) {
       Ok = false;
       return;
     }
@@ -127,7 +128,7 @@
       return readInteger(Item, Value);
     } else if constexpr (std::same_as<Type, std::string>) {
       if (!Item.is_string() ||
-          Item.get_ref<const std::string &>().size() > MaxStringBytes)
+          Item.get_ref<const std::string &>().size() > Limits::StringBytes)
         return false;
       Value = Item.get_ref<const std::string &>();
       return true;
@@ -135,7 +136,7 @@
       Value.reset();
       return Item.is_null() || fromJson(Item, Value.emplace());
     } else if constexpr (requires { Value.begin(); }) {
-      if (!Item.is_array() || Item.size() > MaxListItems)
+      if (!Item.is_array() || Item.size() > Limits::ListItems)
         return false;
       Value.clear();
       Value.reserve(Item.size());
@@ -144,7 +145,7 @@
           return false;
       return true;
     } else {
-      cbor_reader Nested(Item);
+      basic_cbor_reader Nested(Item);
       fields(Nested, Value);
       return Nested.complete();
     }
@@ -188,6 +189,9 @@
   bool Ok;
 };
 
+using cbor_reader = basic_cbor_reader<message_limits>;
+using log_reader = basic_cbor_reader<log_limits>;
+
 } // namespace lycheetrestle::fleet
 
 #endif
--- a/scheduling/commands.cpp
+++ b/scheduling/commands.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-using fleet::cbor_reader;
 using fleet::cbor_writer;
+using fleet::log_reader;
 
 template <std::size_t Index = 0>
 bool readCommand(std::size_t Type, const nlohmann::json &Item,
@@ -21,7 +21,7 @@
   } else {
     if (Type != Index)
       return readCommand<Index + 1>(Type, Item, Command);
-    return cbor_reader::fromJson(Item, Command.emplace<Index>());
+    return log_reader::fromJson(Item, Command.emplace<Index>());
   }
 }
 
@@ -36,14 +36,12 @@
 } // namespace
 
 std::string encodeCommand(const command &Command) {
-  auto Item = std::visit(
-      [](const auto &Typed) { return cbor_writer::toReadableJson(Typed); },
-      Command);
   std::string Bytes;
-  if (!Item)
-    return Bytes;
   fleet::appendCbor(Bytes, Command.index());
-  fleet::appendCbor(Bytes, *Item);
+  fleet::appendCbor(
+      Bytes,
+      std::visit([](const auto &Typed) { return cbor_writer::toJson(Typed); },
+                 Command));
   return Bytes;
 }
 
--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -114,8 +114,7 @@
 /// \returns the payload of a log entry, in CBOR.
 std::string encodeBatch(const command_batch &Batch);
 
-/// \returns the command as the other encodeBatch() takes it, or an empty string
-/// when a string or list in it is longer than decodeBatch() accepts.
+/// \returns the command as the other encodeBatch() takes it.
 std::string encodeCommand(const command &Command);
 
 /// \param TimeMs wall time of the leader.
--- a/scheduling/proposal_queue.cpp
+++ b/scheduling/proposal_queue.cpp
@@ -24,7 +24,7 @@
 bool proposal_queue::encode(queued_command &Command) const {
   if (Command.Encoded.empty())
     Command.Encoded = encodeCommand(Command.Command);
-  return !Command.Encoded.empty() && Command.Encoded.size() <= MaxCommandBytes;
+  return Command.Encoded.size() <= MaxCommandBytes;
 }
 
 std::optional<queued_command> proposal_queue::takeOversized() {
--- a/scheduling/proposal_queue.h
+++ b/scheduling/proposal_queue.h
@@ -20,8 +20,7 @@
   core::time_point Since{};
   /// The last of the commands that `leader` decided together.
   bool EndsLeaderBatch = false;
-  /// Empty until the command is first proposed, and when it cannot be encoded.
-  std::string Encoded;
+  std::string Encoded; ///< Empty until the command is first proposed.
 };
 
 /// Commands for one log entry.
@@ -57,8 +56,7 @@
   bool push(command Command, std::uint64_t Call, core::time_point Now);
   /// Adds the commands that `leader` decided together.
   void pushDecided(std::vector<command> Commands, core::time_point Now);
-  /// Removes the command at the front if no log entry can hold it: it is too
-  /// large, or has a string or list that a replica would refuse to decode.
+  /// Removes the command at the front if no log entry can hold it.
   std::optional<queued_command> takeOversized();
   /// Removes the commands of the next entry.
   /// \param TimeMs wall time of the leader.
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -292,12 +292,11 @@
 }
 
 void schedule_node::refuseOversized(const queued_command &Command) {
-  core::logEvent(
-      core::log_level::Warning, "command_refused",
-      {{"reason", "larger than a log entry or one of its fields may be"},
-       {"bytes", Command.Encoded.size()},
-       {"max_bytes", MaxCommandBytes},
-       {"verdict", "not-run"}});
+  core::logEvent(core::log_level::Warning, "command_refused",
+                 {{"reason", "larger than the largest log entry"},
+                  {"bytes", Command.Encoded.size()},
+                  {"max_bytes", MaxCommandBytes},
+                  {"verdict", "not-run"}});
   Metrics.add("commands_too_large_total");
   answer(Command.Call, reply_kind::TooLarge);
   if (!Command.EndsLeaderBatch)
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-using fleet::cbor_reader;
 using fleet::cbor_writer;
+using fleet::log_reader;
 
 /// Indexes of the elements of a snapshot.
 enum part : std::size_t {
@@ -54,7 +54,7 @@
     return false;
   for (const auto &Item : List) {
     Record Value;
-    if (!cbor_reader::fromJson(Item, Value))
+    if (!log_reader::fromJson(Item, Value))
       return false;
     Add(std::move(Value));
   }
@@ -81,9 +81,9 @@
   auto Parts = nlohmann::json::from_cbor(Bytes, true, false);
   bool IsValid =
       Parts.is_array() && Parts.size() == PartCount &&
-      cbor_reader::fromJson(Parts[TimePart], State.TimeMs) &&
-      cbor_reader::fromJson(Parts[ConfigurationPart], State.Configuration) &&
-      cbor_reader::fromJson(Parts[LastEndpointPart], State.LastEndpoint);
+      log_reader::fromJson(Parts[TimePart], State.TimeMs) &&
+      log_reader::fromJson(Parts[ConfigurationPart], State.Configuration) &&
+      log_reader::fromJson(Parts[LastEndpointPart], State.LastEndpoint);
   IsValid =
       IsValid && readValues<job_record>(Parts[JobsPart], [&](job_record Job) {
         if (isOver(Job.State))
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -353,3 +353,49 @@
   State.apply(set_configuration{Changed}, 30);
   CHECK(!State.queueOf(*State.findJob("j")));
 }
+
+// Guards against an entry that its leader accepts and applies, and that every
+// other replica, and the leader after a restart, cannot decode and stops at.
+TEST_CASE("commands of every length survive encoding") {
+  // More than a reader of link messages accepts; not all of it is UTF-8.
+  const std::string Long(2u << 20, '\xff');
+  auto Facts = makeEndpoint(Long);
+  Facts.Labels.assign(30'000, "label");
+  auto Configuration = makeConfiguration(1);
+  Configuration.Text = Long;
+  auto Job = makeJob(Long, {makeStep(1)});
+  Job.Payload = Long;
+  Job.Steps[0].Image = Long;
+  command_batch Batch;
+  Batch.Commands = {record_endpoint{Facts},
+                    set_configuration{Configuration},
+                    submit_job{Host, Prefix + Long, Job},
+                    end_run{{Long, 0, 0, 0}, 1, run_end::Done, Long},
+                    start_wave{1, std::vector<std::string>(30'000, "h"), 1, 1},
+                    order_maintenance{1, Long}};
+  auto Bytes = encodeBatch(Batch);
+  auto Decoded = decodeBatch(Bytes);
+  REQUIRE(Decoded);
+  CHECK(Decoded->Commands.size() == Batch.Commands.size());
+  CHECK(encodeBatch(*Decoded) == Bytes);
+}
+
+// Guards against a snapshot that no replica can restore.
+TEST_CASE("a snapshot with long texts and lists is restored") {
+  auto State = makeState(1);
+  auto Facts = makeEndpoint("e1");
+  Facts.Labels.push_back(std::string(10'000, 'l'));
+  State.apply(record_endpoint{Facts}, 0);
+  // 25,000 runs of tasks without a size share one endpoint.
+  for (const char *Id : {"a", "b", "c"}) {
+    auto Job = makeJob(Id, {makeStep(10'000, 0)});
+    Job.Steps[0].DataRack = std::string(5000, 'r');
+    State.apply(submission(Job), 1);
+    for (std::uint32_t Index = 0; Index != 8400; ++Index)
+      REQUIRE(start(State, {Id, 0, 0, Index}, 1) == apply_outcome::Accepted);
+  }
+  auto Bytes = State.snapshot();
+  auto Restored = core::capture([&] { return schedule_state::restore(Bytes); });
+  REQUIRE(Restored.index() == 0);
+  CHECK(std::get<0>(Restored).snapshot() == Bytes);
+}
