Limit texts, numbers and nesting of documents where they enter

Decoders accepted texts of any length for labels, hosts, ids and checkpoints, which then filled log entries and each replica's memory. They are now refused with field and value above 1,024 bytes (checkpoints above 4,000 bytes count as none, so that the end of the run is still recorded). A configuration may have 500,000 bytes, because an entry of the log holds it twice.

Further inputs that harmed the process that handled them: - The field "reason" of an answer, of an endpoint or of the platform, was copied recursively; deep nesting in it, or in a message of a gateway, overflows the stack of one leader after the other. It is now compared in place, and gateway messages are read with the bounded parser. - An attempt number above 32 bits was truncated and could end another attempt. - A wave that names a host twice never completed. Such a host counts once. - A heartbeat with an empty id matched each host without an endpoint.

--- a/gateway/messages.cpp
+++ b/gateway/messages.cpp
@@ -1,6 +1,7 @@
 #include "gateway/messages.h"
 
 #include "fleet/cbor_archive.h"
+#include "fleet/cbor_sequence.h"
 
 #include <concepts>
 #include <type_traits>
@@ -67,11 +68,14 @@
 }
 
 std::optional<message> decodeMessage(std::string_view Bytes) {
-  auto Items = nlohmann::json::from_cbor(Bytes, true, false);
-  if (!Items.is_array() || Items.size() != 2 || !Items[0].is_number_unsigned())
+  // The recursive parser would overflow the stack on deeply nested bytes.
+  fleet::cbor_sequence Sequence(Bytes);
+  auto Items = Sequence.next();
+  if (!Items || !Sequence.atEnd() || !Items->is_array() || Items->size() != 2 ||
+      !(*Items)[0].is_number_unsigned())
     return std::nullopt;
   message Message;
-  if (!readBody(Items[0].get<std::size_t>(), Items[1], Message))
+  if (!readBody((*Items)[0].get<std::size_t>(), (*Items)[1], Message))
     return std::nullopt;
   return Message;
 }
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -240,3 +240,8 @@
   CHECK(isGateway(linkName("10.0.0.1")));
   CHECK(!isGateway("10.0.0.1"));
 }
+
+// Guards against a message that overflows the stack of each scheduler in turn.
+TEST_CASE("a deeply nested message is rejected without recursion") {
+  CHECK_FALSE(decodeMessage(std::string(4u << 20, '\x81')));
+}
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -325,3 +325,80 @@
   CHECK(std::holds_alternative<no_answer>(
       Adapter.DecodeAnswer(List, UnreadableResult)));
 }
+
+// Guards against texts that fill a log entry, and each replica's memory.
+TEST_CASE("texts beyond their limit are refused with field and value") {
+  auto Job = [](const json &Document) {
+    return failingField([&] { return decodeJob(Document.dump(), "j"); });
+  };
+  json Phases = json::parse(R"([{"count":1,"cpu":1}])");
+  CHECK(Job({{"spec", std::string(4000, 's')}, {"phases", Phases}}) == "none");
+  CHECK(Job({{"spec", std::string(4001, 's')}, {"phases", Phases}}) == "spec");
+  auto Beat = [](const std::string &Pointer, const json &Value,
+                 const std::string &Id = "i-1") {
+    auto Document = json::parse(Heartbeat);
+    Document[json::json_pointer(Pointer)] = Value;
+    return failingField([&] { return decodeHeartbeat(Document.dump(), Id); });
+  };
+  CHECK(Beat("/labels/1", std::string(1024, 'l')) == "none");
+  CHECK(Beat("/labels/1", std::string(1025, 'l')) == "labels[1]");
+  CHECK(Beat("/labels/0", 7) == "labels[0]");
+  CHECK(Beat("/seq", 5, std::string(1025, 'i')) == "id");
+  CHECK(Beat("/seq", 5, "") == "id");
+  auto Wave = [](const json &Hosts) {
+    return failingField([&] {
+      return decodeWave(json{{"wave", 1}, {"machines", Hosts}}.dump());
+    });
+  };
+  CHECK(Wave({"m-1", std::string(1025, 'm')}) == "machines[1]");
+  CHECK(Wave({"m-1", ""}) == "machines[1]");
+  auto Large = core::capture([&] {
+    return decodeConfiguration(Configuration + std::string(500'000, ' '));
+  });
+  REQUIRE(std::get_if<core::failure>(&Large));
+  CHECK(std::get<core::failure>(Large).Code == core::error_code::TooLarge);
+}
+
+// Guards against a wave that is never complete.
+TEST_CASE("a host that a wave names twice counts once") {
+  auto Wave = valueOf(
+      [&] { return decodeWave(R"({"wave":1,"machines":["b","a","b","a"]})"); });
+  CHECK(Wave.Hosts == std::vector<std::string>{"b", "a"});
+}
+
+// Guards against an answer that overflows the stack of each leader in turn.
+TEST_CASE("deeply nested answers are read without recursion") {
+  constexpr std::size_t Depth = 1'000'000;
+  auto Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  CHECK(decodeEndpointAnswer(409, R"({"reason":)" + Nested + "}").Verdict ==
+        endpoint_verdict::BadOrder);
+  auto Poll = decodeEndpointAnswer(200, R"({"running":)" + Nested + "}");
+  CHECK(Poll.Running.empty());
+  auto Adapter = makeSiteAdapter({});
+  order Move;
+  Move.Body = move_host_order{"m-1", "p", 1};
+  http::client_result Result;
+  Result.IsComplete = true;
+  Result.Response.Status = 409;
+  Result.Response.Body = R"({"reason":)" + Nested + "}";
+  CHECK(std::get<host_verdict>(Adapter.DecodeAnswer(Move, Result)) ==
+        host_verdict::Busy);
+}
+
+// Guards against an end with a truncated number, which would end another
+// attempt, and against a checkpoint that fills the log.
+TEST_CASE("rows with extreme numbers and texts change no other run") {
+  auto Answer = decodeEndpointAnswer(
+      200, json{{"running", {{"j.0.0.1", 4294967297, "", 5}}},
+                {"finished",
+                 {{1, "j.0.0.1", 4294967297, "done", ""},
+                  {2, "j.0.0.2", 1, "failed", std::string(4001, 'c')},
+                  {3, "j.0.0.4294967296", 1, "done", ""},
+                  {4, "j.0.0.3", 1, "done", std::string(4000, 'c')}}}}
+               .dump());
+  CHECK(Answer.Running.empty());
+  REQUIRE(Answer.Ended.size() == 2);
+  CHECK(Answer.Ended[0].Outcome == run_end::Failed);
+  CHECK(Answer.Ended[0].Checkpoint.empty());
+  CHECK(Answer.Ended[1].Checkpoint.size() == 4000);
+}
