Keep an oversized response from silencing one delegate after the other

An endpoint's response of more than 1 MiB made the leader refuse the whole message of results from its delegate. All calls of the message then expired, the delegate counted as silent, and the endpoint's next call went to the next delegate, with the same end. Likewise a batch of calls above 4 MiB was refused by the link, and the same batch was sent again without end.

A delegate reports a response above 1 MiB as an answer that the endpoint did not give, so that the endpoint becomes suspect and the other results arrive. Calls and results are split into messages of about 1 MiB. The structure of a message is checked before the recursive parser reads it.

--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/call_delegator.h"
 
+#include "fleet/cbor_archive.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,9 +15,44 @@
 // delegate and for its queue.
 constexpr core::duration DelegateMargin = milliseconds(300);
 constexpr core::duration ExpiryInterval = milliseconds(50);
+// A message grows to at most this size plus that of one call or result. A link
+// refuses messages above 4 MiB, and with one all its calls would fail.
+constexpr std::size_t MaxBatchBytes = 1u << 20;
+// Largest body that the receiver of a result accepts.
+constexpr std::size_t MaxResultBytes = fleet::MaxByteStringBytes;
+// Allowance for the fields of a call or result other than texts.
+constexpr std::size_t ItemOverheadBytes = 64;
 // Distinguishes the ids of calls made for a peer from those of own orders.
 constexpr std::uint64_t ReceivedCallBit = std::uint64_t(1) << 63;
 
+std::size_t sizeOf(const http::client_call &Call) {
+  auto Size = ItemOverheadBytes + Call.Address.size() +
+              Call.Request.Target.size() + Call.Request.Body.size();
+  for (const auto &Header : Call.Request.Headers)
+    Size += Header.Name.size() + Header.Value.size();
+  return Size;
+}
+
+std::size_t sizeOf(const http::client_result &Result) {
+  return ItemOverheadBytes + Result.Response.Body.size() + Result.Reason.size();
+}
+
+/// \returns the items in groups of about MaxBatchBytes, in their order.
+template <typename Item>
+std::vector<std::vector<Item>> split(std::vector<Item> Items) {
+  std::vector<std::vector<Item>> Groups;
+  std::size_t Bytes = MaxBatchBytes;
+  for (auto &Next : Items) {
+    if (Bytes >= MaxBatchBytes) {
+      Groups.emplace_back();
+      Bytes = 0;
+    }
+    Bytes += sizeOf(Next);
+    Groups.back().push_back(std::move(Next));
+  }
+  return Groups;
+}
+
 /// \returns the result of a call that may have run.
 http::client_result lostResult(std::uint64_t Id, const char *Reason) {
   http::client_result Result;
@@ -112,6 +149,15 @@
   if (Found == ReceivedCalls.end())
     return true; // The peer has disconnected.
   Result.Id = Found->second.Id;
+  // The leader would refuse the message and take this delegate, and then the
+  // next ones, for silent. The endpoint is what does not answer as it must.
+  if (Result.Response.Body.size() > MaxResultBytes) {
+    Result.Reason =
+        "response of " + std::to_string(Result.Response.Body.size()) +
+        " bytes; at most " + std::to_string(MaxResultBytes) + " are accepted";
+    Result.IsComplete = false;
+    Result.Response = {};
+  }
   ResultsByPeer[Found->second.Peer].Results.push_back(std::move(Result));
   ReceivedCalls.erase(Found);
   return true;
@@ -119,14 +165,18 @@
 
 std::vector<call_delegator::outgoing_message> call_delegator::takeMessages() {
   std::vector<outgoing_message> Messages;
-  for (auto &[Peer, Calls] : std::exchange(CallsByPeer, {})) {
-    outgoing_message Message{Peer, encodeDelegation(Calls), {}};
-    for (const auto &Call : Calls.Calls)
-      Message.DelegatedCalls.push_back(Call.Id);
-    Messages.push_back(std::move(Message));
-  }
+  for (auto &[Peer, Calls] : std::exchange(CallsByPeer, {}))
+    for (auto &Group : split(std::move(Calls.Calls))) {
+      outgoing_message Message{Peer, "", {}};
+      for (const auto &Call : Group)
+        Message.DelegatedCalls.push_back(Call.Id);
+      Message.Bytes = encodeDelegation(delegated_calls{std::move(Group)});
+      Messages.push_back(std::move(Message));
+    }
   for (auto &[Peer, Results] : std::exchange(ResultsByPeer, {}))
-    Messages.push_back({Peer, encodeDelegation(Results), {}});
+    for (auto &Group : split(std::move(Results.Results)))
+      Messages.push_back(
+          {Peer, encodeDelegation(delegated_results{std::move(Group)}), {}});
   return Messages;
 }
 
--- a/scheduling/delegation_messages.cpp
+++ b/scheduling/delegation_messages.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/delegation_messages.h"
 
 #include "fleet/cbor_archive.h"
+#include "replication/cbor_limits.h"
 
 #include <concepts>
 #include <type_traits>
@@ -15,6 +16,10 @@
 
 constexpr const char *CallsName = "calls";
 constexpr const char *ResultsName = "results";
+// The deepest item nests as message > calls > call > headers > header.
+constexpr std::size_t MaxDepth = 6;
+// A call has about 15 items; bounds the memory of a message of 4 MiB.
+constexpr std::size_t MaxItems = 15 * fleet::MaxListItems;
 
 // The records define which members are transferred, and in which order.
 struct header_record {
@@ -157,6 +162,8 @@
 }
 
 std::optional<delegation_message> decodeDelegation(std::string_view Bytes) {
+  if (!replication::isBoundedCbor(Bytes, MaxDepth, MaxItems))
+    return std::nullopt;
   auto Map = nlohmann::json::from_cbor(Bytes, true, false);
   if (!Map.is_object() || Map.size() != 1)
     return std::nullopt;
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -156,3 +156,81 @@
   auto Bytes = encodeDelegation(delegated_calls{{makeCall(1)}});
   CHECK(!decodeDelegation(std::string_view(Bytes).substr(0, Bytes.size() - 1)));
 }
+
+// Guards against an answer that the leader refuses together with its message:
+// it would take one delegate after the other for silent.
+TEST_CASE("a response that is too large fails alone, not its delegate") {
+  call_delegator Delegate(0);
+  call_delegator Leader(0);
+  Leader.peerConnected("d");
+  for (std::uint64_t Id = 1; Id <= 2; ++Id) {
+    auto Call = makeCall(Id);
+    REQUIRE(Leader.delegate(1, Call, at(1s)));
+  }
+  std::vector<http::client_call> Calls;
+  for (const auto &Message : Leader.takeMessages())
+    for (auto &Call : Delegate.receive("l", Message.Bytes, at(1s)).Calls)
+      Calls.push_back(std::move(Call));
+  REQUIRE(Calls.size() == 2);
+  for (std::size_t Index = 0; Index != 2; ++Index) {
+    http::client_result Result;
+    Result.Id = Calls[Index].Id;
+    Result.WasSent = true;
+    Result.IsComplete = true;
+    Result.Response.Status = 200;
+    Result.Response.Body = std::string(Index == 0 ? 3u << 20 : 10u, 'r');
+    REQUIRE(Delegate.finish(Result));
+  }
+  std::map<std::uint64_t, http::client_result> Results;
+  for (const auto &Message : Delegate.takeMessages()) {
+    auto Received = Leader.receive("d", Message.Bytes, at(1s));
+    REQUIRE(Received.IsValid);
+    for (auto &Result : Received.Results)
+      Results[Result.Id] = std::move(Result);
+  }
+  REQUIRE(Results.size() == 2);
+  CHECK_FALSE(Results[1].IsComplete);
+  CHECK(Results[1].WasSent);
+  CHECK(Results[2].IsComplete);
+  CHECK(Leader.expire(at(10s)).empty());
+}
+
+// Guards against a batch that no link accepts, so that all of its calls fail
+// and are sent again in the same batch.
+TEST_CASE("calls and results are sent in messages that a link accepts") {
+  constexpr std::size_t MaxMessageBytes = 4u << 20;
+  call_delegator Leader(0);
+  call_delegator Delegate(0);
+  Leader.peerConnected("d");
+  for (std::uint64_t Id = 1; Id <= 300; ++Id) {
+    auto Call = makeCall(Id);
+    Call.Request.Body = std::string(30'000, 'b');
+    REQUIRE(Leader.delegate(1, Call, at(1s)));
+  }
+  std::size_t Received = 0;
+  for (const auto &Message : Leader.takeMessages()) {
+    CHECK(Message.Bytes.size() < MaxMessageBytes);
+    CHECK_FALSE(Message.DelegatedCalls.empty());
+    for (auto &Call : Delegate.receive("l", Message.Bytes, at(1s)).Calls) {
+      http::client_result Result;
+      Result.Id = Call.Id;
+      Result.IsComplete = true;
+      Result.Response.Body = std::string(30'000, 'b');
+      Delegate.finish(Result);
+      ++Received;
+    }
+  }
+  CHECK(Received == 300);
+  std::size_t Results = 0;
+  for (const auto &Message : Delegate.takeMessages()) {
+    CHECK(Message.Bytes.size() < MaxMessageBytes);
+    Results += Leader.receive("d", Message.Bytes, at(1s)).Results.size();
+  }
+  CHECK(Results == 300);
+}
+
+TEST_CASE("a deeply nested message of a delegate is rejected") {
+  call_delegator Delegator(0);
+  CHECK_FALSE(
+      Delegator.receive("d", std::string(4u << 20, '\x81'), at(1s)).IsValid);
+}
