Check the room for a gang before placing its members

Whether a gang fits was found out by placing its members one by one until one did not fit, for each rack and then for all, in each round of placement. A gang of 10,000 small tasks for which the pool is slightly too small cost millions of checks a round and never started, so a few such jobs keep each leader busy for longer than the election time-out.

The members of a gang are alike, so one pass over the endpoints that adds up how many fit on each decides the question exactly. Members are placed only when all of them fit. Which endpoints are chosen is unchanged.

Evidence: the new test counts how often an endpoint is considered for a task in one round, for such a gang on 100 endpoints in 10 racks: 554,400 times on the former code, now at most 1,100 times.

--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/job_order.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -20,6 +21,19 @@
          Size.Accelerators <= Free.Accelerators;
 }
 
+/// \returns how many tasks of the size fit, at most the largest number.
+std::uint32_t countFitting(const resource_amounts &Free,
+                           const resource_amounts &Size) {
+  auto Count = std::numeric_limits<std::uint32_t>::max();
+  if (Size.MilliCores > 0)
+    Count = std::min(Count, Free.MilliCores / Size.MilliCores);
+  if (Size.MemoryMb > 0)
+    Count = std::min(Count, Free.MemoryMb / Size.MemoryMb);
+  if (Size.Accelerators > 0)
+    Count = std::min(Count, Free.Accelerators / Size.Accelerators);
+  return Count;
+}
+
 void subtract(resource_amounts &Free, const resource_amounts &Size) {
   Free.MilliCores -= Size.MilliCores;
   Free.MemoryMb -= Size.MemoryMb;
@@ -105,14 +119,16 @@
         return;
       Attempt = std::max(Attempt, Tasks[Index].Attempt + 1);
     }
-    std::vector<placement_target> Saved;
-    for (const auto *Target : Pool)
-      Saved.push_back(*Target);
     auto SavedCount = Placements.size();
     std::vector<std::string> Racks{""};
     if (Spec.PrefersSameRack)
       Racks = racksOf(Pool);
     for (const auto &Rack : Racks) {
+      if (!hasRoomForGang(Waiting, Spec, Pool, Rack))
+        continue;
+      std::vector<placement_target> Saved;
+      for (const auto *Target : Pool)
+        Saved.push_back(*Target);
       if (placeMembers(Waiting, Spec, Pool, Rack, Attempt))
         return;
       for (std::size_t Index = 0; Index != Pool.size(); ++Index)
@@ -122,6 +138,44 @@
     ++FailedPlacements[Waiting.Job->Pool];
   }
 
+  /// \returns whether all members can be placed. The members are alike, so one
+  /// pass over the endpoints decides it. Finding out by placing them considered
+  /// an endpoint 554,400 times in one round for a gang of 10,000 tasks on 100
+  /// endpoints; a leader that is busy for 600 ms loses its followers.
+  bool hasRoomForGang(const waiting_step &Waiting, const step_spec &Spec,
+                      const target_list &Pool, const std::string &Rack) const {
+    auto Size = reservedSize(Spec);
+    auto Key = keyOf(Waiting, 0);
+    auto Step = stepKey(Key);
+    std::uint64_t Room = 0;
+    for (const auto *Target : Pool) {
+      auto Count = countFitting(Target->Free, Size);
+      if (Spec.MaxPerEndpoint > 0) {
+        auto Runs = Target->RunsByStep.find(Step);
+        auto Present = Runs == Target->RunsByStep.end() ? 0u : Runs->second;
+        Count = std::min(Count, Spec.MaxPerEndpoint -
+                                    std::min(Spec.MaxPerEndpoint, Present));
+      }
+      if (Count == 0 || !isEligible(Waiting, Spec, Key, *Target, Rack))
+        continue;
+      Room += Count;
+      if (Room >= Spec.Count)
+        return true;
+    }
+    return false;
+  }
+
+  /// \returns whether the step may run on the endpoint, apart from its room.
+  bool isEligible(const waiting_step &Waiting, const step_spec &Spec,
+                  const task_key &Key, const placement_target &Target,
+                  const std::string &Rack) const {
+    return (Spec.RequiredLabel.empty() ||
+            hasLabel(Target, Spec.RequiredLabel)) &&
+           (Rack.empty() || Target.Rack == Rack) &&
+           (!Request.IsAllowed ||
+            Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint));
+  }
+
   bool placeMembers(const waiting_step &Waiting, const step_spec &Spec,
                     const target_list &Pool, const std::string &Rack,
                     std::uint32_t Attempt) {
@@ -157,18 +211,13 @@
     for (auto *Target : Pool) {
       if (!fits(Target->Free, Size))
         continue;
-      if (!Spec.RequiredLabel.empty() && !hasLabel(*Target, Spec.RequiredLabel))
-        continue;
-      if (!Rack.empty() && Target->Rack != Rack)
-        continue;
       if (Spec.MaxPerEndpoint > 0) {
         auto Runs = Target->RunsByStep.find(Step);
         if (Runs != Target->RunsByStep.end() &&
             Runs->second >= Spec.MaxPerEndpoint)
           continue;
       }
-      if (Request.IsAllowed &&
-          !Request.IsAllowed(Key, *Waiting.Job, Target->Endpoint))
+      if (!isEligible(Waiting, Spec, Key, *Target, Rack))
         continue;
       auto Cost = costOf(Spec, *Target);
       if (!Best || Cost < BestCost) {
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -39,13 +39,21 @@
 }
 
 /// Places the waiting tasks of a state.
+/// \param Checks counts how often an endpoint is considered for a task.
 std::vector<placement> place(const schedule_state &State,
                              std::vector<placement_target> &Targets,
-                             std::int64_t NowMs = 0) {
+                             std::int64_t NowMs = 0,
+                             std::uint64_t *Checks = nullptr) {
   static const duration_models NothingLearned;
   rank_cache Ranks(NothingLearned);
   placement_request Request;
   Request.MaxStarts = 1000;
+  if (Checks)
+    Request.IsAllowed = [Checks](const task_key &, const job_record &,
+                                 std::uint32_t) {
+      ++*Checks;
+      return true;
+    };
   std::vector<placement_target *> Pointers;
   for (auto &Target : Targets)
     Pointers.push_back(&Target);
@@ -460,3 +468,36 @@
   CHECK(Smoother.update(80, At(2100)) == Approx(80));
   CHECK(Smoother.update(10, At(12'000)) == Approx(10));
 }
+
+// Guards against a gang that never fits and keeps each leader busy for longer
+// than the election time-out: the checks of one round are counted.
+TEST_CASE("a gang that does not fit costs one pass over the endpoints for each "
+          "rack") {
+  auto Targets = makeTargets(100, 16'000);
+  for (std::size_t Index = 0; Index != Targets.size(); ++Index) {
+    Targets[Index].Rack = "rack-" + std::to_string(Index / 10);
+    Targets[Index].Free.MemoryMb = 1'000'000;
+  }
+  auto State = makeState(0);
+  // 99 tasks fit on each endpoint.
+  auto Step = makeStep(10'000, 160);
+  Step.Size.MemoryMb = 10'000;
+  Step.IsGang = true;
+  Step.PrefersSameRack = true;
+  SECTION("too little room") {
+    Step.Size.MilliCores = 161;
+    State.apply(submission(makeJob("g", {Step})), 0);
+    std::uint64_t Checks = 0;
+    CHECK(place(State, Targets, 0, &Checks).empty());
+    CHECK(Checks <= 11 * Targets.size());
+  }
+  SECTION("just enough room") {
+    State.apply(submission(makeJob("g", {Step})), 0);
+    CHECK(place(State, Targets).size() == 10'000);
+  }
+  SECTION("the limit per endpoint leaves too little room") {
+    Step.MaxPerEndpoint = 99;
+    State.apply(submission(makeJob("g", {Step})), 0);
+    CHECK(place(State, Targets).empty());
+  }
+}
