Bound the open occurrences of a job

A job with repeatCount 2,147,483,647 and interval 0, or with a start in 1970 and an interval of 1 ms, passes all checks. The leader opened one occurrence of it every 20 ms whether or not earlier ones had ended, with up to 10,000 tasks of at least 48 bytes each, in the memory of every replica and again after a restart.

The leader opens the next occurrence only while the job has fewer than 256 open ones and at most 10,000 tasks in them, the limit of one submission; a job without an open occurrence always gets its next. Due times are unchanged, so occurrences that waited rank as late. The bound is a decision of the leader, so replicas apply existing logs as before.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -38,10 +38,25 @@
 // An endpoint may execute an order without an answer this much later.
 constexpr core::duration MaxOrderDelay = std::chrono::seconds(12);
 constexpr core::duration TickInterval = milliseconds(20);
+// Limits of the open occurrences of one job; occurrences beyond them wait until
+// an earlier one ends. A job whose interval is 0, or whose start lies far in
+// the past, would otherwise open one every 20 ms until each replica has no
+// memory left. The number of tasks is the limit of one submission.
+constexpr std::size_t MaxOpenOccurrences = 256;
+constexpr std::uint64_t MaxOpenTasks = 10'000;
 // Bits of an order id below the fencing token: enough for three years of one
 // leadership at 10,000 orders per second.
 constexpr unsigned OrderBits = 40;
 
+bool mayOpenOccurrence(const job_record &Job) {
+  std::uint64_t Tasks = 0;
+  for (const auto &Step : Job.Spec.Steps)
+    Tasks += Step.Count;
+  auto Open = Job.OpenOccurrences.size();
+  return Open == 0 ||
+         (Open < MaxOpenOccurrences && (Open + 1) * Tasks <= MaxOpenTasks);
+}
+
 } // namespace
 
 leader::leader(leader_settings Settings, std::uint64_t Fence,
@@ -374,7 +389,9 @@
     if (Job.Spec.RepeatCount == 0)
       continue;
     if (Job.NextOccurrence < Job.Spec.RepeatCount &&
-        Job.Spec.StartAtMs + Job.NextOccurrence * Job.Spec.IntervalMs <= WallMs)
+        Job.Spec.StartAtMs + Job.NextOccurrence * Job.Spec.IntervalMs <=
+            WallMs &&
+        mayOpenOccurrence(Job))
       Commands.emplace_back(open_occurrence{Id, Job.NextOccurrence});
   }
 }
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
@@ -529,3 +530,33 @@
   CHECK(Orders == 2);
   CHECK(Ids.size() == Orders);
 }
+
+// Guards against a job that passes all checks and then fills the memory of each
+// replica with occurrences: its interval is 0, or its start is far in the past.
+TEST_CASE("a job has a bounded number of open occurrences") {
+  host_harness Harness;
+  auto Count = GENERATE(1u, 3000u);
+  auto Job = makeJob("r", {makeStep(Count)});
+  Job.RepeatCount = 2'147'483'647;
+  Job.IntervalMs = GENERATE(0, 1);
+  Harness.apply(submission(Job));
+  auto Advance = [&] {
+    for (int Round = 0; Round != 600; ++Round) {
+      Harness.advanceTime(20ms);
+      Harness.commit();
+    }
+  };
+  Advance();
+  const auto &Record = *Harness.State.findJob("r");
+  auto Open = Record.OpenOccurrences.size();
+  CHECK(Open == (Count == 1 ? 256 : 3));
+  // The next one opens when one has ended.
+  Harness.apply(record_endpoint{makeEndpoint("e1")});
+  for (std::uint32_t Index = 0; Index != Count; ++Index) {
+    Harness.apply(start_run{{"r", 0, 0, Index}, 1, 1});
+    Harness.apply(end_run{{"r", 0, 0, Index}, 1, run_end::Done, ""});
+  }
+  Advance();
+  CHECK(Record.OpenOccurrences.size() == Open);
+  CHECK(Record.NextOccurrence == Open + 1);
+}
