Keep the leader running on rows, runs and entries that do not fit

- The leader looked up the job and step of each tracked run without a check.
The job of a completed gang is kept for three minutes; an endpoint that lists a member for longer, or drains then, crashed the leader. findStep() is now the one place that looks up a step, and every caller handles a missing one.
- The end of a gang left a member assigned if its attempt differed.
After its occurrence closed, the end of that endpoint dereferenced a missing task in every replica.
All members are released now.
- A committed start of a task whose earlier steps are not done stopped every replica, also on each replay.
All replicas skip it alike as Invalid; an event and commands_invalid_total count it.
The simulated site of the tests fails when a leader proposes such a command, so the check is not weaker there.
- A list of unknown runs led to a stop order for each of its rows.
At most 256 are taken from an endpoint at a time; it lists the others again.
- The starts of a gang, or of the runs that a new leader finds, were all sent at once with a copy of the payload each.
At most 1,024 are unanswered now.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -86,7 +86,10 @@
     Tracked.LeaseExpiry = Now + Settings.PreviousLeaderGrace +
                           Settings.Lease * MaxLeasePercent / 100;
     for (const auto &Key : Endpoint.Runs) {
-      Tracked.Runs[Key].Attempt = State.findTask(Key)->Attempt;
+      const auto *Task = State.findTask(Key);
+      if (!Task)
+        continue;
+      Tracked.Runs[Key].Attempt = Task->Attempt;
       EndpointOfRun[Key] = Number;
     }
   }
@@ -144,7 +147,7 @@
       stopRunsOf(*Job, Now);
     return;
   }
-  if (Outcome == apply_outcome::Stale)
+  if (Outcome == apply_outcome::Stale || Outcome == apply_outcome::Invalid)
     return;
   if (const auto *Start = std::get_if<start_run>(&Command)) {
     auto &Tracked = trackEndpoint(Start->Endpoint, Now);
@@ -199,6 +202,12 @@
   }
 }
 
+const step_spec *leader::findStep(const task_key &Task) const {
+  const auto *Job = State.findJob(Task.Job);
+  return Job && Task.Step < Job->Spec.Steps.size() ? &Job->Spec.Steps[Task.Step]
+                                                   : nullptr;
+}
+
 void leader::removeRun(const task_key &Task, std::uint32_t Attempt) {
   auto Place = EndpointOfRun.find(Task);
   if (Place == EndpointOfRun.end())
@@ -221,12 +230,15 @@
                           const endpoint_record &Endpoint,
                           core::time_point Now) {
   for (const auto &Key : Endpoint.Runs) {
+    const auto *Task = State.findTask(Key);
+    if (!Task)
+      continue;
     auto [Found, IsNew] = Tracked.Runs.try_emplace(Key);
     if (!IsNew)
       continue;
     auto &Run = Found->second;
     EndpointOfRun[Key] = Endpoint.Number;
-    Run.Attempt = State.findTask(Key)->Attempt;
+    Run.Attempt = Task->Attempt;
     Run.Phase = run_phase::Unconfirmed;
     Run.MayStartLate = true;
     for (const auto &[Number, Earlier] : TrackedEndpoints) {
@@ -426,7 +438,10 @@
   Target.Labels = Endpoint.Facts.Labels;
   Target.Rack = Endpoint.Facts.Rack;
   for (const auto &Key : Endpoint.Runs) {
-    const auto &Step = State.findJob(Key.Job)->Spec.Steps[Key.Step];
+    const auto *Found = findStep(Key);
+    if (!Found)
+      continue;
+    const auto &Step = *Found;
     auto Size = reservedSize(Step);
     auto Subtract = [](std::uint32_t &Free, std::uint32_t Used) {
       Free -= std::min(Free, Used);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -114,6 +114,9 @@
   /// incarnation, so that it can get leases at once.
   void applyFirstHeartbeat(tracked_endpoint &Tracked,
                            const endpoint_facts &Facts);
+  /// \returns the step of the task, or null when the state has no such job or
+  /// step, for example because it no longer keeps the job.
+  const step_spec *findStep(const task_key &Task) const;
   void removeRun(const task_key &Task, std::uint32_t Attempt);
   void stopRunsOf(const job_record &Job, core::time_point Now);
   /// Makes the next takeOrders() send a stop of the run.
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -53,6 +53,7 @@
   return "unknown";
 }
 
+/// \returns whether the name is in the list; finds the last ones first.
 bool contains(const std::vector<std::string> &Names, const std::string &Name) {
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
@@ -79,7 +80,7 @@
                                        core::time_point Now) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
-  if (!Occurrence)
+  if (!Occurrence || !State.findTask(Task))
     return 0;
   std::uint32_t Unavailable = 0;
   auto Key = Task;
@@ -118,11 +119,11 @@
 
 bool leader::mayStop(const task_key &Task, core::time_point Now) const {
   const auto *Job = State.findJob(Task.Job);
-  if (!Job || isOver(Job->State))
+  const auto *Step = findStep(Task);
+  if (!Step || isOver(Job->State))
     return true;
-  const auto &Step = Job->Spec.Steps[Task.Step];
-  return !Step.IsLongRunning ||
-         unavailablePeers(Task, false, Now) < std::max(1u, Step.MaxUnavailable);
+  return !Step->IsLongRunning || unavailablePeers(Task, false, Now) <
+                                     std::max(1u, Step->MaxUnavailable);
 }
 
 bool leader::mayInterrupt(const tracked_endpoint &Tracked,
@@ -130,11 +131,11 @@
   return std::all_of(
       Tracked.Runs.begin(), Tracked.Runs.end(), [&](const auto &Item) {
         const auto *Job = State.findJob(Item.first.Job);
-        if (!Job || isOver(Job->State))
+        const auto *Step = findStep(Item.first);
+        if (!Step || isOver(Job->State))
           return true;
-        const auto &Step = Job->Spec.Steps[Item.first.Step];
-        return !Step.IsLongRunning || unavailablePeers(Item.first, true, Now) <
-                                          std::max(1u, Step.MaxUnavailable);
+        return !Step->IsLongRunning || unavailablePeers(Item.first, true, Now) <
+                                           std::max(1u, Step->MaxUnavailable);
       });
 }
 
@@ -168,8 +169,8 @@
       Host.CordonedMs = toMs(Now - Cordon->second);
     if (const auto *Tracked = trackedOnHost(Name)) {
       for (const auto &[Key, Run] : Tracked->Runs) {
-        const auto *Job = State.findJob(Key.Job);
-        if (Job && Job->Spec.Steps[Key.Step].IsLongRunning)
+        const auto *Step = findStep(Key);
+        if (Step && Step->IsLongRunning)
           ++Host.LongRuns;
         else
           ++Host.ShortRuns;
@@ -274,8 +275,8 @@
     auto &Tracked = TrackedEndpoints.find(Found->Endpoint)->second;
     for (auto &[Key, Run] : Tracked.Runs) {
       const auto *Job = State.findJob(Key.Job);
-      const auto &Step = Job->Spec.Steps[Key.Step];
-      if (!Step.IsLongRunning || Run.Phase != run_phase::Running ||
+      const auto *Step = findStep(Key);
+      if (!Step || !Step->IsLongRunning || Run.Phase != run_phase::Running ||
           isOver(Job->State) || !mayStop(Key, Now))
         continue;
       auto [Targets, IsNew] = TargetsByPool.try_emplace(Job->Pool);
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -13,6 +13,10 @@
 // An endpoint answers within a few milliseconds; a lost packet adds 200 ms.
 constexpr core::duration OrderTimeout = milliseconds(700);
 constexpr core::duration ResendInterval = milliseconds(250);
+// Limit of unanswered start orders, also of those of a gang, which are
+// committed together, and of the runs that a new leader finds. Each order holds
+// the payload of its job, of at most 4,000 bytes, in several copies.
+constexpr std::size_t MaxUnansweredStarts = 1024;
 // Maximum time that a poll waits for a run to end. Each poll renews the lease,
 // so this is well below the duration of a lease.
 constexpr std::uint32_t PollWaitMs = 1500;
@@ -141,8 +145,8 @@
     // keeps a late copy of it from starting the run.
     bool IsStartDue = Run.Phase == run_phase::Committed ||
                       (Run.Phase == run_phase::Starting && !Run.IsOrderPending);
-    const auto &Step = State.findJob(Key.Job)->Spec.Steps[Key.Step];
-    if (!Step.IsLongRunning && !IsNearEnd && !IsStartDue)
+    const auto *Step = findStep(Key);
+    if (Step && !Step->IsLongRunning && !IsNearEnd && !IsStartDue)
       continue;
     beginStop(Run, stop_reason::Draining, Now);
   }
@@ -151,8 +155,8 @@
 void leader::logStop(const tracked_endpoint &Tracked, const task_key &Key,
                      const tracked_run &Run, core::time_point Now) const {
   const auto *Job = State.findJob(Key.Job);
-  const auto &Step = Job->Spec.Steps[Key.Step];
-  if (!Step.IsLongRunning || isOver(Job->State))
+  const auto *Step = findStep(Key);
+  if (!Step || !Step->IsLongRunning || isOver(Job->State))
     return;
   core::logEvent(core::log_level::Info, "run_stop_sent",
                  {{"job", Key.Job},
@@ -163,7 +167,7 @@
                   {"reason", toText(Run.StopReason)},
                   {"percent", Run.Percent},
                   {"peers_unavailable", unavailablePeers(Key, false, Now)},
-                  {"may_miss", Step.MaxUnavailable},
+                  {"may_miss", Step->MaxUnavailable},
                   {"decided_ms_ago", toMs(Now - Run.StopDecidedAt)},
                   {"answer_age_ms", toMs(Now - Tracked.LastAnswer)}});
 }
@@ -205,7 +209,8 @@
     if (Run.Phase != run_phase::Committed && Run.Phase != run_phase::Starting)
       continue;
     const auto *Task = State.findTask(Key);
-    if (!Task || Task->Attempt != Run.Attempt)
+    if (!Task || Task->Attempt != Run.Attempt ||
+        PendingStarts >= MaxUnansweredStarts)
       continue;
     const auto &Job = *State.findJob(Key.Job);
     start_order Start;
@@ -276,8 +281,10 @@
   for (auto &[Key, Run] : Tracked.Runs) {
     if (Run.Phase != run_phase::Running || Run.IsOrderPending || Run.IsEnded ||
         Now < Run.NextOrder ||
-        Run.ThrottlePercent == Tracked.Throttle.percent() ||
-        !State.findJob(Key.Job)->Spec.Steps[Key.Step].IsBestEffort)
+        Run.ThrottlePercent == Tracked.Throttle.percent())
+      continue;
+    const auto *Step = findStep(Key);
+    if (!Step || !Step->IsBestEffort)
       continue;
     Run.IsOrderPending = true;
     Run.NextOrder = Now + ResendInterval;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -22,7 +22,11 @@
 // A run counts as stalled when it makes no progress for the longer of this time
 // and StallEstimateFactor times its estimate.
 constexpr core::duration MinStallTime = milliseconds(2500);
-constexpr std::uint32_t StallEstimateFactor = 3;
+constexpr std::int64_t StallEstimateFactor = 3;
+// Limit of the runs of one endpoint that are stopped because nothing assigned
+// them to it. It lists the others again; without a limit one answer of 4 MiB
+// would cause an order for each of its rows.
+constexpr std::size_t MaxOrphanedRuns = 256;
 
 std::string_view name(endpoint_verdict Verdict) {
   switch (Verdict) {
@@ -264,7 +268,7 @@
       const auto *Task = State.findTask(Row.Task);
       bool IsOwn = Task && Task->Endpoint == Tracked.Endpoint &&
                    Task->Attempt == Row.Attempt;
-      if (!IsOwn)
+      if (!IsOwn && Tracked.OrphanedRuns.size() < MaxOrphanedRuns)
         Tracked.OrphanedRuns[Row.Task] = Row.Attempt;
       continue;
     }
@@ -283,9 +287,12 @@
       Run.PercentChangedAt = Now;
       continue;
     }
-    const auto &Step = State.findJob(Row.Task.Job)->Spec.Steps[Row.Task.Step];
+    // The endpoint may list a member of a gang long after another member has
+    // completed the gang, when the job is no longer kept.
+    const auto *Step = findStep(Row.Task);
     auto Limit = std::max<core::duration>(
-        MinStallTime, milliseconds(StallEstimateFactor * Step.EstimateMs));
+        MinStallTime,
+        milliseconds(StallEstimateFactor * (Step ? Step->EstimateMs : 0)));
     if (Run.Phase == run_phase::Running && Run.ThrottlePercent == 100 &&
         Row.Percent < 100 && Now - Run.PercentChangedAt > Limit) {
       core::logEvent(core::log_level::Warning, "run_stalled",
@@ -335,12 +342,14 @@
 }
 
 void leader::recordDuration(const task_key &Task, core::duration Elapsed) {
-  const auto &Job = *State.findJob(Task.Job);
-  const auto &Step = Job.Spec.Steps[Task.Step];
+  const auto *Job = State.findJob(Task.Job);
+  const auto *Step = findStep(Task);
+  if (!Step)
+    return;
   auto DurationMs = std::chrono::duration<double, std::milli>(Elapsed).count();
   Metrics.observe("task_ms", DurationMs);
-  if (!Step.IsLongRunning && Step.EstimateMs > 0)
-    Durations.record(Job, Step.EstimateMs, DurationMs);
+  if (!Step->IsLongRunning && Step->EstimateMs > 0)
+    Durations.record(*Job, Step->EstimateMs, DurationMs);
 }
 
 void leader::updateThrottle(tracked_endpoint &Tracked,
@@ -350,10 +359,10 @@
   bool HasLatencySensitive = false;
   double WorstRatio = 0;
   for (const auto &Row : Answer.Running) {
-    const auto *Job = State.findJob(Row.Task.Job);
-    if (!Job || Row.Task.Step >= Job->Spec.Steps.size())
+    const auto *Found = findStep(Row.Task);
+    if (!Found)
       continue;
-    const auto &Step = Job->Spec.Steps[Row.Task.Step];
+    const auto &Step = *Found;
     HasBestEffort |= Step.IsBestEffort;
     if (Step.TargetMs == 0)
       continue;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -95,6 +95,8 @@
     return "no_such_job";
   case apply_outcome::Stale:
     return "stale";
+  case apply_outcome::Invalid:
+    return "invalid";
   }
   return "unknown";
 }
@@ -450,6 +452,13 @@
     const auto &Command = Batch->Commands[Index];
     auto Endpoint = endpointOf(Command);
     auto Outcome = State.apply(Command, Batch->TimeMs);
+    if (Outcome == apply_outcome::Invalid) {
+      Metrics.add("commands_invalid_total");
+      core::logEvent(core::log_level::Error, "command_skipped",
+                     {{"index", Entry.Index},
+                      {"command", Command.index()},
+                      {"reason", "it contradicts the state"}});
+    }
     if (Leader)
       Leader->recordApplied(Command, Outcome, Now);
     if (!Own)
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -214,10 +214,9 @@
   if (!Job.Spec.Steps[Command.Task.Step].IsLongRunning &&
       Task->Failures >= maxAttempts(Job))
     return apply_outcome::Stale;
-  core::checkInvariant(
-      isReady(Job.Spec, *Job.findOpen(Command.Task.Occurrence),
-              Command.Task.Step),
-      "a run starts only after the steps it depends on are done");
+  if (!isReady(Job.Spec, *Job.findOpen(Command.Task.Occurrence),
+               Command.Task.Step))
+    return apply_outcome::Invalid;
   Task->Attempt = Command.Attempt;
   Task->Endpoint = Command.Endpoint;
   Endpoint->second.Runs.push_back(Command.Task);
@@ -257,7 +256,7 @@
   }
   if (Command.Outcome == run_end::Done && !Spec.IsLongRunning) {
     if (Spec.IsGang)
-      finishGang(Job, Command.Task, Command.Attempt);
+      finishGang(Job, Command.Task);
     else
       finishTask(Job, Command.Task);
     return apply_outcome::Accepted;
@@ -298,8 +297,7 @@
   });
 }
 
-void schedule_state::finishGang(job_record &Job, const task_key &Key,
-                                std::uint32_t Attempt) {
+void schedule_state::finishGang(job_record &Job, const task_key &Key) {
   auto Count = Job.Spec.Steps[Key.Step].Count;
   for (std::uint32_t Index = 0; Index != Count; ++Index) {
     task_key Member = Key;
@@ -307,7 +305,9 @@
     auto *Task = mutableTask(Member);
     if (!Task || Task->IsDone)
       continue;
-    if (Task->Endpoint != 0 && Task->Attempt == Attempt)
+    // The end of one member represents all; a run that stays assigned would
+    // refer to a task of an occurrence that is no longer open.
+    if (Task->Endpoint != 0)
       removeRun(Job, *Task, Member);
     finishTask(Job, Member);
   }
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -94,6 +94,9 @@
   NoSuchQueue,
   NoSuchJob,
   Stale, ///< The task, incarnation or wave has changed; no effect.
+  /// No correct leader proposes it in this state; no effect. Stopping instead
+  /// would stop every replica that replays the entry.
+  Invalid,
 };
 
 /// Transparent hash: allows a lookup by string view without a copy.
@@ -168,7 +171,7 @@
   void removeRun(job_record &Job, task_record &Task, const task_key &Key);
   void finishTask(job_record &Job, const task_key &Key);
   /// Marks all tasks of a gang as done when one member reports that it is done.
-  void finishGang(job_record &Job, const task_key &Key, std::uint32_t Attempt);
+  void finishGang(job_record &Job, const task_key &Key);
   void finishJob(job_record &Job, job_state State);
   void evictEndedJobs();
   std::uint32_t maxAttempts(const job_record &Job) const;
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -61,6 +61,8 @@
 
 void fake_site::apply(const command &Command) {
   auto Outcome = State.apply(Command, NowMs);
+  core::checkInvariant(Outcome != apply_outcome::Invalid,
+                       "a leader proposes only commands that fit the state");
   Leader->recordApplied(Command, Outcome, now());
 }
 
@@ -71,7 +73,9 @@
     Log.clear();
   for (auto &[AtMs, Commands] : Log)
     for (const auto &Command : Commands)
-      State.apply(Command, NowMs);
+      core::checkInvariant(
+          State.apply(Command, NowMs) != apply_outcome::Invalid,
+          "a leader proposes only commands that fit the state");
   Log.clear();
   leader_settings Settings;
   Settings.Lease = std::chrono::milliseconds(3000);
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -560,3 +560,88 @@
   CHECK(Record.OpenOccurrences.size() == Open);
   CHECK(Record.NextOccurrence == Open + 1);
 }
+
+// Guards against a null job: the job of a completed gang is kept for three
+// minutes, and an endpoint may list its member for longer.
+TEST_CASE("a run whose job is no longer kept is stopped") {
+  budget_harness Harness;
+  auto Step = makeStep(2, 100);
+  Step.IsGang = true;
+  Harness.apply(submission(makeJob("g", {Step})));
+  for (std::uint32_t Number = 1; Number <= 2; ++Number)
+    Harness.apply(start_run{{"g", 0, 0, Number - 1}, 1, Number});
+  for (auto &Order : Harness.take<start_order>())
+    Harness.Leader->finishOrder({Order.Id, Harness.accepted()}, Harness.Now);
+  Harness.apply(end_run{{"g", 0, 0, 0}, 1, run_end::Done, ""});
+  REQUIRE(Harness.State.findJob("g")->State == job_state::Complete);
+  auto Lists = [&](std::uint32_t Step) {
+    auto Answer = Harness.running(2);
+    Answer.Running.push_back({{"g", 0, Step, 1}, 1, "", 50, std::nullopt});
+    Answer.Ended.push_back({1, {"g", 0, Step, 0}, 1, run_end::Done, ""});
+    return Answer;
+  };
+  Harness.answerPoll(2, Lists(0));
+  Harness.State.apply(submission(makeJob("next", {makeStep(1)})), 400'000);
+  REQUIRE_FALSE(Harness.State.findJob("g"));
+  SECTION("the endpoint keeps listing it") {
+    std::size_t Stops = 0;
+    for (int Round = 0; Round != 100; ++Round) {
+      Harness.answerPoll(2, Lists(0));
+      for (const auto &Order : Harness.take<stop_order>())
+        Stops += std::get<stop_order>(Order.Body).Task.Job == "g";
+    }
+    CHECK(Stops > 0);
+  }
+  SECTION("the endpoint drains") {
+    auto Facts = makeEndpoint("e2");
+    Facts.IsDraining = true;
+    Harness.apply(record_endpoint{Facts});
+    Harness.advanceTime(60ms);
+    CHECK(Harness.take<stop_order>().size() == 2);
+  }
+  SECTION("its host gets maintenance") {
+    Harness.apply(start_wave{1, {"h2"}, 20'000, 2});
+    for (int Round = 0; Round != 5; ++Round)
+      Harness.plan();
+  }
+}
+
+// Guards against one answer that causes tens of thousands of orders.
+TEST_CASE(
+    "an endpoint that lists unknown runs gets a bounded number of stops") {
+  budget_harness Harness;
+  auto Answer = Harness.running(1);
+  for (std::uint32_t Index = 0; Index != 20'000; ++Index)
+    Answer.Running.push_back(
+        {{"unknown", Index, Index, Index}, 1, "", 5, std::nullopt});
+  Answer.Running.push_back({{"j", 0, 9, 0}, 1, "", 5, std::nullopt});
+  Answer.Running.push_back({{"j", 9, 0, 0}, 1, "", 5, std::nullopt});
+  Harness.answerPoll(1, Answer);
+  auto Stops = Harness.take<stop_order>().size();
+  CHECK(Stops > 0);
+  CHECK(Stops <= 256);
+}
+
+// Guards against a job whose payload fills the memory of the leader, and then
+// of the next one: the starts of a gang are committed together.
+TEST_CASE("the starts of a large gang are sent in parts") {
+  budget_harness Harness;
+  auto Step = makeStep(3000, 0);
+  Step.IsGang = true;
+  Harness.apply(submission(makeJob("g", {Step})));
+  for (std::uint32_t Index = 0; Index != 3000; ++Index)
+    Harness.apply(start_run{{"g", 0, 0, Index}, 1, 3});
+  std::set<task_key> Started;
+  std::size_t Largest = 0;
+  for (int Round = 0; Round != 10; ++Round) {
+    Harness.advanceTime(60ms);
+    auto Orders = Harness.take<start_order>();
+    Largest = std::max(Largest, Orders.size());
+    for (auto &Order : Orders) {
+      Started.insert(std::get<start_order>(Order.Body).Task);
+      Harness.Leader->finishOrder({Order.Id, Harness.accepted()}, Harness.Now);
+    }
+  }
+  CHECK(Largest <= 1024);
+  CHECK(Started.size() == 3000);
+}
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -399,3 +399,34 @@
   REQUIRE(Restored.index() == 0);
   CHECK(std::get<0>(Restored).snapshot() == Bytes);
 }
+
+// Guards against an entry at which every replica stops for ever: a start of a
+// task whose earlier steps are not done has no effect.
+TEST_CASE("a start that contradicts the state is skipped") {
+  auto State = makeState(1);
+  auto Job = makeJob("j", {makeStep(1), makeStep(1)});
+  Job.Steps[1].DependsOn = {0};
+  State.apply(submission(Job), 1);
+  auto Before = State.snapshot();
+  CHECK(start(State, {"j", 0, 1, 0}, 1) == apply_outcome::Invalid);
+  CHECK(State.snapshot() == Before);
+}
+
+// Guards against a run that stays assigned to an endpoint after its occurrence
+// has closed: the end of that endpoint would look for a task that is gone.
+TEST_CASE("the end of a gang ends the runs of all its members") {
+  auto State = makeState(2);
+  auto Job = makeJob("j", {makeStep(2)});
+  Job.Steps[0].IsGang = true;
+  Job.RepeatCount = 2;
+  State.apply(submission(Job), 1);
+  State.apply(open_occurrence{"j", 0}, 1);
+  start(State, {"j", 0, 0, 0}, 1, 1);
+  start(State, {"j", 0, 0, 1}, 2, 2); // Another attempt than its peer.
+  end(State, {"j", 0, 0, 0}, 1, run_end::Done);
+  CHECK(State.findJob("j")->OccurrencesDone == 1);
+  CHECK(State.findJob("j")->RunsLeft == 0);
+  for (const auto &[Number, Endpoint] : State.endpoints())
+    CHECK(Endpoint.Runs.empty());
+  CHECK(State.apply(end_endpoint{2}, 3) == apply_outcome::Accepted);
+}
