Work off a large wave in parts

A wave of 20,000 hosts with as many allowed at once passes all checks. The leader chose all of them in one step, and committing, ordering and planning compared each name with all others, in each round.

--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/leader.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -35,6 +36,11 @@
 // long needs no maintenance any more.
 constexpr core::duration UnknownHostTimeout = std::chrono::seconds(3);
 
+// Limit of the hosts that are being moved or maintained. A wave may name 20,000
+// hosts and allow as many at once; commands and calls for all of them together
+// would keep the leader busy for longer than the election time-out.
+constexpr std::size_t MaxOperations = 256;
+
 std::string_view name(host_verdict Verdict) {
   switch (Verdict) {
   case host_verdict::Accepted:
@@ -55,9 +61,11 @@
 
 /// \returns whether the name is in the list; finds the last ones first.
 bool contains(const std::vector<std::string> &Names, const std::string &Name) {
-  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+  return std::find(Names.rbegin(), Names.rend(), Name) != Names.rend();
 }
 
+using name_set = std::unordered_set<std::string_view>;
+
 std::int64_t toMs(core::duration Duration) {
   return std::chrono::duration_cast<milliseconds>(Duration).count();
 }
@@ -142,6 +150,7 @@
 std::vector<maintenance_host>
 leader::maintenanceHosts(const wave_record &Wave, core::time_point Now) const {
   std::vector<maintenance_host> View;
+  name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
   for (const auto &Name : Wave.Hosts) {
     const auto *Row = Hosts.find(Name);
     auto Operation = Hosts.Operations.find(Name);
@@ -149,7 +158,7 @@
     Host.Name = Name;
     Host.IsInMaintenance = Operation != Hosts.Operations.end() ||
                            (Row && Row->State == host_state::Maintenance);
-    if (contains(Wave.Begun, Name) && !Host.IsInMaintenance)
+    if (Begun.count(Name) > 0 && !Host.IsInMaintenance)
       continue;
     // A list may omit an existing host for a while; only the answer to a
     // maintenance order shows that the host does not exist.
@@ -211,8 +220,9 @@
   for (const auto &[Number, Wave] : State.waves()) {
     if (Wave.isComplete())
       continue;
+    name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
     for (const auto &Name : Wave.Ordered)
-      if (!contains(Wave.Begun, Name) &&
+      if (Begun.count(Name) == 0 &&
           Hosts.Operations.find(Name) == Hosts.Operations.end()) {
         // An earlier leader may have sent the order.
         addMaintenance(Name, Number, Now).MayTakeEffectUntil =
@@ -225,6 +235,8 @@
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
     for (const auto &Name : Plan.Order) {
+      if (Hosts.Operations.size() >= MaxOperations)
+        break;
       // Hosts chosen earlier in this loop may have used up a budget.
       const auto *Tracked = trackedOnHost(Name);
       if (Tracked && !mayInterrupt(*Tracked, Now))
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -645,3 +645,35 @@
   CHECK(Largest <= 1024);
   CHECK(Started.size() == 3000);
 }
+
+// Guards against a wave that keeps each leader busy with commands and calls for
+// all of its hosts at once.
+TEST_CASE("a wave of 20,000 hosts is worked off in parts") {
+  host_harness Harness;
+  start_wave Wave;
+  Wave.Wave = 1;
+  Wave.DeadlineMs = 1;
+  Wave.MaxCount = 20'000;
+  for (int Host = 0; Host != 20'000; ++Host)
+    Wave.Hosts.push_back("machine-" + std::to_string(100'000 + Host));
+  Harness.apply(Wave);
+  std::size_t Largest = 0;
+  std::size_t Sent = 0;
+  for (int Round = 0; Round != 40; ++Round) {
+    Harness.advanceTime(110ms);
+    Harness.answerLists({});
+    auto Commands = Harness.Leader->takeCommands(Harness.Now, 1000);
+    Largest = std::max(Largest, Commands.size());
+    for (const auto &Command : Commands)
+      Harness.apply(Command);
+    auto Orders = Harness.take<maintenance_order>();
+    Sent += Orders.size();
+    Largest = std::max(Largest, Orders.size());
+    for (auto &Order : Orders)
+      Harness.Leader->finishOrder({Order.Id, host_verdict::Accepted},
+                                  Harness.Now);
+  }
+  CHECK(Largest <= 2 * 256);
+  CHECK(Sent > 256);
+  CHECK(Harness.State.waves().at(1).Begun.size() > 256);
+}
