Keep ranks and time-outs in range for extreme estimates and settings

The time allowed for a job, the product of its longest path and the slack factor of its queue, exceeded 64 bits for 256 steps with estimates of 24 days and a factor of 1,000,000. The overflow made the job precede all others. The expected work and predictions learned from extreme estimates exceeded the range as well. They are limited now to values far beyond any real job.

The time-out of a call to the adviser came from the configuration without a limit, and one call is made at a time, so a silent adviser would have stopped all queues with advice for weeks. It is at most 30 s.

The limit of the adviser's time-out has no test of its own.

--- a/scheduling/duration_models.cpp
+++ b/scheduling/duration_models.cpp
@@ -16,6 +16,9 @@
 constexpr double MaxCount = 2000;
 // Limit of the growth of predictions with the estimate.
 constexpr double MaxSlope = 1.5;
+// Limit of a prediction, about a year. Extreme estimates make the exponential
+// exceed 64 bits, in which callers add up durations.
+constexpr double MaxPredictedMs = 3e10;
 
 double logOf(double Ms) { return std::log(std::max(1.0, Ms)); }
 
@@ -49,8 +52,9 @@
   double VarianceY = SumYY / Count - MeanY * MeanY;
   double Unexplained = std::max(0.0, VarianceY - Slope * Covariance);
   // The mean of a log-normal distribution is above its median by this factor.
-  return std::exp(MeanY + Slope * (logOf(EstimateMs) - MeanX) +
-                  Unexplained / 2);
+  return std::min(
+      MaxPredictedMs,
+      std::exp(MeanY + Slope * (logOf(EstimateMs) - MeanX) + Unexplained / 2));
 }
 
 void duration_models::record(const job_record &Job, double EstimateMs,
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -11,6 +11,10 @@
 // late. Estimates are off by nearly their own size; counting them in full would
 // treat too many jobs as late that can still be in time.
 constexpr std::int64_t CountedEstimatePercent = 80;
+// Limits of the time allowed for a job, about 30,000 years, and of its work.
+// Products of large estimates, sizes and slack factors exceed 64 bits.
+constexpr double MaxObjectiveMs = 1e15;
+constexpr double MaxWork = 1e18;
 
 /// \param IsDone predicate on the index of a step; steps for which it returns
 /// true count as zero.
@@ -67,7 +71,7 @@
             (Current.Size.MilliCores / 1000.0) *
             Model.predictMs(Current.EstimateMs);
   }
-  return static_cast<std::int64_t>(Work);
+  return static_cast<std::int64_t>(std::min(Work, MaxWork));
 }
 
 job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
@@ -86,10 +90,13 @@
     Rank.LatestStartMs = ReleaseMs;
     return Rank;
   }
-  std::int64_t Slack = Queue ? Queue->SlackThousandths : 1000;
+  double Slack = Queue ? Queue->SlackThousandths : 1000;
   std::int64_t Target = Queue ? Queue->TargetLatencyMs : 0;
+  auto AllowedMs =
+      static_cast<double>(criticalPathMs(Job.Spec, Model)) * Slack / 1000;
   std::int64_t ObjectiveMs =
-      ReleaseMs + criticalPathMs(Job.Spec, Model) * Slack / 1000 + Target;
+      ReleaseMs +
+      static_cast<std::int64_t>(std::min(AllowedMs, MaxObjectiveMs)) + Target;
   Rank.LatestStartMs =
       ObjectiveMs - remainingCriticalPathMs(Job.Spec, Occurrence, Model) *
                         CountedEstimatePercent / 100;
--- a/scheduling/leader_advice.cpp
+++ b/scheduling/leader_advice.cpp
@@ -15,6 +15,9 @@
 constexpr core::duration AdviceInterval = milliseconds(50);
 // Added to the decision time that the adviser declares.
 constexpr core::duration AdviceGrace = milliseconds(1000);
+// Limit of the time-out of a call, whatever the configuration declares: one
+// call is made at a time, so all queues with advice wait for a silent adviser.
+constexpr core::duration MaxAdviceTimeout = std::chrono::seconds(30);
 
 } // namespace
 
@@ -72,6 +75,7 @@
     Timeout +=
         milliseconds(Queue->Advice->DecisionMs +
                      Queue->Advice->PerEndpointMs * Call->Endpoints.size());
+  Timeout = std::min(Timeout, MaxAdviceTimeout);
   Metrics.add("advice_calls_total");
   addOrder(Orders, nullptr, std::move(*Call), Timeout, Now);
 }
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -501,3 +501,34 @@
     CHECK(place(State, Targets).empty());
   }
 }
+
+// Guards against overflow, after which a job with extreme estimates would
+// precede all others.
+TEST_CASE("ranks of jobs with extreme estimates stay in order") {
+  constexpr std::uint32_t Largest = 2'147'483'647;
+  auto State = makeState(1);
+  std::vector<step_spec> Steps;
+  for (std::uint32_t Index = 0; Index != 256; ++Index) {
+    Steps.push_back(makeStep(39, Largest, Largest));
+    if (Index > 0)
+      Steps.back().DependsOn = {Index - 1};
+  }
+  State.apply(submission(makeJob("extreme", Steps)), 1000);
+  State.apply(submission(makeJob("plain", {makeStep(1)})), 1000);
+  duration_model Model;
+  for (int Count = 0; Count != 200; ++Count)
+    Model.record(1 + Count % 3, Count % 2 == 0 ? 1 : 1e9);
+  auto Configuration = makeConfiguration(2);
+  auto &Queue = Configuration.Queues[0];
+  Queue.SlackThousandths = 1'000'000'000;
+  auto Rank = [&](const char *Id, const duration_model &Used) {
+    const auto &Job = *State.findJob(Id);
+    return rankOf(Job, Job.OpenOccurrences[0], &Queue, Used, 2000);
+  };
+  for (const auto &Used : {duration_model(), Model}) {
+    CHECK(Rank("extreme", Used).LatestStartMs >= 1000);
+    CHECK(Rank("extreme", Used).RemainingWork >
+          Rank("plain", Used).RemainingWork);
+  }
+  CHECK(Rank("plain", Model).Group == groupAt(Rank("plain", Model), 2000));
+}
