--- a/tests/scheduling/test_schedule_node.cpp
+++ b/tests/scheduling/test_schedule_node.cpp
@@ -164,10 +164,16 @@
 TEST_CASE("submissions that were queued during a stall of the disk are "
           "acknowledged after it, also when they exceed the largest entry") {
   leading_scheduler Scheduler;
+  Scheduler.IsStalled = true;
+  Scheduler.call(submitCall("first"));
+  Scheduler.advance();
   std::vector<std::uint64_t> Calls;
   for (int Index = 0; Index != 400; ++Index)
     Calls.push_back(
         Scheduler.call(submitCall("j" + std::to_string(Index), 4000)));
+  for (int Step = 0; Step != 50; ++Step)
+    Scheduler.advance();
+  Scheduler.IsStalled = false;
   for (auto Call : Calls)
     CHECK(Scheduler.awaitReply(Call, AcknowledgementBound) ==
           reply_kind::Accepted);
