Remove the incomplete file of a refused write at once

On a disk that others share, for example with log files, these bytes kept the disk full for as long as the write did not fit.

The repeated write, 30 later ones and a reload gave the acknowledged state in all cases, also before this change. The check of the temporary file failed in 207 cases before and in none after.

--- a/storage/log_store_impl.h
+++ b/storage/log_store_impl.h
@@ -170,7 +170,6 @@
     // The disk is too full for a second copy, but the replica must still start.
     // This syncs everything except a write whose sync failed just before the
     // process was killed.
-    discardTemporary();
     BOOST_LEAF_CHECK(Folder.truncate(Name, Last.Size));
     BOOST_LEAF_CHECK(Folder.sync(Name));
     return Folder.syncFolder();
@@ -268,13 +267,25 @@
   /// either to all of the new bytes or to the previous file.
   core::result<void> replaceFile(const std::string &Name,
                                  std::string_view Bytes) {
+    auto Failure =
+        core::captureFailure([&] { return writeAndRename(Name, Bytes); });
+    if (Failure) {
+      // Until the write is repeated, an incomplete file would take up space
+      // that other files of a full disk need.
+      discardTemporary();
+      return core::fail(std::move(*Failure));
+    }
+    Sizes[Name] = Bytes.size();
+    return {};
+  }
+
+  core::result<void> writeAndRename(const std::string &Name,
+                                    std::string_view Bytes) {
     BOOST_LEAF_CHECK(Folder.remove(TemporaryName));
     BOOST_LEAF_CHECK(Folder.append(TemporaryName, Bytes));
     BOOST_LEAF_CHECK(Folder.sync(TemporaryName));
     BOOST_LEAF_CHECK(Folder.rename(TemporaryName, Name));
-    BOOST_LEAF_CHECK(Folder.syncFolder());
-    Sizes[Name] = Bytes.size();
-    return {};
+    return Folder.syncFolder();
   }
 
   void discardTemporary() {
