--- a/replication/raft_snapshot.cpp
+++ b/replication/raft_snapshot.cpp
@@ -66,7 +66,10 @@
   std::string &State = Incoming->Snapshot.State;
   if (Part.Offset == State.size())
     State += Part.Bytes;
-  if (State.size() < Incoming->Total) {
+  // While the disk is full, each further snapshot would add a write with a copy
+  // of the state. The leader sends the end of the snapshot, which has no bytes,
+  // with each heartbeat until the disk has room.
+  if (State.size() < Incoming->Total || isStorageBlocked()) {
     send(From,
          snapshot_reply{Hard.Term, Part.Round, Part.LastIndex, State.size()});
     return;
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -252,6 +252,7 @@
   CHECK(Status(reply_kind::NoSuchQueue) == 404);
   CHECK(Status(reply_kind::NoSuchJob) == 410);
   CHECK(Status(reply_kind::Unavailable) == 503);
+  CHECK(Status(reply_kind::TooLarge) == 413);
   CHECK(Status(reply_kind::Unknown) == 504);
   reply Complete;
   Complete.Kind = reply_kind::State;
