Treat the limit of the file size like a full disk

A process whose files reached RLIMIT_FSIZE would have been killed by SIGXFSZ before posix_files could report the refused write. The daemon ignores the signal now, so the write fails with EFBIG and is retried like one to a full disk. posix_files already reported EFBIG and EDQUOT as a full disk; a new unit test shows it for EFBIG and passed at once.

A trial with dd under a limit of zero bytes ended with signal 25 (SIGXFSZ).

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -89,6 +89,9 @@
     pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
     // A write to a socket that the peer has closed must not kill the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // A write beyond the limit of the file size must fail like one to a full
+    // disk, which is retried, instead of killing the process.
+    std::signal(SIGXFSZ, SIG_IGN);
     Thread = std::thread([this] { run(); });
   }
 
--- a/tests/storage/test_posix_files.cpp
+++ b/tests/storage/test_posix_files.cpp
@@ -4,8 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <filesystem>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace lycheetrestle;
@@ -79,6 +81,29 @@
   CHECK(Failure->Code == core::error_code::Overloaded);
 }
 
+// Guards against a limit of the file size, as a quota sets it, that is reported
+// as an I/O error, and against a file that stays refused when the limit rises.
+TEST_CASE("a file at its size limit fails with Overloaded until the limit is "
+          "raised") {
+  scratch_folder Folder("limit");
+  posix_files Files(Folder.Path);
+  auto PreviousHandler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit Previous{};
+  REQUIRE(::getrlimit(RLIMIT_FSIZE, &Previous) == 0);
+  rlimit Limit = Previous;
+  Limit.rlim_cur = 3;
+  REQUIRE(::setrlimit(RLIMIT_FSIZE, &Limit) == 0);
+  auto Failure =
+      core::captureFailure([&] { return Files.append("file", "bytes"); });
+  REQUIRE(::setrlimit(RLIMIT_FSIZE, &Previous) == 0);
+  std::signal(SIGXFSZ, PreviousHandler);
+  REQUIRE(Failure);
+  CHECK(Failure->Code == core::error_code::Overloaded);
+  mustSucceed([&] { return Files.truncate("file", 0); });
+  mustSucceed([&] { return Files.append("file", "bytes"); });
+  CHECK(must([&] { return Files.read("file"); }) == "bytes");
+}
+
 // Guards against an append that goes to a replaced or removed file through a
 // descriptor that is still open.
 TEST_CASE("open descriptors follow renames and removals") {
