--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -135,6 +136,24 @@
         return '\n'.join('  %s: %s' % (self.name, line) for line in text[-lines:])
 
 
+class PipedProcess(Process):
+    """A child process whose output goes through a pipe into its log file, so that a
+    limit of the size of its files does not apply to its output."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.log = pathlib.Path(folder) / (name + '.log')
+        self.child = subprocess.Popen([str(a) for a in arguments], cwd=folder,
+                                      stdin=subprocess.DEVNULL, stdout=subprocess.PIPE,
+                                      stderr=subprocess.STDOUT)
+        threading.Thread(target=self.copy_output, daemon=True).start()
+
+    def copy_output(self):
+        with open(self.log, 'ab', buffering=0) as log:
+            for line in self.child.stdout:
+                log.write(line)
+
+
 class ProcessGroup:
     """Kills every process that it started when the `with` block is left, also after
     SIGTERM, SIGINT or the timeout of the whole run."""
@@ -159,8 +178,8 @@
             process.send_signal(signal.SIGKILL)
             process.wait(10)
 
-    def start(self, name, arguments):
-        process = Process(name, arguments, self.folder)
+    def start(self, name, arguments, process_type=Process):
+        process = process_type(name, arguments, self.folder)
         self.processes[name] = process
         return process
 
--- a/tests/process/site_run.py
+++ b/tests/process/site_run.py
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from processes import StepError, wait_until  # noqa: E402
+from processes import Process, StepError, wait_until  # noqa: E402
 
 CONTROL_PORT, LINK_PORT, GATEWAY_PORT, READY_PORT, ENDPOINT_PORT = 7801, 7802, 7804, 7805, 7807
 HOST, PREFIX, SERVICE = 'q.example', '/jobs/', 'svc'
@@ -25,6 +25,7 @@
         self.programs, self.net, self.group = pathlib.Path(programs), net, group
         self.folder = pathlib.Path(folder)
         self.jobs = 0
+        self.daemon_type = Process
 
     def ip(self, index):
         return '127.%d.0.%d' % (self.net, index)
@@ -36,7 +37,7 @@
         path = self.folder / (name + '.jsonc')
         path.write_text(json.dumps(settings))
         return self.group.start(name, [self.programs / 'lycheetrestled',
-                                       '--settings=%s' % path])
+                                       '--settings=%s' % path], self.daemon_type)
 
     def start_scheduler(self, index, seeds, founding, own_endpoints=60):
         data = self.folder / ('data-%d' % index)
