--- a/tests/scheduling/test_full_disks.cpp
+++ b/tests/scheduling/test_full_disks.cpp
@@ -143,7 +143,6 @@
       run(CallRetryInterval);
       Target = leader().value_or((Target + 1) % Hosts.size());
     }
-    Slowest = std::max(Slowest, Now - Since);
     INFO("change " << Version << ": " << describe());
     CHECK(Now - Since < AcknowledgementTime);
   }
@@ -173,9 +172,7 @@
     }
   }
 
-  core::duration slowestChange() const { return Slowest; }
   std::size_t mostWaitingWrites() const { return MostWaitingWrites; }
-  std::size_t answeredCalls() const { return Answers.size(); }
   std::uint64_t failedWrites() const { return FailedWrites; }
 
   std::string describe() const {
@@ -395,7 +392,6 @@
   std::uint64_t Version = 0;
   std::uint64_t FailedWrites = 0;
   std::size_t MostWaitingWrites = 0;
-  core::duration Slowest{};
 };
 
 } // namespace
