--- a/fleet/cbor_archive.h
+++ b/fleet/cbor_archive.h
@@ -51,6 +51,10 @@
   template <typename... Types> void operator()(const Types &...Values) {
     (Items.push_back(toJson(Values)), ...);
   }
+  /// Writes fields that an earlier version of the record did not have.
+  template <typename... Types> void trailing(const Types &...Values) {
+    (*this)(Values...);
+  }
   /// Writes bytes that need not be UTF-8.
   void bytes(const std::string &Value) {
     Items.push_back(nlohmann::json::binary(
@@ -94,6 +98,12 @@
   template <typename... Types> void operator()(Types &...Values) {
     (readNext(Values), ...);
   }
+  /// Reads fields that an earlier version of the record did not have: they
+  /// keep their defaults when the record ends before them. Must be the last
+  /// fields of their record.
+  template <typename... Types> void trailing(Types &...Values) {
+    (readTrailing(Values), ...);
+  }
   void bytes(std::string &Value) {
     const auto *Item = next();
     if (!Item)
@@ -184,6 +194,11 @@
       Ok = false;
   }
 
+  template <typename Type> void readTrailing(Type &Value) {
+    if (Ok && Position < Items.size())
+      readNext(Value);
+  }
+
   const nlohmann::json &Items;
   std::size_t Position = 0;
   bool Ok;
--- a/scheduling/commands.cpp
+++ b/scheduling/commands.cpp
@@ -35,6 +35,20 @@
 
 } // namespace
 
+std::string_view toText(end_cause Cause) {
+  switch (Cause) {
+  case end_cause::Unknown:
+    return "unknown";
+  case end_cause::Planned:
+    return "planned";
+  case end_cause::Crashed:
+    return "crashed";
+  case end_cause::FailedWithRack:
+    return "failed_with_rack";
+  }
+  return "unknown";
+}
+
 std::string encodeCommand(const command &Command) {
   std::string Bytes;
   fleet::appendCbor(Bytes, Command.index());
--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -61,15 +61,27 @@
   bool operator==(const end_run &) const = default;
 };
 
+/// What the leader knew about the end of an incarnation when it proposed it.
+struct incarnation_end {
+  end_cause Cause = end_cause::Unknown;
+  /// Time since it was last known to be alive; its runs may have ended since.
+  std::uint32_t SilentMs = 0;
+  /// Runs of it that certainly did not start.
+  std::vector<task_key> Unstarted;
+  bool operator==(const incarnation_end &) const = default;
+};
+
 /// Records a new incarnation of an endpoint, or new facts of a known one.
 struct record_endpoint {
   endpoint_facts Facts;
+  incarnation_end End = {}; ///< Of the earlier incarnation with the same id.
   bool operator==(const record_endpoint &) const = default;
 };
 
 /// Records that an incarnation has ended; its runs are lost.
 struct end_endpoint {
   std::uint32_t Endpoint = 0;
+  incarnation_end End = {};
   bool operator==(const end_endpoint &) const = default;
 };
 
@@ -97,12 +109,30 @@
   bool operator==(const record_maintenance &) const = default;
 };
 
+/// Records the host that an incarnation runs on, so that a later leader can
+/// tell from the list of hosts whether the incarnation has ended.
+struct record_host {
+  std::uint32_t Endpoint = 0;
+  std::string Host;
+  bool operator==(const record_host &) const = default;
+};
+
+/// Records that an incarnation whose runs were recorded as lost is alive: it
+/// was out of reach and has not crashed.
+struct record_contact {
+  std::uint32_t Endpoint = 0;
+  bool operator==(const record_contact &) const = default;
+};
+
 /// The index of an alternative is part of the log format, so their order must
 /// not change.
 using command =
     std::variant<set_configuration, submit_job, cancel_job, open_occurrence,
                  start_run, end_run, record_endpoint, end_endpoint, start_wave,
-                 order_maintenance, record_maintenance>;
+                 order_maintenance, record_maintenance, record_host,
+                 record_contact>;
+
+std::string_view toText(end_cause Cause);
 
 /// The commands of one log entry.
 struct command_batch {
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -16,6 +16,9 @@
 template <>
 inline constexpr auto LargestEnumerator<scheduling::run_end> =
     scheduling::run_end::Lost;
+template <>
+inline constexpr auto LargestEnumerator<scheduling::end_cause> =
+    scheduling::end_cause::FailedWithRack;
 
 } // namespace lycheetrestle::fleet
 
@@ -98,13 +101,19 @@
 void fields(Archive &A, Type &R) {
   A(R.Task, R.Attempt, R.Outcome, R.Checkpoint);
 }
+template <typename Archive, record_of<incarnation_end> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Cause, R.SilentMs, R.Unstarted);
+}
 template <typename Archive, record_of<record_endpoint> Type>
 void fields(Archive &A, Type &R) {
   A(R.Facts);
+  A.trailing(R.End);
 }
 template <typename Archive, record_of<end_endpoint> Type>
 void fields(Archive &A, Type &R) {
   A(R.Endpoint);
+  A.trailing(R.End);
 }
 template <typename Archive, record_of<start_wave> Type>
 void fields(Archive &A, Type &R) {
@@ -119,9 +128,32 @@
   A(R.Wave, R.Host);
 }
 
+template <typename Archive, record_of<record_host> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Endpoint, R.Host);
+}
+template <typename Archive, record_of<record_contact> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Endpoint);
+}
+
 template <typename Archive, record_of<task_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Attempt, R.Failures, R.Endpoint, R.IsDone, R.Checkpoint);
+  A.trailing(R.StartedMs);
+}
+template <typename Archive, record_of<crash_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Incarnation, R.EndpointId, R.Host);
+}
+template <typename Archive, record_of<suspect_record> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Occurrence, R.Step, R.Index, R.Attempt, R.Crashes, R.RanMs,
+    R.RackFailures, R.WasExonerated);
+}
+template <typename Archive, record_of<lost_run> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt, R.StartedMs, R.EndedMs);
 }
 template <typename Archive, record_of<step_record> Type>
 void fields(Archive &A, Type &R) {
@@ -136,10 +168,12 @@
   A(R.Spec, R.QueueHost, R.QueuePrefix, R.Pool, R.State, R.SubmittedMs,
     R.EndedMs, R.NextOccurrence, R.OccurrencesDone, R.OpenOccurrences,
     R.RunsLeft);
+  A.trailing(R.Suspects, R.GivenUp);
 }
 template <typename Archive, record_of<endpoint_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Number, R.Facts, R.Runs);
+  A.trailing(R.Host, R.IsMaintenanceOrdered, R.LostRuns);
 }
 template <typename Archive, record_of<wave_record> Type>
 void fields(Archive &A, Type &R) {
--- /dev/null
+++ b/scheduling/host_crash_log.h
@@ -0,0 +1,48 @@
+#ifndef LYCHEETRESTLE_SCHEDULING_HOST_CRASH_LOG_H
+#define LYCHEETRESTLE_SCHEDULING_HOST_CRASH_LOG_H
+
+#include "core/clock.h"
+#include "scheduling/types.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheetrestle::scheduling {
+
+/// Decides from the crashes of endpoints whether to avoid a host.
+///
+/// Designed for hosts whose endpoints crash again and again, beside tasks that
+/// crash the endpoints of any host: crashes count against a host only while no
+/// single task ran at all of them, and not after a task that was given up
+/// explains them.
+class host_crash_log {
+public:
+  /// Records a crash.
+  /// \param Endpoint number of the incarnation.
+  /// \param Tasks the tasks that may have caused it.
+  void record(const std::string &Host, std::uint32_t Endpoint,
+              std::set<task_key> Tasks, core::time_point Now);
+  /// Takes the crash of an incarnation off its host.
+  void forgive(std::uint32_t Endpoint);
+  /// \returns whether no new work should be placed on the host. This expires.
+  bool isAvoided(const std::string &Host, core::time_point Now) const {
+    return !Crashes.empty() && hasCrashLoop(Host, Now);
+  }
+
+private:
+  bool hasCrashLoop(const std::string &Host, core::time_point Now) const;
+
+  struct crash {
+    std::uint32_t Endpoint = 0;
+    std::set<task_key> Tasks;
+    core::time_point At{};
+  };
+  std::map<std::string, std::vector<crash>> Crashes; ///< By host, recent ones.
+};
+
+} // namespace lycheetrestle::scheduling
+
+#endif
--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -43,6 +43,7 @@
   std::map<std::string, host_row> Hosts;                       ///< By name.
   std::unordered_map<std::string, std::string> HostOfEndpoint; ///< By id.
   core::time_point ListedAt{}; ///< When the newest whole list was requested.
+  bool IsNewList = false;      ///< Its endpoints are still to be recorded.
   std::map<std::string, core::time_point> Cordoned; ///< Since when, by host.
   std::map<std::string, host_operation> Operations;
   /// Since when hosts have been up, not reserved and without a run, by host.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -57,6 +57,13 @@
          (Open < MaxOpenOccurrences && (Open + 1) * Tasks <= MaxOpenTasks);
 }
 
+// A suspect waits for an empty endpoint, which another host would not provide
+// sooner.
+bool isSuspectTask(const job_record &Job, const task_key &Key) {
+  const auto *Suspect = Job.findSuspect(Key);
+  return Suspect && Suspect->isSuspect();
+}
+
 } // namespace
 
 leader::leader(leader_settings Settings, std::uint64_t Fence,
@@ -72,6 +79,12 @@
   auto [Found, IsNew] = TrackedEndpoints.try_emplace(Endpoint);
   if (IsNew) {
     Found->second.Endpoint = Endpoint;
+    if (auto Record = State.endpoints().find(Endpoint);
+        Record != State.endpoints().end()) {
+      Found->second.Id = Record->second.Facts.Id;
+      Found->second.Rack = Record->second.Facts.Rack;
+      Found->second.Host = hostOf(Record->second);
+    }
     Found->second.LastHeartbeat = Now;
     DueEndpoints.push_back(Endpoint);
   }
@@ -92,6 +105,8 @@
       Tracked.Runs[Key].Attempt = Task->Attempt;
       EndpointOfRun[Key] = Number;
     }
+    if (!Endpoint.LostRuns.empty())
+      Tracked.RunsLostAt = Now;
   }
   for (const auto &[Id, Job] : State.jobs())
     if (isOver(Job.State) && Job.RunsLeft > 0)
@@ -141,6 +156,10 @@
                            core::time_point Now) {
   IsPlacementDue = true;
   if (const auto *End = std::get_if<end_run>(&Command)) {
+    if (End->Outcome == run_end::Lost)
+      if (auto Place = EndpointOfRun.find(End->Task);
+          Place != EndpointOfRun.end())
+        trackEndpoint(Place->second, Now).RunsLostAt = Now;
     removeRun(End->Task, End->Attempt);
     const auto *Job = State.findJob(End->Task.Job);
     if (Job && isOver(Job->State) && Job->RunsLeft > 0)
@@ -149,6 +168,10 @@
   }
   if (Outcome == apply_outcome::Stale || Outcome == apply_outcome::Invalid)
     return;
+  if (const auto *Place = std::get_if<record_host>(&Command)) {
+    trackEndpoint(Place->Endpoint, Now).Host = Place->Host;
+    return;
+  }
   if (const auto *Start = std::get_if<start_run>(&Command)) {
     auto &Tracked = trackEndpoint(Start->Endpoint, Now);
     // The start order is sent next and carries a lease.
@@ -157,6 +180,8 @@
     auto &Run = Tracked.Runs[Start->Task];
     Run = {};
     Run.Attempt = Start->Attempt;
+    // Entries of earlier leaders are applied before this one is created.
+    Run.MayBeStartedByOther = false;
     EndpointOfRun[Start->Task] = Start->Endpoint;
     recordRunsChanged(Start->Endpoint);
     return;
@@ -179,7 +204,13 @@
             State.findEndpoint(Record->Facts.Id, Record->Facts.IncarnationMs)) {
       auto &Tracked = trackEndpoint(Endpoint->Number, Now);
       applyFirstHeartbeat(Tracked, Endpoint->Facts);
+      std::uint32_t Earlier = 0;
+      for (const auto &[Number, Other] : TrackedEndpoints)
+        if (Number != Endpoint->Number && Other.Id == Endpoint->Facts.Id)
+          Earlier = Number;
       transferRuns(Tracked, *Endpoint, Now);
+      if (Record->End.Cause != end_cause::Unknown)
+        recordEnd(Tracked, Earlier, Record->End, Now);
       recordRunsChanged(Endpoint->Number);
     }
     Hosts.NextList = std::min(Hosts.NextList, Now);
@@ -192,6 +223,7 @@
   if (const auto *End = std::get_if<end_endpoint>(&Command)) {
     if (auto Found = TrackedEndpoints.find(End->Endpoint);
         Found != TrackedEndpoints.end()) {
+      recordEnd(Found->second, End->Endpoint, End->End, Now);
       for (const auto &[Key, Run] : Found->second.Runs)
         if (auto Place = EndpointOfRun.find(Key);
             Place != EndpointOfRun.end() && Place->second == End->Endpoint)
@@ -330,6 +362,7 @@
     collectOccurrences(Commands, WallMs);
   }
   planHosts(Commands, Now, WallMs);
+  collectHosts(Commands);
   if ((IsPlacementDue && Now >= EarliestPlacement) || Now >= NextPlacement)
     collectStarts(Commands, Now, WallMs);
   if (Now >= NextPrune) {
@@ -360,14 +393,21 @@
 void leader::collectLosses(std::vector<command> &Commands,
                            core::time_point Now) {
   for (auto Number : EndedIncarnations)
-    Commands.emplace_back(end_endpoint{Number});
+    if (auto Found = State.endpoints().find(Number);
+        Found != State.endpoints().end())
+      Commands.emplace_back(end_endpoint{Number, endOf(Found->second, Now)});
   for (auto &[Number, Tracked] : TrackedEndpoints) {
     if (EndedIncarnations.count(Number) > 0)
       continue;
     if (Tracked.RemoveAt && Now >= *Tracked.RemoveAt) {
-      Commands.emplace_back(end_endpoint{Number});
+      Commands.emplace_back(end_endpoint{Number, {end_cause::Planned, 0, {}}});
       continue;
     }
+    if (Tracked.RunsLostAt && !Tracked.IsSuspect &&
+        Tracked.LastAnswer > *Tracked.RunsLostAt) {
+      Tracked.RunsLostAt.reset();
+      Commands.emplace_back(record_contact{Number});
+    }
     if (Tracked.Runs.empty()) {
       if (Now - std::max(Tracked.LastHeartbeat, Tracked.LastAnswer) >
           SilentEndpointRetention)
@@ -389,7 +429,9 @@
                       {"endpoint", Number},
                       {"reason", "lease expired"}});
       Commands.emplace_back(
-          end_run{Key, Run.Attempt, run_end::Lost, Run.Checkpoint});
+          end_run{Key, Run.Attempt,
+                  Run.mayHaveStarted() ? run_end::Lost : run_end::Refused,
+                  Run.Checkpoint});
     }
   }
 }
@@ -423,7 +465,8 @@
     return false;
   auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
   return Host == Hosts.HostOfEndpoint.end() ||
-         (Hosts.Cordoned.find(Host->second) == Hosts.Cordoned.end() &&
+         (!HostCrashes.isAvoided(Host->second, Now) &&
+          Hosts.Cordoned.find(Host->second) == Hosts.Cordoned.end() &&
           Hosts.Operations.find(Host->second) == Hosts.Operations.end());
 }
 
@@ -435,6 +478,7 @@
   Target.Endpoint = Endpoint.Number;
   Target.Pool = Endpoint.Facts.Pool;
   Target.Free = Endpoint.Facts.Capacity;
+  Target.Runs = static_cast<std::uint32_t>(Endpoint.Runs.size());
   Target.Labels = Endpoint.Facts.Labels;
   Target.Rack = Endpoint.Facts.Rack;
   for (const auto &Key : Endpoint.Runs) {
@@ -504,6 +548,14 @@
                           std::uint32_t Endpoint) {
     return isAllowed(Key, Job, Endpoint, Now);
   };
+  auto Suspects = planSuspects(Targets, Now);
+  if (!Suspects.empty())
+    Request.EndpointFor =
+        [&](const task_key &Key) -> std::optional<std::uint32_t> {
+      auto Found = Suspects.find(Key);
+      return Found == Suspects.end() ? std::nullopt
+                                     : std::optional(Found->second);
+    };
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(Waiting, Targets, Request)) {
     recordRunsChanged(Placement.Start.Endpoint);
@@ -521,9 +573,10 @@
       continue;
     const auto &Tasks = Step.Occurrence->Steps[Step.Step].Tasks;
     for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index)
-      if (Tasks[Index].isWaiting() &&
-          Placed.count({Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
-                        Index}) == 0)
+      if (task_key Key{Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
+                       Index};
+          Tasks[Index].isWaiting() && Placed.count(Key) == 0 &&
+          !isSuspectTask(*Step.Job, Key))
         Hosts.UnplaceableAt[Step.Job->Pool] = Now;
   }
 }
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -4,8 +4,10 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "scheduling/advice_cache.h"
+#include "scheduling/crash_quarantine.h"
 #include "scheduling/demand_forecaster.h"
 #include "scheduling/duration_models.h"
+#include "scheduling/host_crash_log.h"
 #include "scheduling/host_inventory.h"
 #include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
@@ -68,6 +70,11 @@
   /// it changes no replicated fact or is older than a recorded one.
   bool recordHeartbeat(const endpoint_heartbeat &Heartbeat,
                        core::time_point Now);
+  /// \param Facts facts of a heartbeat that recordHeartbeat() did not settle.
+  /// \returns the command to propose for them. It tells why an earlier
+  /// incarnation with the same id ended.
+  record_endpoint describeEndpoint(endpoint_facts Facts,
+                                   core::time_point Now) const;
   /// Records that the endpoint with this id deregistered. Applies to its newest
   /// incarnation.
   void recordDeregistration(std::string_view Id, core::time_point Now);
@@ -241,6 +248,42 @@
                                  core::time_point Now) const;
   const tracked_endpoint *trackedOnHost(const std::string &Host) const;
 
+  // leader_crashes.cpp
+  /// \returns what is known about the end of an incarnation that has ended.
+  incarnation_end endOf(const endpoint_record &Endpoint,
+                        core::time_point Now) const;
+  end_cause causeOfEnd(const endpoint_record &Endpoint,
+                       core::time_point Now) const;
+  /// \returns the host that the endpoint runs or ran on, or an empty string.
+  std::string hostOf(const endpoint_record &Endpoint) const;
+  /// \returns whether an order to its host explains the end of the incarnation.
+  bool isEndOrdered(const endpoint_record &Endpoint,
+                    core::time_point Now) const;
+  /// \returns whether most of its rack went down at the same time.
+  bool failedWithRack(const endpoint_record &Endpoint,
+                      core::time_point Now) const;
+  /// Proposes the hosts of incarnations that the newest list shows.
+  void collectHosts(std::vector<command> &Commands);
+  /// Decides where suspect tasks may start, and reserves endpoints for them.
+  /// \param Targets the endpoints that accept new runs.
+  /// \returns for each waiting suspect task the endpoint on which it may start
+  /// now, or 0; all suspect members of a gang have the same endpoint.
+  std::unordered_map<task_key, std::uint32_t, task_key_hash>
+  planSuspects(std::span<placement_target *const> Targets,
+               core::time_point Now);
+  /// \returns whether the running suspect may not have neighbours yet.
+  bool isOnTrial(const task_key &Key, const suspect_record &Suspect,
+                 const task_record &Task, core::time_point Now) const;
+  /// \returns whether the task may run on the endpoint when that is empty.
+  bool mayHoldAlone(const task_key &Key, std::uint32_t Endpoint,
+                    core::time_point Now) const;
+  /// Logs and counts the crash of an incarnation and the tasks that were given
+  /// up for it, and stops the runs of their jobs.
+  /// \param Tracked the incarnation, or the one that took its place.
+  /// \param Number number of the incarnation that ended.
+  void recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
+                 const incarnation_end &End, core::time_point Now);
+
   // leader_moves.cpp
   void planHostMoves(core::time_point Now, std::int64_t WallMs);
   void logPools(std::span<const pool_view> Pools,
@@ -296,6 +339,15 @@
   core::time_point NextPlacement{}; ///< Due even without an event.
   core::time_point EarliestPlacement{};
   core::time_point NextLostCheck{};
+  /// An incarnation that ended without an order.
+  struct unplanned_end {
+    std::string Rack;
+    core::time_point At{};
+  };
+  std::vector<unplanned_end> UnplannedEnds; ///< Recent ones.
+  host_crash_log HostCrashes;
+  std::map<std::string, crash_quarantine> Quarantines; ///< By pool.
+  bool HasReservations = false;  ///< Some target may be marked as reserved.
   std::size_t PendingStarts = 0; ///< Start orders without a result.
   /// Since when long-running tasks are not at work, by task.
   std::map<task_key, core::time_point> UnservedSince;
--- /dev/null
+++ b/scheduling/leader_crashes.cpp
@@ -0,0 +1,273 @@
+#include "core/event_log.h"
+#include "scheduling/leader.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace lycheetrestle::scheduling {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Endpoints of a rack that lose power or network together go down at once, and
+// the list of hosts and unanswered polls show it within this time.
+constexpr core::duration RackFailureWindow = std::chrono::seconds(2);
+// A rack has failed when at least this many of its endpoints, and half of them,
+// went down together. One task that crashes endpoints takes down one at a time.
+constexpr std::size_t MinRackFailures = 3;
+// Assumed time since the last contact with an endpoint that only earlier
+// leaders had contact with. Without runs it would have been removed by then.
+constexpr core::duration UnknownSilence = std::chrono::seconds(30);
+
+std::uint32_t toMs(core::duration Duration) {
+  auto Count = std::chrono::duration_cast<milliseconds>(Duration).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Count, 0, std::numeric_limits<int>::max()));
+}
+
+} // namespace
+
+std::string leader::hostOf(const endpoint_record &Endpoint) const {
+  auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
+  return Host == Hosts.HostOfEndpoint.end() ? Endpoint.Host : Host->second;
+}
+
+bool leader::isEndOrdered(const endpoint_record &Endpoint,
+                          core::time_point Now) const {
+  if (Endpoint.IsMaintenanceOrdered)
+    return true;
+  auto Host = hostOf(Endpoint);
+  auto Operation = Hosts.Operations.find(Host);
+  if (Operation != Hosts.Operations.end() &&
+      (Operation->second.HasBegun || Operation->second.IsOrderPending ||
+       Now < Operation->second.MayTakeEffectUntil))
+    return true;
+  // An earlier leader may have ordered a move.
+  const auto *Row = Hosts.find(Host);
+  return Row && (Row->State == host_state::Moving ||
+                 Row->State == host_state::Maintenance ||
+                 (!Row->Pool.empty() && Row->Pool != Endpoint.Facts.Pool));
+}
+
+bool leader::failedWithRack(const endpoint_record &Endpoint,
+                            core::time_point Now) const {
+  const auto &Rack = Endpoint.Facts.Rack;
+  if (Rack.empty())
+    return false;
+  std::size_t Known = 0;
+  std::size_t Down = 0;
+  for (const auto &[Number, Tracked] : TrackedEndpoints) {
+    if (Tracked.Rack != Rack)
+      continue;
+    ++Known;
+    Down +=
+        Number == Endpoint.Number || EndedIncarnations.count(Number) > 0 ||
+        (Tracked.IsSuspect && Now - Tracked.SuspectedAt <= RackFailureWindow);
+  }
+  for (const auto &End : UnplannedEnds) {
+    if (End.Rack != Rack || Now - End.At > RackFailureWindow)
+      continue;
+    ++Known;
+    ++Down;
+  }
+  return Down >= MinRackFailures && 2 * Down >= Known;
+}
+
+end_cause leader::causeOfEnd(const endpoint_record &Endpoint,
+                             core::time_point Now) const {
+  auto Tracked = TrackedEndpoints.find(Endpoint.Number);
+  bool HasDeregistered =
+      Tracked != TrackedEndpoints.end() && Tracked->second.RemoveAt;
+  if (Endpoint.Facts.IsDraining || HasDeregistered ||
+      isEndOrdered(Endpoint, Now))
+    return end_cause::Planned;
+  return failedWithRack(Endpoint, Now) ? end_cause::FailedWithRack
+                                       : end_cause::Crashed;
+}
+
+incarnation_end leader::endOf(const endpoint_record &Endpoint,
+                              core::time_point Now) const {
+  incarnation_end End;
+  End.Cause = causeOfEnd(Endpoint, Now);
+  auto Found = TrackedEndpoints.find(Endpoint.Number);
+  if (Found == TrackedEndpoints.end() ||
+      Found->second.ClockAt == core::time_point()) {
+    End.SilentMs = toMs(UnknownSilence);
+    return End;
+  }
+  const auto &Tracked = Found->second;
+  End.SilentMs =
+      toMs(Now - std::max(Tracked.LastAnswer, Tracked.LastHeartbeat));
+  for (const auto &[Key, Run] : Tracked.Runs)
+    if (!Run.mayHaveStarted())
+      End.Unstarted.push_back(Key);
+  return End;
+}
+
+std::unordered_map<task_key, std::uint32_t, task_key_hash>
+leader::planSuspects(std::span<placement_target *const> Targets,
+                     core::time_point Now) {
+  std::unordered_map<task_key, std::uint32_t, task_key_hash> Places;
+  if (std::exchange(HasReservations, false))
+    for (auto &[Number, Tracked] : TrackedEndpoints)
+      Tracked.FreeCapacity.IsReserved = false;
+  if (State.suspectJobs().empty()) {
+    Quarantines.clear();
+    return Places;
+  }
+  // The suspect members of a gang are one task here.
+  std::map<std::string, std::map<task_key, quarantined_task>> Pools;
+  std::vector<std::pair<task_key, task_key>> Members;
+  for (const auto &Id : State.suspectJobs()) {
+    const auto &Job = *State.findJob(Id);
+    for (const auto &Suspect : Job.Suspects) {
+      task_key Key{Id, Suspect.Occurrence, Suspect.Step, Suspect.Index};
+      const auto *Task = State.findTask(Key);
+      if (!Suspect.isSuspect() || !Task || Task->IsDone)
+        continue;
+      auto Unit = Key;
+      if (Job.Spec.Steps[Key.Step].IsGang)
+        Unit.Index = 0;
+      if (Task->Endpoint != 0 && !isOnTrial(Key, Suspect, *Task, Now))
+        continue;
+      auto [Entry, IsNew] = Pools[Job.Pool].try_emplace(Unit);
+      auto &Quarantined = Entry->second;
+      Quarantined.Task = Unit;
+      Quarantined.RanMs =
+          IsNew ? Suspect.RanMs : std::min(Quarantined.RanMs, Suspect.RanMs);
+      for (const auto &Crash : Suspect.Crashes)
+        Quarantined.CrashedHosts.insert(Crash.Host);
+      if (Task->Endpoint != 0) {
+        Quarantined.Endpoints.push_back(Task->Endpoint);
+        continue;
+      }
+      Members.emplace_back(Key, Unit);
+      Places[Key] = 0;
+    }
+  }
+  for (auto &[Pool, Tasks] : Pools) {
+    std::vector<quarantine_endpoint> Endpoints;
+    std::unordered_map<std::uint32_t, placement_target *> TargetOf;
+    for (auto *Target : Targets)
+      if (Target->Pool == Pool) {
+        auto &Endpoint = State.endpoints().find(Target->Endpoint)->second;
+        Endpoints.push_back({Target->Endpoint, hostOf(Endpoint), Target->Runs,
+                             Target->LongRunning});
+        TargetOf[Target->Endpoint] = Target;
+      }
+    std::vector<quarantined_task> List;
+    for (auto &[Key, Task] : Tasks)
+      List.push_back(std::move(Task));
+    auto Plan = Quarantines[Pool].plan(
+        Endpoints, List,
+        [&](const task_key &Key, std::uint32_t Endpoint) {
+          return mayHoldAlone(Key, Endpoint, Now);
+        },
+        Now);
+    for (auto Endpoint : Plan.Reserved)
+      if (auto Found = TargetOf.find(Endpoint); Found != TargetOf.end()) {
+        Found->second->IsReserved = true;
+        HasReservations = true;
+      }
+    for (const auto &[Key, Unit] : Members)
+      if (auto Start = Plan.Starts.find(Unit); Start != Plan.Starts.end())
+        Places[Key] = Start->second;
+  }
+  return Places;
+}
+
+bool leader::isOnTrial(const task_key &Key, const suspect_record &Suspect,
+                       const task_record &Task, core::time_point Now) const {
+  auto Tracked = TrackedEndpoints.find(Task.Endpoint);
+  if (Tracked == TrackedEndpoints.end())
+    return true;
+  auto Run = Tracked->second.Runs.find(Key);
+  return Run == Tracked->second.Runs.end() || !Run->second.AtWorkSince ||
+         Now - *Run->second.AtWorkSince < trialTime(Suspect.RanMs);
+}
+
+bool leader::mayHoldAlone(const task_key &Key, std::uint32_t Endpoint,
+                          core::time_point Now) const {
+  const auto &Job = *State.findJob(Key.Job);
+  const auto &Step = Job.Spec.Steps[Key.Step];
+  const auto &Facts = State.endpoints().find(Endpoint)->second.Facts;
+  auto Size = reservedSize(Step);
+  return Size.MilliCores <= Facts.Capacity.MilliCores &&
+         Size.MemoryMb <= Facts.Capacity.MemoryMb &&
+         Size.Accelerators <= Facts.Capacity.Accelerators &&
+         (Step.RequiredLabel.empty() ||
+          std::find(Facts.Labels.begin(), Facts.Labels.end(),
+                    Step.RequiredLabel) != Facts.Labels.end()) &&
+         isAllowed(Key, Job, Endpoint, Now);
+}
+
+record_endpoint leader::describeEndpoint(endpoint_facts Facts,
+                                         core::time_point Now) const {
+  record_endpoint Record;
+  const auto *Earlier = State.findEndpoint(Facts.Id);
+  if (Earlier && Earlier->Facts.IncarnationMs < Facts.IncarnationMs)
+    Record.End = endOf(*Earlier, Now);
+  Record.Facts = std::move(Facts);
+  return Record;
+}
+
+void leader::collectHosts(std::vector<command> &Commands) {
+  if (!std::exchange(Hosts.IsNewList, false))
+    return;
+  for (const auto &[Number, Endpoint] : State.endpoints()) {
+    auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
+    if (Host != Hosts.HostOfEndpoint.end() && Host->second != Endpoint.Host)
+      Commands.emplace_back(record_host{Number, Host->second});
+  }
+}
+
+void leader::recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
+                       const incarnation_end &End, core::time_point Now) {
+  if (End.Cause == end_cause::Unknown)
+    return;
+  if (End.Cause != end_cause::Planned) {
+    Metrics.add("endpoint_crashes_total{cause=\"" +
+                std::string(toText(End.Cause)) + "\"}");
+    std::erase_if(UnplannedEnds, [&](const unplanned_end &Earlier) {
+      return Now - Earlier.At > RackFailureWindow;
+    });
+    UnplannedEnds.push_back({Tracked.Rack, Now});
+    core::logEvent(core::log_level::Warning, "endpoint_crashed",
+                   {{"endpoint", Tracked.Id},
+                    {"number", Number},
+                    {"host", Tracked.Host},
+                    {"rack", Tracked.Rack},
+                    {"cause", toText(End.Cause)},
+                    {"runs", Tracked.Runs.size()},
+                    {"unstarted", End.Unstarted.size()},
+                    {"silent_ms", End.SilentMs}});
+    std::set<task_key> Tasks;
+    for (const auto &[Key, Run] : Tracked.Runs)
+      Tasks.insert(Key);
+    if (End.Cause == end_cause::Crashed)
+      HostCrashes.record(Tracked.Host, Number, std::move(Tasks), Now);
+  }
+  for (const auto &Id : State.newlyGivenUp()) {
+    const auto &Job = *State.findJob(Id);
+    const auto &Task = *Job.GivenUp;
+    std::string Endpoints;
+    for (const auto &Crash : Task.Crashes) {
+      Endpoints += (Endpoints.empty() ? "" : ",") + Crash.EndpointId;
+      HostCrashes.forgive(Crash.Incarnation);
+    }
+    Metrics.add("tasks_given_up_total");
+    core::logEvent(core::log_level::Warning, "task_given_up",
+                   {{"job", Id},
+                    {"occurrence", Task.Occurrence},
+                    {"step", Task.Step},
+                    {"index", Task.Index},
+                    {"attempt", Task.Attempt},
+                    {"endpoints", Endpoints}});
+    if (Job.RunsLeft > 0)
+      stopRunsOf(Job, Now);
+  }
+}
+
+} // namespace lycheetrestle::scheduling
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -263,6 +263,7 @@
       Targets.begin(), Targets.end(), [&](const placement_target *Target) {
         auto Runs = Target->RunsByStep.find(stepKey(Task));
         return Target->Endpoint != Endpoint && Target->Pool == Job.Pool &&
+               !Target->IsReserved &&
                Size.MilliCores <= Target->Free.MilliCores &&
                Size.MemoryMb <= Target->Free.MemoryMb &&
                Size.Accelerators <= Target->Free.Accelerators &&
@@ -434,10 +435,10 @@
   // may have been accepted earlier and the host may already run a new
   // incarnation. The list identifies the current one.
   for (const auto &[Number, Endpoint] : State.endpoints()) {
-    auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
-    if (Host == Hosts.HostOfEndpoint.end())
+    auto Host = hostOf(Endpoint);
+    if (Host.empty())
       continue;
-    auto Row = Hosts.PartialList.find(Host->second);
+    auto Row = Hosts.PartialList.find(Host);
     if (Row == Hosts.PartialList.end() ||
         (Row->second.EndpointId == Endpoint.Facts.Id &&
          Row->second.State != host_state::Moving &&
@@ -446,7 +447,7 @@
     if (EndedIncarnations.insert(Number).second)
       core::logEvent(core::log_level::Info, "endpoint_left_host",
                      {{"endpoint", Endpoint.Facts.Id},
-                      {"host", Host->second},
+                      {"host", Host},
                       {"runs", Endpoint.Runs.size()}});
   }
 }
@@ -461,6 +462,7 @@
   endReplacedIncarnations();
   Hosts.Hosts = std::exchange(Hosts.PartialList, {});
   Hosts.ListedAt = Hosts.ListStartedAt;
+  Hosts.IsNewList = true;
   Hosts.HostOfEndpoint.clear();
   for (const auto &[Name, Row] : Hosts.Hosts)
     if (!Row.EndpointId.empty())
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -142,6 +142,7 @@
     return;
   }
   Tracked.IsSuspect = true;
+  Tracked.SuspectedAt = Now;
   Tracked.NextPoll = Now;
   core::logEvent(
       core::log_level::Warning, "endpoint_suspected",
@@ -190,6 +191,7 @@
   switch (Answer->Verdict) {
   case endpoint_verdict::Accepted:
     Run.Phase = run_phase::Running;
+    Run.AtWorkSince = Now;
     Run.VisibleSince = Now;
     Run.PercentChangedAt = Now;
     if (Order.Checkpoint.empty())
@@ -279,6 +281,7 @@
     if (Run.Phase == run_phase::Committed || Run.Phase == run_phase::Starting ||
         Run.Phase == run_phase::Unconfirmed) {
       Run.Phase = run_phase::Running;
+      Run.AtWorkSince = Now;
       Run.VisibleSince = SentAt;
       Run.PercentChangedAt = Now;
     }
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -79,6 +79,21 @@
       placeTasks(Waiting, Spec, Pool->second);
   }
 
+  /// Places the tasks of the step that are suspects. An endpoint is reserved
+  /// for each of them, so neither their rank nor a backlog holds them up.
+  void placeSuspects(const waiting_step &Waiting) {
+    auto Pool = ByPool.find(Waiting.Job->Pool);
+    if (Pool == ByPool.end())
+      return;
+    PlacesSuspects = true;
+    const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
+    if (Spec.IsGang)
+      placeGang(Waiting, Spec, Pool->second);
+    else
+      placeTasks(Waiting, Spec, Pool->second);
+    PlacesSuspects = false;
+  }
+
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
   std::vector<placement> take() { return std::move(Placements); }
 
@@ -99,7 +114,13 @@
       auto Key = keyOf(Waiting, Index);
       if (Request.IsDeferred && Request.IsDeferred(Key))
         continue;
-      auto *Target = choose(Waiting, Spec, Key, Pool, "");
+      auto Only = endpointFor(Waiting, Key);
+      if (Only.has_value() != PlacesSuspects || Only == 0u)
+        continue;
+      auto *Target = choose(Waiting, Spec, Key, Pool, "", Only);
+      // A suspect that waits says nothing about the capacity of the pool.
+      if (!Target && Only)
+        continue;
       if (!Target) {
         ++FailedPlacements[Waiting.Job->Pool];
         return;
@@ -112,13 +133,20 @@
                  const target_list &Pool) {
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
     std::uint32_t Attempt = 0;
+    bool HasSuspect = false;
     for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
+      auto Only = endpointFor(Waiting, keyOf(Waiting, Index));
+      if (Only == 0u)
+        return;
+      HasSuspect |= Only.has_value();
       // All members of an earlier attempt must have ended.
       if (!Tasks[Index].isWaiting() ||
           (Request.IsDeferred && Request.IsDeferred(keyOf(Waiting, Index))))
         return;
       Attempt = std::max(Attempt, Tasks[Index].Attempt + 1);
     }
+    if (HasSuspect != PlacesSuspects)
+      return;
     auto SavedCount = Placements.size();
     std::vector<std::string> Racks{""};
     if (Spec.PrefersSameRack)
@@ -135,7 +163,15 @@
         *Pool[Index] = Saved[Index];
       Placements.resize(SavedCount);
     }
-    ++FailedPlacements[Waiting.Job->Pool];
+    if (!HasSuspect)
+      ++FailedPlacements[Waiting.Job->Pool];
+  }
+
+  std::optional<std::uint32_t> endpointFor(const waiting_step &Waiting,
+                                           const task_key &Key) const {
+    if (!Request.EndpointFor || Waiting.Job->Suspects.empty())
+      return std::nullopt;
+    return Request.EndpointFor(Key);
   }
 
   /// \returns whether all members can be placed. The members are alike, so one
@@ -149,6 +185,9 @@
     auto Step = stepKey(Key);
     std::uint64_t Room = 0;
     for (const auto *Target : Pool) {
+      // A gang with suspects may use the endpoints that are reserved for them.
+      if (Target->IsReserved && Waiting.Job->Suspects.empty())
+        continue;
       auto Count = countFitting(Target->Free, Size);
       if (Spec.MaxPerEndpoint > 0) {
         auto Runs = Target->RunsByStep.find(Step);
@@ -181,7 +220,11 @@
                     std::uint32_t Attempt) {
     for (std::uint32_t Index = 0; Index != Spec.Count; ++Index) {
       auto Key = keyOf(Waiting, Index);
-      auto *Target = choose(Waiting, Spec, Key, Pool, Rack);
+      auto Only = endpointFor(Waiting, Key);
+      auto *Target = choose(Waiting, Spec, Key, Pool, Rack, Only);
+      // The suspect members of a gang may need more than one endpoint.
+      if (!Target && Only && Rack.empty())
+        Target = choose(Waiting, Spec, Key, Pool, Rack, std::nullopt);
       if (!Target)
         return false;
       commit(Spec, Key, Attempt, *Target);
@@ -199,9 +242,11 @@
     return Racks;
   }
 
+  /// \param Only the endpoint that is reserved for the task, or nothing.
   placement_target *choose(const waiting_step &Waiting, const step_spec &Spec,
                            const task_key &Key, const target_list &Pool,
-                           const std::string &Rack) {
+                           const std::string &Rack,
+                           std::optional<std::uint32_t> Only) {
     auto Size = reservedSize(Spec);
     std::string Step;
     if (Spec.MaxPerEndpoint > 0)
@@ -209,6 +254,8 @@
     placement_target *Best = nullptr;
     std::int64_t BestCost = 0;
     for (auto *Target : Pool) {
+      if (Only ? Target->Endpoint != *Only : Target->IsReserved)
+        continue;
       if (!fits(Target->Free, Size))
         continue;
       if (Spec.MaxPerEndpoint > 0) {
@@ -259,6 +306,7 @@
     Target.LatencySensitiveRuns += Spec.TargetMs > 0;
     Target.BestEffortRuns += Spec.IsBestEffort;
     Target.LongRunning += Spec.IsLongRunning;
+    ++Target.Runs;
     if (Spec.MaxPerEndpoint > 0)
       ++Target.RunsByStep[stepKey(Key)];
     Placements.push_back({{Key, Attempt, Target.Endpoint}, Size});
@@ -268,6 +316,7 @@
   std::map<std::string, target_list> ByPool;
   std::map<std::string, std::uint32_t> FailedPlacements;
   std::vector<placement> Placements;
+  bool PlacesSuspects = false;
 };
 
 } // namespace
@@ -311,6 +360,10 @@
                                  std::span<placement_target *const> Targets,
                                  const placement_request &Request) {
   placement_round Round(Targets, Request);
+  if (Request.EndpointFor)
+    for (const auto &Step : Waiting)
+      if (!Step.Job->Suspects.empty())
+        Round.placeSuspects(Step);
   for (const auto &Step : Waiting) {
     if (Round.isFull())
       break;
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
   std::uint32_t LatencySensitiveRuns = 0; ///< Tasks with a tail latency target.
   std::uint32_t BestEffortRuns = 0;
   std::uint32_t LongRunning = 0;
+  std::uint32_t Runs = 0; ///< All runs that have not ended.
+  /// Only the suspect task for which it is reserved may be placed on it.
+  bool IsReserved = false;
   /// Number of runs by stepKey(), for steps with a limit per endpoint.
   std::map<std::string, std::uint32_t> RunsByStep;
 };
@@ -51,6 +55,9 @@
   /// May be empty.
   std::function<bool(const task_key &, const job_record &, std::uint32_t)>
       IsAllowed;
+  /// \returns the endpoint on which a suspect task may start, 0 when it has to
+  /// wait, or nothing for a task that is no suspect. May be empty.
+  std::function<std::optional<std::uint32_t>(const task_key &)> EndpointFor;
 };
 
 /// \returns the key of the task's step in placement_target::RunsByStep.
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -542,7 +542,9 @@
                     {"result", Result}});
   } else if (const auto *Ended = std::get_if<end_endpoint>(&Command)) {
     core::logEvent(Level, "endpoint_ended",
-                   {{"endpoint", Ended->Endpoint}, {"result", Result}});
+                   {{"endpoint", Ended->Endpoint},
+                    {"cause", toText(Ended->End.Cause)},
+                    {"result", Result}});
   } else if (const auto *Wave = std::get_if<start_wave>(&Command)) {
     core::logEvent(Level, "wave_started",
                    {{"wave", Wave->Wave},
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -120,7 +120,8 @@
   if (Leader->recordHeartbeat(Call.Heartbeat, Now))
     answer(Id, reply_kind::Accepted);
   else
-    queue(record_endpoint{std::move(Call.Heartbeat.Facts)}, Id, Now);
+    queue(Leader->describeEndpoint(std::move(Call.Heartbeat.Facts), Now), Id,
+          Now);
 }
 
 void schedule_node::handleCall(std::uint64_t Id, deregister_call Call,
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -43,6 +43,14 @@
   return nullptr;
 }
 
+const suspect_record *job_record::findSuspect(const task_key &Task) const {
+  for (const auto &Suspect : Suspects)
+    if (Suspect.Occurrence == Task.Occurrence && Suspect.Step == Task.Step &&
+        Suspect.Index == Task.Index)
+      return &Suspect;
+  return nullptr;
+}
+
 occurrence_record *job_record::findOpen(std::uint32_t Occurrence) {
   return const_cast<occurrence_record *>(
       std::as_const(*this).findOpen(Occurrence));
@@ -51,6 +59,7 @@
 apply_outcome schedule_state::apply(const command &Command,
                                     std::int64_t NewTimeMs) {
   TimeMs = std::max(TimeMs, NewTimeMs);
+  NewlyGivenUp.clear();
   return std::visit([this](const auto &Typed) { return applyTyped(Typed); },
                     Command);
 }
@@ -219,6 +228,7 @@
     return apply_outcome::Invalid;
   Task->Attempt = Command.Attempt;
   Task->Endpoint = Command.Endpoint;
+  Task->StartedMs = TimeMs;
   Endpoint->second.Runs.push_back(Command.Task);
   ++Job.RunsLeft;
   Job.State = job_state::Running;
@@ -240,6 +250,15 @@
     return apply_outcome::Stale;
   auto &Job = Jobs.find(Command.Task.Job)->second;
   const auto &Spec = Job.Spec.Steps[Command.Task.Step];
+  if (Command.Outcome == run_end::Lost) {
+    recordLostRun(Command, *Task);
+  } else if (TimeMs - Task->StartedMs >= SoundRunMs) {
+    bool WasAtWork = Command.Outcome == run_end::Done ||
+                     Command.Outcome == run_end::Failed ||
+                     Command.Outcome == run_end::Stopped;
+    if (WasAtWork)
+      forgetSuspect(Job, Command.Task);
+  }
   removeRun(Job, *Task, Command.Task);
   if (isOver(Job.State)) {
     if (Job.RunsLeft == 0)
@@ -282,6 +301,8 @@
   core::checkInvariant(!Task.IsDone, "a task is completed at most once");
   Task.IsDone = true;
   Task.Checkpoint.clear();
+  if (!Job.Suspects.empty())
+    forgetSuspect(Job, Key);
   ++Step.Done;
   if (Step.Done != Step.Tasks.size())
     return;
@@ -322,6 +343,10 @@
   if (Job.RunsLeft == 0)
     Job.OpenOccurrences.clear();
   Job.Spec.Payload.clear();
+  if (!Job.Suspects.empty()) {
+    Job.Suspects.clear();
+    updateSuspectJob(Job);
+  }
 }
 
 void schedule_state::evictEndedJobs() {
@@ -332,6 +357,7 @@
     // The job is needed until its last run has been stopped.
     if (Found->second.RunsLeft != 0)
       return;
+    GivenUpJobs.erase(Found->first);
     Jobs.erase(Found);
     EndedJobs.erase(EndedJobs.begin());
   }
@@ -364,7 +390,10 @@
     return apply_outcome::Accepted;
   // A start order for the earlier incarnation may have reached the new one, so
   // the runs end only after the new incarnation reports what it runs.
-  Endpoint.Runs = std::move(Endpoints[*Earlier].Runs);
+  auto &Previous = Endpoints.find(*Earlier)->second;
+  recordCrash(Previous, Command.End);
+  Endpoint.Host = std::move(Previous.Host);
+  Endpoint.Runs = std::move(Previous.Runs);
   for (const auto &Key : Endpoint.Runs)
     mutableTask(Key)->Endpoint = LastEndpoint;
   Endpoints.erase(*Earlier);
@@ -375,6 +404,7 @@
   auto Found = Endpoints.find(Command.Endpoint);
   if (Found == Endpoints.end())
     return apply_outcome::Stale;
+  recordCrash(Found->second, Command.End);
   for (const auto &Key : std::vector<task_key>(Found->second.Runs)) {
     const auto *Task = findTask(Key);
     applyTyped(end_run{Key, Task->Attempt, run_end::Lost, ""});
@@ -403,6 +433,8 @@
   if (contains(Found->second.Ordered, Command.Host))
     return apply_outcome::Unchanged;
   Found->second.Ordered.push_back(Command.Host);
+  for (auto &[Number, Endpoint] : Endpoints)
+    Endpoint.IsMaintenanceOrdered |= Endpoint.Host == Command.Host;
   return apply_outcome::Accepted;
 }
 
@@ -417,4 +449,141 @@
   return apply_outcome::Accepted;
 }
 
+apply_outcome schedule_state::applyTyped(const record_host &Command) {
+  auto Found = Endpoints.find(Command.Endpoint);
+  if (Found == Endpoints.end())
+    return apply_outcome::Stale;
+  Found->second.Host = Command.Host;
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::applyTyped(const record_contact &Command) {
+  auto Found = Endpoints.find(Command.Endpoint);
+  if (Found == Endpoints.end())
+    return apply_outcome::Stale;
+  Found->second.LostRuns.clear();
+  return apply_outcome::Accepted;
+}
+
+void schedule_state::recordLostRun(const end_run &End,
+                                   const task_record &Task) {
+  auto Endpoint = Endpoints.find(Task.Endpoint);
+  if (Endpoint == Endpoints.end())
+    return;
+  auto &LostRuns = Endpoint->second.LostRuns;
+  if (LostRuns.size() == MaxLostRuns)
+    LostRuns.erase(LostRuns.begin());
+  LostRuns.push_back({End.Task, End.Attempt, Task.StartedMs, TimeMs});
+}
+
+bool schedule_state::isSameGang(const task_key &Left,
+                                const task_key &Right) const {
+  const auto *Job = findJob(Left.Job);
+  return Left.Job == Right.Job && Left.Occurrence == Right.Occurrence &&
+         Left.Step == Right.Step && Job && Job->Spec.Steps[Left.Step].IsGang;
+}
+
+void schedule_state::recordCrash(const endpoint_record &Endpoint,
+                                 const incarnation_end &End) {
+  if (End.Cause != end_cause::Crashed && End.Cause != end_cause::FailedWithRack)
+    return;
+  auto Runs = Endpoint.LostRuns;
+  for (const auto &Key : Endpoint.Runs) {
+    if (std::find(End.Unstarted.begin(), End.Unstarted.end(), Key) !=
+        End.Unstarted.end())
+      continue;
+    const auto *Task = findTask(Key);
+    Runs.push_back({Key, Task->Attempt, Task->StartedMs, TimeMs});
+  }
+  auto LastAliveMs = TimeMs - End.SilentMs;
+  std::erase_if(Runs, [&](const lost_run &Run) {
+    if (LastAliveMs - Run.StartedMs < SoundRunMs)
+      return false;
+    if (auto Job = Jobs.find(Run.Task.Job); Job != Jobs.end())
+      forgetSuspect(Job->second, Run.Task);
+    return true;
+  });
+  for (const auto &Run : Runs) {
+    auto Found = Jobs.find(Run.Task.Job);
+    if (Found == Jobs.end() || isOver(Found->second.State))
+      continue;
+    bool IsAlone =
+        End.Cause == end_cause::Crashed &&
+        std::all_of(Runs.begin(), Runs.end(), [&](const lost_run &Other) {
+          return Other.Task == Run.Task || isSameGang(Other.Task, Run.Task);
+        });
+    auto &Job = Found->second;
+    if (!countCrash(Job, Run, Endpoint, End.Cause, IsAlone))
+      continue;
+    Job.GivenUp = *Job.findSuspect(Run.Task);
+    finishJob(Job, job_state::Failed);
+    GivenUpJobs.insert(Run.Task.Job);
+    NewlyGivenUp.push_back(Run.Task.Job);
+    if (IsAlone)
+      exonerate(Job.GivenUp->Crashes);
+  }
+}
+
+bool schedule_state::countCrash(job_record &Job, const lost_run &Run,
+                                const endpoint_record &Endpoint,
+                                end_cause Cause, bool IsAlone) {
+  const auto *Task = findTask(Run.Task);
+  if (!Task || Task->IsDone)
+    return false;
+  auto *Suspect = const_cast<suspect_record *>(Job.findSuspect(Run.Task));
+  if (!Suspect) {
+    Suspect = &Job.Suspects.emplace_back();
+    Suspect->Occurrence = Run.Task.Occurrence;
+    Suspect->Step = Run.Task.Step;
+    Suspect->Index = Run.Task.Index;
+  }
+  if (Suspect->Attempt >= Run.Attempt)
+    return false;
+  Suspect->Attempt = Run.Attempt;
+  // Several tasks that crash endpoints can look like the failure of a rack. It
+  // is improbable that a second rack fails under the same task by chance.
+  if (Cause == end_cause::FailedWithRack && Suspect->RackFailures++ == 0)
+    return false;
+  auto RanMs = std::min(Run.EndedMs - Run.StartedMs, SoundRunMs);
+  Suspect->RanMs =
+      Suspect->Crashes.empty() ? RanMs : std::min(Suspect->RanMs, RanMs);
+  Suspect->Crashes.push_back(
+      {Endpoint.Number, Endpoint.Facts.Id, Endpoint.Host});
+  SuspectJobs.insert(Job.Spec.Id);
+  return Suspect->Crashes.size() >= (IsAlone ? MaxCrashesAlone : MaxCrashes);
+}
+
+void schedule_state::exonerate(const std::vector<crash_record> &Crashes) {
+  for (const auto &Id : std::set<std::string>(SuspectJobs)) {
+    auto &Job = Jobs.find(Id)->second;
+    for (auto &Suspect : Job.Suspects) {
+      if (Suspect.WasExonerated)
+        continue;
+      auto IsExplained = [&](const crash_record &Crash) {
+        return std::any_of(Crashes.begin(), Crashes.end(),
+                           [&](const crash_record &Explained) {
+                             return Explained.Incarnation == Crash.Incarnation;
+                           });
+      };
+      Suspect.WasExonerated = std::erase_if(Suspect.Crashes, IsExplained) > 0;
+    }
+    updateSuspectJob(Job);
+  }
+}
+
+void schedule_state::forgetSuspect(job_record &Job, const task_key &Task) {
+  std::erase_if(Job.Suspects, [&](const suspect_record &Suspect) {
+    return Suspect.Occurrence == Task.Occurrence && Suspect.Step == Task.Step &&
+           Suspect.Index == Task.Index;
+  });
+  updateSuspectJob(Job);
+}
+
+void schedule_state::updateSuspectJob(const job_record &Job) {
+  if (std::none_of(
+          Job.Suspects.begin(), Job.Suspects.end(),
+          [](const suspect_record &Suspect) { return Suspect.isSuspect(); }))
+    SuspectJobs.erase(Job.Spec.Id);
+}
+
 } // namespace lycheetrestle::scheduling
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -23,7 +23,8 @@
   std::uint32_t Failures = 0;
   std::uint32_t Endpoint = 0; ///< Incarnation that may run it, or 0.
   bool IsDone = false;
-  std::string Checkpoint; ///< The next run continues from here.
+  std::string Checkpoint;     ///< The next run continues from here.
+  std::int64_t StartedMs = 0; ///< Wall time of the newest start.
   bool isWaiting() const { return !IsDone && Endpoint == 0; }
 };
 
@@ -40,6 +41,40 @@
   std::uint32_t StepsDone = 0;
 };
 
+/// An incarnation that crashed while it may have run a task.
+struct crash_record {
+  std::uint32_t Incarnation = 0; ///< Number of the incarnation.
+  std::string EndpointId;
+  std::string Host; ///< Empty when it is not known.
+};
+
+/// A task that may have crashed endpoints.
+struct suspect_record {
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+  /// Newest run for which a crash was counted. A run counts once, also when it
+  /// was transferred to a later incarnation or the proof of the crash came
+  /// after the run was recorded as lost.
+  std::uint32_t Attempt = 0;
+  std::vector<crash_record> Crashes; ///< Fewer than MaxCrashes.
+  std::int64_t RanMs = 0; ///< Shortest time from a start to the crash.
+  std::uint32_t RackFailures = 0;
+  /// Crashes were taken off because a task that was given up explains them.
+  /// Done once only, so that tasks that crash endpoints together do not clear
+  /// each other for ever.
+  bool WasExonerated = false;
+  bool isSuspect() const { return !Crashes.empty(); }
+};
+
+/// A run that was recorded as lost while its incarnation may have been alive.
+struct lost_run {
+  task_key Task;
+  std::uint32_t Attempt = 0;
+  std::int64_t StartedMs = 0; ///< Wall time.
+  std::int64_t EndedMs = 0;   ///< Wall time at which it was recorded as lost.
+};
+
 /// A job and its progress.
 struct job_record {
   job_spec Spec;
@@ -55,6 +90,9 @@
   std::uint32_t OccurrencesDone = 0;
   std::vector<occurrence_record> OpenOccurrences; ///< Not complete.
   std::uint32_t RunsLeft = 0;                     ///< Runs that have not ended.
+  std::vector<suspect_record> Suspects; ///< Empty once the job has ended.
+  /// The task whose crashes ended the job.
+  std::optional<suspect_record> GivenUp;
   /// Index of the queue in the configuration; not part of a snapshot.
   std::optional<std::uint32_t> QueueNumber;
 
@@ -65,6 +103,8 @@
   /// \returns the occurrence, or null when it is not open.
   const occurrence_record *findOpen(std::uint32_t Occurrence) const;
   occurrence_record *findOpen(std::uint32_t Occurrence);
+  /// \returns the record of the task if endpoints crashed under it, or null.
+  const suspect_record *findSuspect(const task_key &Task) const;
 };
 
 /// One incarnation of an endpoint.
@@ -72,6 +112,12 @@
   std::uint32_t Number = 0; ///< Unique for each incarnation, never 0.
   endpoint_facts Facts;
   std::vector<task_key> Runs; ///< Runs that have not ended.
+  std::string Host;           ///< Empty until a list of hosts shows it.
+  /// Maintenance of its host was ordered, which explains its end.
+  bool IsMaintenanceOrdered = false;
+  /// Runs recorded as lost since it was last known to be alive, at most
+  /// MaxLostRuns. A later proof of a crash still counts for them.
+  std::vector<lost_run> LostRuns;
 };
 
 /// A maintenance wave and its progress.
@@ -149,6 +195,12 @@
   /// \returns the newest incarnation with this id, or null.
   const endpoint_record *findEndpoint(std::string_view Id) const;
   const std::map<std::uint64_t, wave_record> &waves() const { return Waves; }
+  /// \returns the ids of the live jobs with a suspect task.
+  const std::set<std::string> &suspectJobs() const { return SuspectJobs; }
+  /// \returns the ids of the jobs of which a task was given up.
+  const std::set<std::string> &givenUpJobs() const { return GivenUpJobs; }
+  /// \returns the ids of those that the newest command has added.
+  const std::vector<std::string> &newlyGivenUp() const { return NewlyGivenUp; }
   /// \returns the task, or null when its occurrence is not open.
   const task_record *findTask(const task_key &Task) const;
   /// \returns the number of jobs of the queue of which no task has started.
@@ -167,6 +219,21 @@
   apply_outcome applyTyped(const start_wave &Command);
   apply_outcome applyTyped(const order_maintenance &Command);
   apply_outcome applyTyped(const record_maintenance &Command);
+  apply_outcome applyTyped(const record_host &Command);
+  apply_outcome applyTyped(const record_contact &Command);
+  /// Counts the crash of an incarnation for the runs that may have caused it,
+  /// and gives up tasks.
+  void recordCrash(const endpoint_record &Endpoint, const incarnation_end &End);
+  void recordLostRun(const end_run &End, const task_record &Task);
+  /// \returns whether the task is to be given up.
+  bool countCrash(job_record &Job, const lost_run &Run,
+                  const endpoint_record &Endpoint, end_cause Cause,
+                  bool IsAlone);
+  /// Takes the crashes of these incarnations off all other tasks.
+  void exonerate(const std::vector<crash_record> &Crashes);
+  void forgetSuspect(job_record &Job, const task_key &Task);
+  void updateSuspectJob(const job_record &Job);
+  bool isSameGang(const task_key &Left, const task_key &Right) const;
   task_record *mutableTask(const task_key &Task);
   void removeRun(job_record &Job, task_record &Task, const task_key &Key);
   void finishTask(job_record &Job, const task_key &Key);
@@ -187,8 +254,17 @@
   std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>>
       EndpointNumbers; ///< Newest incarnation by id.
   std::map<std::uint64_t, wave_record> Waves;
+  std::set<std::string> SuspectJobs;
+  std::set<std::string> GivenUpJobs;
+  std::vector<std::string> NewlyGivenUp; ///< Not part of a snapshot.
 };
 
+/// A task is given up when this many endpoints crashed under it.
+inline constexpr std::size_t MaxCrashes = 3;
+/// The same when no other run can be blamed for the last crash.
+inline constexpr std::size_t MaxCrashesAlone = 2;
+inline constexpr std::size_t MaxLostRuns = 256;
+
 /// How long the state of a job is kept after its end. Callers may query it for
 /// 120 s, and their clocks may differ from the leader's by some seconds.
 inline constexpr std::int64_t JobRetentionMs = 180'000;
--- a/scheduling/schedule_views.cpp
+++ b/scheduling/schedule_views.cpp
@@ -74,21 +74,51 @@
   return {{"endpoints", std::move(Rows)}};
 }
 
-json jobsView(const schedule_node &Node) {
+json taskView(const suspect_record &Task) {
+  auto Endpoints = json::array();
+  for (const auto &Crash : Task.Crashes)
+    Endpoints.push_back(Crash.EndpointId);
+  return {{"occurrence", Task.Occurrence},
+          {"step", Task.Step},
+          {"index", Task.Index},
+          {"crashed_endpoints", std::move(Endpoints)}};
+}
+
+json jobView(const std::string &Id, const job_record &Job) {
   static constexpr std::array Names{"queued", "running", "complete", "failed",
                                     "cancelled"};
+  json Row = {{"id", Id},
+              {"pool", Job.Pool},
+              {"state", Names[static_cast<std::size_t>(Job.State)]},
+              {"queue", Job.QueueHost + Job.QueuePrefix},
+              {"submitted_ms", Job.SubmittedMs},
+              {"steps", Job.Spec.Steps.size()},
+              {"runs", Job.RunsLeft}};
+  auto Suspects = json::array();
+  for (const auto &Suspect : Job.Suspects)
+    if (Suspect.isSuspect())
+      Suspects.push_back(taskView(Suspect));
+  if (!Suspects.empty())
+    Row["suspect_tasks"] = std::move(Suspects);
+  if (Job.GivenUp)
+    Row["given_up"] = taskView(*Job.GivenUp);
+  return Row;
+}
+
+json jobsView(const schedule_node &Node) {
+  const auto &State = Node.state();
   auto Rows = json::array();
-  for (const auto &[SubmittedMs, Id] : Node.state().liveJobs()) {
+  // Jobs of which a task was given up come first, so that a long list of live
+  // jobs does not hide them.
+  for (const auto &Id : State.givenUpJobs()) {
+    if (Rows.size() == MaxViewRows)
+      break;
+    Rows.push_back(jobView(Id, *State.findJob(Id)));
+  }
+  for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     if (Rows.size() == MaxViewRows)
       break;
-    const auto &Job = *Node.state().findJob(Id);
-    Rows.push_back({{"id", Id},
-                    {"pool", Job.Pool},
-                    {"state", Names[static_cast<std::size_t>(Job.State)]},
-                    {"queue", Job.QueueHost + Job.QueuePrefix},
-                    {"submitted_ms", SubmittedMs},
-                    {"steps", Job.Spec.Steps.size()},
-                    {"runs", Job.RunsLeft}});
+    Rows.push_back(jobView(Id, *State.findJob(Id)));
   }
   return {{"jobs", std::move(Rows)}};
 }
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -90,6 +90,13 @@
           State.EndedJobs.emplace(Job.EndedMs, Job.Spec.Id);
         else
           State.LiveJobs.emplace(Job.SubmittedMs, Job.Spec.Id);
+        if (std::any_of(Job.Suspects.begin(), Job.Suspects.end(),
+                        [](const suspect_record &Suspect) {
+                          return Suspect.isSuspect();
+                        }))
+          State.SuspectJobs.insert(Job.Spec.Id);
+        if (Job.GivenUp)
+          State.GivenUpJobs.insert(Job.Spec.Id);
         auto Id = Job.Spec.Id;
         State.Jobs.emplace(std::move(Id), std::move(Job));
       });
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -43,6 +43,10 @@
   std::uint32_t Attempt = 0;
   run_phase Phase = run_phase::Committed;
   bool IsOrderPending = false; ///< An order for this run is unanswered.
+  /// An earlier leader may have sent a start order.
+  bool MayBeStartedByOther = true;
+  /// Since when the endpoint is known to have it at work.
+  std::optional<core::time_point> AtWorkSince;
   /// Start orders without an answer; the endpoint may still execute each of
   /// them.
   std::uint32_t UnansweredStarts = 0;
@@ -62,6 +66,12 @@
   std::uint32_t Percent = 0;           ///< Progress.
   core::time_point PercentChangedAt{}; ///< When Percent last changed.
   std::uint32_t ThrottlePercent = 100;
+
+  /// \returns whether the endpoint may have started it.
+  bool mayHaveStarted() const {
+    return MayBeStartedByOther || IsOrderPending || UnansweredStarts > 0 ||
+           (Phase != run_phase::Committed && Phase != run_phase::Starting);
+  }
 };
 
 /// Unreplicated state that the leader keeps of one incarnation of an endpoint.
@@ -75,7 +85,10 @@
   std::uint64_t Sequence = 0; ///< Of the newest heartbeat.
   core::time_point LastHeartbeat{};
   core::time_point LastAnswer{};
-  bool IsSuspect = false;  ///< An order got no answer, and none has come since.
+  bool IsSuspect = false; ///< An order got no answer, and none has come since.
+  core::time_point SuspectedAt{}; ///< While suspect.
+  /// When runs were recorded as lost, until it is known to be alive again.
+  std::optional<core::time_point> RunsLostAt;
   bool IsFenced = false;   ///< The endpoint obeys a later leader.
   bool IsReplaced = false; ///< Another incarnation answers under this id.
   /// Time that was left to drain at RemainingAt.
@@ -107,6 +120,10 @@
   /// Latency-sensitive and best-effort tasks run on it.
   bool MayInterfere = false;
   endpoint_health Health;
+
+  std::string Id;
+  std::string Rack;
+  std::string Host; ///< Empty until a list of hosts shows it.
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/types.h
+++ b/scheduling/types.h
@@ -142,6 +142,22 @@
   Lost, ///< The incarnation ended, or the lease expired by the leader's clock.
 };
 
+/// Why an incarnation of an endpoint ended.
+enum class end_cause : std::uint8_t {
+  Unknown, ///< Not decided; also that of entries of earlier versions.
+  Planned, ///< It drained, deregistered, or an order to its host ended it.
+  Crashed, ///< Its host is down, or has a later incarnation, without an order.
+  /// It crashed together with most of its rack, which says nothing about the
+  /// tasks that it ran.
+  FailedWithRack,
+};
+
+/// A run that has been at work for this long is not blamed for the crash of its
+/// endpoint. The tasks that were seen to crash endpoints did so within tens of
+/// milliseconds; without a limit a long-running task would collect the crashes
+/// of its hosts over weeks.
+inline constexpr std::int64_t SoundRunMs = 10'000;
+
 /// One incarnation of the program that runs tasks on a host. The same id with a
 /// later IncarnationMs is a new incarnation without the state of the earlier
 /// one.
--- /dev/null
+++ b/tests/scheduling/test_crash_quarantine.cpp
@@ -0,0 +1,182 @@
+#include "scheduling/crash_quarantine.h"
+#include "scheduling/host_crash_log.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+// Guards against suspect tasks that start beside other runs, which the next
+// crash loses, and against suspects that take a pool from its other tasks.
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::scheduling;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::time_point at(core::duration Time) { return core::time_point(Time); }
+
+std::vector<quarantine_endpoint> endpoints(std::uint32_t Count,
+                                           std::uint32_t Runs = 0) {
+  std::vector<quarantine_endpoint> List;
+  for (std::uint32_t Number = 1; Number <= Count; ++Number)
+    List.push_back({Number, "h" + std::to_string(Number), Runs, 0});
+  return List;
+}
+
+quarantined_task suspect(const std::string &Job, std::int64_t RanMs = 0) {
+  quarantined_task Task;
+  Task.Task.Job = Job;
+  Task.RanMs = RanMs;
+  return Task;
+}
+
+bool anywhere(const task_key &, std::uint32_t) { return true; }
+
+using place = std::map<task_key, std::uint32_t>;
+
+} // namespace
+
+TEST_CASE("a suspect starts on an empty endpoint that is reserved for it") {
+  crash_quarantine Quarantine;
+  auto Endpoints = endpoints(4, 3);
+  Endpoints[2].Runs = 0;
+  std::vector List{suspect("j")};
+  auto Plan = Quarantine.plan(Endpoints, List, anywhere, at(1s));
+  CHECK(Plan.Starts == place{{List[0].Task, 3}});
+  CHECK(Plan.Reserved == std::set<std::uint32_t>{3});
+}
+
+TEST_CASE(
+    "at most a quarter of the endpoints hold suspects, those that ran for "
+    "the shortest time first") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("a", 900), suspect("b", 10), suspect("c", 300),
+                   suspect("d", 20)};
+  auto Plan = Quarantine.plan(endpoints(11), List, anywhere, at(1s));
+  CHECK(Plan.Starts.size() == 2);
+  CHECK(Plan.Starts.count(List[1].Task) == 1);
+  CHECK(Plan.Starts.count(List[3].Task) == 1);
+  CHECK(Plan.Reserved.size() == 2);
+  // Suspects on trial count.
+  List[1].Endpoints = {1};
+  List[3].Endpoints = {2};
+  Plan = Quarantine.plan(endpoints(11), List, anywhere, at(1s));
+  CHECK(Plan.Starts.empty());
+  CHECK(Plan.Reserved == std::set<std::uint32_t>{1, 2});
+  // A small pool has room for one.
+  Plan = Quarantine.plan(endpoints(2), std::vector{suspect("a"), suspect("b")},
+                         anywhere, at(1s));
+  CHECK(Plan.Starts.size() == 1);
+}
+
+TEST_CASE("one suspect of a job starts at a time") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j"), suspect("j")};
+  List[1].Task.Index = 1;
+  CHECK(Quarantine.plan(endpoints(12), List, anywhere, at(1s)).Starts.size() ==
+        1);
+  List[0].Endpoints = {4};
+  CHECK(Quarantine.plan(endpoints(12), List, anywhere, at(1s)).Starts.empty());
+}
+
+TEST_CASE("a suspect avoids hosts on which it crashed while others exist") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j")};
+  List[0].CrashedHosts = {"h1"};
+  auto Endpoints = endpoints(2, 5);
+  Endpoints[0].Runs = 0;
+  auto Plan = Quarantine.plan(Endpoints, List, anywhere, at(1s));
+  CHECK(Plan.Starts.empty());
+  CHECK(Plan.Reserved == std::set<std::uint32_t>{2});
+  Endpoints.resize(1);
+  Plan = Quarantine.plan(Endpoints, List, anywhere, at(1s));
+  CHECK(Plan.Starts == place{{List[0].Task, 1}});
+}
+
+TEST_CASE("without an empty endpoint the one with the fewest short runs is "
+          "reserved until it is empty") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j")};
+  auto Endpoints = endpoints(4, 5);
+  Endpoints[0].Runs = 1;
+  Endpoints[0].LongRunning = 1;
+  Endpoints[2].Runs = 2;
+  auto Plan = Quarantine.plan(Endpoints, List, anywhere, at(1s));
+  CHECK(Plan.Starts.empty());
+  CHECK(Plan.Reserved == std::set<std::uint32_t>{3});
+  // The choice is kept, so that the wait for an empty endpoint ends.
+  Endpoints[1].Runs = 1;
+  Plan = Quarantine.plan(Endpoints, List, anywhere, at(2s));
+  CHECK(Plan.Reserved == std::set<std::uint32_t>{3});
+  Endpoints[2].Runs = 0;
+  Plan = Quarantine.plan(Endpoints, List, anywhere, at(2s));
+  CHECK(Plan.Starts == place{{List[0].Task, 3}});
+}
+
+TEST_CASE(
+    "a suspect starts beside other runs when no endpoint becomes empty in "
+    "time") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j")};
+  auto Endpoints = endpoints(4, 5);
+  CHECK(Quarantine.plan(Endpoints, List, anywhere, at(1s)).Starts.empty());
+  CHECK(Quarantine.plan(Endpoints, List, anywhere, at(3900ms)).Starts.empty());
+  CHECK(Quarantine.plan(Endpoints, List, anywhere, at(4s)).Starts ==
+        place{{List[0].Task, 1}});
+  // Long runs on all endpoints: there is nothing to wait for.
+  crash_quarantine Busy;
+  for (auto &Endpoint : Endpoints)
+    Endpoint.LongRunning = 1;
+  Endpoints[3].Runs = 2;
+  CHECK(Busy.plan(Endpoints, List, anywhere, at(1s)).Starts ==
+        place{{List[0].Task, 4}});
+}
+
+TEST_CASE("a suspect that fits no endpoint reserves none and does not hold up "
+          "the others") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("a", 1), suspect("b", 2)};
+  auto Plan = Quarantine.plan(
+      endpoints(4), List,
+      [](const task_key &Task, std::uint32_t) { return Task.Job == "b"; },
+      at(1s));
+  CHECK(Plan.Starts.size() == 1);
+  CHECK(Plan.Starts.count(List[1].Task) == 1);
+}
+
+TEST_CASE("a trial lasts longer than the time to the earlier crash") {
+  CHECK(trialTime(0) == 1s);
+  CHECK(trialTime(700) == 2400ms);
+  CHECK(trialTime(SoundRunMs) == std::chrono::milliseconds(SoundRunMs));
+}
+
+TEST_CASE("a host is avoided for a while when endpoints crash on it under "
+          "different tasks") {
+  host_crash_log Log;
+  const task_key First{"a", 0, 0, 0};
+  const task_key Second{"b", 0, 0, 0};
+  Log.record("h1", 1, {First}, at(1s));
+  CHECK(!Log.isAvoided("h1", at(1s)));
+  Log.record("h1", 2, {Second}, at(20s));
+  CHECK(Log.isAvoided("h1", at(21s)));
+  CHECK(!Log.isAvoided("h2", at(21s)));
+  CHECK(!Log.isAvoided("h1", at(36s)));
+  // One task ran at both crashes: the task may be at fault.
+  Log.record("h3", 3, {First, Second}, at(40s));
+  Log.record("h3", 4, {First}, at(41s));
+  CHECK(!Log.isAvoided("h3", at(41s)));
+  // Crashes that lie far apart do not add up.
+  Log.record("h1", 5, {First}, at(60s));
+  CHECK(!Log.isAvoided("h1", at(60s)));
+}
+
+TEST_CASE("a task that was given up takes its crashes off the hosts") {
+  host_crash_log Log;
+  Log.record("h1", 1, {{"a", 0, 0, 0}}, at(1s));
+  Log.record("h1", 2, {{"b", 0, 0, 0}}, at(2s));
+  REQUIRE(Log.isAvoided("h1", at(2s)));
+  Log.forgive(2);
+  CHECK(!Log.isAvoided("h1", at(2s)));
+}
--- /dev/null
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -0,0 +1,447 @@
+#include "schedule_fixture.h"
+#include "scheduling/leader.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Guards against a leader that takes a planned end, a cut or the failure of a
+// rack for the crash of an endpoint, or that misses a crash; and against
+// suspect tasks that start beside others or again after the verdict.
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::scheduling;
+using namespace lycheetrestle::scheduling::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A leader with endpoints `e1`, `e2` and so on, on the hosts `h1`, `h2` and so
+/// on; the test plays endpoints and platform.
+class crash_site {
+public:
+  explicit crash_site(std::uint32_t Endpoints,
+                      std::vector<std::string> Racks = {}) {
+    State.apply(set_configuration{makeConfiguration(1)}, wallMs());
+    changeLeader();
+    for (std::uint32_t Number = 1; Number <= Endpoints; ++Number) {
+      auto Name = std::to_string(Number);
+      auto Facts = makeEndpoint("e" + Name);
+      Facts.Rack = Racks.empty() ? "r" + Name : Racks[Number - 1];
+      Facts.Labels = {Facts.Rack};
+      apply(record_endpoint{Facts});
+      host_row Row;
+      Row.Name = "h" + Name;
+      Row.Pool = "a";
+      Row.State = host_state::Up;
+      Row.Capacity = Facts.Capacity;
+      Row.EndpointId = Facts.Id;
+      Rows[Row.Name] = Row;
+    }
+    beat();
+    list();
+  }
+
+  void changeLeader() {
+    leader_settings Settings;
+    Settings.HasPlatform = true;
+    Leader.emplace(Settings, ++Term, State, Metrics, Now);
+    Pending.clear();
+  }
+  std::int64_t wallMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               Now.time_since_epoch())
+        .count();
+  }
+  void apply(const command &Command) {
+    Leader->recordApplied(Command, State.apply(Command, wallMs()), Now);
+  }
+  /// Sends a heartbeat of all endpoints.
+  void beat() {
+    for (const auto &[Number, Endpoint] : std::map(State.endpoints()))
+      beat(Endpoint.Facts);
+  }
+  void beat(const endpoint_facts &Facts) {
+    endpoint_heartbeat Heartbeat;
+    Heartbeat.Facts = Facts;
+    Heartbeat.ClockMs = ++Clock;
+    Heartbeat.Sequence = Clock;
+    if (!Leader->recordHeartbeat(Heartbeat, Now))
+      apply(Leader->describeEndpoint(Facts, Now));
+    Leader->recordHeartbeat(Heartbeat, Now);
+  }
+  /// Commits what the leader proposes and accepts its starts and stops.
+  void commit() {
+    Now += 50ms;
+    Committed = Leader->takeCommands(Now, wallMs());
+    for (const auto &Command : Committed)
+      apply(Command);
+    takeOrders();
+    for (const auto &Order : Starts)
+      Leader->finishOrder({Order.Id, accepted()}, Now);
+  }
+  void takeOrders() {
+    Starts.clear();
+    Stops.clear();
+    for (auto &Order : Leader->takeOrders(Now)) {
+      if (std::holds_alternative<start_order>(Order.Body))
+        Starts.push_back(Order);
+      else if (std::holds_alternative<stop_order>(Order.Body))
+        Stops.push_back(Order);
+      else
+        Pending.push_back(Order);
+    }
+  }
+  /// Answers the requests for the list of hosts, and commits.
+  void list() {
+    Now += 600ms;
+    apply(record_endpoint{State.endpoints().begin()->second.Facts});
+    takeOrders();
+    for (const auto &Order : std::exchange(Pending, {}))
+      if (std::holds_alternative<list_hosts_order>(Order.Body)) {
+        std::vector<host_row> List;
+        for (const auto &[Name, Row] : Rows)
+          List.push_back(Row);
+        Leader->finishOrder({Order.Id, hosts_answer{List, ""}}, Now);
+      } else {
+        Pending.push_back(Order);
+      }
+    commit();
+  }
+  /// Answers the open polls of an endpoint, or lets them fail.
+  void answerPolls(std::uint32_t Number, const order_answer &Answer) {
+    takeOrders();
+    for (const auto &Order : std::exchange(Pending, {}))
+      if (std::holds_alternative<poll_order>(Order.Body) &&
+          Order.Endpoint == Number)
+        Leader->finishOrder({Order.Id, Answer}, Now);
+      else
+        Pending.push_back(Order);
+  }
+  void submit(const std::string &Id, step_spec Step = makeStep(1)) {
+    apply(submission(makeJob(Id, {Step})));
+  }
+  /// Starts a task on an endpoint without the leader's placement.
+  void start(const std::string &Job, std::uint32_t Endpoint,
+             std::uint32_t Index = 0) {
+    task_key Key{Job, 0, 0, Index};
+    apply(start_run{Key, State.findTask(Key)->Attempt + 1, Endpoint});
+    takeOrders();
+    for (const auto &Order : Starts)
+      Leader->finishOrder({Order.Id, accepted()}, Now);
+  }
+  void takeDown(std::uint32_t Host) {
+    auto &Row = Rows["h" + std::to_string(Host)];
+    Row.State = host_state::Down;
+    Row.EndpointId.clear();
+  }
+  /// \returns the cause with which the incarnation was ended last.
+  std::optional<end_cause> causeOf(std::uint32_t Number) const {
+    for (const auto &Command : Committed)
+      if (const auto *End = std::get_if<end_endpoint>(&Command);
+          End && End->Endpoint == Number)
+        return End->End.Cause;
+    return std::nullopt;
+  }
+  std::size_t crashes(const std::string &Job, std::uint32_t Index = 0) const {
+    const auto *Suspect = State.findJob(Job)->findSuspect({Job, 0, 0, Index});
+    return Suspect ? Suspect->Crashes.size() : 0;
+  }
+  std::uint32_t placeOf(const std::string &Job, std::uint32_t Index = 0) const {
+    return State.findTask({Job, 0, 0, Index})->Endpoint;
+  }
+  static endpoint_answer accepted() {
+    endpoint_answer Answer;
+    Answer.Verdict = endpoint_verdict::Accepted;
+    Answer.ClockMs = 1;
+    return Answer;
+  }
+
+  schedule_state State;
+  core::metrics_registry Metrics;
+  std::optional<leader> Leader;
+  core::time_point Now{100s};
+  std::uint64_t Term = 4;
+  std::uint64_t Clock = 1;
+  std::map<std::string, host_row> Rows;
+  std::vector<command> Committed;
+  std::vector<order> Starts;
+  std::vector<order> Stops;
+  std::vector<order> Pending;
+};
+
+} // namespace
+
+TEST_CASE("a host that is listed as down without an order proves a crash") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.takeDown(1);
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Crashed);
+  REQUIRE(Site.crashes("j") == 1);
+  CHECK(Site.State.findJob("j")->Suspects[0].Crashes[0].Host == "h1");
+}
+
+TEST_CASE("a host with an endpoint of another id proves a crash") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.Rows["h1"].EndpointId = "later";
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Crashed);
+  CHECK(Site.crashes("j") == 1);
+}
+
+TEST_CASE("a heartbeat with a later start time under the same id proves a "
+          "crash") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  auto Facts = makeEndpoint("e1", 9);
+  Facts.Rack = "r1";
+  Site.beat(Facts);
+  CHECK(Site.crashes("j") == 1);
+  Site.beat(Facts);
+  CHECK(Site.crashes("j") == 1);
+}
+
+TEST_CASE("a run whose start was not sent is not blamed for a crash") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.submit("k");
+  Site.start("j", 1);
+  Site.apply(start_run{{"k", 0, 0, 0}, 1, 1});
+  Site.takeOrders();
+  REQUIRE(Site.Starts.size() == 1);
+  // A refused connection: the order was not executed.
+  Site.Leader->finishOrder({Site.Starts[0].Id, no_answer{false, "refused"}},
+                           Site.Now);
+  Site.takeDown(1);
+  Site.list();
+  CHECK(Site.crashes("j") == 1);
+  CHECK(Site.crashes("k") == 0);
+}
+
+TEST_CASE("the end of an endpoint that drains or deregistered is planned") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.submit("k");
+  Site.start("j", 1);
+  Site.start("k", 2);
+  auto Facts = Site.State.endpoints().at(1).Facts;
+  Facts.IsDraining = true;
+  Site.apply(record_endpoint{Facts});
+  Site.Leader->recordDeregistration("e2", Site.Now);
+  Site.takeDown(1);
+  Site.takeDown(2);
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Planned);
+  CHECK(Site.crashes("j") == 0);
+  CHECK(Site.crashes("k") == 0);
+}
+
+TEST_CASE("maintenance explains the end of an endpoint, also to a later "
+          "leader") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.apply(start_wave{1, {"h1"}, 20'000, 1});
+  Site.apply(order_maintenance{1, "h1"});
+  Site.changeLeader();
+  Site.takeDown(1);
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Planned);
+  CHECK(Site.crashes("j") == 0);
+}
+
+TEST_CASE("a move to another pool explains the end of an endpoint") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.Rows["h1"].State = host_state::Moving;
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Planned);
+  Site.start("j", 2);
+  Site.Rows["h2"].Pool = "b";
+  Site.Rows["h2"].EndpointId = "later";
+  Site.changeLeader();
+  Site.list();
+  CHECK(Site.causeOf(2) == end_cause::Planned);
+  CHECK(Site.crashes("j") == 0);
+}
+
+TEST_CASE("a leader that was elected after a crash learns of it from the list "
+          "of hosts") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.takeDown(1);
+  Site.changeLeader();
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Crashed);
+  CHECK(Site.crashes("j") == 1);
+}
+
+TEST_CASE("an endpoint that answers again after its runs were lost has not "
+          "crashed") {
+  crash_site Site(3);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.commit();
+  Site.answerPolls(1, no_answer{true, "timeout"});
+  Site.Now += 6s;
+  Site.commit();
+  REQUIRE(Site.State.endpoints().at(1).LostRuns.size() == 1);
+  Site.Now += 1s;
+  Site.beat();
+  Site.answerPolls(1, crash_site::accepted());
+  Site.commit();
+  CHECK(Site.State.endpoints().at(1).LostRuns.empty());
+  CHECK(Site.crashes("j") == 0);
+}
+
+TEST_CASE("a rack that goes dark says nothing about the tasks on it") {
+  crash_site Site(6, {"r", "r", "r", "r", "s", "s"});
+  for (std::uint32_t Number = 1; Number <= 3; ++Number) {
+    auto Job = "j" + std::to_string(Number);
+    Site.submit(Job);
+    Site.start(Job, Number);
+    Site.takeDown(Number);
+  }
+  Site.list();
+  for (std::uint32_t Number = 1; Number <= 3; ++Number) {
+    CHECK(Site.causeOf(Number) == end_cause::FailedWithRack);
+    CHECK(Site.crashes("j" + std::to_string(Number)) == 0);
+  }
+}
+
+TEST_CASE("two endpoints of a rack are no failure of the rack") {
+  crash_site Site(6, {"r", "r", "r", "r", "s", "s"});
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.takeDown(1);
+  Site.takeDown(2);
+  Site.list();
+  CHECK(Site.causeOf(1) == end_cause::Crashed);
+  CHECK(Site.crashes("j") == 1);
+}
+
+TEST_CASE("a suspect starts alone and nothing is placed beside it before its "
+          "trial is over") {
+  crash_site Site(4);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.submit("k");
+  Site.start("k", 2);
+  Site.takeDown(1);
+  Site.list();
+  Site.commit();
+  auto Place = Site.placeOf("j");
+  REQUIRE(Place >= 3);
+  Site.submit("other", makeStep(20));
+  Site.commit();
+  for (std::uint32_t Index = 0; Index != 20; ++Index)
+    CHECK(Site.placeOf("other", Index) != Place);
+  // The trial is over; the endpoint takes part again.
+  Site.Now += trialTime(SoundRunMs);
+  Site.beat();
+  Site.commit();
+  Site.commit();
+  CHECK(Site.State.endpoints().at(Place).Runs.size() > 1);
+}
+
+TEST_CASE("the suspect members of a gang start together on one endpoint") {
+  // Placed one by one the gang would never be complete.
+  crash_site Site(4);
+  auto Step = makeStep(2);
+  Step.IsGang = true;
+  Site.submit("j", Step);
+  Site.start("j", 1);
+  Site.start("j", 1, 1);
+  Site.takeDown(1);
+  Site.list();
+  REQUIRE(Site.crashes("j", 0) == 1);
+  REQUIRE(Site.crashes("j", 1) == 1);
+  Site.commit();
+  CHECK(Site.placeOf("j", 0) != 0);
+  CHECK(Site.placeOf("j", 1) == Site.placeOf("j", 0));
+}
+
+TEST_CASE("a backlog that does not fit does not hold up a suspect") {
+  // A round gives up on a pool after 24 failed placements. The endpoint that is
+  // reserved for the suspect would stay empty.
+  crash_site Site(4);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.takeDown(1);
+  for (int Number = 0; Number != 30; ++Number)
+    Site.submit("a" + std::to_string(Number), makeStep(1, 9000, 1));
+  Site.list();
+  Site.commit();
+  CHECK(Site.placeOf("j") != 0);
+}
+
+TEST_CASE("a busy endpoint is reserved for a suspect until it is empty") {
+  crash_site Site(2);
+  Site.submit("j");
+  Site.submit("busy");
+  Site.start("j", 1);
+  Site.start("busy", 2);
+  Site.takeDown(1);
+  Site.list();
+  Site.commit();
+  CHECK(Site.placeOf("j") == 0);
+  Site.submit("other");
+  Site.commit();
+  CHECK(Site.placeOf("other") == 0);
+  Site.apply(end_run{{"busy", 0, 0, 0}, 1, run_end::Done, ""});
+  Site.commit();
+  CHECK(Site.placeOf("j") == 2);
+  CHECK(Site.placeOf("other") == 0);
+}
+
+TEST_CASE("the verdict stops the other runs of the job, and no start follows") {
+  crash_site Site(5);
+  Site.submit("j", makeStep(2));
+  Site.start("j", 1);
+  Site.start("j", 5, 1);
+  Site.takeDown(1);
+  Site.list();
+  Site.commit();
+  auto Place = Site.placeOf("j");
+  REQUIRE(Place != 0);
+  Site.takeDown(Place);
+  Site.list();
+  REQUIRE(Site.State.findJob("j")->State == job_state::Failed);
+  CHECK(Site.Stops.size() == 1);
+  CHECK(Site.Metrics.counter("tasks_given_up_total") == 1);
+  CHECK(Site.Metrics.counter("endpoint_crashes_total{cause=\"crashed\"}") == 2);
+  for (int Round = 0; Round != 100; ++Round) {
+    Site.commit();
+    CHECK(Site.Starts.empty());
+  }
+}
+
+TEST_CASE("a leader that takes over continues the quarantine") {
+  crash_site Site(4);
+  Site.submit("j");
+  Site.start("j", 1);
+  Site.takeDown(1);
+  Site.list();
+  Site.commit();
+  auto Place = Site.placeOf("j");
+  REQUIRE(Place != 0);
+  Site.changeLeader();
+  Site.list();
+  Site.beat();
+  Site.submit("other", makeStep(20));
+  Site.commit();
+  Site.commit();
+  CHECK(Site.placeOf("other") != 0);
+  CHECK(Site.State.endpoints().at(Place).Runs.size() == 1);
+}
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -303,6 +303,9 @@
                     end_run{{"j", 1, 2, 3}, 4, run_end::Expired, "c"},
                     record_endpoint{makeEndpoint("e")},
                     end_endpoint{7},
+                    end_endpoint{8, {end_cause::Crashed, 30, {{"j", 1, 2, 3}}}},
+                    record_host{7, "h"},
+                    record_contact{7},
                     start_wave{1, {"h"}, 2, 3},
                     order_maintenance{1, "h"},
                     record_maintenance{1, "h"}};
--- a/tests/scheduling/test_schedule_views.cpp
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -24,6 +24,12 @@
     advance();
   }
 
+  /// Lets half a second pass.
+  void wait() {
+    for (int Round = 0; Round != 10; ++Round)
+      advance();
+  }
+
   nlohmann::json view(std::string_view Path) const {
     auto Text = viewOf(Node, Path);
     REQUIRE(Text);
@@ -85,6 +91,38 @@
   CHECK(Wave["state"] == "running");
 }
 
+TEST_CASE("the view of jobs shows suspect tasks and those that were given up") {
+  // An operator must see which task crashed which endpoints.
+  single_scheduler Scheduler;
+  Scheduler.call(configure_call{makeConfiguration(7)});
+  Scheduler.call(submit_call{Host, Prefix + "j", makeJob("j", {makeStep(1)})});
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.ClockMs = 1;
+  for (std::string Id : {"e1", "e2"}) {
+    Heartbeat.Facts = makeEndpoint(Id);
+    Scheduler.call(heartbeat_call{Heartbeat});
+    Scheduler.wait();
+    REQUIRE(Scheduler.Node.state().findTask({"j", 0, 0, 0})->Endpoint != 0);
+    // The endpoint crashed and comes back; then it leaves for good.
+    Heartbeat.Facts.IncarnationMs = 9;
+    Scheduler.call(heartbeat_call{Heartbeat});
+    auto Job = Scheduler.view("/v1/schedule/jobs")["jobs"][0];
+    if (Id == "e1") {
+      CHECK(Job["suspect_tasks"][0]["crashed_endpoints"] ==
+            nlohmann::json::array({"e1"}));
+      CHECK(!Job.contains("given_up"));
+    } else {
+      CHECK(Job["state"] == "failed");
+      CHECK(Job["given_up"]["index"] == 0);
+      CHECK(Job["given_up"]["crashed_endpoints"] ==
+            nlohmann::json::array({"e1", "e2"}));
+      CHECK(!Job.contains("suspect_tasks"));
+    }
+    Scheduler.call(deregister_call{Id});
+    Scheduler.wait();
+  }
+}
+
 TEST_CASE("other paths give no view") {
   single_scheduler Scheduler;
   CHECK(!viewOf(Scheduler.Node, "/v1/schedule/"));
