Derive the end of a trial from the run's visibility

A running run is visible since its start was accepted or a poll listed it, so the leader needs no second time for it; each tracked run is 16 bytes smaller.

--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -184,8 +184,11 @@
   if (Tracked == TrackedEndpoints.end())
     return true;
   auto Run = Tracked->second.Runs.find(Key);
-  return Run == Tracked->second.Runs.end() || !Run->second.AtWorkSince ||
-         Now - *Run->second.AtWorkSince < trialTime(Suspect.RanMs);
+  // A running run is visible since its start, or since the first poll of this
+  // leader that listed it.
+  return Run == Tracked->second.Runs.end() ||
+         Run->second.Phase != run_phase::Running ||
+         Now - Run->second.VisibleSince < trialTime(Suspect.RanMs);
 }
 
 bool leader::mayHoldAlone(const task_key &Key, std::uint32_t Endpoint,
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -191,7 +191,6 @@
   switch (Answer->Verdict) {
   case endpoint_verdict::Accepted:
     Run.Phase = run_phase::Running;
-    Run.AtWorkSince = Now;
     Run.VisibleSince = Now;
     Run.PercentChangedAt = Now;
     if (Order.Checkpoint.empty())
@@ -281,7 +280,6 @@
     if (Run.Phase == run_phase::Committed || Run.Phase == run_phase::Starting ||
         Run.Phase == run_phase::Unconfirmed) {
       Run.Phase = run_phase::Running;
-      Run.AtWorkSince = Now;
       Run.VisibleSince = SentAt;
       Run.PercentChangedAt = Now;
     }
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -45,8 +45,6 @@
   bool IsOrderPending = false; ///< An order for this run is unanswered.
   /// An earlier leader may have sent a start order.
   bool MayBeStartedByOther = true;
-  /// Since when the endpoint is known to have it at work.
-  std::optional<core::time_point> AtWorkSince;
   /// Start orders without an answer; the endpoint may still execute each of
   /// them.
   std::uint32_t UnansweredStarts = 0;
