Bring no endpoint without limits over its shrunk capacity (LIMIT)

The free capacity of an endpoint was the recorded capacity less the recorded runs. In a pool whose endpoints accept every start, that broke LIMIT when the endpoint's heartbeats were cut or a new leader had not received any while polls were answered, when a start was repeated or sent after the capacity had shrunk, and when the endpoint listed a run that was recorded as lost or never assigned to it.

In pools that do not enforce limits, starts are now placed only by the capacity in a heartbeat that this leader received within three intervals, and none while the runs exceed it. Before a start order is sent, all runs that have not ended and all orphaned runs must fit the announced capacity; otherwise a start that was never sent ends as refused, and one that an earlier order or leader may have sent waits for the endpoint's next list. Orphaned runs take up capacity in all pools and are polled for until the endpoint no longer lists them; their stops are repeated after 250 ms instead of with every list.

fake_site plays endpoints that accept every start, change their capacity about every 3 s, take up to 1.5 s for a stop, and check each start that is not executed late against the capacities announced in the last 5.5 s, also in heartbeats that were lost. It also checks that no endpoint starts a second run of a task that it still runs.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -304,10 +304,20 @@
     Tracked.ClockMs = Heartbeat.ClockMs;
     Tracked.ClockAt = ReceivedAt;
     Tracked.LastHeartbeat = ReceivedAt;
+    recordCapacity(Tracked, Heartbeat, ReceivedAt);
   }
   UncommittedHeartbeats.erase(First);
 }
 
+void leader::recordCapacity(tracked_endpoint &Tracked,
+                            const endpoint_heartbeat &Heartbeat,
+                            core::time_point ReceivedAt) {
+  Tracked.IsCapacityStale |=
+      Tracked.AnnouncedCapacity != Heartbeat.Facts.Capacity;
+  Tracked.AnnouncedCapacity = Heartbeat.Facts.Capacity;
+  Tracked.AnnouncedAt = ReceivedAt;
+}
+
 bool leader::recordHeartbeat(const endpoint_heartbeat &Heartbeat,
                              core::time_point Now) {
   const auto *Endpoint =
@@ -324,6 +334,7 @@
     return true;
   Tracked.Sequence = Heartbeat.Sequence;
   Tracked.LastHeartbeat = Now;
+  recordCapacity(Tracked, Heartbeat, Now);
   if (Tracked.ClockAt == core::time_point() ||
       Heartbeat.ClockMs > Tracked.ClockMs) {
     Tracked.ClockMs = Heartbeat.ClockMs;
@@ -461,7 +472,8 @@
   if (Now - LastHeard > MaxSilentIntervals * Settings.HeartbeatInterval)
     return false;
   const auto *Pool = State.findPool(Endpoint.Facts.Pool);
-  if (!Pool || Pool->IsStandby)
+  if (!Pool || Pool->IsStandby ||
+      (!Pool->EnforcesLimits && !isCapacityKnown(Tracked, Now)))
     return false;
   auto Host = Hosts.HostOfEndpoint.find(Endpoint.Facts.Id);
   return Host == Hosts.HostOfEndpoint.end() ||
@@ -470,6 +482,18 @@
           Hosts.Operations.find(Host->second) == Hosts.Operations.end());
 }
 
+bool leader::isUnguarded(const endpoint_record &Endpoint) const {
+  const auto *Pool = State.findPool(Endpoint.Facts.Pool);
+  return Pool && !Pool->EnforcesLimits;
+}
+
+bool leader::isCapacityKnown(const tracked_endpoint &Tracked,
+                             core::time_point Now) const {
+  return Tracked.AnnouncedAt != core::time_point() &&
+         Now - Tracked.AnnouncedAt <=
+             MaxSilentIntervals * Settings.HeartbeatInterval;
+}
+
 void leader::computeFreeCapacity(tracked_endpoint &Tracked,
                                  const endpoint_record &Endpoint) const {
   Tracked.IsCapacityStale = false;
@@ -477,7 +501,10 @@
   Target = {};
   Target.Endpoint = Endpoint.Number;
   Target.Pool = Endpoint.Facts.Pool;
-  Target.Free = Endpoint.Facts.Capacity;
+  bool IsUnguarded = isUnguarded(Endpoint);
+  auto Capacity =
+      IsUnguarded ? Tracked.AnnouncedCapacity : Endpoint.Facts.Capacity;
+  capacity_use Use;
   Target.Runs = static_cast<std::uint32_t>(Endpoint.Runs.size());
   Target.Labels = Endpoint.Facts.Labels;
   Target.Rack = Endpoint.Facts.Rack;
@@ -486,19 +513,26 @@
     if (!Found)
       continue;
     const auto &Step = *Found;
-    auto Size = reservedSize(Step);
-    auto Subtract = [](std::uint32_t &Free, std::uint32_t Used) {
-      Free -= std::min(Free, Used);
-    };
-    Subtract(Target.Free.MilliCores, Size.MilliCores);
-    Subtract(Target.Free.MemoryMb, Size.MemoryMb);
-    Subtract(Target.Free.Accelerators, Size.Accelerators);
+    Use.add(reservedSize(Step));
     Target.LatencySensitiveRuns += Step.TargetMs > 0;
     Target.BestEffortRuns += Step.IsBestEffort;
     Target.LongRunning += Step.IsLongRunning;
     if (Step.MaxPerEndpoint > 0)
       ++Target.RunsByStep[stepKey(Key)];
   }
+  for (const auto &[Key, Run] : Tracked.OrphanedRuns) {
+    const auto *Job = State.findJob(Key.Job);
+    if (!Job || Key.Step >= Job->Spec.Steps.size()) {
+      // Its size is unknown.
+      Target.Free = {};
+      return;
+    }
+    Use.add(reservedSize(Job->Spec.Steps[Key.Step]));
+  }
+  // Only the scheduler can keep work from an endpoint that is over its shrunk
+  // capacity and enforces no limits.
+  Target.Free = IsUnguarded && !Use.fits(Capacity) ? resource_amounts{}
+                                                   : Use.freeOf(Capacity);
 }
 
 std::vector<placement_target *>
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -146,6 +146,14 @@
                      core::time_point Now);
   void computeFreeCapacity(tracked_endpoint &Tracked,
                            const endpoint_record &Endpoint) const;
+  /// \returns whether only the scheduler protects the endpoint from overload.
+  bool isUnguarded(const endpoint_record &Endpoint) const;
+  /// \returns whether a recent heartbeat announced the endpoint's capacity.
+  bool isCapacityKnown(const tracked_endpoint &Tracked,
+                       core::time_point Now) const;
+  void recordCapacity(tracked_endpoint &Tracked,
+                      const endpoint_heartbeat &Heartbeat,
+                      core::time_point ReceivedAt);
   /// Makes the next takeOrders() collect the orders of the endpoint.
   void markDue(tracked_endpoint &Tracked);
   /// Marks the free capacity of an endpoint as stale and its orders as due
@@ -173,6 +181,14 @@
                      core::time_point Now);
   void addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                     core::time_point Now);
+  void stopOrphanedRuns(tracked_endpoint &Tracked, std::vector<order> &Orders,
+                        core::time_point Now);
+  /// Checks the start of a run on an endpoint that does not enforce its limits.
+  /// A start that never was sent ends as refused when its capacity is gone; any
+  /// other one waits for the endpoint's next list.
+  /// \returns whether the start may be sent now.
+  bool maySendStart(tracked_endpoint &Tracked, const task_key &Key,
+                    tracked_run &Run, core::time_point Now);
   void addPollOrder(tracked_endpoint &Tracked, std::vector<order> &Orders,
                     core::time_point Now);
   void addThrottleOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -41,6 +41,10 @@
 // becomes due by time rather than by an event.
 constexpr core::duration SweepInterval = milliseconds(10);
 
+// Heartbeat intervals that a start waits for a heartbeat with the capacity of
+// an endpoint that enforces no limits; one heartbeat may be lost.
+constexpr int MaxHeldIntervals = 2;
+
 // Allows for the error of the estimated clock when a lease is issued.
 constexpr core::duration LeaseMargin = milliseconds(300);
 
@@ -172,19 +176,69 @@
                   {"answer_age_ms", toMs(Now - Tracked.LastAnswer)}});
 }
 
-void leader::addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
-                          core::time_point Now) {
+void leader::stopOrphanedRuns(tracked_endpoint &Tracked,
+                              std::vector<order> &Orders,
+                              core::time_point Now) {
   // If a stop is lost, the next poll lists the run again.
-  for (const auto &[Key, Attempt] : std::exchange(Tracked.OrphanedRuns, {})) {
+  for (auto &[Key, Run] : Tracked.OrphanedRuns) {
+    if (Now < Run.NextStop)
+      continue;
+    Run.NextStop = Now + ResendInterval;
     core::logEvent(core::log_level::Warning, "orphan_stop_sent",
                    {{"job", Key.Job},
                     {"step", Key.Step},
                     {"index", Key.Index},
-                    {"attempt", Attempt},
+                    {"attempt", Run.Attempt},
                     {"endpoint", Tracked.Endpoint}});
-    addOrder(Orders, &Tracked, stop_order{Key, Attempt, Fence}, OrderTimeout,
-             Now);
+    addOrder(Orders, &Tracked, stop_order{Key, Run.Attempt, Fence},
+             OrderTimeout, Now);
+  }
+}
+
+bool leader::maySendStart(tracked_endpoint &Tracked, const task_key &Key,
+                          tracked_run &Run, core::time_point Now) {
+  const auto &Endpoint = State.endpoints().find(Tracked.Endpoint)->second;
+  if (!isUnguarded(Endpoint))
+    return true;
+  bool IsKnown = isCapacityKnown(Tracked, Now);
+  if (!IsKnown) {
+    Run.HeldSince = Run.HeldSince.value_or(Now);
+    if (Now - *Run.HeldSince < MaxHeldIntervals * Settings.HeartbeatInterval) {
+      Run.NextOrder = Now + ResendInterval;
+      return false;
+    }
+  }
+  Run.HeldSince.reset();
+  capacity_use Use;
+  for (const auto &Other : Endpoint.Runs) {
+    auto Found = Tracked.Runs.find(Other);
+    if (Found == Tracked.Runs.end() || !Found->second.IsEnded)
+      Use.add(reservedSize(State.findJob(Other.Job)->Spec.Steps[Other.Step]));
+  }
+  bool IsSizeKnown = true;
+  for (const auto &[Other, Orphan] : Tracked.OrphanedRuns) {
+    const auto *Job = State.findJob(Other.Job);
+    IsSizeKnown &= Job && Other.Step < Job->Spec.Steps.size();
+    if (IsSizeKnown)
+      Use.add(reservedSize(Job->Spec.Steps[Other.Step]));
+  }
+  if (IsKnown && IsSizeKnown && Use.fits(Tracked.AnnouncedCapacity))
+    return true;
+  Metrics.add("starts_without_capacity_total");
+  if (Run.Phase == run_phase::Committed && !Run.MayBeStartedByOther) {
+    endUnstartedRun(Tracked, Key, "no_room_left", Now);
+    return false;
   }
+  // A copy that was sent earlier may run already or start late.
+  Run.Phase = run_phase::Unconfirmed;
+  Run.MayStartLate = true;
+  Run.VisibleSince = Now;
+  return false;
+}
+
+void leader::addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
+                          core::time_point Now) {
+  stopOrphanedRuns(Tracked, Orders, Now);
   for (auto &[Key, Run] : Tracked.Runs) {
     if (Run.IsOrderPending || Run.IsEnded || Now < Run.NextOrder)
       continue;
@@ -210,7 +264,8 @@
       continue;
     const auto *Task = State.findTask(Key);
     if (!Task || Task->Attempt != Run.Attempt ||
-        PendingStarts >= MaxUnansweredStarts)
+        PendingStarts >= MaxUnansweredStarts ||
+        !maySendStart(Tracked, Key, Run, Now))
       continue;
     const auto &Job = *State.findJob(Key.Job);
     start_order Start;
@@ -240,17 +295,19 @@
   if (Tracked.PendingPoll || Now < Tracked.NextPoll)
     return;
   bool HasRuns = !Tracked.Runs.empty();
+  bool HasOrphans = !Tracked.OrphanedRuns.empty();
   bool IsAckPending = Tracked.Cursor > Tracked.ConfirmedCursor;
   bool HasRecentHeartbeat =
       Now - Tracked.LastHeartbeat < 2 * Settings.HeartbeatInterval;
   bool HasClock = Tracked.ClockAt != core::time_point();
   // An endpoint without runs is polled only for a clock sample, to confirm
-  // ends, or while it is suspect and sends heartbeats.
-  if (HasClock && !HasRuns && !IsAckPending &&
+  // ends, until its orphaned runs have ended, or while it is suspect and sends
+  // heartbeats.
+  if (HasClock && !HasRuns && !HasOrphans && !IsAckPending &&
       !(Tracked.IsSuspect && HasRecentHeartbeat))
     return;
-  if (HasClock && !HasRuns && IsAckPending && !Tracked.IsSuspect &&
-      Now - Tracked.LastAnswer < AckDelay)
+  if (HasClock && !HasRuns && !HasOrphans && IsAckPending &&
+      !Tracked.IsSuspect && Now - Tracked.LastAnswer < AckDelay)
     return;
   poll_order Poll;
   Poll.Fence = Fence;
@@ -260,7 +317,8 @@
         return Item.second.Phase == run_phase::Unconfirmed ||
                Item.second.IsStopAcknowledged;
       });
-  if (HasClock && HasRuns && !Tracked.IsSuspect && !RequiresList)
+  if (HasClock && (HasRuns || HasOrphans) && !Tracked.IsSuspect &&
+      !RequiresList)
     Poll.WaitMs = Tracked.MayInterfere ? ThrottlePollWaitMs : PollWaitMs;
   // The lease of a suspect endpoint is not renewed, so that its runs can be
   // declared lost when the lease expires.
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -262,6 +262,7 @@
                            const endpoint_answer &Answer,
                            core::time_point SentAt, core::time_point Now) {
   std::set<task_key> Present;
+  auto Orphans = std::exchange(Tracked.OrphanedRuns, {});
   for (const auto &Row : Answer.Running) {
     auto Found = Tracked.Runs.find(Row.Task);
     if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt) {
@@ -269,8 +270,13 @@
       const auto *Task = State.findTask(Row.Task);
       bool IsOwn = Task && Task->Endpoint == Tracked.Endpoint &&
                    Task->Attempt == Row.Attempt;
-      if (!IsOwn && Tracked.OrphanedRuns.size() < MaxOrphanedRuns)
-        Tracked.OrphanedRuns[Row.Task] = Row.Attempt;
+      if (IsOwn || Tracked.OrphanedRuns.size() >= MaxOrphanedRuns)
+        continue;
+      auto &Orphan = Tracked.OrphanedRuns[Row.Task];
+      if (auto Known = Orphans.find(Row.Task);
+          Known != Orphans.end() && Known->second.Attempt == Row.Attempt)
+        Orphan = Known->second;
+      Orphan.Attempt = Row.Attempt;
       continue;
     }
     auto &Run = Found->second;
@@ -307,6 +313,10 @@
       beginStop(Run, stop_reason::Stalled, Now);
     }
   }
+  if (!Orphans.empty() || !Tracked.OrphanedRuns.empty()) {
+    Tracked.IsCapacityStale = true;
+    IsPlacementDue = true;
+  }
   bool HasEnds = false;
   PolledEndpoints.push_back(Tracked.Endpoint);
   for (const auto &Row : Answer.Ended) {
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -321,6 +321,26 @@
 
 } // namespace
 
+void capacity_use::add(const resource_amounts &Size) {
+  MilliCores += Size.MilliCores;
+  MemoryMb += Size.MemoryMb;
+  Accelerators += Size.Accelerators;
+}
+
+bool capacity_use::fits(const resource_amounts &Capacity) const {
+  return MilliCores <= Capacity.MilliCores && MemoryMb <= Capacity.MemoryMb &&
+         Accelerators <= Capacity.Accelerators;
+}
+
+resource_amounts capacity_use::freeOf(const resource_amounts &Capacity) const {
+  auto Left = [](std::uint32_t Total, std::uint64_t Used) {
+    return Used >= Total ? 0 : Total - static_cast<std::uint32_t>(Used);
+  };
+  return {Left(Capacity.MilliCores, MilliCores),
+          Left(Capacity.MemoryMb, MemoryMb),
+          Left(Capacity.Accelerators, Accelerators)};
+}
+
 std::string stepKey(const task_key &Task) {
   return Task.Job + "." + std::to_string(Task.Occurrence) + "." +
          std::to_string(Task.Step);
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -31,6 +31,18 @@
   std::map<std::string, std::uint32_t> RunsByStep;
 };
 
+/// Sum of the resources that runs reserve. It may exceed a capacity that has
+/// shrunk.
+struct capacity_use {
+  std::uint64_t MilliCores = 0;
+  std::uint64_t MemoryMb = 0;
+  std::uint64_t Accelerators = 0;
+  void add(const resource_amounts &Size);
+  bool fits(const resource_amounts &Capacity) const;
+  /// \returns what is left of the capacity; zero where it is exceeded.
+  resource_amounts freeOf(const resource_amounts &Capacity) const;
+};
+
 /// A step whose earlier steps are done and that has tasks without a run.
 struct waiting_step {
   job_rank Rank;
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -64,6 +64,8 @@
   std::uint32_t Percent = 0;           ///< Progress.
   core::time_point PercentChangedAt{}; ///< When Percent last changed.
   std::uint32_t ThrottlePercent = 100;
+  /// Since when its start waits for a heartbeat with the endpoint's capacity.
+  std::optional<core::time_point> HeldSince;
 
   /// \returns whether the endpoint may have started it.
   bool mayHaveStarted() const {
@@ -72,16 +74,24 @@
   }
 };
 
+/// A run that the endpoint lists although it was recorded as lost or never
+/// assigned to it. It is stopped and takes up capacity until it is not listed.
+struct orphaned_run {
+  std::uint32_t Attempt = 0;
+  core::time_point NextStop{}; ///< Earliest time of the next stop order.
+};
+
 /// Unreplicated state that the leader keeps of one incarnation of an endpoint.
 /// A new leader rebuilds it from the replicated state, heartbeats and polls.
 struct tracked_endpoint {
   std::uint32_t Endpoint = 0;
   std::map<task_key, tracked_run> Runs;
-  /// Attempts that the endpoint lists as running although they were recorded as
-  /// lost or never assigned to it.
-  std::map<task_key, std::uint32_t> OrphanedRuns;
-  std::uint64_t Sequence = 0; ///< Of the newest heartbeat.
+  std::map<task_key, orphaned_run> OrphanedRuns; ///< In its newest list.
+  std::uint64_t Sequence = 0;                    ///< Of the newest heartbeat.
   core::time_point LastHeartbeat{};
+  /// Capacity in the newest heartbeat that this leader received.
+  resource_amounts AnnouncedCapacity;
+  core::time_point AnnouncedAt{}; ///< Zero when there is no heartbeat yet.
   core::time_point LastAnswer{};
   bool IsSuspect = false; ///< An order got no answer, and none has come since.
   core::time_point SuspectedAt{}; ///< While suspect.
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -23,6 +23,10 @@
 // A task that is unavailable for longer counts against its budget whatever the
 // cause.
 constexpr int NoticeMs = 4500;
+// A capacity that has shrunk counts for 4 s and one heartbeat longer.
+constexpr int CapacityMs = 4000 + HeartbeatMs;
+constexpr int MaxStopMs = 1500; // Of endpoints without limits.
+constexpr resource_amounts LargestCapacity{8000, 1200, 0};
 constexpr std::int64_t Never = std::numeric_limits<std::int64_t>::max();
 
 std::string hostName(std::size_t Index) {
@@ -103,6 +107,53 @@
   Endpoints[Index].IsReachable = IsReachable;
 }
 
+void fake_site::removeLimits() {
+  auto Configuration = makeConfiguration(2, 3);
+  for (auto &Pool : Configuration.Pools)
+    Pool.EnforcesLimits = false;
+  apply(set_configuration{Configuration});
+  HasLimits = false;
+  ChangesCapacities = true;
+  for (auto &Endpoint : Endpoints)
+    Endpoint.Facts.Capacity = LargestCapacity;
+}
+
+void fake_site::settleCapacities() {
+  ChangesCapacities = false;
+  for (auto &Endpoint : Endpoints)
+    Endpoint.Facts.Capacity = LargestCapacity;
+}
+
+void fake_site::changeCapacity(fake_endpoint &Endpoint) {
+  // About every 3 s.
+  if (!occurs(3))
+    return;
+  auto &Capacity = Endpoint.Facts.Capacity;
+  Capacity.MilliCores = LargestCapacity.MilliCores / 8 *
+                        (1 + static_cast<std::uint32_t>(Random() % 8));
+  Capacity.MemoryMb = LargestCapacity.MemoryMb / 4 *
+                      (1 + static_cast<std::uint32_t>(Random() % 4));
+}
+
+void fake_site::checkLimit(const fake_endpoint &Endpoint) {
+  resource_amounts Used;
+  for (const auto &[Task, Run] : Endpoint.Running) {
+    Used.MilliCores += Run.Size.MilliCores;
+    Used.MemoryMb += Run.Size.MemoryMb;
+  }
+  ++LimitChecks;
+  FullEndpoints += Used.MilliCores + 500 > Endpoint.Facts.Capacity.MilliCores ||
+                   Used.MemoryMb + 50 > Endpoint.Facts.Capacity.MemoryMb;
+  core::checkInvariant(
+      std::any_of(Endpoint.Announced.begin(), Endpoint.Announced.end(),
+                  [&](const auto &Item) {
+                    return Item.first + CapacityMs >= NowMs &&
+                           Used.MilliCores <= Item.second.MilliCores &&
+                           Used.MemoryMb <= Item.second.MemoryMb;
+                  }),
+      "no start brings an endpoint over a capacity that it announced lately");
+}
+
 void fake_site::run(int Ms) {
   for (int Passed = 0; Passed < Ms; Passed += StepMs)
     step();
@@ -114,6 +165,8 @@
     if (Endpoint.DownUntilMs != 0 && NowMs >= Endpoint.DownUntilMs)
       bringUp(Endpoint);
     advance(Endpoint);
+    if (ChangesCapacities)
+      changeCapacity(Endpoint);
     if (NowMs % HeartbeatMs == 0)
       sendHeartbeat(Endpoint);
   }
@@ -152,6 +205,11 @@
 }
 
 void fake_site::sendHeartbeat(fake_endpoint &Endpoint) {
+  if (!HasLimits && Endpoint.DownUntilMs == 0) {
+    Endpoint.Announced.emplace_back(NowMs, Endpoint.Facts.Capacity);
+    while (Endpoint.Announced.front().first + CapacityMs < NowMs)
+      Endpoint.Announced.pop_front();
+  }
   if (!Endpoint.IsReachable || Endpoint.DownUntilMs != 0)
     return;
   endpoint_heartbeat Heartbeat;
@@ -168,6 +226,11 @@
       end(Endpoint, Endpoint.Running.begin()->first, run_end::Expired);
   for (auto Run = Endpoint.Running.begin(); Run != Endpoint.Running.end();) {
     auto Current = Run++;
+    if (Current->second.StopEndsMs != 0) {
+      if (Current->second.StopEndsMs <= NowMs)
+        end(Endpoint, Current->first, run_end::Stopped);
+      continue;
+    }
     if (Current->second.EndsMs <= NowMs)
       end(Endpoint, Current->first,
           Current->second.Fails ? run_end::Failed : run_end::Done);
@@ -239,7 +302,7 @@
     if (const auto *Stop = std::get_if<stop_order>(&Delivery.Order.Body))
       if (Stop->Fence >= Endpoint.Fence)
         endByOrder(Endpoint, Stop->Task, Delivery.IsLate);
-    auto Answer = execute(Endpoint, Delivery.Order);
+    auto Answer = execute(Endpoint, Delivery.Order, Delivery.IsLate);
     if (!Delivery.IsAnswered)
       return;
     Answers.push_back({NowMs + StepMs,
@@ -248,8 +311,8 @@
   }
 }
 
-endpoint_answer fake_site::execute(fake_endpoint &Endpoint,
-                                   const order &Order) {
+endpoint_answer fake_site::execute(fake_endpoint &Endpoint, const order &Order,
+                                   bool IsLate) {
   endpoint_answer Answer;
   Answer.ClockMs = clockOf(Endpoint);
   Answer.IncarnationMs = Endpoint.Facts.IncarnationMs;
@@ -267,11 +330,16 @@
   }
   Endpoint.Fence = Fence;
   if (const auto *Start = std::get_if<start_order>(&Order.Body))
-    return startRun(Endpoint, *Start, std::move(Answer));
+    return startRun(Endpoint, *Start, std::move(Answer), IsLate);
   if (const auto *Stop = std::get_if<stop_order>(&Order.Body)) {
     auto Run = Endpoint.Running.find(Stop->Task);
-    if (Run != Endpoint.Running.end() && Run->second.Attempt <= Stop->Attempt)
+    bool IsPresent =
+        Run != Endpoint.Running.end() && Run->second.Attempt <= Stop->Attempt;
+    if (IsPresent && HasLimits)
       end(Endpoint, Stop->Task, run_end::Stopped);
+    else if (IsPresent && Run->second.StopEndsMs == 0)
+      Run->second.StopEndsMs =
+          NowMs + 1 + static_cast<std::int64_t>(Random() % MaxStopMs);
     Endpoint.Newest[Stop->Task] =
         std::max(Endpoint.Newest[Stop->Task], Stop->Attempt);
     return Answer;
@@ -300,7 +368,7 @@
 
 endpoint_answer fake_site::startRun(fake_endpoint &Endpoint,
                                     const start_order &Order,
-                                    endpoint_answer Answer) {
+                                    endpoint_answer Answer, bool IsLate) {
   auto Run = Endpoint.Running.find(Order.Task);
   if (Run != Endpoint.Running.end() && Run->second.Attempt == Order.Attempt)
     return Answer;
@@ -327,7 +395,13 @@
     Started.AvailableMs = NowMs + StartupMs;
     Started.EndsMs = Started.Fails ? NowMs + 2000 : Never;
   }
+  if (Job)
+    Started.Size = reservedSize(Job->Spec.Steps[Order.Task.Step]);
+  core::checkInvariant(Run == Endpoint.Running.end(),
+                       "no task runs twice on an endpoint");
   Endpoint.Running[Order.Task] = Started;
+  if (!HasLimits && !IsLate)
+    checkLimit(Endpoint);
   return Answer;
 }
 
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -46,6 +46,13 @@
   void crash(std::uint32_t Index);
   void setReachable(std::uint32_t Index, bool IsReachable);
   void setFaults(fault_rates NewRates) { Rates = NewRates; }
+  /// Turns the pool into one whose endpoints accept every start. Their
+  /// capacity shrinks and grows at random from now on, a stop takes up to
+  /// 1.5 s, and each start that is not executed late is checked against the
+  /// capacities that the endpoint announced.
+  void removeLimits();
+  /// Sets the capacity of all endpoints to its largest value for good.
+  void settleCapacities();
   leader &current() { return *Leader; }
 
   schedule_state State;
@@ -55,6 +62,9 @@
   std::vector<order> SentOrders;  ///< Every order that was sent.
   std::uint64_t Maintenances = 0; ///< Hosts taken down for maintenance.
   std::uint64_t BudgetChecks = 0; ///< Long-running tasks ended by an order.
+  std::uint64_t LimitChecks = 0;  ///< Starts checked against a capacity.
+  /// Starts that left less room than the smallest task needs.
+  std::uint64_t FullEndpoints = 0;
 
 private:
   struct fake_run {
@@ -62,6 +72,8 @@
     std::int64_t EndsMs = 0;
     bool Fails = false;
     std::int64_t AvailableMs = 0; ///< When its percentage reaches 100.
+    resource_amounts Size;        ///< That counts against the capacity.
+    std::int64_t StopEndsMs = 0;  ///< While it is being stopped.
   };
   /// Availability of a long-running task as callers see it.
   struct task_availability {
@@ -87,6 +99,8 @@
     host_state HostState = host_state::Up;
     std::string TargetPool;        ///< While moving.
     std::set<std::uint64_t> Waves; ///< Whose maintenance the host had.
+    /// Capacities in heartbeats that were sent, also those that were lost.
+    std::deque<std::pair<std::int64_t, resource_amounts>> Announced;
   };
   struct delivery {
     std::int64_t AtMs = 0;
@@ -109,9 +123,13 @@
   void end(fake_endpoint &Endpoint, const task_key &Task, run_end Outcome);
   void send(order Order);
   void deliver(const delivery &Delivery);
-  endpoint_answer execute(fake_endpoint &Endpoint, const order &Order);
+  endpoint_answer execute(fake_endpoint &Endpoint, const order &Order,
+                          bool IsLate);
   endpoint_answer startRun(fake_endpoint &Endpoint, const start_order &Order,
-                           endpoint_answer Answer);
+                           endpoint_answer Answer, bool IsLate);
+  void changeCapacity(fake_endpoint &Endpoint);
+  /// Checks that what runs on the endpoint fits a capacity that it announced.
+  void checkLimit(const fake_endpoint &Endpoint);
   void extendLease(fake_endpoint &Endpoint, std::uint64_t LeaseExpiryMs) const;
   std::uint64_t clockOf(const fake_endpoint &Endpoint) const;
   void checkRuns();
@@ -142,6 +160,8 @@
   std::vector<answer> Answers;
   std::set<task_key> DoneRecorded;
   bool HasPlatform = false;
+  bool HasLimits = true;          ///< False after removeLimits().
+  bool ChangesCapacities = false; ///< Until settleCapacities().
   std::map<task_key, task_availability> Availability;
 };
 
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -677,3 +677,102 @@
   CHECK(Sent > 256);
   CHECK(Harness.State.waves().at(1).Begun.size() > 256);
 }
+
+namespace {
+
+/// One endpoint of a pool that enforces no limits, and a job with one task.
+class unguarded_harness : public host_harness {
+public:
+  unguarded_harness() {
+    auto Configuration = makeConfiguration(2);
+    Configuration.Pools[0].EnforcesLimits = false;
+    apply(set_configuration{Configuration});
+    apply(record_endpoint{Facts});
+    apply(submission(makeJob("j", {makeStep(1, 5000)})));
+  }
+  /// Receives a heartbeat and commits the new facts.
+  void announce(std::uint32_t MilliCores) {
+    Facts.Capacity.MilliCores = MilliCores;
+    endpoint_heartbeat Heartbeat;
+    Heartbeat.Facts = Facts;
+    Heartbeat.Sequence = ++Sequence;
+    Heartbeat.ClockMs = Sequence;
+    if (!Leader->recordHeartbeat(Heartbeat, Now))
+      apply(record_endpoint{Facts});
+  }
+  void answerPolls(const std::vector<run_row> &Running,
+                   const std::vector<end_row> &Ended = {}) {
+    advanceTime(60ms);
+    for (auto &Order : take<poll_order>()) {
+      endpoint_answer Answer;
+      Answer.Verdict = endpoint_verdict::Accepted;
+      Answer.ClockMs = 1;
+      Answer.Running = Running;
+      Answer.Ended = Ended;
+      Leader->finishOrder({Order.Id, Answer}, Now);
+    }
+  }
+
+private:
+  endpoint_facts Facts = makeEndpoint("e1");
+  std::uint64_t Sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE("a run that was never assigned takes up capacity until the endpoint "
+          "does not list it") {
+  // Its stop takes a while, and an endpoint without limits would be brought
+  // over its capacity meanwhile.
+  unguarded_harness Harness;
+  Harness.apply(submission(makeJob("o", {makeStep(1, 4000)})));
+  Harness.apply(cancel_job{Host, Prefix + "o", "o"});
+  run_row Orphan{{"o", 0, 0, 0}, 1, "", 10, std::nullopt};
+  Harness.answerPolls({Orphan});
+  Harness.announce(8000);
+  for (int Round = 0; Round != 5; ++Round) {
+    Harness.commit();
+    CHECK(Harness.take<start_order>().empty());
+    Harness.advanceTime(300ms);
+    CHECK(!Harness.take<stop_order>().empty());
+    Harness.answerPolls({Orphan});
+  }
+  Harness.answerPolls({}, {{1, Orphan.Task, 1, run_end::Stopped, ""}});
+  Harness.advanceTime(20ms);
+  Harness.commit();
+  CHECK(Harness.take<start_order>().size() == 1);
+}
+
+TEST_CASE("a start is not sent to an endpoint without limits whose capacity "
+          "shrank after the placement") {
+  unguarded_harness Harness;
+  Harness.announce(8000);
+  Harness.commit();
+  REQUIRE(Harness.State.findTask({"j", 0, 0, 0})->Endpoint == 1);
+  Harness.announce(4000);
+  CHECK(Harness.take<start_order>().empty());
+  Harness.advanceTime(20ms);
+  Harness.commit();
+  CHECK(Harness.State.findTask({"j", 0, 0, 0})->isWaiting());
+  Harness.announce(8000);
+  Harness.advanceTime(300ms);
+  Harness.commit();
+  CHECK(Harness.take<start_order>().size() == 1);
+}
+
+TEST_CASE("an endpoint without limits gets no start before a recent heartbeat "
+          "announced its capacity") {
+  // The recorded capacity may have shrunk while no leader heard the endpoint.
+  unguarded_harness Harness;
+  Harness.answerPolls({});
+  Harness.commit();
+  CHECK(Harness.take<start_order>().empty());
+  Harness.announce(8000);
+  Harness.advanceTime(4600ms);
+  Harness.commit();
+  CHECK(Harness.take<start_order>().empty());
+  Harness.announce(8000);
+  Harness.advanceTime(200ms);
+  Harness.commit();
+  CHECK(Harness.take<start_order>().size() == 1);
+}
--- a/tests/scheduling/test_random_schedule.cpp
+++ b/tests/scheduling/test_random_schedule.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 using namespace lycheetrestle;
@@ -122,8 +123,76 @@
   CHECK(Site.BudgetChecks > 0);
 }
 
+job_spec randomJobOfSizes(std::mt19937_64 &Random, int Number) {
+  std::vector<step_spec> Steps;
+  auto Count = 1 + Random() % 2;
+  for (std::uint64_t Index = 0; Index != Count; ++Index) {
+    auto Step = makeStep(1 + static_cast<std::uint32_t>(Random() % 4));
+    Step.Size = {500 + static_cast<std::uint32_t>(Random() % 2500),
+                 50 + static_cast<std::uint32_t>(Random() % 350), 0};
+    Step.IsBestEffort = Random() % 5 == 0;
+    Step.IsLongRunning = Count == 1 && Random() % 6 == 0;
+    if (Index > 0)
+      Step.DependsOn = {static_cast<std::uint32_t>(Random() % Index)};
+    Steps.push_back(Step);
+  }
+  return makeJob("j" + std::to_string(Number), std::move(Steps));
+}
+
+/// Simulates 60 s with faults over endpoints that accept every start while
+/// their capacity shrinks and grows, then 120 s without faults, in which all
+/// jobs must end.
+void simulateCapacities(std::uint64_t Seed, fault_rates Rates) {
+  constexpr std::uint32_t EndpointCount = 5;
+  fake_site Site(EndpointCount, Seed, Rates);
+  Site.removeLimits();
+  std::mt19937_64 Random(Seed * 15'485'863);
+  int Jobs = 0;
+  for (int Tick = 0; Tick != 600; ++Tick) {
+    if (Random() % 3 == 0)
+      Site.apply(submission(randomJobOfSizes(Random, ++Jobs)));
+    auto Event = Random() % 200;
+    auto Endpoint = static_cast<std::uint32_t>(Random() % EndpointCount);
+    if (Event < 3)
+      Site.changeLeader();
+    else if (Event < 6)
+      Site.crash(Endpoint);
+    else if (Event < 10)
+      Site.setReachable(Endpoint, false);
+    else if (Event < 18)
+      Site.setReachable(Endpoint, true);
+    else if (Event < 40)
+      Site.apply(cancel_job{
+          Host, Prefix,
+          "j" + std::to_string(
+                    1 + Random() % static_cast<unsigned>(std::max(1, Jobs)))});
+    Site.run(100);
+  }
+  Site.setFaults({});
+  Site.settleCapacities();
+  for (std::uint32_t Endpoint = 0; Endpoint != EndpointCount; ++Endpoint)
+    Site.setReachable(Endpoint, true);
+  for (const auto &[Id, Job] : Site.State.jobs())
+    if (Job.Spec.Steps[0].IsLongRunning)
+      Site.apply(cancel_job{Host, Prefix, Id});
+  Site.run(120'000);
+  CHECK(Site.State.liveJobs().empty());
+  for (const auto &[Id, Job] : Site.State.jobs())
+    CHECK(Job.RunsLeft == 0);
+  CHECK(Site.LimitChecks > 200);
+  CHECK(Site.FullEndpoints > 20);
+}
+
 } // namespace
 
+TEST_CASE("no start brings an endpoint without limits over its capacity "
+          "although that shrinks, orders are late or lost and leaders change") {
+  throwing_invariants Invariants;
+  auto Seed = GENERATE(range(1, 101));
+  INFO("seed " << Seed);
+  simulateCapacities(static_cast<std::uint64_t>(Seed), {30, 30, 30, 20});
+}
+
 TEST_CASE("no order ends a long-running task beyond the budget of its step "
           "despite late, lost and repeated orders and changes of leader") {
   throwing_invariants Invariants;
