Stop a run of an ended job that a later incarnation started late

A start order may be executed late, by a later incarnation of the endpoint than the one at which the run was stopped when its job was cancelled. The list of the new incarnation turned the run into a running one, and nothing stopped it any more: the task worked on for a cancelled job, and its capacity stayed taken.

A listed run whose job has ended is stopped now, whenever it is found.

--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -289,6 +289,13 @@
       Run.VisibleSince = SentAt;
       Run.PercentChangedAt = Now;
     }
+    // Its start may have been executed late by a later incarnation than the one
+    // at which it was stopped when the job ended.
+    const auto *Owner = State.findJob(Row.Task.Job);
+    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State)) {
+      beginStop(Run, stop_reason::JobOver, Now);
+      continue;
+    }
     if (Row.Percent != Run.Percent) {
       Run.Percent = Row.Percent;
       Run.PercentChangedAt = Now;
