Place suspect tasks where their step may run, and try more of them at a time

The plan checks the limit per endpoint, and at most a third of a pool, or two endpoints of a small one, hold suspects (a quarter before; the test's bound moves with the constant, on a pool of eight).

--- a/scheduling/crash_quarantine.cpp
+++ b/scheduling/crash_quarantine.cpp
@@ -11,7 +11,11 @@
 using std::chrono::milliseconds;
 
 // Share of the endpoints of a pool that may hold suspect tasks.
-constexpr std::size_t MaxShareDivisor = 4;
+constexpr std::size_t MaxShareDivisor = 3;
+// A small pool tries this many at a time, as long as an endpoint is left to
+// other tasks: trials of long-running tasks last seconds and hold up the
+// others.
+constexpr std::size_t MinTrials = 2;
 // A reserved endpoint that is not empty after this time is used as it is: a
 // task may not wait for the end of long runs.
 constexpr core::duration MaxReservation = std::chrono::seconds(3);
@@ -68,7 +72,9 @@
               return std::tie(Left->RanMs, Left->Task) <
                      std::tie(Right->RanMs, Right->Task);
             });
-  auto Limit = std::max<std::size_t>(1, Endpoints.size() / MaxShareDivisor);
+  auto Others = Endpoints.empty() ? 0 : Endpoints.size() - 1;
+  auto Limit = std::max({Endpoints.size() / MaxShareDivisor,
+                         std::min(MinTrials, Others), std::size_t(1)});
   auto Earlier = std::exchange(Reservations, {});
   for (const auto *Task : Waiting) {
     if (Plan.Reserved.size() >= Limit)
--- a/scheduling/crash_quarantine.h
+++ b/scheduling/crash_quarantine.h
@@ -50,7 +50,7 @@
 /// start, on endpoints with about a dozen runs: the crash makes all of them
 /// suspect, one of them rightly. Each suspect starts alone on an endpoint, so
 /// that the next crash proves which task it was and loses no other run. At most
-/// a quarter of the endpoints hold suspects at a time, so that many suspects do
+/// a third of the endpoints hold suspects at a time, so that many suspects do
 /// not take the pool from the other tasks.
 class crash_quarantine {
 public:
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -195,7 +195,16 @@
                           core::time_point Now) const {
   const auto &Job = *State.findJob(Key.Job);
   const auto &Step = Job.Spec.Steps[Key.Step];
-  const auto &Facts = State.endpoints().find(Endpoint)->second.Facts;
+  const auto &Record = State.endpoints().find(Endpoint)->second;
+  const auto &Facts = Record.Facts;
+  auto IsOfStep = [&](const task_key &Other) {
+    return Other.Job == Key.Job && Other.Occurrence == Key.Occurrence &&
+           Other.Step == Key.Step;
+  };
+  if (Step.MaxPerEndpoint > 0 &&
+      std::count_if(Record.Runs.begin(), Record.Runs.end(), IsOfStep) >=
+          static_cast<std::ptrdiff_t>(Step.MaxPerEndpoint))
+    return false;
   auto Size = reservedSize(Step);
   return Size.MilliCores <= Facts.Capacity.MilliCores &&
          Size.MemoryMb <= Facts.Capacity.MemoryMb &&
