Place long-running tasks without a trial after a crash of their endpoint

One crash of their endpoint made all of them suspects, one task of a job is tried at a time, and the trial of a task that ran for seconds before lasts 10 s.

Long-running tasks are placed like any other now; their crashes are counted, and the verdict at the second crash alone or the third holds for them too (BUDGET).

--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -127,6 +127,10 @@
       const auto *Task = State.findTask(Key);
       if (!Suspect.isSuspect() || !Task || Task->IsDone)
         continue;
+      // A trial would keep a long-running task away for seconds, which counts
+      // against its budget; its crashes are counted all the same.
+      if (Job.Spec.Steps[Key.Step].IsLongRunning)
+        continue;
       auto Unit = Key;
       if (Job.Spec.Steps[Key.Step].IsGang)
         Unit.Index = 0;
