Log why there is no leader and why a gateway's requests fail

The collected log of the incident has no line that tells its possible causes apart. With the lines of the landed code (replication_load, commits_stalled, task_unserved, leader_load) a refused change, a pending write, a missing majority and used-up processor time differ, but three cases show nothing:

- A replica without a leader logged nothing.
It now writes no_leader each second after the first one: role, term, voters, whom it heard, who granted and refused its vote, its pending writes, and what an election waits for.
A follower whose write is not synced for a second writes write_stalled.
- A leader whose first entry is not committed is elected but never serves.
Its line said waits_for=nothing, because nothing was queued.
It now reports starting=true, the age of that entry and the last synced index of each voter.
- A gateway logged each request but not the state behind it.
It now writes one line a second at most: requests_failed with the number of failed requests by reason and status, or no_leader, both with link, role, term and status age of each scheduler.
"no reply in time" is split by what happened.

Callers see no difference.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -19,6 +19,11 @@
 // costs a single copy.
 constexpr std::uint32_t MaxLostCopies = 2;
 
+// Schedulers described in a report; a deployment has two in each zone.
+constexpr std::size_t MaxDescribedSchedulers = 12;
+// Reasons counted separately in a report. There are about ten.
+constexpr std::size_t MaxFailureReasons = 32;
+
 double toMs(core::duration Duration) {
   return std::chrono::duration<double, std::milli>(Duration).count();
 }
@@ -61,6 +66,7 @@
   auto Leader = leader(Now);
   if (!Leader) {
     Metrics.add("requests_total{outcome=\"no_leader\"}");
+    countFailure("no_leader", 503);
     core::logEvent(core::log_level::Info, "request_refused",
                    {{"method", Request.Request.Method},
                     {"path", Request.Request.Target},
@@ -161,15 +167,20 @@
 
 void forwarder::tick(core::time_point Now) {
   auto Current = leader(Now);
+  if (Current)
+    LeaderlessSince.reset();
+  else if (!LeaderlessSince)
+    LeaderlessSince = Now;
   if (Current.value_or("") != LastLeader) {
     core::logEvent(core::log_level::Info, "leader_changed",
                    {{"before", LastLeader}, {"after", Current.value_or("")}});
     LastLeader = Current.value_or("");
   }
-  std::vector<std::uint64_t> Expired;
+  std::vector<std::pair<std::uint64_t, std::string_view>> Expired;
   for (auto &[Id, Call] : OpenCalls) {
     if (Now >= Call.Deadline) {
-      Expired.push_back(Id);
+      Expired.emplace_back(Id, Call.SentTo.empty() ? "no leader in time"
+                                                   : "no reply in time");
       continue;
     }
     // A leader that stopped sending statuses may have executed the call.
@@ -184,30 +195,75 @@
       continue;
     if (Call.LostCopies >= MaxLostCopies) {
       Metrics.add("requests_lost_with_schedulers_total");
-      Expired.push_back(Id);
+      Expired.emplace_back(Id, "lost with several schedulers");
       continue;
     }
     if (!Current) {
       // The caller may reach the next leader sooner through another gateway, so
       // a call that may have run does not wait for its deadline.
       if (Call.MayHaveRun && Now - Call.LostAt > Settings.FailoverWait)
-        Expired.push_back(Id);
+        Expired.emplace_back(Id, "no next leader");
       continue;
     }
     if (Call.Refusals > MaxRefusals && !Call.MayHaveRun) {
-      Expired.push_back(Id);
+      Expired.emplace_back(Id, "each scheduler refers to another leader");
       continue;
     }
     send(Call, *Current);
   }
-  for (auto Id : Expired) {
+  for (const auto &[Id, Reason] : Expired) {
     const auto &Call = OpenCalls.find(Id)->second;
     // The outcome is unknown only if a copy is in flight or was lost.
     bool HasNotRun = Call.SentTo.empty() && !Call.MayHaveRun;
     finish(Id, HasNotRun ? 503 : 504, HasNotRun ? RetryAfterElectionS : 0,
            HasNotRun ? R"({"error":"unavailable"})" : R"({"error":"unknown"})",
-           "no reply in time", Now);
+           Reason, Now);
+  }
+}
+
+void forwarder::countFailure(std::string_view Reason, std::uint16_t Status) {
+  if (Status != 429 && Status < 500)
+    return;
+  std::string Key(Reason);
+  std::replace(Key.begin(), Key.end(), ' ', '_');
+  Key += "/" + std::to_string(Status);
+  if (Failures.size() >= MaxFailureReasons && Failures.count(Key) == 0)
+    Key = "other";
+  ++Failures[Key];
+}
+
+forwarder_report forwarder::takeReport(core::time_point Now) {
+  forwarder_report Report;
+  Report.HasLeader = isReady(Now);
+  if (!Report.HasLeader && LeaderlessSince)
+    Report.LeaderlessFor = Now - *LeaderlessSince;
+  for (const auto &[Reason, Count] : std::exchange(Failures, {})) {
+    Report.Failed += Count;
+    if (!Report.Reasons.empty())
+      Report.Reasons += ",";
+    Report.Reasons += Reason + "=" + std::to_string(Count);
+  }
+  Report.OpenCalls = OpenCalls.size();
+  for (const auto &[Id, Call] : OpenCalls) {
+    Report.WaitingCalls += Call.SentTo.empty();
+    Report.OldestCall = std::max(Report.OldestCall, Now - Call.StartedAt);
+  }
+  std::size_t Described = 0;
+  for (const auto &[Address, View] : Schedulers) {
+    if (++Described > MaxDescribedSchedulers)
+      break;
+    if (!Report.Schedulers.empty())
+      Report.Schedulers += ",";
+    bool HasStatus = View.LastStatusAt != core::time_point();
+    auto AgeMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     Now - View.LastStatusAt)
+                     .count();
+    Report.Schedulers += Address + (View.IsLinked ? ":up:" : ":down:") +
+                         (View.Status.IsLeading ? "leads:" : "follows:") +
+                         std::to_string(View.Status.Term) + ":" +
+                         (HasStatus ? std::to_string(AgeMs) : "never");
   }
+  return Report;
 }
 
 void forwarder::finish(std::uint64_t Id, std::uint16_t Status,
@@ -228,6 +284,7 @@
   auto ElapsedMs = toMs(Now - Call.StartedAt);
   Metrics.observe("request_ms", ElapsedMs);
   Metrics.add("requests_total{status=\"" + std::to_string(Status) + "\"}");
+  countFailure(Reason, Status);
   bool IsRead = Call.Call.Method == "GET" && Status < 500;
   core::logEvent(IsRead ? core::log_level::Debug : core::log_level::Info,
                  "request_answered",
@@ -236,6 +293,8 @@
                   {"status", Status},
                   {"reason", Reason},
                   {"scheduler", Call.SentTo},
+                  {"refusals", Call.Refusals},
+                  {"lost_copies", Call.LostCopies},
                   {"took_ms", ElapsedMs}});
   OpenCalls.erase(Found);
 }
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheetrestle::gateway {
@@ -40,6 +41,22 @@
   std::vector<std::string> NewPeers; ///< IP addresses to connect to.
 };
 
+/// What a gateway could not do since the last report, and why; for the log.
+struct forwarder_report {
+  bool HasLeader = false;
+  core::duration LeaderlessFor{}; ///< While it has no leader.
+  std::uint64_t Failed = 0;       ///< Requests that ended with 429 or 5xx.
+  /// Their number by reason and status, as `reason/status=count`, separated by
+  /// commas.
+  std::string Reasons;
+  std::size_t OpenCalls = 0;
+  std::size_t WaitingCalls = 0; ///< Of them, not sent to a scheduler now.
+  core::duration OldestCall{};
+  /// Each scheduler's link, role, term and age of its status in milliseconds,
+  /// as `address:up:leads:5:120`, separated by commas.
+  std::string Schedulers;
+};
+
 /// Forwards callers' requests to the leading scheduler and its replies back.
 /// Single-threaded and without input or output.
 ///
@@ -73,6 +90,8 @@
   /// \returns whether a leader is known, so that requests can be forwarded.
   bool isReady(core::time_point Now) const;
   std::size_t openCalls() const { return OpenCalls.size(); }
+  /// \returns what happened since the last call.
+  forwarder_report takeReport(core::time_point Now);
 
 private:
   struct open_call {
@@ -94,6 +113,7 @@
   /// \returns the IP address of the connected leader with the highest term.
   std::optional<std::string> leader(core::time_point Now) const;
   void send(open_call &Call, const std::string &Peer);
+  void countFailure(std::string_view Reason, std::uint16_t Status);
   void finish(std::uint64_t Id, std::uint16_t Status, std::uint32_t RetryAfterS,
               std::string Body, std::string_view Reason, core::time_point Now);
 
@@ -110,6 +130,10 @@
   std::map<std::uint64_t, open_call> OpenCalls;
   std::uint64_t LastId = 0;
   std::string LastLeader;
+  /// Since when no leader is known; from the start on until there is one.
+  std::optional<core::time_point> LeaderlessSince;
+  /// Failed requests since the last report, by reason and status.
+  std::map<std::string, std::uint64_t> Failures;
   forwarder_actions Actions;
 };
 
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -21,6 +21,8 @@
 // Upper bound of the delay until a deadline or a stop request is noticed.
 constexpr core::duration MaxWait = std::chrono::milliseconds(50);
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
+// An election takes 0.6 to 1.2 s.
+constexpr core::duration LeaderlessThreshold = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxBodyBytes = 1u << 20;
 // Elements of a ring between two threads.
 constexpr std::size_t RingCapacity = 8192;
@@ -213,6 +215,30 @@
     Metrics.set("is_ready", IsReady);
     Metrics.set("open_calls", static_cast<double>(Forwarder.openCalls()));
     transport::publishTraffic(Metrics, Hub.traffic());
+    logFailures(Now);
+  }
+
+  void logFailures(core::time_point Now) {
+    auto ToMs = [](core::duration Duration) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
+          .count();
+    };
+    auto Report = Forwarder.takeReport(Now);
+    Metrics.set("leaderless_ms",
+                static_cast<double>(ToMs(Report.LeaderlessFor)));
+    bool IsLeaderless =
+        !Report.HasLeader && Report.LeaderlessFor >= LeaderlessThreshold;
+    if (Report.Failed == 0 && !IsLeaderless)
+      return;
+    core::logEvent(core::log_level::Warning,
+                   IsLeaderless ? "no_leader" : "requests_failed",
+                   {{"failed", Report.Failed},
+                    {"reasons", Report.Reasons},
+                    {"leaderless_ms", ToMs(Report.LeaderlessFor)},
+                    {"open_calls", Report.OpenCalls},
+                    {"waiting_calls", Report.WaitingCalls},
+                    {"oldest_call_ms", ToMs(Report.OldestCall)},
+                    {"schedulers", Report.Schedulers}});
   }
 
   const gateway_settings &Settings;
--- a/replication/raft_election.cpp
+++ b/replication/raft_election.cpp
@@ -128,6 +128,8 @@
     becomeFollower(Reply.Term, std::nullopt, Now);
     return;
   }
+  if (Role == raft_role::Candidate && Reply.Pre == PreVoting && !Reply.Granted)
+    RefusedVotes.insert(From);
   if (Role != raft_role::Candidate || !Reply.Granted ||
       Reply.Pre != PreVoting || Reply.Term != Hard.Term + (PreVoting ? 1 : 0))
     return;
--- a/replication/raft_node.cpp
+++ b/replication/raft_node.cpp
@@ -136,6 +136,7 @@
   Role = raft_role::Follower;
   Leader = std::move(NewLeader);
   Votes.clear();
+  RefusedVotes.clear();
   Followers.clear();
   TransferTarget.reset();
   Matched = ReportedMatch = LeaderRound = 0;
@@ -238,6 +239,11 @@
   Status.ConflictingMessages = ConflictingMessages;
   Status.StorageFailing = StorageFailing;
   Status.IsRemoved = Removed;
+  if (Role == raft_role::Candidate) {
+    Status.IsPreVoting = PreVoting;
+    Status.GrantedBy.assign(Votes.begin(), Votes.end());
+    Status.RefusedBy.assign(RefusedVotes.begin(), RefusedVotes.end());
+  }
   return Status;
 }
 
--- a/replication/raft_node.h
+++ b/replication/raft_node.h
@@ -88,6 +88,11 @@
   std::uint64_t ConflictingMessages = 0;
   bool StorageFailing = false;
   bool IsRemoved = false; ///< A leader reported that it is no longer a member.
+  bool IsPreVoting = false; ///< A candidate that asks whether it could win.
+  /// Of a candidate: the voters that granted and refused their vote since it
+  /// last asked.
+  std::vector<replica_id> GrantedBy;
+  std::vector<replica_id> RefusedBy;
 };
 
 /// One replica of a Raft log with pre-vote, check-quorum (a leader steps down
--- a/replication/raft_node_implementation.h
+++ b/replication/raft_node_implementation.h
@@ -133,6 +133,7 @@
   // Candidate.
   bool PreVoting = false;
   std::set<replica_id> Votes;
+  std::set<replica_id> RefusedVotes; ///< For status reports.
   std::uint64_t SelfVoteTicket = 0;
 
   // Follower: state of the current term's leader.
--- a/scheduling/membership_manager.cpp
+++ b/scheduling/membership_manager.cpp
@@ -34,6 +34,13 @@
   LastHeardAt[Name] = Now;
 }
 
+std::optional<core::time_point>
+membership_manager::lastHeard(const std::string &Name) const {
+  auto Found = LastHeardAt.find(Name);
+  return Found == LastHeardAt.end() ? std::nullopt
+                                    : std::optional(Found->second);
+}
+
 void membership_manager::reset(core::time_point Now) {
   JoinRequests.clear();
   LastHeardAt.clear();
--- a/scheduling/membership_manager.h
+++ b/scheduling/membership_manager.h
@@ -43,6 +43,8 @@
                          core::time_point Now);
   /// Records a message from a replica.
   void recordHeard(const std::string &Name, core::time_point Now);
+  /// \returns when the replica was last heard, or nothing.
+  std::optional<core::time_point> lastHeard(const std::string &Name) const;
   /// Discards all records; called when leadership begins.
   void reset(core::time_point Now);
 
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -28,6 +28,9 @@
 // 15 ms at a third of a core; heartbeats are due every 50 ms, and followers
 // that miss them for 600 ms elect another leader.
 constexpr std::size_t MaxCommandsPerStep = 2000;
+// Each time-out is drawn from one to two times the shortest one, and voters
+// answer the requests for votes that follow it.
+constexpr int MaxElectionTimeouts = 2;
 // Maximum number of rounds in takeActions(). One output can lead to the next,
 // for example an applied start to an order.
 constexpr int MaxRounds = 4;
@@ -70,6 +73,27 @@
   return Text;
 }
 
+/// Appends an item to a list that is separated by commas.
+void append(std::string &List, const std::string &Item) {
+  if (!List.empty())
+    List += ",";
+  List += Item;
+}
+
+std::string_view toText(replication::raft_role Role, bool IsPreVoting) {
+  switch (Role) {
+  case replication::raft_role::Learner:
+    return "learner";
+  case replication::raft_role::Follower:
+    return "follower";
+  case replication::raft_role::Candidate:
+    return IsPreVoting ? "pre_vote" : "candidate";
+  case replication::raft_role::Leader:
+    return "leader";
+  }
+  return "unknown";
+}
+
 std::string_view toText(run_end Outcome) {
   static constexpr std::array<std::string_view, 8> Names{
       "done",   "failed", "stopped", "lapsed",
@@ -141,6 +165,7 @@
   Load.Term = Status.Term;
   Load.CommitIndex = Status.CommitIndex;
   Load.LastIndex = Status.LastIndex;
+  Load.AppliedIndex = AppliedIndex;
   Load.Voters = 1;
   Load.ReachableVoters = Self.Name;
   for (const auto &Follower : Raft.followers(Now)) {
@@ -148,21 +173,69 @@
     if (!Follower.IsVoter)
       continue;
     ++Load.Voters;
+    append(Load.SyncedIndices,
+           Follower.Id.Name + ":" + std::to_string(Follower.Match));
     if (Follower.ReplyAge < Settings.ElectionTimeout)
-      Load.ReachableVoters += "," + Follower.Id.Name;
+      append(Load.ReachableVoters, Follower.Id.Name);
   }
   Load.QueuedCommands = Queued.size();
   Load.OldestCommand = Queued.wait(Now);
   Load.PendingWrites = PendingWrites.size();
-  if (!PendingWrites.empty())
-    Load.OldestWrite = Now - PendingWrites.begin()->second;
+  Load.OldestWrite = oldestWrite(Now);
   Load.UncommittedEntries = ProposedEntries.size();
   if (!ProposedEntries.empty())
     Load.OldestEntry = Now - ProposedEntries.begin()->second.Since;
+  Load.IsStarting = AppliedIndex < LeaderStartIndex;
+  if (Load.IsStarting) {
+    Load.UncommittedEntries = Status.LastIndex - Status.CommitIndex;
+    Load.OldestEntry = Now - ElectedAt;
+  }
   Load.Refusal = ProposalRefusal;
   return Load;
 }
 
+core::duration schedule_node::oldestWrite(core::time_point Now) const {
+  return PendingWrites.empty() ? core::duration()
+                               : Now - PendingWrites.begin()->second;
+}
+
+std::optional<leaderless_state>
+schedule_node::leaderless(core::time_point Now) const {
+  if (!LeaderlessSince)
+    return std::nullopt;
+  auto Status = Raft.status();
+  leaderless_state Result;
+  Result.Since = Now - *LeaderlessSince;
+  Result.Role = toText(Status.Role, Status.IsPreVoting);
+  Result.Term = Status.Term;
+  Result.CommitIndex = Status.CommitIndex;
+  Result.LastIndex = Status.LastIndex;
+  for (const auto &Member : Status.Members.Members) {
+    if (!Member.Voter)
+      continue;
+    ++Result.Voters;
+    if (Member.Id == Self) {
+      Result.IsVoter = true;
+      ++Result.HeardVoters;
+      continue;
+    }
+    auto Heard = Members.lastHeard(Member.Id.Name);
+    if (!Heard || Now - *Heard > MaxElectionTimeouts * Settings.ElectionTimeout)
+      continue;
+    ++Result.HeardVoters;
+    append(Result.HeardFrom, Member.Id.Name);
+  }
+  for (const auto &Voter : Status.GrantedBy)
+    append(Result.GrantedBy, Voter.Name);
+  for (const auto &Voter : Status.RefusedBy)
+    append(Result.RefusedBy, Voter.Name);
+  Result.IsStorageFailing = Status.StorageFailing;
+  Result.IsRemoved = Status.IsRemoved;
+  Result.PendingWrites = PendingWrites.size();
+  Result.OldestWrite = oldestWrite(Now);
+  return Result;
+}
+
 std::vector<unserved_task> schedule_node::unservedTasks(core::time_point Now) {
   if (!Leader)
     return {};
@@ -218,6 +291,10 @@
 
 void schedule_node::observeRole(core::time_point Now) {
   auto Status = Raft.status();
+  if (Status.Leader)
+    LeaderlessSince.reset();
+  else if (!LeaderlessSince)
+    LeaderlessSince = Now;
   bool Leads = Status.Role == replication::raft_role::Leader;
   if (LeaderTerm != 0 && (!Leads || Status.Term != LeaderTerm))
     handleLeadershipLoss();
@@ -226,6 +303,7 @@
   if (LeaderTerm == 0) {
     LeaderTerm = Status.Term;
     LeaderStartIndex = Status.LastIndex;
+    ElectedAt = Now;
     Members.reset(Now);
     Metrics.add("leaderships_total");
     core::logEvent(core::log_level::Info, "elected",
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -88,6 +88,11 @@
   /// \returns what waits for a commit at this leader, or nothing for a
   /// follower.
   std::optional<replication_load> replicationLoad(core::time_point Now) const;
+  /// \returns why there is no leader, or nothing while this replica knows one.
+  std::optional<leaderless_state> leaderless(core::time_point Now) const;
+  /// \returns the age of the oldest write that is not synced, or zero.
+  core::duration oldestWrite(core::time_point Now) const;
+  std::size_t pendingWrites() const { return PendingWrites.size(); }
   /// \returns the long-running tasks without a run at work, at a leader.
   std::vector<unserved_task> unservedTasks(core::time_point Now);
   /// \returns the IP address of the leader, or an empty string.
@@ -178,6 +183,9 @@
   std::deque<replication::log_entry> CommittedEntries; ///< Not applied yet.
   std::uint64_t LeaderTerm = 0; ///< Term in which this replica leads, or 0.
   std::uint64_t LeaderStartIndex = 0; ///< Last index when it was elected.
+  core::time_point ElectedAt{};       ///< While it leads.
+  /// Since when no leader is known.
+  std::optional<core::time_point> LeaderlessSince;
   std::optional<leader> Leader;
   bool IsLeaderBatchOpen = false;
   proposal_queue Queued;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -40,6 +40,8 @@
 constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
 // A commit takes about 10 ms, and 0.4 s for a configuration of 1 MB.
 constexpr core::duration StallThreshold = std::chrono::milliseconds(1000);
+// An election takes 0.6 to 1.2 s.
+constexpr core::duration LeaderlessThreshold = std::chrono::milliseconds(1000);
 // A long-running task is started again within 1 to 2 s.
 constexpr core::duration UnservedThreshold = std::chrono::milliseconds(3000);
 constexpr std::size_t MaxUnservedLines = 10; // In a second.
@@ -524,13 +526,38 @@
   }
 
   void publishReplication(schedule_node &Node, core::time_point Now) {
-    auto Load = Node.replicationLoad(Now);
-    if (!Load)
-      return;
     auto ToMs = [](core::duration Duration) {
       return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
           .count();
     };
+    auto Leaderless = Node.leaderless(Now);
+    Metrics.set("leaderless_ms",
+                static_cast<double>(Leaderless ? ToMs(Leaderless->Since) : 0));
+    if (Leaderless && Leaderless->Since >= LeaderlessThreshold)
+      core::logEvent(core::log_level::Warning, "no_leader",
+                     {{"since_ms", ToMs(Leaderless->Since)},
+                      {"role", Leaderless->Role},
+                      {"term", Leaderless->Term},
+                      {"commit_index", Leaderless->CommitIndex},
+                      {"last_index", Leaderless->LastIndex},
+                      {"votes", Leaderless->IsVoter},
+                      {"voters", Leaderless->Voters},
+                      {"heard_from", Leaderless->HeardFrom},
+                      {"granted_by", Leaderless->GrantedBy},
+                      {"refused_by", Leaderless->RefusedBy},
+                      {"storage_failing", Leaderless->IsStorageFailing},
+                      {"removed", Leaderless->IsRemoved},
+                      {"pending_writes", Leaderless->PendingWrites},
+                      {"oldest_write_ms", ToMs(Leaderless->OldestWrite)},
+                      {"waits_for", Leaderless->cause()}});
+    auto Load = Node.replicationLoad(Now);
+    if (!Load && Node.oldestWrite(Now) >= StallThreshold)
+      core::logEvent(core::log_level::Warning, "write_stalled",
+                     {{"pending_writes", Node.pendingWrites()},
+                      {"oldest_write_ms", ToMs(Node.oldestWrite(Now))},
+                      {"storage_failing", Node.status().StorageFailing}});
+    if (!Load)
+      return;
     Metrics.set("queued_commands", static_cast<double>(Load->QueuedCommands));
     Metrics.set("commit_wait_ms", static_cast<double>(ToMs(Load->wait())));
     Metrics.set("pending_writes", static_cast<double>(Load->PendingWrites));
@@ -540,8 +567,11 @@
                    {{"term", Load->Term},
                     {"commit_index", Load->CommitIndex},
                     {"last_index", Load->LastIndex},
+                    {"applied_index", Load->AppliedIndex},
+                    {"starting", Load->IsStarting},
                     {"voters", Load->Voters},
                     {"reachable_voters", Load->ReachableVoters},
+                    {"synced_indices", Load->SyncedIndices},
                     {"blocked_followers", Load->BlockedFollowers},
                     {"queued_commands", Load->QueuedCommands},
                     {"oldest_command_ms", ToMs(Load->OldestCommand)},
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -231,6 +231,44 @@
   CHECK(Fixture.Responses[0].Response.Status == 503);
 }
 
+// Guards against requests that fail without a line that says why.
+TEST_CASE("a report names the reasons of failed requests and what is known of "
+          "each scheduler") {
+  forwarder_fixture Fixture;
+  Fixture.advance(0ms);
+  Fixture.request(1);
+  Fixture.status("b", false, 4);
+  Fixture.advance(1200ms);
+  auto Report = Fixture.Forwarder.takeReport(Fixture.Now);
+  CHECK(!Report.HasLeader);
+  CHECK(Report.LeaderlessFor == 1200ms);
+  CHECK(Report.Failed == 1);
+  CHECK(Report.Reasons == "no_leader/503=1");
+  CHECK(Report.Schedulers == "a:up:follows:0:never,b:up:follows:4:1200");
+
+  Fixture.status("a", true, 5);
+  for (std::uint64_t Id = 2; Id != 5; ++Id)
+    Fixture.request(Id);
+  REQUIRE(Fixture.Calls.size() == 3);
+  Fixture.reply("a", Fixture.Calls[0].Call.Id, true, 503);
+  Fixture.reply("a", Fixture.Calls[1].Call.Id, true, 200);
+  Fixture.advance(100ms);
+  Report = Fixture.Forwarder.takeReport(Fixture.Now);
+  CHECK(Report.HasLeader);
+  CHECK(Report.LeaderlessFor == 0ms);
+  CHECK(Report.Reasons == "answered/503=1");
+  CHECK(Report.OpenCalls == 1);
+  CHECK(Report.WaitingCalls == 0);
+  CHECK(Report.OldestCall == 100ms);
+  Fixture.advance(1s);
+  CHECK(Fixture.Forwarder.takeReport(Fixture.Now).WaitingCalls == 1);
+  // It was sent to a scheduler that went silent.
+  Fixture.advance(1400ms);
+  Report = Fixture.Forwarder.takeReport(Fixture.Now);
+  CHECK(Report.Failed == 1);
+  CHECK(Report.Reasons == "no_next_leader/504=1");
+}
+
 TEST_CASE("each scheduler that a status names is connected to once") {
   forwarder_fixture Fixture;
   Fixture.Forwarder.receive("a", status_message{false, 1, {"a", "c", "b"}},
--- a/tests/scheduling/test_schedule_node.cpp
+++ b/tests/scheduling/test_schedule_node.cpp
@@ -1,3 +1,5 @@
+#include "control/control_frames.h"
+#include "replication/messages.h"
 #include "schedule_fixture.h"
 #include "scheduling/schedule_node.h"
 
@@ -122,6 +124,100 @@
   }
 };
 
+/// One of three voters. The second one answers requests for votes and
+/// heartbeats but syncs nothing; the third one is silent.
+class voter_of_three {
+public:
+  voter_of_three() : Node(makeNode()) {}
+
+  void advance(core::duration Time) {
+    for (auto End = Now + Time; Now < End;)
+      step();
+  }
+  void elect() {
+    auto Limit = Now + 10s;
+    while (Node.status().Role != replication::raft_role::Leader) {
+      REQUIRE(Now < Limit);
+      step();
+    }
+    step(); // The node notices it.
+  }
+
+private:
+  void step() {
+    Now += 10ms;
+    Node.tick(Now);
+    auto Actions = Node.takeActions(Now);
+    for (const auto &Write : Actions.Writes)
+      LastTicket = Write.Ticket;
+    if (!IsStalled)
+      Node.stored(LastTicket, Now);
+    for (const auto &Message : Actions.Messages)
+      if (Message.Peer == Second.Name)
+        answer(Message.Bytes);
+  }
+
+  void answer(const std::string &Bytes) {
+    auto Frame = core::capture([&] { return control::decodeFrame(Bytes); });
+    REQUIRE(Frame.index() == 0);
+    auto Message = replication::decodeMessage(std::get<0>(Frame).Bytes);
+    REQUIRE(Message);
+    if (const auto *Request =
+            std::get_if<replication::vote_request>(&Message->Body)) {
+      replication::vote_reply Reply;
+      Reply.Pre = Request->Pre;
+      Reply.Granted = GrantsVotes;
+      // A refused request for a pre-vote is answered with the current term.
+      Reply.Term =
+          Request->Pre && !GrantsVotes ? Request->Term - 1 : Request->Term;
+      if (AnswersVotes)
+        send(Reply);
+    } else if (const auto *Append =
+                   std::get_if<replication::append_message>(&Message->Body)) {
+      replication::append_reply Reply;
+      Reply.Term = Append->Term;
+      Reply.Round = Append->Round;
+      Reply.Accepted = true;
+      Reply.Received = Append->PrevIndex + Append->Entries.size();
+      send(Reply);
+    }
+  }
+
+  void send(replication::message_body Body) {
+    control::control_frame Frame;
+    Frame.Cluster = "schedulers";
+    Frame.From = Second;
+    Frame.To = Self;
+    Frame.Bytes = replication::encodeMessage({Second, Self, std::move(Body)});
+    Node.receive(Second.Name, control::encodeFrame(Frame), Now);
+  }
+
+  schedule_node makeNode() {
+    scheduler_settings Settings;
+    Settings.Address = Self.Name;
+    replication::membership Initial;
+    for (const auto &Id :
+         {Self, Second, replication::replica_id{"10.0.0.3", 1}})
+      Initial.Members.push_back({Id, true});
+    replication::persistent_state Persisted;
+    Persisted.Hard.Term = 1;
+    return {Settings, Self, std::move(Persisted), Initial, Metrics, Now};
+  }
+
+  // Declared before Node, whose construction uses them.
+  const replication::replica_id Self{"10.0.0.1", 1};
+  const replication::replica_id Second{"10.0.0.2", 1};
+  core::metrics_registry Metrics;
+  std::uint64_t LastTicket = 0;
+
+public:
+  core::time_point Now{1s};
+  bool AnswersVotes = true;
+  bool GrantsVotes = true;
+  bool IsStalled = false; ///< Its own disk.
+  schedule_node Node;
+};
+
 /// \returns a configuration with this many more queues, and a document of 190
 /// bytes for each, as the operator's has.
 configuration makeLargeConfiguration(std::uint64_t Version,
@@ -210,6 +306,69 @@
   CHECK(Scheduler.awaitReply(Later, 100ms) == reply_kind::Unavailable);
 }
 
+// Guards against a leader that cannot commit its first entry and reports that
+// nothing waits.
+TEST_CASE("a leader whose first entry is not committed reports what it waits "
+          "for") {
+  voter_of_three Voter;
+  Voter.elect();
+  auto Load = Voter.Node.replicationLoad(Voter.Now);
+  REQUIRE(Load);
+  Voter.advance(1500ms);
+  Load = Voter.Node.replicationLoad(Voter.Now);
+  REQUIRE(Load);
+  CHECK_FALSE(Voter.Node.isLeading());
+  CHECK(Load->IsStarting);
+  CHECK(Load->UncommittedEntries == 1);
+  CHECK(Load->OldestEntry >= 1500ms);
+  CHECK(Load->cause() == "majority");
+  CHECK(Load->ReachableVoters == "10.0.0.1,10.0.0.2");
+  CHECK(Load->SyncedIndices == "10.0.0.2:0,10.0.0.3:0");
+}
+
+// Guards against a deployment without a leader in whose log no line says why.
+TEST_CASE("a voter without a leader reports whom it hears and who votes") {
+  voter_of_three Voter;
+  Voter.AnswersVotes = false;
+  Voter.advance(3s);
+  auto State = Voter.Node.leaderless(Voter.Now);
+  REQUIRE(State);
+  CHECK(State->Since >= 2900ms);
+  CHECK(State->Role == "pre_vote");
+  CHECK(State->Voters == 3);
+  CHECK(State->HeardVoters == 1);
+  CHECK(State->GrantedBy == "10.0.0.1");
+  CHECK(State->cause() == "majority");
+
+  Voter.AnswersVotes = true;
+  Voter.GrantsVotes = false;
+  Voter.advance(3s);
+  State = Voter.Node.leaderless(Voter.Now);
+  REQUIRE(State);
+  CHECK(State->HeardFrom == "10.0.0.2");
+  CHECK(State->RefusedBy == "10.0.0.2");
+  CHECK(State->cause() == "votes");
+
+  // The own vote waits for the disk.
+  Voter.GrantsVotes = true;
+  Voter.IsStalled = true;
+  for (int Step = 0; Step != 300; ++Step) {
+    Voter.advance(10ms);
+    State = Voter.Node.leaderless(Voter.Now);
+    REQUIRE(State);
+    if (State->PendingWrites > 0 && State->cause() == "write")
+      break;
+  }
+  CHECK(State->PendingWrites > 0);
+  CHECK(State->cause() == "write");
+
+  Voter.Node.storageFailed(Voter.Now);
+  CHECK(Voter.Node.leaderless(Voter.Now)->cause() == "storage");
+  Voter.IsStalled = false;
+  Voter.elect();
+  CHECK_FALSE(Voter.Node.leaderless(Voter.Now));
+}
+
 TEST_CASE("a restarted scheduler replays its log in steps that are short "
           "compared to the election time-out") {
   // 5,000 commands take 35 ms at a third of a core; the time-out is 600 ms.
