Sync all writes that wait for the disk at once

What callers see: for as long as disks sync more slowly than entries arrive, all submissions fail (503 at once, or 504), ended tasks get no next run for seconds, and no other leader is elected.

Cause: the storage thread synced each write alone. A follower issues a write for each iteration that receives entries, and a leader stops waiting for a write after 20 ms and issues one for each iteration. When writes arrive faster than they are synced, the queue grows: up to 256 messages in flight at each follower, and without limit at the leader. Every commit waits for the whole queue, while heartbeats are answered, so the leader stays. Votes wait in the same queue.

A failed batch is repeated as a whole; the result names the last ticket, which covers those before it.

The existing tests of the worker are unchanged.

--- a/control/storage_worker.h
+++ b/control/storage_worker.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETRESTLE_CONTROL_STORAGE_WORKER_H
 #define LYCHEETRESTLE_CONTROL_STORAGE_WORKER_H
 
+#include "control/write_batch.h"
 #include "core/bounded_ring.h"
 #include "core/clock.h"
 #include "core/event_log.h"
@@ -10,19 +11,21 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <thread>
 #include <utility>
 
 namespace lycheetrestle::control {
 
-/// Result of one attempt to store a write.
+/// Result of one attempt to store writes.
 struct storage_result {
-  std::uint64_t Ticket = 0;
-  bool Stored = false; ///< When false, the write is retried.
+  std::uint64_t Ticket = 0; ///< Of the last of the writes.
+  bool Stored = false;      ///< When false, the write is retried.
 };
 
-/// Storage thread: executes the writes in order and syncs each of them. A
-/// failed write is reported and retried until it succeeds.
+/// Storage thread: executes the writes in order and syncs them; writes that
+/// arrive during a sync share the next one. A failed write is reported and
+/// retried until it succeeds.
 ///
 /// \tparam Store a type with the members execute() and sizeBytes() of
 /// log_store.
@@ -65,11 +68,14 @@
 
 private:
   void run() {
-    replication::storage_write Write;
+    std::optional<replication::storage_write> Next;
     Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
     while (true) {
-      if (Writes.pop(Write)) {
-        store(Write);
+      if (Next || (Next = take())) {
+        write_batch Batch(std::move(*Next));
+        while ((Next = take()) && Batch.add(*Next))
+          ;
+        store(Batch.write());
         continue;
       }
       if (Stopping)
@@ -78,6 +84,13 @@
     }
   }
 
+  std::optional<replication::storage_write> take() {
+    replication::storage_write Write;
+    if (!Writes.pop(Write))
+      return std::nullopt;
+    return Write;
+  }
+
   void store(const replication::storage_write &Write) {
     while (true) {
       auto Begin = core::boot_clock::now();
--- a/tests/control/test_workers.cpp
+++ b/tests/control/test_workers.cpp
@@ -26,6 +26,22 @@
   std::uint64_t sizeBytes() const { return Written->size(); }
 };
 
+/// Log store that takes 5 ms for each sync.
+struct slow_store {
+  std::shared_ptr<std::vector<std::uint64_t>> Indices =
+      std::make_shared<std::vector<std::uint64_t>>();
+  std::shared_ptr<int> Syncs = std::make_shared<int>(0);
+
+  core::result<void> execute(const replication::storage_write &Write) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    ++*Syncs;
+    for (const auto &Entry : Write.Append)
+      Indices->push_back(Entry.Index);
+    return {};
+  }
+  std::uint64_t sizeBytes() const { return Indices->size(); }
+};
+
 /// Platform that does not answer orders for the host `lost` and refuses those
 /// for the host `old` because of their epoch.
 struct fake_platform {
@@ -53,6 +69,14 @@
   return Write;
 }
 
+replication::storage_write appendOf(std::uint64_t Ticket,
+                                    std::size_t Bytes = 1) {
+  auto Write = writeOf(Ticket);
+  Write.Append.push_back(
+      {Ticket, 1, replication::entry_kind::Command, std::string(Bytes, 'x')});
+  return Write;
+}
+
 platform_round roundOf(std::initializer_list<std::string> Hosts) {
   platform_round Round;
   for (const auto &Host : Hosts) {
@@ -101,6 +125,76 @@
   CHECK(Metrics.counter("storage_failures_total") == 1);
 }
 
+// Guards against a disk that falls behind: with a sync for each write, 500
+// writes that arrive within some milliseconds are stored after 2.5 s.
+TEST_CASE("writes that arrive during a sync share the next one") {
+  constexpr std::uint64_t Count = 500;
+  core::metrics_registry Metrics;
+  core::ring_signal Signal;
+  slow_store Store;
+  storage_worker<slow_store> Worker(Store, Signal, Metrics);
+  Worker.start();
+  std::vector<std::uint64_t> Expected;
+  for (std::uint64_t Ticket = 1; Ticket <= Count; ++Ticket) {
+    Expected.push_back(Ticket);
+    REQUIRE(Worker.writes().push(appendOf(Ticket)));
+  }
+  std::uint64_t Stored = 0;
+  auto End = core::boot_clock::now() + std::chrono::seconds(10);
+  while (Stored < Count && core::boot_clock::now() < End) {
+    Worker.results().drain([&](storage_result &&Result) {
+      CHECK(Result.Stored);
+      CHECK(Result.Ticket > Stored);
+      Stored = Result.Ticket;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  Worker.stop();
+  CHECK(Stored == Count);
+  CHECK(*Store.Indices == Expected);
+  CHECK(*Store.Syncs < 100);
+}
+
+TEST_CASE("a batch of writes has the parts of all of them") {
+  write_batch Batch(appendOf(1));
+  auto Vote = writeOf(2);
+  Vote.Hard = replication::hard_state{7, std::nullopt};
+  auto Next = appendOf(3);
+  REQUIRE(Batch.add(Vote));
+  REQUIRE(Batch.add(Next));
+  CHECK(Batch.write().Ticket == 3);
+  REQUIRE(Batch.write().Hard);
+  CHECK(Batch.write().Hard->Term == 7);
+  REQUIRE(Batch.write().Append.size() == 2);
+  CHECK(Batch.write().Append.back().Index == 3);
+}
+
+// Guards against a combination that would store the parts in another order: a
+// truncation or a snapshot applies before the entries of its own write only.
+TEST_CASE("a write with a truncation or a snapshot is executed alone") {
+  auto Other = appendOf(2);
+  if (GENERATE(false, true))
+    Other.TruncateFrom = 2;
+  else
+    Other.Snapshot = replication::snapshot{1, 1, {}, "state"};
+  auto Append = appendOf(3);
+  write_batch After(Other);
+  CHECK_FALSE(After.add(Append));
+  CHECK(Append.Append.size() == 1);
+  write_batch Before(appendOf(1));
+  CHECK_FALSE(Before.add(Other));
+  CHECK(Before.write().Ticket == 1);
+}
+
+TEST_CASE("a batch is bounded, but a single write may be larger") {
+  write_batch Batch(appendOf(1, write_batch::MaxBytes / 2));
+  auto Large = appendOf(2, write_batch::MaxBytes / 2);
+  CHECK_FALSE(Batch.add(Large));
+  CHECK(Large.Append.front().Payload.size() == write_batch::MaxBytes / 2);
+  write_batch Oversized(appendOf(1, 2 * write_batch::MaxBytes));
+  CHECK(Oversized.write().Append.size() == 1);
+}
+
 TEST_CASE("a stop completes queued writes but does not retry failed ones") {
   core::metrics_registry Metrics;
   core::ring_signal Signal;
