Lose the runs of an endpoint that another incarnation replaced for good

What callers see: a long-running class is not served for as long as the leader stays, and no line says why.

Cause: when another incarnation answers under the id of an endpoint, the leader sends the endpoint nothing more and waits until that incarnation sends a heartbeat, which takes over the runs. Without a heartbeat, for example because it ended again, the runs stayed: only a suspect's runs are lost when the lease expires, and an endpoint that gets no orders never becomes a suspect.

Change: such an endpoint's runs are lost after the time in which an order for them can still be executed there, 12 s and the maximum lease, as for an endpoint that restarted under its id. endpoint_answered_as_another is logged once.

Measured: the new test of test_leader failed before (still assigned after 60 s) and passes now (lost between 22 and 25 s).

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -293,6 +293,20 @@
         Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
 }
 
+void leader::recordReplacement(tracked_endpoint &Tracked,
+                               core::time_point Now) {
+  if (std::exchange(Tracked.IsReplaced, true))
+    return;
+  // The runs move to the other incarnation when it sends a heartbeat. Without
+  // one they are lost once no order for them can still be executed there: late
+  // ones arrive within MaxOrderDelay, and their leases are in another clock.
+  Tracked.LeaseExpiry =
+      std::max(Tracked.LeaseExpiry,
+               Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
+  core::logEvent(core::log_level::Warning, "endpoint_answered_as_another",
+                 {{"endpoint", Tracked.Id}, {"runs", Tracked.Runs.size()}});
+}
+
 void leader::applyFirstHeartbeat(tracked_endpoint &Tracked,
                                  const endpoint_facts &Facts) {
   auto First = UncommittedHeartbeats.find(Facts.Id);
@@ -425,8 +439,10 @@
         Commands.emplace_back(end_endpoint{Number});
       continue;
     }
-    // The polls of an endpoint that answers report the state of its runs.
-    if (!Tracked.IsSuspect || Now < Tracked.LeaseExpiry)
+    // The polls of an endpoint that answers report the state of its runs. One
+    // that another incarnation replaced is not polled.
+    if ((!Tracked.IsSuspect && !Tracked.IsReplaced) ||
+        Now < Tracked.LeaseExpiry)
       continue;
     for (auto &[Key, Run] : Tracked.Runs) {
       if (Run.IsEnded)
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -217,6 +217,8 @@
   /// Compares the endpoint's list of runs with the runs recorded here.
   void reconcileRuns(tracked_endpoint &Tracked, const endpoint_answer &Answer,
                      core::time_point SentAt, core::time_point Now);
+  /// Records that another incarnation answers under the endpoint's id.
+  void recordReplacement(tracked_endpoint &Tracked, core::time_point Now);
   /// \returns whether the answer comes from the tracked incarnation and the
   /// endpoint obeys this leader.
   bool recordAnswer(tracked_endpoint &Tracked, const endpoint_answer &Answer,
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -99,9 +99,7 @@
   const auto &Facts = State.endpoints().find(Tracked.Endpoint)->second.Facts;
   if (Answer.IncarnationMs && *Answer.IncarnationMs != Facts.IncarnationMs &&
       Answer.Verdict != endpoint_verdict::OtherIncarnation) {
-    // The runs move to the other incarnation when it sends a heartbeat; until
-    // then it is not tracked.
-    Tracked.IsReplaced = true;
+    recordReplacement(Tracked, Now);
     return false;
   }
   if (Answer.Verdict == endpoint_verdict::OtherIncarnation) {
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -403,6 +403,28 @@
   CHECK(Endpoints.count(1) == 1);
 }
 
+// Guards against a task without a run for as long as the leader stays: it sent
+// nothing to such an endpoint and waited for its runs without a bound.
+TEST_CASE("the runs of an endpoint are lost when another incarnation answers "
+          "under its id and never sends a heartbeat") {
+  budget_harness Harness;
+  auto Answer = Harness.running(1);
+  Answer.IncarnationMs = 99;
+  Harness.answerPoll(1, Answer);
+  auto Since = Harness.Now;
+  task_key Task{"j", 0, 0, 0};
+  while (Harness.State.findTask(Task)->Endpoint == 1 &&
+         Harness.Now - Since < 60s) {
+    Harness.answerPoll(2, Harness.running(2));
+    Harness.commit();
+  }
+  CHECK(Harness.State.findTask(Task)->isWaiting());
+  // An order in flight may be executed after 12 s with a lease of 10 s.
+  CHECK(Harness.Now - Since > 22s);
+  CHECK(Harness.Now - Since < 25s);
+  CHECK(Harness.State.findTask({"j", 0, 0, 1})->Endpoint == 2);
+}
+
 TEST_CASE("tasks on an endpoint that has not answered for seconds count "
           "against the budget of their step") {
   budget_harness Harness;
