Poll an endpoint again whose heartbeats continue after a foreign answer

What callers see: an endpoint that is up gets no work, and the leases of its runs lapse, for as long as the leader stays.

Cause: one answer with another start time under the id of an endpoint, for example of a process that still uses its address, excluded the endpoint for good, although its own heartbeats went on and were acknowledged.

Change: a later heartbeat of the recorded incarnation ends the exclusion. If the other incarnation did replace it, the next answer shows that again; an order sent in between is treated as before, because starts may reach a later incarnation at any time.

Measured: the new test of test_leader failed before (no poll) and passes now.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -346,6 +346,10 @@
   auto &Tracked = trackEndpoint(Endpoint->Number, Now);
   if (Heartbeat.Sequence < Tracked.Sequence)
     return true;
+  // It is still there, so another incarnation answered by mistake, for example
+  // at an address that both have used. If not, the next answer shows it again.
+  if (Heartbeat.Sequence > Tracked.Sequence)
+    Tracked.IsReplaced = false;
   Tracked.Sequence = Heartbeat.Sequence;
   Tracked.LastHeartbeat = Now;
   recordCapacity(Tracked, Heartbeat, Now);
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -425,6 +425,30 @@
   CHECK(Harness.State.findTask({"j", 0, 0, 1})->Endpoint == 2);
 }
 
+// Guards against an endpoint that gets no polls and no work any more although
+// it sends heartbeats.
+TEST_CASE("an endpoint whose heartbeats continue after an answer of another "
+          "incarnation is polled again") {
+  budget_harness Harness;
+  auto Answer = Harness.running(1);
+  Answer.IncarnationMs = 99;
+  Harness.answerPoll(1, Answer);
+  Harness.advanceTime(100ms);
+  auto IsPolled = [&] {
+    auto Polls = Harness.take<poll_order>();
+    return std::any_of(Polls.begin(), Polls.end(),
+                       [](const order &Order) { return Order.Endpoint == 1; });
+  };
+  CHECK_FALSE(IsPolled());
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = makeEndpoint("e1");
+  Heartbeat.ClockMs = 100;
+  Heartbeat.Sequence = 1;
+  CHECK(Harness.Leader->recordHeartbeat(Heartbeat, Harness.Now));
+  Harness.advanceTime(100ms);
+  CHECK(IsPolled());
+}
+
 TEST_CASE("tasks on an endpoint that has not answered for seconds count "
           "against the budget of their step") {
   budget_harness Harness;
