Keep a change of a link's state while the ring to the event loop is full

What callers see: a gateway refuses every request (503, no leader known) until its link to the leader breaks.

Cause: when the ring between the links and the event loop of a scheduler was full, the event that a gateway connected was dropped like a message. A message is repeated or times out, but that event is not, and schedulers send statuses only to gateways of which they know. The same held for delegates.

Change: link_events keeps the last state of each link that did not fit and passes it on before the next message. Both processes use it. link_changes_delayed_total counts them.

--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "gateway/forwarder.h"
 #include "http/server.h"
+#include "transport/link_events.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
 
@@ -27,13 +28,6 @@
 // Elements of a ring between two threads.
 constexpr std::size_t RingCapacity = 8192;
 
-/// A message received on a link, or a change of its state.
-struct link_event {
-  std::string Peer;
-  std::string Bytes; ///< Empty for a change of state.
-  bool IsUp = false;
-};
-
 core::failure ioFailure(std::string Message, std::string Field) {
   return {core::error_code::IoError, std::move(Message), std::move(Field), "",
           core::verdict::NotRun};
@@ -106,12 +100,12 @@
   transport::link_handlers linkHandlers() {
     transport::link_handlers Handlers;
     Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
-      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+      if (!LinkEvents.addMessage(Peer, std::move(Bytes)))
         Metrics.add("link_messages_dropped_total");
     };
     Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
-      if (!LinkEvents.push({Peer, "", IsUp}))
-        Metrics.add("link_messages_dropped_total");
+      if (!LinkEvents.addChange(Peer, IsUp))
+        Metrics.add("link_changes_delayed_total");
     };
     Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
       core::logEvent(core::log_level::Debug, "link_error",
@@ -124,7 +118,8 @@
     std::optional<core::time_point> StopSince;
     while (true) {
       auto Now = boot_clock::now();
-      LinkEvents.drain([&](link_event &&Event) { receive(Event, Now); });
+      LinkEvents.drain(
+          [&](transport::link_event &&Event) { receive(Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         auto Deadline = Now + deadlineOf(Request.Request);
         Forwarder.request(std::move(Request), Deadline, Now);
@@ -179,7 +174,7 @@
     return std::chrono::milliseconds(Count);
   }
 
-  void receive(const link_event &Event, core::time_point Now) {
+  void receive(const transport::link_event &Event, core::time_point Now) {
     if (Event.Bytes.empty()) {
       Forwarder.linkChanged(Event.Peer, Event.IsUp, Now);
       return;
@@ -248,7 +243,7 @@
   int ReloadsDone = 0;
   core::metrics_registry Metrics;
   core::ring_signal Signal;
-  core::bounded_ring<link_event> LinkEvents;
+  transport::link_events LinkEvents;
   core::bounded_ring<http::server_request> Requests;
   std::atomic<bool> IsReady = false;
   transport::link_hub Hub;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -13,6 +13,7 @@
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
+#include "transport/link_events.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
 
@@ -68,13 +69,6 @@
   std::string Target;   ///< Path and query, for redirects.
 };
 
-/// A message received on a link, or a change of its state.
-struct link_event {
-  std::string Peer;
-  std::string Bytes; ///< Empty for a change of state.
-  bool IsUp = false;
-};
-
 /// \returns the identity of a replica whose data folder is empty.
 storage::folder_identity newIdentity(const scheduler_settings &Settings) {
   storage::folder_identity Identity;
@@ -180,12 +174,12 @@
   transport::link_handlers linkHandlers() {
     transport::link_handlers Handlers;
     Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
-      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+      if (!LinkEvents.addMessage(Peer, std::move(Bytes)))
         Metrics.add("link_messages_dropped_total");
     };
     Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
-      if (!LinkEvents.push({Peer, "", IsUp}))
-        Metrics.add("link_messages_dropped_total");
+      if (!LinkEvents.addChange(Peer, IsUp))
+        Metrics.add("link_changes_delayed_total");
     };
     Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
       core::logEvent(core::log_level::Debug, "link_error",
@@ -200,7 +194,8 @@
     while (true) {
       auto Now = boot_clock::now();
       Timer.beginIteration();
-      LinkEvents.drain([&](link_event &&Event) { receive(Node, Event, Now); });
+      LinkEvents.drain(
+          [&](transport::link_event &&Event) { receive(Node, Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         if (auto View = viewOf(Node, Request.Request.Target)) {
           Responses.push_back({Request.Id,
@@ -269,7 +264,7 @@
     std::_Exit(1);
   }
 
-  void receive(schedule_node &Node, const link_event &Event,
+  void receive(schedule_node &Node, const transport::link_event &Event,
                core::time_point Now) {
     bool IsGateway = gateway::isGateway(Event.Peer);
     if (Event.Bytes.empty()) {
@@ -383,7 +378,7 @@
       Metrics.add("link_messages_not_sent_total");
   }
 
-  void receiveDelegated(schedule_node &Node, const link_event &Event,
+  void receiveDelegated(schedule_node &Node, const transport::link_event &Event,
                         core::time_point Now) {
     auto Received = Delegator.receive(Event.Peer, Event.Bytes, Now);
     if (!Received.IsValid)
@@ -605,7 +600,7 @@
   core::metrics_registry Metrics;
   core::ring_signal Signal;
   core::ring_signal CallsSignal;
-  core::bounded_ring<link_event> LinkEvents;
+  transport::link_events LinkEvents;
   core::bounded_ring<http::server_request> Requests;
   core::bounded_ring<http::client_call> Calls;
   core::bounded_ring<http::client_result> Results;
