--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "gateway/forwarder.h"
 #include "http/server.h"
+#include "transport/link_events.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
 
@@ -21,17 +22,12 @@
 // Upper bound of the delay until a deadline or a stop request is noticed.
 constexpr core::duration MaxWait = std::chrono::milliseconds(50);
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
+// An election takes 0.6 to 1.2 s.
+constexpr core::duration LeaderlessThreshold = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxBodyBytes = 1u << 20;
 // Elements of a ring between two threads.
 constexpr std::size_t RingCapacity = 8192;
 
-/// A message received on a link, or a change of its state.
-struct link_event {
-  std::string Peer;
-  std::string Bytes; ///< Empty for a change of state.
-  bool IsUp = false;
-};
-
 core::failure ioFailure(std::string Message, std::string Field) {
   return {core::error_code::IoError, std::move(Message), std::move(Field), "",
           core::verdict::NotRun};
@@ -104,12 +100,12 @@
   transport::link_handlers linkHandlers() {
     transport::link_handlers Handlers;
     Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
-      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+      if (!LinkEvents.addMessage(Peer, std::move(Bytes)))
         Metrics.add("link_messages_dropped_total");
     };
     Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
-      if (!LinkEvents.push({Peer, "", IsUp}))
-        Metrics.add("link_messages_dropped_total");
+      if (!LinkEvents.addChange(Peer, IsUp))
+        Metrics.add("link_changes_delayed_total");
     };
     Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
       core::logEvent(core::log_level::Debug, "link_error",
@@ -122,7 +118,8 @@
     std::optional<core::time_point> StopSince;
     while (true) {
       auto Now = boot_clock::now();
-      LinkEvents.drain([&](link_event &&Event) { receive(Event, Now); });
+      LinkEvents.drain(
+          [&](transport::link_event &&Event) { receive(Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         auto Deadline = Now + deadlineOf(Request.Request);
         Forwarder.request(std::move(Request), Deadline, Now);
@@ -177,7 +174,7 @@
     return std::chrono::milliseconds(Count);
   }
 
-  void receive(const link_event &Event, core::time_point Now) {
+  void receive(const transport::link_event &Event, core::time_point Now) {
     if (Event.Bytes.empty()) {
       Forwarder.linkChanged(Event.Peer, Event.IsUp, Now);
       return;
@@ -213,6 +210,30 @@
     Metrics.set("is_ready", IsReady);
     Metrics.set("open_calls", static_cast<double>(Forwarder.openCalls()));
     transport::publishTraffic(Metrics, Hub.traffic());
+    logFailures(Now);
+  }
+
+  void logFailures(core::time_point Now) {
+    auto ToMs = [](core::duration Duration) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
+          .count();
+    };
+    auto Report = Forwarder.takeReport(Now);
+    Metrics.set("leaderless_ms",
+                static_cast<double>(ToMs(Report.LeaderlessFor)));
+    bool IsLeaderless =
+        !Report.HasLeader && Report.LeaderlessFor >= LeaderlessThreshold;
+    if (Report.Failed == 0 && !IsLeaderless)
+      return;
+    core::logEvent(core::log_level::Warning,
+                   IsLeaderless ? "no_leader" : "requests_failed",
+                   {{"failed", Report.Failed},
+                    {"reasons", Report.Reasons},
+                    {"leaderless_ms", ToMs(Report.LeaderlessFor)},
+                    {"open_calls", Report.OpenCalls},
+                    {"waiting_calls", Report.WaitingCalls},
+                    {"oldest_call_ms", ToMs(Report.OldestCall)},
+                    {"schedulers", Report.Schedulers}});
   }
 
   const gateway_settings &Settings;
@@ -222,7 +243,7 @@
   int ReloadsDone = 0;
   core::metrics_registry Metrics;
   core::ring_signal Signal;
-  core::bounded_ring<link_event> LinkEvents;
+  transport::link_events LinkEvents;
   core::bounded_ring<http::server_request> Requests;
   std::atomic<bool> IsReady = false;
   transport::link_hub Hub;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -13,6 +13,7 @@
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
+#include "transport/link_events.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
 
@@ -40,6 +41,8 @@
 constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
 // A commit takes about 10 ms, and 0.4 s for a configuration of 1 MB.
 constexpr core::duration StallThreshold = std::chrono::milliseconds(1000);
+// An election takes 0.6 to 1.2 s.
+constexpr core::duration LeaderlessThreshold = std::chrono::milliseconds(1000);
 // A long-running task is started again within 1 to 2 s.
 constexpr core::duration UnservedThreshold = std::chrono::milliseconds(3000);
 constexpr std::size_t MaxUnservedLines = 10; // In a second.
@@ -66,13 +69,6 @@
   std::string Target;   ///< Path and query, for redirects.
 };
 
-/// A message received on a link, or a change of its state.
-struct link_event {
-  std::string Peer;
-  std::string Bytes; ///< Empty for a change of state.
-  bool IsUp = false;
-};
-
 /// \returns the identity of a replica whose data folder is empty.
 storage::folder_identity newIdentity(const scheduler_settings &Settings) {
   storage::folder_identity Identity;
@@ -178,12 +174,12 @@
   transport::link_handlers linkHandlers() {
     transport::link_handlers Handlers;
     Handlers.OnMessage = [this](const std::string &Peer, std::string Bytes) {
-      if (!LinkEvents.push({Peer, std::move(Bytes), true}))
+      if (!LinkEvents.addMessage(Peer, std::move(Bytes)))
         Metrics.add("link_messages_dropped_total");
     };
     Handlers.OnPeerChange = [this](const std::string &Peer, bool IsUp) {
-      if (!LinkEvents.push({Peer, "", IsUp}))
-        Metrics.add("link_messages_dropped_total");
+      if (!LinkEvents.addChange(Peer, IsUp))
+        Metrics.add("link_changes_delayed_total");
     };
     Handlers.OnError = [](const std::string &Peer, const std::string &Reason) {
       core::logEvent(core::log_level::Debug, "link_error",
@@ -198,7 +194,8 @@
     while (true) {
       auto Now = boot_clock::now();
       Timer.beginIteration();
-      LinkEvents.drain([&](link_event &&Event) { receive(Node, Event, Now); });
+      LinkEvents.drain(
+          [&](transport::link_event &&Event) { receive(Node, Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         if (auto View = viewOf(Node, Request.Request.Target)) {
           Responses.push_back({Request.Id,
@@ -267,7 +264,7 @@
     std::_Exit(1);
   }
 
-  void receive(schedule_node &Node, const link_event &Event,
+  void receive(schedule_node &Node, const transport::link_event &Event,
                core::time_point Now) {
     bool IsGateway = gateway::isGateway(Event.Peer);
     if (Event.Bytes.empty()) {
@@ -381,7 +378,7 @@
       Metrics.add("link_messages_not_sent_total");
   }
 
-  void receiveDelegated(schedule_node &Node, const link_event &Event,
+  void receiveDelegated(schedule_node &Node, const transport::link_event &Event,
                         core::time_point Now) {
     auto Received = Delegator.receive(Event.Peer, Event.Bytes, Now);
     if (!Received.IsValid)
@@ -524,13 +521,38 @@
   }
 
   void publishReplication(schedule_node &Node, core::time_point Now) {
-    auto Load = Node.replicationLoad(Now);
-    if (!Load)
-      return;
     auto ToMs = [](core::duration Duration) {
       return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
           .count();
     };
+    auto Leaderless = Node.leaderless(Now);
+    Metrics.set("leaderless_ms",
+                static_cast<double>(Leaderless ? ToMs(Leaderless->Since) : 0));
+    if (Leaderless && Leaderless->Since >= LeaderlessThreshold)
+      core::logEvent(core::log_level::Warning, "no_leader",
+                     {{"since_ms", ToMs(Leaderless->Since)},
+                      {"role", Leaderless->Role},
+                      {"term", Leaderless->Term},
+                      {"commit_index", Leaderless->CommitIndex},
+                      {"last_index", Leaderless->LastIndex},
+                      {"votes", Leaderless->IsVoter},
+                      {"voters", Leaderless->Voters},
+                      {"heard_from", Leaderless->HeardFrom},
+                      {"granted_by", Leaderless->GrantedBy},
+                      {"refused_by", Leaderless->RefusedBy},
+                      {"storage_failing", Leaderless->IsStorageFailing},
+                      {"removed", Leaderless->IsRemoved},
+                      {"pending_writes", Leaderless->PendingWrites},
+                      {"oldest_write_ms", ToMs(Leaderless->OldestWrite)},
+                      {"waits_for", Leaderless->cause()}});
+    auto Load = Node.replicationLoad(Now);
+    if (!Load && Node.oldestWrite(Now) >= StallThreshold)
+      core::logEvent(core::log_level::Warning, "write_stalled",
+                     {{"pending_writes", Node.pendingWrites()},
+                      {"oldest_write_ms", ToMs(Node.oldestWrite(Now))},
+                      {"storage_failing", Node.status().StorageFailing}});
+    if (!Load)
+      return;
     Metrics.set("queued_commands", static_cast<double>(Load->QueuedCommands));
     Metrics.set("commit_wait_ms", static_cast<double>(ToMs(Load->wait())));
     Metrics.set("pending_writes", static_cast<double>(Load->PendingWrites));
@@ -540,8 +562,11 @@
                    {{"term", Load->Term},
                     {"commit_index", Load->CommitIndex},
                     {"last_index", Load->LastIndex},
+                    {"applied_index", Load->AppliedIndex},
+                    {"starting", Load->IsStarting},
                     {"voters", Load->Voters},
                     {"reachable_voters", Load->ReachableVoters},
+                    {"synced_indices", Load->SyncedIndices},
                     {"blocked_followers", Load->BlockedFollowers},
                     {"queued_commands", Load->QueuedCommands},
                     {"oldest_command_ms", ToMs(Load->OldestCommand)},
@@ -575,7 +600,7 @@
   core::metrics_registry Metrics;
   core::ring_signal Signal;
   core::ring_signal CallsSignal;
-  core::bounded_ring<link_event> LinkEvents;
+  transport::link_events LinkEvents;
   core::bounded_ring<http::server_request> Requests;
   core::bounded_ring<http::client_call> Calls;
   core::bounded_ring<http::client_result> Results;
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -403,6 +403,52 @@
   CHECK(Endpoints.count(1) == 1);
 }
 
+// Guards against a task without a run for as long as the leader stays: it sent
+// nothing to such an endpoint and waited for its runs without a bound.
+TEST_CASE("the runs of an endpoint are lost when another incarnation answers "
+          "under its id and never sends a heartbeat") {
+  budget_harness Harness;
+  auto Answer = Harness.running(1);
+  Answer.IncarnationMs = 99;
+  Harness.answerPoll(1, Answer);
+  auto Since = Harness.Now;
+  task_key Task{"j", 0, 0, 0};
+  while (Harness.State.findTask(Task)->Endpoint == 1 &&
+         Harness.Now - Since < 60s) {
+    Harness.answerPoll(2, Harness.running(2));
+    Harness.commit();
+  }
+  CHECK(Harness.State.findTask(Task)->isWaiting());
+  // An order in flight may be executed after 12 s with a lease of 10 s.
+  CHECK(Harness.Now - Since > 22s);
+  CHECK(Harness.Now - Since < 25s);
+  CHECK(Harness.State.findTask({"j", 0, 0, 1})->Endpoint == 2);
+}
+
+// Guards against an endpoint that gets no polls and no work any more although
+// it sends heartbeats.
+TEST_CASE("an endpoint whose heartbeats continue after an answer of another "
+          "incarnation is polled again") {
+  budget_harness Harness;
+  auto Answer = Harness.running(1);
+  Answer.IncarnationMs = 99;
+  Harness.answerPoll(1, Answer);
+  Harness.advanceTime(100ms);
+  auto IsPolled = [&] {
+    auto Polls = Harness.take<poll_order>();
+    return std::any_of(Polls.begin(), Polls.end(),
+                       [](const order &Order) { return Order.Endpoint == 1; });
+  };
+  CHECK_FALSE(IsPolled());
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = makeEndpoint("e1");
+  Heartbeat.ClockMs = 100;
+  Heartbeat.Sequence = 1;
+  CHECK(Harness.Leader->recordHeartbeat(Heartbeat, Harness.Now));
+  Harness.advanceTime(100ms);
+  CHECK(IsPolled());
+}
+
 TEST_CASE("tasks on an endpoint that has not answered for seconds count "
           "against the budget of their step") {
   budget_harness Harness;
