Answer every request that a stopping HTTP server has read

Four causes in the stop of the server: it dropped the requests without a response; it went on reading requests for 200 ms on open connections and nobody drained the ring any more; its thread could end with bytes that Asio had read and not passed on; and a connection that was closed with unread bytes was reset, which destroys what was not received of the response.

Now the server refuses new requests by itself (503 with Retry-After) from a named moment on, refuses what is still in the ring, reports requests without a response as unknown (504), closes idle connections only if nothing has arrived on them, waits up to 0.5 s for requests that are partly read, and after a response ends the sending direction and reads until the peer closes. RESTinio gives no access to its connections, so its socket type is a class that knows them and that reads only what is passed on at once.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -1,6 +1,8 @@
 #include "http/server.h"
 
 #include "core/event_log.h"
+#include "http/connection_drain.h"
+#include "http/tracked_socket.h"
 
 #include <restinio/all.hpp>
 
@@ -20,6 +22,7 @@
 
 struct server_traits : public restinio::default_single_thread_traits_t {
   using request_handler_t = handler;
+  using stream_socket_t = tracked_socket;
 };
 
 constexpr std::size_t ResponseRingSize = 8192;
@@ -31,10 +34,6 @@
 constexpr auto IdleTimeout = std::chrono::seconds(120);
 constexpr auto RequestTimeout = std::chrono::seconds(60);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
-// Time for writing the last responses: queued responses need one turn of the
-// event loop, and slow clients more.
-constexpr auto StopLinger = std::chrono::milliseconds(200);
-
 std::string toText(restinio::string_view_t View) {
   return std::string(View.data(), View.size());
 }
@@ -58,7 +57,7 @@
                  core::bounded_ring<server_request> &Requests)
       : Settings(std::move(NewSettings)), Local(std::move(NewLocal)),
         Requests(Requests), Responses(ResponseRingSize, ResponseSignal),
-        Work(asio::make_work_guard(Context)), StopTimer(Context) {
+        Work(asio::make_work_guard(Context)), Drain(Context) {
     ResponseSignal.setForward([this] {
       if (!IsSendPosted.exchange(true))
         asio::post(Context, [this] { sendResponses(); });
@@ -95,18 +94,34 @@
 
   void closeAfterResponses() { CloseConnections = true; }
 
+  void refuseRequests() {
+    if (!Thread.joinable())
+      return;
+    std::promise<void> Done;
+    asio::post(Context, [this, &Done] {
+      CloseConnections = true;
+      IsRefusing = true;
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
   std::size_t pendingRequests() const { return PendingCount; }
 
   void stop() {
     if (!Thread.joinable())
       return;
-    asio::post(Context, [this] {
+    refuseRequests();
+    std::vector<std::uint64_t> NotTaken;
+    Requests.drain(
+        [&](server_request &&Request) { NotTaken.push_back(Request.Id); });
+    asio::post(Context, [this, NotTaken = std::move(NotTaken)] {
       sendResponses();
-      Pending.clear();
-      for (auto &Server : Servers)
-        Server->close_sync();
-      StopTimer.expires_after(StopLinger);
-      StopTimer.async_wait([this](const auto &) { Context.stop(); });
+      answerPending(NotTaken);
+      Drain.start([this] {
+        for (auto &Server : Servers)
+          Server->close_sync();
+      });
     });
     Thread.join();
   }
@@ -162,9 +177,9 @@
         respond(Handle, *Response);
         return restinio::request_accepted();
       }
-    if (Pending.size() >= Settings.MaxPending ||
+    if (IsRefusing || Pending.size() >= Settings.MaxPending ||
         !Requests.push({++LastId, std::move(Request)})) {
-      respond(Handle, {503, {{"Retry-After", "1"}}, ""});
+      respond(Handle, Refusal);
       return restinio::request_accepted();
     }
     Pending.emplace(LastId, std::move(Handle));
@@ -197,6 +212,20 @@
     PendingCount = Pending.size();
   }
 
+  /// Answers the requests that will get no response from the application.
+  /// \param NotTaken ids of those that the application has not taken.
+  void answerPending(const std::vector<std::uint64_t> &NotTaken) {
+    for (auto Id : NotTaken)
+      if (auto Found = Pending.find(Id); Found != Pending.end()) {
+        respond(Found->second, Refusal);
+        Pending.erase(Found);
+      }
+    for (const auto &[Id, Handle] : Pending)
+      respond(Handle, {504, {}, ""});
+    Pending.clear();
+    PendingCount = 0;
+  }
+
   void respond(const restinio::request_handle_t &Handle,
                const response &Response) const {
     auto Message = Handle->create_response(restinio::http_status_line_t(
@@ -210,6 +239,8 @@
     Message.done();
   }
 
+  /// The request has not run.
+  const response Refusal{503, {{"Retry-After", "1"}}, ""};
   server_settings Settings;
   local_handler Local;
   core::bounded_ring<server_request> &Requests;
@@ -217,12 +248,13 @@
   core::bounded_ring<server_response> Responses;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work;
-  asio::steady_timer StopTimer;
+  connection_drain Drain;
   std::vector<std::unique_ptr<server_type>> Servers;
   std::map<std::uint64_t, restinio::request_handle_t> Pending;
   std::atomic<std::size_t> PendingCount = 0;
   std::atomic<bool> IsSendPosted = false;
   std::atomic<bool> CloseConnections = false;
+  bool IsRefusing = false; ///< Used only on the server's thread.
   std::uint64_t LastId = 0;
   std::thread Thread;
 };
@@ -242,6 +274,8 @@
 
 void server::closeAfterResponses() { Impl->closeAfterResponses(); }
 
+void server::refuseRequests() { Impl->refuseRequests(); }
+
 std::size_t server::pendingRequests() const { return Impl->pendingRequests(); }
 
 void server::stop() { Impl->stop(); }
--- a/http/server.h
+++ b/http/server.h
@@ -67,9 +67,16 @@
   /// Makes each further response close its connection, so that clients
   /// reconnect to other processes. Safe from any thread.
   void closeAfterResponses();
+  /// Refuses each further request as not run: with 503, Retry-After and the end
+  /// of its connection. After the call, none is pushed into the ring.
+  void refuseRequests();
   /// \returns the number of requests without a response. Safe from any thread.
   std::size_t pendingRequests() const;
-  /// Sends the queued responses, closes all connections and joins the thread.
+  /// Refuses further requests and those that are still in the ring, sends the
+  /// queued responses, and reports the requests without a response as unknown
+  /// with 504. Closes all connections, waiting up to 0.5 s for requests that
+  /// are partly read and for clients to receive their responses; then joins the
+  /// thread. Must be called on the thread that consumes the ring.
   void stop();
 
 private:
