Give each request a true answer before a stopping gateway ends

Also, the gateway ended on a check for open requests that was made while it still took requests, and it reported itself ready for up to one more turn of its loop after the stop request.

Now the decision is a tested class with the phases lingering, refusing and finished. New requests are refused from the end of the linger on, and the gateway ends only when none is open after that moment. At the bounds the forwarder answers what is open: as not run if no scheduler received it, else as unknown.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -200,14 +200,22 @@
     }
     send(Call, *Current);
   }
-  for (auto Id : Expired) {
-    const auto &Call = OpenCalls.find(Id)->second;
-    // The outcome is unknown only if a copy is in flight or was lost.
-    bool HasNotRun = Call.SentTo.empty() && !Call.MayHaveRun;
-    finish(Id, HasNotRun ? 503 : 504, HasNotRun ? RetryAfterElectionS : 0,
-           HasNotRun ? R"({"error":"unavailable"})" : R"({"error":"unknown"})",
-           "no reply in time", Now);
-  }
+  for (auto Id : Expired)
+    finishWithoutReply(Id, "no reply in time", Now);
+}
+
+void forwarder::finishAll(core::time_point Now) {
+  while (!OpenCalls.empty())
+    finishWithoutReply(OpenCalls.begin()->first, "the gateway stops", Now);
+}
+
+void forwarder::finishWithoutReply(std::uint64_t Id, std::string_view Reason,
+                                   core::time_point Now) {
+  const auto &Call = OpenCalls.find(Id)->second;
+  bool HasNotRun = Call.SentTo.empty() && !Call.MayHaveRun;
+  finish(Id, HasNotRun ? 503 : 504, HasNotRun ? RetryAfterElectionS : 0,
+         HasNotRun ? R"({"error":"unavailable"})" : R"({"error":"unknown"})",
+         Reason, Now);
 }
 
 void forwarder::finish(std::uint64_t Id, std::uint16_t Status,
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -68,6 +68,9 @@
   void callNotSent(std::uint64_t Id, core::time_point Now);
   /// Resends calls to a new leader and answers those whose time is over.
   void tick(core::time_point Now);
+  /// Answers all open requests because the process ends: those that no
+  /// scheduler received as not run, the others as unknown.
+  void finishAll(core::time_point Now);
   /// \returns what to do since the last call.
   forwarder_actions takeActions();
   /// \returns whether a leader is known, so that requests can be forwarded.
@@ -94,6 +97,10 @@
   /// \returns the IP address of the connected leader with the highest term.
   std::optional<std::string> leader(core::time_point Now) const;
   void send(open_call &Call, const std::string &Peer);
+  /// Answers a call without a reply: as unknown only if a copy is in flight or
+  /// was lost.
+  void finishWithoutReply(std::uint64_t Id, std::string_view Reason,
+                          core::time_point Now);
   void finish(std::uint64_t Id, std::uint16_t Status, std::uint32_t RetryAfterS,
               std::string Body, std::string_view Reason, core::time_point Now);
 
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "gateway/forwarder.h"
+#include "gateway/stop_plan.h"
 #include "http/server.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
@@ -53,7 +54,8 @@
               return answerLocally(Request);
             },
             Requests),
-        Forwarder({}, Settings.Seeds, Metrics) {}
+        Forwarder({}, Settings.Seeds, Metrics),
+        Plan({Settings.StopLinger, Settings.StopDrain}) {}
 
   core::result<void> run() {
     if (auto Reason = Hub.start(); !Reason.empty())
@@ -64,10 +66,14 @@
                    {{"listen", core::toString(Settings.Listen)},
                     {"seeds", Settings.Seeds.size()}});
     runEventLoop();
+    auto OpenCalls = Forwarder.openCalls();
+    auto Now = boot_clock::now();
+    Forwarder.finishAll(Now);
+    execute(Now);
     Server.stop();
     Hub.stop();
     core::logEvent(core::log_level::Info, "gateway_stopped",
-                   {{"open_calls", Forwarder.openCalls()}});
+                   {{"open_calls", OpenCalls}});
     return {};
   }
 
@@ -119,9 +125,11 @@
   }
 
   void runEventLoop() {
-    std::optional<core::time_point> StopSince;
     while (true) {
       auto Now = boot_clock::now();
+      // Readiness fails before anything else changes.
+      bool IsStopping = Signals.Stops > 0;
+      IsReady = !IsStopping && Forwarder.isReady(Now);
       LinkEvents.drain([&](link_event &&Event) { receive(Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         auto Deadline = Now + deadlineOf(Request.Request);
@@ -129,20 +137,31 @@
       });
       Forwarder.tick(Now);
       execute(Now);
-      IsReady = !StopSince && Forwarder.isReady(Now);
       publishMetrics(Now);
       reloadSeeds();
-      if (Signals.Stops > 0 && !StopSince) {
-        StopSince = Now;
-        core::logEvent(core::log_level::Info, "shutdown_started", {});
-        Server.closeAfterResponses();
-      }
-      if (StopSince && isStopDue(*StopSince, Now))
+      if (advanceStop(Now) == stop_phase::Finished)
         return;
       Signal.waitFor(MaxWait);
     }
   }
 
+  stop_phase advanceStop(core::time_point Now) {
+    bool HasOpenRequests = Forwarder.openCalls() != 0 || !Pending.empty() ||
+                           Server.pendingRequests() != 0;
+    auto Old = Phase;
+    Phase = Plan.advance(Signals.Stops, HasOpenRequests, Now);
+    if (Phase == Old)
+      return Phase;
+    core::logEvent(
+        core::log_level::Info, "shutdown_phase",
+        {{"phase", toString(Phase)}, {"open_calls", Forwarder.openCalls()}});
+    IsReady = false;
+    Server.closeAfterResponses();
+    if (Phase == stop_phase::Refusing)
+      Server.refuseRequests();
+    return Phase;
+  }
+
   void reloadSeeds() {
     if (Signals.Reloads == ReloadsDone)
       return;
@@ -155,17 +174,6 @@
       Forwarder.addSchedulers(*Seeds);
   }
 
-  bool isStopDue(core::time_point Since, core::time_point Now) const {
-    if (Signals.Stops > 1)
-      return true;
-    auto Elapsed = Now - Since;
-    if (Elapsed < Settings.StopLinger)
-      return false;
-    return (Forwarder.openCalls() == 0 && Pending.empty() &&
-            Server.pendingRequests() == 0) ||
-           Elapsed >= Settings.StopLinger + Settings.StopDrain;
-  }
-
   core::duration deadlineOf(const http::request &Request) const {
     auto Text =
         http::findHeader(Request.Headers, Dialect.DeadlineHeader.c_str());
@@ -228,6 +236,8 @@
   transport::link_hub Hub;
   http::server Server;
   forwarder Forwarder;
+  stop_plan Plan;
+  stop_phase Phase = stop_phase::Serving;
   std::deque<http::server_response> Pending;
   core::time_point NextMetrics{};
 };
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -26,7 +26,10 @@
   /// How long the gateway keeps serving after a stop request: the load balancer
   /// stops sending connections after two failed checks, a second apart.
   core::duration StopLinger = std::chrono::milliseconds(2500);
-  /// Longest wait for open requests after StopLinger.
+  /// Longest wait for open requests after StopLinger, during which new requests
+  /// are refused. Requests without a reply are then answered as unknown, and
+  /// the HTTP server ends within 0.5 s more: all before the platform kills the
+  /// process, 6 s after the stop request.
   core::duration StopDrain = std::chrono::milliseconds(1500);
 };
 
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -231,6 +231,35 @@
   CHECK(Fixture.Responses[0].Response.Status == 503);
 }
 
+// Guards against a gateway that ends while requests are open: each must get an
+// answer, and only one that no scheduler received may be called not run.
+TEST_CASE("at the end of a gateway each open request gets a true answer") {
+  forwarder_fixture Fixture;
+  Fixture.status("a", true, 3);
+  Fixture.request(1);
+  SECTION("a scheduler has it") {}
+  SECTION("its scheduler was lost") {
+    Fixture.Forwarder.linkChanged("a", false, Fixture.Now);
+  }
+  Fixture.request(2);
+  // The first refusal by a leader, while another one is known, leaves the
+  // request without a scheduler until the next tick.
+  Fixture.status("b", true, 4);
+  Fixture.request(3);
+  Fixture.reply("b", Fixture.Calls.back().Call.Id, false);
+  Fixture.Responses.clear();
+  auto OpenCalls = Fixture.Forwarder.openCalls();
+  Fixture.Forwarder.finishAll(Fixture.Now);
+  Fixture.collect();
+  CHECK(Fixture.Forwarder.openCalls() == 0);
+  REQUIRE(Fixture.Responses.size() == OpenCalls);
+  for (const auto &Response : Fixture.Responses) {
+    CHECK(Response.Response.Status == (Response.Id == 3 ? 503 : 504));
+    CHECK(http::findHeader(Response.Response.Headers, "Retry-After").empty() ==
+          (Response.Id != 3));
+  }
+}
+
 TEST_CASE("each scheduler that a status names is connected to once") {
   forwarder_fixture Fixture;
   Fixture.Forwarder.receive("a", status_message{false, 1, {"a", "c", "b"}},
