Refuse requests that arrive while a control replica stops its HTTP server

Callers of the role control saw a connection that ended without an answer: for 200 ms after the last turn of the control thread the frontend still read requests and pushed them into a ring that nobody drained. Now it refuses them as not run, closes each connection after its response, and ends its connections as the server of the other roles does.

--- a/control/http_frontend.cpp
+++ b/control/http_frontend.cpp
@@ -3,6 +3,8 @@
 #include "control/http_operations.h"
 #include "core/event_log.h"
 #include "declaration/declaration.h"
+#include "http/connection_drain.h"
+#include "http/tracked_socket.h"
 
 #include <restinio/all.hpp>
 
@@ -21,13 +23,11 @@
 
 struct frontend_traits : public restinio::default_single_thread_traits_t {
   using request_handler_t = router;
+  using stream_socket_t = http::tracked_socket;
 };
 
 // Limit of requests without an answer; each of them keeps its body in memory.
 constexpr std::size_t MaxPending = 4096;
-// At a stop, the queued answers are sent in one turn of the event loop; slow
-// clients have this long to read them.
-constexpr auto StopLinger = std::chrono::milliseconds(200);
 
 // Limits for one request.
 constexpr std::size_t MaxUrlBytes = 4096;
@@ -57,28 +57,6 @@
   return Result;
 }
 
-void respond(const restinio::request_handle_t &Request,
-             const control_answer &Answer, const char *ContentType) {
-  auto Response = Request->create_response(
-      restinio::http_status_line_t(restinio::http_status_code_t(Answer.Status),
-                                   Answer.Status == 200 ? "OK" : "Error"));
-  Response.append_header(restinio::http_field::content_type, ContentType);
-  if (!Answer.Leader.empty())
-    Response.append_header("X-Leader", Answer.Leader);
-  Response.set_body(Answer.Body);
-  Response.done();
-}
-
-void respondJson(const restinio::request_handle_t &Request,
-                 const control_answer &Answer) {
-  respond(Request, Answer, "application/json");
-}
-
-void respondFailure(const restinio::request_handle_t &Request,
-                    const core::failure &Failure) {
-  respondJson(Request, failureAnswer(0, Failure));
-}
-
 } // namespace
 
 class http_frontend::implementation {
@@ -88,7 +66,7 @@
                  core::metrics_registry &Metrics)
       : Listen(std::move(NewListen)), Requests(Requests), Metrics(Metrics),
         Answers(MaxPending, AnswerSignal), Work(asio::make_work_guard(Context)),
-        StopTimer(Context) {
+        Drain(Context) {
     AnswerSignal.setForward(
         [this] { asio::post(Context, [this] { sendAnswers(); }); });
   }
@@ -144,16 +122,39 @@
     if (!Thread.joinable())
       return;
     asio::post(Context, [this] {
+      IsStopping = true;
       sendAnswers();
       failPending();
-      Server->close_sync();
-      StopTimer.expires_after(StopLinger);
-      StopTimer.async_wait([this](const auto &) { Context.stop(); });
+      Drain.start([this] { Server->close_sync(); });
     });
     Thread.join();
   }
 
 private:
+  void respond(const restinio::request_handle_t &Request,
+               const control_answer &Answer, const char *ContentType) const {
+    auto Response = Request->create_response(restinio::http_status_line_t(
+        restinio::http_status_code_t(Answer.Status),
+        Answer.Status == 200 ? "OK" : "Error"));
+    Response.append_header(restinio::http_field::content_type, ContentType);
+    if (!Answer.Leader.empty())
+      Response.append_header("X-Leader", Answer.Leader);
+    if (IsStopping)
+      Response.connection_close();
+    Response.set_body(Answer.Body);
+    Response.done();
+  }
+
+  void respondJson(const restinio::request_handle_t &Request,
+                   const control_answer &Answer) const {
+    respond(Request, Answer, "application/json");
+  }
+
+  void respondFailure(const restinio::request_handle_t &Request,
+                      const core::failure &Failure) const {
+    respondJson(Request, failureAnswer(0, Failure));
+  }
+
   void run() {
     while (!Context.stopped()) {
       try {
@@ -197,6 +198,14 @@
       respondFailure(Request, *Failure);
       return restinio::request_accepted();
     }
+    if (IsStopping) {
+      respondFailure(Request,
+                     {core::error_code::Unavailable,
+                      "the process is shutting down; send the request to "
+                      "another replica",
+                      "", "", core::verdict::NotRun});
+      return restinio::request_accepted();
+    }
     control_request Next{++LastId, std::move(std::get<0>(Outcome))};
     if (Pending.size() >= MaxPending || !Requests.push(std::move(Next))) {
       respondFailure(Request, {core::error_code::Overloaded,
@@ -270,7 +279,7 @@
   }
 
   void addLocalRoutes(router &Router) {
-    Router.http_get("/healthz", [](auto Request, auto) {
+    Router.http_get("/healthz", [this](auto Request, auto) {
       respondJson(Request, {0, 200, R"({"alive":true})", ""});
       return restinio::request_accepted();
     });
@@ -289,7 +298,7 @@
               "text/plain; version=0.0.4");
       return restinio::request_accepted();
     });
-    Router.non_matched_request_handler([](auto Request) {
+    Router.non_matched_request_handler([this](auto Request) {
       respondFailure(Request,
                      {core::error_code::NotFound,
                       "no route for this method and path", "path",
@@ -305,10 +314,11 @@
   core::bounded_ring<control_answer> Answers;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work;
-  asio::steady_timer StopTimer;
+  http::connection_drain Drain;
   std::optional<restinio::http_server_t<frontend_traits>> Server;
   std::map<std::uint64_t, restinio::request_handle_t> Pending;
   std::uint64_t LastId = 0;
+  bool IsStopping = false; ///< Used only on the server's thread.
   std::atomic<bool> Ready = false;
   std::thread Thread;
 };
--- a/control/http_frontend.h
+++ b/control/http_frontend.h
@@ -36,7 +36,8 @@
   /// Sets what `/readyz` reports. May be called from any thread.
   void setReady(bool Ready);
   /// Sends the queued answers, answers all other pending requests with
-  /// may-have-run, closes all connections and joins the thread.
+  /// may-have-run, refuses further ones as not run, closes all connections and
+  /// joins the thread. Takes up to 0.5 s while clients keep theirs open.
   void stop();
 
 private:
