Let a Raft log begin with the membership of a new cluster

Voters that are chosen while the processes run can't be part of the identity in the data folder, which is written before. The first entry has a term that no leader has, so that all logs begin with the same entry.

--- a/replication/raft_node.cpp
+++ b/replication/raft_node.cpp
@@ -40,6 +40,19 @@
   resetElectionTimer(Now);
 }
 
+bool raft_node::implementation::bootstrap(const membership &Voters) {
+  if (Log.lastIndex() != 0 || !isValidMembership(Voters))
+    return false;
+  // A candidate raises its term first, so no leader has this one.
+  constexpr std::uint64_t FirstTerm = 1;
+  if (Hard.Term < FirstTerm) {
+    Hard = {FirstTerm, std::nullopt};
+    HardDirty = true;
+  }
+  Log.append({1, FirstTerm, entry_kind::Membership, encodeMembership(Voters)});
+  return true;
+}
+
 void raft_node::implementation::resetElectionTimer(core::time_point Now) {
   std::uniform_int_distribution<core::duration::rep> Extra(
       0, Settings.ElectionTimeout.count() - 1);
@@ -259,6 +272,10 @@
 
 raft_node::~raft_node() = default;
 
+bool raft_node::bootstrap(const membership &Voters) {
+  return Impl->bootstrap(Voters);
+}
+
 void raft_node::tick(core::time_point Now) { Impl->tick(Now); }
 
 void raft_node::receive(const replica_id &From, std::string_view Bytes,
--- a/replication/raft_node.h
+++ b/replication/raft_node.h
@@ -106,6 +106,13 @@
             membership Initial, core::time_point Now);
   ~raft_node();
 
+  /// Starts the log of an initial voter with the membership as its first
+  /// entry, in a term that no leader has. Every initial voter that is not
+  /// started this way receives the entry from the leader.
+  /// \param Voters the same at every initial voter of the cluster.
+  /// \returns whether the log was empty and the membership is valid.
+  bool bootstrap(const membership &Voters);
+
   /// Advances the clock and handles expired timeouts.
   void tick(core::time_point Now);
   /// Handles a message.
--- a/replication/raft_node_implementation.h
+++ b/replication/raft_node_implementation.h
@@ -33,6 +33,7 @@
   implementation(raft_settings Settings, persistent_state Persisted,
                  membership Initial, core::time_point Now);
 
+  bool bootstrap(const membership &Voters);
   void tick(core::time_point Now);
   void receive(const replica_id &From, std::string_view Bytes,
                core::time_point Now);
--- a/tests/replication/test_raft_node.cpp
+++ b/tests/replication/test_raft_node.cpp
@@ -92,6 +92,42 @@
   CHECK_FALSE(Second[0].Granted);
 }
 
+// Guards against initial voters whose logs differ, and against a leader of the
+// term of the first entry.
+TEST_CASE("a bootstrapped log begins with the membership, in a term without a "
+          "leader") {
+  raft_node Node({.Self = Self}, {}, {}, {});
+  CHECK_FALSE(Node.bootstrap({}));
+  REQUIRE(Node.bootstrap(ThreeVoters));
+  CHECK_FALSE(Node.bootstrap(ThreeVoters));
+  CHECK(Node.status().Members == ThreeVoters);
+  auto Output = Node.takeOutput();
+  REQUIRE(Output.Write);
+  REQUIRE(Output.Write->Append.size() == 1);
+  CHECK(Output.Write->Append[0].Index == 1);
+  CHECK(Output.Write->Append[0].Term == 1);
+  REQUIRE(Output.Write->Hard);
+  CHECK(Output.Write->Hard->Term == 1);
+  Node.stored(Output.Write->Ticket, {});
+  elect(Node, afterMs(10'000));
+  CHECK(Node.status().Term == 2);
+  CHECK_FALSE(Node.bootstrap(ThreeVoters));
+}
+
+TEST_CASE("an initial voter that was not bootstrapped follows a leader that "
+          "was") {
+  raft_node Node({.Self = Self}, {}, {}, {});
+  append_message Append;
+  Append.Term = 2;
+  Append.Entries = {
+      {1, 1, entry_kind::Membership, encodeMembership(ThreeVoters)},
+      {2, 2, entry_kind::Noop, ""}};
+  deliver(Node, Append, {});
+  CHECK(Node.status().Members == ThreeVoters);
+  CHECK(Node.status().LastIndex == 2);
+  CHECK_FALSE(Node.bootstrap(ThreeVoters));
+}
+
 // A replica that lost its disk must not act on messages for its previous
 // incarnation, whose votes and entries it no longer has.
 TEST_CASE("messages for another incarnation are ignored") {
