--- a/control/control_frames.cpp
+++ b/control/control_frames.cpp
@@ -41,9 +41,9 @@
                          "", "", core::verdict::NotRun});
     control_frame Frame;
     auto Kind = Value[0].get<int>();
-    if (Kind < 0 || Kind > static_cast<int>(frame_kind::ClusterReply))
+    if (Kind < 0 || Kind > static_cast<int>(frame_kind::Status))
       return core::fail({core::error_code::Corrupt,
-                         "unknown frame kind; expected 0 to 3", "kind",
+                         "unknown frame kind; expected 0 to 6", "kind",
                          std::to_string(Kind), core::verdict::NotRun});
     Frame.Kind = static_cast<frame_kind>(Kind);
     Frame.Cluster = Value[1].get<std::string>();
--- a/control/control_frames.h
+++ b/control/control_frames.h
@@ -16,6 +16,9 @@
   Join,         ///< Requests that the leader adds the sender as a member.
   ClusterQuery, ///< Queries whether the receiver is in a formed cluster.
   ClusterReply, ///< Reply to a ClusterQuery: IsFormed.
+  Founding,     ///< Bytes holds a message about the initial voters.
+  Observe,      ///< Requests a Status.
+  Status,       ///< Bytes holds the sender's view of leader and members.
 };
 
 /// A message between two control replicas.
@@ -27,8 +30,10 @@
   /// incarnation of its name, because the votes and the log of that
   /// incarnation are lost.
   replication::replica_id To;
-  bool IsFormed = false; ///< Only in a ClusterReply.
-  std::string Bytes;     ///< Only in a Replication frame.
+  /// Only in a ClusterReply, and in a Join of a scheduler that has a log.
+  bool IsFormed = false;
+  /// The message of the kind; the availability zone in a Join of a scheduler.
+  std::string Bytes;
 };
 
 /// \param Bytes a message from a link.
--- a/control/control_members.cpp
+++ b/control/control_members.cpp
@@ -59,6 +59,10 @@
   }
   case frame_kind::ClusterReply:
     return; // Expected only by cluster_check during a start with --init.
+  case frame_kind::Founding:
+  case frame_kind::Observe:
+  case frame_kind::Status:
+    return; // Only between schedulers.
   }
 }
 
--- a/tests/control/test_control_frames.cpp
+++ b/tests/control/test_control_frames.cpp
@@ -67,7 +67,7 @@
   Longer.push_back(0);
   CHECK(Refused(Longer));
   auto Unknown = Complete;
-  Unknown[0] = 4;
+  Unknown[0] = 7;
   CHECK(Refused(Unknown));
   CHECK_FALSE(isControlFrame(""));
   CHECK_FALSE(isControlFrame("\xa2")); // A CBOR map: a message of an entry.
