Let as many schedulers vote as the tolerated losses need

Three voters have a majority of two, so two lost disks lost acknowledged changes although six hosts have a disk. 2f + 1 schedulers vote now, spread over the availability zones, and the others with a disk are spares. A spare is promoted before the voter that it replaces is removed: with the other order, the loss of a second disk between the two changes stopped the cluster for good.

The initial voters are chosen at the first start instead of being the seeds, so seeds need no disk, and a scheduler without a data folder runs as an observer.

The cluster with full disks tolerates three losses, so that each scheduler that joins still becomes a voter.

--- a/scheduling/membership_manager.cpp
+++ b/scheduling/membership_manager.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/membership_manager.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheetrestle::scheduling {
 
@@ -21,82 +22,218 @@
   return Members;
 }
 
+membership withVoter(membership Members, const replica_id &Id) {
+  for (auto &Member : Members.Members)
+    if (Member.Id == Id)
+      Member.Voter = true;
+  return Members;
+}
+
+std::size_t countVoters(const membership &Members) {
+  return static_cast<std::size_t>(
+      std::count_if(Members.Members.begin(), Members.Members.end(),
+                    [](const member &Member) { return Member.Voter; }));
+}
+
 } // namespace
 
 void membership_manager::recordJoinRequest(const replica_id &Replica,
+                                           std::string Zone,
                                            core::time_point Now) {
-  JoinRequests[Replica.Name] = Replica;
-  recordHeard(Replica.Name, Now);
+  JoinRequests[Replica.Name] = {Replica, Now};
+  Zones[Replica.Name] = std::move(Zone);
+  recordHeard(Replica, Now);
 }
 
-void membership_manager::recordHeard(const std::string &Name,
+void membership_manager::recordHeard(const replica_id &Replica,
                                      core::time_point Now) {
-  LastHeardAt[Name] = Now;
+  LastHeardAt[Replica] = Now;
 }
 
-void membership_manager::reset(core::time_point Now) {
+void membership_manager::reset(const replica_id &Self, std::string Zone,
+                               core::time_point Now) {
   JoinRequests.clear();
   LastHeardAt.clear();
-  PromotedAt.clear();
-  RejoiningName.clear();
+  LearnerSince.clear();
+  // Zones that are known stay valid; followers report them again.
+  Zones[Self.Name] = std::move(Zone);
   ResetAt = Now;
 }
 
-const member *membership_manager::findSilent(const membership &Members,
-                                             const replica_id &Self,
-                                             core::time_point Now) const {
+std::string_view membership_manager::zoneOf(const std::string &Name) const {
+  auto Found = Zones.find(Name);
+  return Found == Zones.end() ? std::string_view() : Found->second;
+}
+
+bool membership_manager::isInContact(const replica_id &Replica,
+                                     core::time_point Now) const {
+  auto Found = LastHeardAt.find(Replica);
+  return Found != LastHeardAt.end() && Now - Found->second <= ContactTimeout;
+}
+
+const member *membership_manager::findGone(const membership &Members,
+                                           const replica_id &Self,
+                                           core::time_point Now) const {
   for (const auto &Member : Members.Members) {
     if (!Member.Voter || Member.Id == Self)
       continue;
-    auto Found = LastHeardAt.find(Member.Id.Name);
+    auto Found = LastHeardAt.find(Member.Id);
     auto Last = Found == LastHeardAt.end() ? ResetAt : Found->second;
-    if (Now - Last > SilenceTimeout)
+    if (Now - Last > SilenceTimeout || isReplaced(Member.Id, Now))
       return &Member;
   }
   return nullptr;
 }
 
-std::optional<member_change> membership_manager::next(
-    const membership &Members, const replica_id &Self, core::time_point Now,
-    const std::function<bool(const replica_id &)> &HasCaughtUp) {
+bool membership_manager::isReplaced(const replica_id &Replica,
+                                    core::time_point Now) const {
+  auto Request = JoinRequests.find(Replica.Name);
+  // A member that still answers was not replaced: the request is a late one of
+  // an earlier incarnation.
+  return Request != JoinRequests.end() && Request->second.Replica != Replica &&
+         Now - Request->second.At <= RequestLifetime &&
+         !isInContact(Replica, Now);
+}
+
+std::size_t membership_manager::countVotersNear(const membership &Members,
+                                                const replica_id &Replica,
+                                                const member *Excluded) const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.Members.begin(), Members.Members.end(),
+                    [&](const member &Member) {
+                      return Member.Voter && &Member != Excluded &&
+                             zoneOf(Member.Id.Name) == zoneOf(Replica.Name);
+                    }));
+}
+
+const member *membership_manager::findPromotable(
+    const membership &Members, const member *Gone, core::time_point Now,
+    const std::function<bool(const replica_id &)> &HasCaughtUp) const {
+  const member *Best = nullptr;
+  std::size_t Fewest = 0;
+  for (const auto &Member : Members.Members) {
+    if (Member.Voter || !isInContact(Member.Id, Now) || !HasCaughtUp(Member.Id))
+      continue;
+    auto Near = countVotersNear(Members, Member.Id, Gone);
+    if (Best && Near >= Fewest)
+      continue;
+    Best = &Member;
+    Fewest = Near;
+  }
+  return Best;
+}
+
+const member *membership_manager::findSurplus(const membership &Members,
+                                              const replica_id &Self,
+                                              core::time_point Now) const {
+  const member *Surplus = nullptr;
+  std::size_t Most = 0;
+  for (const auto &Member : Members.Members) {
+    if (!Member.Voter || Member.Id == Self)
+      continue;
+    if (!isInContact(Member.Id, Now))
+      return nullptr;
+    auto Near = countVotersNear(Members, Member.Id, nullptr);
+    if (Near <= Most)
+      continue;
+    Surplus = &Member;
+    Most = Near;
+  }
+  return Surplus;
+}
+
+bool membership_manager::isUnbalanced(const membership &Members,
+                                      const replica_id &Self,
+                                      const member &Learner,
+                                      core::time_point Now) const {
+  if (Now - ResetAt < RebalanceDelay)
+    return false;
+  for (const auto &Member : Members.Members)
+    if (zoneOf(Member.Id.Name).empty())
+      return false;
+  const auto *Surplus = findSurplus(Members, Self, Now);
+  return Surplus && countVotersNear(Members, Surplus->Id, nullptr) >=
+                        countVotersNear(Members, Learner.Id, nullptr) + 2;
+}
+
+bool membership_manager::isCatchingUp(const membership &Members,
+                                      core::time_point Now) const {
+  return std::any_of(Members.Members.begin(), Members.Members.end(),
+                     [&](const auto &Member) {
+                       auto Since = LearnerSince.find(Member.Id);
+                       return !Member.Voter && isInContact(Member.Id, Now) &&
+                              (Since == LearnerSince.end() ||
+                               Now - Since->second < CatchUpTimeout);
+                     });
+}
+
+bool membership_manager::isGrowing(const membership &Members,
+                                   core::time_point Now) const {
+  if (countVoters(Members) >= WantedVoters)
+    return false;
+  return isCatchingUp(Members, Now) ||
+         std::any_of(JoinRequests.begin(), JoinRequests.end(),
+                     [&](const auto &Item) {
+                       return Now - Item.second.At <= RequestLifetime &&
+                              !isMember(Members, Item.second.Replica);
+                     });
+}
+
+std::optional<member_change>
+membership_manager::nextForJoinRequests(const membership &Members,
+                                        core::time_point Now) {
   std::erase_if(JoinRequests, [&](const auto &Item) {
-    return isMember(Members, Item.second);
+    return isMember(Members, Item.second.Replica) ||
+           Now - Item.second.At > RequestLifetime;
   });
-  for (const auto &[Name, Id] : JoinRequests) {
-    for (const auto &Member : Members.Members)
-      if (Member.Id.Name == Name) {
-        RejoiningName = Name;
-        return member_change{without(Members, Member.Id), "remove_lost",
-                             Member.Id};
-      }
+  auto FindOld = [&](const std::string &Name) {
+    return std::find_if(
+        Members.Members.begin(), Members.Members.end(),
+        [&](const member &Member) { return Member.Id.Name == Name; });
+  };
+  for (const auto &[Name, Request] : JoinRequests) {
+    if (FindOld(Name) != Members.Members.end())
+      continue;
     auto Target = Members;
-    Target.Members.push_back({Id, false});
-    return member_change{Target, "add_learner", Id};
+    Target.Members.push_back({Request.Replica, false});
+    return member_change{Target, "add_learner", Request.Replica};
   }
-  for (std::size_t Index = 0; Index != Members.Members.size(); ++Index) {
-    const auto &Member = Members.Members[Index];
-    if (Member.Voter)
+  bool IsReplacing =
+      countVoters(Members) < WantedVoters && isCatchingUp(Members, Now);
+  for (const auto &[Name, Request] : JoinRequests) {
+    auto Old = FindOld(Name);
+    if (!isReplaced(Old->Id, Now) || (Old->Voter && IsReplacing))
       continue;
-    if (const auto *Silent = findSilent(Members, Self, Now))
-      return member_change{without(Members, Silent->Id), "remove_silent",
-                           Silent->Id};
-    if (!HasCaughtUp(Member.Id))
-      continue;
-    auto Target = Members;
-    Target.Members[Index].Voter = true;
-    if (Member.Id.Name != RejoiningName)
-      PromotedAt[Member.Id.Name] = Now;
-    return member_change{Target, "promote", Member.Id};
+    return member_change{without(Members, Old->Id), "remove_lost", Old->Id};
   }
-  std::erase_if(PromotedAt, [&](const auto &Item) {
-    return Now - Item.second > ReplacementWindow;
+  return std::nullopt;
+}
+
+std::optional<member_change> membership_manager::next(
+    const membership &Members, const replica_id &Self, core::time_point Now,
+    const std::function<bool(const replica_id &)> &HasCaughtUp) {
+  std::erase_if(LearnerSince, [&](const auto &Item) {
+    return !isMember(Members, Item.first);
   });
-  const auto *Silent = findSilent(Members, Self, Now);
-  if (!Silent || PromotedAt.empty())
-    return std::nullopt;
-  PromotedAt.erase(PromotedAt.begin());
-  return member_change{without(Members, Silent->Id), "remove_silent",
-                       Silent->Id};
+  for (const auto &Member : Members.Members)
+    if (!Member.Voter)
+      LearnerSince.try_emplace(Member.Id, Now);
+  const auto *Gone = findGone(Members, Self, Now);
+  auto Voters = countVoters(Members);
+  if (Voters > WantedVoters) {
+    const auto *Surplus = Gone ? Gone : findSurplus(Members, Self, Now);
+    if (Surplus)
+      return member_change{without(Members, Surplus->Id),
+                           Gone ? "remove_gone" : "remove_surplus",
+                           Surplus->Id};
+  }
+  const auto *Learner = findPromotable(Members, Gone, Now, HasCaughtUp);
+  if (Learner && (Voters < WantedVoters ||
+                  (Voters == WantedVoters &&
+                   (Gone || isUnbalanced(Members, Self, *Learner, Now)))))
+    return member_change{withVoter(Members, Learner->Id), "promote",
+                         Learner->Id};
+  return nextForJoinRequests(Members, Now);
 }
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/membership_manager.h
+++ b/scheduling/membership_manager.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "replication/types.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,29 +23,60 @@
 /// Decides which change of the membership the leader proposes next. Only one
 /// change is proposed at a time.
 ///
-/// A replica that lost its disk requests to join under a new incarnation. Its
-/// old incarnation is removed first, so that the two are never members at the
-/// same time. A voter that is silent while a learner waits for its promotion,
-/// or soon after a replica with a new name was promoted, is considered lost and
-/// is removed, so that the new replica replaces it.
+/// Every scheduler with a disk becomes a learner. Learners that have caught up
+/// are promoted, first those of the availability zone with the fewest voters,
+/// until the wanted number of voters is reached; the others are hot spares.
+///
+/// A voter is gone when it is silent for long or when its disk was lost, which
+/// a request to join under another incarnation shows. A spare is promoted
+/// first, and the voter is removed after that: with 2f + 1 wanted voters, the
+/// loss of f disks leaves a majority of 2f + 2 voters, but not of 2f. In the
+/// same way a spare replaces a voter when the voters are not spread over the
+/// availability zones.
+///
+/// Without a spare, a silent voter stays, and the incarnation that lost its
+/// disk is removed before the new one is added, because one name must not have
+/// two members. Lost voters are replaced one after the other: while one of them
+/// catches up, no other one is removed, so that changes are still stored by as
+/// many disks as possible.
 class membership_manager {
 public:
-  /// A voter that was silent for this time can be replaced by a new replica.
+  /// A voter that was silent for this time can be replaced by a spare.
   /// Suspended hosts usually resume earlier.
   static constexpr core::duration SilenceTimeout = std::chrono::seconds(4);
 
-  /// A replica with a new name can still replace a voter for this time after it
-  /// was promoted, because the voter may have been lost shortly before, and its
-  /// silence shows only later.
-  static constexpr core::duration ReplacementWindow = std::chrono::seconds(20);
+  /// A replica that sent nothing for this time is neither promoted nor waited
+  /// for. Replicas send several messages a second.
+  static constexpr core::duration ContactTimeout = std::chrono::seconds(1);
+
+  /// Requests to join are repeated twice a second; an older one may come from
+  /// an incarnation that no longer exists.
+  static constexpr core::duration RequestLifetime = std::chrono::seconds(3);
+
+  /// A learner that does not catch up in this time, for example because its
+  /// disk is full, no longer delays the replacement of other voters.
+  static constexpr core::duration CatchUpTimeout = std::chrono::seconds(10);
+
+  /// Voters are moved to another availability zone only this long after the
+  /// leader began to lead.
+  static constexpr core::duration RebalanceDelay = std::chrono::seconds(10);
+
+  /// \param WantedVoters the number of voters to reach.
+  explicit membership_manager(std::size_t WantedVoters)
+      : WantedVoters(WantedVoters) {}
 
   /// Records that a replica requests to join.
+  /// \param Zone its availability zone, or an empty string.
   void recordJoinRequest(const replication::replica_id &Replica,
-                         core::time_point Now);
+                         std::string Zone, core::time_point Now);
   /// Records a message from a replica.
-  void recordHeard(const std::string &Name, core::time_point Now);
+  void recordHeard(const replication::replica_id &Replica,
+                   core::time_point Now);
   /// Discards all records; called when leadership begins.
-  void reset(core::time_point Now);
+  /// \param Self the leader.
+  /// \param Zone its availability zone, or an empty string.
+  void reset(const replication::replica_id &Self, std::string Zone,
+             core::time_point Now);
 
   /// \param Members the current membership.
   /// \param Self the leader.
@@ -55,19 +87,64 @@
        const replication::replica_id &Self, core::time_point Now,
        const std::function<bool(const replication::replica_id &)> &HasCaughtUp);
 
+  /// \returns whether there are fewer voters than wanted and another replica
+  /// asks to join or is about to become a voter.
+  bool isGrowing(const replication::membership &Members,
+                 core::time_point Now) const;
+
 private:
-  /// \returns a voter that was silent for longer than SilenceTimeout, or null.
-  const replication::member *findSilent(const replication::membership &Members,
-                                        const replication::replica_id &Self,
-                                        core::time_point Now) const;
-
-  std::map<std::string, replication::replica_id> JoinRequests;
-  std::map<std::string, core::time_point> LastHeardAt;
-  /// When replicas with new names were promoted, by name.
-  std::map<std::string, core::time_point> PromotedAt;
-  /// Name whose old incarnation was removed last. ReplacementWindow does not
-  /// apply to its promotion, because it replaces its own old incarnation.
-  std::string RejoiningName;
+  struct join_request {
+    replication::replica_id Replica;
+    core::time_point At{};
+  };
+
+  bool isInContact(const replication::replica_id &Replica,
+                   core::time_point Now) const;
+  /// \returns a voter that was silent for longer than SilenceTimeout or that is
+  /// replaced by another incarnation, or null.
+  const replication::member *findGone(const replication::membership &Members,
+                                      const replication::replica_id &Self,
+                                      core::time_point Now) const;
+  /// \returns whether another incarnation of the member asks to join and the
+  /// member does not answer any more.
+  bool isReplaced(const replication::replica_id &Replica,
+                  core::time_point Now) const;
+  /// \returns the learner to promote next, or null.
+  const replication::member *
+  findPromotable(const replication::membership &Members,
+                 const replication::member *Gone, core::time_point Now,
+                 const std::function<bool(const replication::replica_id &)>
+                     &HasCaughtUp) const;
+  /// \returns the number of voters in the availability zone of the replica,
+  /// without the excluded one.
+  std::size_t countVotersNear(const replication::membership &Members,
+                              const replication::replica_id &Replica,
+                              const replication::member *Excluded) const;
+  /// \returns a voter other than the leader in the availability zone with the
+  /// most voters, or null while a voter is not in contact.
+  const replication::member *findSurplus(const replication::membership &Members,
+                                         const replication::replica_id &Self,
+                                         core::time_point Now) const;
+  /// \returns whether an availability zone has at least two voters more than
+  /// that of the learner; false while a zone is not known.
+  bool isUnbalanced(const replication::membership &Members,
+                    const replication::replica_id &Self,
+                    const replication::member &Learner,
+                    core::time_point Now) const;
+  /// \returns whether a learner is expected to become a voter soon.
+  bool isCatchingUp(const replication::membership &Members,
+                    core::time_point Now) const;
+  std::optional<member_change>
+  nextForJoinRequests(const replication::membership &Members,
+                      core::time_point Now);
+  std::string_view zoneOf(const std::string &Name) const;
+
+  std::size_t WantedVoters;
+  std::map<std::string, join_request> JoinRequests; ///< By name.
+  std::map<replication::replica_id, core::time_point> LastHeardAt;
+  std::map<std::string, std::string> Zones; ///< By name.
+  /// When each learner was first seen by this leader.
+  std::map<replication::replica_id, core::time_point> LearnerSince;
   core::time_point ResetAt{};
 };
 
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -112,8 +112,16 @@
     : Settings(std::move(NewSettings)), Self(std::move(NewSelf)),
       Metrics(Metrics),
       Raft(raftSettings(Settings, Self), Persisted, std::move(Initial), Now),
-      Queued(MaxCommandBytes) {
+      Queued(MaxCommandBytes), Members(Settings.wantedVoters()) {
   addPeers(Settings.Seeds);
+  bool IsSeed = std::find(Settings.Seeds.begin(), Settings.Seeds.end(),
+                          Settings.Address) != Settings.Seeds.end();
+  if (Settings.IsFounding && IsSeed)
+    Acceptor.emplace(Settings.Seeds);
+  auto Status = Raft.status();
+  if (Status.LastIndex == 0 && Status.Members.Members.empty())
+    Proposer.emplace(founding_candidate{Self, Settings.Zone},
+                     Settings.wantedVoters(), Settings.StartNonce, Now);
   if (!Persisted.Snapshot)
     return;
   State = restoreState(Persisted.Snapshot->State);
@@ -182,6 +190,7 @@
   Raft.tick(Now);
   observeRole(Now);
   expirePendingCalls(Now);
+  found(Now);
   requestJoin(Now);
   linkMembers();
   if (LeaderTerm == 0)
@@ -226,7 +235,7 @@
   if (LeaderTerm == 0) {
     LeaderTerm = Status.Term;
     LeaderStartIndex = Status.LastIndex;
-    Members.reset(Now);
+    Members.reset(Self, Settings.Zone, Now);
     Metrics.add("leaderships_total");
     core::logEvent(core::log_level::Info, "elected",
                    {{"term", Status.Term}, {"index", Status.LastIndex}});
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -1,10 +1,13 @@
 #ifndef LYCHEETRESTLE_SCHEDULING_SCHEDULE_NODE_H
 #define LYCHEETRESTLE_SCHEDULING_SCHEDULE_NODE_H
 
+#include "control/control_frames.h"
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "replication/raft_node.h"
 #include "scheduling/calls.h"
+#include "scheduling/founding_acceptor.h"
+#include "scheduling/founding_proposer.h"
 #include "scheduling/leader.h"
 #include "scheduling/membership_manager.h"
 #include "scheduling/proposal_queue.h"
@@ -45,8 +48,9 @@
 public:
   /// \param Self the identity of this replica; its name is its IP address.
   /// \param Persisted replication state read from the disk.
-  /// \param Initial voters of a new cluster; empty for a replica that waits
-  /// until the leader adds it.
+  /// \param Initial voters according to a data folder of an earlier version of
+  /// this program; empty for a replica that takes part in the founding of the
+  /// cluster or waits until the leader adds it.
   schedule_node(scheduler_settings Settings, replication::replica_id Self,
                 replication::persistent_state Persisted,
                 replication::membership Initial,
@@ -113,6 +117,9 @@
   // schedule_node.cpp
   void observeRole(core::time_point Now);
   void handleLeadershipLoss();
+  /// \returns whether the first change must wait because replicas that are to
+  /// become voters are joining: it would be on fewer disks than wanted.
+  bool isForming(core::time_point Now) const;
   void propose(core::time_point Now);
   /// Answers the call of a command that exceeds the largest entry.
   void refuseOversized(const queued_command &Command);
@@ -160,9 +167,16 @@
   // schedule_node_members.cpp
   void sendFrame(const std::string &Peer, std::string Bytes,
                  const replication::replica_id &To);
-  void receiveJoin(const std::string &Peer,
-                   const replication::replica_id &Replica,
+  void sendFrame(const std::string &Peer, control::frame_kind Kind,
+                 std::string Bytes);
+  void receiveJoin(const std::string &Peer, const control::control_frame &Frame,
                    std::string_view Bytes, core::time_point Now);
+  void receiveFounding(const std::string &Peer, std::string_view Bytes,
+                       core::time_point Now);
+  /// Takes part in the choice of the initial voters while the log is empty.
+  void found(core::time_point Now);
+  /// Sends the leader and the members to a scheduler without a disk.
+  void sendStatus(const std::string &Peer);
   void requestJoin(core::time_point Now);
   void changeMembers(core::time_point Now);
   void linkMembers();
@@ -188,6 +202,8 @@
   std::map<std::uint64_t, read_group> RequestedReads; ///< By token.
   std::vector<read_group> ConfirmedReads;             ///< Wait for their index.
   membership_manager Members;
+  std::optional<founding_acceptor> Acceptor;
+  std::optional<founding_proposer> Proposer; ///< While the log is empty.
   std::vector<std::string> LinkedPeers;
   std::vector<std::string> NewPeers;
   std::vector<peer_message> Messages;
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -59,8 +59,13 @@
   Replies.push_back(std::move(Reply));
 }
 
+bool schedule_node::isForming(core::time_point Now) const {
+  return State.currentConfiguration().Version == 0 &&
+         Members.isGrowing(Raft.status().Members, Now);
+}
+
 void schedule_node::handle(call Call, core::time_point Now) {
-  if (!Leader || ShutdownSince) {
+  if (!Leader || ShutdownSince || isForming(Now)) {
     answerNotLeader(Call.Id);
     return;
   }
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
+#include "scheduling/observer_process.h"
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
@@ -38,13 +39,15 @@
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
 // Gateways reject requests when no leader has sent a status for a second.
 constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
+// A new member may get calls after this time.
+constexpr core::duration DelegatesInterval = std::chrono::milliseconds(300);
 // A commit takes about 10 ms, and 0.4 s for a configuration of 1 MB.
 constexpr core::duration StallThreshold = std::chrono::milliseconds(1000);
 // A long-running task is started again within 1 to 2 s.
 constexpr core::duration UnservedThreshold = std::chrono::milliseconds(3000);
 constexpr std::size_t MaxUnservedLines = 10; // In a second.
-// Incarnation of the initial voters. Replicas that join later choose a larger
-// random number.
+// Incarnation of the initial voters in data folders of earlier versions. All
+// others choose a larger random number.
 constexpr std::uint64_t FirstIncarnation = 1;
 constexpr std::size_t MaxBodyBytes = 4u << 20;
 // Elements of the rings between the threads.
@@ -73,22 +76,17 @@
   bool IsUp = false;
 };
 
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return (std::uint64_t(Device()) << 32u) ^ Device();
+}
+
 /// \returns the identity of a replica whose data folder is empty.
 storage::folder_identity newIdentity(const scheduler_settings &Settings) {
   storage::folder_identity Identity;
-  Identity.ClusterId = "schedulers";
+  Identity.ClusterId = ClusterName;
   Identity.Replica.Name = Settings.Address;
-  bool IsSeed = std::find(Settings.Seeds.begin(), Settings.Seeds.end(),
-                          Settings.Address) != Settings.Seeds.end();
-  if (Settings.IsFounding && IsSeed) {
-    Identity.Replica.Incarnation = FirstIncarnation;
-    for (const auto &Seed : Settings.Seeds)
-      Identity.Initial.Members.push_back({{Seed, FirstIncarnation}, true});
-    return Identity;
-  }
-  std::random_device Device;
-  std::uint64_t Random = (std::uint64_t(Device()) << 20) ^ Device();
-  Identity.Replica.Incarnation = std::max(Random, FirstIncarnation + 1);
+  Identity.Replica.Incarnation = std::max(randomNumber(), FirstIncarnation + 1);
   return Identity;
 }
 
@@ -115,6 +113,10 @@
   core::result<void> run() {
     log_type Log{storage::posix_files(Settings.DataFolder)};
     BOOST_LEAF_AUTO(Identity, Log.readIdentity());
+    auto NodeSettings = Settings;
+    NodeSettings.StartNonce = randomNumber();
+    // A seed that was started before may have forgotten what it accepted.
+    NodeSettings.IsFounding = Settings.IsFounding && !Identity;
     if (!Identity) {
       Identity = newIdentity(Settings);
       BOOST_LEAF_CHECK(Log.writeIdentity(*Identity));
@@ -139,7 +141,7 @@
     Client.start();
     control::storage_worker<log_type> Storage(std::move(Log), Signal, Metrics);
     Storage.start();
-    schedule_node Node(Settings, Identity->Replica, std::move(Found),
+    schedule_node Node(NodeSettings, Identity->Replica, std::move(Found),
                        Identity->Initial, Metrics, boot_clock::now());
     runEventLoop(Node, Storage);
     Server.stop();
@@ -221,6 +223,7 @@
           finishOrder(Node, Result, Now);
       });
       finishOrders(Node, Delegator.expire(Now), Now);
+      addDelegates(Node, Now);
       Timer.finishPhase(Receive);
       Node.tick(Now);
       auto Actions = Node.takeActions(Now);
@@ -280,8 +283,10 @@
       } else if (IsGateway) {
         Gateways.erase(Event.Peer);
       } else if (Event.IsUp) {
-        Delegator.peerConnected(Event.Peer);
+        LinkedPeers.insert(Event.Peer);
+        NextDelegates = Now;
       } else {
+        LinkedPeers.erase(Event.Peer);
         finishOrders(Node, Delegator.peerDisconnected(Event.Peer), Now);
       }
       return;
@@ -391,6 +396,17 @@
     finishOrders(Node, Received.Results, Now);
   }
 
+  /// Adds the linked members as delegates. Schedulers without a disk are linked
+  /// too and get no calls.
+  void addDelegates(const schedule_node &Node, core::time_point Now) {
+    if (Now < NextDelegates)
+      return;
+    NextDelegates = Now + DelegatesInterval;
+    for (const auto &Member : Node.status().Members.Members)
+      if (LinkedPeers.count(Member.Id.Name) > 0)
+        Delegator.peerConnected(Member.Id.Name);
+  }
+
   void sendDelegated(schedule_node &Node, core::time_point Now) {
     for (auto &Message : Delegator.takeMessages()) {
       auto Bytes = std::move(Message.Bytes);
@@ -584,6 +600,8 @@
   call_delegator Delegator;
   http::server Server;
   std::set<std::string> Gateways;
+  std::set<std::string> LinkedPeers; ///< Schedulers.
+  core::time_point NextDelegates{};
   std::map<std::uint64_t, call_origin> Origins;
   std::map<std::uint64_t, order> Orders;
   std::uint64_t LastCall = 0;
@@ -604,6 +622,8 @@
                                 const site_adapter &Adapter,
                                 const core::process_requests &Signals,
                                 const core::seed_reader &ReadSeeds) {
+  if (Settings.DataFolder.empty())
+    return runObserver(Settings, Signals, ReadSeeds);
   scheduler_process Process(Settings, Adapter, Signals, ReadSeeds);
   return Process.run();
 }
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::int64_t MaxTimingMs = 600'000;
 constexpr double MaxHostOperationS = 86'400;
+// Fifteen voters; replication::MaxMembers leaves room for as many learners.
+constexpr std::int64_t MaxToleratedLosses = 7;
 constexpr double DefaultMaintenanceS = 2;
 constexpr double DefaultMoveS = 1.5;
 constexpr core::duration DefaultMaxLease = std::chrono::seconds(10);
@@ -63,7 +65,11 @@
       static_cast<std::uint16_t>(Reader.readInteger("link_port", 1, 65'535));
   Settings.Seeds = core::readSeeds(Reader);
   Settings.IsFounding = Reader.readBool("founding", false);
-  Settings.DataFolder = Reader.readString("data_folder");
+  Settings.DataFolder = Reader.readString("data_folder", std::size_t{0});
+  Settings.Zone = Reader.readString("zone", "");
+  Settings.ToleratedLosses = static_cast<std::size_t>(
+      Reader.readInteger("tolerated_losses", 0, MaxToleratedLosses,
+                         static_cast<std::int64_t>(Settings.ToleratedLosses)));
   Settings.PlatformAddress = Reader.readString("platform", "");
   Settings.AdviserAddress = Reader.readString("adviser", "");
   Settings.Leader.HasPlatform = !Settings.PlatformAddress.empty();
--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -6,6 +6,7 @@
 #include "core/failure.h"
 #include "scheduling/leader.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,7 +24,14 @@
   std::vector<std::string> Seeds; ///< IP addresses of schedulers.
   /// First start of the whole system: the seeds create the cluster.
   bool IsFounding = false;
+  /// Empty on a host without a disk: the scheduler never votes, owns or
+  /// acknowledges anything.
   std::string DataFolder;
+  std::string Zone; ///< Availability zone; empty: not known.
+  /// Number of schedulers that may lose their disks at the same time.
+  std::size_t ToleratedLosses = 1;
+  /// Differs between any two starts of the process.
+  std::uint64_t StartNonce = 0;
   std::string PlatformAddress; ///< `ip:port`, or empty.
   std::string AdviserAddress;  ///< `ip:port`, or empty.
   core::log_settings Log;
@@ -45,6 +53,14 @@
   /// A restarted scheduler replays that many in a third of a second at a third
   /// of a core.
   std::size_t SnapshotEveryCommands = 50'000;
+
+  /// \returns the number of voters to reach: with 2f + 1 voters every
+  /// acknowledged change is on at least f + 1 disks. Never fewer than three,
+  /// because schedulers are also suspended and restarted one at a time where no
+  /// loss is tolerated.
+  std::size_t wantedVoters() const {
+    return std::max<std::size_t>(3, 2 * ToleratedLosses + 1);
+  }
 };
 
 /// \param Text the settings file, JSON with comments.
--- a/tests/scheduling/test_full_disks.cpp
+++ b/tests/scheduling/test_full_disks.cpp
@@ -251,6 +251,8 @@
     for (std::size_t Seed = 0; Seed != Settings.Voters; ++Seed)
       Result.Seeds.push_back(nameOf(Seed));
     Result.SnapshotEveryEntries = Settings.SnapshotEveryEntries;
+    // Every scheduler that joins becomes a voter.
+    Result.ToleratedLosses = 3;
     replication::replica_id Self{Result.Address, Incarnation};
     return std::make_unique<simulated_host>(
         nameOf(Index), std::move(Result), std::move(Self), std::move(Initial),
