Start a list of hosts again when its next page keeps failing

What callers see: waves and moves of hosts stand still and crashes of endpoints are not proved for as long as the leader stays; starts go on.

Cause: a list of hosts that failed in the middle was continued with the token of the failed page, without a bound. If the platform does not accept the token any more, no list is ever complete.

Change: when the next page has failed for 3 s, the list starts again with the first page. A short failure discards nothing.

Measured: the new test of test_leader failed before (no list within 10 s) and passes now. Whether the platform's tokens expire is not documented, so this is a fault by reading; no play has shown it.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -60,6 +60,8 @@
   std::map<std::string, host_row> PartialList; ///< Pages received so far.
   core::time_point ListStartedAt{};
   std::string PageToken;
+  /// Since when the next page has been asked for without success.
+  std::optional<core::time_point> PageFailedSince;
   bool IsListing = false;
   bool IsPagePending = false;
   core::time_point NextList{};
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -18,6 +18,9 @@
 // Wait after a throttled call or an unanswered list, and before an order for a
 // host is repeated; twice as long after the platform refused the order.
 constexpr core::duration HostOrderBackoff = milliseconds(300);
+// A list whose next page fails for this long starts again with the first page:
+// the platform may no longer accept the token of the page.
+constexpr core::duration ListRestartTime = std::chrono::seconds(3);
 // Maintenance and moves take seconds, and a pass over all hosts takes about a
 // millisecond.
 constexpr core::duration PlanInterval = milliseconds(50);
@@ -381,8 +384,16 @@
     const auto *Page = std::get_if<hosts_answer>(&Result.Answer);
     if (!Page) {
       Hosts.NextCall = Now + HostOrderBackoff;
+      Hosts.PageFailedSince = Hosts.PageFailedSince.value_or(Now);
+      if (Now - *Hosts.PageFailedSince < ListRestartTime)
+        return;
+      Hosts.PageFailedSince.reset();
+      Hosts.ListStartedAt = Now;
+      Hosts.PartialList.clear();
+      Hosts.PageToken.clear();
       return;
     }
+    Hosts.PageFailedSince.reset();
     finishHostPage(*Page);
     return;
   }
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -501,6 +501,34 @@
   CHECK(Harness.State.waves().at(1).isComplete());
 }
 
+// Guards against waves and moves that wait for ever for a list of hosts,
+// because the platform no longer knows the token of the list's next page.
+TEST_CASE("a list of hosts whose next page is refused starts again") {
+  host_harness Harness;
+  std::map<std::string, int> Calls;
+  bool IsListed = false;
+  for (int Round = 0; Round != 100 && !IsListed; ++Round) {
+    Harness.advanceTime(100ms);
+    for (auto &Order : Harness.take<list_hosts_order>()) {
+      auto Token = std::get<list_hosts_order>(Order.Body).PageToken;
+      bool IsFirst = Token.empty();
+      ++Calls[Token];
+      order_answer Answer = no_answer{true, "status 400", false};
+      if (IsFirst || Token == "new")
+        Answer = hosts_answer{{hostRow(IsFirst ? "h1" : "h2", "")},
+                              !IsFirst         ? ""
+                              : Calls[""] == 1 ? "old"
+                                               : "new"};
+      IsListed = Token == "new";
+      Harness.Leader->finishOrder({Order.Id, std::move(Answer)}, Harness.Now);
+    }
+  }
+  CHECK(IsListed);
+  CHECK(Calls[""] == 2);
+  // A page that fails for a short time does not discard those before it.
+  CHECK(Calls["old"] > 5);
+}
+
 TEST_CASE("maintenance is skipped only for a host that the platform keeps "
           "reporting as unknown") {
   host_harness Harness;
