Fit the process tests to spares

A fourth scheduler is a spare unless two losses are tolerated, so the test of full disks tolerates two and still expects four voters. The test of the membership waits until exactly the schedulers 1, 4 and 5 vote; it checked at once that these are among the voters, but scheduler 5 takes the place of scheduler 3 only after 4 s of silence. Schedulers can be started without a disk.

--- a/tests/process/site_run.py
+++ b/tests/process/site_run.py
@@ -26,6 +26,7 @@
         self.folder = pathlib.Path(folder)
         self.jobs = 0
         self.daemon_type = Process
+        self.tolerated_losses = 1
 
     def ip(self, index):
         return '127.%d.0.%d' % (self.net, index)
@@ -39,14 +40,16 @@
         return self.group.start(name, [self.programs / 'lycheetrestled',
                                        '--settings=%s' % path], self.daemon_type)
 
-    def start_scheduler(self, index, seeds, founding, own_endpoints=60):
+    def start_scheduler(self, index, seeds, founding, own_endpoints=60, has_disk=True):
+        """Without a disk, the scheduler has no data folder."""
         data = self.folder / ('data-%d' % index)
         data.mkdir(exist_ok=True)
         return self.start_daemon('scheduler-%d' % index, {
             'role': 'scheduler', 'name': 's%d' % index, 'address': self.ip(index),
             'listen': self.control_address(index), 'link_port': LINK_PORT,
             'seeds': [self.control_address(seed) for seed in seeds], 'founding': founding,
-            'data_folder': str(data), 'timing': {'beat_ms': 500},
+            'data_folder': str(data) if has_disk else '',
+            'tolerated_losses': self.tolerated_losses, 'timing': {'beat_ms': 500},
             'sending': {'own_endpoints': own_endpoints},
             'log': {'level': 'debug'}})
 
--- a/tests/process/test_full_disks.py
+++ b/tests/process/test_full_disks.py
@@ -132,6 +132,7 @@
     with ProcessGroup(folder, 300) as group:
         deployment = SiteDeployment(programs, folder, NET, group)
         deployment.daemon_type = PipedProcess
+        deployment.tolerated_losses = 2  # All four schedulers vote.
         test = FullDisks(deployment)
         try:
             test.run()
--- a/tests/process/test_scheduler_membership.py
+++ b/tests/process/test_scheduler_membership.py
@@ -24,6 +24,11 @@
 REPLACEMENT_S = 6
 
 
+def voters(deployment):
+    members = deployment.run_ctl(4, 'schedule', 'members')['members']
+    return {member['name'] for member in members if member['voter']}
+
+
 def run(deployment):
     # The seeds start last and in reverse order.
     deployment.start_gateway(GATEWAY, SEEDS)
@@ -41,12 +46,13 @@
     deployment.run_job(GATEWAY)
     deployment.start_scheduler(1, [4, 2, 7], False)
     deployment.configure(5, [1, 2])
-    # Without scheduler 2, a majority of the four needs the wiped scheduler 1.
+    # Three of the four vote. The spare has taken the place of the wiped scheduler 1,
+    # which is a spare now.
     time.sleep(REPLACEMENT_S)
     deployment.kill('scheduler-2')
     deployment.run_job(GATEWAY)
 
-    # A replacement at another address takes the place of scheduler 2.
+    # A spare takes the place of scheduler 2, and scheduler 5 that of scheduler 3.
     deployment.start_scheduler(5, [1, 3], False)
     time.sleep(REPLACEMENT_S)
     deployment.kill('scheduler-3')
@@ -59,10 +65,8 @@
     status = deployment.run_ctl(4, 'schedule', 'status')
     if status['configuration'] != 5:
         raise StepError('expected configuration 5 from the tool, got %s' % status)
-    members = deployment.run_ctl(4, 'schedule', 'members')['members']
-    names = {member['name'] for member in members if member['voter']}
-    if not {deployment.ip(1), deployment.ip(4), deployment.ip(5)} <= names:
-        raise StepError('expected the voters 1, 4 and 5 from the tool, got %s' % members)
+    wait_until(lambda: voters(deployment) == {deployment.ip(index) for index in (1, 4, 5)},
+               'the voters 1, 4 and 5 and no other', REPLACEMENT_S + 4)
 
     codes = deployment.group.terminate(['gateway-%d' % GATEWAY] + ['scheduler-%d' % index
                                                                    for index in (1, 4, 5)])
