Parse every address once into an IP address and a port

What operators saw: a heartbeat whose addr had port 99999, 0, -1 or 2^64+1, no port, a path, user information or a line break was answered 200, registered, replicated, polled and put into a URL as it came.

Cause: decodeHeartbeat() read addr as any text. Four other parsers of an address differed from each other (settings, announcements, the entry's client, the tool).

Change: core::network_address holds an IP address and a port of 1 to 65535, and only its parser makes one. Heartbeats, settings (platform, adviser, seeds, the control role's platform URL), announcements and those that entries pass on, delegated calls, orders, http::client and the leader that the tool is referred to go through it. Names of joining schedulers and of those in a status must be IP addresses. The log keeps the text, so a record of an earlier version with an odd address loads without one: it is never called or scheduled, and ends at once when it has no runs.

Stricter than before: an IPv6 address before a port needs brackets in settings, the platform, the adviser and the platform URL need an IP address, and an announcement that an entry passes on needs a valid address (test_peer_monitor sent none).

--- a/bench/http_calls.cpp
+++ b/bench/http_calls.cpp
@@ -62,8 +62,8 @@
   auto Send = [&](int Index, const char *Target, core::duration Timeout) {
     http::client_call Call;
     Call.Id = ++Id;
-    Call.Address =
-        "127.0.1." + std::to_string(1 + Index) + ":" + std::to_string(Port);
+    Call.Address = core::network_address::parse(
+        "127.0.1." + std::to_string(1 + Index) + ":" + std::to_string(Port));
     Call.Request.Method = "POST";
     Call.Request.Target = Target;
     Call.Request.Headers = {{"Content-Type", "application/json"},
--- a/bench/schedule_load.cpp
+++ b/bench/schedule_load.cpp
@@ -74,12 +74,14 @@
       auto &Endpoint = Endpoints.emplace_back();
       Endpoint.Facts.Id = "i-" + std::to_string(100'000 + Index);
       Endpoint.Facts.IncarnationMs = 1;
-      Endpoint.Facts.Address = "10.1.0." + std::to_string(Index) + ":80";
+      Endpoint.Facts.Address = core::network_address::parse(
+          "10.1." + std::to_string(Index / 256) + "." +
+          std::to_string(Index % 256) + ":80");
       Endpoint.Facts.Pool = pool(Index % (PoolCount + 1));
       Endpoint.Facts.Zone = "z";
       Endpoint.Facts.Capacity = {HostMilliCores, 1'000'000, 0};
       Endpoint.Facts.Rack = "r" + std::to_string(Index / 20);
-      ByAddress[Endpoint.Facts.Address] = Endpoints.size() - 1;
+      ByAddress[core::toText(Endpoint.Facts.Address)] = Endpoints.size() - 1;
     }
   }
 
@@ -278,7 +280,7 @@
       Answers.push_back({Order.Id, host_verdict::Busy});
       return;
     }
-    auto Index = ByAddress.find(Order.Address)->second;
+    auto Index = ByAddress.find(core::toText(Order.Address))->second;
     auto &Endpoint = Endpoints[Index];
     if (const auto *Start = std::get_if<start_order>(&Order.Body)) {
       ++Starts;
--- a/control/control_loop.cpp
+++ b/control/control_loop.cpp
@@ -152,8 +152,7 @@
   const auto *Replica = findReplica(Leader->Name);
   if (!Replica)
     return Leader->Name;
-  return Leader->Name + " " + Replica->Http.Address + ":" +
-         std::to_string(Replica->Http.Port);
+  return Leader->Name + " " + core::toString(Replica->Http);
 }
 
 failure control_loop::notLeader() const {
--- a/control/control_settings.cpp
+++ b/control/control_settings.cpp
@@ -2,8 +2,10 @@
 
 #include "core/object_reader.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace lycheetrestle::control {
 
@@ -56,9 +58,16 @@
 void readPlatform(object_reader &Reader, control_settings &Settings) {
   core::readNested(Reader, "platform", [&](object_reader &Nested) {
     Settings.PlatformUrl = Nested.readString("url");
-    if (!Settings.PlatformUrl.empty() &&
-        Settings.PlatformUrl.rfind("http://", 0) != 0)
-      Nested.reject("url", Settings.PlatformUrl, "must start with http://");
+    constexpr std::string_view Scheme = "http://";
+    std::string_view Url = Settings.PlatformUrl;
+    bool IsHttp = Url.substr(0, Scheme.size()) == Scheme;
+    auto Host = IsHttp ? Url.substr(Scheme.size()) : std::string_view();
+    auto Address = core::network_address::parse(Host.substr(0, Host.find('/')));
+    bool IsPrintable = std::all_of(Url.begin(), Url.end(),
+                                   [](char C) { return C > ' ' && C <= '~'; });
+    if (!Url.empty() && (!Address || !Address->isUnicast() || !IsPrintable))
+      Nested.reject("url", Url,
+                    "must start with http://, an IP address and a port");
   });
 }
 
--- a/core/common_settings.cpp
+++ b/core/common_settings.cpp
@@ -1,8 +1,6 @@
 #include "core/common_settings.h"
 
-#include <arpa/inet.h>
-
-#include <charconv>
+#include "core/network_address.h"
 
 namespace lycheetrestle::core {
 
@@ -11,24 +9,6 @@
 constexpr std::size_t MaxAddressBytes = 64;
 constexpr std::size_t MaxPathBytes = 4096;
 
-bool isIpAddress(const std::string &Text) {
-  in6_addr Buffer{};
-  return inet_pton(AF_INET, Text.c_str(), &Buffer) == 1 ||
-         inet_pton(AF_INET6, Text.c_str(), &Buffer) == 1;
-}
-
-bool splitAddress(const std::string &Text, socket_address &Socket) {
-  auto Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
-    return false;
-  Socket.Address = Text.substr(0, Colon);
-  const char *First = Text.data() + Colon + 1;
-  const char *Last = Text.data() + Text.size();
-  auto Parsed = std::from_chars(First, Last, Socket.Port);
-  return isIpAddress(Socket.Address) && Parsed.ec == std::errc() &&
-         Parsed.ptr == Last && Socket.Port != 0;
-}
-
 log_level toLogLevel(std::string_view Name) {
   if (Name == "debug")
     return log_level::Debug;
@@ -42,7 +22,9 @@
 } // namespace
 
 std::string toString(const socket_address &Socket) {
-  return Socket.Address + ":" + std::to_string(Socket.Port);
+  bool IsIpv6 = Socket.Address.find(':') != std::string::npos;
+  return (IsIpv6 ? "[" + Socket.Address + "]" : Socket.Address) + ":" +
+         std::to_string(Socket.Port);
 }
 
 void finishNested(object_reader &Outer, object_reader &Nested) {
@@ -53,9 +35,7 @@
 socket_address readAddress(object_reader &Reader, std::string_view AddressName,
                            std::string_view PortName) {
   socket_address Socket;
-  Socket.Address = Reader.readString(AddressName, 1, MaxAddressBytes);
-  if (!Socket.Address.empty() && !isIpAddress(Socket.Address))
-    Reader.reject(AddressName, Socket.Address, "must be an IP address");
+  Socket.Address = readIpAddress(Reader, AddressName);
   Socket.Port =
       static_cast<std::uint16_t>(Reader.readInteger(PortName, 1, 65535));
   return Socket;
@@ -83,26 +63,47 @@
 }
 
 socket_address readSocketText(object_reader &Reader, std::string_view Name) {
-  auto Text = Reader.readString(Name);
-  socket_address Socket;
-  if (!Reader.error() && !splitAddress(Text, Socket))
-    Reader.reject(Name, Text,
-                  "must be an IP address and a port, as in 10.0.0.1:8080");
-  return Socket;
+  auto Address = readNetworkAddress(Reader, Name);
+  return Address ? socket_address{Address->ip(), Address->port()}
+                 : socket_address{};
+}
+
+std::optional<network_address> readNetworkAddress(object_reader &Reader,
+                                                  std::string_view Name) {
+  auto Text = Reader.readString(Name, 1, MaxAddressBytes);
+  auto Address = network_address::parse(Text);
+  // A text of a wrong type or length is rejected already.
+  if (!Text.empty() && !Address)
+    Reader.reject(Name, Text, AddressRule);
+  return Address;
+}
+
+std::optional<network_address> readOptionalAddress(object_reader &Reader,
+                                                   std::string_view Name) {
+  if (!Reader.has(Name) || Reader.readString(Name, "").empty())
+    return std::nullopt;
+  return readNetworkAddress(Reader, Name);
+}
+
+std::string readIpAddress(object_reader &Reader, std::string_view Name) {
+  auto Text = Reader.readString(Name, 1, MaxAddressBytes);
+  if (!Text.empty() && !isIpAddress(Text))
+    Reader.reject(Name, Text, "must be an IP address");
+  return Text;
 }
 
 std::vector<std::string> readSeeds(object_reader &Reader) {
   constexpr std::size_t MaxSeeds = 16;
   std::vector<std::string> Seeds;
   for (const auto *Element : Reader.readArray("seeds", MaxSeeds)) {
-    socket_address Socket;
-    if (!Element->is_string() ||
-        !splitAddress(Element->get<std::string>(), Socket)) {
+    const auto *Text = Element->get_ptr<const std::string *>();
+    auto Address = Text ? network_address::parse(*Text) : std::nullopt;
+    if (!Address || !Address->isUnicast()) {
       Reader.reject("seeds", Element->dump(),
                     "must hold IP addresses with ports");
       return {};
     }
-    Seeds.push_back(Socket.Address);
+    Seeds.push_back(Address->ip());
   }
   return Seeds;
 }
--- a/core/common_settings.h
+++ b/core/common_settings.h
@@ -2,9 +2,11 @@
 #define LYCHEETRESTLE_CORE_COMMON_SETTINGS_H
 
 #include "core/event_log.h"
+#include "core/network_address.h"
 #include "core/object_reader.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,14 +16,14 @@
 /// Largest settings file in bytes.
 inline constexpr std::size_t MaxSettingsBytes = 64u << 10;
 
-/// Address of a listening socket.
+/// Address of a listening socket; tests listen at port 0, any free one.
 struct socket_address {
   std::string Address; ///< IPv4 or IPv6 address in text form.
   std::uint16_t Port = 0;
   bool operator==(const socket_address &) const = default;
 };
 
-/// \returns `address:port`, for messages.
+/// \returns `address:port`, an IPv6 address in brackets, also for URLs.
 std::string toString(const socket_address &Socket);
 
 /// Destination and level of the log.
@@ -60,6 +62,19 @@
 /// Reads a required address in the form `ip:port` from one member.
 socket_address readSocketText(object_reader &Reader, std::string_view Name);
 
+/// Reads a required address of another process from one member, `ip:port`.
+/// \returns nothing when it is rejected.
+std::optional<network_address> readNetworkAddress(object_reader &Reader,
+                                                  std::string_view Name);
+
+/// Reads an optional address like readNetworkAddress().
+/// \returns nothing when it is absent, empty or rejected.
+std::optional<network_address> readOptionalAddress(object_reader &Reader,
+                                                   std::string_view Name);
+
+/// Reads a required IP address without a port from one member.
+std::string readIpAddress(object_reader &Reader, std::string_view Name);
+
 /// Reads the required list `seeds` of addresses in the form `ip:port`.
 /// \returns the IP addresses without the ports.
 std::vector<std::string> readSeeds(object_reader &Reader);
--- a/ctl/arguments.cpp
+++ b/ctl/arguments.cpp
@@ -1,5 +1,7 @@
 #include "ctl/arguments.h"
 
+#include "core/network_address.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -30,8 +32,13 @@
   auto Colon = Text.rfind(':');
   if (Colon == std::string_view::npos || Colon == 0)
     return false;
+  if (core::network_address::parse(Text))
+    return true;
+  // A person may give a name; user information or a path is not part of one.
+  auto Host = Text.substr(0, Colon);
   auto Port = parseNumber(std::string(Text.substr(Colon + 1)));
-  return Port && *Port >= 1 && *Port <= MaxPort;
+  return std::all_of(Host.begin(), Host.end(), isNameCharacter) && Port &&
+         *Port >= 1 && *Port <= MaxPort;
 }
 
 bool isName(const std::string &Text) {
--- a/ctl/replica_client.cpp
+++ b/ctl/replica_client.cpp
@@ -1,6 +1,7 @@
 #include "ctl/replica_client.h"
 
 #include "core/clock.h"
+#include "core/network_address.h"
 #include "ctl/arguments.h"
 #include "ctl/refusal.h"
 
@@ -35,8 +36,10 @@
   while (!Header.empty()) {
     auto End = Header.find_first_of(" ,;=");
     auto Word = Header.substr(0, End);
-    if (isAddress(Word))
-      return std::string(Word);
+    // Unlike an address that a person gave, the one in a response is no name.
+    if (auto Address = core::network_address::parse(Word);
+        Address && Address->isUnicast())
+      return Address->text();
     if (End == std::string_view::npos)
       break;
     Header.remove_prefix(End + 1);
--- a/entry/upstream_client.cpp
+++ b/entry/upstream_client.cpp
@@ -1,9 +1,9 @@
 #include "entry/upstream_client.h"
 
 #include "core/event_log.h"
+#include "core/network_address.h"
 #include "entry/ring_sender.h"
 
-#include <asio/ip/address.hpp>
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -51,25 +51,6 @@
   return Text.substr(First, Text.find_last_not_of(" \t\r\n") - First + 1);
 }
 
-// Accepts only numeric addresses, so that no host name is ever resolved.
-bool isSocketAddress(std::string_view Text) {
-  auto Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return false;
-  auto Host = Text.substr(0, Colon);
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    Host = Host.substr(1, Host.size() - 2);
-  asio::error_code Error;
-  asio::ip::make_address(std::string(Host), Error);
-  unsigned Port = 0;
-  auto Digits = Text.substr(Colon + 1);
-  auto Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  return !Error && Parsed.ec == std::errc() &&
-         Parsed.ptr == Digits.data() + Digits.size() && Port >= 1 &&
-         Port <= 65535;
-}
-
 long millisecondsUntil(time_point Deadline, time_point Now) {
   auto Left =
       std::chrono::duration_cast<std::chrono::milliseconds>(Deadline - Now);
@@ -304,8 +285,10 @@
       return refuse(Request.Attempt, "order-too-old");
     if (Now >= Deadline)
       return refuse(Request.Attempt, "deadline");
-    if (!isSocketAddress(Request.Address))
+    auto Address = core::network_address::parse(Request.Address);
+    if (!Address || !Address->isUnicast())
       return refuse(Request.Attempt, "bad-address");
+    Request.Address = Address->text();
     auto &InUse = ConnectionsInUse[Request.Endpoint];
     // libcurl reuses an idle connection before it opens another one, so this
     // also bounds the number of open connections.
--- a/gateway/gateway_settings.cpp
+++ b/gateway/gateway_settings.cpp
@@ -16,7 +16,7 @@
   gateway_settings Settings;
   Reader.readChoice("role", {"gateway"});
   Settings.Name = Reader.readName("name");
-  Settings.Address = Reader.readString("address");
+  Settings.Address = core::readIpAddress(Reader, "address");
   Settings.Listen = core::readSocketText(Reader, "listen");
   Settings.Readiness = core::readSocketText(Reader, "readiness");
   if (Reader.has("metrics"))
--- a/gateway/messages.cpp
+++ b/gateway/messages.cpp
@@ -1,8 +1,10 @@
 #include "gateway/messages.h"
 
+#include "core/network_address.h"
 #include "fleet/cbor_archive.h"
 #include "fleet/cbor_sequence.h"
 
+#include <algorithm>
 #include <concepts>
 #include <type_traits>
 #include <utility>
@@ -77,6 +79,11 @@
   message Message;
   if (!readBody((*Items)[0].get<std::size_t>(), (*Items)[1], Message))
     return std::nullopt;
+  // The gateway connects to each of them.
+  if (const auto *Status = std::get_if<status_message>(&Message);
+      Status && !std::all_of(Status->Schedulers.begin(),
+                             Status->Schedulers.end(), core::isIpAddress))
+    return std::nullopt;
   return Message;
 }
 
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -177,6 +177,11 @@
           {Call.Id, false, false, {}, "call too old", true});
       return;
     }
+    if (!Call.Address) {
+      PendingResults.push_back(
+          {Call.Id, false, false, {}, "invalid address", true});
+      return;
+    }
     auto Transfer = std::make_unique<transfer>();
     Transfer->Call = std::move(Call);
     Transfer->MaxResponseBytes = Settings.MaxResponseBytes;
@@ -197,7 +202,8 @@
     const auto &Request = Transfer.Call.Request;
     auto Left = Transfer.Call.Issued + Transfer.Call.Timeout - Now;
     long LeftMs = std::max(1L, toMilliseconds(Left));
-    std::string Url = "http://" + Transfer.Call.Address + Request.Target;
+    std::string Url =
+        "http://" + Transfer.Call.Address->text() + Request.Target;
     curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
     curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/http/client.h
+++ b/http/client.h
@@ -3,11 +3,13 @@
 
 #include "core/bounded_ring.h"
 #include "core/clock.h"
+#include "core/network_address.h"
 #include "http/messages.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheetrestle::http {
@@ -15,7 +17,8 @@
 /// An outgoing HTTP request.
 struct client_call {
   std::uint64_t Id = 0; ///< Copied into the result.
-  std::string Address;  ///< `ip:port`; names are not resolved.
+  /// A call without an address fails.
+  std::optional<core::network_address> Address;
   request Request;
   core::duration Timeout = std::chrono::milliseconds(1000);
   core::time_point Issued{}; ///< Start of the timeout.
--- a/routing/announcement.cpp
+++ b/routing/announcement.cpp
@@ -1,10 +1,7 @@
+#include "core/network_address.h"
 #include "core/object_reader.h"
 #include "routing/entry_router.h"
 
-#include <asio/ip/address.hpp>
-
-#include <charconv>
-
 namespace lycheetrestle::routing {
 
 namespace {
@@ -14,30 +11,6 @@
 constexpr std::int64_t DefaultSlots = 8;
 constexpr std::int64_t MaxConnections = 65536;
 constexpr std::int64_t DefaultConnections = 64;
-constexpr unsigned MaxPort = 65535;
-
-// Only literal addresses are accepted: every entry would have to resolve a
-// name, and endpoints announce IP addresses.
-bool isAddressWithPort(std::string_view Text) {
-  auto Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return false;
-  auto Host = Text.substr(0, Colon);
-  auto Port = Text.substr(Colon + 1);
-  unsigned PortNumber = 0;
-  auto [End, Error] =
-      std::from_chars(Port.data(), Port.data() + Port.size(), PortNumber);
-  if (Error != std::errc() || End != Port.data() + Port.size() ||
-      PortNumber == 0 || PortNumber > MaxPort)
-    return false;
-  asio::error_code Code;
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    asio::ip::make_address_v6(std::string(Host.substr(1, Host.size() - 2)),
-                              Code);
-  else
-    asio::ip::make_address_v4(std::string(Host), Code);
-  return !Code;
-}
 
 } // namespace
 
@@ -55,8 +28,13 @@
   Result.Host = Reader.readName("host");
   Result.Zone = Reader.readName("zone");
   Result.Address = Reader.readString("address");
-  if (!Reader.error() && !isAddressWithPort(Result.Address))
-    Reader.reject("address", Result.Address, "must be an IP address and port");
+  // Only literal addresses are accepted: every entry would have to resolve a
+  // name, and endpoints announce IP addresses.
+  auto Address = core::network_address::parse(Result.Address);
+  if (!Reader.error() && (!Address || !Address->isUnicast()))
+    Reader.reject("address", Result.Address, core::AddressRule);
+  if (Address)
+    Result.Address = Address->text();
   Result.Slots = static_cast<std::uint32_t>(
       Reader.readInteger("slots", 1, MaxSlots, DefaultSlots));
   Result.Connections = static_cast<std::uint32_t>(
--- a/routing/peer_monitor.cpp
+++ b/routing/peer_monitor.cpp
@@ -1,5 +1,7 @@
 #include "routing/peer_monitor.h"
 
+#include "core/network_address.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -122,6 +124,9 @@
     // accepted.
     if (!Sent && !Announcement.Leaving)
       continue;
+    auto Address = core::network_address::parse(Announcement.Address);
+    if (!Address || !Address->isUnicast())
+      continue;
     auto SentAt = Sent ? *Sent - std::chrono::milliseconds(Announcement.AgeMs)
                        : Now - Settings.AnnouncementLease;
     Registry.apply(Announcement, SentAt, Now);
--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -26,7 +26,7 @@
 constexpr std::uint64_t ReceivedCallBit = std::uint64_t(1) << 63;
 
 std::size_t sizeOf(const http::client_call &Call) {
-  auto Size = ItemOverheadBytes + Call.Address.size() +
+  auto Size = ItemOverheadBytes + core::toText(Call.Address).size() +
               Call.Request.Target.size() + Call.Request.Body.size();
   for (const auto &Header : Call.Request.Headers)
     Size += Header.Name.size() + Header.Value.size();
--- a/scheduling/delegation_messages.cpp
+++ b/scheduling/delegation_messages.cpp
@@ -85,7 +85,7 @@
   auto TimeoutMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Call.Timeout);
   return {Call.Id,
-          Call.Address,
+          core::toText(Call.Address),
           Call.Request.Method,
           Call.Request.Target,
           toRecords(Call.Request.Headers),
@@ -96,7 +96,7 @@
 http::client_call fromRecord(call_record Record) {
   http::client_call Call;
   Call.Id = Record.Id;
-  Call.Address = std::move(Record.Address);
+  Call.Address = core::network_address::parse(Record.Address);
   Call.Request.Method = std::move(Record.Method);
   Call.Request.Target = std::move(Record.Target);
   Call.Request.Headers = toHeaders(std::move(Record.Headers));
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -73,8 +73,13 @@
 }
 template <typename Archive, record_of<endpoint_facts> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Id, R.IncarnationMs, R.Address, R.Pool, R.Zone, R.Capacity, R.Labels,
+  // The log has the address as text. Versions that did not check it wrote any
+  // text; the record is read without an address then.
+  auto Address = core::toText(R.Address);
+  A(R.Id, R.IncarnationMs, Address, R.Pool, R.Zone, R.Capacity, R.Labels,
     R.Rack, R.IsDraining);
+  if constexpr (!std::is_const_v<Type>)
+    R.Address = core::network_address::parse(Address);
 }
 
 template <typename Archive, record_of<set_configuration> Type>
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -79,8 +79,10 @@
   auto [Found, IsNew] = TrackedEndpoints.try_emplace(Endpoint);
   if (IsNew) {
     Found->second.Endpoint = Endpoint;
-    if (auto Record = State.endpoints().find(Endpoint);
-        Record != State.endpoints().end()) {
+    auto Record = State.endpoints().find(Endpoint);
+    if (Record != State.endpoints().end()) {
+      // No order can reach an incarnation without an address.
+      Found->second.IsSuspect = !Record->second.Facts.Address;
       Found->second.Id = Record->second.Facts.Id;
       Found->second.Rack = Record->second.Facts.Rack;
       Found->second.Host = hostOf(Record->second);
@@ -420,6 +422,11 @@
       Commands.emplace_back(record_contact{Number});
     }
     if (Tracked.Runs.empty()) {
+      auto Record = State.endpoints().find(Number);
+      if (Record != State.endpoints().end() && !Record->second.Facts.Address) {
+        Commands.emplace_back(end_endpoint{Number});
+        continue;
+      }
       if (Now - std::max(Tracked.LastHeartbeat, Tracked.LastAnswer) >
           SilentEndpointRetention)
         Commands.emplace_back(end_endpoint{Number});
@@ -464,9 +471,10 @@
 bool leader::isSchedulable(const endpoint_record &Endpoint,
                            const tracked_endpoint &Tracked,
                            core::time_point Now) const {
-  if (Endpoint.Facts.IsDraining || Tracked.IsSuspect || Tracked.IsFenced ||
-      Tracked.IsReplaced || Tracked.RemoveAt ||
-      Tracked.ClockAt == core::time_point() || Tracked.Health.isAvoided(Now))
+  if (!Endpoint.Facts.Address || Endpoint.Facts.IsDraining ||
+      Tracked.IsSuspect || Tracked.IsFenced || Tracked.IsReplaced ||
+      Tracked.RemoveAt || Tracked.ClockAt == core::time_point() ||
+      Tracked.Health.isAvoided(Now))
     return false;
   auto LastHeard = std::max(Tracked.LastHeartbeat, Tracked.LastAnswer);
   if (Now - LastHeard > MaxSilentIntervals * Settings.HeartbeatInterval)
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -109,9 +109,10 @@
   if (Now < Tracked.DueAt)
     return;
   Tracked.DueAt = Now + CheckInterval;
+  auto Endpoint = State.endpoints().find(Tracked.Endpoint);
   if (Tracked.IsFenced || Tracked.IsReplaced ||
       EndedIncarnations.count(Tracked.Endpoint) > 0 ||
-      State.endpoints().find(Tracked.Endpoint) == State.endpoints().end())
+      Endpoint == State.endpoints().end() || !Endpoint->second.Facts.Address)
     return;
   // Leases are expressed in the endpoint's clock.
   bool HasClock = Tracked.ClockAt != core::time_point();
--- a/scheduling/orders.h
+++ b/scheduling/orders.h
@@ -76,8 +76,9 @@
 struct order {
   std::uint64_t Id = 0;
   std::uint32_t Endpoint = 0; ///< Number; 0 for the platform and the adviser.
-  std::string Address;        ///< Empty for the platform and the adviser.
-  std::string EndpointId;     ///< An endpoint with another id must refuse.
+  /// Empty for the platform and the adviser.
+  std::optional<core::network_address> Address;
+  std::string EndpointId; ///< An endpoint with another id must refuse.
   core::duration Timeout{};
   order_body Body;
 };
--- a/scheduling/schedule_node_members.cpp
+++ b/scheduling/schedule_node_members.cpp
@@ -1,5 +1,6 @@
 #include "control/control_frames.h"
 #include "core/event_log.h"
+#include "core/network_address.h"
 #include "scheduling/schedule_node.h"
 
 #include <algorithm>
@@ -58,6 +59,11 @@
 void schedule_node::receiveJoin(const std::string &Peer,
                                 const replication::replica_id &Replica,
                                 std::string_view Bytes, core::time_point Now) {
+  // All replicas connect to the name of a member.
+  if (!core::isIpAddress(Replica.Name)) {
+    Metrics.add("messages_dropped_total");
+    return;
+  }
   if (LeaderTerm != 0) {
     Members.recordJoinRequest(Replica, Now);
     return;
--- a/scheduling/schedule_views.cpp
+++ b/scheduling/schedule_views.cpp
@@ -67,7 +67,7 @@
                     {"pool", Facts.Pool},
                     {"zone", Facts.Zone},
                     {"rack", Facts.Rack},
-                    {"address", Facts.Address},
+                    {"address", core::toText(Facts.Address)},
                     {"draining", Facts.IsDraining},
                     {"runs", Endpoint.Runs.size()}});
   }
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -357,9 +357,9 @@
     } else {
       Response.Status = 307;
       Response.Headers.push_back(
-          {"Location", "http://" + Reply.Leader + ":" +
-                           std::to_string(Settings.Listen.Port) +
-                           Origin.Target});
+          {"Location",
+           "http://" + core::toString({Reply.Leader, Settings.Listen.Port}) +
+               Origin.Target});
     }
     respond(Origin, std::move(Response));
   }
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -55,7 +55,7 @@
   scheduler_settings Settings;
   Reader.readChoice("role", {"scheduler"});
   Settings.Name = Reader.readName("name");
-  Settings.Address = Reader.readString("address");
+  Settings.Address = core::readIpAddress(Reader, "address");
   Settings.Listen = core::readSocketText(Reader, "listen");
   if (Reader.has("metrics"))
     Settings.Metrics = core::readSocketText(Reader, "metrics");
@@ -64,10 +64,10 @@
   Settings.Seeds = core::readSeeds(Reader);
   Settings.IsFounding = Reader.readBool("founding", false);
   Settings.DataFolder = Reader.readString("data_folder");
-  Settings.PlatformAddress = Reader.readString("platform", "");
-  Settings.AdviserAddress = Reader.readString("adviser", "");
-  Settings.Leader.HasPlatform = !Settings.PlatformAddress.empty();
-  Settings.Leader.HasAdviser = !Settings.AdviserAddress.empty();
+  Settings.PlatformAddress = core::readOptionalAddress(Reader, "platform");
+  Settings.AdviserAddress = core::readOptionalAddress(Reader, "adviser");
+  Settings.Leader.HasPlatform = Settings.PlatformAddress.has_value();
+  Settings.Leader.HasAdviser = Settings.AdviserAddress.has_value();
   Settings.Log = core::readLog(Reader);
   core::readNested(Reader, "sending", [&](object_reader &Nested) {
     Settings.OwnEndpoints = static_cast<std::size_t>(
--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -7,6 +7,7 @@
 #include "scheduling/leader.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,8 +25,8 @@
   /// First start of the whole system: the seeds create the cluster.
   bool IsFounding = false;
   std::string DataFolder;
-  std::string PlatformAddress; ///< `ip:port`, or empty.
-  std::string AdviserAddress;  ///< `ip:port`, or empty.
+  std::optional<core::network_address> PlatformAddress;
+  std::optional<core::network_address> AdviserAddress;
   core::log_settings Log;
   leader_settings Leader;
   /// Number of endpoints up to which the leader calls all of them itself; with
--- a/scheduling/types.h
+++ b/scheduling/types.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEETRESTLE_SCHEDULING_TYPES_H
 #define LYCHEETRESTLE_SCHEDULING_TYPES_H
 
+#include "core/network_address.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -164,7 +166,9 @@
 struct endpoint_facts {
   std::string Id;
   std::uint64_t IncarnationMs = 0; ///< Wall time at which the program started.
-  std::string Address;
+  /// Empty only in records of earlier versions, which did not check it. Such an
+  /// incarnation is never used.
+  std::optional<core::network_address> Address;
   std::string Pool;
   std::string Zone;
   resource_amounts Capacity;
--- a/tests/ctl/test_replica_client.cpp
+++ b/tests/ctl/test_replica_client.cpp
@@ -20,4 +20,7 @@
   CHECK(leaderAddress("control-2 :7101") == "");
   CHECK(leaderAddress("control-2 10.0.0.2:71011234") == "");
   CHECK(leaderAddress("control-2 10.0.0.2:http") == "");
+  CHECK(leaderAddress("control-2 other.example:7101") == "");
+  CHECK(leaderAddress("control-2 u@10.0.0.2:7101") == "");
+  CHECK(leaderAddress("control-2 0.0.0.0:7101") == "");
 }
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -255,6 +255,15 @@
   CHECK(!isGateway("10.0.0.1"));
 }
 
+// Guards against a gateway that connects to what another writer named.
+TEST_CASE("a status that names a scheduler without an IP address is rejected") {
+  for (const char *Name : {"", "host.example", "10.0.0.1:80", "u@10.0.0.1"}) {
+    INFO(Name);
+    auto Bytes = encodeMessage(status_message{true, 9, {"10.0.0.1", Name}});
+    CHECK(!decodeMessage(Bytes));
+  }
+}
+
 // Guards against a message that overflows the stack of each scheduler in turn.
 TEST_CASE("a deeply nested message is rejected without recursion") {
   CHECK_FALSE(decodeMessage(std::string(4u << 20, '\x81')));
--- a/tests/http/test_server_and_client.cpp
+++ b/tests/http/test_server_and_client.cpp
@@ -56,7 +56,8 @@
   void call(std::uint64_t Id, std::string Target, core::duration Timeout = 2s) {
     client_call Call;
     Call.Id = Id;
-    Call.Address = "127.0.0.1:" + std::to_string(Port);
+    Call.Address =
+        core::network_address::parse("127.0.0.1:" + std::to_string(Port));
     Call.Request.Method = "POST";
     Call.Request.Target = std::move(Target);
     Call.Request.Headers = {{"x-wanted", "yes"}, {"X-Other", "no"}};
@@ -128,7 +129,8 @@
   loopback_pair Pair;
   client_call Old;
   Old.Id = 3;
-  Old.Address = "127.0.0.1:" + std::to_string(Pair.Port);
+  Old.Address =
+      core::network_address::parse("127.0.0.1:" + std::to_string(Pair.Port));
   Old.Issued = core::boot_clock::now() - 2s;
   bool IsPushed = Pair.Calls.push(std::move(Old));
   REQUIRE(IsPushed);
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -145,6 +145,31 @@
         "none");
 }
 
+// Guards against an entry of another writer that is registered, replicated,
+// polled and put into a URL as it came.
+TEST_CASE("an odd address in a heartbeat is refused with field and value") {
+  auto Adapter = makeSiteAdapter({});
+  for (const json &Address : std::vector<json>{
+           "10.0.0.9:99999", "10.0.0.9:0", "10.0.0.9:-1",
+           "10.0.0.9:18446744073709551617", "10.0.0.9", "10.0.0.9:80/path",
+           "user@10.0.0.9:80", "10.0.0.9:80\r\nX: 1", "0.0.0.0:80",
+           "host.example:80", std::string(1000, '1') + ":80", nullptr, 80}) {
+    INFO(Address);
+    auto Document = json::parse(Heartbeat);
+    Document["addr"] = Address;
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/i-7/heartbeat";
+    Request.Body = Document.dump();
+    auto Decoded = Adapter.DecodeControlCall(Request);
+    REQUIRE(!Decoded.Call);
+    CHECK(Decoded.Refusal.Status == 400);
+    auto Body = json::parse(Decoded.Refusal.Body);
+    CHECK(Body.at("field") == "addr");
+    CHECK(!Body.at("value").get<std::string>().empty());
+  }
+}
+
 TEST_CASE("task names are encoded and decoded") {
   task_key Task{"0123456789abcdef", 2, 1, 17};
   CHECK(encodeTask(Task) == "0123456789abcdef.2.1.17");
@@ -213,7 +238,7 @@
 order endpointOrder(order_body Body) {
   order Order;
   Order.Endpoint = 1;
-  Order.Address = "10.0.0.9:80";
+  Order.Address = core::network_address::parse("10.0.0.9:80");
   Order.EndpointId = "i-1";
   Order.Body = std::move(Body);
   return Order;
@@ -290,7 +315,9 @@
 }
 
 TEST_CASE("golden session: orders") {
-  auto Adapter = makeSiteAdapter({"10.0.0.1:1", "10.0.0.2:2", "holder"});
+  auto Adapter =
+      makeSiteAdapter({core::network_address::parse("10.0.0.1:1"),
+                       core::network_address::parse("10.0.0.2:2"), "holder"});
   start_order Start;
   Start.Task = {"j", 0, 1, 2};
   Start.Attempt = 3;
@@ -313,7 +340,7 @@
   order Maintenance;
   Maintenance.Body = maintenance_order{"m-1", 4, 7};
   Call = Adapter.EncodeOrder(Maintenance);
-  CHECK(Call.Address == "10.0.0.1:1");
+  CHECK(core::toText(Call.Address) == "10.0.0.1:1");
   CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Lease-Holder") ==
         "holder");
   CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Fencing-Token") ==
--- a/tests/routing/test_peer_monitor.cpp
+++ b/tests/routing/test_peer_monitor.cpp
@@ -52,6 +52,7 @@
   }
   void gossip(std::uint64_t Nonce, bool Leaving, std::uint32_t AgeMs = 0) {
     announcement Announcement;
+    Announcement.Address = "10.0.0.1:80";
     Announcement.Endpoint = "ep1";
     Announcement.Sequence = ++Sequence;
     Announcement.Service = "plots";
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -44,7 +44,8 @@
   for (std::uint32_t Index = 1; Index <= Count; ++Index) {
     auto &Endpoint = Endpoints.emplace_back();
     Endpoint.Facts = makeEndpoint("e" + std::to_string(Index));
-    Endpoint.Facts.Address = "10.0.0." + std::to_string(Index) + ":80";
+    Endpoint.Facts.Address =
+        core::network_address::parse("10.0.0." + std::to_string(Index) + ":80");
     Endpoint.ClockStartMs = NowMs - 5000;
     // The slowest clock that an endpoint may have.
     Endpoint.ClockRate = Index % 2 == 0 ? 0.98 : 1.0;
@@ -200,13 +201,13 @@
       Answers.push_back({Delivery.TimeoutMs,
                          Delivery.Leader,
                          {Delivery.Order.Id, no_answer{true, "timeout"}},
-                         "",
+                         std::nullopt,
                          0});
   std::erase_if(Deliveries, [&](const delivery &Delivery) {
     return Delivery.Order.Address == Endpoint.Facts.Address;
   });
   for (auto &Answer : Answers)
-    if (Answer.Address == Endpoint.Facts.Address &&
+    if (Answer.Address == Endpoint.Facts.Address && Answer.Address &&
         !std::holds_alternative<no_answer>(Answer.Result.Answer)) {
       Answer.Result.Answer = no_answer{true, "timeout"};
       Answer.AtMs = std::max(NowMs, Answer.TimeoutMs);
@@ -599,8 +600,11 @@
           ? PlatformMs
           : std::chrono::duration_cast<std::chrono::milliseconds>(Order.Timeout)
                 .count();
-  Answers.push_back(
-      {NowMs + DelayMs, LeaderNumber, {Order.Id, std::move(Answer)}, "", 0});
+  Answers.push_back({NowMs + DelayMs,
+                     LeaderNumber,
+                     {Order.Id, std::move(Answer)},
+                     std::nullopt,
+                     0});
 }
 
 order_answer fake_site::executeHostOrder(const order &Order) {
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -147,7 +148,8 @@
     std::int64_t AtMs = 0;
     std::uint32_t Leader = 0;
     order_result Result;
-    std::string Address;        ///< Of the endpoint, or empty.
+    /// Of the endpoint, or empty.
+    std::optional<core::network_address> Address;
     std::int64_t TimeoutMs = 0; ///< When the order times out.
   };
 
--- a/tests/scheduling/schedule_fixture.cpp
+++ b/tests/scheduling/schedule_fixture.cpp
@@ -52,7 +52,7 @@
   endpoint_facts Facts;
   Facts.Id = std::move(Id);
   Facts.IncarnationMs = IncarnationMs;
-  Facts.Address = "10.0.0.1:80";
+  Facts.Address = core::network_address::parse("10.0.0.1:80");
   Facts.Pool = std::move(Pool);
   Facts.Zone = "z";
   Facts.Capacity = {MilliCores, 10'000, 0};
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/call_delegator.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <map>
 #include <set>
@@ -16,7 +17,7 @@
 http::client_call makeCall(std::uint64_t Id) {
   http::client_call Call;
   Call.Id = Id;
-  Call.Address = "10.0.0.1:80";
+  Call.Address = core::network_address::parse("10.0.0.1:80");
   Call.Request.Method = "POST";
   Call.Request.Target = "/x";
   Call.Request.Headers = {{"A", "b"}};
@@ -229,6 +230,25 @@
   CHECK(Results == 300);
 }
 
+// Guards against a delegate that calls what is not the address of an endpoint.
+TEST_CASE(
+    "a delegated call keeps a valid address, and any other text is none") {
+  auto Bytes = encodeDelegation(delegated_calls{{makeCall(1)}});
+  auto Received = decodeDelegation(Bytes);
+  REQUIRE(Received);
+  CHECK(std::get<delegated_calls>(*Received).Calls[0].Address ==
+        makeCall(1).Address);
+  auto Map = nlohmann::json::from_cbor(Bytes);
+  for (const char *Text : {"10.0.0.1:99999", "u@10.0.0.1:80", "host:80", ""}) {
+    Map["calls"][0][1] = Text;
+    std::string Odd;
+    nlohmann::json::to_cbor(Map, Odd);
+    Received = decodeDelegation(Odd);
+    REQUIRE(Received);
+    CHECK(!std::get<delegated_calls>(*Received).Calls[0].Address);
+  }
+}
+
 TEST_CASE("a deeply nested message of a delegate is rejected") {
   call_delegator Delegator(0);
   CHECK_FALSE(
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -185,7 +185,7 @@
   std::set<std::string> Addresses;
   for (const auto &Order : Site.SentOrders)
     if (std::holds_alternative<start_order>(Order.Body))
-      Addresses.insert(Order.Address);
+      Addresses.insert(core::toText(Order.Address));
   CHECK(Addresses.size() == 1);
 }
 
--- a/tests/scheduling/test_settings.cpp
+++ b/tests/scheduling/test_settings.cpp
@@ -48,6 +48,11 @@
   CHECK(failingField(replaced("10.0.0.1:8000\", \"link",
                               "nowhere\", \"link")) == "listen");
   CHECK(failingField(replaced("7000", "0")) == "link_port");
+  CHECK(failingField(replaced("10.0.0.9:80", "10.0.0.9:99999")) == "platform");
+  CHECK(failingField(replaced("10.0.0.9:80", "u@10.0.0.9:80")) == "platform");
+  CHECK(failingField(replaced("\"address\": \"10.0.0.1\"",
+                              "\"address\": \"10.0.0.1:80\"")) == "address");
+  CHECK(failingField(replaced("10.0.0.2:8000", "0.0.0.0:8000")) == "seeds");
   CHECK(failingField(replaced("\"10.0.0.2:8000\"", "5")) == "seeds");
   CHECK(failingField(replaced("\"founding\"", "\"fonding\"")) == "fonding");
   CHECK(failingField(replaced("40", "-1")) == "sending.own_endpoints");
