Replace an incarnation only after the other one has answered

What callers saw: one heartbeat with the id of each endpoint of a pool, with a born and a seq far in the future, stopped the pool for 30 s; repeated each second, for ever. An endpoint whose host's clock was stepped back did not come back at all.

Cause: the later start time and the larger sequence number won, and both are claims of the sender. Start times are wall clocks that may step on either side.

Change: a heartbeat with another start time or address than the recorded one is acknowledged and changes nothing until a program at that address has answered a probe with this id and start time. A later start time then wins; an earlier one when the recorded incarnation is at the same address, has no valid address or does not answer (record_endpoint::Replaces, written only then). No start time is refused for being late, because the receiver's clock may be the wrong one. A clock more than 2 s ahead of the endpoint's own answers is ignored; a lower sequence number with a later clock is newer; contradictions cause a poll, at most one per heartbeat interval. An incarnation that was taken for replaced is used again when it answers. A deregistration with a start time ends only that incarnation.

Two tests let their endpoints answer the probe now, as they must.

--- a/scheduling/calls.h
+++ b/scheduling/calls.h
@@ -5,6 +5,7 @@
 #include "scheduling/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,6 +42,7 @@
 /// An endpoint reports that it is about to exit.
 struct deregister_call {
   std::string EndpointId;
+  std::optional<std::uint64_t> IncarnationMs = {}; ///< If the body has it.
 };
 /// Replaces the configuration.
 struct configure_call {
--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -75,6 +75,9 @@
 struct record_endpoint {
   endpoint_facts Facts;
   incarnation_end End = {}; ///< Of the earlier incarnation with the same id.
+  /// Number of the incarnation that it replaces although that one's start time
+  /// is later, because a clock was stepped; 0 when the start times decide.
+  std::uint32_t Replaces = 0;
   bool operator==(const record_endpoint &) const = default;
 };
 
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -114,6 +114,9 @@
 void fields(Archive &A, Type &R) {
   A(R.Facts);
   A.trailing(R.End);
+  // Rarely set; without it earlier versions can read the record.
+  if (!std::is_const_v<Type> || R.Replaces != 0)
+    A.trailing(R.Replaces);
 }
 template <typename Archive, record_of<end_endpoint> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -35,8 +35,6 @@
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
-// An endpoint may execute an order without an answer this much later.
-constexpr core::duration MaxOrderDelay = std::chrono::seconds(12);
 constexpr core::duration TickInterval = milliseconds(20);
 // Limits of the open occurrences of one job; occurrences beyond them wait until
 // an earlier one ends. A job whose interval is 0, or whose start lies far in
@@ -305,6 +303,8 @@
       Tracked.ClockAt == core::time_point()) {
     Tracked.ClockMs = Heartbeat.ClockMs;
     Tracked.ClockAt = ReceivedAt;
+    Tracked.Sequence = Heartbeat.Sequence;
+    Tracked.HeartbeatClockMs = Heartbeat.ClockMs;
     Tracked.LastHeartbeat = ReceivedAt;
     recordCapacity(Tracked, Heartbeat, ReceivedAt);
   }
@@ -320,40 +320,11 @@
   Tracked.AnnouncedAt = ReceivedAt;
 }
 
-bool leader::recordHeartbeat(const endpoint_heartbeat &Heartbeat,
-                             core::time_point Now) {
-  const auto *Endpoint =
-      State.findEndpoint(Heartbeat.Facts.Id, Heartbeat.Facts.IncarnationMs);
-  if (!Endpoint) {
-    // Keeps the clock sample until the new incarnation is committed.
-    UncommittedHeartbeats[Heartbeat.Facts.Id] = {Heartbeat, Now};
-    const auto *Newest = State.findEndpoint(Heartbeat.Facts.Id);
-    return Newest &&
-           Newest->Facts.IncarnationMs > Heartbeat.Facts.IncarnationMs;
-  }
-  auto &Tracked = trackEndpoint(Endpoint->Number, Now);
-  if (Heartbeat.Sequence < Tracked.Sequence)
-    return true;
-  Tracked.Sequence = Heartbeat.Sequence;
-  Tracked.LastHeartbeat = Now;
-  recordCapacity(Tracked, Heartbeat, Now);
-  if (Tracked.ClockAt == core::time_point() ||
-      Heartbeat.ClockMs > Tracked.ClockMs) {
-    Tracked.ClockMs = Heartbeat.ClockMs;
-    Tracked.ClockAt = Now;
-  }
-  if (Heartbeat.RemainingMs) {
-    Tracked.RemainingMs = Heartbeat.RemainingMs;
-    Tracked.RemainingAt = Now;
-  }
-  // An incarnation that drains never accepts work again, so a heartbeat without
-  // the flag is out of date.
-  return Endpoint->Facts == Heartbeat.Facts ||
-         (Endpoint->Facts.IsDraining && !Heartbeat.Facts.IsDraining);
-}
-
-void leader::recordDeregistration(std::string_view Id, core::time_point Now) {
-  if (const auto *Endpoint = State.findEndpoint(Id))
+void leader::recordDeregistration(std::string_view Id, core::time_point Now,
+                                  std::optional<std::uint64_t> IncarnationMs) {
+  const auto *Endpoint = State.findEndpoint(Id);
+  if (Endpoint &&
+      (!IncarnationMs || *IncarnationMs == Endpoint->Facts.IncarnationMs))
     trackEndpoint(Endpoint->Number, Now).RemoveAt = Now + DeregistrationMargin;
 }
 
@@ -374,6 +345,7 @@
     collectLosses(Commands, Now);
     collectOccurrences(Commands, WallMs);
   }
+  collectIncarnations(Commands, Now);
   planHosts(Commands, Now, WallMs);
   collectHosts(Commands);
   if ((IsPlacementDue && Now >= EarliestPlacement) || Now >= NextPlacement)
@@ -382,6 +354,7 @@
     NextPrune = Now + PruneInterval;
     Ranks.prune(WallMs);
     Advice.prune(Now);
+    pruneCandidates(Now);
   }
   return Commands;
 }
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -14,10 +14,12 @@
 #include "scheduling/placer.h"
 #include "scheduling/pool_rebalancer.h"
 #include "scheduling/rank_cache.h"
+#include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
 #include "scheduling/tracked_endpoint.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -66,8 +68,9 @@
   /// Records that a command was applied to the state.
   void recordApplied(const command &Command, apply_outcome Outcome,
                      core::time_point Now);
-  /// \returns true when no command has to be proposed for the heartbeat because
-  /// it changes no replicated fact or is older than a recorded one.
+  /// \returns true when no command has to be proposed for the heartbeat: it
+  /// changes no replicated fact, or it names another incarnation than the
+  /// recorded one, which takes its place only when it has answered a probe.
   bool recordHeartbeat(const endpoint_heartbeat &Heartbeat,
                        core::time_point Now);
   /// \param Facts facts of a heartbeat that recordHeartbeat() did not settle.
@@ -75,9 +78,11 @@
   /// incarnation with the same id ended.
   record_endpoint describeEndpoint(endpoint_facts Facts,
                                    core::time_point Now) const;
-  /// Records that the endpoint with this id deregistered. Applies to its newest
-  /// incarnation.
-  void recordDeregistration(std::string_view Id, core::time_point Now);
+  /// Records that the endpoint with this id deregistered.
+  /// \param IncarnationMs the incarnation that did, if known; a late call of an
+  /// earlier one does not end the recorded one.
+  void recordDeregistration(std::string_view Id, core::time_point Now,
+                            std::optional<std::uint64_t> IncarnationMs = {});
   /// Processes the answer to an order, or its absence.
   void finishOrder(order_result Result, core::time_point Now);
 
@@ -102,6 +107,41 @@
                                            bool IsBatchOpen);
 
 private:
+  /// Another incarnation than the recorded one, according to a heartbeat.
+  struct incarnation_candidate {
+    endpoint_heartbeat Heartbeat;
+    core::time_point HeardAt{};
+    std::uint64_t PendingProbe = 0; ///< Id of the unanswered order, or 0.
+    core::time_point ProbedAt{};
+  };
+
+  // leader_incarnations.cpp
+  void recordCandidate(const endpoint_heartbeat &Heartbeat,
+                       core::time_point Now);
+  void addProbes(std::vector<order> &Orders, core::time_point Now);
+  void finishProbe(const order &Order, const order_result &Result,
+                   core::time_point Now);
+  /// \returns whether an incarnation that answered may take the place of the
+  /// recorded one.
+  bool mayReplace(const endpoint_facts &Facts, core::time_point Now);
+  /// Proposes the incarnations that were proven.
+  void collectIncarnations(std::vector<command> &Commands,
+                           core::time_point Now);
+  void pruneCandidates(core::time_point Now);
+  /// \returns whether the heartbeat may be the endpoint's newest one.
+  static bool isInOrder(const tracked_endpoint &Tracked,
+                        const endpoint_heartbeat &Heartbeat,
+                        core::time_point Now);
+  /// \returns the latest clock that the endpoint can have now.
+  static std::uint64_t latestClock(const tracked_endpoint &Tracked,
+                                   core::time_point Now);
+  /// Records the clock in an answer of the endpoint.
+  static void confirmClock(tracked_endpoint &Tracked, std::uint64_t ClockMs,
+                           core::time_point Now);
+  /// Polls the endpoint, at most once in each heartbeat interval, because
+  /// heartbeats contradict each other.
+  void verify(tracked_endpoint &Tracked, core::time_point Now);
+
   // leader_load.cpp
   /// \returns what a task that is not at work waits for, for the log.
   std::string_view waitsFor(const task_key &Task, const task_record &Record,
@@ -317,6 +357,11 @@
   /// Longest time until a lease expires, in percent of leader_settings::Lease:
   /// an endpoint's clock may be 2 % slow.
   static constexpr int MaxLeasePercent = 103;
+  /// An endpoint may execute an order without an answer this much later.
+  static constexpr core::duration MaxOrderDelay = std::chrono::seconds(12);
+  /// Number of the endpoint in orders to incarnations that are not recorded.
+  static constexpr std::uint32_t ProbedEndpoint =
+      std::numeric_limits<std::uint32_t>::max();
 
   struct pending_order {
     order Order;
@@ -337,6 +382,11 @@
   /// Heartbeats of incarnations that are not committed yet, by endpoint id.
   std::map<std::string, std::pair<endpoint_heartbeat, core::time_point>>
       UncommittedHeartbeats;
+  std::map<std::string, std::vector<incarnation_candidate>> Candidates;
+  std::set<std::string> DueProbes; ///< Ids with candidates to be probed.
+  std::size_t PendingProbes = 0;   ///< Probes without a result.
+  std::vector<endpoint_facts> ProvenIncarnations; ///< To be proposed.
+  refusal_log Unproven;
   /// Endpoints with events since the last takeOrders().
   std::vector<std::uint32_t> DueEndpoints;
   core::time_point NextSweep{};
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -219,16 +219,6 @@
          isAllowed(Key, Job, Endpoint, Now);
 }
 
-record_endpoint leader::describeEndpoint(endpoint_facts Facts,
-                                         core::time_point Now) const {
-  record_endpoint Record;
-  const auto *Earlier = State.findEndpoint(Facts.Id);
-  if (Earlier && Earlier->Facts.IncarnationMs < Facts.IncarnationMs)
-    Record.End = endOf(*Earlier, Now);
-  Record.Facts = std::move(Facts);
-  return Record;
-}
-
 void leader::collectHosts(std::vector<command> &Commands) {
   if (!std::exchange(Hosts.IsNewList, false))
     return;
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -97,6 +97,7 @@
           Found != TrackedEndpoints.end())
         collectOrders(Found->second, Orders, Now);
   }
+  addProbes(Orders, Now);
   addHostOrders(Orders, Now);
   addAdviceOrder(Orders, Now);
   if (!Orders.empty())
@@ -110,13 +111,13 @@
     return;
   Tracked.DueAt = Now + CheckInterval;
   auto Endpoint = State.endpoints().find(Tracked.Endpoint);
-  if (Tracked.IsFenced || Tracked.IsReplaced ||
+  if (Tracked.IsFenced || (Tracked.IsReplaced && !Tracked.IsVerificationDue) ||
       EndedIncarnations.count(Tracked.Endpoint) > 0 ||
       Endpoint == State.endpoints().end() || !Endpoint->second.Facts.Address)
     return;
   // Leases are expressed in the endpoint's clock.
   bool HasClock = Tracked.ClockAt != core::time_point();
-  if (HasClock && !Tracked.IsSuspect) {
+  if (HasClock && !Tracked.IsSuspect && !Tracked.IsReplaced) {
     stopDrainingRuns(Tracked, Now);
     addRunOrders(Tracked, Orders, Now);
     addThrottleOrders(Tracked, Orders, Now);
@@ -304,10 +305,11 @@
   // An endpoint without runs is polled only for a clock sample, to confirm
   // ends, until its orphaned runs have ended, or while it is suspect and sends
   // heartbeats.
-  if (HasClock && !HasRuns && !HasOrphans && !IsAckPending &&
+  bool IsVerified = Tracked.IsVerificationDue;
+  if (HasClock && !HasRuns && !HasOrphans && !IsAckPending && !IsVerified &&
       !(Tracked.IsSuspect && HasRecentHeartbeat))
     return;
-  if (HasClock && !HasRuns && !HasOrphans && IsAckPending &&
+  if (HasClock && !HasRuns && !HasOrphans && IsAckPending && !IsVerified &&
       !Tracked.IsSuspect && Now - Tracked.LastAnswer < AckDelay)
     return;
   poll_order Poll;
@@ -319,12 +321,13 @@
                Item.second.IsStopAcknowledged;
       });
   if (HasClock && (HasRuns || HasOrphans) && !Tracked.IsSuspect &&
-      !RequiresList)
+      !RequiresList && !IsVerified)
     Poll.WaitMs = Tracked.MayInterfere ? ThrottlePollWaitMs : PollWaitMs;
   // The lease of a suspect endpoint is not renewed, so that its runs can be
   // declared lost when the lease expires.
-  if (HasClock && HasRuns && !Tracked.IsSuspect)
+  if (HasClock && HasRuns && !Tracked.IsSuspect && !Tracked.IsReplaced)
     Poll.LeaseExpiryMs = issueLease(Tracked, Now);
+  Tracked.IsVerificationDue = false;
   auto Timeout = milliseconds(Poll.WaitMs) + PollGrace;
   Tracked.PendingPoll = addOrder(Orders, &Tracked, Poll, Timeout, Now).Id;
   Tracked.NextPoll =
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -66,6 +66,10 @@
     finishAdvice(*Advise, Result, Now);
     return;
   }
+  if (Pending.Order.Endpoint == ProbedEndpoint) {
+    finishProbe(Pending.Order, Result, Now);
+    return;
+  }
   if (Pending.Order.Endpoint == 0) {
     finishHostOrder(Pending.Order, Result, Now);
     return;
@@ -123,11 +127,14 @@
     IsPlacementDue = true;
   }
   Tracked.IsSuspect = false;
+  Tracked.IsLeaseProlonged = false;
+  // The incarnation itself answered: an earlier answer to the contrary was
+  // wrong.
+  if (Answer.IncarnationMs)
+    Tracked.IsReplaced = false;
   Tracked.LastAnswer = Now;
-  if (Answer.ClockMs) {
-    Tracked.ClockMs = *Answer.ClockMs;
-    Tracked.ClockAt = Now;
-  }
+  if (Answer.ClockMs)
+    confirmClock(Tracked, *Answer.ClockMs, Now);
   return true;
 }
 
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -126,7 +126,7 @@
 
 void schedule_node::handleCall(std::uint64_t Id, deregister_call Call,
                                core::time_point Now) {
-  Leader->recordDeregistration(Call.EndpointId, Now);
+  Leader->recordDeregistration(Call.EndpointId, Now, Call.IncarnationMs);
   answer(Id, reply_kind::Accepted);
 }
 
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -369,7 +369,8 @@
   if (auto Number = EndpointNumbers.find(Facts.Id);
       Number != EndpointNumbers.end()) {
     auto &Current = Endpoints.find(Number->second)->second;
-    if (Current.Facts.IncarnationMs > Facts.IncarnationMs)
+    if (Current.Facts.IncarnationMs > Facts.IncarnationMs &&
+        Current.Number != Command.Replaces)
       return apply_outcome::Stale;
     if (Current.Facts == Facts)
       return apply_outcome::Unchanged;
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -88,6 +88,7 @@
   std::map<task_key, tracked_run> Runs;
   std::map<task_key, orphaned_run> OrphanedRuns; ///< In its newest list.
   std::uint64_t Sequence = 0;                    ///< Of the newest heartbeat.
+  std::uint64_t HeartbeatClockMs = 0;            ///< Of the newest heartbeat.
   core::time_point LastHeartbeat{};
   /// Capacity in the newest heartbeat that this leader received.
   resource_amounts AnnouncedCapacity;
@@ -99,6 +100,8 @@
   std::optional<core::time_point> RunsLostAt;
   bool IsFenced = false;   ///< The endpoint obeys a later leader.
   bool IsReplaced = false; ///< Another incarnation answers under this id.
+  bool IsVerificationDue = false; ///< A poll is due although it is idle.
+  core::time_point NextVerification{};
   /// Time that was left to drain at RemainingAt.
   std::optional<std::uint32_t> RemainingMs;
   core::time_point RemainingAt{};
@@ -106,10 +109,14 @@
 
   // Newest sample of the endpoint's clock.
   std::uint64_t ClockMs = 0;
-  core::time_point ClockAt{}; ///< Zero when there is no sample yet.
+  core::time_point ClockAt{};    ///< Zero when there is no sample yet.
+  bool IsClockConfirmed = false; ///< An answer had a sample.
   /// All leases issued to the endpoint have expired by then, also when its
   /// clock is as slow as allowed.
   core::time_point LeaseExpiry{};
+  /// LeaseExpiry allows for another incarnation at the same address; once since
+  /// the last answer.
+  bool IsLeaseProlonged = false;
 
   std::uint64_t Cursor = 0;        ///< Ends up to this number are committed.
   std::uint64_t LastEndNumber = 0; ///< Largest number of an end listed so far.
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -45,6 +45,15 @@
   void changeLeader();
   /// Restarts an endpoint under the same id without its runs and lists.
   void crash(std::uint32_t Index);
+  /// Restarts an endpoint like crash().
+  /// \param IncarnationMs its start time, from a clock that may be wrong.
+  void restart(std::uint32_t Index, std::uint64_t IncarnationMs);
+  /// Passes a heartbeat to the leader, also one that no endpoint sent.
+  void receive(const endpoint_heartbeat &Heartbeat);
+  /// Passes a deregistration to the leader.
+  void deregister(std::string_view Id, std::uint64_t IncarnationMs);
+  /// \returns the newest heartbeat of an endpoint as it is or was sent.
+  endpoint_heartbeat heartbeatOf(std::uint32_t Index) const;
   void setReachable(std::uint32_t Index, bool IsReachable);
   void setFaults(fault_rates NewRates) { Rates = NewRates; }
   /// Turns the pool into one whose endpoints accept every start. Their
--- a/tests/scheduling/test_leader_crashes.cpp
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Guards against a leader that takes a planned end, a cut or the failure of a
@@ -72,8 +73,25 @@
     Heartbeat.Sequence = Clock;
     if (!Leader->recordHeartbeat(Heartbeat, Now))
       apply(Leader->describeEndpoint(Facts, Now));
+    proveIncarnation(Facts);
     Leader->recordHeartbeat(Heartbeat, Now);
   }
+  /// Answers the probe of an incarnation that is not recorded yet, and commits.
+  void proveIncarnation(const endpoint_facts &Facts) {
+    if (State.findEndpoint(Facts.Id, Facts.IncarnationMs))
+      return;
+    takeOrders();
+    auto Answer = accepted();
+    Answer.IncarnationMs = Facts.IncarnationMs;
+    for (const auto &Order : std::exchange(Pending, {}))
+      if (std::holds_alternative<poll_order>(Order.Body) &&
+          State.endpoints().count(Order.Endpoint) == 0 &&
+          Order.EndpointId == Facts.Id)
+        Leader->finishOrder({Order.Id, Answer}, Now);
+      else
+        Pending.push_back(Order);
+    commit();
+  }
   /// Commits what the leader proposes and accepts its starts and stops.
   void commit() {
     Now += 50ms;
