Refuse ids, pools, capacities and rows that no endpoint can have

Cause: an id with a line break became part of a header, a host row without a known state counted as a host that is down and ended its sound endpoint, an end with a number of 2^63 would confirm all later ends, and a capacity of 2^31-1 in each amount was registered.

--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -170,6 +170,49 @@
   }
 }
 
+// Guards against an id that ends a line of a header or a path, and a pool that
+// does so in logs and views.
+TEST_CASE("an odd id, pool or zone of an endpoint is refused with field and "
+          "value") {
+  for (std::string Id : {"", "a/b", "a b", "a\r\nX: 1", "a\n", "a%2f", "a?b",
+                         "a#b", "\x7f", "\xc3\xa9", "a\"b"}) {
+    INFO(Id);
+    CHECK(failingField([&] { return decodeHeartbeat(Heartbeat, Id); }) == "id");
+    auto Adapter = makeSiteAdapter({});
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/" + Id + "/deregister";
+    if (Id.find('?') == std::string::npos)
+      CHECK(Adapter.DecodeControlCall(Request).Refusal.Status == 400);
+  }
+  CHECK(failingField([&] {
+          return decodeHeartbeat(Heartbeat, std::string(1025, 'i'));
+        }) == "id");
+  for (const char *Name : {"service", "zone"})
+    for (const char *Bad : {"a\nb", "a\r\nX: 1", "a/b", "\x7f"}) {
+      INFO(Name << " " << Bad);
+      auto Document = json::parse(Heartbeat);
+      Document[Name] = Bad;
+      CHECK(failingField(
+                [&] { return decodeHeartbeat(Document.dump(), "i"); }) == Name);
+    }
+}
+
+// Guards against an endpoint that gets every waiting task of its pool.
+TEST_CASE("a capacity that no host has is refused with field and value") {
+  for (const char *Name : {"cpu", "memMb", "gpu"}) {
+    auto Document = json::parse(Heartbeat);
+    Document["capacity"][Name] = 2'147'483'647;
+    CHECK(failingField([&] { return decodeHeartbeat(Document.dump(), "i"); }) ==
+          "capacity." + std::string(Name));
+  }
+  auto Document = json::parse(Heartbeat);
+  Document["capacity"] = {
+      {"cpu", 2'000'000}, {"memMb", 67'108'864}, {"gpu", 64}};
+  CHECK(failingField([&] { return decodeHeartbeat(Document.dump(), "i"); }) ==
+        "none");
+}
+
 TEST_CASE("task names are encoded and decoded") {
   task_key Task{"0123456789abcdef", 2, 1, 17};
   CHECK(encodeTask(Task) == "0123456789abcdef.2.1.17");
@@ -193,6 +236,19 @@
   CHECK(Answer.Ended[1].Outcome == run_end::Expired);
 }
 
+// Guards against ends that are lost because a later one was confirmed, and
+// against a clock that no lease can be based on.
+TEST_CASE("numbers in an endpoint's answer that no count reaches are ignored") {
+  auto Answer = decodeEndpointAnswer(
+      200, R"({"clockMs":18446744073709551615,"born":9223372036854775808,
+    "finished":[[9223372036854775808,"j.0.0.9",1,"done",""],
+                [59,"j.0.0.8",1,"done","c"]]})");
+  CHECK(!Answer.ClockMs);
+  CHECK(!Answer.IncarnationMs);
+  REQUIRE(Answer.Ended.size() == 1);
+  CHECK(Answer.Ended[0].Number == 59);
+}
+
 TEST_CASE("each rejection by an endpoint maps to its own verdict") {
   auto Verdict = [](std::uint16_t Status, const char *Reason) {
     return decodeEndpointAnswer(Status,
@@ -223,6 +279,25 @@
   CHECK(!decodeHosts("\xff"));
 }
 
+// Guards against a row that ends the sound endpoint of a host, because its host
+// is taken for one that is down or has another endpoint.
+TEST_CASE("an odd row of the list of hosts is skipped") {
+  auto Page = decodeHosts(R"({"machines":[7,null,[],{"machine":"m-1"},
+    {"machine":"m-2","state":"gone","id":"i-2"},
+    {"machine":"m-3","state":"up","id":7},
+    {"machine":"m-4","state":5,"id":"i-4"},
+    {"machine":"m-5","state":"up","id":"a\nb"},
+    {"machine":"","state":"up","id":"i-6"},
+    {"machine":"m-7","state":"down","id":null},
+    {"machine":"m-8","state":"up","id":"i-8","labels":7,
+     "capacity":{"cpu":4294967297,"memMb":-1,"gpu":"x"}}]})");
+  REQUIRE(Page);
+  REQUIRE(Page->Hosts.size() == 2);
+  CHECK(Page->Hosts[0].Name == "m-7");
+  CHECK(Page->Hosts[1].EndpointId == "i-8");
+  CHECK(Page->Hosts[1].Capacity == resource_amounts{});
+}
+
 namespace {
 
 http::request request(std::string Method, std::string Target,
