--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
+#include "scheduling/refusal_log.h"
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
@@ -312,6 +313,21 @@
 
   void handle(schedule_node &Node, decoded_call Decoded, call_origin Origin,
               core::time_point Now) {
+    if (!Decoded.Call && Decoded.Heartbeat) {
+      // Another writer may send one each second, or many.
+      const auto &Heartbeat = *Decoded.Heartbeat;
+      Metrics.add("heartbeats_refused_total{field=\"" + Heartbeat.Field +
+                  "\"}");
+      if (RefusedHeartbeats.isDue(Heartbeat.EndpointId, Now))
+        core::logEvent(core::log_level::Warning, "heartbeat_refused",
+                       {{"endpoint", Heartbeat.EndpointId},
+                        {"field", Heartbeat.Field},
+                        {"value", Heartbeat.Value},
+                        {"reason", Heartbeat.Reason},
+                        {"verdict", "not-run"}});
+      respond(Origin, std::move(Decoded.Refusal));
+      return;
+    }
     if (!Decoded.Call) {
       core::logEvent(core::log_level::Info, "request_refused",
                      {{"path", Origin.Target},
@@ -583,6 +599,7 @@
   transport::link_hub Hub;
   call_delegator Delegator;
   http::server Server;
+  refusal_log RefusedHeartbeats;
   std::set<std::string> Gateways;
   std::map<std::uint64_t, call_origin> Origins;
   std::map<std::uint64_t, order> Orders;
--- a/scheduling/site_adapter.h
+++ b/scheduling/site_adapter.h
@@ -12,10 +12,21 @@
 
 namespace lycheetrestle::scheduling {
 
+/// What a refused heartbeat said, for the log and the metrics.
+struct refused_heartbeat {
+  std::string EndpointId; ///< As in the path; any text.
+  /// Name of the invalid member, one of a fixed list; `body` when it cannot be
+  /// read at all.
+  std::string Field;
+  std::string Value;
+  std::string Reason;
+};
+
 /// A decoded request, or the response that rejects it.
 struct decoded_call {
   std::optional<call_body> Call;
   http::response Refusal;
+  std::optional<refused_heartbeat> Heartbeat = {}; ///< Set if it was one.
 };
 
 /// Translates between the scheduler's types and the messages of the platform
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -213,6 +213,30 @@
         "none");
 }
 
+// Guards against a metric or a log line for each odd heartbeat of a flood.
+TEST_CASE("a refused heartbeat names its sender and a member of a fixed list") {
+  auto Adapter = makeSiteAdapter({});
+  auto FieldOf = [&](const std::string &Body) {
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/i-7/heartbeat";
+    Request.Body = Body;
+    auto Decoded = Adapter.DecodeControlCall(Request);
+    REQUIRE(Decoded.Heartbeat);
+    CHECK(Decoded.Heartbeat->EndpointId == "i-7");
+    return Decoded.Heartbeat->Field;
+  };
+  CHECK(FieldOf("") == "body");
+  CHECK(FieldOf("[]") == "body");
+  CHECK(FieldOf("\xff") == "body");
+  auto Document = json::parse(Heartbeat);
+  Document["labels"][1] = 7;
+  CHECK(FieldOf(Document.dump()) == "labels");
+  Document = json::parse(Heartbeat);
+  Document["capacity"]["cpu"] = -1;
+  CHECK(FieldOf(Document.dump()) == "capacity.cpu");
+}
+
 TEST_CASE("task names are encoded and decoded") {
   task_key Task{"0123456789abcdef", 2, 1, 17};
   CHECK(encodeTask(Task) == "0123456789abcdef.2.1.17");
