--- a/scheduling/schedule_node_members.cpp
+++ b/scheduling/schedule_node_members.cpp
@@ -1,5 +1,6 @@
 #include "control/control_frames.h"
 #include "core/event_log.h"
+#include "core/network_address.h"
 #include "gateway/messages.h"
 #include "scheduling/schedule_node.h"
 
@@ -87,6 +88,11 @@
                                 const control::control_frame &Frame,
                                 std::string_view Bytes, core::time_point Now) {
   const auto &Replica = Frame.From;
+  // All replicas connect to the name of a member.
+  if (!core::isIpAddress(Replica.Name)) {
+    Metrics.add("messages_dropped_total");
+    return;
+  }
   bool IsDirect = Replica.Name == Peer;
   if (Acceptor && IsDirect && !Frame.IsFormed) {
     Acceptor->recordCandidate({Replica, Frame.Bytes}, Now);
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -11,6 +11,7 @@
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
 #include "scheduling/observer_process.h"
+#include "scheduling/refusal_log.h"
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
 #include "storage/log_store.h"
@@ -314,6 +315,21 @@
 
   void handle(schedule_node &Node, decoded_call Decoded, call_origin Origin,
               core::time_point Now) {
+    if (!Decoded.Call && Decoded.Heartbeat) {
+      // Another writer may send one each second, or many.
+      const auto &Heartbeat = *Decoded.Heartbeat;
+      Metrics.add("heartbeats_refused_total{field=\"" + Heartbeat.Field +
+                  "\"}");
+      if (RefusedHeartbeats.isDue(Heartbeat.EndpointId, Now))
+        core::logEvent(core::log_level::Warning, "heartbeat_refused",
+                       {{"endpoint", Heartbeat.EndpointId},
+                        {"field", Heartbeat.Field},
+                        {"value", Heartbeat.Value},
+                        {"reason", Heartbeat.Reason},
+                        {"verdict", "not-run"}});
+      respond(Origin, std::move(Decoded.Refusal));
+      return;
+    }
     if (!Decoded.Call) {
       core::logEvent(core::log_level::Info, "request_refused",
                      {{"path", Origin.Target},
@@ -359,9 +375,9 @@
     } else {
       Response.Status = 307;
       Response.Headers.push_back(
-          {"Location", "http://" + Reply.Leader + ":" +
-                           std::to_string(Settings.Listen.Port) +
-                           Origin.Target});
+          {"Location",
+           "http://" + core::toString({Reply.Leader, Settings.Listen.Port}) +
+               Origin.Target});
     }
     respond(Origin, std::move(Response));
   }
@@ -624,6 +640,7 @@
   transport::link_hub Hub;
   call_delegator Delegator;
   http::server Server;
+  refusal_log RefusedHeartbeats;
   std::set<std::string> Gateways;
   std::set<std::string> LinkedPeers; ///< Schedulers.
   core::time_point NextDelegates{};
--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,8 +33,8 @@
   std::size_t ToleratedLosses = 1;
   /// Differs between any two starts of the process.
   std::uint64_t StartNonce = 0;
-  std::string PlatformAddress; ///< `ip:port`, or empty.
-  std::string AdviserAddress;  ///< `ip:port`, or empty.
+  std::optional<core::network_address> PlatformAddress;
+  std::optional<core::network_address> AdviserAddress;
   core::log_settings Log;
   leader_settings Leader;
   /// Number of endpoints up to which the leader calls all of them itself; with
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -145,6 +145,98 @@
         "none");
 }
 
+// Guards against an entry of another writer that is registered, replicated,
+// polled and put into a URL as it came.
+TEST_CASE("an odd address in a heartbeat is refused with field and value") {
+  auto Adapter = makeSiteAdapter({});
+  for (const json &Address : std::vector<json>{
+           "10.0.0.9:99999", "10.0.0.9:0", "10.0.0.9:-1",
+           "10.0.0.9:18446744073709551617", "10.0.0.9", "10.0.0.9:80/path",
+           "user@10.0.0.9:80", "10.0.0.9:80\r\nX: 1", "0.0.0.0:80",
+           "host.example:80", std::string(1000, '1') + ":80", nullptr, 80}) {
+    INFO(Address);
+    auto Document = json::parse(Heartbeat);
+    Document["addr"] = Address;
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/i-7/heartbeat";
+    Request.Body = Document.dump();
+    auto Decoded = Adapter.DecodeControlCall(Request);
+    REQUIRE(!Decoded.Call);
+    CHECK(Decoded.Refusal.Status == 400);
+    auto Body = json::parse(Decoded.Refusal.Body);
+    CHECK(Body.at("field") == "addr");
+    CHECK(!Body.at("value").get<std::string>().empty());
+  }
+}
+
+// Guards against an id that ends a line of a header or a path, and a pool that
+// does so in logs and views.
+TEST_CASE("an odd id, pool or zone of an endpoint is refused with field and "
+          "value") {
+  for (std::string Id : {"", "a/b", "a b", "a\r\nX: 1", "a\n", "a%2f", "a?b",
+                         "a#b", "\x7f", "\xc3\xa9", "a\"b"}) {
+    INFO(Id);
+    CHECK(failingField([&] { return decodeHeartbeat(Heartbeat, Id); }) == "id");
+    auto Adapter = makeSiteAdapter({});
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/" + Id + "/deregister";
+    if (Id.find('?') == std::string::npos)
+      CHECK(Adapter.DecodeControlCall(Request).Refusal.Status == 400);
+  }
+  CHECK(failingField([&] {
+          return decodeHeartbeat(Heartbeat, std::string(1025, 'i'));
+        }) == "id");
+  for (const char *Name : {"service", "zone"})
+    for (const char *Bad : {"a\nb", "a\r\nX: 1", "a/b", "\x7f"}) {
+      INFO(Name << " " << Bad);
+      auto Document = json::parse(Heartbeat);
+      Document[Name] = Bad;
+      CHECK(failingField(
+                [&] { return decodeHeartbeat(Document.dump(), "i"); }) == Name);
+    }
+}
+
+// Guards against an endpoint that gets every waiting task of its pool.
+TEST_CASE("a capacity that no host has is refused with field and value") {
+  for (const char *Name : {"cpu", "memMb", "gpu"}) {
+    auto Document = json::parse(Heartbeat);
+    Document["capacity"][Name] = 2'147'483'647;
+    CHECK(failingField([&] { return decodeHeartbeat(Document.dump(), "i"); }) ==
+          "capacity." + std::string(Name));
+  }
+  auto Document = json::parse(Heartbeat);
+  Document["capacity"] = {
+      {"cpu", 2'000'000}, {"memMb", 67'108'864}, {"gpu", 64}};
+  CHECK(failingField([&] { return decodeHeartbeat(Document.dump(), "i"); }) ==
+        "none");
+}
+
+// Guards against a metric or a log line for each odd heartbeat of a flood.
+TEST_CASE("a refused heartbeat names its sender and a member of a fixed list") {
+  auto Adapter = makeSiteAdapter({});
+  auto FieldOf = [&](const std::string &Body) {
+    http::request Request;
+    Request.Method = "POST";
+    Request.Target = "/-/instances/i-7/heartbeat";
+    Request.Body = Body;
+    auto Decoded = Adapter.DecodeControlCall(Request);
+    REQUIRE(Decoded.Heartbeat);
+    CHECK(Decoded.Heartbeat->EndpointId == "i-7");
+    return Decoded.Heartbeat->Field;
+  };
+  CHECK(FieldOf("") == "body");
+  CHECK(FieldOf("[]") == "body");
+  CHECK(FieldOf("\xff") == "body");
+  auto Document = json::parse(Heartbeat);
+  Document["labels"][1] = 7;
+  CHECK(FieldOf(Document.dump()) == "labels");
+  Document = json::parse(Heartbeat);
+  Document["capacity"]["cpu"] = -1;
+  CHECK(FieldOf(Document.dump()) == "capacity.cpu");
+}
+
 TEST_CASE("task names are encoded and decoded") {
   task_key Task{"0123456789abcdef", 2, 1, 17};
   CHECK(encodeTask(Task) == "0123456789abcdef.2.1.17");
@@ -168,6 +260,19 @@
   CHECK(Answer.Ended[1].Outcome == run_end::Expired);
 }
 
+// Guards against ends that are lost because a later one was confirmed, and
+// against a clock that no lease can be based on.
+TEST_CASE("numbers in an endpoint's answer that no count reaches are ignored") {
+  auto Answer = decodeEndpointAnswer(
+      200, R"({"clockMs":18446744073709551615,"born":9223372036854775808,
+    "finished":[[9223372036854775808,"j.0.0.9",1,"done",""],
+                [59,"j.0.0.8",1,"done","c"]]})");
+  CHECK(!Answer.ClockMs);
+  CHECK(!Answer.IncarnationMs);
+  REQUIRE(Answer.Ended.size() == 1);
+  CHECK(Answer.Ended[0].Number == 59);
+}
+
 TEST_CASE("each rejection by an endpoint maps to its own verdict") {
   auto Verdict = [](std::uint16_t Status, const char *Reason) {
     return decodeEndpointAnswer(Status,
@@ -198,6 +303,25 @@
   CHECK(!decodeHosts("\xff"));
 }
 
+// Guards against a row that ends the sound endpoint of a host, because its host
+// is taken for one that is down or has another endpoint.
+TEST_CASE("an odd row of the list of hosts is skipped") {
+  auto Page = decodeHosts(R"({"machines":[7,null,[],{"machine":"m-1"},
+    {"machine":"m-2","state":"gone","id":"i-2"},
+    {"machine":"m-3","state":"up","id":7},
+    {"machine":"m-4","state":5,"id":"i-4"},
+    {"machine":"m-5","state":"up","id":"a\nb"},
+    {"machine":"","state":"up","id":"i-6"},
+    {"machine":"m-7","state":"down","id":null},
+    {"machine":"m-8","state":"up","id":"i-8","labels":7,
+     "capacity":{"cpu":4294967297,"memMb":-1,"gpu":"x"}}]})");
+  REQUIRE(Page);
+  REQUIRE(Page->Hosts.size() == 2);
+  CHECK(Page->Hosts[0].Name == "m-7");
+  CHECK(Page->Hosts[1].EndpointId == "i-8");
+  CHECK(Page->Hosts[1].Capacity == resource_amounts{});
+}
+
 namespace {
 
 http::request request(std::string Method, std::string Target,
@@ -213,7 +337,7 @@
 order endpointOrder(order_body Body) {
   order Order;
   Order.Endpoint = 1;
-  Order.Address = "10.0.0.9:80";
+  Order.Address = core::network_address::parse("10.0.0.9:80");
   Order.EndpointId = "i-1";
   Order.Body = std::move(Body);
   return Order;
@@ -290,7 +414,9 @@
 }
 
 TEST_CASE("golden session: orders") {
-  auto Adapter = makeSiteAdapter({"10.0.0.1:1", "10.0.0.2:2", "holder"});
+  auto Adapter =
+      makeSiteAdapter({core::network_address::parse("10.0.0.1:1"),
+                       core::network_address::parse("10.0.0.2:2"), "holder"});
   start_order Start;
   Start.Task = {"j", 0, 1, 2};
   Start.Attempt = 3;
@@ -313,7 +439,7 @@
   order Maintenance;
   Maintenance.Body = maintenance_order{"m-1", 4, 7};
   Call = Adapter.EncodeOrder(Maintenance);
-  CHECK(Call.Address == "10.0.0.1:1");
+  CHECK(core::toText(Call.Address) == "10.0.0.1:1");
   CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Lease-Holder") ==
         "holder");
   CHECK(http::findHeader(Call.Request.Headers, "Lycheetrestle-Fencing-Token") ==
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -44,7 +44,8 @@
   for (std::uint32_t Index = 1; Index <= Count; ++Index) {
     auto &Endpoint = Endpoints.emplace_back();
     Endpoint.Facts = makeEndpoint("e" + std::to_string(Index));
-    Endpoint.Facts.Address = "10.0.0." + std::to_string(Index) + ":80";
+    Endpoint.Facts.Address =
+        core::network_address::parse("10.0.0." + std::to_string(Index) + ":80");
     Endpoint.ClockStartMs = NowMs - 5000;
     // The slowest clock that an endpoint may have.
     Endpoint.ClockRate = Index % 2 == 0 ? 0.98 : 1.0;
@@ -105,6 +106,29 @@
   Endpoint.Facts.IncarnationMs = static_cast<std::uint64_t>(NowMs);
 }
 
+void fake_site::restart(std::uint32_t Index, std::uint64_t IncarnationMs) {
+  crash(Index);
+  Endpoints[Index].Facts.IncarnationMs = IncarnationMs;
+}
+
+void fake_site::receive(const endpoint_heartbeat &Heartbeat) {
+  if (!Leader->recordHeartbeat(Heartbeat, now()))
+    apply(Leader->describeEndpoint(Heartbeat.Facts, now()));
+}
+
+void fake_site::deregister(std::string_view Id, std::uint64_t IncarnationMs) {
+  Leader->recordDeregistration(Id, now(), IncarnationMs);
+}
+
+endpoint_heartbeat fake_site::heartbeatOf(std::uint32_t Index) const {
+  const auto &Endpoint = Endpoints[Index];
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = Endpoint.Facts;
+  Heartbeat.Sequence = Endpoint.Sequence;
+  Heartbeat.ClockMs = clockOf(Endpoint);
+  return Heartbeat;
+}
+
 void fake_site::setReachable(std::uint32_t Index, bool IsReachable) {
   Endpoints[Index].IsReachable = IsReachable;
 }
@@ -200,13 +224,13 @@
       Answers.push_back({Delivery.TimeoutMs,
                          Delivery.Leader,
                          {Delivery.Order.Id, no_answer{true, "timeout"}},
-                         "",
+                         std::nullopt,
                          0});
   std::erase_if(Deliveries, [&](const delivery &Delivery) {
     return Delivery.Order.Address == Endpoint.Facts.Address;
   });
   for (auto &Answer : Answers)
-    if (Answer.Address == Endpoint.Facts.Address &&
+    if (Answer.Address == Endpoint.Facts.Address && Answer.Address &&
         !std::holds_alternative<no_answer>(Answer.Result.Answer)) {
       Answer.Result.Answer = no_answer{true, "timeout"};
       Answer.AtMs = std::max(NowMs, Answer.TimeoutMs);
@@ -323,12 +347,9 @@
   }
   if (!Endpoint.IsReachable || Endpoint.DownUntilMs != 0)
     return;
-  endpoint_heartbeat Heartbeat;
-  Heartbeat.Facts = Endpoint.Facts;
-  Heartbeat.Sequence = ++Endpoint.Sequence;
-  Heartbeat.ClockMs = clockOf(Endpoint);
-  if (!Leader->recordHeartbeat(Heartbeat, now()))
-    apply(Leader->describeEndpoint(Heartbeat.Facts, now()));
+  ++Endpoint.Sequence;
+  receive(
+      heartbeatOf(static_cast<std::uint32_t>(&Endpoint - Endpoints.data())));
 }
 
 void fake_site::advance(fake_endpoint &Endpoint) {
@@ -599,8 +620,11 @@
           ? PlatformMs
           : std::chrono::duration_cast<std::chrono::milliseconds>(Order.Timeout)
                 .count();
-  Answers.push_back(
-      {NowMs + DelayMs, LeaderNumber, {Order.Id, std::move(Answer)}, "", 0});
+  Answers.push_back({NowMs + DelayMs,
+                     LeaderNumber,
+                     {Order.Id, std::move(Answer)},
+                     std::nullopt,
+                     0});
 }
 
 order_answer fake_site::executeHostOrder(const order &Order) {
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -44,6 +45,15 @@
   void changeLeader();
   /// Restarts an endpoint under the same id without its runs and lists.
   void crash(std::uint32_t Index);
+  /// Restarts an endpoint like crash().
+  /// \param IncarnationMs its start time, from a clock that may be wrong.
+  void restart(std::uint32_t Index, std::uint64_t IncarnationMs);
+  /// Passes a heartbeat to the leader, also one that no endpoint sent.
+  void receive(const endpoint_heartbeat &Heartbeat);
+  /// Passes a deregistration to the leader.
+  void deregister(std::string_view Id, std::uint64_t IncarnationMs);
+  /// \returns the newest heartbeat of an endpoint as it is or was sent.
+  endpoint_heartbeat heartbeatOf(std::uint32_t Index) const;
   void setReachable(std::uint32_t Index, bool IsReachable);
   void setFaults(fault_rates NewRates) { Rates = NewRates; }
   /// Turns the pool into one whose endpoints accept every start. Their
@@ -147,7 +157,8 @@
     std::int64_t AtMs = 0;
     std::uint32_t Leader = 0;
     order_result Result;
-    std::string Address;        ///< Of the endpoint, or empty.
+    /// Of the endpoint, or empty.
+    std::optional<core::network_address> Address;
     std::int64_t TimeoutMs = 0; ///< When the order times out.
   };
 
