Bound the texts of failures of JSON documents

Cause: the text of a syntax error quotes the last token, and an unknown member is reported under its whole name. A body of 1 MiB gave a failure of 1,048,737 bytes, which is logged and returned to its sender.

--- a/core/object_reader.cpp
+++ b/core/object_reader.cpp
@@ -9,18 +9,27 @@
 
 // Longer values are truncated in error messages.
 constexpr std::size_t MaxDisplayedBytes = 80;
+// Longer paths are truncated in error messages: an unknown member may have a
+// name of any length.
+constexpr std::size_t MaxPathBytes = 300;
+// A syntax error quotes the last token, which may be the whole document.
+constexpr std::size_t MaxSyntaxErrorBytes = 300;
 // Maximum bytes of a name.
 constexpr std::size_t MaxNameLength = 64;
 // Exceeds the nesting of every valid document. Deeper documents are rejected
 // during parsing, because the parser's destructor recurses.
 constexpr int MaxDepth = 32;
 
+std::string truncated(std::string Text, std::size_t MaxBytes) {
+  if (Text.size() > MaxBytes)
+    Text = Text.substr(0, MaxBytes) + "...";
+  return Text;
+}
+
 std::string displayText(const nlohmann::json &Value) {
   std::string Text =
       Value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  if (Text.size() > MaxDisplayedBytes)
-    Text = Text.substr(0, MaxDisplayedBytes) + "...";
-  return Text;
+  return truncated(std::move(Text), MaxDisplayedBytes);
 }
 
 bool isNameCharacter(char C) {
@@ -50,7 +59,7 @@
                            std::to_string(MaxDepth) + " levels");
     return Value;
   } catch (const nlohmann::json::exception &Exception) {
-    return failInput("", "", Exception.what());
+    return failInput("", "", truncated(Exception.what(), MaxSyntaxErrorBytes));
   }
 }
 
@@ -78,8 +87,10 @@
 
 void object_reader::reject(std::string_view Name, std::string_view Displayed,
                            std::string_view Rule) {
-  reject(failure{error_code::BadInput, std::string(Rule), pathOf(Name),
-                 std::string(Displayed), verdict::NotRun});
+  reject(failure{error_code::BadInput, std::string(Rule),
+                 truncated(pathOf(Name), MaxPathBytes),
+                 truncated(std::string(Displayed), MaxPathBytes),
+                 verdict::NotRun});
 }
 
 void object_reader::reject(failure Failure) {
