Move the limits of CBOR to core

The decoders of other folders need them too. parseCbor() decodes after the check; measureCbor() serves sequences of items.

--- a/replication/cbor_limits.cpp
+++ b/core/cbor_limits.cpp
@@ -1,9 +1,9 @@
-#include "replication/cbor_limits.h"
+#include "core/cbor_limits.h"
 
 #include <cstdint>
 #include <vector>
 
-namespace lycheetrestle::replication {
+namespace lycheetrestle::core {
 
 namespace {
 
@@ -22,8 +22,9 @@
 
 } // namespace
 
-bool isBoundedCbor(std::string_view Bytes, std::size_t MaxDepth,
-                   std::size_t MaxItems) {
+std::optional<std::size_t> measureCbor(std::string_view Bytes,
+                                       std::size_t MaxDepth,
+                                       std::size_t MaxItems) {
   // Number of items still expected at each nesting level.
   std::vector<std::uint64_t> Expected{1};
   std::size_t Items = 0;
@@ -35,17 +36,17 @@
     }
     --Expected.back();
     if (Position >= Bytes.size() || ++Items > MaxItems)
-      return false;
+      return std::nullopt;
     const auto Head = static_cast<std::uint8_t>(Bytes[Position++]);
     const unsigned Major = Head >> 5u;
     const unsigned Info = Head & 31u;
     if (Info > MaxDefiniteInfo)
-      return false;
+      return std::nullopt;
     std::uint64_t Argument = Info;
     if (Info >= FirstWideInfo) {
       const std::size_t Width = std::size_t{1} << (Info - FirstWideInfo);
       if (Bytes.size() - Position < Width)
-        return false;
+        return std::nullopt;
       Argument = 0;
       for (std::size_t I = 0; I < Width; ++I)
         Argument =
@@ -54,17 +55,32 @@
     }
     if (Major == ByteString || Major == TextString) {
       if (Argument > Bytes.size() - Position)
-        return false;
+        return std::nullopt;
       Position += Argument;
     } else if (Major == Array || Major == Map) {
       if (Expected.size() > MaxDepth || Argument > MaxItems)
-        return false;
+        return std::nullopt;
       Expected.push_back(Major == Map ? 2 * Argument : Argument);
     } else if (Major == Tag) {
-      return false;
+      return std::nullopt;
     }
   }
-  return Position == Bytes.size();
+  return Position;
+}
+
+bool isBoundedCbor(std::string_view Bytes, std::size_t MaxDepth,
+                   std::size_t MaxItems) {
+  return measureCbor(Bytes, MaxDepth, MaxItems) == Bytes.size();
+}
+
+std::optional<nlohmann::json>
+parseCbor(std::string_view Bytes, std::size_t MaxDepth, std::size_t MaxItems) {
+  if (!isBoundedCbor(Bytes, MaxDepth, MaxItems))
+    return std::nullopt;
+  auto Value = nlohmann::json::from_cbor(Bytes, true, false);
+  if (Value.is_discarded())
+    return std::nullopt;
+  return Value;
 }
 
-} // namespace lycheetrestle::replication
+} // namespace lycheetrestle::core
--- a/replication/messages.cpp
+++ b/replication/messages.cpp
@@ -1,6 +1,6 @@
 #include "replication/messages.h"
 
-#include "replication/cbor_limits.h"
+#include "core/cbor_limits.h"
 #include "replication/membership_rules.h"
 
 #include <nlohmann/json.hpp>
@@ -299,7 +299,7 @@
 
 std::optional<message> decodeMessage(std::string_view Bytes) {
   if (Bytes.size() > MaxMessageBytes ||
-      !isBoundedCbor(Bytes, MaxDepth, MaxItems))
+      !core::isBoundedCbor(Bytes, MaxDepth, MaxItems))
     return std::nullopt;
   try {
     const json Object = json::from_cbor(Bytes.begin(), Bytes.end());
@@ -318,7 +318,7 @@
 }
 
 std::optional<membership> decodeMembership(std::string_view Bytes) {
-  if (!isBoundedCbor(Bytes, MaxDepth, MaxItems))
+  if (!core::isBoundedCbor(Bytes, MaxDepth, MaxItems))
     return std::nullopt;
   try {
     return membersFromJson(json::from_cbor(Bytes.begin(), Bytes.end()));
--- a/scheduling/delegation_messages.cpp
+++ b/scheduling/delegation_messages.cpp
@@ -1,7 +1,7 @@
 #include "scheduling/delegation_messages.h"
 
+#include "core/cbor_limits.h"
 #include "fleet/cbor_archive.h"
-#include "replication/cbor_limits.h"
 
 #include <concepts>
 #include <type_traits>
@@ -162,21 +162,19 @@
 }
 
 std::optional<delegation_message> decodeDelegation(std::string_view Bytes) {
-  if (!replication::isBoundedCbor(Bytes, MaxDepth, MaxItems))
+  auto Map = core::parseCbor(Bytes, MaxDepth, MaxItems);
+  if (!Map || !Map->is_object() || Map->size() != 1)
     return std::nullopt;
-  auto Map = nlohmann::json::from_cbor(Bytes, true, false);
-  if (!Map.is_object() || Map.size() != 1)
-    return std::nullopt;
-  const auto &Name = Map.begin().key();
+  const auto &Name = Map->begin().key();
   if (Name == CallsName) {
     delegated_calls Message;
-    if (!decodeList<call_record>(Map.front(), Message.Calls))
+    if (!decodeList<call_record>(Map->front(), Message.Calls))
       return std::nullopt;
     return Message;
   }
   delegated_results Message;
   if (Name != ResultsName ||
-      !decodeList<result_record>(Map.front(), Message.Results))
+      !decodeList<result_record>(Map->front(), Message.Results))
     return std::nullopt;
   return Message;
 }
--- a/tests/replication/test_messages.cpp
+++ b/tests/replication/test_messages.cpp
@@ -1,4 +1,4 @@
-#include "replication/cbor_limits.h"
+#include "core/cbor_limits.h"
 #include "replication/messages.h"
 #include "virtual_cluster.h"
 
@@ -61,8 +61,10 @@
 TEST_CASE("deep nesting and indefinite lengths are refused") {
   for (const char Head : {'\x81', '\x7f', '\x5f', '\x9f', '\xbf', '\xc1'})
     CHECK_FALSE(decodeMessage(std::string(1u << 20, Head)));
-  CHECK_FALSE(isBoundedCbor("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 6, 1000));
-  CHECK_FALSE(isBoundedCbor("\x5b\xff\xff\xff\xff\xff\xff\xff\xff", 6, 1000));
+  CHECK_FALSE(
+      core::isBoundedCbor("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 6, 1000));
+  CHECK_FALSE(
+      core::isBoundedCbor("\x5b\xff\xff\xff\xff\xff\xff\xff\xff", 6, 1000));
 }
 
 TEST_CASE("oversized messages are refused") {
