Refuse nested texts of indefinite length in CBOR sequences

Change: the structure of an item is measured without recursion before it is parsed. This also replaces the iterator that shared its position.

--- a/fleet/cbor_sequence.cpp
+++ b/fleet/cbor_sequence.cpp
@@ -1,6 +1,7 @@
 #include "fleet/cbor_sequence.h"
 
-#include <iterator>
+#include "core/cbor_limits.h"
+
 #include <utility>
 #include <vector>
 
@@ -62,52 +63,24 @@
   std::size_t Values = 0;
 };
 
-/// Input iterator whose copies share a position, so that the caller learns how
-/// many bytes the parser consumed.
-class shared_cursor {
-public:
-  using iterator_category = std::input_iterator_tag;
-  using value_type = char;
-  using difference_type = std::ptrdiff_t;
-  using pointer = const char *;
-  using reference = const char &;
-
-  explicit shared_cursor(const char **Position) : Position(Position) {}
-  reference operator*() const { return **Position; }
-  shared_cursor &operator++() {
-    ++*Position;
-    return *this;
-  }
-  shared_cursor operator++(int) {
-    auto Before = *this;
-    ++*Position;
-    return Before;
-  }
-  bool operator==(const shared_cursor &Other) const {
-    return *Position == *Other.Position;
-  }
-
-private:
-  const char **Position;
-};
-
 } // namespace
 
 std::optional<json> cbor_sequence::next() {
-  if (Rest.empty())
+  // Also refuses nested texts of indefinite length, for which the parser
+  // recurses before it calls the builder.
+  auto Size = core::measureCbor(Rest, MaxDepth, MaxValues);
+  if (!Size)
     return std::nullopt;
+  bounded_builder Builder;
   try {
-    const char *Position = Rest.data();
-    const char *End = Rest.data() + Rest.size();
-    bounded_builder Builder;
-    if (!json::sax_parse(shared_cursor(&Position), shared_cursor(&End),
-                         &Builder, json::input_format_t::cbor, false))
+    if (!json::sax_parse(Rest.substr(0, *Size), &Builder,
+                         json::input_format_t::cbor))
       return std::nullopt;
-    Rest.remove_prefix(static_cast<std::size_t>(Position - Rest.data()));
-    return Builder.take();
   } catch (const std::exception &) {
     return std::nullopt;
   }
+  Rest.remove_prefix(*Size);
+  return Builder.take();
 }
 
 void appendCbor(std::string &Bytes, const json &Item) {
