--- a/gateway/messages.cpp
+++ b/gateway/messages.cpp
@@ -15,6 +15,9 @@
 using fleet::cbor_writer;
 
 constexpr std::string_view LinkPrefix = "gateway-";
+// Final statuses of HTTP.
+constexpr std::uint16_t MinStatus = 200;
+constexpr std::uint16_t MaxStatus = 599;
 
 template <std::size_t Index = 0>
 bool readBody(std::size_t Type, const nlohmann::json &Item, message &Message) {
@@ -77,6 +80,11 @@
   message Message;
   if (!readBody((*Items)[0].get<std::size_t>(), (*Items)[1], Message))
     return std::nullopt;
+  // The gateway passes the status on to a caller.
+  if (const auto *Reply = std::get_if<reply_message>(&Message);
+      Reply && Reply->IsHandled &&
+      (Reply->Status < MinStatus || Reply->Status > MaxStatus))
+    return std::nullopt;
   return Message;
 }
 
