Refuse nested texts of indefinite length in messages of entries

Cause: as in CBOR sequences, the check of the limits itself recursed, so one message of 200,000 bytes ended an entry or a control replica with SIGSEGV.

Change: core::parseCbor() replaces the check.

--- a/routing/messages.cpp
+++ b/routing/messages.cpp
@@ -1,5 +1,7 @@
 #include "routing/messages.h"
 
+#include "core/cbor_limits.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -22,44 +24,7 @@
 constexpr std::size_t MaxValues = 500000;
 // The deepest valid message, peer_reply, has six levels. The parser recurses,
 // so deeper input must be refused before it exhausts the stack.
-constexpr int MaxDepth = 8;
-
-/// Checks depth and number of values without building the document.
-class limit_checker final : public nlohmann::json_sax<json> {
-public:
-  bool null() override { return count(); }
-  bool boolean(bool) override { return count(); }
-  bool number_integer(number_integer_t) override { return count(); }
-  bool number_unsigned(number_unsigned_t) override { return count(); }
-  bool number_float(number_float_t, const string_t &) override {
-    return count();
-  }
-  bool string(string_t &) override { return count(); }
-  bool binary(binary_t &) override { return count(); }
-  bool start_object(std::size_t Size) override { return enter(Size); }
-  bool key(string_t &Name) override { return Name.size() <= MaxStringBytes; }
-  bool end_object() override { return leave(); }
-  bool start_array(std::size_t Size) override { return enter(Size); }
-  bool end_array() override { return leave(); }
-  bool parse_error(std::size_t, const std::string &,
-                   const nlohmann::detail::exception &) override {
-    return false;
-  }
-
-private:
-  bool count() { return ++Values <= MaxValues; }
-  bool enter(std::size_t Size) {
-    // The parser reports an unknown size as the largest value.
-    bool IsUnknown = Size == std::numeric_limits<std::size_t>::max();
-    return count() && ++Depth <= MaxDepth && (IsUnknown || Size <= MaxElements);
-  }
-  bool leave() {
-    --Depth;
-    return true;
-  }
-  std::size_t Values = 0;
-  int Depth = 0;
-};
+constexpr std::size_t MaxDepth = 8;
 
 // fields() lists the members of each type once, for encoding and decoding.
 
@@ -416,18 +381,17 @@
   if (Bytes.size() > MaxMessageBytes)
     return failCorrupt("expected a message of at most 4 MB", Bytes.size());
   try {
-    limit_checker Checker;
-    if (!json::sax_parse(Bytes, &Checker, json::input_format_t::cbor))
+    auto Document = core::parseCbor(Bytes, MaxDepth, MaxValues);
+    if (!Document)
       return failCorrupt("expected a message of valid CBOR within the limits "
                          "of depth and size",
                          Bytes.size());
-    json Document = json::from_cbor(Bytes, true, false);
-    if (!Document.is_object() || !Document.contains("type") ||
-        !Document["type"].is_string() || !Document.contains("body"))
+    if (!Document->is_object() || !Document->contains("type") ||
+        !(*Document)["type"].is_string() || !Document->contains("body"))
       return failCorrupt("expected a message with type and body", Bytes.size());
     message Message;
-    if (!readMessage(Document["type"].get_ref<const std::string &>(),
-                     Document["body"], Message,
+    if (!readMessage((*Document)["type"].get_ref<const std::string &>(),
+                     (*Document)["body"], Message,
                      std::make_index_sequence<std::variant_size_v<message>>()))
       return failCorrupt(
           "expected a message of a known type with valid members",
