Decode records of the log without recursion or conversion

Cause: a record with a valid checksum whose payload is nested 200,000 deep ended the process at its start with SIGSEGV instead of being reported as corrupt, and -1, 1.5 or 1e300 were read as an index or term.

Change: depth is limited to 4, and numbers must be unsigned integers.

--- a/storage/record_codec.cpp
+++ b/storage/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "storage/record_codec.h"
 
+#include "core/cbor_limits.h"
 #include "core/checksum.h"
 #include "storage/log_store.h"
 
@@ -25,6 +26,8 @@
 constexpr std::size_t TypePosition = 32;
 constexpr std::size_t FrameBytes = 33;
 constexpr std::uint64_t FormatVersion = 1;
+// The deepest payload nests as snapshot > members > member > id.
+constexpr std::size_t MaxDepth = 4;
 
 const unsigned char *bytesAt(std::string_view Bytes, std::uint64_t Offset) {
   return reinterpret_cast<const unsigned char *>(Bytes.data()) + Offset;
@@ -44,8 +47,15 @@
   return json::array({Id.Name, Id.Incarnation});
 }
 
+/// Other numbers must not be converted: -1 is not the largest index.
+std::uint64_t toNumber(const json &Value) {
+  if (!Value.is_number_unsigned())
+    throw std::out_of_range("an unsigned integer is expected");
+  return Value.get<std::uint64_t>();
+}
+
 replication::replica_id toReplicaId(const json &Value) {
-  return {Value.at(0).get<std::string>(), Value.at(1).get<std::uint64_t>()};
+  return {Value.at(0).get<std::string>(), toNumber(Value.at(1))};
 }
 
 json toJson(const replication::hard_state &Hard) {
@@ -54,7 +64,7 @@
 
 replication::hard_state toHardState(const json &Value) {
   replication::hard_state Hard;
-  Hard.Term = Value.at(0).get<std::uint64_t>();
+  Hard.Term = toNumber(Value.at(0));
   if (!Value.at(1).is_null())
     Hard.Vote = toReplicaId(Value.at(1));
   return Hard;
@@ -65,7 +75,7 @@
 }
 
 snapshot_reference toReference(const json &Value) {
-  return {Value.at(0).get<std::uint64_t>(), Value.at(1).get<std::uint64_t>()};
+  return {toNumber(Value.at(0)), toNumber(Value.at(1))};
 }
 
 json toJson(const replication::membership &Members) {
@@ -85,9 +95,9 @@
 
 replication::log_entry toEntry(const json &Value) {
   replication::log_entry Entry;
-  Entry.Index = Value.at(0).get<std::uint64_t>();
-  Entry.Term = Value.at(1).get<std::uint64_t>();
-  auto Kind = Value.at(2).get<std::uint64_t>();
+  Entry.Index = toNumber(Value.at(0));
+  Entry.Term = toNumber(Value.at(1));
+  auto Kind = toNumber(Value.at(2));
   if (Kind > static_cast<std::uint64_t>(replication::entry_kind::Membership))
     throw std::out_of_range("the entry kind is unknown");
   Entry.Kind = static_cast<replication::entry_kind>(Kind);
@@ -107,8 +117,11 @@
 auto decode(std::string_view Payload, Callable &&Convert)
     -> std::optional<decltype(Convert(json()))> {
   try {
-    json Value = json::from_cbor(Payload.begin(), Payload.end());
-    return Convert(Value);
+    // The parser recurses without a limit.
+    auto Value = core::parseCbor(Payload, MaxDepth, Payload.size());
+    if (!Value)
+      return std::nullopt;
+    return Convert(*Value);
   } catch (const std::exception &) {
     return std::nullopt;
   }
@@ -179,10 +192,10 @@
     if (Value.at(0) != FormatVersion)
       throw std::out_of_range("the format version is unknown");
     segment_header Header;
-    Header.PreviousSize = Value.at(1).get<std::uint64_t>();
+    Header.PreviousSize = toNumber(Value.at(1));
     Header.Hard = toHardState(Value.at(2));
     Header.Snapshot = toReference(Value.at(3));
-    Header.LastIndex = Value.at(4).get<std::uint64_t>();
+    Header.LastIndex = toNumber(Value.at(4));
     return Header;
   });
 }
@@ -211,7 +224,7 @@
     if (!Value.at(1).is_null())
       Change.Snapshot = toReference(Value.at(1));
     if (!Value.at(2).is_null())
-      Change.TruncateFrom = Value.at(2).get<std::uint64_t>();
+      Change.TruncateFrom = toNumber(Value.at(2));
     for (const auto &Entry : Value.at(3))
       Change.Append.push_back(toEntry(Entry));
     return Change;
@@ -229,8 +242,8 @@
     if (Value.at(0) != FormatVersion)
       throw std::out_of_range("the format version is unknown");
     replication::snapshot Snapshot;
-    Snapshot.LastIndex = Value.at(1).get<std::uint64_t>();
-    Snapshot.LastTerm = Value.at(2).get<std::uint64_t>();
+    Snapshot.LastIndex = toNumber(Value.at(1));
+    Snapshot.LastTerm = toNumber(Value.at(2));
     Snapshot.Members = toMembership(Value.at(3));
     Snapshot.State = fromBinary(Value.at(4));
     return Snapshot;
