Refuse hellos that are too long or whose stamp is no whole number

Cause: decodeHello() relied on its caller for the length of its input, and read a stamp of -1, which replaces no later link, as 2^64-1.

Change: more than MaxHelloBytes are refused, and stamps of other types.

Measured: before, 200,000 nested bytes gave SIGSEGV in the decoder (the hub's limit of 512 bytes kept them from it, so no process could be ended), and 3 of 5 odd stamps were accepted; both cases of test_transport_fuzz pass.

--- a/transport/hello.cpp
+++ b/transport/hello.cpp
@@ -19,10 +19,14 @@
 }
 
 std::optional<hello> decodeHello(const std::string &Bytes) {
+  if (Bytes.size() > MaxHelloBytes)
+    return std::nullopt;
   try {
     auto Value = nlohmann::json::from_cbor(Bytes);
     if (Value.at("type") != "hello" || Value.at("version") != ProtocolVersion)
       return std::nullopt;
+    if (!Value.at("stamp").is_number_unsigned())
+      return std::nullopt;
     hello Hello;
     Hello.Name = Value.at("from").get<std::string>();
     Hello.Stamp = Value.at("stamp").get<std::uint64_t>();
