Show odd replies in the tool without recursion

Cause: a reply nested 200,000 deep ended lycheetrestlectl with SIGSEGV (shown, copied and compared recursively). A status whose number was -1 or 1e300 counted as "in force". Names of members and the delete character reached the terminal.

Change: one parser for replies refuses more than 32 levels; the body is then shown as text. Numbers of a rollout must be unsigned integers. Names and nested values are printed without control characters.

--- a/ctl/command_context.cpp
+++ b/ctl/command_context.cpp
@@ -1,6 +1,7 @@
 #include "ctl/command_context.h"
 
 #include "ctl/printable.h"
+#include "ctl/reply_document.h"
 #include "ctl/report.h"
 
 #include <nlohmann/json.hpp>
@@ -34,7 +35,7 @@
                         const std::string &Expected) {
   if (Outcome.Code != exit_code::Done)
     return;
-  auto Reply = nlohmann::json::parse(Outcome.Body, nullptr, false);
+  auto Reply = parseReply(Outcome.Body);
   if (!Reply.is_object() || !Reply.contains(Member))
     return;
   const auto &Value = Reply[Member];
--- a/ctl/refusal.cpp
+++ b/ctl/refusal.cpp
@@ -2,6 +2,7 @@
 
 #include "core/verdict.h"
 #include "ctl/printable.h"
+#include "ctl/reply_document.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +37,7 @@
 
 refusal readRefusal(const http_reply &Reply) {
   refusal Refusal;
-  auto Body = nlohmann::json::parse(Reply.Body, nullptr, false);
+  auto Body = parseReply(Reply.Body);
   std::string Verdict = Reply.Verdict;
   std::string Error;
   if (Body.is_object()) {
--- a/ctl/report.cpp
+++ b/ctl/report.cpp
@@ -1,6 +1,7 @@
 #include "ctl/report.h"
 
 #include "ctl/printable.h"
+#include "ctl/reply_document.h"
 #include "ctl/table_writer.h"
 
 #include <nlohmann/json.hpp>
@@ -57,8 +58,9 @@
     auto Milliseconds = Value.get<std::int64_t>();
     return Milliseconds == 0 ? "" : formatWallTime(Milliseconds);
   }
+  // The library does not escape the delete character.
   if (!Value.is_array())
-    return Value.dump();
+    return printable(Value.dump());
   std::string Joined;
   for (const auto &Element : Value)
     Joined += (Joined.empty() ? "" : ",") + cellOf(Name, Element);
@@ -74,9 +76,9 @@
 void flatten(const json &Object, const std::string &Prefix, flat_object &Into) {
   for (const auto &[Name, Value] : Object.items()) {
     if (Value.is_object())
-      flatten(Value, Prefix + Name + ".", Into);
+      flatten(Value, Prefix + printable(Name) + ".", Into);
     else
-      Into.emplace_back(Prefix + Name, cellOf(Name, Value));
+      Into.emplace_back(Prefix + printable(Name), cellOf(Name, Value));
   }
 }
 
@@ -141,7 +143,7 @@
         << (Cell.empty() ? "-" : Cell) << '\n';
   for (const auto &[Name, Value] : Object.items())
     if (isTable(Value)) {
-      Out << (First ? "" : "\n") << Prefix << Name << '\n';
+      Out << (First ? "" : "\n") << Prefix << printable(Name) << '\n';
       writeTable(Out, Value);
       First = false;
     }
@@ -152,7 +154,7 @@
 void writeReport(std::ostream &Out, std::string_view Body) {
   if (Body.empty())
     return;
-  auto Value = json::parse(Body, nullptr, false);
+  auto Value = parseReply<json>(Body);
   if (Value.is_discarded()) {
     Out << printable(Body) << '\n';
     return;
@@ -171,7 +173,7 @@
 }
 
 void writeJson(std::ostream &Out, std::string_view Body) {
-  auto Value = json::parse(Body, nullptr, false);
+  auto Value = parseReply<json>(Body);
   if (Value.is_discarded())
     Out << Body << '\n';
   else
--- a/ctl/wait_command.cpp
+++ b/ctl/wait_command.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "ctl/arguments.h"
 #include "ctl/printable.h"
+#include "ctl/reply_document.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,12 +35,17 @@
 } // namespace
 
 std::optional<rollout_progress> readRolloutProgress(std::string_view Body) {
-  auto Status = nlohmann::json::parse(Body, nullptr, false);
+  auto Status = parseReply(Body);
   try {
     const auto &InForce = Status.at("in_force");
     rollout_progress Progress;
-    Progress.Accepted = Status.at("declaration_number");
-    Progress.InForce = InForce.at("number");
+    // Other numbers must not be converted: -1 is not the largest number.
+    const auto &Accepted = Status.at("declaration_number");
+    const auto &Number = InForce.at("number");
+    if (!Accepted.is_number_unsigned() || !Number.is_number_unsigned())
+      return std::nullopt;
+    Progress.Accepted = Accepted.get<std::uint64_t>();
+    Progress.InForce = Number.get<std::uint64_t>();
     for (const auto &Entry : InForce.at("waiting"))
       Progress.Waiting += (Progress.Waiting.empty() ? "" : ", ") +
                           printable(Entry.get<std::string>());
