--- a/fleet/cbor_archive.h
+++ b/fleet/cbor_archive.h
@@ -22,6 +22,9 @@
 /// itself.
 constexpr std::size_t MaxByteStringBytes = 1u << 20;
 
+/// Deepest nesting of log entries and snapshots; they use about half of it.
+constexpr std::size_t MaxRecordDepth = 16;
+
 /// Limits of a reader of messages from other processes.
 struct message_limits {
   static constexpr std::size_t StringBytes = MaxStringBytes;
--- a/scheduling/commands.cpp
+++ b/scheduling/commands.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/commands.h"
 
+#include "core/cbor_limits.h"
 #include "fleet/cbor_sequence.h"
 #include "scheduling/fields.h"
 
@@ -80,8 +81,12 @@
 
 std::optional<command_batch> decodeBatch(std::string_view Bytes) {
   // Unlike cbor_sequence, which reads records from untrusted senders, this
-  // needs no limits: a batch comes from the log, whose records have checksums.
-  auto Items = nlohmann::json::from_cbor(Bytes, true, false);
+  // needs no limit of the size: a batch comes from the log. The depth is
+  // limited because the parser recurses.
+  auto Parsed = core::parseCbor(Bytes, fleet::MaxRecordDepth, Bytes.size());
+  if (!Parsed)
+    return std::nullopt;
+  const auto &Items = *Parsed;
   if (!Items.is_array() || Items.empty() || Items.size() % 2 != 1 ||
       !Items[0].is_number_integer())
     return std::nullopt;
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -1,3 +1,4 @@
+#include "core/cbor_limits.h"
 #include "scheduling/fields.h"
 #include "scheduling/schedule_state.h"
 
@@ -78,7 +79,15 @@
 
 core::result<schedule_state> schedule_state::restore(std::string_view Bytes) {
   schedule_state State;
-  auto Parts = nlohmann::json::from_cbor(Bytes, true, false);
+  auto Malformed = [] {
+    return core::fail({core::error_code::Corrupt,
+                       "the snapshot of the schedule is malformed", "", "",
+                       core::verdict::NotRun});
+  };
+  auto Parsed = core::parseCbor(Bytes, fleet::MaxRecordDepth, Bytes.size());
+  if (!Parsed)
+    return Malformed();
+  const auto &Parts = *Parsed;
   bool IsValid =
       Parts.is_array() && Parts.size() == PartCount &&
       log_reader::fromJson(Parts[TimePart], State.TimeMs) &&
@@ -113,9 +122,7 @@
               State.Waves.emplace(Number, std::move(Wave));
             });
   if (!IsValid)
-    return core::fail({core::error_code::Corrupt,
-                       "the snapshot of the schedule is malformed", "", "",
-                       core::verdict::NotRun});
+    return Malformed();
   State.assignQueueNumbers();
   return State;
 }
