--- a/scheduling/orders.h
+++ b/scheduling/orders.h
@@ -137,6 +137,9 @@
 struct hosts_answer {
   std::vector<host_row> Hosts;
   std::string NextToken; ///< Empty on the last page.
+  /// Names of hosts whose rows cannot be read: what an earlier list showed
+  /// about them still counts.
+  std::vector<std::string> UnreadableHosts = {};
 };
 
 enum class host_verdict : std::uint8_t {
