End lists of hosts that cannot be read to their end

Cause: a list ended only with a page without a token.

Change: a list ends after a repeated token, 500 pages, or 10 failures of a page in a row; the rows received count, other hosts and those of unreadable rows keep their earlier rows, and the next list starts at the first page. Counted in incomplete_host_lists_total and unreadable_hosts_total.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -58,6 +59,9 @@
   core::time_point NextPoolLog{};
 
   std::map<std::string, host_row> PartialList; ///< Pages received so far.
+  std::set<std::string> UnreadableHosts;       ///< Named on these pages.
+  std::set<std::string> PageTokens;            ///< Of these pages.
+  std::size_t FailedPages = 0; ///< In a row, with the same token.
   core::time_point ListStartedAt{};
   std::string PageToken;
   bool IsListing = false;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -245,6 +245,10 @@
   void finishHostOrder(const order &Order, const order_result &Result,
                        core::time_point Now);
   void finishHostPage(const hosts_answer &Page);
+  void beginHostList(core::time_point Now);
+  /// \param IsWhole whether all pages were received. The hosts that an
+  /// incomplete list does not name keep their earlier rows.
+  void finishHostList(bool IsWhole);
   /// Ends incarnations that the platform no longer lists on their host.
   void endReplacedIncarnations();
   std::vector<maintenance_host> maintenanceHosts(const wave_record &Wave,
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/leader.h"
 
 #include <algorithm>
+#include <set>
 #include <unordered_set>
 #include <utility>
 
@@ -36,6 +37,12 @@
 // long needs no maintenance any more.
 constexpr core::duration UnknownHostTimeout = std::chrono::seconds(3);
 
+// A list has 200 hosts a page. A list that does not end, or has a page that
+// always fails, is replaced by a new one, so that hosts on other pages are
+// followed; an outage of the platform is shorter than this number of attempts.
+constexpr std::size_t MaxPages = 500;
+constexpr std::size_t MaxFailedPages = 10;
+
 // Limit of the hosts that are being moved or maintained. A wave may name 20,000
 // hosts and allow as many at once; commands and calls for all of them together
 // would keep the leader busy for longer than the election time-out.
@@ -319,10 +326,7 @@
     IsBusy |= !Wave.isComplete();
   if (!Hosts.IsListing && Now >= Hosts.NextList &&
       Now - Hosts.ListStartedAt >= MinListInterval) {
-    Hosts.IsListing = true;
-    Hosts.ListStartedAt = Now;
-    Hosts.PartialList.clear();
-    Hosts.PageToken.clear();
+    beginHostList(Now);
     Hosts.NextList = Now + (IsBusy ? BusyListInterval : IdleListInterval);
   }
   if (IsBusy)
@@ -381,6 +385,14 @@
     const auto *Page = std::get_if<hosts_answer>(&Result.Answer);
     if (!Page) {
       Hosts.NextCall = Now + HostOrderBackoff;
+      // The first page is the start of a new list, too.
+      if (++Hosts.FailedPages >= MaxFailedPages && !Hosts.PageToken.empty()) {
+        core::logEvent(core::log_level::Warning, "host_list_incomplete",
+                       {{"reason", "a page failed repeatedly"},
+                        {"pages", Hosts.PageTokens.size()},
+                        {"hosts", Hosts.PartialList.size()}});
+        finishHostList(false);
+      }
       return;
     }
     finishHostPage(*Page);
@@ -452,25 +464,64 @@
   }
 }
 
+void leader::beginHostList(core::time_point Now) {
+  Hosts.IsListing = true;
+  Hosts.ListStartedAt = Now;
+  Hosts.PartialList.clear();
+  Hosts.UnreadableHosts.clear();
+  Hosts.PageTokens.clear();
+  Hosts.PageToken.clear();
+  Hosts.FailedPages = 0;
+}
+
 void leader::finishHostPage(const hosts_answer &Page) {
+  Hosts.FailedPages = 0;
   for (const auto &Row : Page.Hosts)
     Hosts.PartialList[Row.Name] = Row;
+  if (!Page.UnreadableHosts.empty())
+    Metrics.add("unreadable_hosts_total", Page.UnreadableHosts.size());
+  Hosts.UnreadableHosts.insert(Page.UnreadableHosts.begin(),
+                               Page.UnreadableHosts.end());
   Hosts.PageToken = Page.NextToken;
-  if (!Hosts.PageToken.empty())
+  if (Hosts.PageToken.empty()) {
+    finishHostList(true);
     return;
+  }
+  bool IsRepeated = !Hosts.PageTokens.insert(Hosts.PageToken).second;
+  if (!IsRepeated && Hosts.PageTokens.size() < MaxPages)
+    return;
+  core::logEvent(
+      core::log_level::Warning, "host_list_incomplete",
+      {{"reason", IsRepeated ? "a page token is repeated" : "too many pages"},
+       {"pages", Hosts.PageTokens.size()},
+       {"hosts", Hosts.PartialList.size()}});
+  finishHostList(false);
+}
+
+void leader::finishHostList(bool IsWhole) {
   Hosts.IsListing = false;
+  if (!IsWhole)
+    Metrics.add("incomplete_host_lists_total");
   endReplacedIncarnations();
-  Hosts.Hosts = std::exchange(Hosts.PartialList, {});
+  auto Earlier = std::exchange(Hosts.Hosts, std::move(Hosts.PartialList));
+  Hosts.PartialList.clear();
+  std::set<std::string> Kept;
+  for (auto &[Name, Row] : Earlier)
+    if ((!IsWhole || Hosts.UnreadableHosts.count(Name) > 0) &&
+        Hosts.Hosts.emplace(Name, std::move(Row)).second)
+      Kept.insert(Name);
   Hosts.ListedAt = Hosts.ListStartedAt;
   Hosts.IsNewList = true;
   Hosts.HostOfEndpoint.clear();
   for (const auto &[Name, Row] : Hosts.Hosts)
     if (!Row.EndpointId.empty())
       Hosts.HostOfEndpoint[Row.EndpointId] = Name;
-  std::erase_if(Hosts.Operations, [this](const auto &Item) {
+  std::erase_if(Hosts.Operations, [&](const auto &Item) {
     const auto &[Name, Operation] = Item;
     const auto *Row = Hosts.find(Name);
+    // A kept row may be older than the operation.
     bool IsBack = Operation.HasBegun && Hosts.ListedAt > Operation.BegunAt &&
+                  (IsWhole || Row) && Kept.count(Name) == 0 &&
                   (!Row || Row->State == host_state::Up) &&
                   Operation.IsStartProposed;
     if (IsBack)
