Confirm no end whose number is far beyond the others

Cause: the largest number in a poll became the cursor. One row with a large number made the endpoint forget all ends that were not read yet.

Change: the cursor advances in steps of at most 1,000, twice the rows of a list. A new leader knows no earlier number and takes the smallest one listed.

--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -28,6 +28,28 @@
 // would cause an order for each of its rows.
 constexpr std::size_t MaxOrphanedRuns = 256;
 
+// Largest step between the numbers of two ends. An endpoint lists 500 ends at a
+// time and numbers them without gaps; a row beyond that is not one of its ends,
+// and confirming it would make the endpoint forget ends that were never read.
+constexpr std::uint64_t MaxEndStep = 1000;
+
+/// \returns the largest number that follows from the earlier one in steps of at
+/// most MaxEndStep; a new leader knows no earlier one.
+std::uint64_t lastEndNumber(std::uint64_t Earlier,
+                            const std::vector<end_row> &Rows) {
+  std::vector<std::uint64_t> Numbers;
+  Numbers.reserve(Rows.size());
+  for (const auto &Row : Rows)
+    Numbers.push_back(Row.Number);
+  std::sort(Numbers.begin(), Numbers.end());
+  for (auto Number : Numbers) {
+    if (Earlier != 0 && Number > Earlier + MaxEndStep)
+      break;
+    Earlier = std::max(Earlier, Number);
+  }
+  return Earlier;
+}
+
 std::string_view name(endpoint_verdict Verdict) {
   switch (Verdict) {
   case endpoint_verdict::Accepted:
@@ -326,8 +348,10 @@
   }
   bool HasEnds = false;
   PolledEndpoints.push_back(Tracked.Endpoint);
+  Tracked.LastEndNumber = lastEndNumber(Tracked.LastEndNumber, Answer.Ended);
   for (const auto &Row : Answer.Ended) {
-    Tracked.LastEndNumber = std::max(Tracked.LastEndNumber, Row.Number);
+    if (Row.Number > Tracked.LastEndNumber)
+      continue;
     auto Found = Tracked.Runs.find(Row.Task);
     if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt)
       continue;
--- a/tests/scheduling/test_leader.cpp
+++ b/tests/scheduling/test_leader.cpp
@@ -455,6 +455,62 @@
   CHECK(Harness.State.waves().at(1).isComplete());
 }
 
+// Without its row, the runs on the host would not count for any budget.
+TEST_CASE("a host whose row cannot be read gets no maintenance beyond the "
+          "budgets of its runs") {
+  for (bool IsIncomplete : {false, true}) {
+    budget_harness Harness;
+    Harness.endRun(2);
+    Harness.startWave();
+    for (int Round = 0; Round != 20; ++Round) {
+      Harness.advanceTime(200ms);
+      hosts_answer Page;
+      Page.Hosts = {hostRow("h2", "e2"), hostRow("h3", "e3")};
+      // The second page of an incomplete list has its own token again.
+      if (IsIncomplete)
+        Page.NextToken = "t";
+      else
+        Page.UnreadableHosts = {"h1"};
+      for (int Number = 0; Number != 3; ++Number)
+        for (auto &Order : Harness.take<list_hosts_order>())
+          Harness.Leader->finishOrder({Order.Id, Page}, Harness.Now);
+      for (const auto &Command :
+           Harness.Leader->takeCommands(Harness.Now, 2000))
+        if (std::holds_alternative<order_maintenance>(Command))
+          Harness.apply(Command);
+      CHECK(Harness.take<maintenance_order>().empty());
+      Harness.answerPoll(1, budget_harness::running(1));
+    }
+  }
+}
+
+// Guards against an endpoint that forgets ends which were never read.
+TEST_CASE("an end whose number is far beyond the others is not confirmed") {
+  budget_harness Harness;
+  auto Answer = budget_harness::running(1);
+  Answer.Ended.push_back({1, {"x", 0, 0, 0}, 1, run_end::Done, ""});
+  Answer.Ended.push_back({9'000'000'000, {"x", 0, 0, 1}, 1, run_end::Done, ""});
+  auto CursorAfter = [&](const endpoint_answer &Poll) {
+    Harness.answerPoll(1, Poll);
+    for (int Batch = 0; Batch != 2; ++Batch)
+      Harness.Leader->takeCommands(Harness.Now, 2000);
+    Harness.advanceTime(60ms);
+    std::uint64_t Cursor = 0;
+    for (const auto &Order : Harness.take<poll_order>())
+      if (Order.Endpoint == 1) {
+        Cursor = std::get<poll_order>(Order.Body).Cursor;
+        Harness.Leader->finishOrder({Order.Id, budget_harness::running(1)},
+                                    Harness.Now);
+      }
+    return Cursor;
+  };
+  CHECK(CursorAfter(Answer) == 1);
+  // The next end is confirmed although the odd row is listed first.
+  std::swap(Answer.Ended[0], Answer.Ended[1]);
+  Answer.Ended[1].Number = 2;
+  CHECK(CursorAfter(Answer) == 2);
+}
+
 TEST_CASE("maintenance is skipped only for a host that the platform keeps "
           "reporting as unknown") {
   host_harness Harness;
