Take from the adviser only what was asked for

Cause: a row for another endpoint replaced its valid ticket, so that it refused the start, and an answer could keep a refusal cached for 24 days.

Change: rows for endpoints that were not in the call are ignored; the validity is limited to the one that the queue declares, or to 60 s without one.

--- a/scheduling/advice_cache.cpp
+++ b/scheduling/advice_cache.cpp
@@ -17,6 +17,8 @@
 // Share of a decision's validity after which it is requested again, so that a
 // ticket does not expire on the way to the endpoint.
 constexpr double RefreshShare = 0.8;
+// Limit of the validity that an answer gives for a queue that declares none.
+constexpr std::uint32_t MaxUndeclaredValidMs = 60'000;
 // How long a step that is no longer requested stays cached.
 constexpr core::duration UnusedStepRetention = std::chrono::seconds(30);
 
@@ -87,13 +89,20 @@
   if (Found == Steps.end())
     return;
   auto &Advice = Found->second;
-  auto Validity = milliseconds(static_cast<std::int64_t>(
-      RefreshShare *
-      (Answer->ValidMs > 0 ? Answer->ValidMs : Advice.Terms.ValidMs)));
+  // A decision is not cached for longer than the queue declares: a wrong
+  // refusal would keep the step waiting.
+  auto ValidMs = Advice.Terms.ValidMs;
+  if (Answer->ValidMs > 0)
+    ValidMs = ValidMs > 0 ? std::min(ValidMs, Answer->ValidMs)
+                          : std::min(MaxUndeclaredValidMs, Answer->ValidMs);
+  auto Validity =
+      milliseconds(static_cast<std::int64_t>(RefreshShare * ValidMs));
   for (const auto &Id : Call.Endpoints)
     Advice.ByEndpoint[Id] = {std::nullopt, Call.SentAt + Validity};
+  // Other rows would replace decisions that are still valid.
   for (const auto &Row : Answer->Allowed)
-    Advice.ByEndpoint[Row.EndpointId].Ticket = Row.Ticket;
+    if (Call.Endpoints.count(Row.EndpointId) > 0)
+      Advice.ByEndpoint[Row.EndpointId].Ticket = Row.Ticket;
 }
 
 void advice_cache::discardTicket(const task_key &Step,
--- a/tests/scheduling/test_advice_cache.cpp
+++ b/tests/scheduling/test_advice_cache.cpp
@@ -65,6 +65,35 @@
   CHECK(Advice.nextCall(at(1400ms)));
 }
 
+// Guards against a row that replaces a valid ticket of another endpoint, which
+// would then refuse the start.
+TEST_CASE("a row for an endpoint that was not asked for is ignored") {
+  advice_cache Advice;
+  advice_answer Answer;
+  Advice.request(Step, Terms, {"a"}, at(1s));
+  REQUIRE(Advice.nextCall(at(1s)));
+  Answer.Allowed = {{"a", "t"}};
+  Advice.recordAnswer(&Answer, at(1s));
+  Advice.request(Step, Terms, {"b"}, at(1s));
+  REQUIRE(Advice.nextCall(at(1s)));
+  Answer.Allowed = {{"a", "odd"}, {"b", "u"}};
+  Advice.recordAnswer(&Answer, at(1s));
+  CHECK(Advice.ticket(Step, "a", at(1s)) == "t");
+  CHECK(Advice.ticket(Step, "b", at(1s)) == "u");
+}
+
+// Guards against one odd answer that keeps a step waiting for weeks.
+TEST_CASE("an answer is not cached for longer than the queue declares") {
+  advice_cache Advice;
+  Advice.request(Step, Terms, {"a"}, at(1s));
+  REQUIRE(Advice.nextCall(at(1s)));
+  advice_answer Answer;
+  Answer.ValidMs = 2'147'483'647;
+  Advice.recordAnswer(&Answer, at(1s));
+  Advice.request(Step, Terms, {"a"}, at(3s));
+  CHECK(Advice.nextCall(at(3s)));
+}
+
 TEST_CASE("tasks of a queue with advice start only on endpoints that the "
           "adviser allows") {
   // An endpoint refuses a start without a ticket, so the job would never start.
