--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -392,6 +392,7 @@
                         {"pages", Hosts.PageTokens.size()},
                         {"hosts", Hosts.PartialList.size()}});
         finishHostList(false);
+        Hosts.NextList = std::min(Hosts.NextList, Now + BusyListInterval);
       }
       return;
     }
