Log what is known about the endpoint of a task that is not at work

After a change of leader task_unserved said only that a task waits for an answer or the lease. It now tells whether the endpoint drains or has deregistered, how long its leases may last and how old its last answer is, so that a log tells a lost end from a silent endpoint.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -148,6 +148,11 @@
                             const job_record &Job, bool IsBatchOpen,
                             core::time_point Now) const;
 
+  /// Adds to a task that is not at work what is known about the endpoint of its
+  /// run.
+  void describeEndpointOf(unserved_task &Task, const tracked_endpoint &Tracked,
+                          core::time_point Now) const;
+
   // leader.cpp
   tracked_endpoint &trackEndpoint(std::uint32_t Endpoint, core::time_point Now);
   /// Tracks the endpoints and runs of the replicated state after a change of
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/leader.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace lycheetrestle::scheduling {
@@ -72,6 +73,18 @@
   return "unknown";
 }
 
+void leader::describeEndpointOf(unserved_task &Task,
+                                const tracked_endpoint &Tracked,
+                                core::time_point Now) const {
+  auto Record = State.endpoints().find(Tracked.Endpoint);
+  Task.IsDraining =
+      Record != State.endpoints().end() && Record->second.Facts.IsDraining;
+  Task.HasDeregistered = Tracked.RemoveAt.has_value();
+  Task.LeaseLeft = std::max(core::duration(), Tracked.LeaseExpiry - Now);
+  if (Tracked.LastAnswer != core::time_point())
+    Task.ContactAge = Now - Tracked.LastAnswer;
+}
+
 std::vector<unserved_task> leader::unservedTasks(core::time_point Now,
                                                  bool IsBatchOpen) {
   std::vector<unserved_task> Result;
@@ -97,8 +110,11 @@
           auto Known = UnservedSince.find(Key);
           auto Begin = Known == UnservedSince.end() ? Now : Known->second;
           Since.emplace(Key, Begin);
-          Result.push_back({Key, Now - Begin, Record.Endpoint,
-                            waitsFor(Key, Record, Job, IsBatchOpen, Now)});
+          unserved_task Task{Key, Now - Begin, Record.Endpoint,
+                             waitsFor(Key, Record, Job, IsBatchOpen, Now)};
+          if (Tracked != TrackedEndpoints.end())
+            describeEndpointOf(Task, Tracked->second, Now);
+          Result.push_back(std::move(Task));
         }
       }
   }
--- a/scheduling/leader_load.h
+++ b/scheduling/leader_load.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "scheduling/types.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -30,6 +31,13 @@
   core::duration Since{};     ///< How long it has not been at work.
   std::uint32_t Endpoint = 0; ///< Number; 0 when no run is assigned.
   std::string_view WaitsFor;  ///< For the log.
+  /// What is known about the endpoint of its run; empty without one.
+  bool IsDraining = false;
+  bool HasDeregistered = false;
+  /// Until every lease that the endpoint may hold has expired; 0 after that.
+  core::duration LeaseLeft{};
+  /// Since this leader's last contact with the endpoint; negative without one.
+  core::duration ContactAge = std::chrono::milliseconds(-1);
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -619,7 +619,11 @@
                       {"index", Task.Task.Index},
                       {"endpoint", Task.Endpoint},
                       {"since_ms", ToMs(Task.Since)},
-                      {"waits_for", Task.WaitsFor}});
+                      {"waits_for", Task.WaitsFor},
+                      {"draining", Task.IsDraining},
+                      {"deregistered", Task.HasDeregistered},
+                      {"lease_left_ms", ToMs(Task.LeaseLeft)},
+                      {"answer_age_ms", ToMs(Task.ContactAge)}});
     }
     Metrics.set("unserved_tasks", static_cast<double>(Unserved));
   }
