--- a/bench/schedule_load.cpp
+++ b/bench/schedule_load.cpp
@@ -3,6 +3,14 @@
 // orders per second, the CPU cores used, the CPU time per start and the jobs
 // left. Endpoints respond at once and never fail, and the platform answers
 // every host operation with Busy; nothing is sent over a network.
+//
+// --backlog_tasks, --queues, --lengths_per_s and --host_milli_cores play a
+// leader after an outage: many tasks wait, few can be placed, the configuration
+// is large, and callers ask for the length of their queue. The load of the
+// incident is --backlog_tasks=15000 --queues=1500 --lengths_per_s=100
+// --jobs_per_s=38 --tasks=4 --host_milli_cores=18600 --long_jobs=30. Also
+// prints the CPU time of the longest step, which bounds how late a heartbeat is
+// sent.
 
 #include "core/event_log.h"
 #include "scheduling/schedule_node.h"
@@ -27,6 +35,10 @@
 DEFINE_int32(steps, 2, "steps per job");
 DEFINE_int32(long_jobs, 40, "number of jobs with long-running tasks");
 DEFINE_int32(long_tasks, 24, "tasks of each long-running job");
+DEFINE_int32(backlog_tasks, 0, "short tasks that wait when the load begins");
+DEFINE_int32(queues, 4, "number of queues in the configuration");
+DEFINE_int32(lengths_per_s, 0, "queue length calls per second");
+DEFINE_int32(host_milli_cores, 64'000, "cores of one endpoint, in thousandths");
 DEFINE_bool(wave, true, "run a maintenance wave over two fifths of the hosts");
 DEFINE_bool(log, false, "format log events, as the daemon does, to /dev/null");
 
@@ -38,7 +50,6 @@
 constexpr int StepMs = 2;
 constexpr int HeartbeatMs = 1500;
 constexpr int PoolCount = 4;
-constexpr std::uint32_t HostMilliCores = 64'000;
 constexpr std::uint32_t TaskMilliCores = 6200;
 constexpr double MeanTaskMs = 640;
 constexpr const char *Address = "10.0.0.1";
@@ -79,7 +90,8 @@
           std::to_string(Index % 256) + ":80");
       Endpoint.Facts.Pool = pool(Index % (PoolCount + 1));
       Endpoint.Facts.Zone = "z";
-      Endpoint.Facts.Capacity = {HostMilliCores, 1'000'000, 0};
+      Endpoint.Facts.Capacity = {
+          static_cast<std::uint32_t>(FLAGS_host_milli_cores), 1'000'000, 0};
       Endpoint.Facts.Rack = "r" + std::to_string(Index / 20);
       ByAddress[core::toText(Endpoint.Facts.Address)] = Endpoints.size() - 1;
     }
@@ -96,6 +108,8 @@
       startWave();
     for (int Ms = 0; Ms < 1000; Ms += StepMs)
       step(false);
+    submitBacklog();
+    LongestStep = 0;
     auto Before = Cpu;
     auto StartsBefore = Starts;
     for (int Ms = 0; Ms < FLAGS_seconds * 1000; Ms += StepMs)
@@ -103,11 +117,13 @@
     auto Used = Cpu - Before;
     auto Ran = static_cast<double>(Starts - StartsBefore);
     std::printf("endpoints %d  starts/s %.0f  orders/s %.0f  cores %.3f  "
-                "us a start %.0f  live jobs at the end %zu\n",
+                "us a start %.0f  live jobs at the end %zu  "
+                "us a step %.0f  longest step us %.0f\n",
                 FLAGS_endpoints, Ran / FLAGS_seconds,
                 static_cast<double>(Orders) / FLAGS_seconds,
                 Used / FLAGS_seconds, Used / Ran * 1e6,
-                Node.state().liveJobs().size());
+                Node.state().liveJobs().size(),
+                Used / FLAGS_seconds * StepMs * 1e3, LongestStep * 1e6);
   }
 
 private:
@@ -119,12 +135,12 @@
     for (int Index = 0; Index <= PoolCount; ++Index)
       Configuration.Pools.push_back(
           {pool(Index), "", true, Index == PoolCount});
-    for (int Index = 0; Index != PoolCount; ++Index) {
+    for (int Index = 0; Index != FLAGS_queues; ++Index) {
       queue_spec Queue;
       Queue.Name = "q" + std::to_string(Index);
       Queue.HostName = "h";
       Queue.PathPrefix = "/q" + std::to_string(Index) + "/";
-      Queue.Pool = pool(Index);
+      Queue.Pool = pool(Index % PoolCount);
       Queue.MaxAttempts = 3;
       Queue.TargetLatencyMs = 600;
       Queue.SlackThousandths = 1600;
@@ -164,13 +180,17 @@
         sendHeartbeat(Endpoints[Index]);
     if (IsLoaded)
       submit();
+    if (IsLoaded)
+      requestLengths();
     for (auto &Answer : std::exchange(Answers, {}))
       Node.orderFinished(std::move(Answer), now());
     Node.tick(now());
     auto Actions = Node.takeActions(now());
     for (const auto &Write : Actions.Writes)
       Node.stored(Write.Ticket, now());
-    Cpu += cpuSeconds() - Begin;
+    auto Used = cpuSeconds() - Begin;
+    Cpu += Used;
+    LongestStep = std::max(LongestStep, Used);
     Orders += IsLoaded ? Actions.Orders.size() : 0;
     for (const auto &Order : Actions.Orders)
       execute(Order);
@@ -186,24 +206,49 @@
 
   void submit() {
     Backlog += FLAGS_jobs_per_s * StepMs / 1000.0;
-    for (; Backlog >= 1; Backlog -= 1) {
-      job_spec Job;
-      Job.Id = "job" + std::to_string(1'000'000'000 + ++Jobs);
-      Job.Payload = std::string(150, 'x');
-      std::lognormal_distribution<double> Spread(-0.125, 0.5);
-      for (int Index = 0; Index != FLAGS_steps; ++Index) {
-        step_spec Step;
-        Step.Count = static_cast<std::uint32_t>(FLAGS_tasks);
-        Step.Size = {TaskMilliCores, 100, 0};
-        Step.EstimateMs =
-            static_cast<std::uint32_t>(MeanTaskMs * Spread(Random));
-        if (Index > 0)
-          Step.DependsOn = {static_cast<std::uint32_t>(Index - 1)};
-        Job.Steps.push_back(Step);
-      }
-      auto Path = "/q" + std::to_string(Jobs % PoolCount) + "/" + Job.Id;
-      call(submit_call{"h", Path, std::move(Job)});
+    for (; Backlog >= 1; Backlog -= 1)
+      submitShort();
+  }
+
+  /// Submits the backlog at a rate that the queue of proposals takes.
+  void submitBacklog() {
+    constexpr int JobsPerStep = 20;
+    auto Left = FLAGS_backlog_tasks / FLAGS_tasks;
+    while (Left > 0) {
+      for (int Job = 0; Job != JobsPerStep && Left > 0; ++Job, --Left)
+        submitShort();
+      step(false);
+    }
+  }
+
+  void submitShort() {
+    job_spec Job;
+    Job.Id = "job" + std::to_string(1'000'000'000 + ++Jobs);
+    Job.Payload = std::string(150, 'x');
+    std::lognormal_distribution<double> Spread(-0.125, 0.5);
+    for (int Index = 0; Index != FLAGS_steps; ++Index) {
+      step_spec Step;
+      Step.Count = static_cast<std::uint32_t>(FLAGS_tasks);
+      Step.Size = {TaskMilliCores, 100, 0};
+      Step.EstimateMs = static_cast<std::uint32_t>(MeanTaskMs * Spread(Random));
+      if (Index > 0)
+        Step.DependsOn = {static_cast<std::uint32_t>(Index - 1)};
+      Job.Steps.push_back(Step);
     }
+    auto Path = queuePath(Jobs) + Job.Id;
+    call(submit_call{"h", Path, std::move(Job)});
+  }
+
+  static std::string queuePath(std::uint64_t Number) {
+    return "/q" +
+           std::to_string(Number % static_cast<std::uint64_t>(FLAGS_queues)) +
+           "/";
+  }
+
+  void requestLengths() {
+    Lengths += FLAGS_lengths_per_s * StepMs / 1000.0;
+    for (; Lengths >= 1; Lengths -= 1)
+      call(queue_length_call{"h", queuePath(++LengthCalls)});
   }
 
   void submitLongRunning() {
@@ -317,8 +362,11 @@
   std::uint64_t Jobs = 0;
   std::uint64_t Starts = 0;
   std::uint64_t Orders = 0;
+  std::uint64_t LengthCalls = 0;
   double Backlog = 0;
+  double Lengths = 0;
   double Cpu = 0;
+  double LongestStep = 0; ///< CPU seconds.
 };
 
 } // namespace
