Bound the bytes that a replica applies in one step

After a loss of power the next leader replayed 470 entries, among them configurations of 1 MB, and its loop had steps of 400 ms of processor time. Followers wait 600 ms for a heartbeat and hosts have a third of a core, so such a step ends the lead.

One takeActions() was limited to 2,000 commands. A configuration is one command but takes 15 ms of a whole core to decode and apply, so all configurations of a replay fell into one step.

A step now also ends once 512 KiB of payload are applied; a single larger entry is applied alone. The rest is due at once, after the messages of the step were sent. A thread that sends heartbeats beside the loop was the alternative: it would let a leader that processes nothing keep the lead.

--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -28,6 +28,10 @@
 // 15 ms at a third of a core; heartbeats are due every 50 ms, and followers
 // that miss them for 600 ms elect another leader.
 constexpr std::size_t MaxCommandsPerStep = 2000;
+// Payload applied in one takeActions(), apart from a single larger entry. A
+// configuration of 1 MB takes 15 ms of a whole core to decode and apply, so a
+// few of them in one step delay heartbeats more than 2,000 commands do.
+constexpr std::size_t MaxBytesPerStep = 512u << 10;
 // Each time-out is drawn from one to two times the shortest one, and voters
 // answer the requests for votes that follow it.
 constexpr int MaxElectionTimeouts = 2;
@@ -444,7 +448,7 @@
 
 node_actions schedule_node::takeActions(core::time_point Now) {
   node_actions Actions;
-  std::size_t Applied = 0;
+  apply_budget Budget{MaxCommandsPerStep, MaxBytesPerStep};
   for (int Round = 0; Round != MaxRounds; ++Round) {
     flushReads(Now);
     propose(Now);
@@ -452,10 +456,10 @@
     bool IsIdle = Output.Messages.empty() && !Output.Write && !Output.Restore &&
                   Output.Committed.empty() && Output.Reads.empty();
     process(std::move(Output), Actions, Now);
-    Applied += applyCommitted(MaxCommandsPerStep - Applied, Now);
+    applyCommitted(Budget, Now);
     observeRole(Now);
     finishReads();
-    if (IsIdle || Applied >= MaxCommandsPerStep)
+    if (IsIdle || Budget.isSpent())
       break;
   }
   if (Leader && !ShutdownSince)
@@ -501,15 +505,15 @@
   Actions.Writes.push_back(std::move(*Output.Write));
 }
 
-std::size_t schedule_node::applyCommitted(std::size_t Limit,
-                                          core::time_point Now) {
-  std::size_t Applied = 0;
-  while (!CommittedEntries.empty() && Applied < Limit) {
+void schedule_node::applyCommitted(apply_budget &Budget, core::time_point Now) {
+  while (!CommittedEntries.empty() && !Budget.isSpent()) {
     auto Entry = std::move(CommittedEntries.front());
     CommittedEntries.pop_front();
-    Applied += applyEntry(Entry, Now);
+    auto Commands = applyEntry(Entry, Now);
+    Budget.Commands -= std::min(Budget.Commands, Commands);
+    if (Commands > 0)
+      Budget.Bytes -= std::min(Budget.Bytes, Entry.Payload.size());
   }
-  return std::min(Applied, Limit);
 }
 
 std::size_t schedule_node::applyEntry(const replication::log_entry &Entry,
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -112,6 +112,12 @@
     bool IsLeaderBatch = false;
     core::time_point Since{};
   };
+  /// What one takeActions() may still apply. The last entry may exceed it.
+  struct apply_budget {
+    std::size_t Commands = 0;
+    std::size_t Bytes = 0; ///< Of payload.
+    bool isSpent() const { return Commands == 0 || Bytes == 0; }
+  };
   /// Reads that share one confirmation of leadership.
   struct read_group {
     std::vector<call> Calls;
@@ -130,9 +136,8 @@
   void refuseOversized(const queued_command &Command);
   void process(replication::raft_output Output, node_actions &Actions,
                core::time_point Now);
-  /// Applies committed entries until at least Limit commands are applied.
-  /// \returns the number of commands, at most Limit.
-  std::size_t applyCommitted(std::size_t Limit, core::time_point Now);
+  /// Applies committed entries until the budget is spent.
+  void applyCommitted(apply_budget &Budget, core::time_point Now);
   /// \returns the number of commands in the entry.
   std::size_t applyEntry(const replication::log_entry &Entry,
                          core::time_point Now);
