Remove silent learners and pass over requests to join that do not fit

With 32 members, the most that a cluster may have, a further host with a disk never joined: the leader proposed to add it at every tick, and each proposal was refused. The first such request also held up the replacement of members that had lost their disks. Learners of hosts that were gone for good stayed members for ever, so a cluster could only fill up.

A request that does not fit is passed over, lost members are replaced, and then the learner that was silent for longest, more than 4 s as for voters, is removed to make room. Without such a request a learner is removed after 60 s of silence; hosts that are only restarted or suspended answer earlier, and a removed learner joins again when it is back. Voters are not affected.

--- a/scheduling/membership_manager.cpp
+++ b/scheduling/membership_manager.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/membership_manager.h"
 
+#include "replication/membership_rules.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -78,15 +80,20 @@
   return Found != LastHeardAt.end() && Now - Found->second <= ContactTimeout;
 }
 
+core::duration membership_manager::silenceOf(const replica_id &Replica,
+                                             core::time_point Now) const {
+  auto Found = LastHeardAt.find(Replica);
+  return Now - (Found == LastHeardAt.end() ? ResetAt : Found->second);
+}
+
 const member *membership_manager::findGone(const membership &Members,
                                            const replica_id &Self,
                                            core::time_point Now) const {
   for (const auto &Member : Members.Members) {
     if (!Member.Voter || Member.Id == Self)
       continue;
-    auto Found = LastHeardAt.find(Member.Id);
-    auto Last = Found == LastHeardAt.end() ? ResetAt : Found->second;
-    if (Now - Last > SilenceTimeout || isReplaced(Member.Id, Now))
+    if (silenceOf(Member.Id, Now) > SilenceTimeout ||
+        isReplaced(Member.Id, Now))
       return &Member;
   }
   return nullptr;
@@ -198,9 +205,15 @@
         Members.Members.begin(), Members.Members.end(),
         [&](const member &Member) { return Member.Id.Name == Name; });
   };
+  bool IsFull = Members.Members.size() >= replication::MaxMembers;
+  bool NeedsRoom = false;
   for (const auto &[Name, Request] : JoinRequests) {
     if (FindOld(Name) != Members.Members.end())
       continue;
+    if (IsFull) {
+      NeedsRoom = true;
+      break;
+    }
     auto Target = Members;
     Target.Members.push_back({Request.Replica, false});
     return member_change{Target, "add_learner", Request.Replica};
@@ -209,11 +222,28 @@
       countVoters(Members) < WantedVoters && isCatchingUp(Members, Now);
   for (const auto &[Name, Request] : JoinRequests) {
     auto Old = FindOld(Name);
-    if (!isReplaced(Old->Id, Now) || (Old->Voter && IsReplacing))
+    if (Old == Members.Members.end() || !isReplaced(Old->Id, Now) ||
+        (Old->Voter && IsReplacing))
       continue;
     return member_change{without(Members, Old->Id), "remove_lost", Old->Id};
   }
-  return std::nullopt;
+  return nextForSilentLearners(Members, Now, NeedsRoom);
+}
+
+std::optional<member_change> membership_manager::nextForSilentLearners(
+    const membership &Members, core::time_point Now, bool NeedsRoom) const {
+  const member *Longest = nullptr;
+  auto Silence = NeedsRoom ? SilenceTimeout : LearnerRetention;
+  for (const auto &Member : Members.Members) {
+    if (Member.Voter || silenceOf(Member.Id, Now) <= Silence)
+      continue;
+    Longest = &Member;
+    Silence = silenceOf(Member.Id, Now);
+  }
+  if (!Longest)
+    return std::nullopt;
+  return member_change{without(Members, Longest->Id), "remove_silent",
+                       Longest->Id};
 }
 
 std::optional<member_change> membership_manager::next(
--- a/scheduling/membership_manager.h
+++ b/scheduling/membership_manager.h
@@ -57,6 +57,12 @@
   /// disk is full, no longer delays the replacement of other voters.
   static constexpr core::duration CatchUpTimeout = std::chrono::seconds(10);
 
+  /// A learner that was silent for this time is removed. Hosts that are only
+  /// restarted or suspended answer again earlier; all others would count
+  /// towards MaxMembers for ever. A removed learner joins again when it is
+  /// back.
+  static constexpr core::duration LearnerRetention = std::chrono::seconds(60);
+
   /// Voters are moved to another availability zone only this long after the
   /// leader began to lead.
   static constexpr core::duration RebalanceDelay = std::chrono::seconds(10);
@@ -103,6 +109,10 @@
 
   bool isInContact(const replication::replica_id &Replica,
                    core::time_point Now) const;
+  /// \returns the time since the replica was last heard, or since the leader
+  /// began to lead.
+  core::duration silenceOf(const replication::replica_id &Replica,
+                           core::time_point Now) const;
   /// \returns a voter that was silent for longer than SilenceTimeout or that is
   /// replaced by another incarnation, or null.
   const replication::member *findGone(const replication::membership &Members,
@@ -140,6 +150,11 @@
   std::optional<member_change>
   nextForJoinRequests(const replication::membership &Members,
                       core::time_point Now);
+  /// \param NeedsRoom whether a replica cannot be added because there are
+  /// MaxMembers already.
+  std::optional<member_change>
+  nextForSilentLearners(const replication::membership &Members,
+                        core::time_point Now, bool NeedsRoom) const;
   std::string_view zoneOf(const std::string &Name) const;
 
   std::size_t WantedVoters;
--- a/tests/scheduling/membership_site.h
+++ b/tests/scheduling/membership_site.h
@@ -45,6 +45,8 @@
   std::size_t size() const { return Hosts.size(); }
   bool hasDisk(std::size_t Index) const { return Shape.HasDisk[Index]; }
   bool isUp(std::size_t Index) const;
+  /// \returns the host with an address, or size().
+  std::size_t indexOf(const std::string &Name) const;
   std::uint64_t randomBelow(std::uint64_t Limit) { return Random() % Limit; }
   core::duration randomTime(core::duration Limit);
 
@@ -134,7 +136,6 @@
   void sendCalls();
   /// \returns the host that handles a call after the redirects.
   std::optional<std::size_t> target();
-  std::size_t indexOf(const std::string &Name) const;
   bool isCut(std::size_t First, std::size_t Second) const;
   /// \returns other seeds, as many as at the first start.
   std::vector<std::string> laterSeeds();
--- a/tests/scheduling/test_membership.cpp
+++ b/tests/scheduling/test_membership.cpp
@@ -1,5 +1,7 @@
 #include "membership_site.h"
 
+#include "replication/membership_rules.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -421,3 +423,54 @@
     faulty_site(Seed).play();
   }
 }
+
+// Guards against hosts with a disk that can't join because silent learners
+// count towards the largest number of members.
+TEST_CASE("hosts join a full cluster in the place of silent learners") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 2);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    INFO("LT_FIRST_SEED=" << Seed << " LT_SEEDS=1");
+    site_shape Shape;
+    Shape.HasDisk.assign(replication::MaxMembers + 2, true);
+    for (std::size_t Index = 0; Index != Shape.HasDisk.size(); ++Index)
+      Shape.Zones.push_back("z" + std::to_string(Index % 3));
+    Shape.Seeds = {0, 1, 2};
+    Shape.Seed = Seed;
+    membership_site Site(Shape);
+    for (std::size_t Index = 0; Index != replication::MaxMembers; ++Index)
+      Site.start(Index, Site.randomTime(300ms));
+    REQUIRE(isServing(Site, FormingTime));
+    auto Members = [&] {
+      std::vector<std::string> Names;
+      for (const auto &Member :
+           Site.replica(*Site.leader())->status().Members.Members)
+        Names.push_back(Member.Id.Name);
+      return Names;
+    };
+    REQUIRE(Site.runUntil(
+        [&] { return Members().size() == replication::MaxMembers; },
+        FormingTime));
+    std::vector<std::size_t> Lost;
+    auto Status = Site.replica(*Site.leader())->status();
+    for (const auto &Member : Status.Members.Members)
+      if (Lost.size() < 2 && !Member.Voter)
+        Lost.push_back(Site.indexOf(Member.Id.Name));
+    for (auto Index : Lost)
+      Site.losePower(Index);
+    Site.start(replication::MaxMembers, 0ms);
+    Site.start(replication::MaxMembers + 1, 0ms);
+    bool HasJoined = Site.runUntil(
+        [&] {
+          auto Names = Site.leader() ? Members() : std::vector<std::string>();
+          return Names.size() == replication::MaxMembers &&
+                 std::all_of(Names.begin(), Names.end(), [&](const auto &Name) {
+                   return Site.isUp(Site.indexOf(Name));
+                 });
+        },
+        RecoveryTime);
+    INFO(Site.describe());
+    CHECK(HasJoined);
+    CHECK(isServing(Site, RecoveryTime));
+  }
+}
