Replace a voter that lost its disk without ever having fewer voters

The incarnation that had lost its disk was removed before the next one was added, because a membership could not have two members of one name. Without a spare, a cluster of five wanted voters therefore had four while the log was copied, and three when a second voter had lost its disk too and the first replacement did not catch up within 10 s. From then on changes were acknowledged on two disks, although two disks may be lost.

A membership may now have two incarnations of one name. The next incarnation becomes a learner beside the lost one, is promoted when it has caught up, and the lost voter is removed after that, as with a spare. Each is its own replica to Raft: votes, matches and messages name the incarnation, and a process takes only those for its own. Lost voters are replaced at the same time, so the bound of 10 s is not needed here any more. The voters that are reachable and the majority that is needed are at no moment worse than when the lost voter was removed first.

A late request of an earlier incarnation of the leader made the leader propose its own removal; the leader now counts as in contact.

--- a/replication/membership_rules.cpp
+++ b/replication/membership_rules.cpp
@@ -1,6 +1,7 @@
 #include "replication/membership_rules.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -22,10 +23,12 @@
 bool isValidMembership(const membership &Members) {
   if (Members.Members.size() > MaxMembers)
     return false;
-  std::set<std::string_view> Names;
+  std::set<replica_id> Ids;
+  std::map<std::string_view, std::size_t> Incarnations;
   bool HasVoter = false;
   for (const member &Member : Members.Members) {
-    if (Member.Id.Name.empty() || !Names.insert(Member.Id.Name).second)
+    if (Member.Id.Name.empty() || !Ids.insert(Member.Id).second ||
+        ++Incarnations[Member.Id.Name] > MaxIncarnations)
       return false;
     HasVoter = HasVoter || Member.Voter;
   }
--- a/replication/membership_rules.h
+++ b/replication/membership_rules.h
@@ -13,15 +13,19 @@
 /// deployment uses five replicas.
 inline constexpr std::size_t MaxMembers = 32;
 
+/// Maximum members of one name: a replica that lost its disk, and its next
+/// incarnation, which joins beside it and takes its place.
+inline constexpr std::size_t MaxIncarnations = 2;
+
 /// \returns the member with this id, or null.
 const member *findMember(const membership &Members, const replica_id &Id);
 
 /// \returns whether the id is a voter.
 bool isVoter(const membership &Members, const replica_id &Id);
 
-/// \returns whether there is at least one voter, at most MaxMembers members,
-/// and no duplicate name. Two incarnations of one name would share one
-/// transport link.
+/// \returns whether there is at least one voter, at most MaxMembers members, at
+/// most MaxIncarnations of one name, and no duplicate id. Incarnations of one
+/// name share a transport link; each takes only the messages that name it.
 bool isValidMembership(const membership &Members);
 
 /// \returns how many members were added, removed or changed between the two.
--- a/replication/raft_leader.cpp
+++ b/replication/raft_leader.cpp
@@ -66,8 +66,11 @@
     return refuse(core::error_code::Conflict,
                   "another membership change is not committed yet");
   if (!isValidMembership(Target))
-    return refuse(core::error_code::BadInput,
-                  "a membership needs at least one voter and unique names");
+    return refuse(
+        core::error_code::BadInput,
+        "a membership needs at least one voter, unique ids, at most " +
+            std::to_string(MaxMembers) + " members and at most " +
+            std::to_string(MaxIncarnations) + " of one name");
   if (countDifferences(Log.members(), Target) != 1)
     return refuse(core::error_code::BadInput, "exactly one member must differ");
   return appendEntry(entry_kind::Membership, encodeMembership(Target));
--- a/scheduling/membership_manager.cpp
+++ b/scheduling/membership_manager.cpp
@@ -64,6 +64,7 @@
   JoinRequests.clear();
   LastHeardAt.clear();
   LearnerSince.clear();
+  Leader = Self;
   // Zones that are known stay valid; followers report them again.
   Zones[Self.Name] = std::move(Zone);
   ResetAt = Now;
@@ -76,6 +77,8 @@
 
 bool membership_manager::isInContact(const replica_id &Replica,
                                      core::time_point Now) const {
+  if (Replica == Leader)
+    return true;
   auto Found = LastHeardAt.find(Replica);
   return Found != LastHeardAt.end() && Now - Found->second <= ContactTimeout;
 }
@@ -93,31 +96,71 @@
     if (!Member.Voter || Member.Id == Self)
       continue;
     if (silenceOf(Member.Id, Now) > SilenceTimeout ||
-        isReplaced(Member.Id, Now))
+        isReplaced(Members, Member.Id, Now))
       return &Member;
   }
   return nullptr;
 }
 
-bool membership_manager::isReplaced(const replica_id &Replica,
+bool membership_manager::isReplaced(const membership &Members,
+                                    const replica_id &Replica,
                                     core::time_point Now) const {
-  auto Request = JoinRequests.find(Replica.Name);
-  // A member that still answers was not replaced: the request is a late one of
+  // A member that still answers was not replaced: a request is a late one of
   // an earlier incarnation.
-  return Request != JoinRequests.end() && Request->second.Replica != Replica &&
-         Now - Request->second.At <= RequestLifetime &&
-         !isInContact(Replica, Now);
+  if (isInContact(Replica, Now))
+    return false;
+  auto Request = JoinRequests.find(Replica.Name);
+  if (Request != JoinRequests.end() && Request->second.Replica != Replica &&
+      Now - Request->second.At <= RequestLifetime)
+    return true;
+  return std::any_of(Members.Members.begin(), Members.Members.end(),
+                     [&](const member &Member) {
+                       return Member.Id.Name == Replica.Name &&
+                              Member.Id != Replica &&
+                              isInContact(Member.Id, Now);
+                     });
+}
+
+const member *membership_manager::findSuperseded(const membership &Members,
+                                                 core::time_point Now) const {
+  for (const auto &Member : Members.Members) {
+    if (!Member.Voter || isInContact(Member.Id, Now))
+      continue;
+    for (const auto &Other : Members.Members)
+      if (Other.Voter && Other.Id.Name == Member.Id.Name &&
+          Other.Id != Member.Id && isInContact(Other.Id, Now))
+        return &Member;
+  }
+  return nullptr;
+}
+
+const member *membership_manager::findObstacle(const membership &Members,
+                                               const std::string &Name,
+                                               core::time_point Now) const {
+  std::size_t Count = 0;
+  const member *Longest = nullptr;
+  for (const auto &Member : Members.Members) {
+    if (Member.Id.Name != Name)
+      continue;
+    ++Count;
+    if (!Member.Voter)
+      return &Member;
+    if (!Longest || silenceOf(Member.Id, Now) > silenceOf(Longest->Id, Now))
+      Longest = &Member;
+  }
+  return Count < replication::MaxIncarnations ? nullptr : Longest;
 }
 
 std::size_t membership_manager::countVotersNear(const membership &Members,
                                                 const replica_id &Replica,
                                                 const member *Excluded) const {
-  return static_cast<std::size_t>(
-      std::count_if(Members.Members.begin(), Members.Members.end(),
-                    [&](const member &Member) {
-                      return Member.Voter && &Member != Excluded &&
-                             zoneOf(Member.Id.Name) == zoneOf(Replica.Name);
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      Members.Members.begin(), Members.Members.end(),
+      [&](const member &Member) {
+        bool IsEarlier = Member.Id != Replica && Member.Id.Name == Replica.Name;
+        return Member.Voter && &Member != Excluded && !IsEarlier &&
+               zoneOf(Member.Id.Name) == zoneOf(Replica.Name);
+      }));
 }
 
 const member *membership_manager::findPromotable(
@@ -200,33 +243,27 @@
     return isMember(Members, Item.second.Replica) ||
            Now - Item.second.At > RequestLifetime;
   });
-  auto FindOld = [&](const std::string &Name) {
-    return std::find_if(
-        Members.Members.begin(), Members.Members.end(),
-        [&](const member &Member) { return Member.Id.Name == Name; });
-  };
   bool IsFull = Members.Members.size() >= replication::MaxMembers;
   bool NeedsRoom = false;
   for (const auto &[Name, Request] : JoinRequests) {
-    if (FindOld(Name) != Members.Members.end())
+    const auto &Joining = Request.Replica;
+    bool IsLate = std::any_of(Members.Members.begin(), Members.Members.end(),
+                              [&](const member &Member) {
+                                return Member.Id.Name == Joining.Name &&
+                                       isInContact(Member.Id, Now);
+                              });
+    if (IsLate)
       continue;
+    if (const auto *Old = findObstacle(Members, Name, Now))
+      return member_change{without(Members, Old->Id), "remove_lost", Old->Id};
     if (IsFull) {
       NeedsRoom = true;
-      break;
+      continue;
     }
     auto Target = Members;
     Target.Members.push_back({Request.Replica, false});
     return member_change{Target, "add_learner", Request.Replica};
   }
-  bool IsReplacing =
-      countVoters(Members) < WantedVoters && isCatchingUp(Members, Now);
-  for (const auto &[Name, Request] : JoinRequests) {
-    auto Old = FindOld(Name);
-    if (Old == Members.Members.end() || !isReplaced(Old->Id, Now) ||
-        (Old->Voter && IsReplacing))
-      continue;
-    return member_change{without(Members, Old->Id), "remove_lost", Old->Id};
-  }
   return nextForSilentLearners(Members, Now, NeedsRoom);
 }
 
@@ -255,6 +292,8 @@
   for (const auto &Member : Members.Members)
     if (!Member.Voter)
       LearnerSince.try_emplace(Member.Id, Now);
+  if (const auto *Old = findSuperseded(Members, Now))
+    return member_change{without(Members, Old->Id), "remove_lost", Old->Id};
   const auto *Gone = findGone(Members, Self, Now);
   auto Voters = countVoters(Members);
   if (Voters > WantedVoters) {
--- a/scheduling/membership_manager.h
+++ b/scheduling/membership_manager.h
@@ -34,11 +34,10 @@
 /// same way a spare replaces a voter when the voters are not spread over the
 /// availability zones.
 ///
-/// Without a spare, a silent voter stays, and the incarnation that lost its
-/// disk is removed before the new one is added, because one name must not have
-/// two members. Lost voters are replaced one after the other: while one of them
-/// catches up, no other one is removed, so that changes are still stored by as
-/// many disks as possible.
+/// Without a spare, a silent voter stays. The next incarnation of a voter that
+/// lost its disk becomes a learner beside it and takes its place in the same
+/// way, so that the number of voters, and with it the number of disks that
+/// store a change, never falls while a disk is replaced.
 class membership_manager {
 public:
   /// A voter that was silent for this time can be replaced by a spare.
@@ -54,7 +53,8 @@
   static constexpr core::duration RequestLifetime = std::chrono::seconds(3);
 
   /// A learner that does not catch up in this time, for example because its
-  /// disk is full, no longer delays the replacement of other voters.
+  /// disk is full, no longer counts as a replica that is about to become a
+  /// voter.
   static constexpr core::duration CatchUpTimeout = std::chrono::seconds(10);
 
   /// A learner that was silent for this time is removed. Hosts that are only
@@ -118,10 +118,16 @@
   const replication::member *findGone(const replication::membership &Members,
                                       const replication::replica_id &Self,
                                       core::time_point Now) const;
-  /// \returns whether another incarnation of the member asks to join and the
-  /// member does not answer any more.
-  bool isReplaced(const replication::replica_id &Replica,
+  /// \returns whether another incarnation of the member asks to join or is a
+  /// member in contact, and the member does not answer any more.
+  bool isReplaced(const replication::membership &Members,
+                  const replication::replica_id &Replica,
                   core::time_point Now) const;
+  /// \returns a voter that does not answer any more and has another
+  /// incarnation that is a voter in contact, or null.
+  const replication::member *
+  findSuperseded(const replication::membership &Members,
+                 core::time_point Now) const;
   /// \returns the learner to promote next, or null.
   const replication::member *
   findPromotable(const replication::membership &Members,
@@ -147,6 +153,11 @@
   /// \returns whether a learner is expected to become a voter soon.
   bool isCatchingUp(const replication::membership &Members,
                     core::time_point Now) const;
+  /// \returns the member to remove before the next incarnation of the name can
+  /// be added, or null.
+  const replication::member *
+  findObstacle(const replication::membership &Members, const std::string &Name,
+               core::time_point Now) const;
   std::optional<member_change>
   nextForJoinRequests(const replication::membership &Members,
                       core::time_point Now);
@@ -158,6 +169,7 @@
   std::string_view zoneOf(const std::string &Name) const;
 
   std::size_t WantedVoters;
+  replication::replica_id Leader;                   ///< This scheduler.
   std::map<std::string, join_request> JoinRequests; ///< By name.
   std::map<replication::replica_id, core::time_point> LastHeardAt;
   std::map<std::string, std::string> Zones; ///< By name.
--- a/tests/replication/test_messages.cpp
+++ b/tests/replication/test_messages.cpp
@@ -1,4 +1,5 @@
 #include "core/cbor_limits.h"
+#include "replication/membership_rules.h"
 #include "replication/messages.h"
 #include "virtual_cluster.h"
 
@@ -148,3 +149,22 @@
   }
   CHECK(Node.status().DroppedMessages > 0);
 }
+
+// Guards against two members that no replica can tell apart, and against a list
+// of incarnations without a bound.
+TEST_CASE("a membership has at most two incarnations of a name") {
+  membership Members{{{{"a", 1}, true}, {{"b", 1}, true}}};
+  CHECK(isValidMembership(Members));
+  Members.Members.push_back({{"b", 2}, false});
+  CHECK(isValidMembership(Members));
+  CHECK(decodeMembership(encodeMembership(Members)) == Members);
+  auto Third = Members;
+  Third.Members.push_back({{"b", 3}, false});
+  CHECK_FALSE(isValidMembership(Third));
+  CHECK_FALSE(decodeMembership(encodeMembership(Third)));
+  auto Twice = Members;
+  Twice.Members.push_back({{"a", 1}, false});
+  CHECK_FALSE(isValidMembership(Twice));
+  Members.Members.push_back({{"", 1}, false});
+  CHECK_FALSE(isValidMembership(Members));
+}
--- a/tests/scheduling/membership_site.h
+++ b/tests/scheduling/membership_site.h
@@ -43,6 +43,10 @@
 
   core::time_point now() const { return Now; }
   std::size_t size() const { return Hosts.size(); }
+  /// \returns the identity on the disk of a host that was started.
+  const replication::replica_id &identity(std::size_t Index) const {
+    return *Hosts[Index].Identity;
+  }
   bool hasDisk(std::size_t Index) const { return Shape.HasDisk[Index]; }
   bool isUp(std::size_t Index) const;
   /// \returns the host with an address, or size().
@@ -61,6 +65,8 @@
   void loseDisk(std::size_t Index);
   /// Suspends the process for some time; messages to it wait.
   void freeze(std::size_t Index, core::duration Time);
+  /// Sets the time of each sync of a host's disk.
+  void slowDown(std::size_t Index, core::duration Sync);
   /// Drops all messages between two hosts for some time.
   void cut(std::size_t First, std::size_t Second, core::duration Time);
   /// Loses this share of all messages, in thousandths, and delays the others by
@@ -103,6 +109,7 @@
     replication::fake_disk Disk;
     std::size_t WritesPending = 0;
     core::time_point NextSync{};
+    core::duration SyncTime = std::chrono::milliseconds(8);
     std::set<std::string> Dialled;
     std::unique_ptr<core::metrics_registry> Metrics;
     std::unique_ptr<schedule_node> Replica;
--- a/tests/scheduling/test_membership.cpp
+++ b/tests/scheduling/test_membership.cpp
@@ -474,3 +474,57 @@
     CHECK(isServing(Site, RecoveryTime));
   }
 }
+
+// Guards against changes that are stored by fewer disks than are needed to bear
+// the tolerated losses, while lost disks are replaced and a disk is too slow to
+// catch up.
+TEST_CASE("two voters are replaced without spares under load, and there are "
+          "never fewer voters than wanted") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 4);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    INFO("LT_FIRST_SEED=" << Seed << " LT_SEEDS=1");
+    site_shape Shape;
+    Shape.HasDisk.assign(5, true);
+    Shape.Zones = {"z1", "z1", "z2", "z2", "z3"};
+    Shape.Seeds = {0, 2, 4};
+    Shape.ToleratedLosses = 2;
+    Shape.Seed = Seed;
+    Shape.SnapshotEveryEntries = 40;
+    membership_site Site(Shape);
+    startAll(Site);
+    REQUIRE(isServing(Site, FormingTime));
+    REQUIRE(Site.runUntil([&] { return Site.isComplete(); }, FormingTime));
+    Site.run(Site.randomTime(2s));
+    std::vector<std::size_t> Lost;
+    for (auto Index = Site.randomBelow(5); Lost.size() != 2;
+         Index = (Index + 1) % 5)
+      if (Index != *Site.leader())
+        Lost.push_back(Index);
+    for (auto Index : Lost) {
+      Site.losePower(Index);
+      Site.loseDisk(Index);
+      Site.start(Index, Site.randomTime(2s));
+    }
+    // The first one can't store entries as fast as they come.
+    Site.slowDown(Lost[0], 3s);
+    std::size_t Fewest = Site.voters();
+    auto Watch = [&] {
+      if (Site.leader())
+        Fewest = std::min(Fewest, Site.voters());
+      return false;
+    };
+    Site.runUntil(Watch, 20s);
+    INFO(Site.describe());
+    CHECK(Fewest >= 5);
+    // The other one does not wait for it.
+    auto Status = Site.replica(*Site.leader())->status();
+    CHECK(replication::isVoter(Status.Members, Site.identity(Lost[1])));
+    CHECK(isServing(Site, RecoveryTime));
+    Site.slowDown(Lost[0], 8ms);
+    Site.runUntil([&] { return Watch() || Site.isComplete(); }, RecoveryTime);
+    CHECK(Site.isComplete());
+    CHECK(Site.voters() == 5);
+    CHECK(Fewest >= 5);
+  }
+}
--- a/tests/scheduling/test_membership_manager.cpp
+++ b/tests/scheduling/test_membership_manager.cpp
@@ -19,6 +19,7 @@
 
 core::time_point at(core::duration Time) { return core::time_point(Time); }
 
+bool never(const replication::replica_id &) { return false; }
 bool always(const replication::replica_id &) { return true; }
 
 replication::membership voters(std::initializer_list<const char *> Names) {
@@ -44,6 +45,12 @@
   return Members;
 }
 
+std::size_t countVoters(const replication::membership &Members) {
+  return static_cast<std::size_t>(
+      std::count_if(Members.Members.begin(), Members.Members.end(),
+                    [](const auto &Member) { return Member.Voter; }));
+}
+
 /// Records a message of all members except some.
 void hearAllBut(membership_manager &Manager,
                 const replication::membership &Members, core::time_point Now,
@@ -109,3 +116,120 @@
   CHECK(Change->Replica.Name == "d");
   CHECK(!Manager.next(Change->Target, Leader, Last + 1ms, always));
 }
+
+// Guards against changes that are stored by fewer disks while a voter that lost
+// its disk is replaced, for as long as its log is copied.
+TEST_CASE("a voter that lost its disk stays until its next incarnation has "
+          "taken its place") {
+  auto Manager = makeManager(3);
+  auto Members = voters({"a", "b", "c"});
+  Manager.recordHeard({"c", 1}, at(1s));
+  Manager.recordJoinRequest({"b", 7}, "", at(1s));
+  auto Change = Manager.next(Members, Leader, at(1s), never);
+  REQUIRE(Change);
+  CHECK(Change->Kind == "add_learner");
+  CHECK(replication::isValidMembership(Change->Target));
+  Members = Change->Target;
+  CHECK(!Manager.next(Members, Leader, at(1s), never));
+  Change = Manager.next(Members, Leader, at(1s), always);
+  REQUIRE(Change);
+  CHECK(Change->Kind == "promote");
+  CHECK(Change->Replica == replication::replica_id{"b", 7});
+  Change = Manager.next(Change->Target, Leader, at(1s), never);
+  REQUIRE(Change);
+  CHECK(Change->Kind == "remove_lost");
+  CHECK(Change->Replica == replication::replica_id{"b", 1});
+  CHECK(!Manager.next(Change->Target, Leader, at(1s), always));
+}
+
+// Guards against a majority of fewer disks than are tolerated to be lost: the
+// learner of one of them never catches up, the other one does.
+TEST_CASE("two voters that lost their disks are replaced without ever having "
+          "fewer voters than wanted") {
+  auto Manager = makeManager(5);
+  auto Members = voters({"a", "b", "c", "d", "e"});
+  auto HasCaughtUp = [](const replication::replica_id &Id) {
+    return Id.Name != "b";
+  };
+  std::vector<std::string> Kinds;
+  for (int Second = 1; Second != 30; ++Second) {
+    auto Now = at(std::chrono::seconds(Second));
+    hearAllBut(Manager, Members, Now, {"b", "c"});
+    for (const char *Name : {"b", "c"}) {
+      Manager.recordHeard({Name, 9}, Now);
+      if (!replication::findMember(Members, {Name, 9}))
+        Manager.recordJoinRequest({Name, 9}, "", Now);
+    }
+    while (auto Change = Manager.next(Members, Leader, Now, HasCaughtUp)) {
+      Members = Change->Target;
+      Kinds.emplace_back(Change->Kind);
+      INFO("second " << Second << ", " << Change->Kind);
+      REQUIRE(Kinds.size() < 9);
+      CHECK(countVoters(Members) >= 5);
+      CHECK(replication::isValidMembership(Members));
+    }
+  }
+  // Nothing waits for the learner that does not catch up.
+  CHECK(replication::isVoter(Members, {"c", 9}));
+  CHECK(!replication::findMember(Members, {"c", 1}));
+  CHECK(replication::isVoter(Members, {"b", 1}));
+  CHECK(replication::findMember(Members, {"b", 9}));
+  CHECK(Kinds == std::vector<std::string>{"add_learner", "add_learner",
+                                          "promote", "remove_lost"});
+}
+
+// Guards against a deployment with fewer disks than wanted voters that keeps a
+// lost voter beside its replacement: three of four voters would be needed.
+TEST_CASE("a lost voter is removed after its replacement is a voter, also with "
+          "fewer voters than wanted") {
+  auto Manager = makeManager(5);
+  auto Members = voters({"a", "b", "c"});
+  Members.Members.push_back({{"b", 9}, true});
+  Manager.recordHeard({"c", 1}, at(2s));
+  Manager.recordHeard({"b", 9}, at(2s));
+  auto Change = Manager.next(Members, Leader, at(2s), always);
+  REQUIRE(Change);
+  CHECK(Change->Kind == "remove_lost");
+  CHECK(Change->Replica == replication::replica_id{"b", 1});
+  // The leader may itself be the replacement.
+  auto Other = membership_manager(5);
+  Other.reset({"b", 9}, "", at(0s));
+  Other.recordHeard({"c", 1}, at(2s));
+  Change = Other.next(Members, {"b", 9}, at(2s), always);
+  REQUIRE(Change);
+  CHECK(Change->Replica == replication::replica_id{"b", 1});
+}
+
+// Guards against more than two members of one name, which is not a valid
+// membership.
+TEST_CASE("a replica that loses its disk twice has at most two members") {
+  auto Manager = makeManager(3);
+  auto Members = voters({"a", "b", "c"});
+  Manager.recordHeard({"c", 1}, at(5s));
+  Manager.recordHeard({"b", 9}, at(2s));
+  Manager.recordJoinRequest({"b", 10}, "", at(5s));
+  SECTION("the replacement is a learner") {
+    Members.Members.push_back({{"b", 9}, false});
+  }
+  SECTION("the replacement is a voter") {
+    Members.Members.push_back({{"b", 9}, true});
+  }
+  auto Lost = Members.Members.back().Voter ? replication::replica_id{"b", 1}
+                                           : replication::replica_id{"b", 9};
+  auto Change = Manager.next(Members, Leader, at(5s), never);
+  REQUIRE(Change);
+  CHECK(Change->Replica == Lost);
+  Change = Manager.next(Change->Target, Leader, at(5s), never);
+  REQUIRE(Change);
+  CHECK(Change->Kind == "add_learner");
+  CHECK(replication::isValidMembership(Change->Target));
+}
+
+// Guards against a leader that removes itself for a late request of an earlier
+// incarnation.
+TEST_CASE("a request of another incarnation of the leader changes nothing") {
+  auto Manager = makeManager(3);
+  auto Members = voters({"a", "b", "c"});
+  Manager.recordJoinRequest({"a", 9}, "", at(2s));
+  CHECK(!Manager.next(Members, Leader, at(2s), always));
+}
