Add failing tests for endpoints that leave around a change of leader

After a change of leader, long-running tasks of an endpoint that has left wait for its lease, although other facts prove its end. The tests show five causes, each seen to fail on this code:

- a deregistration is acknowledged before it is committed;
- the next leader does not know of it;
- the time from the election until the log is applied is added to the leases that the previous leader may have issued;
- no list of hosts is requested while runs wait for a lease;
- a list of hosts that was requested before an incarnation was recorded ends it.

A sixth test passes and guards the fixes: an endpoint that deregistered and is out of reach may be alive, so its runs are kept until the lease expired.

restartable_scheduler is a scheduler that is killed and started again from what its disk has. crash_site::answerLists() is taken out of list().

--- /dev/null
+++ b/tests/scheduling/test_departed_endpoints.cpp
@@ -0,0 +1,110 @@
+#include "restartable_scheduler.h"
+#include "schedule_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+// Guards against long-running tasks that wait for the lease of an endpoint
+// after a change of leader although the endpoint has left.
+
+using namespace lycheetrestle;
+using namespace lycheetrestle::scheduling;
+using namespace lycheetrestle::scheduling::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The users' bound for the next run of a long-running task.
+constexpr core::duration NextRunBound = 9s;
+
+const task_key Task{"j", 0, 0, 0};
+
+/// A long-running task at work on e1; e2 has capacity for it.
+class departure : public restartable_scheduler {
+public:
+  departure() {
+    auto Step = makeStep(1);
+    Step.IsLongRunning = true;
+    beat("e1");
+    run(100ms);
+    call(submit_call{Host, Prefix + "j", makeJob("j", {Step})});
+    run(500ms);
+    REQUIRE(isRunning(Task, "e1"));
+    beat("e2");
+    run(500ms);
+  }
+
+  /// Lets time pass, with heartbeats of e2, until the task runs there.
+  /// \returns whether that is before the given time.
+  bool runsOnOtherBefore(core::time_point Until) {
+    while (Now < Until) {
+      beat("e2");
+      run(100ms);
+      if (isRunning(Task, "e2"))
+        return true;
+    }
+    return false;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a deregistration is acknowledged only once it is committed, because "
+          "the endpoint does not repeat an acknowledged one",
+          "[!shouldfail]") {
+  departure Site;
+  Site.IsDiskStalled = true;
+  auto Call = Site.call(deregister_call{"e1"});
+  Site.run(1s);
+  CHECK(!Site.replyTo(Call));
+  Site.IsDiskStalled = false;
+  Site.run(100ms);
+  CHECK(Site.replyTo(Call) == reply_kind::Accepted);
+}
+
+TEST_CASE("the next leader starts the tasks of an endpoint that deregistered "
+          "without waiting for its lease",
+          "[!shouldfail]") {
+  departure Site;
+  auto Call = Site.call(deregister_call{"e1"});
+  Site.run(50ms);
+  REQUIRE(Site.replyTo(Call) == reply_kind::Accepted);
+  Site.exit("e1");
+  auto EndedAt = Site.Now;
+  Site.restart(3s);
+  CHECK(Site.runsOnOtherBefore(EndedAt + NextRunBound));
+}
+
+TEST_CASE("an endpoint that deregistered and then is out of reach keeps its "
+          "task until its lease has expired") {
+  // The acknowledgement may have been lost; the endpoint then runs on.
+  departure Site;
+  Site.call(deregister_call{"e1"});
+  Site.run(50ms);
+  Site.cutOff("e1");
+  auto CutOffAt = Site.Now;
+  Site.restart(1s);
+  Site.runUntilLeading();
+  CHECK(!Site.runsOnOtherBefore(CutOffAt + leader_settings().Lease));
+  CHECK(Site.runsOnOtherBefore(Site.Now + 2 * leader_settings().Lease));
+}
+
+TEST_CASE("a leader whose disk is slow after its election does not add that "
+          "time to the leases of the previous leader",
+          "[!shouldfail]") {
+  departure Site;
+  Site.exit("e1");
+  Site.restart(100ms);
+  while (Site.Node->status().Role != replication::raft_role::Leader)
+    Site.run(10ms);
+  auto ElectedAt = Site.Now;
+  Site.IsDiskStalled = true;
+  Site.run(3s);
+  Site.IsDiskStalled = false;
+  leader_settings Settings;
+  // By then a lease has expired also by the slowest clock.
+  auto LeaseExpiry =
+      ElectedAt + Settings.PreviousLeaderGrace + Settings.Lease * 103 / 100;
+  CHECK(Site.runsOnOtherBefore(LeaseExpiry + 500ms));
+}
--- a/tests/scheduling/test_leader_crashes.cpp
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -119,6 +119,10 @@
     Now += 600ms;
     apply(record_endpoint{State.endpoints().begin()->second.Facts});
     takeOrders();
+    answerLists();
+    commit();
+  }
+  void answerLists() {
     for (const auto &Order : std::exchange(Pending, {}))
       if (std::holds_alternative<list_hosts_order>(Order.Body)) {
         std::vector<host_row> List;
@@ -128,7 +132,6 @@
       } else {
         Pending.push_back(Order);
       }
-    commit();
   }
   /// Answers the open polls of an endpoint, or lets them fail.
   void answerPolls(std::uint32_t Number, const order_answer &Answer) {
@@ -215,6 +218,43 @@
   CHECK(Site.crashes("j") == 1);
 }
 
+TEST_CASE("the list of hosts ends an endpoint that does not answer before its "
+          "lease expires",
+          "[!shouldfail]") {
+  crash_site Site(3);
+  // With one pool no host moves, so no list is due for other reasons.
+  auto Configuration = makeConfiguration(2);
+  Configuration.Pools.resize(1);
+  Site.apply(set_configuration{Configuration});
+  Site.submit("j");
+  Site.list();
+  Site.answerLists();
+  Site.start("j", 1);
+  auto LeaseExpiry = Site.Now + leader_settings().Lease;
+  Site.answerPolls(1, no_answer{true, "timeout"});
+  Site.takeDown(1);
+  while (Site.Now < LeaseExpiry && Site.State.endpoints().count(1) > 0) {
+    Site.commit();
+    Site.answerLists();
+  }
+  CHECK(Site.State.endpoints().count(1) == 0);
+}
+
+TEST_CASE("a list of hosts that is older than an incarnation does not end it",
+          "[!shouldfail]") {
+  crash_site Site(3);
+  Site.Now += 600ms;
+  Site.apply(record_endpoint{Site.State.endpoints().begin()->second.Facts});
+  Site.takeOrders();
+  Site.takeDown(1);
+  auto Facts = makeEndpoint("e1", 9);
+  Site.beat(Facts);
+  REQUIRE(Site.State.findEndpoint("e1", 9));
+  Site.answerLists();
+  Site.commit();
+  CHECK(Site.State.findEndpoint("e1", 9));
+}
+
 TEST_CASE("a heartbeat with a later start time under the same id proves a "
           "crash") {
   crash_site Site(3);
