--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -37,8 +37,8 @@
   core::duration Lease = std::chrono::milliseconds(5000);
   /// Endpoints shorten longer leases to this duration.
   core::duration MaxLease = std::chrono::milliseconds(10'000);
-  /// How long a previous leader may still issue leases after the election of
-  /// this one.
+  /// How long a previous leader may still issue leases once this one decides:
+  /// schedule_node subtracts the time since the election.
   core::duration PreviousLeaderGrace = std::chrono::milliseconds(2000);
   /// Interval at which endpoints send heartbeats.
   core::duration HeartbeatInterval = std::chrono::milliseconds(1500);
@@ -81,8 +81,11 @@
   /// Records that the endpoint with this id deregistered.
   /// \param IncarnationMs the incarnation that did, if known; a late call of an
   /// earlier one does not end the recorded one.
-  void recordDeregistration(std::string_view Id, core::time_point Now,
-                            std::optional<std::uint64_t> IncarnationMs = {});
+  /// \returns the command to commit before the call is acknowledged, or nothing
+  /// when there is nothing to commit.
+  std::optional<record_deregistration>
+  recordDeregistration(std::string_view Id, core::time_point Now,
+                       std::optional<std::uint64_t> IncarnationMs = {});
   /// Processes the answer to an order, or its absence.
   void finishOrder(order_result Result, core::time_point Now);
 
@@ -176,6 +179,8 @@
                         core::time_point Now);
   void collectEnds(std::vector<command> &Commands);
   void collectLosses(std::vector<command> &Commands, core::time_point Now);
+  /// \returns whether an endpoint that deregistered has ended.
+  static bool hasLeft(const tracked_endpoint &Tracked, core::time_point Now);
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -324,7 +324,11 @@
   }
   if (Leader || AppliedIndex < LeaderStartIndex || ShutdownSince)
     return;
-  Leader.emplace(Settings.Leader, LeaderTerm, State, Metrics, Now);
+  // The previous leader has led no longer than that after the election; the
+  // time until the log was applied is part of it.
+  auto LeaderSettings = Settings.Leader;
+  LeaderSettings.PreviousLeaderGrace -= Now - ElectedAt;
+  Leader.emplace(LeaderSettings, LeaderTerm, State, Metrics, Now);
   core::logEvent(core::log_level::Info, "leading",
                  {{"term", LeaderTerm},
                   {"applied", AppliedIndex},
@@ -636,6 +640,10 @@
                    {{"endpoint", Ended->Endpoint},
                     {"cause", toText(Ended->End.Cause)},
                     {"result", Result}});
+  } else if (const auto *Left = std::get_if<record_deregistration>(&Command)) {
+    core::logEvent(
+        Level, "endpoint_deregistered",
+        {{"endpoint", Left->Endpoint}, {"index", Index}, {"result", Result}});
   } else if (const auto *Wave = std::get_if<start_wave>(&Command)) {
     core::logEvent(Level, "wave_started",
                    {{"wave", Wave->Wave},
