Count a learner as caught up when its catch-up rounds are short

A learner counted as caught up only when it had the whole commit index at the moment of the check. Under load a learner whose disk or link is slower than those of a majority is always some entries behind, so a spare did not replace a silent or lost voter for as long as the load lasted.

As in the Raft dissertation, section 4.2.1, the leader measures rounds: a round begins with its last index and ends when the learner has synced that. A learner has caught up when its last round took less than an election timeout and the present one has not taken longer, or when it has the whole commit index as before. One that stores less than is committed, that is behind by more, or that stops is not promoted.

--- a/replication/progress.h
+++ b/replication/progress.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_REPLICATION_PROGRESS_H
 
 #include "core/clock.h"
+#include "replication/catch_up_rounds.h"
 #include "replication/types.h"
 
 #include <cstdint>
@@ -19,13 +20,14 @@
 class progress {
 public:
   progress(std::uint64_t NextIndex, core::time_point Now)
-      : Next(NextIndex), LastReplyTime(Now) {}
+      : Next(NextIndex), LastReplyTime(Now), Rounds(NextIndex - 1, Now) {}
 
   progress_mode Mode = progress_mode::Probe;
   std::uint64_t Match = 0;      ///< Last index synced at the follower.
   std::uint64_t Next = 1;       ///< The next index to send.
   std::uint64_t AckedRound = 0; ///< Latest heartbeat round answered.
   core::time_point LastReplyTime;
+  catch_up_rounds Rounds; ///< Recorded with each accepted reply.
   bool IsBlocked = false; ///< Its storage takes no entries now.
   bool ProbeSent = false; ///< Probe: wait for a reply or heartbeat.
 
--- a/replication/raft_leader.cpp
+++ b/replication/raft_leader.cpp
@@ -87,8 +87,13 @@
 
 bool raft_node::implementation::hasCaughtUp(const replica_id &Learner) const {
   const auto Found = Followers.find(Learner);
-  return Role == raft_role::Leader && Found != Followers.end() &&
-         hasCommittedInTerm() && Found->second.Match >= Log.commitIndex();
+  if (Role != raft_role::Leader || Found == Followers.end() ||
+      !hasCommittedInTerm())
+    return false;
+  // A learner that is behind by less than an election timeout delays commits
+  // for less than that when it is needed for a majority.
+  return Found->second.Match >= Log.commitIndex() ||
+         Found->second.Rounds.areWithin(Settings.ElectionTimeout, Clock);
 }
 
 void raft_node::implementation::refreshProgress(core::time_point Now) {
@@ -285,6 +290,7 @@
   }
   Progress.IsBlocked = Reply.Blocked;
   const bool Advanced = Progress.advance(Reply.Match);
+  Progress.Rounds.record(Progress.Match, Log.lastIndex(), Now);
   if (Reply.Blocked && Progress.Mode != progress_mode::Snapshot) {
     // Retries with the next heartbeat; sending immediately would repeat the
     // same entries in a loop.
--- a/replication/raft_node.h
+++ b/replication/raft_node.h
@@ -153,7 +153,8 @@
   /// \param Index an applied index.
   /// \param State the state machine at that index, encoded.
   void compact(std::uint64_t Index, std::string State);
-  /// \returns for a leader, whether a learner has all committed entries.
+  /// \returns for a leader, whether a learner has all committed entries, or
+  /// takes less than an election timeout to store what the log holds.
   bool hasCaughtUp(const replica_id &Learner) const;
 
   /// \returns the work since the last call.
--- a/scheduling/membership_manager.h
+++ b/scheduling/membership_manager.h
@@ -89,7 +89,8 @@
 
   /// \param Members the current membership.
   /// \param Self the leader.
-  /// \param HasCaughtUp returns whether a learner has all committed entries.
+  /// \param HasCaughtUp returns whether a learner has all committed entries or
+  /// is behind by less than an election timeout.
   /// \returns the next change, or nothing.
   std::optional<member_change>
   next(const replication::membership &Members,
