--- a/tests/scheduling/membership_site.cpp
+++ b/tests/scheduling/membership_site.cpp
@@ -86,7 +86,7 @@
   Settings.Zone = Shape.Zones[Index];
   Settings.ToleratedLosses = Shape.ToleratedLosses;
   Settings.SnapshotEveryEntries = Shape.SnapshotEveryEntries;
-  Settings.IsFounding = IsFirst && !Host.Identity;
+  Settings.IsFounding = (IsFirst || Shape.IsAlwaysFounding) && !Host.Identity;
   Settings.StartNonce = Random();
   // The seeds change only after the cluster was founded, and at least one of
   // them is another host.
--- a/tests/scheduling/membership_site.h
+++ b/tests/scheduling/membership_site.h
@@ -31,6 +31,9 @@
   /// The seeds have data folders of an earlier version of the program, whose
   /// identity names them as the initial voters.
   bool IsEarlierVersion = false;
+  /// The settings say at every start that it is the first one of the system,
+  /// as those of a process that is restarted with its settings do.
+  bool IsAlwaysFounding = false;
 };
 
 /// Schedulers with and without a disk, connected by links that delay and lose
--- a/tests/scheduling/test_membership.cpp
+++ b/tests/scheduling/test_membership.cpp
@@ -528,3 +528,57 @@
     CHECK(Fewest >= 5);
   }
 }
+
+// Guards against two clusters when hosts are started again with the settings of
+// the first start: seeds without a disk forget what they have promised.
+TEST_CASE("seeds without a disk that start again with the settings of the "
+          "first start choose no second cluster",
+          "[!shouldfail]") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 20);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    INFO("LT_FIRST_SEED=" << Seed << " LT_SEEDS=1");
+    auto Shape = makeShape(1, 1, {1, 3, 5});
+    Shape.Seed = Seed;
+    Shape.IsAlwaysFounding = true;
+    membership_site Site(Shape);
+    startAll(Site);
+    REQUIRE(isServing(Site, FormingTime));
+    Site.run(Site.randomTime(3s));
+    // A disk is lost, and no other host with a disk is reached for some time.
+    for (std::size_t Index = 0; Index != Site.size(); ++Index)
+      Site.losePower(Index);
+    Site.loseDisk(0);
+    for (std::size_t Index = 0; Index != Site.size(); ++Index)
+      Site.start(Index, Index == 2 || Index == 4 ? 6s : Site.randomTime(300ms));
+    Site.run(15s);
+    INFO(Site.describe());
+    CHECK(isServing(Site, RecoveryTime));
+  }
+}
+
+// Guards against a system that can't be started: seeds that restart before the
+// initial voters are chosen take no part in the choice any more.
+TEST_CASE("a cluster is founded although a majority of the seeds restarts "
+          "before the choice",
+          "[!shouldfail]") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 20);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    INFO("LT_FIRST_SEED=" << Seed << " LT_SEEDS=1");
+    auto Shape = makeShape(2, 2, {0, 2, 4});
+    Shape.Seed = Seed;
+    Shape.IsAlwaysFounding = true;
+    membership_site Site(Shape);
+    startAll(Site);
+    Site.run(400ms);
+    REQUIRE(!Site.isFounded());
+    for (std::size_t Index : {0, 2}) {
+      Site.losePower(Index);
+      Site.start(Index, Site.randomTime(1s));
+    }
+    bool IsServing = isServing(Site, 2 * FormingTime);
+    INFO(Site.describe());
+    CHECK(IsServing);
+  }
+}
