Place runs by the cost of what has changed

A leader with 15,000 waiting tasks had a full loop for 20 s after a loss of power (decide_cpu_ms 400 of each second, 50 with an empty queue) and lost the lead again. Each round of placement, up to 60 a second, visited all live jobs, looked up their ranks and sorted all waiting steps, although there was room for a few.

waiting_index keeps the waiting steps of each pool in the order of their ranks. The leader tells it each applied command; a round examines the jobs that these changed and those whose cached rank is due to be computed again or that become late. placeRuns() merges the pools by rank and leaves a pool at its first 24 failures, as before, without visiting the steps behind. A configuration and the end of an incarnation still lead to one pass over all jobs, as does a wall clock that was stepped back. The counter placement_jobs_examined_total shows the work.

Decisions are the same: a test compares the order and the placements, with suspects, gangs, deferred tasks and limits of starts, with the former pass over all jobs on 40 random histories of 150 rounds.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -155,6 +155,7 @@
 void leader::recordApplied(const command &Command, apply_outcome Outcome,
                            core::time_point Now) {
   IsPlacementDue = true;
+  Waiting.recordApplied(Command);
   if (const auto *End = std::get_if<end_run>(&Command)) {
     if (End->Outcome == run_end::Lost)
       if (auto Place = EndpointOfRun.find(End->Task);
@@ -559,12 +560,15 @@
   EarliestPlacement = Now + MinPlacementInterval;
   std::erase_if(DeferredTasks,
                 [&](const auto &Item) { return Item.second <= Now; });
-  auto Waiting = waitingSteps(State, Ranks, WallMs);
-  if (Waiting.empty())
+  auto ExaminedBefore = Waiting.examinedJobs();
+  Waiting.update(WallMs);
+  Metrics.add("placement_jobs_examined_total",
+              Waiting.examinedJobs() - ExaminedBefore);
+  if (Waiting.pools().empty())
     return;
   std::set<std::string_view> Pools;
-  for (const auto &Step : Waiting)
-    Pools.insert(Step.Job->Pool);
+  for (const auto &[Pool, Steps] : Waiting.pools())
+    Pools.insert(Pool);
   auto Targets = schedulableTargets(Pools, Now);
   placement_request Request;
   Request.MaxStarts =
@@ -586,28 +590,33 @@
                                      : std::optional(Found->second);
     };
   std::set<task_key> Placed;
-  for (auto &Placement : placeRuns(Waiting, Targets, Request)) {
+  for (auto &Placement : placeRuns(
+           Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
     recordRunsChanged(Placement.Start.Endpoint);
     Placed.insert(Placement.Start.Task);
     Commands.emplace_back(std::move(Placement.Start));
   }
-  recordUnplaceableTasks(Waiting, Placed, Now);
+  recordUnplaceableTasks(Placed, Now);
 }
 
-void leader::recordUnplaceableTasks(std::span<const waiting_step> Waiting,
-                                    const std::set<task_key> &Placed,
+void leader::recordUnplaceableTasks(const std::set<task_key> &Placed,
                                     core::time_point Now) {
-  for (const auto &Step : Waiting) {
-    if (!Step.Job->Spec.Steps[Step.Step].IsLongRunning)
-      continue;
-    const auto &Tasks = Step.Occurrence->Steps[Step.Step].Tasks;
-    for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index)
-      if (task_key Key{Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
-                       Index};
-          Tasks[Index].isWaiting() && Placed.count(Key) == 0 &&
-          !isSuspectTask(*Step.Job, Key))
-        Hosts.UnplaceableAt[Step.Job->Pool] = Now;
-  }
+  for (const auto &[Pool, Steps] : Waiting.pools())
+    for (const auto &Indexed : Steps) {
+      // Jobs with a long-running step precede all others.
+      if (Indexed.Rank.Group != LongRunningGroup)
+        break;
+      const auto &Step = Indexed.Step;
+      if (!Step.Job->Spec.Steps[Step.Step].IsLongRunning)
+        continue;
+      const auto &Tasks = Step.Occurrence->Steps[Step.Step].Tasks;
+      for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index)
+        if (task_key Key{Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
+                         Index};
+            Tasks[Index].isWaiting() && Placed.count(Key) == 0 &&
+            !isSuspectTask(*Step.Job, Key))
+          Hosts.UnplaceableAt[Pool] = Now;
+    }
 }
 
 core::time_point leader::nextTime(core::time_point Now) const {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -17,6 +17,7 @@
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
 #include "scheduling/tracked_endpoint.h"
+#include "scheduling/waiting_index.h"
 
 #include <cstdint>
 #include <limits>
@@ -175,8 +176,7 @@
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
   /// Records the pools in which a long-running task could not be placed.
-  void recordUnplaceableTasks(std::span<const waiting_step> Waiting,
-                              const std::set<task_key> &Placed,
+  void recordUnplaceableTasks(const std::set<task_key> &Placed,
                               core::time_point Now);
   /// \returns the endpoints of the pools that accept new runs, with their free
   /// capacity. Valid until the next change of the tracked endpoints; a caller
@@ -427,6 +427,7 @@
   demand_forecaster Demand;
   duration_models Durations;
   rank_cache Ranks{Durations};
+  waiting_index Waiting{State, Ranks};
   advice_cache Advice;
   core::time_point NextAdvice{};
   core::time_point NextPrune{};
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/placer.h"
 
 #include "scheduling/job_order.h"
+#include "scheduling/waiting_index.h"
 
 #include <algorithm>
 #include <limits>
@@ -45,18 +46,6 @@
          Target.Labels.end();
 }
 
-bool isStepReady(const job_spec &Spec, const occurrence_record &Occurrence,
-                 std::uint32_t Step) {
-  const auto &Record = Occurrence.Steps[Step];
-  if (Record.Done == Spec.Steps[Step].Count)
-    return false;
-  for (auto Earlier : Spec.Steps[Step].DependsOn)
-    if (Occurrence.Steps[Earlier].Done != Spec.Steps[Earlier].Count)
-      return false;
-  return std::any_of(Record.Tasks.begin(), Record.Tasks.end(),
-                     [](const task_record &Task) { return Task.isWaiting(); });
-}
-
 /// One round of placement.
 class placement_round {
 public:
@@ -68,10 +57,9 @@
   }
 
   void place(const waiting_step &Waiting) {
-    auto Pool = ByPool.find(Waiting.Job->Pool);
-    if (Pool == ByPool.end() ||
-        FailedPlacements[Waiting.Job->Pool] >= MaxFailedPlacementsPerPool)
+    if (!mayPlaceIn(Waiting.Job->Pool))
       return;
+    auto Pool = ByPool.find(Waiting.Job->Pool);
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
     if (Spec.IsGang)
       placeGang(Waiting, Spec, Pool->second);
@@ -94,6 +82,14 @@
     PlacesSuspects = false;
   }
 
+  /// \returns whether place() may still place a step of the pool.
+  bool mayPlaceIn(const std::string &Pool) const {
+    auto Failed = FailedPlacements.find(Pool);
+    return ByPool.find(Pool) != ByPool.end() &&
+           (Failed == FailedPlacements.end() ||
+            Failed->second < MaxFailedPlacementsPerPool);
+  }
+
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
   std::vector<placement> take() { return std::move(Placements); }
 
@@ -353,6 +349,18 @@
   return Size;
 }
 
+bool hasWaitingTask(const job_spec &Spec, const occurrence_record &Occurrence,
+                    std::uint32_t Step) {
+  const auto &Record = Occurrence.Steps[Step];
+  if (Record.Done == Spec.Steps[Step].Count)
+    return false;
+  for (auto Earlier : Spec.Steps[Step].DependsOn)
+    if (Occurrence.Steps[Earlier].Done != Spec.Steps[Earlier].Count)
+      return false;
+  return std::any_of(Record.Tasks.begin(), Record.Tasks.end(),
+                     [](const task_record &Task) { return Task.isWaiting(); });
+}
+
 std::vector<waiting_step> waitingSteps(const schedule_state &State,
                                        rank_cache &Ranks, std::int64_t NowMs) {
   std::vector<waiting_step> Waiting;
@@ -361,7 +369,7 @@
     for (const auto &Occurrence : Job->OpenOccurrences) {
       std::optional<job_rank> Rank;
       for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
-        if (!isStepReady(Job->Spec, Occurrence, Step))
+        if (!hasWaitingTask(Job->Spec, Occurrence, Step))
           continue;
         if (!Rank)
           Rank = Ranks.rankOf(*Job, Occurrence, State.queueOf(*Job), NowMs);
@@ -392,4 +400,38 @@
   return Round.take();
 }
 
+std::vector<placement> placeRuns(const waiting_index &Waiting,
+                                 std::span<const waiting_step> Suspects,
+                                 std::span<placement_target *const> Targets,
+                                 const placement_request &Request) {
+  placement_round Round(Targets, Request);
+  if (Request.EndpointFor)
+    for (const auto &Step : Suspects)
+      Round.placeSuspects(Step);
+  struct pool_cursor {
+    const std::string *Pool;
+    waiting_index::step_set::const_iterator Next;
+    waiting_index::step_set::const_iterator End;
+  };
+  std::vector<pool_cursor> Cursors;
+  for (const auto &[Pool, Steps] : Waiting.pools())
+    Cursors.push_back({&Pool, Steps.begin(), Steps.end()});
+  // Merges the pools by rank, because all of them share the limit of starts.
+  while (!Round.isFull()) {
+    std::erase_if(Cursors, [&](const pool_cursor &Cursor) {
+      return Cursor.Next == Cursor.End || !Round.mayPlaceIn(*Cursor.Pool);
+    });
+    auto First =
+        std::min_element(Cursors.begin(), Cursors.end(),
+                         [](const pool_cursor &Left, const pool_cursor &Right) {
+                           return *Left.Next < *Right.Next;
+                         });
+    if (First == Cursors.end())
+      break;
+    Round.place(First->Next->Step);
+    ++First->Next;
+  }
+  return Round.take();
+}
+
 } // namespace lycheetrestle::scheduling
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -79,6 +79,11 @@
 /// Best-effort tasks reserve no cores because they run on idle ones.
 resource_amounts reservedSize(const step_spec &Step);
 
+/// \returns whether the step's earlier steps are done and a task of it has no
+/// run and is not done.
+bool hasWaitingTask(const job_spec &Spec, const occurrence_record &Occurrence,
+                    std::uint32_t Step);
+
 /// \returns the waiting steps of all jobs by rank.
 std::vector<waiting_step> waitingSteps(const schedule_state &State,
                                        rank_cache &Ranks, std::int64_t NowMs);
@@ -100,6 +105,16 @@
                                  std::span<placement_target *const> Targets,
                                  const placement_request &Request);
 
+class waiting_index;
+
+/// Places waiting tasks as the other placeRuns() does, and visits only the
+/// steps up to those at which their pools have no room left.
+/// \param Suspects the steps of the jobs with suspect tasks, by rank.
+std::vector<placement> placeRuns(const waiting_index &Waiting,
+                                 std::span<const waiting_step> Suspects,
+                                 std::span<placement_target *const> Targets,
+                                 const placement_request &Request);
+
 } // namespace lycheetrestle::scheduling
 
 #endif
--- a/scheduling/rank_cache.cpp
+++ b/scheduling/rank_cache.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-job_rank rank_cache::rankOf(const job_record &Job,
-                            const occurrence_record &Occurrence,
-                            const queue_spec *Queue, std::int64_t NowMs) {
+cached_rank rank_cache::find(const job_record &Job,
+                             const occurrence_record &Occurrence,
+                             const queue_spec *Queue, std::int64_t NowMs) {
   auto &List = Entries[Job.Spec.Id];
   auto Found = std::find_if(List.begin(), List.end(), [&](const entry &Entry) {
     return Entry.Occurrence == Occurrence.Number;
@@ -37,14 +37,14 @@
     auto Rank = Found->Rank;
     if (Rank.Group != LongRunningGroup)
       Rank.Group = groupAt(Rank, NowMs);
-    return Rank;
+    return {Rank, Found->RankedMs + RefreshMs};
   }
   Found->Done = Done;
   Found->RankedMs = NowMs;
   Found->UsedMs = NowMs;
   Found->Rank =
       scheduling::rankOf(Job, Occurrence, Queue, Durations.modelOf(Job), NowMs);
-  return Found->Rank;
+  return {Found->Rank, NowMs + RefreshMs};
 }
 
 void rank_cache::prune(std::int64_t NowMs) {
--- a/scheduling/rank_cache.h
+++ b/scheduling/rank_cache.h
@@ -12,6 +12,12 @@
 
 namespace lycheetrestle::scheduling {
 
+/// A rank and the wall time from which on it is computed again.
+struct cached_rank {
+  job_rank Rank;
+  std::int64_t RefreshMs = 0;
+};
+
 /// Ranks of waiting occurrences, cached between rounds of placement.
 ///
 /// Designed for a backlog of a thousand jobs that is sorted many times a
@@ -29,7 +35,13 @@
   /// \returns the rank as computed by scheduling::rankOf() with the durations
   /// learned up to half a second ago.
   job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
-                  const queue_spec *Queue, std::int64_t NowMs);
+                  const queue_spec *Queue, std::int64_t NowMs) {
+    return find(Job, Occurrence, Queue, NowMs).Rank;
+  }
+  /// \returns the result of rankOf() and how long it holds, while no task of
+  /// the occurrence is done.
+  cached_rank find(const job_record &Job, const occurrence_record &Occurrence,
+                   const queue_spec *Queue, std::int64_t NowMs);
   /// Evicts occurrences whose rank was not requested recently.
   void prune(std::int64_t NowMs);
   /// \returns the number of jobs with cached ranks.
--- a/tests/scheduling/test_waiting_index.cpp
+++ b/tests/scheduling/test_waiting_index.cpp
@@ -1,10 +1,15 @@
+#include "scheduling/leader.h"
+#include "scheduling/placer.h"
 #include "scheduling/schedule_state.h"
+#include "scheduling/waiting_index.h"
 #include "tests/scheduling/random_state.h"
 #include "tests/scheduling/schedule_fixture.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,8 +35,153 @@
   CHECK(State.repeatedJobs() == Repeated);
 }
 
+/// A waiting step by value, to be compared.
+struct step_value {
+  job_rank Rank;
+  std::string Job;
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+  bool operator==(const step_value &) const = default;
+};
+
+step_value valueOf(const waiting_step &Step) {
+  return {Step.Rank, Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step};
+}
+
+std::vector<step_value> stepsOfPool(const std::vector<waiting_step> &Waiting,
+                                    const std::string &Pool) {
+  std::vector<step_value> Result;
+  for (const auto &Step : Waiting)
+    if (Step.Job->Pool == Pool)
+      Result.push_back(valueOf(Step));
+  return Result;
+}
+
+/// Checks that the index has the steps that a pass over all jobs finds, in the
+/// same order.
+void checkOrder(const waiting_index &Index,
+                const std::vector<waiting_step> &Waiting) {
+  std::set<std::string> Pools;
+  for (const auto &Step : Waiting)
+    Pools.insert(Step.Job->Pool);
+  REQUIRE(Index.pools().size() == Pools.size());
+  for (const auto &[Pool, Steps] : Index.pools()) {
+    std::vector<step_value> Indexed;
+    for (const auto &Step : Steps)
+      Indexed.push_back(valueOf(Step.Step));
+    CHECK(Indexed == stepsOfPool(Waiting, Pool));
+  }
+}
+
+/// \returns endpoints of both pools with room for some tasks.
+std::vector<placement_target> randomTargets(std::mt19937_64 &Random) {
+  std::vector<placement_target> Targets(4 + Random() % 4);
+  std::uint32_t Number = 0;
+  for (auto &Target : Targets) {
+    Target.Endpoint = ++Number;
+    Target.Pool = Random() % 3 == 0 ? "b" : "a";
+    Target.Free = {static_cast<std::uint32_t>(Random() % 6000), 1u << 20, 0};
+    Target.IsReserved = Random() % 8 == 0;
+  }
+  return Targets;
+}
+
+/// Checks that both kinds of placeRuns() start the same runs.
+void checkPlacements(const waiting_index &Index,
+                     const std::vector<waiting_step> &Waiting,
+                     const schedule_state &State, std::mt19937_64 &Random) {
+  placement_request Request;
+  Request.MaxStarts = 1 + Random() % 30;
+  Request.IsDeferred = [](const task_key &Key) { return Key.Index == 3; };
+  std::map<task_key, std::uint32_t> Suspects;
+  for (const auto &Id : State.suspectJobs())
+    for (const auto &Suspect : State.findJob(Id)->Suspects)
+      if (Suspect.isSuspect())
+        Suspects[{Id, Suspect.Occurrence, Suspect.Step, Suspect.Index}] =
+            static_cast<std::uint32_t>(Random() % 5);
+  Request.EndpointFor =
+      [&](const task_key &Key) -> std::optional<std::uint32_t> {
+    auto Found = Suspects.find(Key);
+    return Found == Suspects.end() ? std::nullopt
+                                   : std::optional(Found->second);
+  };
+  auto Targets = randomTargets(Random);
+  auto Copies = Targets;
+  std::vector<placement_target *> Pointers;
+  std::vector<placement_target *> CopyPointers;
+  for (std::size_t Target = 0; Target != Targets.size(); ++Target) {
+    Pointers.push_back(&Targets[Target]);
+    CopyPointers.push_back(&Copies[Target]);
+  }
+  auto Expected = placeRuns(Waiting, Pointers, Request);
+  auto Placed = placeRuns(Index, Index.stepsOf(State.suspectJobs()),
+                          CopyPointers, Request);
+  REQUIRE(Placed.size() == Expected.size());
+  for (std::size_t Item = 0; Item != Placed.size(); ++Item)
+    CHECK(Placed[Item].Start == Expected[Item].Start);
+}
+
 } // namespace
 
+// The index replaces a pass over all jobs that wait. A job that it misses would
+// wait for ever, and another order would be another decision.
+TEST_CASE("the waiting index equals a pass over all jobs") {
+  std::size_t Steps = 0;
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    CAPTURE(Seed);
+    random_state Random(Seed);
+    std::mt19937_64 Draw(Seed * 7919);
+    duration_models Durations;
+    rank_cache Ranks(Durations);
+    rank_cache AllRanks(Durations);
+    waiting_index Index(Random.State, Ranks);
+    for (int Round = 0; Round != 150; ++Round) {
+      for (auto Commands = Draw() % 6; Commands > 0; --Commands)
+        Index.recordApplied(Random.change());
+      if (const auto *Job = Random.State.findJob("j1"); Job && Draw() % 4 == 0)
+        Durations.record(*Job, 500, 100 + static_cast<double>(Draw() % 4000));
+      // The wall clock may be stepped.
+      auto NowMs = Random.NowMs - (Draw() % 20 == 0 ? 700 : 0);
+      Index.update(NowMs);
+      auto Waiting = waitingSteps(Random.State, AllRanks, NowMs);
+      Steps += Waiting.size();
+      checkOrder(Index, Waiting);
+      checkPlacements(Index, Waiting, Random.State, Draw);
+    }
+  }
+  CHECK(Steps > 10'000);
+}
+
+// A leader with 15,000 waiting tasks spent 50 % of its processor time on
+// finding and sorting them in each round of placement. Its loop was full, and
+// it lost the lead.
+TEST_CASE("a round of placement examines the jobs that have changed") {
+  constexpr int Jobs = 3000;
+  auto State = makeState(2);
+  for (int Job = 0; Job != Jobs; ++Job)
+    State.apply(submission(makeJob("j" + std::to_string(Job), {makeStep(4)})),
+                1000);
+  core::metrics_registry Metrics;
+  core::time_point Now{std::chrono::seconds(1)};
+  leader Leader({}, 1, State, Metrics, Now);
+  auto Examined = [&] {
+    return Metrics.counter("placement_jobs_examined_total");
+  };
+  auto Round = [&](std::int64_t WallMs) {
+    auto Before = Examined();
+    Now += std::chrono::milliseconds(100);
+    Leader.takeCommands(Now, WallMs);
+    return Examined() - Before;
+  };
+  CHECK(Round(1000) == Jobs);
+  CHECK(Round(1100) == 0);
+  auto Submission = submission(makeJob("next", {makeStep(1)}));
+  Leader.recordApplied(Submission, State.apply(Submission, 1150), Now);
+  CHECK(Round(1200) == 1);
+  // Learned durations may have changed the rank of every job.
+  CHECK(Round(1500) == Jobs);
+}
+
 // Guards against a count that misses a way in which a job starts or ends:
 // callers would be told a wrong length of their queue for ever.
 TEST_CASE("pending and repeated jobs are counted as they change") {
