--- a/scheduling/commands.cpp
+++ b/scheduling/commands.cpp
@@ -1,7 +1,7 @@
 #include "scheduling/commands.h"
 
 #include "core/cbor_limits.h"
-#include "fleet/cbor_sequence.h"
+#include "fleet/cbor_appender.h"
 #include "scheduling/fields.h"
 
 #include <array>
@@ -11,7 +11,6 @@
 
 namespace {
 
-using fleet::cbor_writer;
 using fleet::log_reader;
 
 template <std::size_t Index = 0>
@@ -52,11 +51,9 @@
 
 std::string encodeCommand(const command &Command) {
   std::string Bytes;
-  fleet::appendCbor(Bytes, Command.index());
-  fleet::appendCbor(
-      Bytes,
-      std::visit([](const auto &Typed) { return cbor_writer::toJson(Typed); },
-                 Command));
+  fleet::cbor_appender Appender(Bytes);
+  Appender.append(Command.index());
+  std::visit([&](const auto &Typed) { Appender.append(Typed); }, Command);
   return Bytes;
 }
 
@@ -64,7 +61,7 @@
                         std::span<const std::string_view> Commands) {
   std::string Bytes;
   appendArrayHeader(Bytes, 1 + 2 * Commands.size());
-  fleet::appendCbor(Bytes, TimeMs);
+  fleet::cbor_appender(Bytes).append(TimeMs);
   for (auto Command : Commands)
     Bytes += Command;
   return Bytes;
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -1,4 +1,5 @@
 #include "core/cbor_limits.h"
+#include "fleet/cbor_appender.h"
 #include "scheduling/fields.h"
 #include "scheduling/schedule_state.h"
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-using fleet::cbor_writer;
 using fleet::log_reader;
 
 /// Indexes of the elements of a snapshot.
@@ -24,8 +24,8 @@
   PartCount
 };
 
-/// \returns the jobs sorted by id, so that equal states have equal snapshots.
-nlohmann::json writeJobs(const job_map &Jobs) {
+/// Appends the jobs sorted by id, so that equal states have equal snapshots.
+void appendJobs(fleet::cbor_appender &Appender, const job_map &Jobs) {
   std::vector<const job_record *> Sorted;
   Sorted.reserve(Jobs.size());
   for (const auto &[Id, Job] : Jobs)
@@ -34,17 +34,16 @@
             [](const auto *Left, const auto *Right) {
               return Left->Spec.Id < Right->Spec.Id;
             });
-  auto List = nlohmann::json::array();
+  Appender.beginArray(Sorted.size());
   for (const auto *Job : Sorted)
-    List.push_back(cbor_writer::toJson(*Job));
-  return List;
+    Appender.append(*Job);
 }
 
-template <typename Map> nlohmann::json writeValues(const Map &Records) {
-  auto List = nlohmann::json::array();
+template <typename Map>
+void appendValues(fleet::cbor_appender &Appender, const Map &Records) {
+  Appender.beginArray(Records.size());
   for (const auto &[Key, Record] : Records)
-    List.push_back(cbor_writer::toJson(Record));
-  return List;
+    Appender.append(Record);
 }
 
 /// \param Add called with each record of the list.
@@ -65,15 +64,15 @@
 } // namespace
 
 std::string schedule_state::snapshot() const {
-  auto Parts = nlohmann::json::array();
-  Parts.push_back(TimeMs);
-  Parts.push_back(cbor_writer::toJson(Configuration));
-  Parts.push_back(writeJobs(Jobs));
-  Parts.push_back(LastEndpoint);
-  Parts.push_back(writeValues(Endpoints));
-  Parts.push_back(writeValues(Waves));
   std::string Bytes;
-  nlohmann::json::to_cbor(Parts, Bytes);
+  fleet::cbor_appender Appender(Bytes);
+  Appender.beginArray(PartCount);
+  Appender.append(TimeMs);
+  Appender.append(Configuration);
+  appendJobs(Appender, Jobs);
+  Appender.append(LastEndpoint);
+  appendValues(Appender, Endpoints);
+  appendValues(Appender, Waves);
   return Bytes;
 }
 
