Look up a pool's demand once a job

The demand of the pools is computed ten times a second over the tasks of all live jobs. Each task looked up its pool by name and each waiting one predicted its duration, although both are the same for all tasks of a step. The sums are added in the same order and are the same.

The cost still grows with the live jobs. test_scheduling: 245 cases pass, 2 fail as expected ([!shouldfail]).

--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -36,6 +36,9 @@
   for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     const auto &Job = *State.findJob(Id);
     const auto *Queue = State.queueOf(Job);
+    // Looked up once, because there may be ten thousand tasks.
+    auto &LongCores = Required[Job.Pool];
+    auto &ShortCores = ShortRunning[Job.Pool];
     for (const auto &Occurrence : Job.OpenOccurrences) {
       const auto &Model = Durations.modelOf(Job);
       bool IsLate =
@@ -48,15 +51,18 @@
                                      return Occurrence.Steps[Earlier].Done ==
                                             Job.Spec.Steps[Earlier].Count;
                                    });
+        double WaitingCores = 0; // Of one waiting task.
+        if (IsReady && !Spec.IsLongRunning && !IsLate)
+          WaitingCores =
+              Cores * std::min(1.0, Model.predictMs(Spec.EstimateMs) / 1000.0 /
+                                        FullWeightSeconds);
         for (const auto &Task : Occurrence.Steps[Step].Tasks) {
           if (Task.Endpoint != 0)
-            (Spec.IsLongRunning ? Required : ShortRunning)[Job.Pool] += Cores;
+            (Spec.IsLongRunning ? LongCores : ShortCores) += Cores;
           else if (Task.isWaiting() && IsReady && Spec.IsLongRunning)
-            Required[Job.Pool] += Cores;
-          else if (Task.isWaiting() && IsReady && !IsLate)
-            ShortRunning[Job.Pool] +=
-                Cores * std::min(1.0, Model.predictMs(Spec.EstimateMs) /
-                                          1000.0 / FullWeightSeconds);
+            LongCores += Cores;
+          else if (Task.isWaiting())
+            ShortCores += WaitingCores;
         }
       }
     }
