Add a failing test for a deregistration that reaches no leader

A deregistration that a scheduler without a leader refuses is forgotten. The endpoint exits all the same, some seconds later at most, and its long-running tasks wait for the lease of the previous leader. The test fails on this code; a second one guards the case in which the endpoint is out of reach and may be alive.

--- a/tests/scheduling/test_departed_endpoints.cpp
+++ b/tests/scheduling/test_departed_endpoints.cpp
@@ -105,3 +105,30 @@
       ElectedAt + Settings.PreviousLeaderGrace + Settings.Lease * 103 / 100;
   CHECK(Site.runsOnOtherBefore(LeaseExpiry + 500ms));
 }
+
+TEST_CASE("a deregistration that reached a scheduler without a leader is used "
+          "when it becomes the leader",
+          "[!shouldfail]") {
+  departure Site;
+  Site.kill();
+  Site.start();
+  Site.run(20ms);
+  REQUIRE(!Site.Node->isLeading());
+  auto Call =
+      Site.call(deregister_call{"e1", makeEndpoint("e1").IncarnationMs});
+  Site.run(20ms);
+  CHECK(Site.replyTo(Call) == reply_kind::NotLeader);
+  Site.exit("e1");
+  CHECK(Site.runsOnOtherBefore(Site.Now + leader_settings().Lease));
+}
+
+TEST_CASE("a deregistration without a leader does not end an endpoint that is "
+          "out of reach before its lease has expired") {
+  departure Site;
+  Site.kill();
+  Site.start();
+  Site.run(20ms);
+  Site.call(deregister_call{"e1", makeEndpoint("e1").IncarnationMs});
+  Site.cutOff("e1");
+  CHECK(!Site.runsOnOtherBefore(Site.Now + leader_settings().Lease));
+}
