Remember deregistrations that reach a scheduler without a leader

Callers see the long-running tasks of an endpoint wait for the lease of the previous leader although the endpoint said that it exits. Each scheduler that it called had no leader and refused the call; the endpoint then exited without an acknowledgement, and nobody remembered.

A scheduler with a disk now keeps the deregistrations that it refuses, at most 1,024 for 30 s, and only those that name their incarnation. When it becomes the leader it treats them like a deregistration that is not committed: the endpoint gets no new work, and is ended once nothing listens at its address. One that is out of reach keeps its runs until the lease has expired. Nothing is acknowledged and nothing replicated from this memory.

What remains: a report is not passed on to another scheduler that becomes the leader, and schedulers without a disk keep none.

--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -325,6 +325,7 @@
   auto LeaderSettings = Settings.Leader;
   LeaderSettings.PreviousLeaderGrace -= Now - ElectedAt;
   Leader.emplace(LeaderSettings, LeaderTerm, State, Metrics, Now);
+  reportDepartures(Now);
   core::logEvent(core::log_level::Info, "leading",
                  {{"term", LeaderTerm},
                   {"applied", AppliedIndex},
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "replication/raft_node.h"
 #include "scheduling/calls.h"
+#include "scheduling/departure_memory.h"
 #include "scheduling/founding_acceptor.h"
 #include "scheduling/founding_proposer.h"
 #include "scheduling/leader.h"
@@ -147,6 +148,8 @@
   void queue(command Command, std::uint64_t Call, core::time_point Now);
   void answer(std::uint64_t Call, reply_kind Kind);
   void answerNotLeader(std::uint64_t Call);
+  /// Tells a new leader which endpoints this scheduler knows to have exited.
+  void reportDepartures(core::time_point Now);
   void answerApplied(std::uint64_t Call, const command &Command,
                      apply_outcome Outcome);
   /// Answers the call from the state once leadership is confirmed.
@@ -209,6 +212,7 @@
   read_group PendingReads;                            ///< Not requested yet.
   std::map<std::uint64_t, read_group> RequestedReads; ///< By token.
   std::vector<read_group> ConfirmedReads;             ///< Wait for their index.
+  departure_memory Departures; ///< While it does not lead.
   membership_manager Members;
   std::optional<founding_acceptor> Acceptor;
   std::optional<founding_proposer> Proposer; ///< While the log is empty.
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/schedule_node.h"
 
+#include "core/event_log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -59,6 +61,19 @@
   Replies.push_back(std::move(Reply));
 }
 
+void schedule_node::reportDepartures(core::time_point Now) {
+  for (const auto &Call : Departures.take(Now)) {
+    const auto *Endpoint = State.findEndpoint(Call.EndpointId);
+    if (!Endpoint || Endpoint->HasDeregistered)
+      continue;
+    // Not committed: only an answer that the endpoint gets is worth that. It
+    // ends the endpoint once nothing listens there.
+    if (Leader->recordDeregistration(Call.EndpointId, Now, Call.IncarnationMs))
+      core::logEvent(core::log_level::Info, "deregistration_remembered",
+                     {{"endpoint", Endpoint->Number}});
+  }
+}
+
 bool schedule_node::isForming(core::time_point Now) const {
   return State.currentConfiguration().Version == 0 &&
          Members.isGrowing(Raft.status().Members, Now);
@@ -66,6 +81,8 @@
 
 void schedule_node::handle(call Call, core::time_point Now) {
   if (!Leader || ShutdownSince || isForming(Now)) {
+    if (const auto *Departure = std::get_if<deregister_call>(&Call.Body))
+      Departures.record(*Departure, Now);
     answerNotLeader(Call.Id);
     return;
   }
--- a/tests/scheduling/test_departed_endpoints.cpp
+++ b/tests/scheduling/test_departed_endpoints.cpp
@@ -1,5 +1,6 @@
 #include "restartable_scheduler.h"
 #include "schedule_fixture.h"
+#include "scheduling/departure_memory.h"
 
 #include <catch2/catch.hpp>
 
@@ -107,8 +108,7 @@
 }
 
 TEST_CASE("a deregistration that reached a scheduler without a leader is used "
-          "when it becomes the leader",
-          "[!shouldfail]") {
+          "when it becomes the leader") {
   departure Site;
   Site.kill();
   Site.start();
@@ -132,3 +132,19 @@
   Site.cutOff("e1");
   CHECK(!Site.runsOnOtherBefore(Site.Now + leader_settings().Lease));
 }
+
+TEST_CASE("remembered deregistrations are bounded, name their incarnation and "
+          "are forgotten when they are old") {
+  departure_memory Memory;
+  core::time_point Now{100s};
+  Memory.record({"unnamed", std::nullopt}, Now);
+  Memory.record({"old", 1}, Now);
+  CHECK(Memory.take(Now + departure_memory::Retention + 1ms).empty());
+  for (std::size_t Number = 0; Number <= departure_memory::MaxCalls; ++Number)
+    for (int Repetition = 0; Repetition != 2; ++Repetition)
+      Memory.record({"e" + std::to_string(Number), 1}, Now);
+  auto Calls = Memory.take(Now);
+  REQUIRE(Calls.size() == departure_memory::MaxCalls);
+  CHECK(Calls.front().EndpointId == "e1");
+  CHECK(Memory.take(Now).empty());
+}
