Count late orders of held operations and of earlier leaders

Callers would see a long-running task ended beyond its budget in two more sequences, found with seeds 101 to 600 of the random test with draining endpoints, of which 8 failed.

An order to a host took effect near the end of its lifetime while its operation waited for a budget. The operation was then taken for held, and the tasks on the host for at work, because the last answer of the endpoint, up to 2.5 s old, said so; an evacuation followed (seed 344). Such tasks now count as available only after an answer that is later than the order's lifetime.

A new leader placed tasks on a new incarnation before its first list of hosts, when it does not know yet which committed orders may take effect (seeds 390 and 545). Until it does, at most for the lifetime of an order, endpoints that no list has shown get no long-running task while a wave has a host whose maintenance was ordered and has not begun.

The three seeds failed before and pass now. The other five end a task by a move that an earlier leader ordered: moves are not in the log. The time limits of platform calls are in a header now, as two files use them.

--- a/scheduling/leader_budget.cpp
+++ b/scheduling/leader_budget.cpp
@@ -1,4 +1,5 @@
 #include "core/event_log.h"
+#include "scheduling/host_order_limits.h"
 #include "scheduling/leader.h"
 
 #include <algorithm>
@@ -52,8 +53,11 @@
     const auto &Endpoint = State.endpoints().find(Tracked->first)->second;
     bool IsColocated = Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint;
     auto Operation = Hosts.Operations.find(hostOf(Endpoint));
+    // A held order may have taken effect after the endpoint's last answer.
     bool IsOrdered =
-        Operation != Hosts.Operations.end() && !Operation->second.IsHeld;
+        Operation != Hosts.Operations.end() &&
+        (!Operation->second.IsHeld ||
+         Tracked->second.LastAnswer < Operation->second.MayTakeEffectUntil);
     // The list of hosts may show that the incarnation ended before its end is
     // committed.
     bool IsLeaving = (IsColocated && Interruption == interruption::Endpoint) ||
@@ -117,6 +121,14 @@
   auto Tracked = TrackedEndpoints.find(Endpoint);
   if (Tracked == TrackedEndpoints.end() || !isUnlisted(Tracked->second))
     return false;
+  // An earlier leader may have sent the orders that are committed.
+  if (!knowsEarlierHostOrders())
+    return Now - StartedAt < HostOrderLifetime &&
+           std::any_of(State.waves().begin(), State.waves().end(),
+                       [](const auto &Item) {
+                         return Item.second.Ordered.size() >
+                                Item.second.Begun.size();
+                       });
   return std::any_of(Hosts.Operations.begin(), Hosts.Operations.end(),
                      [&](const auto &Item) {
                        const auto &[Host, Operation] = Item;
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -1,4 +1,5 @@
 #include "core/event_log.h"
+#include "scheduling/host_order_limits.h"
 #include "scheduling/leader.h"
 
 #include <algorithm>
@@ -15,7 +16,6 @@
 // A list takes one call per 200 hosts, and the platform charges for calls.
 constexpr core::duration BusyListInterval = milliseconds(500);
 constexpr core::duration IdleListInterval = std::chrono::seconds(10);
-constexpr core::duration PlatformTimeout = milliseconds(1500);
 // Wait after a throttled call or an unanswered list, and before an order for a
 // host is repeated; twice as long after the platform refused the order.
 constexpr core::duration HostOrderBackoff = milliseconds(300);
@@ -26,10 +26,6 @@
 // Minimum time between the starts of two lists, even when operations require a
 // new list earlier.
 constexpr core::duration MinListInterval = milliseconds(400);
-// An order to a host without an answer, or of an earlier leader, may still take
-// effect for this time: the time-out of a call, and as long again in queues of
-// the platform.
-constexpr core::duration HostOrderLifetime = 2 * PlatformTimeout;
 // A host that the platform reports as unknown or not part of the wave for this
 // long needs no maintenance any more.
 constexpr core::duration UnknownHostTimeout = std::chrono::seconds(3);
--- a/tests/scheduling/test_random_schedule.cpp
+++ b/tests/scheduling/test_random_schedule.cpp
@@ -261,7 +261,18 @@
 TEST_CASE("no order ends a long-running task beyond the budget of its step "
           "while endpoints drain and orders to hosts take effect late") {
   throwing_invariants Invariants;
-  auto Seed = GENERATE(range(1, 101));
+  auto Seed = GENERATE(range(1, 101), 344, 390, 545);
+  INFO("seed " << Seed);
+  simulateDrains(static_cast<std::uint64_t>(Seed), {20, 20, 0, 20, 300});
+}
+
+// Moves are not in the log, so that a new leader does not know which hosts the
+// earlier one ordered to move, and starts tasks on them.
+TEST_CASE("a late move that an earlier leader ordered ends no long-running "
+          "task beyond the budget of its step",
+          "[!shouldfail]") {
+  throwing_invariants Invariants;
+  auto Seed = GENERATE(111, 279, 346, 488, 552);
   INFO("seed " << Seed);
   simulateDrains(static_cast<std::uint64_t>(Seed), {20, 20, 0, 20, 300});
 }
