Connect to the acceptors of the founding that a seed names

The acceptors of the initial voters are the seeds of the first start. A host with a disk that was restarted before the choice, with settings that name other seeds, connected to those only. If fewer than a majority of the acceptors were among them, it proposed nothing, and when all hosts with a disk were in this state no cluster was ever founded. The answers of an acceptor list all acceptors, so a host with an empty log connects to these. Entries that are no IP addresses and lists that are longer than a cluster may be are not followed.

--- a/scheduling/schedule_node_members.cpp
+++ b/scheduling/schedule_node_members.cpp
@@ -2,6 +2,7 @@
 #include "core/event_log.h"
 #include "core/network_address.h"
 #include "gateway/messages.h"
+#include "replication/membership_rules.h"
 #include "scheduling/schedule_node.h"
 
 #include <algorithm>
@@ -120,8 +121,14 @@
   if (Acceptor)
     if (auto Answer = Acceptor->receive(*Message))
       sendFrame(Peer, control::frame_kind::Founding, encodeFounding(*Answer));
-  if (Proposer)
+  if (Proposer) {
+    // The settings of a later start may name other seeds than the acceptors.
+    if (Message->Seeds.size() <= replication::MaxMembers)
+      for (const auto &Seed : Message->Seeds)
+        if (core::isIpAddress(Seed))
+          addPeers({&Seed, 1});
     Proposer->receive(Peer, *Message, Now);
+  }
   found(Now);
 }
 
--- a/tests/scheduling/membership_site.cpp
+++ b/tests/scheduling/membership_site.cpp
@@ -90,7 +90,11 @@
   Settings.StartNonce = Random();
   // The seeds change only after the cluster was founded, and at least one of
   // them is another host.
-  if (IsFirst || !isFounded() || Shape.Seeds.size() < 2 || randomBelow(2) == 0)
+  if (!IsFirst && !Shape.LaterSeeds.empty())
+    for (auto Seed : Shape.LaterSeeds)
+      Settings.Seeds.push_back(nameOf(Seed));
+  else if (IsFirst || !isFounded() || Shape.Seeds.size() < 2 ||
+           randomBelow(2) == 0)
     for (auto Seed : Shape.Seeds)
       Settings.Seeds.push_back(nameOf(Seed));
   else
--- a/tests/scheduling/membership_site.h
+++ b/tests/scheduling/membership_site.h
@@ -25,6 +25,8 @@
   std::vector<bool> HasDisk;      ///< Of each host.
   std::vector<std::string> Zones; ///< Of each host.
   std::vector<std::size_t> Seeds; ///< Hosts that are seeds at the first start.
+  /// Hosts that are seeds at all later starts; empty: drawn at random.
+  std::vector<std::size_t> LaterSeeds;
   std::size_t ToleratedLosses = 1;
   std::uint64_t Seed = 1;
   std::uint64_t SnapshotEveryEntries = 4000;
--- a/tests/scheduling/test_membership.cpp
+++ b/tests/scheduling/test_membership.cpp
@@ -529,6 +529,32 @@
   }
 }
 
+// Guards against a system that can't be started: the acceptors are the seeds of
+// the first start, and a host that knows only one of them finds no majority.
+TEST_CASE("hosts that restart with other seeds before the choice found a "
+          "cluster") {
+  auto First = fromEnvironment("LT_FIRST_SEED", 1);
+  auto Count = fromEnvironment("LT_SEEDS", 8);
+  for (auto Seed = First; Seed < First + Count; ++Seed) {
+    INFO("LT_FIRST_SEED=" << Seed << " LT_SEEDS=1");
+    auto Shape = makeShape(1, 1, {1, 3, 5});
+    Shape.LaterSeeds = {0, 1, 2};
+    Shape.Seed = Seed;
+    membership_site Site(Shape);
+    startAll(Site);
+    Site.run(400ms);
+    REQUIRE(!Site.isFounded());
+    for (std::size_t Index : {0, 2, 4}) {
+      Site.losePower(Index);
+      Site.start(Index, Site.randomTime(1s));
+    }
+    bool IsServing = isServing(Site, 2 * FormingTime);
+    INFO(Site.describe());
+    CHECK(IsServing);
+    CHECK(Site.voters() == 3);
+  }
+}
+
 // Guards against two clusters when hosts are started again with the settings of
 // the first start: seeds without a disk forget what they have promised.
 TEST_CASE("seeds without a disk that start again with the settings of the "
