End a deregistered endpoint early only with a timely acknowledgement or a refusal

A task could run twice: a deregistration that was committed late, for example behind a large configuration, was answered after the endpoint had given up waiting and ran on for seconds, but its leader ended it 300 ms after the commit. A connection refused long before, or by a cut link, had the same effect, because the refusal was remembered until the next answer.

The acknowledgement counts only if the call was committed within 500 ms, half of the time that an endpoint waits for it. A refusal counts only if it came after the margin of the deregistration; heartbeats, answers and other failures clear it. Otherwise the runs end with the lease or the list of hosts.

Found by a reviewer by reading. Both new cases of test_departed_endpoints failed on the code before (the task ran on the other endpoint while the first one ran on) and pass now.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -35,6 +35,9 @@
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
+// An endpoint takes an acknowledgement for lost after a second; half of it is
+// left for the way of the call and of the answer.
+constexpr core::duration MaxAcknowledgementDelay = milliseconds(500);
 // Interval of lists of hosts while runs wait for a lease: a list may prove the
 // end of their endpoint earlier. The platform charges for calls, and an
 // endpoint that is only out of reach costs as many lists as its lease has
@@ -185,8 +188,11 @@
   }
   if (const auto *Record = std::get_if<record_deregistration>(&Command)) {
     auto &Tracked = trackEndpoint(Record->Endpoint, Now);
+    bool IsAcknowledged = Tracked.RemoveAt && Now < *Tracked.RemoveAt -
+                                                        DeregistrationMargin +
+                                                        MaxAcknowledgementDelay;
     Tracked.RemoveAt = Now + DeregistrationMargin;
-    Tracked.MayRunOn = false;
+    Tracked.MayRunOn = !IsAcknowledged;
     return;
   }
   if (const auto *Start = std::get_if<start_run>(&Command)) {
@@ -368,7 +374,8 @@
 
 bool leader::hasLeft(const tracked_endpoint &Tracked, core::time_point Now) {
   return Tracked.RemoveAt && Now >= *Tracked.RemoveAt &&
-         (!Tracked.MayRunOn || Tracked.IsRefusing || Tracked.Runs.empty());
+         (!Tracked.MayRunOn || Tracked.RefusedAt >= *Tracked.RemoveAt ||
+          Tracked.Runs.empty());
 }
 
 std::vector<command> leader::takeCommands(core::time_point Now,
--- a/scheduling/leader_incarnations.cpp
+++ b/scheduling/leader_incarnations.cpp
@@ -77,6 +77,7 @@
   Tracked.Sequence = Heartbeat.Sequence;
   Tracked.HeartbeatClockMs = Heartbeat.ClockMs;
   Tracked.LastHeartbeat = Now;
+  Tracked.RefusedAt = {};
   recordCapacity(Tracked, Heartbeat, Now);
   if (Tracked.ClockAt == core::time_point() ||
       Heartbeat.ClockMs > Tracked.ClockMs) {
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -147,7 +147,7 @@
     IsPlacementDue = true;
   }
   Tracked.IsSuspect = false;
-  Tracked.IsRefusing = false;
+  Tracked.RefusedAt = {};
   Tracked.IsLeaseProlonged = false;
   // The incarnation itself answered: an earlier answer to the contrary was
   // wrong.
@@ -162,7 +162,7 @@
 void leader::recordNoAnswer(tracked_endpoint &Tracked, std::string_view What,
                             const no_answer &NoAnswer, core::time_point Now) {
   Metrics.add("unanswered_orders_total");
-  Tracked.IsRefusing |= NoAnswer.IsRefused;
+  Tracked.RefusedAt = NoAnswer.IsRefused ? Now : core::time_point();
   if (Tracked.IsSuspect)
     return;
   if (NoAnswer.IsLocal) {
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -107,12 +107,12 @@
   std::optional<std::uint32_t> RemainingMs;
   core::time_point RemainingAt{};
   std::optional<core::time_point> RemoveAt; ///< Set by its deregistration.
-  /// While RemoveAt is set: this leader has not acknowledged the
-  /// deregistration. Without an acknowledgement an endpoint runs on for
-  /// seconds.
+  /// While RemoveAt is set: the endpoint may not have been acknowledged in
+  /// time. Without an acknowledgement an endpoint runs on for seconds.
   bool MayRunOn = false;
-  /// Nothing listened at its address, and no answer has come since.
-  bool IsRefusing = false;
+  /// When a connection to it was refused, because nothing listened at its
+  /// address; zero after any other contact or failure.
+  core::time_point RefusedAt{};
 
   // Newest sample of the endpoint's clock.
   std::uint64_t ClockMs = 0;
--- a/tests/scheduling/restartable_scheduler.cpp
+++ b/tests/scheduling/restartable_scheduler.cpp
@@ -229,6 +229,10 @@
   Endpoints[Id].Running.clear();
 }
 
+void restartable_scheduler::refuse(const std::string &Id) {
+  Endpoints[Id].Reachability = reachability::Refuses;
+}
+
 void restartable_scheduler::cutOff(const std::string &Id) {
   Endpoints[Id].Reachability = reachability::Silent;
 }
--- a/tests/scheduling/restartable_scheduler.h
+++ b/tests/scheduling/restartable_scheduler.h
@@ -41,6 +41,8 @@
   void exit(const std::string &Id);
   /// Cuts an endpoint off: nothing arrives there, and nothing from there.
   void cutOff(const std::string &Id);
+  /// Makes the network refuse connections to an endpoint, which runs on.
+  void refuse(const std::string &Id);
   bool isRunning(const task_key &Task, const std::string &Id) const;
   bool isRunning(const task_key &Task) const;
   /// \returns whether it is committed that the endpoint drains.
--- a/tests/scheduling/test_departed_endpoints.cpp
+++ b/tests/scheduling/test_departed_endpoints.cpp
@@ -89,6 +89,32 @@
   CHECK(Site.runsOnOtherBefore(Site.Now + 2 * leader_settings().Lease));
 }
 
+TEST_CASE("an endpoint whose deregistration is committed too late to be "
+          "acknowledged keeps its task while it runs on") {
+  departure Site;
+  Site.IsDiskStalled = true;
+  Site.call(deregister_call{"e1"});
+  Site.run(2s);
+  Site.IsDiskStalled = false;
+  CHECK(!Site.runsOnOtherBefore(Site.Now + 2s));
+  Site.exit("e1");
+  CHECK(Site.runsOnOtherBefore(Site.Now + leader_settings().Lease));
+}
+
+TEST_CASE("a connection that was refused before an endpoint deregistered does "
+          "not prove that it has exited") {
+  departure Site;
+  auto CutOffAt = Site.Now;
+  Site.refuse("e1");
+  Site.run(300ms);
+  Site.cutOff("e1");
+  Site.IsDiskStalled = true;
+  Site.call(deregister_call{"e1"});
+  Site.run(2s);
+  Site.IsDiskStalled = false;
+  CHECK(!Site.runsOnOtherBefore(CutOffAt + leader_settings().Lease));
+}
+
 TEST_CASE("a leader whose disk is slow after its election does not add that "
           "time to the leases of the previous leader") {
   departure Site;
