--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -97,6 +97,8 @@
   auto &Endpoint = Endpoints[Index];
   Endpoint.Running.clear();
   Endpoint.Ends.clear();
+  Endpoint.DoneEnds.clear();
+  Endpoint.WasCalled = false;
   Endpoint.Newest.clear();
   Endpoint.Fence = 0;
   Endpoint.LastEnd = 0;
@@ -237,7 +239,8 @@
                          std::nullopt,
                          0});
   std::erase_if(Deliveries, [&](const delivery &Delivery) {
-    return Delivery.Order.Address == Endpoint.Facts.Address;
+    return Delivery.Order.Address == Endpoint.Facts.Address &&
+           !Delivery.OutlivesRestart;
   });
   for (auto &Answer : Answers)
     if (Answer.Address == Endpoint.Facts.Address && Answer.Address &&
@@ -390,7 +393,10 @@
 }
 
 void fake_site::advance(fake_endpoint &Endpoint) {
-  if (clockOf(Endpoint) >= Endpoint.LeaseMs)
+  bool IsExpired = clockOf(Endpoint) >= Endpoint.LeaseMs;
+  Endpoint.LeaseExpiries += IsExpired && !Endpoint.IsLeaseExpired;
+  Endpoint.IsLeaseExpired = IsExpired;
+  if (IsExpired)
     while (!Endpoint.Running.empty())
       end(Endpoint, Endpoint.Running.begin()->first, run_end::Expired);
   for (auto Run = Endpoint.Running.begin(); Run != Endpoint.Running.end();) {
@@ -411,10 +417,30 @@
   auto Run = Endpoint.Running.find(Task);
   Endpoint.Ends.push_back(
       {++Endpoint.LastEnd, Task, Run->second.Attempt, Outcome, "c"});
+  if (Outcome == run_end::Done)
+    Endpoint.DoneEnds[Endpoint.LastEnd] = {Task, TaskCrashes[Task].Starts,
+                                           Endpoint.LeaseExpiries};
   Endpoint.Newest[Task] = std::max(Endpoint.Newest[Task], Run->second.Attempt);
   Endpoint.Running.erase(Run);
 }
 
+void fake_site::confirmEnds(fake_endpoint &Endpoint, std::uint64_t Cursor) {
+  std::erase_if(Endpoint.Ends,
+                [&](const end_row &End) { return End.Number <= Cursor; });
+  std::erase_if(Endpoint.DoneEnds, [&](const auto &Item) {
+    const auto &[Number, End] = Item;
+    if (Number > Cursor)
+      return false;
+    if (End.LeaseExpiries != Endpoint.LeaseExpiries)
+      return true;
+    core::checkInvariant(TaskCrashes[End.Task].Starts == End.Starts,
+                         "no task starts after an end as done that is "
+                         "confirmed later");
+    DoneConfirmed.insert(End.Task);
+    return true;
+  });
+}
+
 void fake_site::send(order Order) {
   SentOrders.push_back(Order);
   if (Order.Endpoint == 0) {
@@ -433,6 +459,8 @@
     Delivery.AtMs = NowMs + 2000 + static_cast<std::int64_t>(Random() % 10'000);
     Delivery.IsAnswered = false;
     Delivery.IsLate = true;
+    Delivery.OutlivesRestart = Rates.OrdersThatOutliveRestarts > 0 &&
+                               occurs(Rates.OrdersThatOutliveRestarts);
   } else if (!IsLost && occurs(Rates.LostAnswers)) {
     Delivery.IsAnswered = false;
   }
@@ -456,12 +484,23 @@
   Deliveries.push_back(std::move(Delivery));
 }
 
+std::uint32_t fake_site::numberOf(const fake_endpoint &Endpoint) const {
+  const auto *Record =
+      State.findEndpoint(Endpoint.Facts.Id, Endpoint.Facts.IncarnationMs);
+  return Record ? Record->Number : 0;
+}
+
 void fake_site::deliver(const delivery &Delivery) {
   for (auto &Endpoint : Endpoints) {
-    // An order that was received by an incarnation is lost when it crashes.
+    // An order that was received by an incarnation is lost when it crashes. One
+    // that outlives a restart arrives after an order for the new incarnation:
+    // no leader can keep it from an incarnation that nobody has called yet.
+    bool IsForEarlier = Endpoint.Facts.IncarnationMs != Delivery.IncarnationMs;
     if (Endpoint.Facts.Address != Delivery.Order.Address ||
-        Endpoint.Facts.IncarnationMs != Delivery.IncarnationMs)
+        (IsForEarlier && (!Delivery.OutlivesRestart || !Endpoint.WasCalled)) ||
+        Endpoint.DownUntilMs != 0)
       continue;
+    Endpoint.WasCalled |= Delivery.Order.Endpoint == numberOf(Endpoint);
     if (Endpoint.Facts.Id != Delivery.Order.EndpointId) {
       endpoint_answer Answer;
       Answer.Verdict = endpoint_verdict::OtherIncarnation;
@@ -492,6 +531,12 @@
   Answer.ClockMs = clockOf(Endpoint);
   Answer.IncarnationMs = Endpoint.Facts.IncarnationMs;
   Answer.Verdict = endpoint_verdict::Accepted;
+  if (Rates.UnhealthyAnswers > 0 &&
+      std::holds_alternative<start_order>(Order.Body) &&
+      occurs(Rates.UnhealthyAnswers)) {
+    Answer.Verdict = endpoint_verdict::Unhealthy;
+    return Answer;
+  }
   auto Fence = std::visit(
       [](const auto &Body) -> std::uint64_t {
         if constexpr (requires { Body.Fence; })
@@ -524,8 +569,7 @@
     return Answer;
   if (Poll->LeaseExpiryMs)
     extendLease(Endpoint, *Poll->LeaseExpiryMs);
-  std::erase_if(Endpoint.Ends,
-                [&](const end_row &End) { return End.Number <= Poll->Cursor; });
+  confirmEnds(Endpoint, Poll->Cursor);
   for (const auto &[Task, Run] : Endpoint.Running)
     Answer.Running.push_back({Task, Run.Attempt, "c",
                               NowMs >= Run.AvailableMs ? 100u : 50u,
@@ -559,6 +603,8 @@
   }
   core::checkInvariant(DoneRecorded.count(Order.Task) == 0,
                        "no task starts after its completion was recorded");
+  core::checkInvariant(DoneConfirmed.count(Order.Task) == 0,
+                       "no task starts after a confirmed end as done");
   ++Starts;
   fake_run Started;
   Started.Attempt = Order.Attempt;
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -27,13 +27,19 @@
   /// Calls to the platform, executed up to 2.9 s later. Such a call has no
   /// answer when it times out before.
   unsigned SlowCalls = 0;
+  /// Late orders that an endpoint executes although it restarted under the same
+  /// id after they were sent.
+  unsigned OrdersThatOutliveRestarts = 0;
+  /// Starts that an endpoint in bad health refuses without looking at them.
+  unsigned UnhealthyAnswers = 0;
 };
 
 /// Simulates endpoints with leases, fencing tokens and lists of ends, a log
 /// that commits after a delay, changes of leader, and a platform that takes
 /// hosts down for maintenance. Checks after each step that no task runs twice
-/// at the same time, at each start that the task was not recorded as done, and
-/// at each order that ends a long-running task the budget of its step.
+/// at the same time, at each start that the task was not recorded as done, at
+/// each end as done that a cursor confirms that the task did not start after
+/// it, and at each order that ends a long-running task the budget of its step.
 class fake_site {
 public:
   /// \param HasPlatform whether each endpoint runs on a host, `h1` and so on,
@@ -127,6 +133,11 @@
     std::int64_t ChangedMs = 0;
     bool WasEndedByOrder = false; ///< And not available since.
   };
+  struct done_end {
+    task_key Task;
+    std::uint32_t Starts = 0; ///< Of the task, before it ended.
+    std::uint64_t LeaseExpiries = 0;
+  };
   struct fake_endpoint {
     endpoint_facts Facts;
     bool IsReachable = true;
@@ -138,6 +149,12 @@
     std::uint64_t Sequence = 0;
     std::map<task_key, fake_run> Running;
     std::vector<end_row> Ends;
+    /// Ends as done in Ends, by their number.
+    std::map<std::uint64_t, done_end> DoneEnds;
+    bool IsLeaseExpired = false;
+    std::uint64_t LeaseExpiries = 0; ///< So far.
+    /// Received an order that was addressed to this incarnation.
+    bool WasCalled = false;
     std::map<task_key, std::uint32_t> Newest; ///< Ended or stopped attempts.
     std::uint64_t HostFence = 0;              ///< At the platform.
     /// In maintenance or moving until then; Never while in the standby pool.
@@ -158,6 +175,7 @@
     std::uint64_t IncarnationMs = 0; ///< Incarnation that receives it.
     bool IsAnswered = true;
     bool IsLate = false;
+    bool OutlivesRestart = false;
     std::int64_t TimeoutMs = 0; ///< When the order times out.
   };
   struct answer {
@@ -182,6 +200,9 @@
   void advance(fake_endpoint &Endpoint);
   void end(fake_endpoint &Endpoint, const task_key &Task, run_end Outcome);
   void send(order Order);
+  /// \returns the number under which the state knows the endpoint's present
+  /// incarnation, or 0.
+  std::uint32_t numberOf(const fake_endpoint &Endpoint) const;
   void deliver(const delivery &Delivery);
   endpoint_answer execute(fake_endpoint &Endpoint, const order &Order,
                           bool IsLate);
@@ -190,6 +211,8 @@
   void changeCapacity(fake_endpoint &Endpoint);
   /// Checks that what runs on the endpoint fits a capacity that it announced.
   void checkLimit(const fake_endpoint &Endpoint);
+  /// Forgets the ends that the cursor confirms.
+  void confirmEnds(fake_endpoint &Endpoint, std::uint64_t Cursor);
   void extendLease(fake_endpoint &Endpoint, std::uint64_t LeaseExpiryMs) const;
   std::uint64_t clockOf(const fake_endpoint &Endpoint) const;
   void checkRuns();
@@ -230,6 +253,7 @@
   std::vector<answer> Answers;
   std::vector<platform_call> PlatformCalls; ///< Not executed yet.
   std::set<task_key> DoneRecorded;
+  std::set<task_key> DoneConfirmed; ///< To an endpoint, by a cursor.
   bool HasPlatform = false;
   bool IsPlatformAvailable = true;
   std::set<task_key> DeadlyTasks;
--- a/tests/scheduling/test_random_schedule.cpp
+++ b/tests/scheduling/test_random_schedule.cpp
@@ -285,6 +285,24 @@
   simulate(static_cast<std::uint64_t>(Seed), {30, 30, 30, 50});
 }
 
+TEST_CASE("no task runs twice although late orders reach an endpoint that "
+          "restarted under its id after they were sent",
+          "[!shouldfail]") {
+  throwing_invariants Invariants;
+  auto Seed = GENERATE(range(1, 201));
+  INFO("seed " << Seed);
+  simulate(static_cast<std::uint64_t>(Seed), {30, 30, 100, 50, 0, 500});
+}
+
+TEST_CASE("no task runs twice although endpoints in bad health refuse starts "
+          "that an earlier leader sent",
+          "[!shouldfail]") {
+  throwing_invariants Invariants;
+  auto Seed = GENERATE(range(1, 201));
+  INFO("seed " << Seed);
+  simulate(static_cast<std::uint64_t>(Seed), {30, 30, 30, 50, 0, 0, 300});
+}
+
 TEST_CASE("without faults every job completes") {
   throwing_invariants Invariants;
   fake_site Site(3, 1, {});
