Log lists that contradict the verdict on a run

Callers saw tasks start again after they were done. Each way to that ends in a verdict (lost, refused, ended incarnation) on a run that its endpoint lists later, and no line told which verdict, on what evidence and how old: the end was confirmed without a word.

The conversion of run_end to text moves to commands.cpp.

--- a/scheduling/commands.cpp
+++ b/scheduling/commands.cpp
@@ -35,6 +35,13 @@
 
 } // namespace
 
+std::string_view toText(run_end Outcome) {
+  static constexpr std::array<std::string_view, 8> Names{
+      "done",   "failed", "stopped", "lapsed",
+      "broken", "alone",  "refused", "lost"};
+  return Names[static_cast<std::size_t>(Outcome)];
+}
+
 std::string_view toText(end_cause Cause) {
   switch (Cause) {
   case end_cause::Unknown:
--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -141,6 +141,7 @@
                  order_maintenance, record_maintenance, record_host,
                  record_contact, record_deregistration>;
 
+std::string_view toText(run_end Outcome);
 std::string_view toText(end_cause Cause);
 
 /// The commands of one log entry.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -249,6 +249,9 @@
     if (auto Found = TrackedEndpoints.find(End->Endpoint);
         Found != TrackedEndpoints.end()) {
       recordEnd(Found->second, End->Endpoint, End->End, Now);
+      for (const auto &[Key, Run] : Found->second.Runs)
+        recordVerdict(Found->second, Key, Run, run_end::Lost,
+                      toText(End->End.Cause), Now);
       for (const auto &[Key, Run] : Found->second.Runs)
         if (auto Place = EndpointOfRun.find(Key);
             Place != EndpointOfRun.end() && Place->second == End->Endpoint)
@@ -476,10 +479,9 @@
                       {"attempt", Run.Attempt},
                       {"endpoint", Number},
                       {"reason", "lease expired"}});
-      Commands.emplace_back(
-          end_run{Key, Run.Attempt,
-                  Run.mayHaveStarted() ? run_end::Lost : run_end::Refused,
-                  Run.Checkpoint});
+      auto Outcome = Run.mayHaveStarted() ? run_end::Lost : run_end::Refused;
+      recordVerdict(Tracked, Key, Run, Outcome, "lease expired", Now);
+      Commands.emplace_back(end_run{Key, Run.Attempt, Outcome, Run.Checkpoint});
     }
   }
 }
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -17,6 +17,7 @@
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
 #include "scheduling/tracked_endpoint.h"
+#include "scheduling/verdict_log.h"
 #include "scheduling/waiting_index.h"
 
 #include <cstdint>
@@ -278,6 +279,18 @@
   void updateThrottle(tracked_endpoint &Tracked, const endpoint_answer &Answer,
                       core::time_point Now);
 
+  // leader_verdicts.cpp
+  /// Remembers why a run is recorded as ended without an end in a list.
+  void recordVerdict(const tracked_endpoint &Tracked, const task_key &Task,
+                     const tracked_run &Run, run_end Outcome,
+                     std::string_view Reason, core::time_point Now);
+  /// Logs and counts that the endpoint lists a run as running or done although
+  /// it was recorded as ended in another way.
+  /// \param Listed what the list shows, for the log.
+  void checkVerdict(const tracked_endpoint &Tracked, const task_key &Task,
+                    std::uint32_t Attempt, std::string_view Listed,
+                    core::time_point Now);
+
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
@@ -457,6 +470,7 @@
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
   std::map<std::uint64_t, pending_order> PendingOrders;
+  verdict_log Verdicts;
   /// Earliest time of the next placement of tasks whose start was refused.
   std::map<task_key, core::time_point> DeferredTasks;
   /// Ends to propose for runs that certainly did not start.
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -187,6 +187,7 @@
   Run.IsEnded = true;
   UnstartedRuns.push_back(
       {Task, Run.Attempt, run_end::Refused, Run.Checkpoint});
+  recordVerdict(Tracked, Task, Run, run_end::Refused, Why, Now);
   DeferredTasks[Task] = Now + RefusalBackoff;
   Metrics.add("starts_refused_total");
   core::logEvent(core::log_level::Info, "start_refused",
@@ -305,6 +306,8 @@
       if (auto Known = Orphans.find(Row.Task);
           Known != Orphans.end() && Known->second.Attempt == Row.Attempt)
         Orphan = Known->second;
+      else
+        checkVerdict(Tracked, Row.Task, Row.Attempt, "running", Now);
       Orphan.Attempt = Row.Attempt;
       continue;
     }
@@ -355,13 +358,18 @@
   }
   bool HasEnds = false;
   PolledEndpoints.push_back(Tracked.Endpoint);
-  Tracked.LastEndNumber = lastEndNumber(Tracked.LastEndNumber, Answer.Ended);
+  auto LastListed =
+      std::exchange(Tracked.LastEndNumber,
+                    lastEndNumber(Tracked.LastEndNumber, Answer.Ended));
   for (const auto &Row : Answer.Ended) {
     if (Row.Number > Tracked.LastEndNumber)
       continue;
     auto Found = Tracked.Runs.find(Row.Task);
-    if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt)
+    if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt) {
+      if (Row.Outcome == run_end::Done && Row.Number > LastListed)
+        checkVerdict(Tracked, Row.Task, Row.Attempt, "done", Now);
       continue;
+    }
     Present.insert(Row.Task);
     if (std::exchange(Found->second.IsEnded, true))
       continue;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -98,13 +98,6 @@
   return "unknown";
 }
 
-std::string_view toText(run_end Outcome) {
-  static constexpr std::array<std::string_view, 8> Names{
-      "done",   "failed", "stopped", "lapsed",
-      "broken", "alone",  "refused", "lost"};
-  return Names[static_cast<std::size_t>(Outcome)];
-}
-
 std::string_view toText(job_state JobState) {
   static constexpr std::array<std::string_view, 5> Names{
       "queued", "running", "complete", "failed", "cancelled"};
