Do not avoid hosts that crash together with many others

Callers saw accepted work wait for up to 15 s, or fail to run, after a second crash of many endpoints of a pool: each host had crashed twice within 30 s and got no new work, in the worst case all hosts of the pool. Crashes of three hosts or more within 2 s no longer count against these hosts.

--- a/scheduling/host_crash_log.h
+++ b/scheduling/host_crash_log.h
@@ -17,7 +17,8 @@
 /// Designed for hosts whose endpoints crash again and again, beside tasks that
 /// crash the endpoints of any host: crashes count against a host only while no
 /// single task ran at all of them, and not after a task that was given up
-/// explains them.
+/// explains them. Crashes of many hosts within moments count against none of
+/// them: a pool that crashed as a whole twice was avoided as a whole for 15 s.
 class host_crash_log {
 public:
   /// Records a crash.
@@ -32,6 +33,10 @@
     return !Crashes.empty() && hasCrashLoop(Host, Now);
   }
 
+  /// \returns whether an endpoint on the host crashed lately, not together with
+  /// many others.
+  bool hasCrashed(const std::string &Host, core::time_point Now) const;
+
 private:
   bool hasCrashLoop(const std::string &Host, core::time_point Now) const;
 
@@ -39,7 +44,10 @@
     std::uint32_t Endpoint = 0;
     std::set<task_key> Tasks;
     core::time_point At{};
+    bool IsOfMany = false; ///< Many hosts crashed at the same time.
   };
+  /// Marks the newest crashes when they are many.
+  void markMassCrash(core::time_point Now);
   std::map<std::string, std::vector<crash>> Crashes; ///< By host, recent ones.
 };
 
--- a/tests/scheduling/test_crash_quarantine.cpp
+++ b/tests/scheduling/test_crash_quarantine.cpp
@@ -179,3 +179,23 @@
   Log.forgive(2);
   CHECK(!Log.isAvoided("h1", at(2s)));
 }
+
+// After a second crash of a whole pool no host accepted work for 15 s.
+TEST_CASE("hosts that crash together with many others are not avoided") {
+  host_crash_log Log;
+  const task_key First{"a", 0, 0, 0};
+  const task_key Second{"b", 0, 0, 0};
+  const std::vector<std::string> Hosts{"h1", "h2", "h3"};
+  for (const auto &Host : Hosts)
+    Log.record(Host, 1, {First}, at(1s));
+  for (const auto &Host : Hosts)
+    Log.record(Host, 2, {Second}, at(10s));
+  CHECK(!Log.isAvoided("h1", at(11s)));
+  CHECK(!Log.hasCrashed("h1", at(11s)));
+  // Crashes of its own still count.
+  Log.record("h1", 3, {First}, at(20s));
+  CHECK(Log.hasCrashed("h1", at(20s)));
+  Log.record("h1", 4, {Second}, at(25s));
+  CHECK(Log.isAvoided("h1", at(26s)));
+  CHECK(!Log.isAvoided("h2", at(26s)));
+}
