Bound the wait of suspect tasks for a trial

Callers saw accepted work run many seconds late or never again after many endpoints of a pool crashed at once. All their tasks are suspects; these were tried one of a job at a time on a third of the pool, and nothing bounded their wait, nor that of other tasks for reserved endpoints.

A suspect that could run and has waited 2 s starts beside other runs, if possible on an endpoint without a suspect of the same crash, then on a host that did not crash lately. Reservations end when they have held up other tasks of the pool for 2 s. suspects_waiting and waits_for=trial name the wait.

--- a/scheduling/crash_quarantine.cpp
+++ b/scheduling/crash_quarantine.cpp
@@ -16,9 +16,6 @@
 // other tasks: trials of long-running tasks last seconds and hold up the
 // others.
 constexpr std::size_t MinTrials = 2;
-// A reserved endpoint that is not empty after this time is used as it is: a
-// task may not wait for the end of long runs.
-constexpr core::duration MaxReservation = std::chrono::seconds(3);
 // Added to twice the time that a suspect ran before: polls show a crash up to
 // this much later.
 constexpr std::int64_t TrialMarginMs = 1000;
@@ -49,21 +46,66 @@
   return milliseconds(std::min(2 * RanMs + TrialMarginMs, SoundRunMs));
 }
 
+void crash_quarantine::updateWaits(
+    std::span<const quarantine_endpoint> Endpoints,
+    std::span<const quarantined_task> Tasks,
+    const std::function<bool(const task_key &, std::uint32_t)> &MayRun,
+    core::time_point Now) {
+  auto Earlier = std::exchange(Waits, {});
+  auto WasSpread = std::exchange(Spread, {});
+  for (const auto &Task : Tasks) {
+    if (!Task.Endpoints.empty()) {
+      if (WasSpread.count(Task.Task) > 0)
+        Spread.insert(Task.Task);
+      continue;
+    }
+    bool CouldRun = std::any_of(Endpoints.begin(), Endpoints.end(),
+                                [&](const quarantine_endpoint &Endpoint) {
+                                  return MayRun(Task.Task, Endpoint.Endpoint);
+                                });
+    if (!CouldRun)
+      continue;
+    auto Known = Earlier.find(Task.Task);
+    bool IsKnown =
+        Known != Earlier.end() && Known->second.Attempt == Task.Attempt;
+    auto Since = IsKnown ? Known->second.Since : Now;
+    Waits[Task.Task] = {Task.Attempt, Since};
+    if (Now - Since >= MaxTrialWait)
+      Spread.insert(Task.Task);
+  }
+}
+
 quarantine_plan crash_quarantine::plan(
     std::span<const quarantine_endpoint> Endpoints,
     std::span<const quarantined_task> Tasks,
     const std::function<bool(const task_key &, std::uint32_t)> &MayRun,
     core::time_point Now) {
+  updateWaits(Endpoints, Tasks, MayRun, Now);
   quarantine_plan Plan;
+  for (const auto &[Task, Wait] : Waits)
+    Plan.OldestWait = std::max(Plan.OldestWait, Now - Wait.Since);
+  auto Others = Endpoints.empty() ? 0 : Endpoints.size() - 1;
+  auto Limit = std::max({Endpoints.size() / MaxShareDivisor,
+                         std::min(MinTrials, Others), std::size_t(1)});
   // One task of a job at a time: its tasks often share the fault.
   std::set<std::string> Jobs;
   std::vector<const quarantined_task *> Waiting;
   for (const auto &Task : Tasks) {
+    Plan.Waiting += Task.Endpoints.empty();
+    if (Spread.count(Task.Task) > 0) {
+      if (Task.Endpoints.empty())
+        Plan.Spread.insert(Task.Task);
+      continue;
+    }
     if (Task.Endpoints.empty()) {
       Waiting.push_back(&Task);
       continue;
     }
     Jobs.insert(Task.Task.Job);
+    // A new leader does not know which tasks were spread.
+    if (Plan.Reserved.size() >= Limit)
+      continue;
+    ++Plan.OnTrial;
     Plan.Reserved.insert(Task.Endpoints.begin(), Task.Endpoints.end());
   }
   // The task that crashed an endpoint is usually the one started last.
@@ -72,10 +114,11 @@
               return std::tie(Left->RanMs, Left->Task) <
                      std::tie(Right->RanMs, Right->Task);
             });
-  auto Others = Endpoints.empty() ? 0 : Endpoints.size() - 1;
-  auto Limit = std::max({Endpoints.size() / MaxShareDivisor,
-                         std::min(MinTrials, Others), std::size_t(1)});
   auto Earlier = std::exchange(Reservations, {});
+  WithoutTrial.clear();
+  for (const auto *Task : Waiting)
+    if (Waits.count(Task->Task) > 0)
+      WithoutTrial.insert(Task->Task);
   for (const auto *Task : Waiting) {
     if (Plan.Reserved.size() >= Limit)
       break;
@@ -90,32 +133,43 @@
     };
     const auto *Fewest = *std::min_element(Free.begin(), Free.end(), ByRuns);
     const quarantine_endpoint *Reserved = nullptr;
-    auto Since = Now;
     if (Fewest->Runs > 0) {
       auto Old = Earlier.find(Task->Task);
       for (const auto *Endpoint : Free) {
         if (Endpoint->LongRunning > 0)
           continue;
-        bool IsOld =
-            Old != Earlier.end() && Old->second.Endpoint == Endpoint->Endpoint;
+        bool IsOld = Old != Earlier.end() && Old->second == Endpoint->Endpoint;
         if (IsOld || !Reserved || Endpoint->Runs < Reserved->Runs)
           Reserved = Endpoint;
-        if (IsOld) {
-          Since = Old->second.Since;
+        if (IsOld)
           break;
-        }
       }
     }
     // Without an endpoint that becomes empty soon the task starts beside the
     // fewest other runs.
     const auto *Chosen = Reserved ? Reserved : Fewest;
     Plan.Reserved.insert(Chosen->Endpoint);
-    if (Reserved)
-      Reservations[Task->Task] = {Reserved->Endpoint, Since};
-    if (!Reserved || Now - Since >= MaxReservation)
+    if (Reserved) {
+      Reservations[Task->Task] = Reserved->Endpoint;
+    } else {
       Plan.Starts[Task->Task] = Chosen->Endpoint;
+      WithoutTrial.erase(Task->Task);
+    }
   }
+  if (HeldUpSince && Now - *HeldUpSince >= MaxTrialWait)
+    Plan.Reserved.clear();
   return Plan;
 }
 
+void crash_quarantine::recordPlacement(bool IsHeldUp, core::time_point Now) {
+  if (!IsHeldUp)
+    HeldUpSince.reset();
+  else if (!HeldUpSince)
+    HeldUpSince = Now;
+}
+
+bool crash_quarantine::waitsForTrial(const task_key &Task) const {
+  return WithoutTrial.count(Task) > 0;
+}
+
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -604,8 +604,11 @@
   Waiting.update(WallMs);
   Metrics.add("placement_jobs_examined_total",
               Waiting.examinedJobs() - ExaminedBefore);
-  if (Waiting.pools().empty())
+  if (Waiting.pools().empty()) {
+    for (auto &[Pool, Quarantine] : Quarantines)
+      Quarantine.recordPlacement(false, Now);
     return;
+  }
   std::set<std::string_view> Pools;
   for (const auto &[Pool, Steps] : Waiting.pools())
     Pools.insert(Pool);
@@ -632,6 +635,12 @@
       return Found == Suspects.end() ? std::nullopt
                                      : std::optional(Found->second);
     };
+  Request.CrashesOf = [&](const task_key &Key) { return crashesOf(Key); };
+  Request.HostRisk = [&](const task_key &Key, std::uint32_t Endpoint) {
+    return hostRisk(Key, Endpoint, Now);
+  };
+  std::set<std::string> HeldUp;
+  Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(
            Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
@@ -639,6 +648,8 @@
     Placed.insert(Placement.Start.Task);
     Commands.emplace_back(std::move(Placement.Start));
   }
+  for (auto &[Pool, Quarantine] : Quarantines)
+    Quarantine.recordPlacement(HeldUp.count(Pool) > 0, Now);
   recordUnplaceableTasks(Placed, Now);
 }
 
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -105,8 +105,8 @@
   /// Called regularly; the time since when a task is unserved is that of the
   /// first call that found it so.
   /// \param IsBatchOpen whether decisions of this leader are not committed yet.
-  /// \returns the long-running tasks that are not at work, and what each of
-  /// them waits for.
+  /// \returns the long-running tasks that are not at work, the suspect tasks
+  /// that wait for a run, and what each of them waits for.
   std::vector<unserved_task> unservedTasks(core::time_point Now,
                                            bool IsBatchOpen);
 
@@ -385,10 +385,21 @@
   /// Decides where suspect tasks may start, and reserves endpoints for them.
   /// \param Targets the endpoints that accept new runs.
   /// \returns for each waiting suspect task the endpoint on which it may start
-  /// now, or 0; all suspect members of a gang have the same endpoint.
+  /// now, AnyEndpoint, or 0; all suspect members of a gang have the same one.
   std::unordered_map<task_key, std::uint32_t, task_key_hash>
   planSuspects(std::span<placement_target *const> Targets,
                core::time_point Now);
+  /// Logs, at most once a second and pool, that suspects wait.
+  void logSuspects(const std::string &Pool, const quarantine_plan &Plan,
+                   core::time_point Now);
+  /// \returns the incarnations that crashed under the task.
+  std::vector<std::uint32_t> crashesOf(const task_key &Key) const;
+  /// \returns 2 when the endpoint's host crashed under the suspect, 1 when it
+  /// crashed lately, or 0.
+  std::uint32_t hostRisk(const task_key &Key, std::uint32_t Endpoint,
+                         core::time_point Now) const;
+  /// \returns whether the task waits for a trial.
+  bool waitsForTrial(const task_key &Key, const job_record &Job) const;
   /// \returns whether the running suspect may not have neighbours yet.
   bool isOnTrial(const task_key &Key, const suspect_record &Suspect,
                  const task_record &Task, core::time_point Now) const;
@@ -477,9 +488,11 @@
   std::vector<unplanned_end> UnplannedEnds; ///< Recent ones.
   host_crash_log HostCrashes;
   std::map<std::string, crash_quarantine> Quarantines; ///< By pool.
-  bool HasReservations = false;  ///< Some target may be marked as reserved.
+  bool HasSuspectMarks = false; ///< Some target may be reserved or hold some.
+  /// By pool, when a line about its suspects may be logged again.
+  std::map<std::string, core::time_point> NextSuspectLog;
   std::size_t PendingStarts = 0; ///< Start orders without a result.
-  /// Since when long-running tasks are not at work, by task.
+  /// Since when the tasks of unservedTasks() are not at work, by task.
   std::map<task_key, core::time_point> UnservedSince;
   host_inventory Hosts;
   demand_forecaster Demand;
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -21,6 +21,8 @@
 // leaders had contact with. Without runs it would have been removed by then.
 constexpr core::duration UnknownSilence = std::chrono::seconds(30);
 
+constexpr core::duration SuspectLogInterval = std::chrono::seconds(1);
+
 std::uint32_t toMs(core::duration Duration) {
   auto Count = std::chrono::duration_cast<milliseconds>(Duration).count();
   return static_cast<std::uint32_t>(
@@ -110,13 +112,20 @@
 leader::planSuspects(std::span<placement_target *const> Targets,
                      core::time_point Now) {
   std::unordered_map<task_key, std::uint32_t, task_key_hash> Places;
-  if (std::exchange(HasReservations, false))
-    for (auto &[Number, Tracked] : TrackedEndpoints)
+  if (std::exchange(HasSuspectMarks, false))
+    for (auto &[Number, Tracked] : TrackedEndpoints) {
       Tracked.FreeCapacity.IsReserved = false;
+      Tracked.FreeCapacity.SuspectRuns.clear();
+    }
   if (State.suspectJobs().empty()) {
     Quarantines.clear();
+    NextSuspectLog.clear();
     return Places;
   }
+  HasSuspectMarks = true;
+  std::unordered_map<std::uint32_t, placement_target *> TargetOf;
+  for (auto *Target : Targets)
+    TargetOf[Target->Endpoint] = Target;
   // The suspect members of a gang are one task here.
   std::map<std::string, std::map<task_key, quarantined_task>> Pools;
   std::vector<std::pair<task_key, task_key>> Members;
@@ -127,6 +136,9 @@
       const auto *Task = State.findTask(Key);
       if (!Suspect.isSuspect() || !Task || Task->IsDone)
         continue;
+      if (auto Target = TargetOf.find(Task->Endpoint); Target != TargetOf.end())
+        for (const auto &Crash : Suspect.Crashes)
+          ++Target->second->SuspectRuns[Crash.Incarnation];
       // A trial would keep a long-running task away for seconds, which counts
       // against its budget; its crashes are counted all the same.
       if (Job.Spec.Steps[Key.Step].IsLongRunning)
@@ -139,6 +151,7 @@
       auto [Entry, IsNew] = Pools[Job.Pool].try_emplace(Unit);
       auto &Quarantined = Entry->second;
       Quarantined.Task = Unit;
+      Quarantined.Attempt = std::max(Quarantined.Attempt, Task->Attempt);
       Quarantined.RanMs =
           IsNew ? Suspect.RanMs : std::min(Quarantined.RanMs, Suspect.RanMs);
       for (const auto &Crash : Suspect.Crashes)
@@ -153,13 +166,11 @@
   }
   for (auto &[Pool, Tasks] : Pools) {
     std::vector<quarantine_endpoint> Endpoints;
-    std::unordered_map<std::uint32_t, placement_target *> TargetOf;
     for (auto *Target : Targets)
       if (Target->Pool == Pool) {
         auto &Endpoint = State.endpoints().find(Target->Endpoint)->second;
         Endpoints.push_back({Target->Endpoint, hostOf(Endpoint), Target->Runs,
                              Target->LongRunning});
-        TargetOf[Target->Endpoint] = Target;
       }
     std::vector<quarantined_task> List;
     for (auto &[Key, Task] : Tasks)
@@ -171,17 +182,68 @@
         },
         Now);
     for (auto Endpoint : Plan.Reserved)
-      if (auto Found = TargetOf.find(Endpoint); Found != TargetOf.end()) {
+      if (auto Found = TargetOf.find(Endpoint); Found != TargetOf.end())
         Found->second->IsReserved = true;
-        HasReservations = true;
-      }
-    for (const auto &[Key, Unit] : Members)
+    for (const auto &[Key, Unit] : Members) {
       if (auto Start = Plan.Starts.find(Unit); Start != Plan.Starts.end())
         Places[Key] = Start->second;
+      else if (Plan.Spread.count(Unit) > 0)
+        Places[Key] = AnyEndpoint;
+    }
+    logSuspects(Pool, Plan, Now);
   }
+  std::erase_if(Quarantines,
+                [&](const auto &Item) { return Pools.count(Item.first) == 0; });
   return Places;
 }
 
+void leader::logSuspects(const std::string &Pool, const quarantine_plan &Plan,
+                         core::time_point Now) {
+  auto &Next = NextSuspectLog[Pool];
+  if (Plan.Waiting == 0 || Now < Next)
+    return;
+  Next = Now + SuspectLogInterval;
+  Metrics.add("suspects_waiting_lines_total{pool=\"" + Pool + "\"}");
+  core::logEvent(core::log_level::Info, "suspects_waiting",
+                 {{"pool", Pool},
+                  {"waiting", Plan.Waiting},
+                  {"oldest_wait_ms", toMs(Plan.OldestWait)},
+                  {"on_trial", Plan.OnTrial},
+                  {"spread", Plan.Spread.size()},
+                  {"reserved", Plan.Reserved.size()}});
+}
+
+std::vector<std::uint32_t> leader::crashesOf(const task_key &Key) const {
+  std::vector<std::uint32_t> Incarnations;
+  if (const auto *Job = State.findJob(Key.Job))
+    if (const auto *Suspect = Job->findSuspect(Key))
+      for (const auto &Crash : Suspect->Crashes)
+        Incarnations.push_back(Crash.Incarnation);
+  return Incarnations;
+}
+
+std::uint32_t leader::hostRisk(const task_key &Key, std::uint32_t Endpoint,
+                               core::time_point Now) const {
+  const auto &Host = hostOf(State.endpoints().find(Endpoint)->second);
+  if (Host.empty())
+    return 0;
+  const auto *Suspect = State.findJob(Key.Job)->findSuspect(Key);
+  if (Suspect && std::any_of(Suspect->Crashes.begin(), Suspect->Crashes.end(),
+                             [&](const crash_record &Crash) {
+                               return Crash.Host == Host;
+                             }))
+    return 2;
+  return HostCrashes.hasCrashed(Host, Now) ? 1 : 0;
+}
+
+bool leader::waitsForTrial(const task_key &Key, const job_record &Job) const {
+  auto Unit = Key;
+  if (Job.Spec.Steps[Key.Step].IsGang)
+    Unit.Index = 0;
+  auto Found = Quarantines.find(Job.Pool);
+  return Found != Quarantines.end() && Found->second.waitsForTrial(Unit);
+}
+
 bool leader::isOnTrial(const task_key &Key, const suspect_record &Suspect,
                        const task_record &Task, core::time_point Now) const {
   auto Tracked = TrackedEndpoints.find(Task.Endpoint);
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -49,6 +49,8 @@
                     });
     if (!HasEndpoint)
       return "endpoint";
+    if (waitsForTrial(Task, Job))
+      return "trial";
     return IsBatchOpen ? "commit_of_decisions" : "capacity";
   }
   auto Tracked = TrackedEndpoints.find(Record.Endpoint);
@@ -118,6 +120,21 @@
         }
       }
   }
+  for (const auto &Id : State.suspectJobs()) {
+    const auto &Job = *State.findJob(Id);
+    for (const auto &Suspect : Job.Suspects) {
+      task_key Key{Id, Suspect.Occurrence, Suspect.Step, Suspect.Index};
+      const auto *Record = State.findTask(Key);
+      if (!Suspect.isSuspect() || !Record || !Record->isWaiting() ||
+          Job.Spec.Steps[Key.Step].IsLongRunning)
+        continue;
+      auto Known = UnservedSince.find(Key);
+      auto Begin = Known == UnservedSince.end() ? Now : Known->second;
+      Since.emplace(Key, Begin);
+      Result.push_back(
+          {Key, Now - Begin, 0, waitsFor(Key, *Record, Job, IsBatchOpen, Now)});
+    }
+  }
   UnservedSince = std::move(Since);
   return Result;
 }
--- a/scheduling/leader_load.h
+++ b/scheduling/leader_load.h
@@ -25,7 +25,7 @@
   std::size_t SuspectEndpoints = 0;
 };
 
-/// A long-running task that is not at work.
+/// A long-running task that is not at work, or a suspect task without a run.
 struct unserved_task {
   task_key Task;
   core::duration Since{};     ///< How long it has not been at work.
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -118,10 +118,13 @@
       if (!Target && Only)
         continue;
       if (!Target) {
+        if (Request.RecordHeldUp &&
+            choose(Waiting, Spec, Key, Pool, "", AnyEndpoint))
+          Request.RecordHeldUp(Waiting.Job->Pool);
         ++FailedPlacements[Waiting.Job->Pool];
         return;
       }
-      commit(Spec, Key, Tasks[Index].Attempt + 1, *Target);
+      commit(Spec, Key, Tasks[Index].Attempt + 1, *Target, Only.has_value());
     }
   }
 
@@ -159,8 +162,14 @@
         *Pool[Index] = Saved[Index];
       Placements.resize(SavedCount);
     }
-    if (!HasSuspect)
-      ++FailedPlacements[Waiting.Job->Pool];
+    if (HasSuspect)
+      return;
+    ++FailedPlacements[Waiting.Job->Pool];
+    if (Request.RecordHeldUp &&
+        std::any_of(Pool.begin(), Pool.end(), [&](const auto *Target) {
+          return Target->IsReserved && fits(Target->Free, reservedSize(Spec));
+        }))
+      Request.RecordHeldUp(Waiting.Job->Pool);
   }
 
   std::optional<std::uint32_t> endpointFor(const waiting_step &Waiting,
@@ -223,7 +232,7 @@
         Target = choose(Waiting, Spec, Key, Pool, Rack, std::nullopt);
       if (!Target)
         return false;
-      commit(Spec, Key, Attempt, *Target);
+      commit(Spec, Key, Attempt, *Target, Only.has_value());
     }
     return true;
   }
@@ -238,7 +247,8 @@
     return Racks;
   }
 
-  /// \param Only the endpoint that is reserved for the task, or nothing.
+  /// \param Only the endpoint that is reserved for the task, AnyEndpoint for a
+  /// suspect that is spread, or nothing.
   placement_target *choose(const waiting_step &Waiting, const step_spec &Spec,
                            const task_key &Key, const target_list &Pool,
                            const std::string &Rack,
@@ -247,10 +257,14 @@
     std::string Step;
     if (Spec.MaxPerEndpoint > 0)
       Step = stepKey(Key);
+    bool IsSpread = Only == AnyEndpoint;
+    std::vector<std::uint32_t> Crashes;
+    if (IsSpread && Request.CrashesOf)
+      Crashes = Request.CrashesOf(Key);
     placement_target *Best = nullptr;
-    std::int64_t BestCost = 0;
+    target_cost BestCost;
     for (auto *Target : Pool) {
-      if (Only ? Target->Endpoint != *Only : Target->IsReserved)
+      if (!IsSpread && (Only ? Target->Endpoint != *Only : Target->IsReserved))
         continue;
       if (!fits(Target->Free, Size))
         continue;
@@ -262,7 +276,13 @@
       }
       if (!isEligible(Waiting, Spec, Key, *Target, Rack))
         continue;
-      auto Cost = costOf(Spec, *Target);
+      target_cost Cost;
+      if (IsSpread)
+        Cost = {Target->IsReserved, countSharedCrashes(*Target, Crashes),
+                Request.HostRisk ? Request.HostRisk(Key, Target->Endpoint) : 0,
+                Target->Runs, 0};
+      else
+        Cost.Fit = costOf(Spec, *Target);
       if (!Best || Cost < BestCost) {
         Best = Target;
         BestCost = Cost;
@@ -271,6 +291,30 @@
     return Best;
   }
 
+  /// Compared member by member.
+  struct target_cost {
+    bool IsReserved = false;
+    std::uint64_t SharedCrashes = 0;
+    std::uint32_t HostRisk = 0;
+    std::uint32_t Runs = 0;
+    std::int64_t Fit = 0;
+    // NOLINTNEXTLINE(readability-identifier-naming): see task_key.
+    auto operator<=>(const target_cost &) const = default;
+  };
+
+  /// \returns how often a crash of a suspect is that of a suspect run on the
+  /// endpoint.
+  static std::uint64_t
+  countSharedCrashes(const placement_target &Target,
+                     std::span<const std::uint32_t> Crashes) {
+    std::uint64_t Count = 0;
+    for (auto Incarnation : Crashes)
+      if (auto Found = Target.SuspectRuns.find(Incarnation);
+          Found != Target.SuspectRuns.end())
+        Count += Found->second;
+    return Count;
+  }
+
   static std::int64_t costOf(const step_spec &Spec,
                              const placement_target &Target) {
     // Each weight exceeds the sum of all later ones.
@@ -296,7 +340,10 @@
   }
 
   void commit(const step_spec &Spec, const task_key &Key, std::uint32_t Attempt,
-              placement_target &Target) {
+              placement_target &Target, bool IsSuspect) {
+    if (IsSuspect && Request.CrashesOf)
+      for (auto Incarnation : Request.CrashesOf(Key))
+        ++Target.SuspectRuns[Incarnation];
     auto Size = reservedSize(Spec);
     subtract(Target.Free, Size);
     Target.LatencySensitiveRuns += Spec.TargetMs > 0;
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -29,6 +30,9 @@
   bool IsReserved = false;
   /// Number of runs by stepKey(), for steps with a limit per endpoint.
   std::map<std::string, std::uint32_t> RunsByStep;
+  /// Number of suspect runs on it by the crashed incarnations that made them
+  /// suspects.
+  std::map<std::uint32_t, std::uint32_t> SuspectRuns;
 };
 
 /// Sum of the resources that runs reserve. It may exceed a capacity that has
@@ -57,6 +61,10 @@
   resource_amounts Size;
 };
 
+/// Stands for any endpoint in placement_request::EndpointFor.
+inline constexpr std::uint32_t AnyEndpoint =
+    std::numeric_limits<std::uint32_t>::max();
+
 /// Limits and callbacks of one round of placement.
 struct placement_request {
   std::size_t MaxStarts = 0; ///< Limit of placements; a gang may exceed it.
@@ -68,8 +76,17 @@
   std::function<bool(const task_key &, const job_record &, std::uint32_t)>
       IsAllowed;
   /// \returns the endpoint on which a suspect task may start, 0 when it has to
-  /// wait, or nothing for a task that is no suspect. May be empty.
+  /// wait, AnyEndpoint when it may start beside other runs, or nothing for a
+  /// task that is no suspect. May be empty.
   std::function<std::optional<std::uint32_t>(const task_key &)> EndpointFor;
+  /// \returns the incarnations that crashed under a suspect task. May be empty.
+  std::function<std::vector<std::uint32_t>(const task_key &)> CrashesOf;
+  /// \returns how likely the endpoint's host crashes by itself under the
+  /// suspect task, 0 when nothing points to it. May be empty.
+  std::function<std::uint32_t(const task_key &, std::uint32_t)> HostRisk;
+  /// Called with each pool in which a task that is no suspect fits only an
+  /// endpoint that is reserved. May be empty.
+  std::function<void(const std::string &)> RecordHeldUp;
 };
 
 /// \returns the key of the task's step in placement_target::RunsByStep.
