Keep long-running tasks at work when their job is given up

Callers saw long-running tasks at work ended by the leader although the budget of their step was used up, several within milliseconds.

Cause: the verdict on one task that was near crashes fails its job, and all runs of the job were stopped at once, without a budget and without a line run_stop_sent. The simulated site did not count these stops, because it exempted every job that is over; the users exempt only cancelled ones.

Changes: - The long-running tasks of such a job that are at work go on until the job is cancelled or no longer kept. Others are stopped at once, after a poll when it is not known whether they are at work.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -128,7 +128,8 @@
       stopRunsOf(Job, Now);
 }
 
-void leader::stopRunsOf(const job_record &Job, core::time_point Now) {
+void leader::stopRunsOf(const job_record &Job, core::time_point Now,
+                        bool IsFinal) {
   for (const auto &Occurrence : Job.OpenOccurrences)
     for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
       const auto &Tasks = Occurrence.Steps[Step].Tasks;
@@ -140,7 +141,10 @@
             Tracked.Runs.find({Job.Spec.Id, Occurrence.Number, Step, Index});
         if (Run == Tracked.Runs.end())
           continue;
-        beginStop(Run->second, stop_reason::JobOver, Now);
+        if (IsFinal || !keepsTasksAtWork(Job, Step))
+          beginStop(Run->second, stop_reason::JobOver, Now);
+        else
+          keepAtWork(Run->second, Now);
         markDue(Tracked);
       }
     }
@@ -404,6 +408,7 @@
     collectStarts(Commands, Now, WallMs);
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
+    stopForgottenRuns(Now, WallMs);
     Ranks.prune(WallMs);
     Advice.prune(Now);
     pruneCandidates(Now);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -174,7 +174,10 @@
   /// step, for example because it no longer keeps the job.
   const step_spec *findStep(const task_key &Task) const;
   void removeRun(const task_key &Task, std::uint32_t Attempt);
-  void stopRunsOf(const job_record &Job, core::time_point Now);
+  /// Stops the runs of a job that is over.
+  /// \param IsFinal whether also those that keepsTasksAtWork() spares.
+  void stopRunsOf(const job_record &Job, core::time_point Now,
+                  bool IsFinal = false);
   /// Makes the next takeOrders() send a stop of the run.
   static void beginStop(tracked_run &Run, stop_reason Reason,
                         core::time_point Now);
@@ -366,6 +369,23 @@
   void logInterruptions(const tracked_endpoint &Tracked,
                         const std::string &Host, core::time_point Now) const;
 
+  // leader_stops.cpp
+  /// \returns whether tasks of the step that are at work go on although the
+  /// job is over: it was given up because of crashes near one of its tasks.
+  /// The verdict may be wrong, and the other tasks serve their callers, so only
+  /// the caller's cancellation ends them at once.
+  static bool keepsTasksAtWork(const job_record &Job, std::uint32_t Step);
+  /// Makes the next poll tell whether the run is at work before it is stopped.
+  static void verifyStart(tracked_run &Run, core::time_point Now);
+  /// Leaves the run of such a step at work, or ends it if it is not at work.
+  static void keepAtWork(tracked_run &Run, core::time_point Now);
+  /// Stops what keepsTasksAtWork() spared when the job is no longer kept.
+  void stopForgottenRuns(core::time_point Now, std::int64_t WallMs);
+  /// Logs the stop of a run that the endpoint lists although it is not assigned
+  /// to it.
+  void logOrphanStop(const tracked_endpoint &Tracked, const task_key &Key,
+                     const orphaned_run &Run, core::time_point Now) const;
+
   // leader_crashes.cpp
   /// \returns what is known about the end of an incarnation that has ended.
   incarnation_end endOf(const endpoint_record &Endpoint,
--- a/scheduling/leader_budget.cpp
+++ b/scheduling/leader_budget.cpp
@@ -75,7 +75,8 @@
                             core::time_point Now) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Step = findStep(Task);
-  if (!Step || isOver(Job->State) || !Step->IsLongRunning)
+  if (!Step || !Step->IsLongRunning ||
+      (isOver(Job->State) && !keepsTasksAtWork(*Job, Task.Step)))
     return true;
   return countPeers(Task, Interruption, Now).Unavailable <
          std::max(1u, Step->MaxUnavailable);
@@ -198,7 +199,7 @@
                      const tracked_run &Run, core::time_point Now) const {
   const auto *Job = State.findJob(Key.Job);
   const auto *Step = findStep(Key);
-  if (!Step || !Step->IsLongRunning || isOver(Job->State))
+  if (!Step || !Step->IsLongRunning)
     return;
   bool IsDraining = Run.StopReason == stop_reason::Draining;
   auto Peers = countPeers(
@@ -211,6 +212,8 @@
        {"attempt", Run.Attempt},
        {"endpoint", Tracked.Endpoint},
        {"reason", toText(Run.StopReason)},
+       {"job_over", isOver(Job->State)},
+       {"given_up", Job->GivenUp.has_value()},
        {"drain_near_end", IsDraining && isDrainNearEnd(Tracked, Now)},
        {"percent", Run.Percent},
        {"peers_unavailable", Peers.Unavailable},
@@ -226,7 +229,8 @@
   for (const auto &[Key, Run] : Tracked.Runs) {
     const auto *Job = State.findJob(Key.Job);
     const auto *Step = findStep(Key);
-    if (!Step || !Step->IsLongRunning || isOver(Job->State))
+    if (!Step || !Step->IsLongRunning ||
+        (isOver(Job->State) && !keepsTasksAtWork(*Job, Key.Step)))
       continue;
     auto Peers = countPeers(Key, interruption::Endpoint, Now);
     core::logEvent(core::log_level::Info, "run_interruption_sent",
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -141,12 +141,7 @@
     if (Now < Run.NextStop)
       continue;
     Run.NextStop = Now + ResendInterval;
-    core::logEvent(core::log_level::Warning, "orphan_stop_sent",
-                   {{"job", Key.Job},
-                    {"step", Key.Step},
-                    {"index", Key.Index},
-                    {"attempt", Run.Attempt},
-                    {"endpoint", Tracked.Endpoint}});
+    logOrphanStop(Tracked, Key, Run, Now);
     addOrder(Orders, &Tracked, stop_order{Key, Run.Attempt, Fence},
              OrderTimeout, Now);
   }
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -306,6 +306,7 @@
           Known != Orphans.end() && Known->second.Attempt == Row.Attempt)
         Orphan = Known->second;
       Orphan.Attempt = Row.Attempt;
+      Orphan.Percent = Row.Percent;
       continue;
     }
     auto &Run = Found->second;
@@ -321,7 +322,8 @@
     // Its start may have been executed late by a later incarnation than the one
     // at which it was stopped when the job ended.
     const auto *Owner = State.findJob(Row.Task.Job);
-    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State)) {
+    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State) &&
+        (Row.Percent < 100 || !keepsTasksAtWork(*Owner, Row.Task.Step))) {
       beginStop(Run, stop_reason::JobOver, Now);
       continue;
     }
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -188,9 +188,16 @@
   auto Found = Jobs.find(Command.Job);
   if (Found == Jobs.end())
     return apply_outcome::NoSuchJob;
-  if (isOver(Found->second.State))
-    return apply_outcome::Unchanged;
-  finishJob(Found->second, job_state::Cancelled);
+  auto &Job = Found->second;
+  if (isOver(Job.State)) {
+    // The long-running tasks of a job that was given up go on until it is
+    // cancelled; a later leader has to know that it was.
+    if (!Job.GivenUp || Job.State != job_state::Failed || Job.RunsLeft == 0)
+      return apply_outcome::Unchanged;
+    Job.State = job_state::Cancelled;
+    return apply_outcome::Accepted;
+  }
+  finishJob(Job, job_state::Cancelled);
   return apply_outcome::Accepted;
 }
 
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -78,6 +78,7 @@
 /// assigned to it. It is stopped and takes up capacity until it is not listed.
 struct orphaned_run {
   std::uint32_t Attempt = 0;
+  std::uint32_t Percent = 0;   ///< Progress.
   core::time_point NextStop{}; ///< Earliest time of the next stop order.
 };
 
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -25,7 +25,8 @@
 constexpr int NoticeMs = 4500;
 // A capacity that has shrunk counts for 4 s and one heartbeat longer.
 constexpr int CapacityMs = 4000 + HeartbeatMs;
-constexpr int MaxStopMs = 1500; // Of endpoints without limits.
+constexpr std::int64_t FailedJobMs = 30'000; // Budgets bind so long.
+constexpr int MaxStopMs = 1500;              // Of endpoints without limits.
 constexpr resource_amounts LargestCapacity{8000, 1200, 0};
 constexpr int GangTimeoutMs = 3000;
 constexpr std::uint32_t RackSize = 4;
@@ -636,6 +637,13 @@
   return Answer;
 }
 
+bool fake_site::isExempt(const job_record &Job) const {
+  // A job that failed has not been cancelled by its caller. Its tasks may be
+  // ended for maintenance later, because its budget may never allow that.
+  return isOver(Job.State) &&
+         (Job.State != job_state::Failed || Job.EndedMs + FailedJobMs <= NowMs);
+}
+
 void fake_site::updateAvailability() {
   std::set<task_key> Available;
   for (const auto &Endpoint : Endpoints)
@@ -643,7 +651,7 @@
       if (NowMs >= Run.AvailableMs)
         Available.insert(Task);
   for (const auto &[Id, Job] : State.jobs()) {
-    if (isOver(Job.State) || !Job.Spec.Steps[0].IsLongRunning)
+    if (isExempt(Job) || !Job.Spec.Steps[0].IsLongRunning)
       continue;
     for (std::uint32_t Index = 0; Index != Job.Spec.Steps[0].Count; ++Index) {
       task_key Task{Id, 0, 0, Index};
@@ -661,7 +669,7 @@
 
 void fake_site::checkBudget(const task_key &Task) {
   const auto *Job = State.findJob(Task.Job);
-  if (!Job || isOver(Job->State))
+  if (!Job || isExempt(*Job))
     return;
   const auto &Step = Job->Spec.Steps[Task.Step];
   std::uint32_t Away = 0;
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -216,6 +216,8 @@
   void extendLease(fake_endpoint &Endpoint, std::uint64_t LeaseExpiryMs) const;
   std::uint64_t clockOf(const fake_endpoint &Endpoint) const;
   void checkRuns();
+  /// \returns whether the budgets of the job's steps bind no longer.
+  bool isExempt(const job_record &Job) const;
   void updateAvailability();
   void checkBudget(const task_key &Task);
   /// Ends the long-running tasks of the endpoint by an order.
