Poll a rejected long-running run before it is stopped

Callers could see a long-running task at work ended when its endpoint had executed a start whose answer was lost, and then refused the repeated start.

Cause: the rejection led to a stop at once, to keep the earlier copy from starting late, without a look whether it was at work.

The run becomes unconfirmed instead. The next poll tells: a run that is listed stays, any other one is stopped as before.

Test "a long-running task whose repeated start was rejected is not stopped when the first one was executed": one stop was sent ("1 == 0") before, none now.

--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -204,6 +204,15 @@
         Metrics.add("stops_withdrawn_total");
         continue;
       }
+      // An earlier copy of the start may have been executed, so that the task
+      // is at work. If the next poll does not list it, it is stopped.
+      if (const auto *Step = findStep(Key);
+          Run.StopReason == stop_reason::StartRejected && !Run.IsStopSent &&
+          Step && Step->IsLongRunning) {
+        verifyStart(Run, Now);
+        Metrics.add("stops_withdrawn_total");
+        continue;
+      }
       Run.IsStopSent = true;
       Run.IsOrderPending = true;
       Run.NextOrder = Now + ResendInterval;
--- a/scheduling/leader_stops.cpp
+++ b/scheduling/leader_stops.cpp
@@ -8,6 +8,7 @@
 //   that is about to end.
 // - JobOver asks nothing when the job was cancelled, has completed, or failed
 //   by its own attempts. After a verdict on crashes see keepsTasksAtWork().
+// - StartRejected is sent only to a run that no poll lists as running.
 // - NotListed and Stalled concern runs that are not at work.
 // - An orphaned run has to end whatever the budget: its task is waiting or was
 //   started elsewhere, and must not run twice.
--- a/tests/scheduling/test_leader_stops.cpp
+++ b/tests/scheduling/test_leader_stops.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 // Guards against stops that end long-running tasks at work although nobody
 // asked for it, and against runs that outlive the cancellation or the retention
@@ -12,6 +15,7 @@
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
 using namespace lycheetrestle::scheduling::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -50,6 +54,73 @@
   fake_site Site;
 };
 
+/// A leader with one endpoint that is played by the test.
+class start_harness {
+public:
+  start_harness() : State(makeState(1)) {
+    Leader.emplace(leader_settings{}, 5, State, Metrics, Now);
+    endpoint_heartbeat Heartbeat;
+    Heartbeat.Facts = State.endpoints().begin()->second.Facts;
+    Heartbeat.ClockMs = Heartbeat.Sequence = 1;
+    Leader->recordHeartbeat(Heartbeat, Now);
+    auto Step = makeStep(1);
+    Step.IsLongRunning = true;
+    submit_job Submit = submission(makeJob("l", {Step}));
+    Leader->recordApplied(Submit, State.apply(Submit, 1000), Now);
+    for (const auto &Command : Leader->takeCommands(Now, 1000))
+      Leader->recordApplied(Command, State.apply(Command, 1000), Now);
+    REQUIRE(State.findTask(Task)->Endpoint != 0);
+  }
+
+  /// Advances the time and collects the orders.
+  void advance(core::duration Time) {
+    Now += Time;
+    for (auto &Order : Leader->takeOrders(Now))
+      Orders.push_back(std::move(Order));
+  }
+  /// Answers all open orders of a kind.
+  /// \returns how many there were.
+  template <typename Body> std::size_t answer(const order_answer &Answer) {
+    std::size_t Count = 0;
+    for (auto &Order : std::exchange(Orders, {}))
+      if (std::holds_alternative<Body>(Order.Body)) {
+        ++Count;
+        Leader->finishOrder({Order.Id, Answer}, Now);
+      } else {
+        Orders.push_back(std::move(Order));
+      }
+    return Count;
+  }
+  static endpoint_answer verdict(endpoint_verdict Verdict) {
+    endpoint_answer Answer;
+    Answer.Verdict = Verdict;
+    Answer.ClockMs = 2;
+    return Answer;
+  }
+  static endpoint_answer listing(std::vector<run_row> Rows) {
+    auto Answer = verdict(endpoint_verdict::Accepted);
+    Answer.Running = std::move(Rows);
+    return Answer;
+  }
+  /// Lets the first start order time out and the second one be rejected.
+  void rejectRepeatedStart() {
+    advance(10ms);
+    answer<poll_order>(listing({}));
+    REQUIRE(answer<start_order>(no_answer{true, "timeout"}) == 1);
+    advance(10ms);
+    answer<poll_order>(listing({}));
+    advance(300ms);
+    REQUIRE(answer<start_order>(verdict(endpoint_verdict::Unhealthy)) == 1);
+  }
+
+  const task_key Task{"l", 0, 0, 0};
+  schedule_state State;
+  core::metrics_registry Metrics;
+  core::time_point Now{100s};
+  std::optional<leader> Leader;
+  std::vector<order> Orders;
+};
+
 } // namespace
 
 TEST_CASE("the verdict on a long-running task leaves the others of its step at "
@@ -77,3 +148,30 @@
   Play.Site.run(10'000);
   CHECK(Play.job().RunsLeft == 0);
 }
+
+TEST_CASE("a long-running task whose repeated start was rejected is not "
+          "stopped when the first one was executed") {
+  start_harness Play;
+  Play.rejectRepeatedStart();
+  Play.advance(10ms);
+  CHECK(Play.answer<stop_order>(Play.verdict(endpoint_verdict::Accepted)) == 0);
+  Play.answer<poll_order>(Play.listing({}));
+  Play.advance(10ms);
+  REQUIRE(Play.answer<poll_order>(
+              Play.listing({{Play.Task, 1, "", 100, std::nullopt}})) == 1);
+  Play.advance(300ms);
+  CHECK(Play.answer<stop_order>(Play.verdict(endpoint_verdict::Accepted)) == 0);
+  CHECK(Play.State.findTask(Play.Task)->Endpoint != 0);
+}
+
+TEST_CASE("a long-running task whose repeated start was rejected is stopped "
+          "when the endpoint does not list it") {
+  start_harness Play;
+  Play.rejectRepeatedStart();
+  for (int Round = 0; Round != 3; ++Round) {
+    Play.advance(10ms);
+    Play.answer<poll_order>(Play.listing({}));
+  }
+  Play.advance(10ms);
+  CHECK(Play.answer<stop_order>(Play.verdict(endpoint_verdict::Accepted)) == 1);
+}
