--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -149,12 +149,7 @@
     if (Now < Run.NextStop)
       continue;
     Run.NextStop = Now + ResendInterval;
-    core::logEvent(core::log_level::Warning, "orphan_stop_sent",
-                   {{"job", Key.Job},
-                    {"step", Key.Step},
-                    {"index", Key.Index},
-                    {"attempt", Run.Attempt},
-                    {"endpoint", Tracked.Endpoint}});
+    logOrphanStop(Tracked, Key, Run, Now);
     addOrder(Orders, &Tracked,
              stop_order{Key, Run.Attempt, fenceOf(Tracked.Endpoint)},
              OrderTimeout, Now);
@@ -218,6 +213,15 @@
         Metrics.add("stops_withdrawn_total");
         continue;
       }
+      // An earlier copy of the start may have been executed, so that the task
+      // is at work. If the next poll does not list it, it is stopped.
+      if (const auto *Step = findStep(Key);
+          Run.StopReason == stop_reason::StartRejected && !Run.IsStopSent &&
+          Step && Step->IsLongRunning) {
+        verifyStart(Run, Now);
+        Metrics.add("stops_withdrawn_total");
+        continue;
+      }
       Run.IsStopSent = true;
       Run.IsOrderPending = true;
       Run.NextOrder = Now + ResendInterval;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -335,6 +335,7 @@
       else
         checkVerdict(Tracked, Row.Task, Row.Attempt, "running", Now);
       Orphan.Attempt = Row.Attempt;
+      Orphan.Percent = Row.Percent;
       continue;
     }
     auto &Run = Found->second;
@@ -350,7 +351,8 @@
     // Its start may have been executed late by a later incarnation than the one
     // at which it was stopped when the job ended.
     const auto *Owner = State.findJob(Row.Task.Job);
-    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State)) {
+    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State) &&
+        (Row.Percent < 100 || !keepsTasksAtWork(*Owner, Row.Task.Step))) {
       beginStop(Run, stop_reason::JobOver, Now);
       continue;
     }
