End no endpoint by the row of a host that it inherited

An incarnation inherits the host of an earlier one with its id. When the id restarted on another host, a list that showed the first host down or with another endpoint ended the living one: its runs were recorded as lost and started elsewhere, and its next heartbeat recorded it anew with the old ends.

An endpoint that the list names on another host is not ended. Until a list has shown it on its host, only a list of all hosts, all of them readable, ends it; from then on the row of that host is enough as before.

The case "an endpoint that restarted under its id on another host is not ended by the row of the first one" failed in its three sections ("CHECK_FALSE( Site.isEnded() )") and passes now. Two more cases check that a whole list and the row of a known host still end an endpoint.

--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -379,6 +379,10 @@
   // The answer Accepted does not identify the incarnation that ended: the order
   // may have been accepted earlier and the host may already run a new
   // incarnation. The list identifies the current one.
+  bool IsWhole = Hosts.PageToken.empty();
+  std::unordered_set<std::string_view> Listed;
+  for (const auto &[Name, Row] : Hosts.PartialList)
+    Listed.insert(Row.EndpointId);
   for (const auto &[Number, Endpoint] : State.endpoints()) {
     auto Host = hostOf(Endpoint);
     if (Host.empty())
@@ -392,6 +396,16 @@
          Row->second.State != host_state::Moving &&
          Row->second.State != host_state::Maintenance))
       continue;
+    // An incarnation inherits the host of an earlier one with its id, and may
+    // run on another one. Until a list has shown it on that host, only a list
+    // of all hosts proves that it runs nowhere.
+    bool IsOnHost = Hosts.ListedAt >= Tracked->second.TrackedSince &&
+                    Hosts.HostOfEndpoint.count(Endpoint.Facts.Id) > 0;
+    bool IsElsewhere = Row->second.EndpointId != Endpoint.Facts.Id &&
+                       Listed.count(Endpoint.Facts.Id) > 0;
+    if (IsElsewhere ||
+        (!IsOnHost && (!IsWhole || !Hosts.UnreadableHosts.empty())))
+      continue;
     if (EndedIncarnations.insert(Number).second)
       core::logEvent(core::log_level::Info, "endpoint_left_host",
                      {{"endpoint", Endpoint.Facts.Id},
