--- a/tests/scheduling/test_random_availability.cpp
+++ b/tests/scheduling/test_random_availability.cpp
@@ -142,8 +142,7 @@
 
 // Issue 30, TWICE: a short task starts after its end as done was confirmed.
 TEST_CASE("no task starts again although several endpoints at a time are cut "
-          "off and restart beside long-running tasks",
-          "[!shouldfail]") {
+          "off and restart beside long-running tasks") {
   throwing_invariants Invariants;
   simulateCuts(56, {30, 30, 30, 20}, false);
 }
@@ -160,8 +159,7 @@
 // Issue 30: a leader takes a run that an earlier one started for refused.
 TEST_CASE("no order ends a long-running task beyond the budget of its step "
           "although endpoints in bad health reject what an earlier leader "
-          "started",
-          "[!shouldfail]") {
+          "started") {
   throwing_invariants Invariants;
   auto Seed = GENERATE(range(1, 101));
   INFO("seed " << Seed);
