--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -128,7 +128,8 @@
       stopRunsOf(Job, Now);
 }
 
-void leader::stopRunsOf(const job_record &Job, core::time_point Now) {
+void leader::stopRunsOf(const job_record &Job, core::time_point Now,
+                        bool IsFinal) {
   for (const auto &Occurrence : Job.OpenOccurrences)
     for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
       const auto &Tasks = Occurrence.Steps[Step].Tasks;
@@ -140,7 +141,10 @@
             Tracked.Runs.find({Job.Spec.Id, Occurrence.Number, Step, Index});
         if (Run == Tracked.Runs.end())
           continue;
-        beginStop(Run->second, stop_reason::JobOver, Now);
+        if (IsFinal || !keepsTasksAtWork(Job, Step))
+          beginStop(Run->second, stop_reason::JobOver, Now);
+        else
+          keepAtWork(Run->second, Now);
         markDue(Tracked);
       }
     }
@@ -249,6 +253,9 @@
     if (auto Found = TrackedEndpoints.find(End->Endpoint);
         Found != TrackedEndpoints.end()) {
       recordEnd(Found->second, End->Endpoint, End->End, Now);
+      for (const auto &[Key, Run] : Found->second.Runs)
+        recordVerdict(Found->second, Key, Run, run_end::Lost,
+                      toText(End->End.Cause), Now);
       for (const auto &[Key, Run] : Found->second.Runs)
         if (auto Place = EndpointOfRun.find(Key);
             Place != EndpointOfRun.end() && Place->second == End->Endpoint)
@@ -312,10 +319,12 @@
   // Orders for the earlier incarnation may reach this one, late ones too; their
   // leases are in the other one's clock, so only the endpoint's maximum bounds
   // them.
-  if (Replaced > 0)
-    Tracked.LeaseExpiry = std::max(
-        Tracked.LeaseExpiry,
-        Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
+  if (Replaced == 0)
+    return;
+  Tracked.MayObeyEarlier = true;
+  Tracked.LeaseExpiry =
+      std::max(Tracked.LeaseExpiry,
+               Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
 }
 
 void leader::recordReplacement(tracked_endpoint &Tracked,
@@ -404,6 +413,7 @@
     collectStarts(Commands, Now, WallMs);
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
+    stopForgottenRuns(Now, WallMs);
     Ranks.prune(WallMs);
     Advice.prune(Now);
     pruneCandidates(Now);
@@ -476,10 +486,9 @@
                       {"attempt", Run.Attempt},
                       {"endpoint", Number},
                       {"reason", "lease expired"}});
-      Commands.emplace_back(
-          end_run{Key, Run.Attempt,
-                  Run.mayHaveStarted() ? run_end::Lost : run_end::Refused,
-                  Run.Checkpoint});
+      auto Outcome = Run.mayHaveStarted() ? run_end::Lost : run_end::Refused;
+      recordVerdict(Tracked, Key, Run, Outcome, "lease expired", Now);
+      Commands.emplace_back(end_run{Key, Run.Attempt, Outcome, Run.Checkpoint});
     }
   }
 }
@@ -604,8 +613,11 @@
   Waiting.update(WallMs);
   Metrics.add("placement_jobs_examined_total",
               Waiting.examinedJobs() - ExaminedBefore);
-  if (Waiting.pools().empty())
+  if (Waiting.pools().empty()) {
+    for (auto &[Pool, Quarantine] : Quarantines)
+      Quarantine.recordPlacement(false, Now);
     return;
+  }
   std::set<std::string_view> Pools;
   for (const auto &[Pool, Steps] : Waiting.pools())
     Pools.insert(Pool);
@@ -632,6 +644,12 @@
       return Found == Suspects.end() ? std::nullopt
                                      : std::optional(Found->second);
     };
+  Request.CrashesOf = [&](const task_key &Key) { return crashesOf(Key); };
+  Request.HostRisk = [&](const task_key &Key, std::uint32_t Endpoint) {
+    return hostRisk(Key, Endpoint, Now);
+  };
+  std::set<std::string> HeldUp;
+  Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(
            Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
@@ -639,6 +657,8 @@
     Placed.insert(Placement.Start.Task);
     Commands.emplace_back(std::move(Placement.Start));
   }
+  for (auto &[Pool, Quarantine] : Quarantines)
+    Quarantine.recordPlacement(HeldUp.count(Pool) > 0, Now);
   recordUnplaceableTasks(Placed, Now);
 }
 
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -17,6 +17,7 @@
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
 #include "scheduling/tracked_endpoint.h"
+#include "scheduling/verdict_log.h"
 #include "scheduling/waiting_index.h"
 
 #include <cstdint>
@@ -48,6 +49,9 @@
   bool HasPlatform = false;
   bool HasAdviser = false;
   double PlatformCallsPerSecond = 64.0;
+  /// Ends that an endpoint lists in one answer. It keeps the others until the
+  /// cursor confirms those.
+  std::size_t MaxEndsPerAnswer = 500;
 };
 
 /// Decision logic of the leading scheduler: starts and stops of runs, leases,
@@ -59,8 +63,8 @@
 /// committed.
 class leader {
 public:
-  /// \param Fence fencing token of all orders, larger than that of any earlier
-  /// leader.
+  /// \param Fence fencing token of this leader, larger than that of any earlier
+  /// one; at most MaxFence.
   /// \param State the replicated state; must outlive this object.
   leader(leader_settings Settings, std::uint64_t Fence,
          const schedule_state &State, core::metrics_registry &Metrics,
@@ -105,11 +109,15 @@
   /// Called regularly; the time since when a task is unserved is that of the
   /// first call that found it so.
   /// \param IsBatchOpen whether decisions of this leader are not committed yet.
-  /// \returns the long-running tasks that are not at work, and what each of
-  /// them waits for.
+  /// \returns the long-running tasks that are not at work, the suspect tasks
+  /// that wait for a run, and what each of them waits for.
   std::vector<unserved_task> unservedTasks(core::time_point Now,
                                            bool IsBatchOpen);
 
+  /// Largest fencing token of a leader, so that those of endpoints stay below
+  /// 2^53.
+  static constexpr std::uint64_t MaxFence = (std::uint64_t(1) << 25) - 1;
+
 private:
   /// Another incarnation than the recorded one, according to a heartbeat.
   struct incarnation_candidate {
@@ -174,7 +182,10 @@
   /// step, for example because it no longer keeps the job.
   const step_spec *findStep(const task_key &Task) const;
   void removeRun(const task_key &Task, std::uint32_t Attempt);
-  void stopRunsOf(const job_record &Job, core::time_point Now);
+  /// Stops the runs of a job that is over.
+  /// \param IsFinal whether also those that keepsTasksAtWork() spares.
+  void stopRunsOf(const job_record &Job, core::time_point Now,
+                  bool IsFinal = false);
   /// Makes the next takeOrders() send a stop of the run.
   static void beginStop(tracked_run &Run, stop_reason Reason,
                         core::time_point Now);
@@ -248,6 +259,12 @@
                   core::time_point Now);
   core::time_point nextOrderTime(const tracked_endpoint &Tracked,
                                  core::time_point Now) const;
+  /// \returns the fencing token of orders to an incarnation. It rises with the
+  /// leader and, under one leader, with each incarnation. An endpoint checks
+  /// its id only, so that without this a late order for an earlier incarnation
+  /// with the same id would be executed: a start of a task that is done, or a
+  /// poll whose cursor confirms ends that nobody has read.
+  std::uint64_t fenceOf(std::uint32_t Endpoint) const;
   /// \returns the end of a new lease in milliseconds of the endpoint's clock.
   std::uint64_t issueLease(tracked_endpoint &Tracked, core::time_point Now);
 
@@ -278,6 +295,18 @@
   void updateThrottle(tracked_endpoint &Tracked, const endpoint_answer &Answer,
                       core::time_point Now);
 
+  // leader_verdicts.cpp
+  /// Remembers why a run is recorded as ended without an end in a list.
+  void recordVerdict(const tracked_endpoint &Tracked, const task_key &Task,
+                     const tracked_run &Run, run_end Outcome,
+                     std::string_view Reason, core::time_point Now);
+  /// Logs and counts that the endpoint lists a run as running or done although
+  /// it was recorded as ended in another way.
+  /// \param Listed what the list shows, for the log.
+  void checkVerdict(const tracked_endpoint &Tracked, const task_key &Task,
+                    std::uint32_t Attempt, std::string_view Listed,
+                    core::time_point Now);
+
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
@@ -366,6 +395,23 @@
   void logInterruptions(const tracked_endpoint &Tracked,
                         const std::string &Host, core::time_point Now) const;
 
+  // leader_stops.cpp
+  /// \returns whether tasks of the step that are at work go on although the
+  /// job is over: it was given up because of crashes near one of its tasks.
+  /// The verdict may be wrong, and the other tasks serve their callers, so only
+  /// the caller's cancellation ends them at once.
+  static bool keepsTasksAtWork(const job_record &Job, std::uint32_t Step);
+  /// Makes the next poll tell whether the run is at work before it is stopped.
+  static void verifyStart(tracked_run &Run, core::time_point Now);
+  /// Leaves the run of such a step at work, or ends it if it is not at work.
+  static void keepAtWork(tracked_run &Run, core::time_point Now);
+  /// Stops what keepsTasksAtWork() spared when the job is no longer kept.
+  void stopForgottenRuns(core::time_point Now, std::int64_t WallMs);
+  /// Logs the stop of a run that the endpoint lists although it is not assigned
+  /// to it.
+  void logOrphanStop(const tracked_endpoint &Tracked, const task_key &Key,
+                     const orphaned_run &Run, core::time_point Now) const;
+
   // leader_crashes.cpp
   /// \returns what is known about the end of an incarnation that has ended.
   incarnation_end endOf(const endpoint_record &Endpoint,
@@ -385,10 +431,21 @@
   /// Decides where suspect tasks may start, and reserves endpoints for them.
   /// \param Targets the endpoints that accept new runs.
   /// \returns for each waiting suspect task the endpoint on which it may start
-  /// now, or 0; all suspect members of a gang have the same endpoint.
+  /// now, AnyEndpoint, or 0; all suspect members of a gang have the same one.
   std::unordered_map<task_key, std::uint32_t, task_key_hash>
   planSuspects(std::span<placement_target *const> Targets,
                core::time_point Now);
+  /// Logs, at most once a second and pool, that suspects wait.
+  void logSuspects(const std::string &Pool, const quarantine_plan &Plan,
+                   core::time_point Now);
+  /// \returns the incarnations that crashed under the task.
+  std::vector<std::uint32_t> crashesOf(const task_key &Key) const;
+  /// \returns 2 when the endpoint's host crashed under the suspect, 1 when it
+  /// crashed lately, or 0.
+  std::uint32_t hostRisk(const task_key &Key, std::uint32_t Endpoint,
+                         core::time_point Now) const;
+  /// \returns whether the task waits for a trial.
+  bool waitsForTrial(const task_key &Key, const job_record &Job) const;
   /// \returns whether the running suspect may not have neighbours yet.
   bool isOnTrial(const task_key &Key, const suspect_record &Suspect,
                  const task_record &Task, core::time_point Now) const;
@@ -416,6 +473,9 @@
   std::map<std::string, double> requiredCores(core::time_point Now,
                                               std::int64_t WallMs);
 
+  /// Bits of an endpoint's fencing token that hold the number of its
+  /// incarnation. JSON readers keep integers below 2^53 exactly.
+  static constexpr unsigned IncarnationBits = 28;
   /// Longest time until a lease expires, in percent of leader_settings::Lease:
   /// an endpoint's clock may be 2 % slow.
   static constexpr int MaxLeasePercent = 103;
@@ -457,6 +517,7 @@
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
   std::map<std::uint64_t, pending_order> PendingOrders;
+  verdict_log Verdicts;
   /// Earliest time of the next placement of tasks whose start was refused.
   std::map<task_key, core::time_point> DeferredTasks;
   /// Ends to propose for runs that certainly did not start.
@@ -477,9 +538,11 @@
   std::vector<unplanned_end> UnplannedEnds; ///< Recent ones.
   host_crash_log HostCrashes;
   std::map<std::string, crash_quarantine> Quarantines; ///< By pool.
-  bool HasReservations = false;  ///< Some target may be marked as reserved.
+  bool HasSuspectMarks = false; ///< Some target may be reserved or hold some.
+  /// By pool, when a line about its suspects may be logged again.
+  std::map<std::string, core::time_point> NextSuspectLog;
   std::size_t PendingStarts = 0; ///< Start orders without a result.
-  /// Since when long-running tasks are not at work, by task.
+  /// Since when the tasks of unservedTasks() are not at work, by task.
   std::map<task_key, core::time_point> UnservedSince;
   host_inventory Hosts;
   demand_forecaster Demand;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -17,6 +17,9 @@
 // Delay of a poll after one that failed at a scheduler; repeating it at once
 // would add to the load that made it fail.
 constexpr core::duration LocalRetryInterval = milliseconds(100);
+// Delay of a poll after one that the endpoint refused, for example in bad
+// health; each look at an endpoint costs it work.
+constexpr core::duration RefusedPollInterval = milliseconds(250);
 // How long a task is not placed after an endpoint refused its start.
 constexpr core::duration RefusalBackoff = milliseconds(150);
 // A run counts as stalled when it makes no progress for the longer of this time
@@ -74,6 +77,13 @@
   return "unknown";
 }
 
+/// \returns whether an endpoint that refuses a start for this reason does not
+/// have the run, and obeys the order's fencing token from now on. The other
+/// refusals may come before it looks at the order.
+bool hasLookedForRun(endpoint_verdict Verdict) {
+  return Verdict == endpoint_verdict::NoCapacity;
+}
+
 } // namespace
 
 void leader::finishOrder(order_result Result, core::time_point Now) {
@@ -137,8 +147,9 @@
   }
   if (Answer.Verdict == endpoint_verdict::Fenced) {
     Tracked.IsFenced = true;
-    core::logEvent(core::log_level::Warning, "endpoint_fenced",
-                   {{"endpoint", Facts.Id}, {"fence", Fence}});
+    core::logEvent(
+        core::log_level::Warning, "endpoint_fenced",
+        {{"endpoint", Facts.Id}, {"fence", fenceOf(Tracked.Endpoint)}});
     return false;
   }
   if (Tracked.IsSuspect) {
@@ -154,6 +165,8 @@
   if (Answer.IncarnationMs)
     Tracked.IsReplaced = false;
   Tracked.LastAnswer = Now;
+  if (Answer.Verdict == endpoint_verdict::Accepted)
+    Tracked.MayObeyEarlier = false;
   if (Answer.ClockMs)
     confirmClock(Tracked, *Answer.ClockMs, Now);
   return true;
@@ -187,6 +200,7 @@
   Run.IsEnded = true;
   UnstartedRuns.push_back(
       {Task, Run.Attempt, run_end::Refused, Run.Checkpoint});
+  recordVerdict(Tracked, Task, Run, run_end::Refused, Why, Now);
   DeferredTasks[Task] = Now + RefusalBackoff;
   Metrics.add("starts_refused_total");
   core::logEvent(core::log_level::Info, "start_refused",
@@ -241,6 +255,16 @@
         Order.Task, State.endpoints().find(Tracked.Endpoint)->second.Facts.Id);
   if (Answer->Verdict == endpoint_verdict::Unhealthy)
     Tracked.Health.record(Order.Task.Job, false, Now);
+  if (Run.UnansweredStarts == 0 && Run.MayBeStartedByOther &&
+      !hasLookedForRun(Answer->Verdict)) {
+    // An earlier leader's order may have been executed, or be executed late.
+    // The next poll shows whether the run exists; if not, a stop keeps it from
+    // starting.
+    Run.Phase = run_phase::Unconfirmed;
+    Run.MayStartLate = true;
+    Run.VisibleSince = Now;
+    return;
+  }
   if (Run.UnansweredStarts == 0) {
     endUnstartedRun(Tracked, Order.Task, name(Answer->Verdict), Now);
     return;
@@ -279,9 +303,12 @@
     recordNoAnswer(Tracked, "hold", std::get<no_answer>(Result.Answer), Now);
     return;
   }
-  if (!recordAnswer(Tracked, *Answer, Now) ||
-      Answer->Verdict != endpoint_verdict::Accepted)
+  if (!recordAnswer(Tracked, *Answer, Now))
+    return;
+  if (Answer->Verdict != endpoint_verdict::Accepted) {
+    Tracked.NextPoll = std::max(Tracked.NextPoll, Now + RefusedPollInterval);
     return;
+  }
   Tracked.ConfirmedCursor = std::max(Tracked.ConfirmedCursor, Order.Cursor);
   reconcileRuns(Tracked, *Answer, SentAt, Now);
   updateThrottle(Tracked, *Answer, Now);
@@ -305,7 +332,10 @@
       if (auto Known = Orphans.find(Row.Task);
           Known != Orphans.end() && Known->second.Attempt == Row.Attempt)
         Orphan = Known->second;
+      else
+        checkVerdict(Tracked, Row.Task, Row.Attempt, "running", Now);
       Orphan.Attempt = Row.Attempt;
+      Orphan.Percent = Row.Percent;
       continue;
     }
     auto &Run = Found->second;
@@ -321,7 +351,8 @@
     // Its start may have been executed late by a later incarnation than the one
     // at which it was stopped when the job ended.
     const auto *Owner = State.findJob(Row.Task.Job);
-    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State)) {
+    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State) &&
+        (Row.Percent < 100 || !keepsTasksAtWork(*Owner, Row.Task.Step))) {
       beginStop(Run, stop_reason::JobOver, Now);
       continue;
     }
@@ -355,13 +386,18 @@
   }
   bool HasEnds = false;
   PolledEndpoints.push_back(Tracked.Endpoint);
-  Tracked.LastEndNumber = lastEndNumber(Tracked.LastEndNumber, Answer.Ended);
+  auto LastListed =
+      std::exchange(Tracked.LastEndNumber,
+                    lastEndNumber(Tracked.LastEndNumber, Answer.Ended));
   for (const auto &Row : Answer.Ended) {
     if (Row.Number > Tracked.LastEndNumber)
       continue;
     auto Found = Tracked.Runs.find(Row.Task);
-    if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt)
+    if (Found == Tracked.Runs.end() || Found->second.Attempt != Row.Attempt) {
+      if (Row.Outcome == run_end::Done && Row.Number > LastListed)
+        checkVerdict(Tracked, Row.Task, Row.Attempt, "done", Now);
       continue;
+    }
     Present.insert(Row.Task);
     if (std::exchange(Found->second.IsEnded, true))
       continue;
@@ -373,9 +409,12 @@
     Tracked.PendingEnds.push_back(
         {Row.Task, Row.Attempt, Row.Outcome, Row.Checkpoint});
   }
+  // The endpoint keeps further ends until the cursor confirms these, so that a
+  // run that is missing from a full list may have ended.
+  bool IsWhole = Answer.Ended.size() < Settings.MaxEndsPerAnswer;
   for (auto &[Key, Run] : Tracked.Runs) {
-    if (Run.IsEnded || Run.IsOrderPending || Run.VisibleSince >= SentAt ||
-        Present.count(Key) > 0)
+    if (!IsWhole || Run.IsEnded || Run.IsOrderPending ||
+        Run.VisibleSince >= SentAt || Present.count(Key) > 0)
       continue;
     bool IsUnconfirmed = Run.Phase == run_phase::Unconfirmed;
     if ((IsUnconfirmed && !Run.MayStartLate) ||
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -78,6 +78,7 @@
 /// assigned to it. It is stopped and takes up capacity until it is not listed.
 struct orphaned_run {
   std::uint32_t Attempt = 0;
+  std::uint32_t Percent = 0;   ///< Progress.
   core::time_point NextStop{}; ///< Earliest time of the next stop order.
 };
 
@@ -100,6 +101,9 @@
   core::time_point SuspectedAt{}; ///< While suspect.
   /// When runs were recorded as lost, until it is known to be alive again.
   std::optional<core::time_point> RunsLostAt;
+  /// It took the place of an incarnation with the same id and has not obeyed an
+  /// order since.
+  bool MayObeyEarlier = false;
   bool IsFenced = false;   ///< The endpoint obeys a later leader.
   bool IsReplaced = false; ///< Another incarnation answers under this id.
   bool IsVerificationDue = false; ///< A poll is due although it is idle.
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -25,10 +25,11 @@
 constexpr int NoticeMs = 4500;
 // A capacity that has shrunk counts for 4 s and one heartbeat longer.
 constexpr int CapacityMs = 4000 + HeartbeatMs;
-constexpr int MaxStopMs = 1500; // Of endpoints without limits.
+constexpr std::int64_t FailedJobMs = 30'000; // Budgets bind so long.
+constexpr int MaxStopMs = 1500;              // Of endpoints without limits.
 constexpr resource_amounts LargestCapacity{8000, 1200, 0};
 constexpr int GangTimeoutMs = 3000;
-constexpr std::uint32_t RackSize = 4;
+constexpr std::uint32_t DarkRackSize = 4; // Of formRacks() by default.
 constexpr std::int64_t Never = std::numeric_limits<std::int64_t>::max();
 
 std::string hostName(std::size_t Index) {
@@ -89,6 +90,8 @@
   Settings.MaxLease = std::chrono::milliseconds(MaxLeaseMs);
   Settings.HasPlatform = HasPlatform;
   Settings.MaintenanceMs = MaintenanceMs;
+  if (MaxEnds > 0)
+    Settings.MaxEndsPerAnswer = MaxEnds;
   Leader =
       std::make_unique<leader>(Settings, LeaderNumber, State, Metrics, now());
 }
@@ -97,6 +100,8 @@
   auto &Endpoint = Endpoints[Index];
   Endpoint.Running.clear();
   Endpoint.Ends.clear();
+  Endpoint.DoneEnds.clear();
+  Endpoint.WasCalled = false;
   Endpoint.Newest.clear();
   Endpoint.Fence = 0;
   Endpoint.LastEnd = 0;
@@ -106,6 +111,17 @@
   Endpoint.Facts.IncarnationMs = static_cast<std::uint64_t>(NowMs);
   Endpoint.Facts.IsDraining = false;
   Endpoint.DrainEndsMs = 0;
+  Endpoint.ExitsMs = 0;
+}
+
+void fake_site::limitEnds(std::size_t Ends) {
+  MaxEnds = Ends;
+  changeLeader();
+}
+
+void fake_site::crashHost(std::uint32_t Index, int ForMs) {
+  if (Endpoints[Index].DownUntilMs == 0)
+    crashHost(Endpoints[Index], ForMs, false);
 }
 
 void fake_site::restart(std::uint32_t Index, std::uint64_t IncarnationMs) {
@@ -186,7 +202,7 @@
       "no start brings an endpoint over a capacity that it announced lately");
 }
 
-void fake_site::formRacks() {
+void fake_site::formRacks(std::uint32_t RackSize) {
   auto Configuration = makeConfiguration(2, 3);
   Configuration.Pools.resize(1);
   apply(set_configuration{Configuration});
@@ -197,9 +213,34 @@
   }
 }
 
+void fake_site::setRunTimes(int MinMs, int SpreadMs) {
+  MinRunMs = MinMs;
+  RunSpreadMs = SpreadMs;
+  ReportsProgress = true;
+}
+
+void fake_site::crashFor(std::uint32_t Index, int ForMs) {
+  if (Endpoints[Index].DownUntilMs == 0)
+    crashHost(Endpoints[Index], ForMs, false);
+}
+
+std::vector<resource_amounts> fake_site::freeCapacities() const {
+  std::vector<resource_amounts> Result;
+  for (const auto &Endpoint : Endpoints) {
+    if (Endpoint.DownUntilMs != 0)
+      continue;
+    capacity_use Used;
+    for (const auto &[Task, Run] : Endpoint.Running)
+      Used.add(Run.Size);
+    Result.push_back(Used.freeOf(Endpoint.Facts.Capacity));
+  }
+  return Result;
+}
+
 void fake_site::darkenRack(std::uint32_t Rack) {
-  for (auto Index = Rack * RackSize;
-       Index < std::min<std::size_t>((Rack + 1) * RackSize, Endpoints.size());
+  for (auto Index = Rack * DarkRackSize;
+       Index <
+       std::min<std::size_t>((Rack + 1) * DarkRackSize, Endpoints.size());
        ++Index)
     if (Endpoints[Index].DownUntilMs == 0)
       crashHost(Endpoints[Index], 2000 + static_cast<int>(Random() % 4000),
@@ -237,7 +278,8 @@
                          std::nullopt,
                          0});
   std::erase_if(Deliveries, [&](const delivery &Delivery) {
-    return Delivery.Order.Address == Endpoint.Facts.Address;
+    return Delivery.Order.Address == Endpoint.Facts.Address &&
+           !Delivery.OutlivesRestart;
   });
   for (auto &Answer : Answers)
     if (Answer.Address == Endpoint.Facts.Address && Answer.Address &&
@@ -273,8 +315,14 @@
   for (auto &Endpoint : Endpoints) {
     if (Endpoint.DrainEndsMs == 0 || NowMs < Endpoint.DrainEndsMs)
       continue;
-    if (Endpoint.IsReachable)
-      deregister(Endpoint.Facts.Id, Endpoint.Facts.IncarnationMs);
+    if (Endpoint.ExitsMs == 0) {
+      if (Endpoint.IsReachable)
+        deregister(Endpoint.Facts.Id, Endpoint.Facts.IncarnationMs);
+      if (LostAcknowledgements > 0 && occurs(LostAcknowledgements))
+        Endpoint.ExitsMs = NowMs + static_cast<std::int64_t>(Random() % 3000);
+    }
+    if (NowMs < Endpoint.ExitsMs)
+      continue;
     shutDown(Endpoint, 1000);
   }
 }
@@ -390,7 +438,10 @@
 }
 
 void fake_site::advance(fake_endpoint &Endpoint) {
-  if (clockOf(Endpoint) >= Endpoint.LeaseMs)
+  bool IsExpired = clockOf(Endpoint) >= Endpoint.LeaseMs;
+  Endpoint.LeaseExpiries += IsExpired && !Endpoint.IsLeaseExpired;
+  Endpoint.IsLeaseExpired = IsExpired;
+  if (IsExpired)
     while (!Endpoint.Running.empty())
       end(Endpoint, Endpoint.Running.begin()->first, run_end::Expired);
   for (auto Run = Endpoint.Running.begin(); Run != Endpoint.Running.end();) {
@@ -411,10 +462,30 @@
   auto Run = Endpoint.Running.find(Task);
   Endpoint.Ends.push_back(
       {++Endpoint.LastEnd, Task, Run->second.Attempt, Outcome, "c"});
+  if (Outcome == run_end::Done)
+    Endpoint.DoneEnds[Endpoint.LastEnd] = {Task, TaskCrashes[Task].Starts,
+                                           Endpoint.LeaseExpiries};
   Endpoint.Newest[Task] = std::max(Endpoint.Newest[Task], Run->second.Attempt);
   Endpoint.Running.erase(Run);
 }
 
+void fake_site::confirmEnds(fake_endpoint &Endpoint, std::uint64_t Cursor) {
+  std::erase_if(Endpoint.Ends,
+                [&](const end_row &End) { return End.Number <= Cursor; });
+  std::erase_if(Endpoint.DoneEnds, [&](const auto &Item) {
+    const auto &[Number, End] = Item;
+    if (Number > Cursor)
+      return false;
+    if (End.LeaseExpiries != Endpoint.LeaseExpiries)
+      return true;
+    core::checkInvariant(TaskCrashes[End.Task].Starts == End.Starts,
+                         "no task starts after an end as done that is "
+                         "confirmed later");
+    DoneConfirmed.insert(End.Task);
+    return true;
+  });
+}
+
 void fake_site::send(order Order) {
   SentOrders.push_back(Order);
   if (Order.Endpoint == 0) {
@@ -433,6 +504,8 @@
     Delivery.AtMs = NowMs + 2000 + static_cast<std::int64_t>(Random() % 10'000);
     Delivery.IsAnswered = false;
     Delivery.IsLate = true;
+    Delivery.OutlivesRestart = Rates.OrdersThatOutliveRestarts > 0 &&
+                               occurs(Rates.OrdersThatOutliveRestarts);
   } else if (!IsLost && occurs(Rates.LostAnswers)) {
     Delivery.IsAnswered = false;
   }
@@ -456,12 +529,23 @@
   Deliveries.push_back(std::move(Delivery));
 }
 
+std::uint32_t fake_site::numberOf(const fake_endpoint &Endpoint) const {
+  const auto *Record =
+      State.findEndpoint(Endpoint.Facts.Id, Endpoint.Facts.IncarnationMs);
+  return Record ? Record->Number : 0;
+}
+
 void fake_site::deliver(const delivery &Delivery) {
   for (auto &Endpoint : Endpoints) {
-    // An order that was received by an incarnation is lost when it crashes.
+    // An order that was received by an incarnation is lost when it crashes. One
+    // that outlives a restart arrives after an order for the new incarnation:
+    // no leader can keep it from an incarnation that nobody has called yet.
+    bool IsForEarlier = Endpoint.Facts.IncarnationMs != Delivery.IncarnationMs;
     if (Endpoint.Facts.Address != Delivery.Order.Address ||
-        Endpoint.Facts.IncarnationMs != Delivery.IncarnationMs)
+        (IsForEarlier && (!Delivery.OutlivesRestart || !Endpoint.WasCalled)) ||
+        Endpoint.DownUntilMs != 0)
       continue;
+    Endpoint.WasCalled |= Delivery.Order.Endpoint == numberOf(Endpoint);
     if (Endpoint.Facts.Id != Delivery.Order.EndpointId) {
       endpoint_answer Answer;
       Answer.Verdict = endpoint_verdict::OtherIncarnation;
@@ -483,7 +567,15 @@
                        {Delivery.Order.Id, std::move(Answer)},
                        Delivery.Order.Address,
                        Delivery.TimeoutMs});
+    return;
   }
+  // Not without pages, for the random sequences of other tests.
+  if (HostsPerPage > 0 && Delivery.IsAnswered)
+    Answers.push_back({Delivery.TimeoutMs,
+                       Delivery.Leader,
+                       {Delivery.Order.Id, no_answer{true, "timeout"}},
+                       std::nullopt,
+                       0});
 }
 
 endpoint_answer fake_site::execute(fake_endpoint &Endpoint, const order &Order,
@@ -492,6 +584,12 @@
   Answer.ClockMs = clockOf(Endpoint);
   Answer.IncarnationMs = Endpoint.Facts.IncarnationMs;
   Answer.Verdict = endpoint_verdict::Accepted;
+  if (Rates.UnhealthyAnswers > 0 &&
+      std::holds_alternative<start_order>(Order.Body) &&
+      occurs(Rates.UnhealthyAnswers)) {
+    Answer.Verdict = endpoint_verdict::Unhealthy;
+    return Answer;
+  }
   auto Fence = std::visit(
       [](const auto &Body) -> std::uint64_t {
         if constexpr (requires { Body.Fence; })
@@ -524,16 +622,25 @@
     return Answer;
   if (Poll->LeaseExpiryMs)
     extendLease(Endpoint, *Poll->LeaseExpiryMs);
-  std::erase_if(Endpoint.Ends,
-                [&](const end_row &End) { return End.Number <= Poll->Cursor; });
+  confirmEnds(Endpoint, Poll->Cursor);
   for (const auto &[Task, Run] : Endpoint.Running)
-    Answer.Running.push_back({Task, Run.Attempt, "c",
-                              NowMs >= Run.AvailableMs ? 100u : 50u,
-                              std::nullopt});
+    Answer.Running.push_back(
+        {Task, Run.Attempt, "c", progressOf(Run), std::nullopt});
   Answer.Ended = Endpoint.Ends;
+  if (MaxEnds > 0 && Answer.Ended.size() > MaxEnds)
+    Answer.Ended.resize(MaxEnds);
   return Answer;
 }
 
+std::uint32_t fake_site::progressOf(const fake_run &Run) const {
+  if (NowMs >= Run.AvailableMs)
+    return 100;
+  if (!ReportsProgress || Run.EndsMs == Never)
+    return 50;
+  return static_cast<std::uint32_t>(99 * (NowMs - Run.StartedMs) /
+                                    (Run.EndsMs - Run.StartedMs));
+}
+
 void fake_site::extendLease(fake_endpoint &Endpoint,
                             std::uint64_t LeaseExpiryMs) const {
   Endpoint.LeaseMs =
@@ -559,10 +666,14 @@
   }
   core::checkInvariant(DoneRecorded.count(Order.Task) == 0,
                        "no task starts after its completion was recorded");
+  core::checkInvariant(DoneConfirmed.count(Order.Task) == 0,
+                       "no task starts after a confirmed end as done");
   ++Starts;
   fake_run Started;
   Started.Attempt = Order.Attempt;
-  Started.EndsMs = NowMs + 200 + static_cast<std::int64_t>(Random() % 1500);
+  Started.EndsMs = NowMs + MinRunMs +
+                   static_cast<std::int64_t>(
+                       Random() % static_cast<std::uint64_t>(RunSpreadMs));
   Started.Fails = occurs(Rates.FailedTasks);
   Started.AvailableMs = Never;
   const auto *Job = State.findJob(Order.Task.Job);
@@ -590,6 +701,13 @@
   return Answer;
 }
 
+bool fake_site::isExempt(const job_record &Job) const {
+  // A job that failed has not been cancelled by its caller. Its tasks may be
+  // ended for maintenance later, because its budget may never allow that.
+  return isOver(Job.State) &&
+         (Job.State != job_state::Failed || Job.EndedMs + FailedJobMs <= NowMs);
+}
+
 void fake_site::updateAvailability() {
   std::set<task_key> Available;
   for (const auto &Endpoint : Endpoints)
@@ -597,7 +715,7 @@
       if (NowMs >= Run.AvailableMs)
         Available.insert(Task);
   for (const auto &[Id, Job] : State.jobs()) {
-    if (isOver(Job.State) || !Job.Spec.Steps[0].IsLongRunning)
+    if (isExempt(Job) || !Job.Spec.Steps[0].IsLongRunning)
       continue;
     for (std::uint32_t Index = 0; Index != Job.Spec.Steps[0].Count; ++Index) {
       task_key Task{Id, 0, 0, Index};
@@ -615,7 +733,7 @@
 
 void fake_site::checkBudget(const task_key &Task) {
   const auto *Job = State.findJob(Task.Job);
-  if (!Job || isOver(Job->State))
+  if (!Job || isExempt(*Job))
     return;
   const auto &Step = Job->Spec.Steps[Task.Step];
   std::uint32_t Away = 0;
@@ -646,6 +764,11 @@
 void fake_site::sendToPlatform(order Order) {
   bool IsLost = occurs(Rates.LostOrders) || !IsPlatformAvailable;
   bool IsAnswered = !IsLost && !occurs(Rates.LostAnswers);
+  if (HostsPerPage > 0 &&
+      std::holds_alternative<list_hosts_order>(Order.Body)) {
+    sendPagedList(std::move(Order), IsLost, IsAnswered);
+    return;
+  }
   if (!IsLost && Rates.SlowCalls > 0 && occurs(Rates.SlowCalls)) {
     platform_call Call;
     Call.AtMs = NowMs + 100 + static_cast<std::int64_t>(Random() % 2800);
@@ -654,6 +777,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(Order.Timeout)
             .count();
     Call.IsAnswered = IsAnswered && Call.AtMs + PlatformMs < TimeoutMs;
+    Call.AnswerMs = PlatformMs;
     Call.Leader = LeaderNumber;
     if (!Call.IsAnswered)
       Answers.push_back({TimeoutMs,
@@ -683,10 +807,35 @@
                      0});
 }
 
+void fake_site::sendPagedList(order Order, bool IsLost, bool IsAnswered) {
+  auto TimeoutMs =
+      NowMs +
+      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Timeout)
+          .count();
+  platform_call Call;
+  Call.Leader = LeaderNumber;
+  // Half of the calls are fast.
+  bool IsSlow = occurs(500);
+  Call.AtMs =
+      NowMs + (IsSlow ? static_cast<std::int64_t>(Random() % 700) : StepMs);
+  Call.AnswerMs =
+      IsSlow ? static_cast<std::int64_t>(Random() % 1400) : PlatformMs;
+  Call.IsAnswered = IsAnswered && Call.AtMs + Call.AnswerMs < TimeoutMs;
+  if (!Call.IsAnswered)
+    Answers.push_back({TimeoutMs,
+                       LeaderNumber,
+                       {Order.Id, no_answer{true, "timeout"}},
+                       std::nullopt,
+                       0});
+  Call.Order = std::move(Order);
+  if (!IsLost)
+    PlatformCalls.push_back(std::move(Call));
+}
+
 void fake_site::executeCall(const platform_call &Call) {
   auto Answer = executeHostOrder(Call.Order);
   if (Call.IsAnswered)
-    Answers.push_back({NowMs + PlatformMs,
+    Answers.push_back({NowMs + Call.AnswerMs,
                        Call.Leader,
                        {Call.Order.Id, std::move(Answer)},
                        std::nullopt,
@@ -699,7 +848,18 @@
   if (const auto *Move = std::get_if<move_host_order>(&Order.Body))
     return move(*Move);
   hosts_answer Page;
-  for (std::size_t Index = 0; Index != Endpoints.size(); ++Index) {
+  std::size_t First = 0;
+  auto End = Endpoints.size();
+  if (HostsPerPage > 0) {
+    const auto &Token = std::get<list_hosts_order>(Order.Body).PageToken;
+    if (!Token.empty())
+      First = std::stoul(Token);
+    if (First + HostsPerPage < End) {
+      End = First + HostsPerPage;
+      Page.NextToken = std::to_string(End);
+    }
+  }
+  for (auto Index = First; Index < End; ++Index) {
     const auto &Endpoint = Endpoints[Index];
     host_row Row;
     Row.Name = hostName(Index);
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -27,13 +27,19 @@
   /// Calls to the platform, executed up to 2.9 s later. Such a call has no
   /// answer when it times out before.
   unsigned SlowCalls = 0;
+  /// Late orders that an endpoint executes although it restarted under the same
+  /// id after they were sent.
+  unsigned OrdersThatOutliveRestarts = 0;
+  /// Starts that an endpoint in bad health refuses without looking at them.
+  unsigned UnhealthyAnswers = 0;
 };
 
 /// Simulates endpoints with leases, fencing tokens and lists of ends, a log
 /// that commits after a delay, changes of leader, and a platform that takes
 /// hosts down for maintenance. Checks after each step that no task runs twice
-/// at the same time, at each start that the task was not recorded as done, and
-/// at each order that ends a long-running task the budget of its step.
+/// at the same time, at each start that the task was not recorded as done, at
+/// each end as done that a cursor confirms that the task did not start after
+/// it, and at each order that ends a long-running task the budget of its step.
 class fake_site {
 public:
   /// \param HasPlatform whether each endpoint runs on a host, `h1` and so on,
@@ -68,18 +74,39 @@
   void settleCapacities();
   leader &current() { return *Leader; }
 
-  /// Puts the endpoints into racks of four and removes all other pools, so
-  /// that no host moves.
-  void formRacks();
+  /// Puts the endpoints into racks and removes all other pools, so that no host
+  /// moves.
+  void formRacks(std::uint32_t RackSize = 4);
+  /// Makes runs that start from now on and end by themselves last MinMs or up
+  /// to SpreadMs longer. Runs report progress, so that long ones do not look
+  /// stalled.
+  void setRunTimes(int MinMs, int SpreadMs);
   /// Makes each endpoint crash 10 to 500 ms after it started the task.
   void markDeadly(const task_key &Task) { DeadlyTasks.insert(Task); }
   /// Crashes all endpoints of a rack at once, for 2 to 6 s.
   void darkenRack(std::uint32_t Rack);
+  /// Crashes an endpoint that is up, without a task to blame; its host is down
+  /// for the given time.
+  void crashFor(std::uint32_t Index, int ForMs);
+  /// \returns what is left of the capacity of each endpoint that is up.
+  std::vector<resource_amounts> freeCapacities() const;
   /// Makes an endpoint crash every 1 to 5 s without a task to blame.
   void setBadHost(std::uint32_t Index, bool IsBad);
   /// Makes an endpoint that is up drain for the given time and then leave. A
   /// new incarnation follows 1 s later.
   void drain(std::uint32_t Index, int ForMs);
+  /// Makes the platform list its hosts in pages that are read at different
+  /// times and answered up to 1.4 s after that, as they were then.
+  void pageLists(std::size_t Hosts) { HostsPerPage = Hosts; }
+  /// Limits the ends in one answer of an endpoint.
+  void limitEnds(std::size_t Ends);
+  /// Loses this part, in thousandths, of the acknowledgements of
+  /// deregistrations: such an endpoint works for up to 3 s longer.
+  void loseAcknowledgements(unsigned Thousandths) {
+    LostAcknowledgements = Thousandths;
+  }
+  /// Crashes the host of an endpoint that is up, for the given time.
+  void crashHost(std::uint32_t Index, int ForMs);
   /// Sets whether the platform answers.
   void setPlatformAvailable(bool IsAvailable) {
     IsPlatformAvailable = IsAvailable;
@@ -127,6 +154,11 @@
     std::int64_t ChangedMs = 0;
     bool WasEndedByOrder = false; ///< And not available since.
   };
+  struct done_end {
+    task_key Task;
+    std::uint32_t Starts = 0; ///< Of the task, before it ended.
+    std::uint64_t LeaseExpiries = 0;
+  };
   struct fake_endpoint {
     endpoint_facts Facts;
     bool IsReachable = true;
@@ -138,6 +170,12 @@
     std::uint64_t Sequence = 0;
     std::map<task_key, fake_run> Running;
     std::vector<end_row> Ends;
+    /// Ends as done in Ends, by their number.
+    std::map<std::uint64_t, done_end> DoneEnds;
+    bool IsLeaseExpired = false;
+    std::uint64_t LeaseExpiries = 0; ///< So far.
+    /// Received an order that was addressed to this incarnation.
+    bool WasCalled = false;
     std::map<task_key, std::uint32_t> Newest; ///< Ended or stopped attempts.
     std::uint64_t HostFence = 0;              ///< At the platform.
     /// In maintenance or moving until then; Never while in the standby pool.
@@ -145,7 +183,9 @@
     host_state HostState = host_state::Up;
     std::int64_t CrashesMs = 0; ///< Next crash of a bad host, or 0.
     bool IsBad = false;
-    std::int64_t DrainEndsMs = 0;  ///< While it drains.
+    std::int64_t DrainEndsMs = 0; ///< While it drains.
+    /// It exits then although its deregistration was not acknowledged, or 0.
+    std::int64_t ExitsMs = 0;
     std::string TargetPool;        ///< While moving.
     std::set<std::uint64_t> Waves; ///< Whose maintenance the host had.
     /// Capacities in heartbeats that were sent, also those that were lost.
@@ -158,6 +198,7 @@
     std::uint64_t IncarnationMs = 0; ///< Incarnation that receives it.
     bool IsAnswered = true;
     bool IsLate = false;
+    bool OutlivesRestart = false;
     std::int64_t TimeoutMs = 0; ///< When the order times out.
   };
   struct answer {
@@ -174,6 +215,7 @@
     order Order;
     std::uint32_t Leader = 0;
     bool IsAnswered = true;
+    std::int64_t AnswerMs = 0; ///< From its execution to its answer.
   };
 
   core::time_point now() const;
@@ -182,6 +224,9 @@
   void advance(fake_endpoint &Endpoint);
   void end(fake_endpoint &Endpoint, const task_key &Task, run_end Outcome);
   void send(order Order);
+  /// \returns the number under which the state knows the endpoint's present
+  /// incarnation, or 0.
+  std::uint32_t numberOf(const fake_endpoint &Endpoint) const;
   void deliver(const delivery &Delivery);
   endpoint_answer execute(fake_endpoint &Endpoint, const order &Order,
                           bool IsLate);
@@ -190,14 +235,20 @@
   void changeCapacity(fake_endpoint &Endpoint);
   /// Checks that what runs on the endpoint fits a capacity that it announced.
   void checkLimit(const fake_endpoint &Endpoint);
+  /// Forgets the ends that the cursor confirms.
+  void confirmEnds(fake_endpoint &Endpoint, std::uint64_t Cursor);
+  std::uint32_t progressOf(const fake_run &Run) const;
   void extendLease(fake_endpoint &Endpoint, std::uint64_t LeaseExpiryMs) const;
   std::uint64_t clockOf(const fake_endpoint &Endpoint) const;
   void checkRuns();
+  /// \returns whether the budgets of the job's steps bind no longer.
+  bool isExempt(const job_record &Job) const;
   void updateAvailability();
   void checkBudget(const task_key &Task);
   /// Ends the long-running tasks of the endpoint by an order.
   void endByOrder(fake_endpoint &Endpoint, const task_key &Task, bool IsLate);
   void sendToPlatform(order Order);
+  void sendPagedList(order Order, bool IsLost, bool IsAnswered);
   /// Executes the call of a slow platform.
   void executeCall(const platform_call &Call);
   order_answer executeHostOrder(const order &Order);
@@ -230,9 +281,16 @@
   std::vector<answer> Answers;
   std::vector<platform_call> PlatformCalls; ///< Not executed yet.
   std::set<task_key> DoneRecorded;
+  std::set<task_key> DoneConfirmed; ///< To an endpoint, by a cursor.
   bool HasPlatform = false;
   bool IsPlatformAvailable = true;
+  std::size_t HostsPerPage = 0; ///< 0: all, read when the call is sent.
+  std::size_t MaxEnds = 0;      ///< In one answer; 0: no limit.
+  unsigned LostAcknowledgements = 0;
   std::set<task_key> DeadlyTasks;
+  int MinRunMs = 200;
+  int RunSpreadMs = 1500;
+  bool ReportsProgress = false;   ///< Otherwise runs stay at 50 percent.
   bool HasLimits = true;          ///< False after removeLimits().
   bool ChangesCapacities = false; ///< Until settleCapacities().
   std::map<task_key, task_availability> Availability;
