--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -86,6 +86,7 @@
   if (IsNew) {
     Found->second.Endpoint = Endpoint;
     Found->second.TrackedSince = Now;
+    Found->second.MayObeyEarlier = true;
     auto Record = State.endpoints().find(Endpoint);
     if (Record != State.endpoints().end()) {
       // No order can reach an incarnation without an address.
@@ -321,7 +322,6 @@
   // them.
   if (Replaced == 0)
     return;
-  Tracked.MayObeyEarlier = true;
   Tracked.LeaseExpiry =
       std::max(Tracked.LeaseExpiry,
                Now + MaxOrderDelay + Settings.MaxLease * MaxLeasePercent / 100);
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -286,7 +286,10 @@
     return;
   poll_order Poll;
   Poll.Fence = fenceOf(Tracked.Endpoint);
-  Poll.Cursor = Tracked.Cursor;
+  // Another incarnation may answer, whose ends have other numbers.
+  bool MayBeAnother = Tracked.IsSuspect || Tracked.IsReplaced ||
+                      Candidates.count(Tracked.Id) > 0;
+  Poll.Cursor = MayBeAnother ? 0 : Tracked.Cursor;
   bool RequiresList = std::any_of(
       Tracked.Runs.begin(), Tracked.Runs.end(), [](const auto &Item) {
         return Item.second.Phase == run_phase::Unconfirmed ||
