Let lists decide about unreadable answers, and count refused polls as silence

Found by a reviewer by reading.

A refused poll counts like a missing answer now: no lease is renewed, and the runs are lost when it expires.

--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -17,9 +17,6 @@
 // Delay of a poll after one that failed at a scheduler; repeating it at once
 // would add to the load that made it fail.
 constexpr core::duration LocalRetryInterval = milliseconds(100);
-// Delay of a poll after one that the endpoint refused, for example in bad
-// health; each look at an endpoint costs it work.
-constexpr core::duration RefusedPollInterval = milliseconds(250);
 // How long a task is not placed after an endpoint refused its start.
 constexpr core::duration RefusalBackoff = milliseconds(150);
 // A run counts as stalled when it makes no progress for the longer of this time
@@ -77,6 +74,13 @@
   return "unknown";
 }
 
+/// \returns whether the endpoint did nothing for this reason, or an answer
+/// cannot be read.
+bool isRefusal(endpoint_verdict Verdict) {
+  return Verdict == endpoint_verdict::Unhealthy ||
+         Verdict == endpoint_verdict::BadOrder;
+}
+
 /// \returns whether an endpoint that refuses a start for this reason does not
 /// have the run, and obeys the order's fencing token from now on. The other
 /// refusals may come before it looks at the order.
@@ -255,9 +259,10 @@
         Order.Task, State.endpoints().find(Tracked.Endpoint)->second.Facts.Id);
   if (Answer->Verdict == endpoint_verdict::Unhealthy)
     Tracked.Health.record(Order.Task.Job, false, Now);
-  if (Run.UnansweredStarts == 0 && Run.MayBeStartedByOther &&
-      !hasLookedForRun(Answer->Verdict)) {
-    // An earlier leader's order may have been executed, or be executed late.
+  bool MayRun = Answer->Verdict == endpoint_verdict::BadOrder ||
+                (Run.MayBeStartedByOther && !hasLookedForRun(Answer->Verdict));
+  if (Run.UnansweredStarts == 0 && MayRun) {
+    // This order, or that of an earlier leader, may have been executed.
     // The next poll shows whether the run exists; if not, a stop keeps it from
     // starting.
     Run.Phase = run_phase::Unconfirmed;
@@ -303,12 +308,16 @@
     recordNoAnswer(Tracked, "hold", std::get<no_answer>(Result.Answer), Now);
     return;
   }
-  if (!recordAnswer(Tracked, *Answer, Now))
-    return;
-  if (Answer->Verdict != endpoint_verdict::Accepted) {
-    Tracked.NextPoll = std::max(Tracked.NextPoll, Now + RefusedPollInterval);
+  // An endpoint that refuses polls renews no lease and shows no run, like one
+  // that is out of reach. Otherwise its runs would never count as lost.
+  if (isRefusal(Answer->Verdict)) {
+    recordNoAnswer(Tracked, "hold", {false, std::string(name(Answer->Verdict))},
+                   Now);
     return;
   }
+  if (!recordAnswer(Tracked, *Answer, Now) ||
+      Answer->Verdict != endpoint_verdict::Accepted)
+    return;
   Tracked.ConfirmedCursor = std::max(Tracked.ConfirmedCursor, Order.Cursor);
   reconcileRuns(Tracked, *Answer, SentAt, Now);
   updateThrottle(Tracked, *Answer, Now);
--- a/tests/scheduling/test_refused_starts.cpp
+++ b/tests/scheduling/test_refused_starts.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -64,6 +65,18 @@
     }
     return Ends;
   }
+  /// \returns the newest poll that was sent to e1.
+  poll_order nextPoll() {
+    for (int Step = 0; Step != 20; ++Step) {
+      Now += 60ms;
+      takeOrders();
+      for (const auto &Order : Pending)
+        if (const auto *Poll = std::get_if<poll_order>(&Order.Body);
+            Poll && Order.Endpoint == 1)
+          return *Poll;
+    }
+    return {};
+  }
   bool isStopSent() {
     Now += 300ms;
     takeOrders();
@@ -130,6 +143,59 @@
   }
 }
 
+TEST_CASE("a start whose answer cannot be read may have been executed") {
+  restored_run Site;
+  Site.State.apply(submission(makeJob("k", {makeStep(1)})), 1000);
+  const task_key Second{"k", 0, 0, 0};
+  start_run Start{Second, 1, 1};
+  Site.Leader->recordApplied(Start, Site.State.apply(Start, 1000), Site.Now);
+  // The first start is that of the earlier leader's run.
+  Site.answer<start_order>(
+      restored_run::withVerdict(endpoint_verdict::Accepted));
+  Site.answer<start_order>(
+      restored_run::withVerdict(endpoint_verdict::BadOrder));
+  CHECK(Site.commit().empty());
+  auto List = restored_run::withVerdict(endpoint_verdict::Accepted);
+  List.Running.push_back({Task, 1, "", 50, std::nullopt});
+  List.Ended.push_back({1, Second, 1, run_end::Done, ""});
+  Site.answer<poll_order>(List);
+  auto Ends = Site.commit();
+  REQUIRE(Ends.size() == 1);
+  CHECK(Ends[0].Task == Second);
+  CHECK(Ends[0].Outcome == run_end::Done);
+}
+
+TEST_CASE("the runs of an endpoint that refuses every poll are lost once their "
+          "lease has expired") {
+  restored_run Site;
+  Site.answer<start_order>(
+      restored_run::withVerdict(endpoint_verdict::Unhealthy));
+  std::vector<end_run> Ends;
+  for (int Poll = 0; Poll != 30 && Ends.empty(); ++Poll) {
+    Site.Now += 500ms;
+    Site.answer<poll_order>(
+        restored_run::withVerdict(endpoint_verdict::Unhealthy));
+    Ends = Site.commit();
+  }
+  REQUIRE(Ends.size() == 1);
+  CHECK(Ends[0].Outcome == run_end::Lost);
+}
+
+TEST_CASE("a poll of an endpoint that may have restarted confirms no ends") {
+  restored_run Site;
+  Site.answer<start_order>(
+      restored_run::withVerdict(endpoint_verdict::Accepted));
+  auto List = restored_run::withVerdict(endpoint_verdict::Accepted);
+  List.Ended.push_back({7, Task, 1, run_end::Done, ""});
+  Site.answer<poll_order>(List);
+  REQUIRE(Site.commit().size() == 1);
+  Site.commit();
+  CHECK(Site.nextPoll().Cursor == 7);
+  Site.answer<poll_order>(
+      restored_run::withVerdict(endpoint_verdict::Unhealthy));
+  CHECK(Site.nextPoll().Cursor == 0);
+}
+
 TEST_CASE("a run of an earlier leader for which its endpoint has no capacity "
           "is placed again at once") {
   // The endpoint looked for the run and obeys this leader's fencing token.
