Spread suspects only while no further endpoint of the pool crashes

While tasks that crash endpoints are about, each spread of suspects crashed more endpoints with all their runs.

Suspects are spread, and reservations lifted, only after 1.5 s without a crash in the pool. The new case of test_crash_quarantine fails without it.

--- a/scheduling/crash_quarantine.cpp
+++ b/scheduling/crash_quarantine.cpp
@@ -70,11 +70,17 @@
         Known != Earlier.end() && Known->second.Attempt == Task.Attempt;
     auto Since = IsKnown ? Known->second.Since : Now;
     Waits[Task.Task] = {Task.Attempt, Since};
-    if (Now - Since >= MaxTrialWait)
+    if (isWaitOver(Since, Now))
       Spread.insert(Task.Task);
   }
 }
 
+bool crash_quarantine::isWaitOver(core::time_point Since,
+                                  core::time_point Now) const {
+  return Now - Since >= MaxTrialWait &&
+         (!LastCrash || Now - *LastCrash >= MinQuietTime);
+}
+
 quarantine_plan crash_quarantine::plan(
     std::span<const quarantine_endpoint> Endpoints,
     std::span<const quarantined_task> Tasks,
@@ -156,7 +162,7 @@
       WithoutTrial.erase(Task->Task);
     }
   }
-  if (HeldUpSince && Now - *HeldUpSince >= MaxTrialWait)
+  if (HeldUpSince && isWaitOver(*HeldUpSince, Now))
     Plan.Reserved.clear();
   return Plan;
 }
--- a/scheduling/crash_quarantine.h
+++ b/scheduling/crash_quarantine.h
@@ -39,6 +39,11 @@
 /// rest.
 inline constexpr core::duration MaxTrialWait = std::chrono::seconds(2);
 
+/// Suspects are spread only after this time without a crash in their pool:
+/// while endpoints go on crashing one of the suspects is at fault, and beside
+/// others it would take more runs with it.
+inline constexpr core::duration MinQuietTime = std::chrono::milliseconds(1500);
+
 struct quarantine_plan {
   /// Where tasks may start now alone. The others wait.
   std::map<task_key, std::uint32_t> Starts;
@@ -83,6 +88,9 @@
        const std::function<bool(const task_key &, std::uint32_t)> &MayRun,
        core::time_point Now);
 
+  /// Records that an endpoint of the pool crashed.
+  void recordCrash(core::time_point Now) { LastCrash = Now; }
+
   /// Records the result of a round of placement.
   /// \param IsHeldUp whether a task that is no suspect fitted only an endpoint
   /// that is reserved.
@@ -99,6 +107,10 @@
       const std::function<bool(const task_key &, std::uint32_t)> &MayRun,
       core::time_point Now);
 
+  /// \returns whether the wait has lasted long enough, and no endpoint of the
+  /// pool crashed lately.
+  bool isWaitOver(core::time_point Since, core::time_point Now) const;
+
   struct wait {
     std::uint32_t Attempt = 0; ///< Of the run before.
     core::time_point Since{};
@@ -114,6 +126,7 @@
   std::set<task_key> WithoutTrial; ///< Tasks that the newest plan holds up.
   /// Since when reservations have held up other tasks without a break.
   std::optional<core::time_point> HeldUpSince;
+  std::optional<core::time_point> LastCrash;
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -314,6 +314,8 @@
     std::set<task_key> Tasks;
     for (const auto &[Key, Run] : Tracked.Runs)
       Tasks.insert(Key);
+    if (const auto &Pool = Tracked.FreeCapacity.Pool; !Pool.empty())
+      Quarantines[Pool].recordCrash(Now);
     if (End.Cause == end_cause::Crashed)
       HostCrashes.record(Tracked.Host, Number, std::move(Tasks), Now);
   }
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -101,8 +101,8 @@
   core::time_point SuspectedAt{}; ///< While suspect.
   /// When runs were recorded as lost, until it is known to be alive again.
   std::optional<core::time_point> RunsLostAt;
-  /// It has not obeyed an order yet, so that one for an earlier incarnation with
-  /// its id would still be executed.
+  /// It has not obeyed an order yet, so that one for an earlier incarnation
+  /// with its id would still be executed.
   bool MayObeyEarlier = false;
   bool IsFenced = false;   ///< The endpoint obeys a later leader.
   bool IsReplaced = false; ///< Another incarnation answers under this id.
--- a/tests/scheduling/test_crash_quarantine.cpp
+++ b/tests/scheduling/test_crash_quarantine.cpp
@@ -185,6 +185,25 @@
         1);
 }
 
+// Deadly tasks that were spread beside others crashed more endpoints than
+// before the wait was bounded.
+TEST_CASE(
+    "suspects are not spread while endpoints of the pool go on crashing") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j"), suspect("j")};
+  List[0].Endpoints = {1};
+  List[1].Task.Index = 1;
+  Quarantine.plan(endpoints(4), List, anywhere, at(1s));
+  for (auto Time : {1s, 2s, 3s, 4s, 5s}) {
+    Quarantine.recordCrash(at(Time));
+    CHECK(Quarantine.plan(endpoints(4), List, anywhere, at(Time + 1400ms))
+              .Spread.empty());
+  }
+  CHECK(
+      Quarantine.plan(endpoints(4), List, anywhere, at(6500ms)).Spread.size() ==
+      1);
+}
+
 // Of two endpoints that are left one is reserved, for up to 10 s.
 TEST_CASE("a reservation ends when it has held up other tasks too long") {
   crash_quarantine Quarantine;
