Find candidates, budgets and due orders without walks over all endpoints

Change: the availability of a step is determined once in a pass over the hosts of a wave; candidates of a pool are found every 50 ms and checked when they are chosen; endpoints are visited when an order is due; a size without room is remembered for the round; the costly check of a candidate comes last.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -32,6 +32,9 @@
 // large backlog is expensive. Short compared to the latency objectives of jobs.
 constexpr core::duration MinPlacementInterval = milliseconds(15);
 constexpr core::duration LostCheckInterval = milliseconds(20);
+// How late an endpoint that has become able to accept runs gets its first one.
+// A pass over a thousand endpoints takes half a millisecond.
+constexpr core::duration CandidateInterval = milliseconds(50);
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
@@ -238,7 +241,8 @@
       for (const auto &[Number, Other] : TrackedEndpoints)
         if (Number != Endpoint->Number && Other.Id == Endpoint->Facts.Id)
           Earlier = Number;
-      transferRuns(Tracked, *Endpoint, Now);
+      if (Earlier != 0)
+        transferRuns(Tracked, *Endpoint, Now);
       if (Record->End.Cause != end_cause::Unknown)
         recordEnd(Tracked, Earlier, Record->End, Now);
       recordRunsChanged(Endpoint->Number);
@@ -261,6 +265,7 @@
         if (auto Place = EndpointOfRun.find(Key);
             Place != EndpointOfRun.end() && Place->second == End->Endpoint)
           EndpointOfRun.erase(Place);
+      removeCandidate(Found->second);
       TrackedEndpoints.erase(Found);
     }
     EndedIncarnations.erase(End->Endpoint);
@@ -315,7 +320,10 @@
         Tracked.LeaseExpiry, Now + Settings.Lease * MaxLeasePercent / 100);
   }
   auto Replaced = std::erase_if(TrackedEndpoints, [this](const auto &Item) {
-    return State.endpoints().find(Item.first) == State.endpoints().end();
+    if (State.endpoints().find(Item.first) != State.endpoints().end())
+      return false;
+    removeCandidate(Item.second);
+    return true;
   });
   // Orders for the earlier incarnation may reach this one, late ones too; their
   // leases are in the other one's clock, so only the endpoint's maximum bounds
@@ -414,6 +422,12 @@
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
     stopForgottenRuns(Now, WallMs);
+    std::erase_if(TrackedEndpoints, [this](const auto &Item) {
+      if (State.endpoints().find(Item.first) != State.endpoints().end())
+        return false;
+      removeCandidate(Item.second);
+      return true;
+    });
     Ranks.prune(WallMs);
     Advice.prune(Now);
     pruneCandidates(Now);
@@ -580,21 +594,45 @@
                                                    : Use.freeOf(Capacity);
 }
 
-std::vector<placement_target *>
-leader::schedulableTargets(const std::set<std::string_view> &Pools,
-                           core::time_point Now) {
-  std::vector<placement_target *> Targets;
+bool leader::isSchedulable(const tracked_endpoint &Tracked,
+                           core::time_point Now) const {
+  auto Endpoint = State.endpoints().find(Tracked.Endpoint);
+  return Endpoint != State.endpoints().end() &&
+         isSchedulable(Endpoint->second, Tracked, Now);
+}
+
+void leader::refreshCandidates(core::time_point Now) {
+  NextCandidates = Now + CandidateInterval;
+  for (auto &[Pool, Targets] : CandidateTargets)
+    Targets.clear();
   for (auto &[Number, Tracked] : TrackedEndpoints) {
     auto Endpoint = State.endpoints().find(Number);
     if (Endpoint == State.endpoints().end() ||
-        Pools.count(Endpoint->second.Facts.Pool) == 0 ||
         !isSchedulable(Endpoint->second, Tracked, Now))
       continue;
-    if (Tracked.IsCapacityStale)
-      computeFreeCapacity(Tracked, Endpoint->second);
-    Targets.push_back(&Tracked.FreeCapacity);
+    CandidateTargets[Endpoint->second.Facts.Pool].push_back(&Tracked);
   }
-  return Targets;
+  std::erase_if(CandidateTargets,
+                [](const auto &Item) { return Item.second.empty(); });
+}
+
+void leader::removeCandidate(const tracked_endpoint &Tracked) {
+  for (auto &[Pool, Targets] : CandidateTargets)
+    std::erase(Targets, &Tracked);
+}
+
+std::span<tracked_endpoint *const>
+leader::candidateTargets(const std::string &Pool, core::time_point Now) {
+  if (Now >= NextCandidates)
+    refreshCandidates(Now);
+  auto Found = CandidateTargets.find(Pool);
+  if (Found == CandidateTargets.end())
+    return {};
+  for (auto *Tracked : Found->second)
+    if (Tracked->IsCapacityStale)
+      computeFreeCapacity(*Tracked,
+                          State.endpoints().find(Tracked->Endpoint)->second);
+  return Found->second;
 }
 
 void leader::collectStarts(std::vector<command> &Commands, core::time_point Now,
@@ -618,10 +656,12 @@
       Quarantine.recordPlacement(false, Now);
     return;
   }
-  std::set<std::string_view> Pools;
+  std::vector<placement_target *> Targets;
   for (const auto &[Pool, Steps] : Waiting.pools())
-    Pools.insert(Pool);
-  auto Targets = schedulableTargets(Pools, Now);
+    for (auto *Tracked : candidateTargets(Pool, Now))
+      // Reservations for suspects are planned over all targets.
+      if (State.suspectJobs().empty() || isSchedulable(*Tracked, Now))
+        Targets.push_back(&Tracked->FreeCapacity);
   placement_request Request;
   Request.MaxStarts =
       std::min(MaxStartsPerBatch, MaxPendingStarts - PendingStarts);
@@ -629,9 +669,14 @@
     return DeferredTasks.find(Key) != DeferredTasks.end();
   };
   requestAdvice(Targets, Now);
+  std::unordered_map<std::uint32_t, bool> Schedulable;
   Request.IsAllowed = [&](const task_key &Key, const job_record &Job,
                           std::uint32_t Endpoint) {
-    return isAllowed(Key, Job, Endpoint, Now) &&
+    auto [Known, IsNew] = Schedulable.try_emplace(Endpoint);
+    if (IsNew)
+      Known->second =
+          isSchedulable(TrackedEndpoints.find(Endpoint)->second, Now);
+    return Known->second && isAllowed(Key, Job, Endpoint, Now) &&
            (!Job.Spec.Steps[Key.Step].IsLongRunning ||
             (!mayBeOnOrderedHost(Endpoint, Now) &&
              !mayBeMovedByEarlierLeader(Endpoint, Now)));
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -6,6 +6,7 @@
 #include "scheduling/advice_cache.h"
 #include "scheduling/crash_quarantine.h"
 #include "scheduling/demand_forecaster.h"
+#include "scheduling/due_queue.h"
 #include "scheduling/duration_models.h"
 #include "scheduling/host_crash_log.h"
 #include "scheduling/host_inventory.h"
@@ -16,6 +17,7 @@
 #include "scheduling/rank_cache.h"
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
+#include "scheduling/step_availability.h"
 #include "scheduling/tracked_endpoint.h"
 #include "scheduling/verdict_log.h"
 #include "scheduling/waiting_index.h"
@@ -155,9 +157,12 @@
   void verify(tracked_endpoint &Tracked, core::time_point Now);
 
   // leader_load.cpp
+  /// Whether a pool has an endpoint that accepts new runs, by pool.
+  using pool_flags = std::map<std::string, bool>;
   /// \returns what a task that is not at work waits for, for the log.
   std::string_view waitsFor(const task_key &Task, const task_record &Record,
                             const job_record &Job, bool IsBatchOpen,
+                            pool_flags &HasEndpoint,
                             core::time_point Now) const;
 
   /// Adds to a task that is not at work what is known about the endpoint of its
@@ -199,12 +204,16 @@
   /// Records the pools in which a long-running task could not be placed.
   void recordUnplaceableTasks(const std::set<task_key> &Placed,
                               core::time_point Now);
-  /// \returns the endpoints of the pools that accept new runs, with their free
-  /// capacity. Valid until the next change of the tracked endpoints; a caller
-  /// that changes the free capacity calls recordRunsChanged().
-  std::vector<placement_target *>
-  schedulableTargets(const std::set<std::string_view> &Pools,
-                     core::time_point Now);
+  /// \returns the endpoints of the pool that accepted new runs lately, with
+  /// their free capacity. isSchedulable() tells whether one still does. Valid
+  /// until the next change of the tracked endpoints; a caller that changes the
+  /// free capacity calls recordRunsChanged().
+  std::span<tracked_endpoint *const> candidateTargets(const std::string &Pool,
+                                                      core::time_point Now);
+  /// Finds the candidates of all pools.
+  void refreshCandidates(core::time_point Now);
+  /// Forgets an endpoint that is not tracked any more.
+  void removeCandidate(const tracked_endpoint &Tracked);
   void computeFreeCapacity(tracked_endpoint &Tracked,
                            const endpoint_record &Endpoint) const;
   /// \returns whether only the scheduler protects the endpoint from overload.
@@ -224,6 +233,8 @@
   bool isSchedulable(const endpoint_record &Endpoint,
                      const tracked_endpoint &Tracked,
                      core::time_point Now) const;
+  bool isSchedulable(const tracked_endpoint &Tracked,
+                     core::time_point Now) const;
 
   // leader_advice.cpp
   /// Requests advice for waiting steps whose queue requires it.
@@ -240,6 +251,12 @@
   // leader_orders.cpp
   void collectOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                      core::time_point Now);
+  void collectDueOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
+                        core::time_point Now);
+  /// \returns whether no order to the endpoint may become due by a time that
+  /// nextOrderTime() does not know.
+  static bool isCalm(const tracked_endpoint &Tracked,
+                     const endpoint_record &Endpoint);
   void addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                     core::time_point Now);
   void stopOrphanedRuns(tracked_endpoint &Tracked, std::vector<order> &Orders,
@@ -316,7 +333,7 @@
   /// another endpoint has capacity for them.
   void evacuate(core::time_point Now);
   bool fitsElsewhere(const task_key &Task, std::uint32_t Endpoint,
-                     std::span<placement_target *const> Targets) const;
+                     core::time_point Now);
   void addHostOrders(std::vector<order> &Orders, core::time_point Now);
   void finishHostOrder(const order &Order, const order_result &Result,
                        core::time_point Now);
@@ -351,13 +368,46 @@
     /// Among them, tasks at work on a host whose operation may take effect.
     std::uint32_t Ordered = 0;
   };
+  /// How a task of a long-running step counts for the budget of its peers.
+  struct peer_availability {
+    bool IsAvailable = false; ///< At work on an endpoint that answers.
+    bool IsOrdered = false;   ///< Its host's operation may take effect.
+    bool IsDraining = false;  ///< Its endpoint drains.
+    bool IsLeaving = false;   ///< Its endpoint has another end than a drain.
+    /// \param CountsDrains whether tasks on endpoints that drain count.
+    bool isUnavailable(bool CountsDrains) const {
+      return !IsAvailable || IsOrdered || IsLeaving ||
+             (CountsDrains && IsDraining);
+    }
+  };
+  /// The steps whose availability was determined at one moment, by their first
+  /// task. A step whose tasks have changed since has to be erased.
+  using step_availabilities =
+      std::unordered_map<task_key, step_availability, task_key_hash>;
+  /// \param Key a task of a long-running step.
+  /// \param Number number of the endpoint that it is assigned to, or 0.
+  peer_availability availabilityOf(const task_key &Key, std::uint32_t Number,
+                                   core::time_point Now) const;
   peer_counts countPeers(const task_key &Task, interruption Interruption,
                          core::time_point Now) const;
   /// \returns whether the unavailability budget allows to end this task.
   bool isWithinBudget(const task_key &Task, interruption Interruption,
                       core::time_point Now) const;
+  /// \returns the task's step when it has an unavailability budget, or null.
+  const step_spec *findBudgetedStep(const task_key &Task) const;
+  /// \returns the availability of the task's step, from Known if it is there,
+  /// or null when the task has no open occurrence.
+  const step_availability *findAvailability(const task_key &Task,
+                                            step_availabilities &Known,
+                                            core::time_point Now) const;
+  /// \returns whether the unavailability budget allows to stop the task, as
+  /// isWithinBudget() does; for many tasks at one moment.
+  bool mayStop(const task_key &Task, step_availabilities &Known,
+               core::time_point Now) const;
   /// \returns whether the unavailability budgets allow to interrupt all runs of
   /// the endpoint.
+  bool mayInterrupt(const tracked_endpoint &Tracked, step_availabilities &Known,
+                    core::time_point Now) const;
   bool mayInterrupt(const tracked_endpoint &Tracked,
                     core::time_point Now) const;
   /// \returns whether no list of hosts has shown yet on which host the endpoint
@@ -501,6 +551,10 @@
   /// orders of an earlier leader in this process may still arrive.
   std::uint64_t LastOrder = 0;
   std::map<std::uint32_t, tracked_endpoint> TrackedEndpoints;
+  /// By pool, ordered by number.
+  std::map<std::string, std::vector<tracked_endpoint *>, std::less<>>
+      CandidateTargets;
+  core::time_point NextCandidates{};
   /// Number of the endpoint that each run was assigned to.
   std::unordered_map<task_key, std::uint32_t, task_key_hash> EndpointOfRun;
   /// Heartbeats of incarnations that are not committed yet, by endpoint id.
@@ -513,7 +567,8 @@
   refusal_log Unproven;
   /// Endpoints with events since the last takeOrders().
   std::vector<std::uint32_t> DueEndpoints;
-  core::time_point NextSweep{};
+  /// When the orders of endpoints without events are due.
+  due_queue DueTimes;
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
   std::map<std::uint64_t, pending_order> PendingOrders;
--- a/scheduling/leader_advice.cpp
+++ b/scheduling/leader_advice.cpp
@@ -26,6 +26,11 @@
   if (!Settings.HasAdviser || Now < NextAdvice)
     return;
   NextAdvice = Now + AdviceInterval;
+  const auto &Queues = State.currentConfiguration().Queues;
+  if (std::none_of(Queues.begin(), Queues.end(), [](const queue_spec &Queue) {
+        return Queue.Advice.has_value();
+      }))
+    return;
   for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     const auto &Job = *State.findJob(Id);
     const auto *Queue = State.queueOf(Job);
@@ -44,7 +49,9 @@
           if (Target->Pool == Job.Pool &&
               Size.MilliCores <= Target->Free.MilliCores &&
               Size.MemoryMb <= Target->Free.MemoryMb &&
-              Size.Accelerators <= Target->Free.Accelerators)
+              Size.Accelerators <= Target->Free.Accelerators &&
+              isSchedulable(TrackedEndpoints.find(Target->Endpoint)->second,
+                            Now))
             Ids.push_back(
                 State.endpoints().find(Target->Endpoint)->second.Facts.Id);
         Advice.request({Id, Occurrence.Number, Step, 0}, *Queue->Advice,
--- a/scheduling/leader_budget.cpp
+++ b/scheduling/leader_budget.cpp
@@ -26,6 +26,33 @@
 
 } // namespace
 
+leader::peer_availability leader::availabilityOf(const task_key &Key,
+                                                 std::uint32_t Number,
+                                                 core::time_point Now) const {
+  peer_availability Peer;
+  auto Tracked = TrackedEndpoints.find(Number);
+  if (Tracked == TrackedEndpoints.end())
+    return Peer;
+  const auto &Known = Tracked->second;
+  auto Run = Known.Runs.find(Key);
+  Peer.IsAvailable = Run != Known.Runs.end() &&
+                     Run->second.Phase == run_phase::Running &&
+                     !Run->second.IsEnded && Run->second.Percent >= 100 &&
+                     !Known.IsSuspect && Now - Known.LastAnswer <= MaxAnswerAge;
+  const auto &Endpoint = State.endpoints().find(Number)->second;
+  auto Operation = Hosts.Operations.find(hostOf(Endpoint));
+  // A held order may have taken effect after the endpoint's last answer.
+  Peer.IsOrdered = Operation != Hosts.Operations.end() &&
+                   (!Operation->second.IsHeld ||
+                    Known.LastAnswer < Operation->second.MayTakeEffectUntil);
+  Peer.IsDraining = Endpoint.Facts.IsDraining;
+  // The list of hosts may show that the incarnation ended before its end is
+  // committed.
+  Peer.IsLeaving =
+      Known.IsReplaced || Known.RemoveAt || EndedIncarnations.count(Number) > 0;
+  return Peer;
+}
+
 leader::peer_counts leader::countPeers(const task_key &Task,
                                        interruption Interruption,
                                        core::time_point Now) const {
@@ -39,57 +66,80 @@
   for (Key.Index = 0; Key.Index != Tasks.size(); ++Key.Index) {
     if (Key.Index == Task.Index)
       continue;
-    auto Tracked = TrackedEndpoints.find(Tasks[Key.Index].Endpoint);
-    if (Tracked == TrackedEndpoints.end()) {
-      ++Counts.Unavailable;
-      continue;
-    }
-    auto Run = Tracked->second.Runs.find(Key);
-    bool IsAvailable = Run != Tracked->second.Runs.end() &&
-                       Run->second.Phase == run_phase::Running &&
-                       !Run->second.IsEnded && Run->second.Percent >= 100 &&
-                       !Tracked->second.IsSuspect &&
-                       Now - Tracked->second.LastAnswer <= MaxAnswerAge;
-    const auto &Endpoint = State.endpoints().find(Tracked->first)->second;
+    auto Peer = availabilityOf(Key, Tasks[Key.Index].Endpoint, Now);
     bool IsColocated = Tasks[Key.Index].Endpoint == Tasks[Task.Index].Endpoint;
-    auto Operation = Hosts.Operations.find(hostOf(Endpoint));
-    // A held order may have taken effect after the endpoint's last answer.
-    bool IsOrdered =
-        Operation != Hosts.Operations.end() &&
-        (!Operation->second.IsHeld ||
-         Tracked->second.LastAnswer < Operation->second.MayTakeEffectUntil);
-    // The list of hosts may show that the incarnation ended before its end is
-    // committed.
-    bool IsLeaving = (IsColocated && Interruption == interruption::Endpoint) ||
-                     (Endpoint.Facts.IsDraining &&
-                      Interruption != interruption::DrainingRun) ||
-                     Tracked->second.IsReplaced || Tracked->second.RemoveAt ||
-                     EndedIncarnations.count(Tracked->first) > 0;
-    Counts.Unavailable += !IsAvailable || IsLeaving || IsOrdered;
-    Counts.Ordered += IsAvailable && IsOrdered;
+    Counts.Unavailable +=
+        Peer.isUnavailable(Interruption != interruption::DrainingRun) ||
+        (IsColocated && Interruption == interruption::Endpoint);
+    Counts.Ordered += Peer.IsAvailable && Peer.IsOrdered;
   }
   return Counts;
 }
 
-bool leader::isWithinBudget(const task_key &Task, interruption Interruption,
-                            core::time_point Now) const {
+const step_spec *leader::findBudgetedStep(const task_key &Task) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Step = findStep(Task);
   if (!Step || !Step->IsLongRunning ||
       (isOver(Job->State) && !keepsTasksAtWork(*Job, Task.Step)))
-    return true;
-  return countPeers(Task, Interruption, Now).Unavailable <
-         std::max(1u, Step->MaxUnavailable);
+    return nullptr;
+  return Step;
+}
+
+bool leader::isWithinBudget(const task_key &Task, interruption Interruption,
+                            core::time_point Now) const {
+  const auto *Step = findBudgetedStep(Task);
+  return !Step || countPeers(Task, Interruption, Now).Unavailable <
+                      std::max(1u, Step->MaxUnavailable);
+}
+
+const step_availability *leader::findAvailability(const task_key &Task,
+                                                  step_availabilities &Known,
+                                                  core::time_point Now) const {
+  const auto *Job = State.findJob(Task.Job);
+  const auto *Occurrence = Job ? Job->findOpen(Task.Occurrence) : nullptr;
+  if (!Occurrence || !State.findTask(Task))
+    return nullptr;
+  auto Key = Task;
+  Key.Index = 0;
+  auto [Found, IsNew] = Known.try_emplace(Key);
+  if (!IsNew)
+    return &Found->second;
+  const auto &Tasks = Occurrence->Steps[Task.Step].Tasks;
+  for (; Key.Index != Tasks.size(); ++Key.Index) {
+    auto Endpoint = Tasks[Key.Index].Endpoint;
+    Found->second.add(Endpoint,
+                      availabilityOf(Key, Endpoint, Now).isUnavailable(true));
+  }
+  return &Found->second;
+}
+
+bool leader::mayStop(const task_key &Task, step_availabilities &Known,
+                     core::time_point Now) const {
+  const auto *Step = findBudgetedStep(Task);
+  const auto *Peers = Step ? findAvailability(Task, Known, Now) : nullptr;
+  return !Peers || Peers->unavailablePeers(Task.Index) <
+                       std::max(1u, Step->MaxUnavailable);
 }
 
 bool leader::mayInterrupt(const tracked_endpoint &Tracked,
+                          step_availabilities &Known,
                           core::time_point Now) const {
   return std::all_of(
       Tracked.Runs.begin(), Tracked.Runs.end(), [&](const auto &Item) {
-        return isWithinBudget(Item.first, interruption::Endpoint, Now);
+        const auto &Task = Item.first;
+        const auto *Step = findBudgetedStep(Task);
+        const auto *Peers = Step ? findAvailability(Task, Known, Now) : nullptr;
+        return !Peers || Peers->unavailablePeersWithout(Task.Index) <
+                             std::max(1u, Step->MaxUnavailable);
       });
 }
 
+bool leader::mayInterrupt(const tracked_endpoint &Tracked,
+                          core::time_point Now) const {
+  step_availabilities Known;
+  return mayInterrupt(Tracked, Known, Now);
+}
+
 bool leader::isUnlisted(const tracked_endpoint &Tracked) const {
   auto Endpoint = State.endpoints().find(Tracked.Endpoint);
   return Endpoint != State.endpoints().end() &&
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -87,6 +87,7 @@
 leader::maintenanceHosts(const wave_record &Wave, core::time_point Now) const {
   std::vector<maintenance_host> View;
   name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
+  step_availabilities Known;
   for (const auto &Name : Wave.Hosts) {
     const auto *Row = Hosts.find(Name);
     auto Operation = Hosts.Operations.find(Name);
@@ -120,7 +121,7 @@
         else
           ++Host.ShortRuns;
       }
-      Host.MayInterrupt = mayInterrupt(*Tracked, Now);
+      Host.MayInterrupt = mayInterrupt(*Tracked, Known, Now);
     }
     View.push_back(std::move(Host));
   }
@@ -191,28 +192,33 @@
 }
 
 bool leader::fitsElsewhere(const task_key &Task, std::uint32_t Endpoint,
-                           std::span<placement_target *const> Targets) const {
+                           core::time_point Now) {
   const auto &Job = *State.findJob(Task.Job);
   const auto &Step = Job.Spec.Steps[Task.Step];
   auto Size = reservedSize(Step);
-  return std::any_of(
-      Targets.begin(), Targets.end(), [&](const placement_target *Target) {
-        auto Runs = Target->RunsByStep.find(stepKey(Task));
-        return Target->Endpoint != Endpoint && Target->Pool == Job.Pool &&
-               !Target->IsReserved &&
-               Size.MilliCores <= Target->Free.MilliCores &&
-               Size.MemoryMb <= Target->Free.MemoryMb &&
-               Size.Accelerators <= Target->Free.Accelerators &&
-               (Step.MaxPerEndpoint == 0 || Runs == Target->RunsByStep.end() ||
-                Runs->second < Step.MaxPerEndpoint);
-      });
+  auto Targets = candidateTargets(Job.Pool, Now);
+  return std::any_of(Targets.begin(), Targets.end(),
+                     [&](const tracked_endpoint *Candidate) {
+                       const auto &Target = Candidate->FreeCapacity;
+                       if (Target.Endpoint == Endpoint || Target.IsReserved ||
+                           Size.MilliCores > Target.Free.MilliCores ||
+                           Size.MemoryMb > Target.Free.MemoryMb ||
+                           Size.Accelerators > Target.Free.Accelerators)
+                         return false;
+                       if (Step.MaxPerEndpoint > 0) {
+                         auto Runs = Target.RunsByStep.find(stepKey(Task));
+                         if (Runs != Target.RunsByStep.end() &&
+                             Runs->second >= Step.MaxPerEndpoint)
+                           return false;
+                       }
+                       return isSchedulable(*Candidate, Now);
+                     });
 }
 
 void leader::evacuate(core::time_point Now) {
   if (Hosts.Cordoned.empty())
     return;
-  // Most rounds have no task that may be stopped.
-  std::map<std::string, std::vector<placement_target *>> TargetsByPool;
+  step_availabilities Known;
   for (const auto &[Name, Since] : Hosts.Cordoned) {
     const auto *Found = trackedOnHost(Name);
     auto Operation = Hosts.Operations.find(Name);
@@ -226,17 +232,15 @@
       const auto *Job = State.findJob(Key.Job);
       const auto *Step = findStep(Key);
       if (!Step || !Step->IsLongRunning || Run.Phase != run_phase::Running ||
-          isOver(Job->State) || !isWithinBudget(Key, interruption::Run, Now))
+          isOver(Job->State) || !mayStop(Key, Known, Now))
         continue;
-      auto [Targets, IsNew] = TargetsByPool.try_emplace(Job->Pool);
-      if (IsNew)
-        Targets->second = schedulableTargets({Job->Pool}, Now);
-      if (!fitsElsewhere(Key, Tracked.Endpoint, Targets->second)) {
+      if (!fitsElsewhere(Key, Tracked.Endpoint, Now)) {
         Hosts.UnplaceableAt[Job->Pool] = Now;
         continue;
       }
       beginStop(Run, stop_reason::Evacuated, Now);
       markDue(Tracked);
+      Known.erase({Key.Job, Key.Occurrence, Key.Step, 0});
       core::logEvent(core::log_level::Info, "run_evacuated",
                      {{"job", Key.Job},
                       {"step", Key.Step},
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -35,19 +35,23 @@
 std::string_view leader::waitsFor(const task_key &Task,
                                   const task_record &Record,
                                   const job_record &Job, bool IsBatchOpen,
+                                  pool_flags &HasEndpoint,
                                   core::time_point Now) const {
   if (Record.Endpoint == 0) {
     if (DeferredTasks.find(Task) != DeferredTasks.end())
       return "retry_after_refusal";
-    bool HasEndpoint =
-        std::any_of(TrackedEndpoints.begin(), TrackedEndpoints.end(),
-                    [&](const auto &Item) {
-                      auto Endpoint = State.endpoints().find(Item.first);
-                      return Endpoint != State.endpoints().end() &&
-                             Endpoint->second.Facts.Pool == Job.Pool &&
-                             isSchedulable(Endpoint->second, Item.second, Now);
-                    });
-    if (!HasEndpoint)
+    // Looked up once for a pool, because hundreds of tasks may wait.
+    auto [Pool, IsNew] = HasEndpoint.try_emplace(Job.Pool);
+    if (IsNew)
+      Pool->second = std::any_of(
+          TrackedEndpoints.begin(), TrackedEndpoints.end(),
+          [&](const auto &Item) {
+            auto Endpoint = State.endpoints().find(Item.first);
+            return Endpoint != State.endpoints().end() &&
+                   Endpoint->second.Facts.Pool == Job.Pool &&
+                   isSchedulable(Endpoint->second, Item.second, Now);
+          });
+    if (!Pool->second)
       return "endpoint";
     if (waitsForTrial(Task, Job))
       return "trial";
@@ -90,6 +94,7 @@
 std::vector<unserved_task> leader::unservedTasks(core::time_point Now,
                                                  bool IsBatchOpen) {
   std::vector<unserved_task> Result;
+  pool_flags HasEndpoint;
   std::map<task_key, core::time_point> Since;
   for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     const auto &Job = *State.findJob(Id);
@@ -112,8 +117,9 @@
           auto Known = UnservedSince.find(Key);
           auto Begin = Known == UnservedSince.end() ? Now : Known->second;
           Since.emplace(Key, Begin);
-          unserved_task Task{Key, Now - Begin, Record.Endpoint,
-                             waitsFor(Key, Record, Job, IsBatchOpen, Now)};
+          unserved_task Task{
+              Key, Now - Begin, Record.Endpoint,
+              waitsFor(Key, Record, Job, IsBatchOpen, HasEndpoint, Now)};
           if (Tracked != TrackedEndpoints.end())
             describeEndpointOf(Task, Tracked->second, Now);
           Result.push_back(std::move(Task));
@@ -132,7 +138,8 @@
       auto Begin = Known == UnservedSince.end() ? Now : Known->second;
       Since.emplace(Key, Begin);
       Result.push_back(
-          {Key, Now - Begin, 0, waitsFor(Key, *Record, Job, IsBatchOpen, Now)});
+          {Key, Now - Begin, 0,
+           waitsFor(Key, *Record, Job, IsBatchOpen, HasEndpoint, Now)});
     }
   }
   UnservedSince = std::move(Since);
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -30,12 +30,12 @@
 // An idle endpoint gets a poll that only confirms the recorded ends after this
 // time without an answer; a busy endpoint gets the cursor with its next poll.
 constexpr core::duration AckDelay = milliseconds(800);
-// Maximum interval between checks of an endpoint without events for leases,
-// draining and missed heartbeats.
+// Interval between checks of an endpoint without events that drains, does not
+// answer or has runs to be started or stopped.
 constexpr core::duration CheckInterval = milliseconds(50);
-// Interval of the pass over all endpoints; bounds the delay of an order that
-// becomes due by time rather than by an event.
-constexpr core::duration SweepInterval = milliseconds(10);
+// The same for any other endpoint, whose orders become due by events or at
+// known times; bounds the delay should one be missed.
+constexpr core::duration CalmCheckInterval = milliseconds(500);
 
 // Heartbeat intervals that a start waits for a heartbeat with the capacity of
 // an endpoint that enforces no limits; one heartbeat may be lost.
@@ -91,16 +91,12 @@
 std::vector<order> leader::takeOrders(core::time_point Now) {
   std::vector<order> Orders;
   auto Due = std::exchange(DueEndpoints, {});
-  if (Now >= NextSweep) {
-    NextSweep = Now + SweepInterval;
-    for (auto &[Number, Tracked] : TrackedEndpoints)
-      collectOrders(Tracked, Orders, Now);
-  } else {
-    for (auto Number : Due)
-      if (auto Found = TrackedEndpoints.find(Number);
-          Found != TrackedEndpoints.end())
-        collectOrders(Found->second, Orders, Now);
-  }
+  for (auto Number : DueTimes.takeDue(Now))
+    Due.push_back(Number);
+  for (auto Number : Due)
+    if (auto Found = TrackedEndpoints.find(Number);
+        Found != TrackedEndpoints.end())
+      collectOrders(Found->second, Orders, Now);
   addProbes(Orders, Now);
   addHostOrders(Orders, Now);
   addAdviceOrder(Orders, Now);
@@ -113,6 +109,13 @@
                            std::vector<order> &Orders, core::time_point Now) {
   if (Now < Tracked.DueAt)
     return;
+  collectDueOrders(Tracked, Orders, Now);
+  DueTimes.add(Tracked.Endpoint, Tracked.DueAt);
+}
+
+void leader::collectDueOrders(tracked_endpoint &Tracked,
+                              std::vector<order> &Orders,
+                              core::time_point Now) {
   Tracked.DueAt = Now + CheckInterval;
   auto Endpoint = State.endpoints().find(Tracked.Endpoint);
   if (Tracked.IsFenced || (Tracked.IsReplaced && !Tracked.IsVerificationDue) ||
@@ -127,9 +130,26 @@
     addThrottleOrders(Tracked, Orders, Now);
   }
   addPollOrder(Tracked, Orders, Now);
+  if (isCalm(Tracked, Endpoint->second))
+    Tracked.DueAt = Now + CalmCheckInterval;
   Tracked.DueAt = std::min(Tracked.DueAt, nextOrderTime(Tracked, Now));
 }
 
+bool leader::isCalm(const tracked_endpoint &Tracked,
+                    const endpoint_record &Endpoint) {
+  return !Endpoint.Facts.IsDraining && !Tracked.IsSuspect &&
+         !Tracked.IsReplaced && !Tracked.MayInterfere &&
+         Tracked.ClockAt != core::time_point() &&
+         Tracked.OrphanedRuns.empty() &&
+         Tracked.Cursor <= Tracked.ConfirmedCursor &&
+         std::all_of(Tracked.Runs.begin(), Tracked.Runs.end(),
+                     [](const auto &Item) {
+                       const auto &Run = Item.second;
+                       return Run.Phase == run_phase::Running ||
+                              Run.IsOrderPending || Run.IsEnded;
+                     });
+}
+
 core::time_point leader::nextOrderTime(const tracked_endpoint &Tracked,
                                        core::time_point Now) const {
   auto Next = core::time_point::max();
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -52,8 +52,10 @@
   placement_round(std::span<placement_target *const> Targets,
                   const placement_request &Request)
       : Request(Request) {
-    for (auto *Target : Targets)
+    for (auto *Target : Targets) {
       ByPool[Target->Pool].push_back(Target);
+      HasReserved |= Target->IsReserved;
+    }
   }
 
   void place(const waiting_step &Waiting) {
@@ -113,12 +115,15 @@
       auto Only = endpointFor(Waiting, Key);
       if (Only.has_value() != PlacesSuspects || Only == 0u)
         continue;
-      auto *Target = choose(Waiting, Spec, Key, Pool, "", Only);
+      auto *Target = !Only && isTooLarge(Waiting.Job->Pool, Spec)
+                         ? nullptr
+                         : choose(Waiting, Spec, Key, Pool, "", Only);
       // A suspect that waits says nothing about the capacity of the pool.
       if (!Target && Only)
         continue;
       if (!Target) {
-        if (Request.RecordHeldUp &&
+        recordTooLarge(Waiting.Job->Pool, Spec, Pool);
+        if (Request.RecordHeldUp && HasReserved &&
             choose(Waiting, Spec, Key, Pool, "", AnyEndpoint))
           Request.RecordHeldUp(Waiting.Job->Pool);
         ++FailedPlacements[Waiting.Job->Pool];
@@ -172,6 +177,31 @@
       Request.RecordHeldUp(Waiting.Job->Pool);
   }
 
+  /// \returns whether a task of this size or a smaller one had no room on any
+  /// endpoint of the pool in this round. Most steps of a backlog have about the
+  /// same size, and each would cost a pass over all endpoints.
+  bool isTooLarge(const std::string &Pool, const step_spec &Spec) const {
+    auto Found = TooLarge.find(Pool);
+    if (Found == TooLarge.end())
+      return false;
+    auto Size = reservedSize(Spec);
+    return std::any_of(
+        Found->second.begin(), Found->second.end(),
+        [&](const resource_amounts &Known) { return fits(Size, Known); });
+  }
+
+  /// Remembers the size if it is what kept the task from all endpoints.
+  void recordTooLarge(const std::string &Pool, const step_spec &Spec,
+                      const target_list &Targets) {
+    auto Size = reservedSize(Spec);
+    if (isTooLarge(Pool, Spec) ||
+        std::any_of(Targets.begin(), Targets.end(), [&](const auto *Target) {
+          return !Target->IsReserved && fits(Target->Free, Size);
+        }))
+      return;
+    TooLarge[Pool].push_back(Size);
+  }
+
   std::optional<std::uint32_t> endpointFor(const waiting_step &Waiting,
                                            const task_key &Key) const {
     if (!Request.EndpointFor || Waiting.Job->Suspects.empty())
@@ -274,8 +304,6 @@
             Runs->second >= Spec.MaxPerEndpoint)
           continue;
       }
-      if (!isEligible(Waiting, Spec, Key, *Target, Rack))
-        continue;
       target_cost Cost;
       if (IsSpread)
         Cost = {Target->IsReserved, countSharedCrashes(*Target, Crashes),
@@ -283,10 +311,12 @@
                 Target->Runs, 0};
       else
         Cost.Fit = costOf(Spec, *Target);
-      if (!Best || Cost < BestCost) {
-        Best = Target;
-        BestCost = Cost;
-      }
+      // The costly check comes last.
+      if ((Best && !(Cost < BestCost)) ||
+          !isEligible(Waiting, Spec, Key, *Target, Rack))
+        continue;
+      Best = Target;
+      BestCost = Cost;
     }
     return Best;
   }
@@ -358,6 +388,10 @@
   const placement_request &Request;
   std::map<std::string, target_list> ByPool;
   std::map<std::string, std::uint32_t> FailedPlacements;
+  /// Sizes for which no endpoint has room, by pool. Room only shrinks within a
+  /// round.
+  std::map<std::string, std::vector<resource_amounts>> TooLarge;
+  bool HasReserved = false; ///< A target is reserved.
   std::vector<placement> Placements;
   bool PlacesSuspects = false;
 };
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -112,12 +112,10 @@
 /// cores that fits (best fit), so that free capacity for large tasks remains.
 /// Latency-sensitive tasks are kept apart from best-effort tasks and from each
 /// other, and both prefer the endpoint with the most free cores. Long-running
-/// tasks are packed on few endpoints. A gang is placed whole or not at all.
-/// \param State the jobs.
-/// \param Waiting the steps to place, from waitingSteps().
-/// \param Targets the endpoints; their free capacity is reduced by the
-/// placements.
-/// \returns the runs to start.
+/// tasks are packed on few endpoints. A
+/// gang is placed whole or not at all. \param State the jobs. \param Waiting
+/// the steps to place, from waitingSteps(). \param Targets the endpoints; their
+/// free capacity is reduced by the placements. \returns the runs to start.
 std::vector<placement> placeRuns(std::span<const waiting_step> Waiting,
                                  std::span<placement_target *const> Targets,
                                  const placement_request &Request);
