Blame no run for a crash that came before its start

Cause: a crash counted against every run that may have started, by when the crash was learnt.

Change: a run whose start is unanswered is not blamed when the endpoint gave no sign of life after the order was sent. An endpoint accepts a start before it carries it out, so one that crashes because of the run has answered. The leader decides it, so that the replicated state is applied as before.

Test: the new case of test_leader_crashes counts the crash only when the endpoint was heard after the order; without the change it counts both.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -66,7 +66,7 @@
   end_cause Cause = end_cause::Unknown;
   /// Time since it was last known to be alive; its runs may have ended since.
   std::uint32_t SilentMs = 0;
-  /// Runs of it that certainly did not start.
+  /// Runs of it that did not start, or not before it was already down.
   std::vector<task_key> Unstarted;
   bool operator==(const incarnation_end &) const = default;
 };
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -100,10 +100,10 @@
     return End;
   }
   const auto &Tracked = Found->second;
-  End.SilentMs =
-      toMs(Now - std::max(Tracked.LastAnswer, Tracked.LastHeartbeat));
+  auto LastAlive = std::max(Tracked.LastAnswer, Tracked.LastHeartbeat);
+  End.SilentMs = toMs(Now - LastAlive);
   for (const auto &[Key, Run] : Tracked.Runs)
-    if (!Run.mayHaveStarted())
+    if (!Run.mayHaveCrashed(LastAlive))
       End.Unstarted.push_back(Key);
   return End;
 }
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -274,6 +274,8 @@
     }
     Run.Phase = run_phase::Starting;
     Run.IsOrderPending = true;
+    if (Run.FirstSentAt == core::time_point())
+      Run.FirstSentAt = Now;
     Run.NextOrder = Now + ResendInterval;
     addOrder(Orders, &Tracked, std::move(Start), OrderTimeout, Now);
     ++PendingStarts;
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -48,6 +48,8 @@
   /// Start orders without an answer; the endpoint may still execute each of
   /// them.
   std::uint32_t UnansweredStarts = 0;
+  /// When this leader first sent a start order, or zero.
+  core::time_point FirstSentAt{};
   core::time_point NextOrder{};    ///< Earliest time of the next order.
   core::time_point VisibleSince{}; ///< Polls sent later must list the run.
   /// When the start was accepted; empty after a change of leader.
@@ -72,6 +74,17 @@
     return MayBeStartedByOther || IsOrderPending || UnansweredStarts > 0 ||
            (Phase != run_phase::Committed && Phase != run_phase::Starting);
   }
+  /// \param LastAlive when its endpoint, which has crashed, last showed that it
+  /// was alive.
+  /// \returns whether it may have caused the crash: an endpoint accepts a start
+  /// before it carries it out, so without a sign of life since the order the
+  /// endpoint had crashed before.
+  bool mayHaveCrashed(core::time_point LastAlive) const {
+    bool IsUnanswered =
+        !MayBeStartedByOther &&
+        (Phase == run_phase::Committed || Phase == run_phase::Starting);
+    return mayHaveStarted() && !(IsUnanswered && FirstSentAt >= LastAlive);
+  }
 };
 
 /// A run that the endpoint lists although it was recorded as lost or never
--- a/tests/scheduling/test_leader_crashes.cpp
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -283,6 +283,34 @@
   CHECK(Site.crashes("k") == 0);
 }
 
+// A crash counts against a run by when it happened, not by when it was learnt:
+// a sound job was given up for two crashes, of which the second came before the
+// start of its run.
+TEST_CASE(
+    "a run that was ordered after the last sign of life of an endpoint is "
+    "not blamed for its crash") {
+  for (bool IsHeardAfterwards : {false, true}) {
+    CAPTURE(IsHeardAfterwards);
+    crash_site Site(3);
+    Site.submit("j");
+    Site.submit("k");
+    Site.start("j", 1);
+    Site.Now += 100ms;
+    Site.apply(start_run{{"k", 0, 0, 0}, 1, 1});
+    Site.takeOrders();
+    REQUIRE(Site.Starts.size() == 1);
+    Site.Leader->finishOrder({Site.Starts[0].Id, no_answer{true, "timeout"}},
+                             Site.Now);
+    Site.Now += 100ms;
+    if (IsHeardAfterwards)
+      Site.beat(Site.State.endpoints().at(1).Facts);
+    Site.takeDown(1);
+    Site.list();
+    CHECK(Site.crashes("j") == 1);
+    CHECK(Site.crashes("k") == (IsHeardAfterwards ? 1 : 0));
+  }
+}
+
 TEST_CASE("the end of an endpoint that drains or deregistered is planned") {
   crash_site Site(3);
   Site.submit("j");
