Keep long-running tasks from hosts that a wave still has to interrupt

Cause: a task that was moved off a host for its maintenance was placed on another host of the same wave as often as not, and used up its step's budget again there.

Change: candidates know whether their host still waits for a wave, and long-running tasks prefer the others. Short tasks are placed as before.

Test: the new case of test_decisions. The effect on waves is not measured alone.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/job_order.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -605,11 +606,20 @@
   NextCandidates = Now + CandidateInterval;
   for (auto &[Pool, Targets] : CandidateTargets)
     Targets.clear();
+  std::unordered_set<std::string_view> DueHosts;
+  for (const auto &[Number, Wave] : State.waves()) {
+    if (Wave.isComplete())
+      continue;
+    DueHosts.insert(Wave.Hosts.begin(), Wave.Hosts.end());
+    for (const auto &Host : Wave.Begun)
+      DueHosts.erase(Host);
+  }
   for (auto &[Number, Tracked] : TrackedEndpoints) {
     auto Endpoint = State.endpoints().find(Number);
     if (Endpoint == State.endpoints().end() ||
         !isSchedulable(Endpoint->second, Tracked, Now))
       continue;
+    Tracked.IsMaintenanceDue = DueHosts.count(hostOf(Endpoint->second)) > 0;
     CandidateTargets[Endpoint->second.Facts.Pool].push_back(&Tracked);
   }
   std::erase_if(CandidateTargets,
@@ -628,10 +638,12 @@
   auto Found = CandidateTargets.find(Pool);
   if (Found == CandidateTargets.end())
     return {};
-  for (auto *Tracked : Found->second)
+  for (auto *Tracked : Found->second) {
     if (Tracked->IsCapacityStale)
       computeFreeCapacity(*Tracked,
                           State.endpoints().find(Tracked->Endpoint)->second);
+    Tracked->FreeCapacity.IsMaintenanceDue = Tracked->IsMaintenanceDue;
+  }
   return Found->second;
 }
 
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -350,6 +350,7 @@
     // Each weight exceeds the sum of all later ones.
     constexpr std::int64_t DataRackPenalty = 100'000'000'000;
     constexpr std::int64_t InterferencePenalty = 1'000'000'000;
+    constexpr std::int64_t MaintenancePenalty = 500'000'000;
     constexpr std::int64_t ColocationBonus = 10'000'000;
     std::int64_t Cost = Target.Free.MilliCores;
     if (!Spec.DataRack.empty() && Target.Rack != Spec.DataRack)
@@ -366,6 +367,8 @@
     // hosts.
     if (Spec.IsLongRunning && Target.LongRunning > 0)
       Cost -= ColocationBonus * Target.LongRunning;
+    if (Spec.IsLongRunning && Target.IsMaintenanceDue)
+      Cost += MaintenancePenalty;
     return Cost;
   }
 
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -26,6 +26,8 @@
   std::uint32_t BestEffortRuns = 0;
   std::uint32_t LongRunning = 0;
   std::uint32_t Runs = 0; ///< All runs that have not ended.
+  /// A wave still has to interrupt its host.
+  bool IsMaintenanceDue = false;
   /// Only the suspect task for which it is reserved may be placed on it.
   bool IsReserved = false;
   /// Number of runs by stepKey(), for steps with a limit per endpoint.
@@ -112,7 +114,8 @@
 /// cores that fits (best fit), so that free capacity for large tasks remains.
 /// Latency-sensitive tasks are kept apart from best-effort tasks and from each
 /// other, and both prefer the endpoint with the most free cores. Long-running
-/// tasks are packed on few endpoints. A
+/// tasks are packed on few endpoints, and kept from those whose host a wave
+/// still has to interrupt, because each interruption uses up their budget. A
 /// gang is placed whole or not at all. \param State the jobs. \param Waiting
 /// the steps to place, from waitingSteps(). \param Targets the endpoints; their
 /// free capacity is reduced by the placements. \returns the runs to start.
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -155,6 +155,8 @@
   core::time_point DueAt{};
   placement_target FreeCapacity; ///< Valid unless IsCapacityStale.
   bool IsCapacityStale = true;
+  /// A wave still had to interrupt its host when candidates were last found.
+  bool IsMaintenanceDue = false;
 
   throttle_controller Throttle;
   /// Latency-sensitive and best-effort tasks run on it.
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -81,6 +81,32 @@
 
 } // namespace
 
+// Each interruption uses up the budget of a step; a wave over half of the hosts
+// that interrupts the same tasks again and again does not end in time.
+TEST_CASE("long-running tasks avoid hosts that a wave still has to interrupt") {
+  auto Targets = makeTargets(3);
+  Targets[0].LongRunning = 3;
+  Targets[0].Free.MilliCores = 2000;
+  Targets[0].IsMaintenanceDue = true;
+  Targets[1].IsMaintenanceDue = true;
+  auto Step = makeStep(1);
+  Step.IsLongRunning = true;
+  auto State = makeState(0);
+  State.apply(submission(makeJob("long", {Step})), 0);
+  auto Placements = place(State, Targets);
+  REQUIRE(Placements.size() == 1);
+  CHECK(Placements[0].Start.Endpoint == 3);
+  // A short task ends before the host is interrupted, or is drained.
+  auto ShortTargets = makeTargets(2);
+  ShortTargets[0].Free.MilliCores = 2000;
+  ShortTargets[0].IsMaintenanceDue = true;
+  auto ShortState = makeState(0);
+  ShortState.apply(submission(makeJob("short", {makeStep(1)})), 0);
+  auto Short = place(ShortState, ShortTargets);
+  REQUIRE(Short.size() == 1);
+  CHECK(Short[0].Start.Endpoint == 1);
+}
+
 TEST_CASE("jobs that can meet their objective are placed before late jobs") {
   auto State = makeState(1);
   // Objective: 1.6 x 500 ms + 600 ms after the submission.
