--- a/fleet/cbor_appender.h
+++ b/fleet/cbor_appender.h
@@ -33,6 +33,8 @@
   }
   /// Appends the head of an array, to be followed by its items.
   void beginArray(std::size_t Items) { appendHead(Array, Items); }
+  /// Appends the head of a map, to be followed by its keys and values.
+  void beginMap(std::size_t Pairs) { appendHead(Map, Pairs); }
 
   template <typename Type> void append(const Type &Value) {
     if constexpr (std::is_enum_v<Type>) {
@@ -73,7 +75,8 @@
     Negative = 0x20,
     ByteString = 0x40,
     Text = 0x60,
-    Array = 0x80
+    Array = 0x80,
+    Map = 0xa0
   };
   enum simple_value : std::uint8_t { False = 0xf4, True = 0xf5, Null = 0xf6 };
 
--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -1,7 +1,5 @@
 #include "scheduling/call_delegator.h"
 
-#include "fleet/cbor_archive.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -11,31 +9,15 @@
 
 using std::chrono::milliseconds;
 
-// Allowance beyond the time-out of a call for the messages to and from the
+// Allowance beyond the time-out of an order for the messages to and from the
 // delegate and for its queue.
 constexpr core::duration DelegateMargin = milliseconds(300);
 constexpr core::duration ExpiryInterval = milliseconds(50);
-// A message grows to at most this size plus that of one call or result. A link
-// refuses messages above 4 MiB, and with one all its calls would fail.
+// A message grows to at most this size plus that of one order or result. A link
+// refuses messages above 4 MiB, and with one all its orders would fail.
 constexpr std::size_t MaxBatchBytes = 1u << 20;
-// Largest body that the receiver of a result accepts.
-constexpr std::size_t MaxResultBytes = fleet::MaxByteStringBytes;
-// Allowance for the fields of a call or result other than texts.
-constexpr std::size_t ItemOverheadBytes = 64;
-// Distinguishes the ids of calls made for a peer from those of own orders.
-constexpr std::uint64_t ReceivedCallBit = std::uint64_t(1) << 63;
-
-std::size_t sizeOf(const http::client_call &Call) {
-  auto Size = ItemOverheadBytes + core::toText(Call.Address).size() +
-              Call.Request.Target.size() + Call.Request.Body.size();
-  for (const auto &Header : Call.Request.Headers)
-    Size += Header.Name.size() + Header.Value.size();
-  return Size;
-}
-
-std::size_t sizeOf(const http::client_result &Result) {
-  return ItemOverheadBytes + Result.Response.Body.size() + Result.Reason.size();
-}
+// Distinguishes the ids of orders sent for a peer from those of own orders.
+constexpr std::uint64_t ReceivedOrderBit = std::uint64_t(1) << 63;
 
 /// \returns the items in groups of about MaxBatchBytes, in their order.
 template <typename Item>
@@ -47,20 +29,15 @@
       Groups.emplace_back();
       Bytes = 0;
     }
-    Bytes += sizeOf(Next);
+    Bytes += messageBytes(Next);
     Groups.back().push_back(std::move(Next));
   }
   return Groups;
 }
 
-/// \returns the result of a call that may have run.
-http::client_result lostResult(std::uint64_t Id, const char *Reason) {
-  http::client_result Result;
-  Result.Id = Id;
-  Result.WasSent = true;
-  Result.Reason = Reason;
-  Result.IsLocal = true;
-  return Result;
+/// \returns the result of an order that may have run.
+order_result lostResult(std::uint64_t Id, const char *Reason) {
+  return {Id, no_answer{true, Reason, true}};
 }
 
 } // namespace
@@ -69,14 +46,14 @@
   Senders.addDelegate(Peer);
 }
 
-std::vector<http::client_result>
+std::vector<order_result>
 call_delegator::peerDisconnected(const std::string &Peer) {
   Senders.removeDelegate(Peer);
-  CallsByPeer.erase(Peer);
+  OrdersByPeer.erase(Peer);
   ResultsByPeer.erase(Peer);
-  std::erase_if(ReceivedCalls,
+  std::erase_if(ReceivedOrders,
                 [&](const auto &Item) { return Item.second.Peer == Peer; });
-  std::vector<http::client_result> Results;
+  std::vector<order_result> Results;
   std::erase_if(Delegated, [&](const auto &Item) {
     if (Item.second.Peer != Peer)
       return false;
@@ -86,18 +63,19 @@
   return Results;
 }
 
-bool call_delegator::delegate(std::uint32_t Endpoint, http::client_call &Call,
-                              core::time_point Now) {
-  std::string Delegate(Senders.senderOf(Endpoint, Now));
+bool call_delegator::delegate(order &Order, core::time_point Now) {
+  if (!isForEndpoint(Order))
+    return false;
+  std::string Delegate(Senders.senderOf(Order.Endpoint, Now));
   if (Delegate.empty())
     return false;
-  Delegated[Call.Id] = {Delegate, Now + Call.Timeout + DelegateMargin};
-  CallsByPeer[Delegate].Calls.push_back(std::move(Call));
+  Delegated[Order.Id] = {Delegate, Now + Order.Timeout + DelegateMargin};
+  OrdersByPeer[Delegate].Orders.push_back(std::move(Order));
   return true;
 }
 
-std::vector<http::client_result> call_delegator::expire(core::time_point Now) {
-  std::vector<http::client_result> Results;
+std::vector<order_result> call_delegator::expire(core::time_point Now) {
+  std::vector<order_result> Results;
   if (Now < NextExpiry)
     return Results;
   NextExpiry = Now + ExpiryInterval;
@@ -118,20 +96,18 @@
 }
 
 call_delegator::received_message
-call_delegator::receive(const std::string &Peer, std::string_view Bytes,
-                        core::time_point Now) {
+call_delegator::receive(const std::string &Peer, std::string_view Bytes) {
   received_message Received;
   auto Message = decodeDelegation(Bytes);
   if (!Message)
     return Received;
   Received.IsValid = true;
-  if (auto *Calls = std::get_if<delegated_calls>(&*Message)) {
-    for (auto &Call : Calls->Calls) {
-      auto Id = ReceivedCallBit | ++LastReceived;
-      ReceivedCalls[Id] = {Peer, Call.Id};
-      Call.Id = Id;
-      Call.Issued = Now;
-      Received.Calls.push_back(std::move(Call));
+  if (auto *Orders = std::get_if<delegated_orders>(&*Message)) {
+    for (auto &Order : Orders->Orders) {
+      auto Id = ReceivedOrderBit | ++LastReceived;
+      ReceivedOrders[Id] = {Peer, Order.Id};
+      Order.Id = Id;
+      Received.Orders.push_back(std::move(Order));
     }
     return Received;
   }
@@ -142,35 +118,32 @@
   return Received;
 }
 
-bool call_delegator::finish(http::client_result &Result) {
-  if ((Result.Id & ReceivedCallBit) == 0)
+bool call_delegator::finish(order_result &Result) {
+  if ((Result.Id & ReceivedOrderBit) == 0)
     return false;
-  auto Found = ReceivedCalls.find(Result.Id);
-  if (Found == ReceivedCalls.end())
+  auto Found = ReceivedOrders.find(Result.Id);
+  if (Found == ReceivedOrders.end())
     return true; // The peer has disconnected.
   Result.Id = Found->second.Id;
   // The leader would refuse the message and take this delegate, and then the
   // next ones, for silent. The endpoint is what does not answer as it must.
-  if (Result.Response.Body.size() > MaxResultBytes) {
-    Result.Reason =
-        "response of " + std::to_string(Result.Response.Body.size()) +
-        " bytes; at most " + std::to_string(MaxResultBytes) + " are accepted";
-    Result.IsComplete = false;
-    Result.Response = {};
-  }
+  if (!isTransferable(Result))
+    Result.Answer = no_answer{
+        true, "answer of about " + std::to_string(messageBytes(Result)) +
+                  " bytes with rows that are too large or too many"};
   ResultsByPeer[Found->second.Peer].Results.push_back(std::move(Result));
-  ReceivedCalls.erase(Found);
+  ReceivedOrders.erase(Found);
   return true;
 }
 
 std::vector<call_delegator::outgoing_message> call_delegator::takeMessages() {
   std::vector<outgoing_message> Messages;
-  for (auto &[Peer, Calls] : std::exchange(CallsByPeer, {}))
-    for (auto &Group : split(std::move(Calls.Calls))) {
+  for (auto &[Peer, Orders] : std::exchange(OrdersByPeer, {}))
+    for (auto &Group : split(std::move(Orders.Orders))) {
       outgoing_message Message{Peer, "", {}};
-      for (const auto &Call : Group)
-        Message.DelegatedCalls.push_back(Call.Id);
-      Message.Bytes = encodeDelegation(delegated_calls{std::move(Group)});
+      for (const auto &Order : Group)
+        Message.DelegatedOrders.push_back(Order.Id);
+      Message.Bytes = encodeDelegation(delegated_orders{std::move(Group)});
       Messages.push_back(std::move(Message));
     }
   for (auto &[Peer, Results] : std::exchange(ResultsByPeer, {}))
@@ -180,16 +153,13 @@
   return Messages;
 }
 
-std::vector<http::client_result>
+std::vector<order_result>
 call_delegator::sendFailed(const outgoing_message &Message) {
-  std::vector<http::client_result> Results;
-  for (auto Id : Message.DelegatedCalls) {
-    if (Delegated.erase(Id) == 0)
-      continue;
-    auto Result = lostResult(Id, "link to the delegate is down");
-    Result.WasSent = false;
-    Results.push_back(std::move(Result));
-  }
+  std::vector<order_result> Results;
+  for (auto Id : Message.DelegatedOrders)
+    if (Delegated.erase(Id) > 0)
+      Results.push_back(
+          {Id, no_answer{false, "link to the delegate is down", true}});
   return Results;
 }
 
--- a/scheduling/call_delegator.h
+++ b/scheduling/call_delegator.h
@@ -2,7 +2,6 @@
 #define LYCHEETRESTLE_SCHEDULING_CALL_DELEGATOR_H
 
 #include "core/clock.h"
-#include "http/client.h"
 #include "scheduling/delegation_messages.h"
 #include "scheduling/sender_table.h"
 
@@ -10,18 +9,19 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
 
-/// Delegates calls of the leader to other schedulers, and accepts the calls
+/// Delegates orders of the leader to other schedulers, and accepts the orders
 /// that another leader delegates to this process. Without input or output.
 ///
-/// Each delegated call gives exactly one result: that of the delegate, or, when
-/// the delegate disconnects or does not answer in time, one that says that the
-/// call may have run. A delegate that was suspended may make a call late. This
-/// is safe for the same reason as with an order delayed by the network: orders
-/// carry a fencing token and a lease.
+/// Each delegated order gives exactly one result: that of the delegate, or,
+/// when the delegate disconnects or does not answer in time, one that says that
+/// the order may have run. A delegate that was suspended may send an order
+/// late. This is safe for the same reason as with an order delayed by the
+/// network: orders carry a fencing token and a lease.
 class call_delegator {
 public:
   explicit call_delegator(std::size_t OwnEndpoints) : Senders(OwnEndpoints) {}
@@ -29,57 +29,54 @@
   /// Adds a scheduler as a delegate.
   void peerConnected(const std::string &Peer);
   /// Removes a delegate.
-  /// \returns the results of the calls that were delegated to the peer.
-  std::vector<http::client_result> peerDisconnected(const std::string &Peer);
+  /// \returns the results of the orders that were delegated to the peer.
+  std::vector<order_result> peerDisconnected(const std::string &Peer);
 
-  /// \param Endpoint number of the endpoint that the call goes to.
-  /// \param Call moved from if it is delegated.
-  /// \returns whether the call is delegated; otherwise the leader makes it.
-  bool delegate(std::uint32_t Endpoint, http::client_call &Call,
-                core::time_point Now);
+  /// \param Order moved from if it is delegated.
+  /// \returns whether the order is delegated; otherwise the leader sends it.
+  bool delegate(order &Order, core::time_point Now);
   /// Removes the delegates that did not answer in time.
-  /// \returns the results of the calls that were delegated to them and are
+  /// \returns the results of the orders that were delegated to them and are
   /// overdue.
-  std::vector<http::client_result> expire(core::time_point Now);
+  std::vector<order_result> expire(core::time_point Now);
 
   struct received_message {
-    std::vector<http::client_call> Calls;     ///< To be made for the peer.
-    std::vector<http::client_result> Results; ///< Of calls delegated to it.
+    std::vector<order> Orders;         ///< To be sent for the peer.
+    std::vector<order_result> Results; ///< Of orders delegated to it.
     bool IsValid = false;
   };
   /// \param Bytes a message from the peer that is not a control frame.
-  received_message receive(const std::string &Peer, std::string_view Bytes,
-                           core::time_point Now);
+  received_message receive(const std::string &Peer, std::string_view Bytes);
   /// \param Result moved from if it is for a peer.
-  /// \returns whether the result belongs to a call made for a peer.
-  bool finish(http::client_result &Result);
+  /// \returns whether the result belongs to an order sent for a peer.
+  bool finish(order_result &Result);
 
   struct outgoing_message {
     std::string Peer;
     std::string Bytes;
-    std::vector<std::uint64_t> DelegatedCalls; ///< Ids of the calls in it.
+    std::vector<std::uint64_t> DelegatedOrders; ///< Ids of the orders in it.
   };
   /// \returns the messages to send since the last call.
   std::vector<outgoing_message> takeMessages();
   /// \param Message a message that the link did not accept.
-  /// \returns the results of its calls, which have not run.
-  std::vector<http::client_result> sendFailed(const outgoing_message &Message);
+  /// \returns the results of its orders, which have not run.
+  std::vector<order_result> sendFailed(const outgoing_message &Message);
 
 private:
-  struct delegated_call {
+  struct delegated_order {
     std::string Peer;
     core::time_point Deadline{};
   };
-  struct received_call {
+  struct received_order {
     std::string Peer;
-    std::uint64_t Id = 0; ///< Id of the call at the peer.
+    std::uint64_t Id = 0; ///< Id of the order at the peer.
   };
 
   sender_table Senders;
-  std::map<std::uint64_t, delegated_call> Delegated;
-  std::map<std::string, delegated_calls> CallsByPeer;
+  std::unordered_map<std::uint64_t, delegated_order> Delegated;
+  std::map<std::string, delegated_orders> OrdersByPeer;
   std::map<std::string, delegated_results> ResultsByPeer;
-  std::map<std::uint64_t, received_call> ReceivedCalls;
+  std::unordered_map<std::uint64_t, received_order> ReceivedOrders;
   std::uint64_t LastReceived = 0;
   core::time_point NextExpiry{};
 };
--- a/scheduling/delegation_messages.cpp
+++ b/scheduling/delegation_messages.cpp
@@ -1,170 +1,228 @@
 #include "scheduling/delegation_messages.h"
 
 #include "core/cbor_limits.h"
-#include "fleet/cbor_archive.h"
+#include "scheduling/fields.h"
+#include "scheduling/list_codec.h"
 
+#include <algorithm>
 #include <concepts>
 #include <type_traits>
 #include <utility>
 
+namespace lycheetrestle::fleet {
+
+template <>
+inline constexpr auto LargestEnumerator<scheduling::endpoint_verdict> =
+    scheduling::endpoint_verdict::BadOrder;
+
+} // namespace lycheetrestle::fleet
+
 namespace lycheetrestle::scheduling {
 
-namespace {
+template <typename Archive, record_of<start_order> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt);
+  A.bytes(R.Payload);
+  A(R.LeaseExpiryMs, R.Fence, R.Checkpoint, R.Ticket);
+}
+template <typename Archive, record_of<stop_order> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt, R.Fence);
+}
+template <typename Archive, record_of<poll_order> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Fence, R.Cursor, R.LeaseExpiryMs, R.WaitMs);
+}
+template <typename Archive, record_of<throttle_order> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt, R.Percent, R.Fence);
+}
+// The rows have no nested record for the task: a list has up to hundreds.
+template <typename Archive, record_of<run_row> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task.Job, R.Task.Occurrence, R.Task.Step, R.Task.Index, R.Attempt,
+    R.Checkpoint, R.Percent, R.Load);
+}
+template <typename Archive, record_of<end_row> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Number, R.Task.Job, R.Task.Occurrence, R.Task.Step, R.Task.Index,
+    R.Attempt, R.Outcome, R.Checkpoint);
+}
+template <typename Archive, record_of<endpoint_answer> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Verdict, R.ClockMs, R.IncarnationMs, R.Running, R.Ended);
+}
+template <typename Archive, record_of<no_answer> Type>
+void fields(Archive &A, Type &R) {
+  A(R.MayHaveRun, R.Reason, R.IsLocal, R.IsRefused);
+}
 
-using fleet::cbor_reader;
-using fleet::cbor_writer;
+namespace {
 
-constexpr const char *CallsName = "calls";
+constexpr const char *OrdersName = "orders";
 constexpr const char *ResultsName = "results";
-// The deepest item nests as message > calls > call > headers > header.
+// The deepest item nests as message > results > result > answer > rows > row.
 constexpr std::size_t MaxDepth = 6;
-// A call has about 15 items; bounds the memory of a message of 4 MiB.
-constexpr std::size_t MaxItems = 15 * fleet::MaxListItems;
-
-// The records define which members are transferred, and in which order.
-struct header_record {
-  std::string Name;
-  std::string Value;
-};
-
-struct call_record {
+// A row has 9 items; bounds the memory of a message of 4 MiB.
+constexpr std::size_t MaxItems = 30 * fleet::MaxListItems;
+// Largest answer that is transferred, and allowance for its fields other than
+// texts.
+constexpr std::size_t MaxAnswerBytes = fleet::MaxByteStringBytes;
+constexpr std::size_t ItemOverheadBytes = 64;
+constexpr std::size_t RowOverheadBytes = 32;
+
+/// An order with exactly one body.
+struct order_record {
   std::uint64_t Id = 0;
+  std::uint32_t Endpoint = 0;
   std::string Address;
-  std::string Method;
-  std::string Target;
-  std::vector<header_record> Headers;
-  std::string Body;
+  std::string EndpointId;
   std::uint32_t TimeoutMs = 0;
+  std::optional<start_order> Start;
+  std::optional<stop_order> Stop;
+  std::optional<poll_order> Poll;
+  std::optional<throttle_order> Throttle;
 };
 
+/// A result with exactly one kind of answer.
 struct result_record {
   std::uint64_t Id = 0;
-  bool WasSent = false;
-  bool IsComplete = false;
-  std::uint16_t Status = 0;
-  std::vector<header_record> Headers;
-  std::string Body;
-  std::string Reason;
-  bool IsRefused = false;
+  std::optional<no_answer> NoAnswer;
+  std::optional<endpoint_answer> Answer;
 };
 
-template <typename Type, typename Record>
-concept record_of = std::same_as<std::remove_const_t<Type>, Record>;
-
-template <typename Archive, record_of<header_record> Type>
-void fields(Archive &A, Type &R) {
-  A(R.Name, R.Value);
-}
-template <typename Archive, record_of<call_record> Type>
+template <typename Archive, record_of<order_record> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Id, R.Address, R.Method, R.Target, R.Headers);
-  A.bytes(R.Body);
-  A(R.TimeoutMs);
+  A(R.Id, R.Endpoint, R.Address, R.EndpointId, R.TimeoutMs, R.Start, R.Stop,
+    R.Poll, R.Throttle);
 }
 template <typename Archive, record_of<result_record> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Id, R.WasSent, R.IsComplete, R.Status, R.Headers);
-  A.bytes(R.Body);
-  A(R.Reason);
-  // Rarely set; without it earlier versions can read the record.
-  if (!std::is_const_v<Type> || R.IsRefused)
-    A.trailing(R.IsRefused);
-}
-
-std::vector<header_record> toRecords(const std::vector<http::header> &Headers) {
-  std::vector<header_record> Records;
-  for (const auto &Header : Headers)
-    Records.push_back({Header.Name, Header.Value});
-  return Records;
-}
-
-std::vector<http::header> toHeaders(std::vector<header_record> Records) {
-  std::vector<http::header> Headers;
-  for (auto &Record : Records)
-    Headers.push_back({std::move(Record.Name), std::move(Record.Value)});
-  return Headers;
-}
-
-call_record toRecord(const http::client_call &Call) {
-  auto TimeoutMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Call.Timeout);
-  return {Call.Id,
-          core::toText(Call.Address),
-          Call.Request.Method,
-          Call.Request.Target,
-          toRecords(Call.Request.Headers),
-          Call.Request.Body,
-          static_cast<std::uint32_t>(TimeoutMs.count())};
-}
-
-http::client_call fromRecord(call_record Record) {
-  http::client_call Call;
-  Call.Id = Record.Id;
-  Call.Address = core::network_address::parse(Record.Address);
-  Call.Request.Method = std::move(Record.Method);
-  Call.Request.Target = std::move(Record.Target);
-  Call.Request.Headers = toHeaders(std::move(Record.Headers));
-  Call.Request.Body = std::move(Record.Body);
-  Call.Timeout = std::chrono::milliseconds(Record.TimeoutMs);
-  return Call;
-}
-
-result_record toRecord(const http::client_result &Result) {
-  // The leader does not use the headers of a response.
-  return {Result.Id,
-          Result.WasSent,
-          Result.IsComplete,
-          Result.Response.Status,
-          {},
-          Result.Response.Body,
-          Result.Reason,
-          Result.IsRefused};
-}
-
-http::client_result fromRecord(result_record Record) {
-  http::client_result Result;
-  Result.Id = Record.Id;
-  Result.WasSent = Record.WasSent;
-  Result.IsComplete = Record.IsComplete;
-  Result.Response.Status = Record.Status;
-  Result.Response.Headers = toHeaders(std::move(Record.Headers));
-  Result.Response.Body = std::move(Record.Body);
-  Result.Reason = std::move(Record.Reason);
-  Result.IsRefused = Record.IsRefused;
-  return Result;
-}
-
-template <typename Item>
-std::string encodeList(const char *Name, const std::vector<Item> &Items) {
-  auto List = nlohmann::json::array();
-  for (const auto &Each : Items)
-    List.push_back(cbor_writer::toJson(toRecord(Each)));
-  nlohmann::json Map;
-  Map[Name] = std::move(List);
-  std::string Bytes;
-  nlohmann::json::to_cbor(Map, Bytes);
-  return Bytes;
-}
-
-template <typename Record, typename Item>
-bool decodeList(const nlohmann::json &List, std::vector<Item> &Items) {
-  if (!List.is_array() || List.size() > fleet::MaxListItems)
-    return false;
-  for (const auto &Each : List) {
-    Record Value;
-    if (!cbor_reader::fromJson(Each, Value))
+  A(R.Id, R.NoAnswer, R.Answer);
+}
+
+order_record toRecord(const order &Order) {
+  order_record Record;
+  Record.Id = Order.Id;
+  Record.Endpoint = Order.Endpoint;
+  Record.Address = core::toText(Order.Address);
+  Record.EndpointId = Order.EndpointId;
+  Record.TimeoutMs = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Timeout)
+          .count());
+  if (const auto *Start = std::get_if<start_order>(&Order.Body))
+    Record.Start = *Start;
+  else if (const auto *Stop = std::get_if<stop_order>(&Order.Body))
+    Record.Stop = *Stop;
+  else if (const auto *Poll = std::get_if<poll_order>(&Order.Body))
+    Record.Poll = *Poll;
+  else if (const auto *Throttle = std::get_if<throttle_order>(&Order.Body))
+    Record.Throttle = *Throttle;
+  return Record;
+}
+
+/// \returns the order, or nothing when the record has not exactly one body.
+std::optional<order> fromRecord(order_record Record) {
+  order Order;
+  Order.Id = Record.Id;
+  Order.Endpoint = Record.Endpoint;
+  Order.Address = core::network_address::parse(Record.Address);
+  Order.EndpointId = std::move(Record.EndpointId);
+  Order.Timeout = std::chrono::milliseconds(Record.TimeoutMs);
+  int Bodies = 0;
+  auto Take = [&](auto &Body) {
+    if (!Body)
+      return;
+    ++Bodies;
+    Order.Body = std::move(*Body);
+  };
+  Take(Record.Start);
+  Take(Record.Stop);
+  Take(Record.Poll);
+  Take(Record.Throttle);
+  if (Bodies != 1 || Order.Endpoint == 0)
+    return std::nullopt;
+  return Order;
+}
+
+result_record toRecord(const order_result &Result) {
+  result_record Record;
+  Record.Id = Result.Id;
+  if (const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer))
+    Record.Answer = *Answer;
+  else if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer))
+    Record.NoAnswer = *NoAnswer;
+  return Record;
+}
+
+/// \returns the result, or nothing when the record has not exactly one answer.
+std::optional<order_result> fromRecord(result_record Record) {
+  if (Record.NoAnswer.has_value() == Record.Answer.has_value())
+    return std::nullopt;
+  if (Record.Answer)
+    return order_result{Record.Id, std::move(*Record.Answer)};
+  return order_result{Record.Id, std::move(*Record.NoAnswer)};
+}
+
+/// \param Bytes the size of the rows is added to it.
+/// \returns whether a receiver accepts the rows.
+template <typename RowType>
+bool areTransferable(const std::vector<RowType> &Rows, std::size_t &Bytes) {
+  for (const auto &Row : Rows) {
+    Bytes += RowOverheadBytes + Row.Task.Job.size() + Row.Checkpoint.size();
+    if (Row.Task.Job.size() > fleet::MaxStringBytes ||
+        Row.Checkpoint.size() > fleet::MaxStringBytes)
       return false;
-    Items.push_back(fromRecord(std::move(Value)));
   }
-  return true;
+  return Rows.size() <= fleet::MaxListItems;
 }
 
 } // namespace
 
+bool isForEndpoint(const order &Order) {
+  return Order.Endpoint != 0 &&
+         (std::holds_alternative<start_order>(Order.Body) ||
+          std::holds_alternative<stop_order>(Order.Body) ||
+          std::holds_alternative<poll_order>(Order.Body) ||
+          std::holds_alternative<throttle_order>(Order.Body));
+}
+
+std::size_t messageBytes(const order &Order) {
+  auto Size = ItemOverheadBytes + Order.EndpointId.size();
+  if (const auto *Start = std::get_if<start_order>(&Order.Body))
+    Size += Start->Payload.size() + Start->Checkpoint.size() +
+            Start->Ticket.size() + Start->Task.Job.size();
+  return Size;
+}
+
+std::size_t messageBytes(const order_result &Result) {
+  auto Size = ItemOverheadBytes;
+  if (const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer)) {
+    areTransferable(Answer->Running, Size);
+    areTransferable(Answer->Ended, Size);
+  } else if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer)) {
+    Size += NoAnswer->Reason.size();
+  }
+  return Size;
+}
+
+bool isTransferable(const order_result &Result) {
+  if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer))
+    return NoAnswer->Reason.size() <= fleet::MaxStringBytes;
+  const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
+  std::size_t Bytes = 0;
+  return Answer && areTransferable(Answer->Running, Bytes) &&
+         areTransferable(Answer->Ended, Bytes) && Bytes <= MaxAnswerBytes;
+}
+
 std::string encodeDelegation(const delegation_message &Message) {
-  if (const auto *Calls = std::get_if<delegated_calls>(&Message))
-    return encodeList(CallsName, Calls->Calls);
-  return encodeList(ResultsName, std::get<delegated_results>(Message).Results);
+  if (const auto *Orders = std::get_if<delegated_orders>(&Message))
+    return encodeList<order>(
+        OrdersName, Orders->Orders,
+        [](const order &Order) { return toRecord(Order); });
+  return encodeList<order_result>(
+      ResultsName, std::get<delegated_results>(Message).Results,
+      [](const order_result &Result) { return toRecord(Result); });
 }
 
 std::optional<delegation_message> decodeDelegation(std::string_view Bytes) {
@@ -172,15 +230,19 @@
   if (!Map || !Map->is_object() || Map->size() != 1)
     return std::nullopt;
   const auto &Name = Map->begin().key();
-  if (Name == CallsName) {
-    delegated_calls Message;
-    if (!decodeList<call_record>(Map->front(), Message.Calls))
+  if (Name == OrdersName) {
+    delegated_orders Message;
+    if (!decodeList<order_record>(
+            Map->front(), Message.Orders,
+            [](order_record Record) { return fromRecord(std::move(Record)); }))
       return std::nullopt;
     return Message;
   }
   delegated_results Message;
   if (Name != ResultsName ||
-      !decodeList<result_record>(Map->front(), Message.Results))
+      !decodeList<result_record>(
+          Map->front(), Message.Results,
+          [](result_record Record) { return fromRecord(std::move(Record)); }))
     return std::nullopt;
   return Message;
 }
--- a/scheduling/delegation_messages.h
+++ b/scheduling/delegation_messages.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETRESTLE_SCHEDULING_DELEGATION_MESSAGES_H
 #define LYCHEETRESTLE_SCHEDULING_DELEGATION_MESSAGES_H
 
-#include "http/client.h"
+#include "scheduling/orders.h"
 
 #include <optional>
 #include <string>
@@ -11,22 +11,34 @@
 
 namespace lycheetrestle::scheduling {
 
-/// Calls that the sender delegates to the receiver.
-struct delegated_calls {
-  std::vector<http::client_call> Calls;
+/// Orders to endpoints that the sender delegates to the receiver.
+struct delegated_orders {
+  std::vector<order> Orders;
 };
 
-/// Results of delegated calls.
+/// Results of delegated orders. The delegate has decoded the answers, because
+/// the leader's processor time is the scarce one.
 struct delegated_results {
-  std::vector<http::client_result> Results;
+  std::vector<order_result> Results;
 };
 
-using delegation_message = std::variant<delegated_calls, delegated_results>;
+using delegation_message = std::variant<delegated_orders, delegated_results>;
 
+/// \returns whether the order is of a kind that only goes to endpoints; orders
+/// to the platform and the adviser are not delegated.
+bool isForEndpoint(const order &Order);
+/// \returns the approximate size of the order or result in a message, in bytes.
+std::size_t messageBytes(const order &Order);
+std::size_t messageBytes(const order_result &Result);
+/// \returns whether a receiver accepts the result. Another one would make it
+/// refuse the whole message.
+bool isTransferable(const order_result &Result);
+
+/// \param Message orders for which isForEndpoint() is true, or results for
+/// which isTransferable() is true.
 /// \returns a CBOR map, which distinguishes it from a control frame.
 std::string encodeDelegation(const delegation_message &Message);
-/// \returns the message, or nothing when the bytes are malformed. The `Issued`
-/// times of the calls are not transferred.
+/// \returns the message, or nothing when the bytes are malformed.
 std::optional<delegation_message> decodeDelegation(std::string_view Bytes);
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -25,6 +25,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -216,10 +217,8 @@
         else
           Node.storageFailed(Now);
       });
-      Results.drain([&](http::client_result &&Result) {
-        if (!Delegator.finish(Result))
-          finishOrder(Node, Result, Now);
-      });
+      Results.drain(
+          [&](http::client_result &&Result) { finishCall(Node, Result, Now); });
       finishOrders(Node, Delegator.expire(Now), Now);
       addDelegates(Node, Now);
       Timer.finishPhase(Receive);
@@ -401,16 +400,16 @@
 
   void receiveDelegated(schedule_node &Node, const transport::link_event &Event,
                         core::time_point Now) {
-    auto Received = Delegator.receive(Event.Peer, Event.Bytes, Now);
+    auto Received = Delegator.receive(Event.Peer, Event.Bytes);
     if (!Received.IsValid)
       Metrics.add("messages_dropped_total");
-    for (auto &Call : Received.Calls)
-      PendingCalls.push_back(std::move(Call));
-    finishOrders(Node, Received.Results, Now);
+    for (auto &Order : Received.Orders)
+      addCall(std::move(Order), Now);
+    finishOrders(Node, std::move(Received.Results), Now);
   }
 
   /// Adds the linked members as delegates. Schedulers without a disk are linked
-  /// too and get no calls.
+  /// too and get no orders.
   void addDelegates(const schedule_node &Node, core::time_point Now) {
     if (Now < NextDelegates)
       return;
@@ -430,21 +429,32 @@
     }
   }
 
-  void finishOrders(schedule_node &Node,
-                    const std::vector<http::client_result> &Results,
+  void finishOrders(schedule_node &Node, std::vector<order_result> Results,
                     core::time_point Now) {
-    for (const auto &Result : Results)
-      finishOrder(Node, Result, Now);
+    for (auto &Result : Results)
+      Node.orderFinished(std::move(Result), Now);
+  }
+
+  /// Makes the call that sends an order of this process or of the leader that
+  /// delegated it.
+  void addCall(order Order, core::time_point Now) {
+    auto Call = Adapter.EncodeOrder(Order);
+    Call.Id = Order.Id;
+    Call.Timeout = Order.Timeout;
+    Call.Issued = Now;
+    Orders.emplace(Order.Id, std::move(Order));
+    PendingCalls.push_back(std::move(Call));
   }
 
-  void finishOrder(schedule_node &Node, const http::client_result &Result,
-                   core::time_point Now) {
-    auto Found = Orders.find(Result.Id);
+  void finishCall(schedule_node &Node, const http::client_result &Call,
+                  core::time_point Now) {
+    auto Found = Orders.find(Call.Id);
     if (Found == Orders.end())
       return;
-    Node.orderFinished({Result.Id, Adapter.DecodeAnswer(Found->second, Result)},
-                       Now);
+    order_result Result{Call.Id, Adapter.DecodeAnswer(Found->second, Call)};
     Orders.erase(Found);
+    if (!Delegator.finish(Result))
+      Node.orderFinished(std::move(Result), Now);
   }
 
   /// \returns whether all writes and responses were passed to their threads.
@@ -461,19 +471,12 @@
            Storage.writes().push(std::move(PendingWrites.front())))
       PendingWrites.pop_front();
     for (auto &Order : Actions.Orders) {
-      auto Call = Adapter.EncodeOrder(Order);
-      Call.Id = Order.Id;
-      Call.Timeout = Order.Timeout;
-      Call.Issued = Now;
-      auto Endpoint = Order.Endpoint;
-      Orders.emplace(Order.Id, std::move(Order));
       // Calls to the platform name this process as the lease holder, so the
       // leader makes them itself.
-      if (Endpoint != 0 && Delegator.delegate(Endpoint, Call, Now)) {
+      if (Delegator.delegate(Order, Now))
         Metrics.add("orders_lent_total");
-        continue;
-      }
-      PendingCalls.push_back(std::move(Call));
+      else
+        addCall(std::move(Order), Now);
     }
     while (!PendingCalls.empty() && Calls.push(std::move(PendingCalls.front())))
       PendingCalls.pop_front();
@@ -649,7 +652,7 @@
   std::set<std::string> LinkedPeers; ///< Schedulers.
   core::time_point NextDelegates{};
   std::map<std::uint64_t, call_origin> Origins;
-  std::map<std::uint64_t, order> Orders;
+  std::unordered_map<std::uint64_t, order> Orders; ///< With an open call.
   std::uint64_t LastCall = 0;
   std::deque<replication::storage_write> PendingWrites;
   std::deque<http::client_call> PendingCalls;
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -14,16 +14,65 @@
 
 core::time_point at(core::duration Time) { return core::time_point(Time); }
 
-http::client_call makeCall(std::uint64_t Id) {
-  http::client_call Call;
-  Call.Id = Id;
-  Call.Address = core::network_address::parse("10.0.0.1:80");
-  Call.Request.Method = "POST";
-  Call.Request.Target = "/x";
-  Call.Request.Headers = {{"A", "b"}};
-  Call.Request.Body = std::string("\0\xff body", 7);
-  Call.Timeout = 700ms;
-  return Call;
+order makeOrder(std::uint64_t Id, std::uint32_t Endpoint = 1) {
+  order Order;
+  Order.Id = Id;
+  Order.Endpoint = Endpoint;
+  Order.Address = core::network_address::parse("10.0.0.1:80");
+  Order.EndpointId = "i-1";
+  Order.Timeout = 700ms;
+  start_order Start;
+  Start.Task = {"5c0e7a21d94b36f8", 1, 2, 3};
+  Start.Attempt = 4;
+  Start.Payload = std::string("\0\xff payload", 10);
+  Start.LeaseExpiryMs = 5'000'000'000;
+  Start.Fence = std::uint64_t(1) << 40;
+  Start.Checkpoint = "00000bb87a21d94b";
+  Start.Ticket = "t";
+  Order.Body = Start;
+  return Order;
+}
+
+endpoint_answer makeAnswer() {
+  endpoint_answer Answer;
+  Answer.Verdict = endpoint_verdict::Accepted;
+  Answer.ClockMs = 482'113;
+  Answer.IncarnationMs = 1'700'000'000'000;
+  Answer.Running = {{{"5c0e7a21d94b36f8", 0, 1, 17}, 2, "saved", 41, 7},
+                    {{"5c0e7a21d94b36f8", 0, 1, 18}, 1, "", 0, std::nullopt}};
+  Answer.Ended = {
+      {58, {"5c0e7a21d94b36f8", 0, 1, 9}, 1, run_end::Failed, "last"}};
+  return Answer;
+}
+
+/// Checks that an answer arrived as makeAnswer() made it.
+void checkAnswer(const order_answer &Value) {
+  const auto *Answer = std::get_if<endpoint_answer>(&Value);
+  REQUIRE(Answer);
+  auto Sent = makeAnswer();
+  CHECK(Answer->Verdict == Sent.Verdict);
+  CHECK(Answer->ClockMs == Sent.ClockMs);
+  CHECK(Answer->IncarnationMs == Sent.IncarnationMs);
+  REQUIRE(Answer->Running.size() == Sent.Running.size());
+  for (std::size_t Row = 0; Row != Sent.Running.size(); ++Row) {
+    CHECK(Answer->Running[Row].Task == Sent.Running[Row].Task);
+    CHECK(Answer->Running[Row].Attempt == Sent.Running[Row].Attempt);
+    CHECK(Answer->Running[Row].Checkpoint == Sent.Running[Row].Checkpoint);
+    CHECK(Answer->Running[Row].Percent == Sent.Running[Row].Percent);
+    CHECK(Answer->Running[Row].Load == Sent.Running[Row].Load);
+  }
+  REQUIRE(Answer->Ended.size() == 1);
+  CHECK(Answer->Ended[0].Number == 58);
+  CHECK(Answer->Ended[0].Task == Sent.Ended[0].Task);
+  CHECK(Answer->Ended[0].Attempt == 1);
+  CHECK(Answer->Ended[0].Outcome == run_end::Failed);
+  CHECK(Answer->Ended[0].Checkpoint == "last");
+}
+
+/// \returns the answer of a result that has none.
+const no_answer &noAnswer(const order_result &Result) {
+  REQUIRE(std::holds_alternative<no_answer>(Result.Answer));
+  return std::get<no_answer>(Result.Answer);
 }
 
 } // namespace
@@ -74,101 +123,133 @@
 }
 
 TEST_CASE(
-    "a delegated call is made by the delegate and its result is returned") {
+    "a delegated order is sent by the delegate and its result is returned") {
   call_delegator Leader(0);
   call_delegator Delegate(0);
   Leader.peerConnected("delegate");
-  auto Call = makeCall(7);
-  REQUIRE(Leader.delegate(1, Call, at(1s)));
+  auto Order = makeOrder(7);
+  REQUIRE(Leader.delegate(Order, at(1s)));
   auto Messages = Leader.takeMessages();
   REQUIRE(Messages.size() == 1);
   CHECK(Messages[0].Peer == "delegate");
-  auto Received = Delegate.receive("leader", Messages[0].Bytes, at(5s));
-  REQUIRE(Received.Calls.size() == 1);
-  CHECK(Received.Calls[0].Request.Body == makeCall(7).Request.Body);
-  CHECK(Received.Calls[0].Request.Headers[0].Value == "b");
-  CHECK(Received.Calls[0].Timeout == 700ms);
-  CHECK(Received.Calls[0].Issued == at(5s));
-  http::client_result Result;
-  Result.Id = Received.Calls[0].Id;
-  Result.IsComplete = true;
-  Result.Response.Status = 200;
-  Result.Response.Body = "answer";
+  auto Received = Delegate.receive("leader", Messages[0].Bytes);
+  REQUIRE(Received.Orders.size() == 1);
+  const auto &Arrived = Received.Orders[0];
+  CHECK(Arrived.Endpoint == 1);
+  CHECK(Arrived.Address == makeOrder(7).Address);
+  CHECK(Arrived.EndpointId == "i-1");
+  CHECK(Arrived.Timeout == 700ms);
+  const auto *Start = std::get_if<start_order>(&Arrived.Body);
+  REQUIRE(Start);
+  CHECK(Start->Task == task_key{"5c0e7a21d94b36f8", 1, 2, 3});
+  CHECK(Start->Attempt == 4);
+  CHECK(Start->Payload == std::string("\0\xff payload", 10));
+  CHECK(Start->LeaseExpiryMs == 5'000'000'000);
+  CHECK(Start->Fence == std::uint64_t(1) << 40);
+  CHECK(Start->Checkpoint == "00000bb87a21d94b");
+  CHECK(Start->Ticket == "t");
+  order_result Result{Arrived.Id, makeAnswer()};
   REQUIRE(Delegate.finish(Result));
   auto Answers = Delegate.takeMessages();
   REQUIRE(Answers.size() == 1);
-  auto Back = Leader.receive("delegate", Answers[0].Bytes, at(1s));
+  auto Back = Leader.receive("delegate", Answers[0].Bytes);
   REQUIRE(Back.Results.size() == 1);
   CHECK(Back.Results[0].Id == 7);
-  CHECK(Back.Results[0].Response.Body == "answer");
+  checkAnswer(Back.Results[0].Answer);
   // A duplicate of the result is ignored.
-  CHECK(Leader.receive("delegate", Answers[0].Bytes, at(1s)).Results.empty());
+  CHECK(Leader.receive("delegate", Answers[0].Bytes).Results.empty());
+}
+
+TEST_CASE("every kind of order to an endpoint is delegated, and no other") {
+  call_delegator Leader(0);
+  call_delegator Delegate(0);
+  Leader.peerConnected("delegate");
+  std::vector<order_body> Bodies{stop_order{{"j", 0, 0, 1}, 2, 3},
+                                 poll_order{1, 2, 3, 4},
+                                 poll_order{1, 2, std::nullopt, 0},
+                                 throttle_order{{"j", 0, 0, 1}, 2, 50, 3}};
+  for (std::size_t Body = 0; Body != Bodies.size(); ++Body) {
+    auto Order = makeOrder(Body + 1);
+    Order.Body = Bodies[Body];
+    REQUIRE(Leader.delegate(Order, at(1s)));
+  }
+  auto Received = Delegate.receive("leader", Leader.takeMessages().at(0).Bytes);
+  REQUIRE(Received.Orders.size() == Bodies.size());
+  CHECK(std::get<stop_order>(Received.Orders[0].Body).Fence == 3);
+  CHECK(std::get<poll_order>(Received.Orders[1].Body).LeaseExpiryMs == 3u);
+  CHECK(std::get<poll_order>(Received.Orders[1].Body).WaitMs == 4);
+  CHECK(!std::get<poll_order>(Received.Orders[2].Body).LeaseExpiryMs);
+  CHECK(std::get<throttle_order>(Received.Orders[3].Body).Percent == 50);
+  auto ToPlatform = makeOrder(9, 0);
+  ToPlatform.Body = list_hosts_order{};
+  CHECK(!Leader.delegate(ToPlatform, at(1s)));
+  auto ToAdviser = makeOrder(10, 0);
+  ToAdviser.Body = advise_order{};
+  CHECK(!Leader.delegate(ToAdviser, at(1s)));
 }
 
 // Otherwise the leader takes an endpoint that has ended for one out of reach.
-TEST_CASE("the result of a delegated call tells whether it was refused") {
+TEST_CASE("the result of a delegated order tells whether it was refused") {
   call_delegator Leader(0);
   call_delegator Delegate(0);
   Leader.peerConnected("delegate");
   for (bool IsRefused : {true, false}) {
-    auto Call = makeCall(7);
-    REQUIRE(Leader.delegate(1, Call, at(1s)));
+    auto Order = makeOrder(7);
+    REQUIRE(Leader.delegate(Order, at(1s)));
     auto Received =
-        Delegate.receive("leader", Leader.takeMessages().at(0).Bytes, at(1s));
-    http::client_result Result;
-    Result.Id = Received.Calls.at(0).Id;
-    Result.Reason = "no connection";
-    Result.IsRefused = IsRefused;
+        Delegate.receive("leader", Leader.takeMessages().at(0).Bytes);
+    order_result Result{Received.Orders.at(0).Id,
+                        no_answer{false, "no connection", false, IsRefused}};
     REQUIRE(Delegate.finish(Result));
-    auto Back =
-        Leader.receive("delegate", Delegate.takeMessages().at(0).Bytes, at(1s));
+    auto Back = Leader.receive("delegate", Delegate.takeMessages().at(0).Bytes);
     REQUIRE(Back.Results.size() == 1);
-    CHECK(Back.Results[0].IsRefused == IsRefused);
+    CHECK(noAnswer(Back.Results[0]).IsRefused == IsRefused);
+    CHECK(!noAnswer(Back.Results[0]).MayHaveRun);
+    CHECK(!noAnswer(Back.Results[0]).IsLocal);
+    CHECK(noAnswer(Back.Results[0]).Reason == "no connection");
   }
 }
 
-TEST_CASE("a result of an own call is not sent to a peer") {
+TEST_CASE("a result of an own order is not sent to a peer") {
   call_delegator Delegator(0);
-  http::client_result Result;
-  Result.Id = 7;
+  order_result Result{7, makeAnswer()};
   CHECK(!Delegator.finish(Result));
 }
 
-TEST_CASE("a call to a lost or silent delegate is reported as may have run") {
+TEST_CASE("an order to a lost or silent delegate is reported as may have run") {
   call_delegator Leader(0);
   Leader.peerConnected("delegate");
-  auto First = makeCall(1);
-  REQUIRE(Leader.delegate(1, First, at(1s)));
+  auto First = makeOrder(1);
+  REQUIRE(Leader.delegate(First, at(1s)));
   Leader.takeMessages();
   auto Lost = Leader.peerDisconnected("delegate");
   REQUIRE(Lost.size() == 1);
-  CHECK(Lost[0].WasSent);
-  CHECK(Lost[0].IsLocal);
-  CHECK(!Lost[0].IsComplete);
+  CHECK(noAnswer(Lost[0]).MayHaveRun);
+  CHECK(noAnswer(Lost[0]).IsLocal);
   Leader.peerConnected("delegate");
-  auto Second = makeCall(2);
-  REQUIRE(Leader.delegate(1, Second, at(2s)));
+  auto Second = makeOrder(2);
+  REQUIRE(Leader.delegate(Second, at(2s)));
   Leader.takeMessages();
   CHECK(Leader.expire(at(2900ms)).empty());
   auto Silent = Leader.expire(at(3100ms));
   REQUIRE(Silent.size() == 1);
   CHECK(Silent[0].Id == 2);
-  CHECK(Silent[0].WasSent);
-  CHECK(Silent[0].IsLocal);
-  // A silent delegate gets no more calls until it answers.
-  auto Third = makeCall(3);
-  CHECK(!Leader.delegate(1, Third, at(3200ms)));
+  CHECK(noAnswer(Silent[0]).MayHaveRun);
+  CHECK(noAnswer(Silent[0]).IsLocal);
+  // A silent delegate gets no more orders until it answers.
+  auto Third = makeOrder(3);
+  CHECK(!Leader.delegate(Third, at(3200ms)));
 }
 
-TEST_CASE("a call whose message was not sent is reported as not run") {
+TEST_CASE("an order whose message was not sent is reported as not run") {
   call_delegator Leader(0);
   Leader.peerConnected("delegate");
-  auto Call = makeCall(1);
-  REQUIRE(Leader.delegate(1, Call, at(1s)));
+  auto Order = makeOrder(1);
+  REQUIRE(Leader.delegate(Order, at(1s)));
   auto Messages = Leader.takeMessages();
   auto Results = Leader.sendFailed(Messages.at(0));
   REQUIRE(Results.size() == 1);
-  CHECK(!Results[0].WasSent);
+  CHECK(!noAnswer(Results[0]).MayHaveRun);
   CHECK(Leader.expire(at(10s)).empty());
 }
 
@@ -176,69 +257,101 @@
   CHECK(!decodeDelegation(""));
   CHECK(!decodeDelegation("\xa1\x61x\x80"));
   CHECK(!decodeDelegation("\x80"));
-  auto Bytes = encodeDelegation(delegated_calls{{makeCall(1)}});
+  auto Bytes = encodeDelegation(delegated_orders{{makeOrder(1)}});
   CHECK(!decodeDelegation(std::string_view(Bytes).substr(0, Bytes.size() - 1)));
 }
 
+// An order of two kinds, or of none, would be sent as one that nobody decided.
+TEST_CASE("an order or result without exactly one body is rejected whole") {
+  auto Orders = nlohmann::json::from_cbor(
+      encodeDelegation(delegated_orders{{makeOrder(1)}}));
+  auto Results = nlohmann::json::from_cbor(
+      encodeDelegation(delegated_results{{{1, makeAnswer()}}}));
+  auto IsAccepted = [](const nlohmann::json &Map) {
+    std::string Bytes;
+    nlohmann::json::to_cbor(Map, Bytes);
+    return decodeDelegation(Bytes).has_value();
+  };
+  CHECK(IsAccepted(Orders));
+  CHECK(IsAccepted(Results));
+  auto Odd = Orders;
+  Odd["orders"][0][6] = {{"j", 0, 0, 1}, 2, 3};
+  CHECK(!IsAccepted(Odd));
+  Odd = Orders;
+  Odd["orders"][0][5] = nullptr;
+  CHECK(!IsAccepted(Odd));
+  Odd = Orders;
+  Odd["orders"][0][1] = 0;
+  CHECK(!IsAccepted(Odd));
+  Odd = Results;
+  Odd["results"][0][2] = nullptr;
+  CHECK(!IsAccepted(Odd));
+  Odd = Results;
+  Odd["results"][0][1] = {true, "", false, false};
+  CHECK(!IsAccepted(Odd));
+}
+
 // Guards against an answer that the leader refuses together with its message:
 // it would take one delegate after the other for silent.
-TEST_CASE("a response that is too large fails alone, not its delegate") {
-  call_delegator Delegate(0);
-  call_delegator Leader(0);
-  Leader.peerConnected("d");
-  for (std::uint64_t Id = 1; Id <= 2; ++Id) {
-    auto Call = makeCall(Id);
-    REQUIRE(Leader.delegate(1, Call, at(1s)));
-  }
-  std::vector<http::client_call> Calls;
-  for (const auto &Message : Leader.takeMessages())
-    for (auto &Call : Delegate.receive("l", Message.Bytes, at(1s)).Calls)
-      Calls.push_back(std::move(Call));
-  REQUIRE(Calls.size() == 2);
-  for (std::size_t Index = 0; Index != 2; ++Index) {
-    http::client_result Result;
-    Result.Id = Calls[Index].Id;
-    Result.WasSent = true;
-    Result.IsComplete = true;
-    Result.Response.Status = 200;
-    Result.Response.Body = std::string(Index == 0 ? 3u << 20 : 10u, 'r');
-    REQUIRE(Delegate.finish(Result));
-  }
-  std::map<std::uint64_t, http::client_result> Results;
-  for (const auto &Message : Delegate.takeMessages()) {
-    auto Received = Leader.receive("d", Message.Bytes, at(1s));
-    REQUIRE(Received.IsValid);
-    for (auto &Result : Received.Results)
-      Results[Result.Id] = std::move(Result);
+TEST_CASE("an answer that is too large fails alone, not its delegate") {
+  std::vector<endpoint_answer> Large(3, makeAnswer());
+  Large[0].Running[0].Task.Job = std::string(10'000, 'j');
+  Large[1].Ended[0].Checkpoint = std::string(10'000, 'c');
+  Large[2].Running.resize(50'000, Large[2].Running[0]);
+  for (const auto &Answer : Large) {
+    call_delegator Delegate(0);
+    call_delegator Leader(0);
+    Leader.peerConnected("d");
+    for (std::uint64_t Id = 1; Id <= 2; ++Id) {
+      auto Order = makeOrder(Id);
+      REQUIRE(Leader.delegate(Order, at(1s)));
+    }
+    std::vector<order> Orders;
+    for (const auto &Message : Leader.takeMessages())
+      for (auto &Order : Delegate.receive("l", Message.Bytes).Orders)
+        Orders.push_back(std::move(Order));
+    REQUIRE(Orders.size() == 2);
+    order_result First{Orders[0].Id, Answer};
+    order_result Second{Orders[1].Id, makeAnswer()};
+    REQUIRE(Delegate.finish(First));
+    REQUIRE(Delegate.finish(Second));
+    std::map<std::uint64_t, order_result> Results;
+    for (const auto &Message : Delegate.takeMessages()) {
+      auto Received = Leader.receive("d", Message.Bytes);
+      REQUIRE(Received.IsValid);
+      for (auto &Result : Received.Results)
+        Results[Result.Id] = std::move(Result);
+    }
+    REQUIRE(Results.size() == 2);
+    CHECK(noAnswer(Results[1]).MayHaveRun);
+    CHECK(!noAnswer(Results[1]).IsLocal);
+    checkAnswer(Results[2].Answer);
+    CHECK(Leader.expire(at(10s)).empty());
   }
-  REQUIRE(Results.size() == 2);
-  CHECK_FALSE(Results[1].IsComplete);
-  CHECK(Results[1].WasSent);
-  CHECK(Results[2].IsComplete);
-  CHECK(Leader.expire(at(10s)).empty());
 }
 
-// Guards against a batch that no link accepts, so that all of its calls fail
+// Guards against a batch that no link accepts, so that all of its orders fail
 // and are sent again in the same batch.
-TEST_CASE("calls and results are sent in messages that a link accepts") {
+TEST_CASE("orders and results are sent in messages that a link accepts") {
   constexpr std::size_t MaxMessageBytes = 4u << 20;
   call_delegator Leader(0);
   call_delegator Delegate(0);
   Leader.peerConnected("d");
   for (std::uint64_t Id = 1; Id <= 300; ++Id) {
-    auto Call = makeCall(Id);
-    Call.Request.Body = std::string(30'000, 'b');
-    REQUIRE(Leader.delegate(1, Call, at(1s)));
+    auto Order = makeOrder(Id);
+    std::get<start_order>(Order.Body).Payload = std::string(30'000, 'b');
+    REQUIRE(Leader.delegate(Order, at(1s)));
   }
   std::size_t Received = 0;
   for (const auto &Message : Leader.takeMessages()) {
     CHECK(Message.Bytes.size() < MaxMessageBytes);
-    CHECK_FALSE(Message.DelegatedCalls.empty());
-    for (auto &Call : Delegate.receive("l", Message.Bytes, at(1s)).Calls) {
-      http::client_result Result;
-      Result.Id = Call.Id;
-      Result.IsComplete = true;
-      Result.Response.Body = std::string(30'000, 'b');
+    CHECK_FALSE(Message.DelegatedOrders.empty());
+    for (auto &Order : Delegate.receive("l", Message.Bytes).Orders) {
+      auto Answer = makeAnswer();
+      Answer.Running.resize(10, Answer.Running[0]);
+      for (auto &Row : Answer.Running)
+        Row.Checkpoint = std::string(3000, 'c');
+      order_result Result{Order.Id, Answer};
       Delegate.finish(Result);
       ++Received;
     }
@@ -247,32 +360,32 @@
   std::size_t Results = 0;
   for (const auto &Message : Delegate.takeMessages()) {
     CHECK(Message.Bytes.size() < MaxMessageBytes);
-    Results += Leader.receive("d", Message.Bytes, at(1s)).Results.size();
+    for (const auto &Result : Leader.receive("d", Message.Bytes).Results)
+      Results += std::holds_alternative<endpoint_answer>(Result.Answer);
   }
   CHECK(Results == 300);
 }
 
 // Guards against a delegate that calls what is not the address of an endpoint.
 TEST_CASE(
-    "a delegated call keeps a valid address, and any other text is none") {
-  auto Bytes = encodeDelegation(delegated_calls{{makeCall(1)}});
+    "a delegated order keeps a valid address, and any other text is none") {
+  auto Bytes = encodeDelegation(delegated_orders{{makeOrder(1)}});
   auto Received = decodeDelegation(Bytes);
   REQUIRE(Received);
-  CHECK(std::get<delegated_calls>(*Received).Calls[0].Address ==
-        makeCall(1).Address);
+  CHECK(std::get<delegated_orders>(*Received).Orders[0].Address ==
+        makeOrder(1).Address);
   auto Map = nlohmann::json::from_cbor(Bytes);
   for (const char *Text : {"10.0.0.1:99999", "u@10.0.0.1:80", "host:80", ""}) {
-    Map["calls"][0][1] = Text;
+    Map["orders"][0][2] = Text;
     std::string Odd;
     nlohmann::json::to_cbor(Map, Odd);
     Received = decodeDelegation(Odd);
     REQUIRE(Received);
-    CHECK(!std::get<delegated_calls>(*Received).Calls[0].Address);
+    CHECK(!std::get<delegated_orders>(*Received).Orders[0].Address);
   }
 }
 
 TEST_CASE("a deeply nested message of a delegate is rejected") {
   call_delegator Delegator(0);
-  CHECK_FALSE(
-      Delegator.receive("d", std::string(4u << 20, '\x81'), at(1s)).IsValid);
+  CHECK_FALSE(Delegator.receive("d", std::string(4u << 20, '\x81')).IsValid);
 }
--- a/tests/scheduling/test_decoder_fuzz.cpp
+++ b/tests/scheduling/test_decoder_fuzz.cpp
@@ -261,22 +261,31 @@
 }
 
 TEST_CASE("fuzz: odd messages of delegates are refused") {
-  http::client_call Call;
-  Call.Id = 7;
-  Call.Address = core::network_address::parse("10.0.0.1:80");
-  Call.Request.Method = "POST";
-  Call.Request.Target = "/x";
-  Call.Request.Headers = {{"A", "b"}};
-  Call.Request.Body = std::string("\0\xff", 2);
-  Call.Timeout = 700ms;
-  http::client_result Result;
-  Result.Id = 7;
-  Result.WasSent = true;
-  Result.IsComplete = true;
-  Result.Response = {200, {}, "body"};
+  order Start;
+  Start.Id = 7;
+  Start.Endpoint = 3;
+  Start.Address = core::network_address::parse("10.0.0.1:80");
+  Start.EndpointId = "i-1";
+  Start.Timeout = 700ms;
+  auto Stop = Start;
+  auto Poll = Start;
+  auto Throttle = Start;
+  Start.Body =
+      start_order{{"j", 0, 1, 2}, 3, std::string("\0\xff", 2), 4, 5, "c", "t"};
+  Stop.Body = stop_order{{"j", 0, 1, 2}, 3, 4};
+  Poll.Body = poll_order{1, 2, 3, 4};
+  Throttle.Body = throttle_order{{"j", 0, 1, 2}, 3, 50, 4};
+  endpoint_answer Answer;
+  Answer.Verdict = endpoint_verdict::Accepted;
+  Answer.ClockMs = 1;
+  Answer.IncarnationMs = 2;
+  Answer.Running = {{{"j", 0, 1, 2}, 3, "c", 40, 5}};
+  Answer.Ended = {{6, {"j", 0, 1, 3}, 1, run_end::Done, ""}};
   const std::vector<std::string> Samples{
-      encodeDelegation(delegated_calls{{Call, Call}}),
-      encodeDelegation(delegated_results{{Result}})};
+      encodeDelegation(delegated_orders{{Start, Stop}}),
+      encodeDelegation(delegated_orders{{Poll, Throttle}}),
+      encodeDelegation(delegated_results{
+          {{7, Answer}, {8, no_answer{true, "reason", true, true}}}})};
   lycheetrestle::test::fuzzOptional(
       document_format::Cbor, Samples, 2000, decodeDelegation,
       [](const delegation_message &Message) {
