--- a/scheduling/calls.h
+++ b/scheduling/calls.h
@@ -98,6 +98,9 @@
   std::uint32_t Count = 0;
   std::string Text;
   std::string Leader; ///< IP address.
+  /// Where the endpoint is to send its next heartbeats, in the reply to one;
+  /// empty for no change.
+  std::optional<core::network_address> HeartbeatAddress = {};
 };
 
 /// \returns a fixed name for logs and metrics.
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
+#include "scheduling/heartbeat_relay.h"
 #include "scheduling/observer_process.h"
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_node.h"
@@ -72,6 +73,8 @@
   std::string Gateway;  ///< Link name; empty if the call came over HTTP.
   std::uint64_t Id = 0; ///< Id at the gateway or at the HTTP server.
   std::string Target;   ///< Path and query, for redirects.
+  bool IsHeartbeat = false;
+  std::string Relay; ///< Scheduler that relayed the heartbeat, or empty.
 };
 
 std::uint64_t randomNumber() {
@@ -209,7 +212,7 @@
           return;
         }
         handle(Node, Adapter.DecodeControlCall(Request.Request),
-               {"", Request.Id, Request.Request.Target}, Now);
+               {"", Request.Id, Request.Request.Target, false, ""}, Now);
       });
       Storage.results().drain([&](control::storage_result &&Result) {
         if (Result.Stored)
@@ -220,13 +223,16 @@
       Results.drain(
           [&](http::client_result &&Result) { finishCall(Node, Result, Now); });
       finishOrders(Node, Delegator.expire(Now), Now);
+      for (auto Id : Relay.expire(Now))
+        answerUnheard(Node, Id);
       addDelegates(Node, Now);
       Timer.finishPhase(Receive);
       Node.tick(Now);
       auto Actions = Node.takeActions(Now);
       Timer.finishPhase(Decide);
-      bool IsIdle = execute(std::move(Actions), Storage, Now);
+      bool IsIdle = execute(Node, std::move(Actions), Storage, Now);
       sendDelegated(Node, Now);
+      sendRelayed(Node, Now);
       Timer.finishPhase(Send);
       Timer.finishIteration();
       publishStatusAndMetrics(Node, Now);
@@ -284,6 +290,8 @@
         NextDelegates = Now;
       } else {
         LinkedPeers.erase(Event.Peer);
+        RelayReplies.erase(Event.Peer);
+        std::erase(Relays, Event.Peer);
         finishOrders(Node, Delegator.peerDisconnected(Event.Peer), Now);
       }
       return;
@@ -293,7 +301,12 @@
       return;
     }
     if (!IsGateway) {
-      receiveDelegated(Node, Event, Now);
+      if (isHeartbeatMessage(Event.Bytes))
+        receiveRelayed(Node, Event, Now);
+      else if (isReplyMessage(Event.Bytes))
+        receiveRelayReplies(Node, Event);
+      else
+        receiveDelegated(Node, Event, Now);
       return;
     }
     auto Message = gateway::decodeMessage(Event.Bytes);
@@ -309,7 +322,7 @@
     Request.Target = std::move(Call->Target);
     Request.Body = std::move(Call->Body);
     handle(Node, Adapter.DecodeCallerCall(Request),
-           {Event.Peer, Call->Id, Request.Target}, Now);
+           {Event.Peer, Call->Id, Request.Target, false, ""}, Now);
   }
 
   void handle(schedule_node &Node, decoded_call Decoded, call_origin Origin,
@@ -339,11 +352,110 @@
       return;
     }
     auto Id = ++LastCall;
+    auto *Heartbeat = std::get_if<heartbeat_call>(&*Decoded.Call);
+    Origin.IsHeartbeat = Heartbeat != nullptr;
     Origins.emplace(Id, std::move(Origin));
+    if (Heartbeat && mayRelay(Node) &&
+        Relay.add(Id, std::move(Heartbeat->Heartbeat), Now))
+      return;
     Node.handle({Id, std::move(*Decoded.Call)}, Now);
   }
 
-  void sendReply(const scheduling::reply &Reply) {
+  /// \returns whether heartbeats are passed on to the leader instead of being
+  /// redirected there.
+  bool mayRelay(const schedule_node &Node) const {
+    auto Leader = Node.leaderAddress();
+    return Signals.Stops == 0 && !Node.isLeading() &&
+           Leader != Settings.Address && LinkedPeers.count(Leader) > 0 &&
+           usesRelays(Node);
+  }
+
+  /// \returns whether the heartbeats are many enough that the leader needs
+  /// others to receive them.
+  bool usesRelays(const schedule_node &Node) const {
+    return Node.state().endpoints().size() > Settings.OwnEndpoints;
+  }
+
+  void receiveRelayed(schedule_node &Node, const transport::link_event &Event,
+                      core::time_point Now) {
+    auto Heartbeats = decodeHeartbeats(Event.Bytes);
+    if (!Heartbeats) {
+      Metrics.add("messages_dropped_total");
+      return;
+    }
+    Metrics.add("heartbeats_relayed_total", Heartbeats->size());
+    for (auto &Item : *Heartbeats) {
+      auto Id = ++LastCall;
+      auto &Origin = Origins[Id];
+      Origin.Id = Item.Id;
+      Origin.IsHeartbeat = true;
+      Origin.Relay = Event.Peer;
+      Node.handle({Id, heartbeat_call{std::move(Item.Heartbeat)}}, Now);
+    }
+  }
+
+  void receiveRelayReplies(const schedule_node &Node,
+                           const transport::link_event &Event) {
+    auto Replies = decodeReplies(Event.Bytes);
+    if (!Replies) {
+      Metrics.add("messages_dropped_total");
+      return;
+    }
+    for (const auto &Reply : *Replies) {
+      if (!Relay.finish(Reply))
+        continue;
+      if (!Reply.IsAccepted) {
+        answerUnheard(Node, Reply.Id);
+        continue;
+      }
+      scheduling::reply Accepted;
+      Accepted.Id = Reply.Id;
+      Accepted.Kind = reply_kind::Accepted;
+      sendReply(std::move(Accepted));
+    }
+  }
+
+  /// Answers a heartbeat that the leader did not accept, like one that was not
+  /// relayed.
+  void answerUnheard(const schedule_node &Node, std::uint64_t Id) {
+    reply Reply;
+    Reply.Id = Id;
+    Reply.Kind = reply_kind::NotLeader;
+    Reply.Leader = Node.leaderAddress();
+    if (Reply.Leader == Settings.Address)
+      Reply.Leader.clear();
+    sendReply(Reply);
+  }
+
+  void sendRelayed(schedule_node &Node, core::time_point Now) {
+    auto Leader = Node.leaderAddress();
+    if (Leader != RelayedTo) {
+      RelayedTo = Leader;
+      for (auto Id : Relay.clear())
+        answerUnheard(Node, Id);
+    }
+    while (auto Batch = Relay.takeBatch(Now))
+      if (!Hub.send(Leader, std::move(*Batch)))
+        Metrics.add("link_messages_not_sent_total");
+    for (auto &[Peer, Replies] : std::exchange(RelayReplies, {}))
+      if (!Hub.send(Peer, encodeReplies(Replies)))
+        Metrics.add("link_messages_not_sent_total");
+  }
+
+  /// \returns the scheduler that is to receive the next heartbeats of an
+  /// endpoint, if not this one.
+  std::optional<core::network_address> nextRelay(const schedule_node &Node) {
+    if (Relays.empty() || !Node.isLeading() || !usesRelays(Node))
+      return std::nullopt;
+    const auto &Name = Relays[++LastRelay % Relays.size()];
+    return core::network_address::parse(
+        core::toString({Name, Settings.Listen.Port}));
+  }
+
+  /// \param HeartbeatAddress named in the reply to a heartbeat.
+  void
+  sendReply(scheduling::reply Reply,
+            const std::optional<core::network_address> &HeartbeatAddress = {}) {
     auto Found = Origins.find(Reply.Id);
     if (Found == Origins.end())
       return;
@@ -351,12 +463,19 @@
     Origins.erase(Found);
     Metrics.add("replies_total{kind=\"" + std::string(toString(Reply.Kind)) +
                 "\"}");
+    if (!Origin.Relay.empty()) {
+      RelayReplies[Origin.Relay].push_back(
+          {Origin.Id, Reply.Kind == reply_kind::Accepted});
+      return;
+    }
     bool IsUnknown = Reply.Kind == reply_kind::Unknown;
     // A gateway sends the call to the next leader, which is safe because jobs
     // are identified by id.
     bool IsForNextLeader = Reply.Kind == reply_kind::NotLeader ||
                            (IsUnknown && !Origin.Gateway.empty());
     if (!IsForNextLeader) {
+      if (Origin.IsHeartbeat)
+        Reply.HeartbeatAddress = HeartbeatAddress;
       respond(Origin, Adapter.EncodeReply(Reply));
       return;
     }
@@ -408,15 +527,18 @@
     finishOrders(Node, std::move(Received.Results), Now);
   }
 
-  /// Adds the linked members as delegates. Schedulers without a disk are linked
-  /// too and get no orders.
+  /// Adds the linked members as delegates and relays. Schedulers without a disk
+  /// are linked too and get no orders.
   void addDelegates(const schedule_node &Node, core::time_point Now) {
     if (Now < NextDelegates)
       return;
     NextDelegates = Now + DelegatesInterval;
+    Relays.clear();
     for (const auto &Member : Node.status().Members.Members)
-      if (LinkedPeers.count(Member.Id.Name) > 0)
+      if (LinkedPeers.count(Member.Id.Name) > 0) {
         Delegator.peerConnected(Member.Id.Name);
+        Relays.push_back(Member.Id.Name);
+      }
   }
 
   void sendDelegated(schedule_node &Node, core::time_point Now) {
@@ -458,7 +580,8 @@
   }
 
   /// \returns whether all writes and responses were passed to their threads.
-  bool execute(node_actions Actions, control::storage_worker<log_type> &Storage,
+  bool execute(const schedule_node &Node, node_actions Actions,
+               control::storage_worker<log_type> &Storage,
                core::time_point Now) {
     for (const auto &Address : Actions.NewPeers)
       Hub.addPeer({Address, Address, Settings.LinkPort});
@@ -480,8 +603,8 @@
     }
     while (!PendingCalls.empty() && Calls.push(std::move(PendingCalls.front())))
       PendingCalls.pop_front();
-    for (const auto &Reply : Actions.Replies)
-      sendReply(Reply);
+    for (auto &Reply : Actions.Replies)
+      sendReply(std::move(Reply), nextRelay(Node));
     while (!Responses.empty() && Server.deliver(std::move(Responses.front())))
       Responses.pop_front();
     return PendingWrites.empty() && Responses.empty();
@@ -646,6 +769,11 @@
   http::client Client;
   transport::link_hub Hub;
   call_delegator Delegator;
+  heartbeat_relay Relay;
+  std::string RelayedTo; ///< Leader that the heartbeats are passed on to.
+  std::vector<std::string> Relays; ///< Linked members.
+  std::size_t LastRelay = 0;       ///< Index of the one named last.
+  std::map<std::string, std::vector<relayed_reply>> RelayReplies; ///< By peer.
   http::server Server;
   refusal_log RefusedHeartbeats;
   std::set<std::string> Gateways;
--- a/tests/scheduling/test_decoder_fuzz.cpp
+++ b/tests/scheduling/test_decoder_fuzz.cpp
@@ -4,6 +4,7 @@
 #include "schedule_fixture.h"
 #include "scheduling/commands.h"
 #include "scheduling/delegation_messages.h"
+#include "scheduling/heartbeat_relay.h"
 #include "scheduling/leader.h"
 #include "scheduling/scheduler_settings.h"
 
@@ -296,6 +297,34 @@
       });
 }
 
+TEST_CASE("fuzz: odd messages of relays are refused") {
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = makeEndpoint("e1");
+  Heartbeat.Facts.Labels = {"a", "b"};
+  Heartbeat.Sequence = 3;
+  Heartbeat.ClockMs = 4;
+  auto Draining = Heartbeat;
+  Draining.Facts.IsDraining = true;
+  Draining.RemainingMs = 5;
+  const std::vector<std::string> Heartbeats{
+      encodeHeartbeats({{7, Heartbeat}, {8, Draining}})};
+  lycheetrestle::test::fuzzOptional(
+      document_format::Cbor, Heartbeats, 2000, decodeHeartbeats,
+      [](const std::vector<relayed_heartbeat> &Message) {
+        auto Bytes = encodeHeartbeats(Message);
+        auto Again = decodeHeartbeats(Bytes);
+        REQUIRE(Again);
+        REQUIRE(encodeHeartbeats(*Again) == Bytes);
+      });
+  const std::vector<std::string> Replies{
+      encodeReplies({{7, true}, {8, false}})};
+  lycheetrestle::test::fuzzOptional(
+      document_format::Cbor, Replies, 500, decodeReplies,
+      [](const std::vector<relayed_reply> &Message) {
+        REQUIRE(decodeReplies(encodeReplies(Message)));
+      });
+}
+
 TEST_CASE("fuzz: odd settings of a scheduler are refused") {
   const std::vector<std::string> Samples{R"({
     "role":"scheduler","name":"s1","address":"10.0.0.1",
