Let events share iterations of a scheduler's event loop

Change: an iteration begins at the earliest 3 ms after the one before. An event after a pause is handled at once as before.

--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -26,6 +26,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <thread>
 #include <unordered_map>
 #include <utility>
 
@@ -40,6 +41,10 @@
 constexpr core::duration MaxWait = std::chrono::milliseconds(50);
 // Limits how often the event loop runs while a time-out is overdue.
 constexpr core::duration MinWait = std::chrono::milliseconds(1);
+// Events within this time of the start of an iteration share the next one. Each
+// iteration wakes threads of this process and of all linked schedulers, and a
+// round of decisions costs the same for one event as for many.
+constexpr core::duration MinIteration = std::chrono::milliseconds(3);
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
 // Gateways reject requests when no leader has sent a status for a second.
 constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
@@ -250,6 +255,9 @@
       }
       auto Wait = Node.nextTick(Now) - boot_clock::now();
       Signal.waitFor(std::clamp(Wait, MinWait, MaxWait));
+      if (auto Rest = Now + MinIteration - boot_clock::now();
+          Rest > core::duration())
+        std::this_thread::sleep_for(Rest);
     }
   }
 
