Take heartbeats for a relay by reference

The linter read the test that a refused heartbeat is kept as a use after a move. heartbeat_relay::add() moves from its argument only when it adds it, and takes a reference now, as call_delegator::delegate() does.

--- a/scheduling/heartbeat_relay.cpp
+++ b/scheduling/heartbeat_relay.cpp
@@ -66,7 +66,7 @@
 
 } // namespace
 
-bool heartbeat_relay::add(std::uint64_t Id, endpoint_heartbeat &&Heartbeat,
+bool heartbeat_relay::add(std::uint64_t Id, endpoint_heartbeat &Heartbeat,
                           core::time_point Now) {
   if (Open.size() >= MaxOpen)
     return false;
--- a/scheduling/heartbeat_relay.h
+++ b/scheduling/heartbeat_relay.h
@@ -39,7 +39,7 @@
   /// \param Id identifies it in replies.
   /// \param Heartbeat moved from if it is added.
   /// \returns false when too many are open; then it is not relayed.
-  bool add(std::uint64_t Id, endpoint_heartbeat &&Heartbeat,
+  bool add(std::uint64_t Id, endpoint_heartbeat &Heartbeat,
            core::time_point Now);
   /// Call expire() before it.
   /// \returns the message with the heartbeats to pass on now, if some are due.
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -363,8 +363,7 @@
     auto *Heartbeat = std::get_if<heartbeat_call>(&*Decoded.Call);
     Origin.IsHeartbeat = Heartbeat != nullptr;
     Origins.emplace(Id, std::move(Origin));
-    if (Heartbeat && mayRelay(Node) &&
-        Relay.add(Id, std::move(Heartbeat->Heartbeat), Now))
+    if (Heartbeat && mayRelay(Node) && Relay.add(Id, Heartbeat->Heartbeat, Now))
       return;
     Node.handle({Id, std::move(*Decoded.Call)}, Now);
   }
--- a/tests/scheduling/test_heartbeat_relay.cpp
+++ b/tests/scheduling/test_heartbeat_relay.cpp
@@ -27,7 +27,8 @@
 }
 
 void add(heartbeat_relay &Relay, std::uint64_t Id, core::time_point Now) {
-  REQUIRE(Relay.add(Id, makeHeartbeat(Id), Now));
+  auto Heartbeat = makeHeartbeat(Id);
+  REQUIRE(Relay.add(Id, Heartbeat, Now));
 }
 
 } // namespace
@@ -116,13 +117,14 @@
 TEST_CASE("a flood of heartbeats is bounded, in memory and in a message") {
   heartbeat_relay Relay;
   std::uint64_t Added = 0;
-  while (Added < 100'000 &&
-         Relay.add(Added + 1, makeHeartbeat(Added + 1), at(1s)))
-    ++Added;
+  for (bool IsAdded = true; IsAdded && Added < 100'000; Added += IsAdded) {
+    auto Heartbeat = makeHeartbeat(Added + 1);
+    IsAdded = Relay.add(Added + 1, Heartbeat, at(1s));
+  }
   CHECK(Added < 10'000);
   // One that is not added can still be handled in another way.
   auto Kept = makeHeartbeat(7);
-  CHECK(!Relay.add(Added + 1, std::move(Kept), at(1s)));
+  CHECK(!Relay.add(Added + 1, Kept, at(1s)));
   CHECK(Kept.Facts.Id == "e7");
   std::set<std::uint64_t> Ids;
   while (auto Message = Relay.takeBatch(at(1100ms))) {
