--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -26,10 +26,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
-# Values of a site file of the users (Kelang), as far as a daemon reads them.
-BOUNDS = {'maxHoldMs': 10000, 'migrateS': 1.5, 'maintenanceS': 2}
+# Values of the site zhuldyz-sched, as far as a daemon or a stand-in reads them.
+BOUNDS = {'maxHoldMs': 6000, 'migrateS': 1.5, 'maintenanceS': 2}
 HEARTBEAT_MS = 1500
-STOP_TIMEOUT_S = 0.2
+STOP_TIMEOUT_S = 0.4
 GANG_TIMEOUT_S = 3.0
 HOST = 'q.example'
 SERVICE = 'svc-a'
@@ -75,6 +75,7 @@
         self.capacity = {'cpu': cpu, 'memMb': mem, 'gpu': 0}
         self.labels, self.service = list(labels), service
         self.duration, self.outcome = duration, outcome
+        self.unhealthy = False  # Refuses every start with 503.
         self.beat_through = beat_through  # Maps a control address to that of a proxy.
         self.port = free_port(ip)
         self.address = '%s:%d' % (ip, self.port)
@@ -188,6 +189,9 @@
         self.lease = max(self.lease, min(deadline, self.clock() + BOUNDS['maxHoldMs']))
 
     def run_start(self, body):
+        if self.unhealthy:
+            self.record('executor', self.name, 'refuses', body['task'], body['attempt'], 503)
+            return 503, {}
         task, attempt, deadline = body['task'], body['attempt'], body['deadlineMs']
         if task in self.running and self.running[task]['attempt'] == attempt:
             self.prolong(deadline)
