Log each second what each queue was offered and what it got, by size

The logs showed waiting tasks in total and the cores of pools, so that a scheduler without time, hosts that come late and an order that starves large jobs looked alike. queue_load has accepted, refused and completed jobs, started and waiting tasks of each queue by size, and the oldest wait; pool_balance has free cores and the hosts that arrive and leave.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -180,6 +180,7 @@
                            core::time_point Now) {
   IsPlacementDue = true;
   Waiting.recordApplied(Command);
+  countQueueLoad(Command, Outcome);
   if (const auto *End = std::get_if<end_run>(&Command)) {
     if (End->Outcome == run_end::Lost)
       if (auto Place = EndpointOfRun.find(End->Task);
@@ -420,6 +421,7 @@
   collectHosts(Commands);
   if ((IsPlacementDue && Now >= EarliestPlacement) || Now >= NextPlacement)
     collectStarts(Commands, Now, WallMs);
+  logQueues(Now, WallMs);
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
     stopForgottenRuns(Now, WallMs);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -14,6 +14,7 @@
 #include "scheduling/orders.h"
 #include "scheduling/placer.h"
 #include "scheduling/pool_rebalancer.h"
+#include "scheduling/queue_load.h"
 #include "scheduling/rank_cache.h"
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_state.h"
@@ -509,6 +510,12 @@
   void recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
                  const incarnation_end &End, core::time_point Now);
 
+  // leader_queues.cpp
+  /// Counts a command for the log of queues.
+  void countQueueLoad(const command &Command, apply_outcome Outcome);
+  /// Logs once a second what each queue was offered and what it got.
+  void logQueues(core::time_point Now, std::int64_t WallMs);
+
   // leader_moves.cpp
   void planHostMoves(core::time_point Now, std::int64_t WallMs);
   void logPools(std::span<const pool_view> Pools,
@@ -604,6 +611,8 @@
   duration_models Durations;
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
+  queue_load_counter QueueLoad{Durations};
+  core::time_point NextQueueLog{};
   advice_cache Advice;
   core::time_point NextAdvice{};
   core::time_point NextPrune{};
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -54,14 +54,24 @@
   Hosts.NextPoolLog = Now + PoolLogInterval;
   for (const auto &Pool : Pools) {
     double Supply = 0;
+    double Free = 0;
     int Idle = 0;
     int All = 0;
+    int Arriving = 0;
+    int Leaving = 0;
     for (const auto &Host : View) {
+      auto Operation = Hosts.Operations.find(Host.Name);
+      bool IsMoving =
+          Operation != Hosts.Operations.end() && !Operation->second.Wave;
+      Arriving += IsMoving && Host.Pool == Pool.Name;
+      Leaving += IsMoving && Hosts.Hosts.at(Host.Name).Pool == Pool.Name;
       if (Host.Pool != Pool.Name)
         continue;
       ++All;
       Idle += Host.MayMove;
       Supply += Host.AcceptsWork ? Host.Cores : 0;
+      if (const auto *Tracked = IsMoving ? nullptr : trackedOnHost(Host.Name))
+        Free += Tracked->FreeCapacity.Free.MilliCores / 1000.0;
     }
     core::logEvent(core::log_level::Info, "pool_balance",
                    {{"pool", Pool.Name},
@@ -70,6 +80,9 @@
                     {"idle", Idle},
                     {"supply_cores", static_cast<int>(Supply)},
                     {"needed_cores", static_cast<int>(Pool.RequiredCores)},
+                    {"free_cores", static_cast<int>(Free)},
+                    {"arriving", Arriving},
+                    {"leaving", Leaving},
                     {"tasks", Hosts.Operations.size()},
                     {"cordoned", Hosts.Cordoned.size()}});
   }
