Show with a test that large jobs starve behind small ones

The simulation of a peak gets a scheduler with a limited rate of starts, the worth of jobs to their callers, the sizes that the users count by themselves, and the order by remaining work as a baseline.

--- a/bench/overload_simulation.cpp
+++ b/bench/overload_simulation.cpp
@@ -11,6 +11,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheetrestle::bench {
@@ -20,6 +21,7 @@
 using namespace scheduling;
 
 constexpr int StepMs = 20;
+constexpr std::size_t MaxStarts = 10'000; // In a step; more than ever wait.
 constexpr std::uint32_t HostMilliCores = 64'000;
 constexpr double MeanTaskMs = 640;
 constexpr double MeanMilliCores = 3500;
@@ -27,6 +29,11 @@
 // A job is in time if it finishes within Slack times its critical path plus
 // TargetLatencyMs.
 constexpr double Slack = 1.6;
+// Jobs are of use to their callers up to this many times their objective.
+constexpr double LateFactor = 3;
+constexpr double LateShare = 1.0 / 14;
+constexpr double FixedWorth = 0.3;
+constexpr double MaxWorth = 4;
 constexpr const char *HostName = "q.example";
 constexpr const char *Prefix = "/q/";
 
@@ -136,21 +143,39 @@
     }
   }
 
+  /// \returns how many tasks the scheduler can start in this step.
+  std::size_t mayStart() const {
+    return Load.StartsPerS == 0
+               ? MaxStarts
+               : static_cast<std::size_t>(std::max(0.0, StartBudget));
+  }
+
   void start() {
+    // A scheduler does not save up time.
+    StartBudget =
+        std::min(1.0, StartBudget) + Load.StartsPerS * StepMs / 1000.0;
     std::vector<start_run> Starts;
-    if (Policy == order_policy::Ranked) {
+    if (Policy != order_policy::FirstComeFirstServed) {
       auto Targets = targets();
       placement_request Request;
-      Request.MaxStarts = 10'000;
+      Request.MaxStarts = mayStart();
       std::vector<placement_target *> Pointers;
       for (auto &Target : Targets)
         Pointers.push_back(&Target);
-      for (auto &Placement :
-           placeRuns(waitingSteps(State, Ranks, NowMs), Pointers, Request))
+      auto Waiting = waitingSteps(State, Ranks, NowMs);
+      if (Policy == order_policy::SmallestFirst)
+        std::stable_sort(
+            Waiting.begin(), Waiting.end(),
+            [](const waiting_step &Left, const waiting_step &Right) {
+              return keyOf(Left.Rank) < keyOf(Right.Rank);
+            });
+      for (auto &Placement : placeRuns(Waiting, Pointers, Request))
         Starts.push_back(Placement.Start);
     } else {
       Starts = firstComeFirstServed();
+      Starts.resize(std::min(Starts.size(), mayStart()));
     }
+    StartBudget -= static_cast<double>(Starts.size());
     for (const auto &Start : Starts) {
       State.apply(Start, NowMs);
       auto DurationMs = Durations[Start.Task.Job][Start.Task.Step];
@@ -159,6 +184,10 @@
     }
   }
 
+  static std::pair<bool, std::int64_t> keyOf(const job_rank &Rank) {
+    return {Rank.Group != InTimeGroup, Rank.RemainingWork};
+  }
+
   std::vector<placement_target> targets() const {
     std::vector<placement_target> Targets;
     for (const auto &[Number, Endpoint] : State.endpoints()) {
@@ -204,12 +233,24 @@
     return Starts;
   }
 
+  static bool isServed(const simulated_job &Job) {
+    return Job.DoneMs - Job.SubmittedMs <= LateFactor * Job.ObjectiveMs;
+  }
+
   overload_result count() const {
     overload_result Result;
     std::map<int, std::pair<std::uint32_t, std::uint32_t>> BySecond;
     std::vector<const simulated_job *> BySize;
+    double MeanWork = 0;
+    for (const auto &[Id, Job] : Jobs)
+      MeanWork += Job.Work / static_cast<double>(Jobs.size());
     for (const auto &[Id, Job] : Jobs) {
       bool IsInTime = Job.DoneMs - Job.SubmittedMs <= Job.ObjectiveMs;
+      double Worth = std::min(MaxWorth, FixedWorth + (1 - FixedWorth) *
+                                                         Job.Work / MeanWork);
+      Result.CreditOwed += Worth;
+      if (isServed(Job))
+        Result.Credit += IsInTime ? Worth : LateShare * Worth;
       ++Result.Jobs;
       (IsInTime ? Result.InTime : Result.Late) += 1;
       auto &Second = BySecond[Job.SubmittedMs / 1000];
@@ -224,11 +265,17 @@
               [](const auto *Left, const auto *Right) {
                 return Left->Work > Right->Work;
               });
-    Result.LargestTenth = static_cast<std::uint32_t>(BySize.size() / 10);
-    for (std::uint32_t Index = 0; Index != Result.LargestTenth; ++Index) {
-      const auto &Job = *BySize[Index];
-      Result.LargestTenthDone +=
-          Job.DoneMs - Job.SubmittedMs <= 3 * Job.ObjectiveMs;
+    for (std::size_t Index = 0; Index != BySize.size(); ++Index) {
+      bool IsServed = isServed(*BySize[Index]);
+      auto Add = [&](size_result &Size) {
+        ++Size.Jobs;
+        Size.Served += IsServed;
+      };
+      Add(Result.All);
+      if (Index < BySize.size() / 10)
+        Add(Result.LargestTenth);
+      else if (Index < BySize.size() * 3 / 10)
+        Add(Result.NextFifth);
     }
     return Result;
   }
@@ -244,6 +291,7 @@
   std::priority_queue<running_task, std::vector<running_task>, std::greater<>>
       Running;
   double Backlog = 0;
+  double StartBudget = 0;
   int NowMs = 0;
 };
 
--- a/bench/overload_simulation.h
+++ b/bench/overload_simulation.h
@@ -8,6 +8,7 @@
 /// Order in which waiting tasks are started.
 enum class order_policy : std::uint8_t {
   Ranked,               ///< scheduling::placeRuns().
+  SmallestFirst,        ///< Baseline: in time before late, then least work.
   FirstComeFirstServed, ///< Baseline: oldest job first, on the first endpoint
                         ///< with enough free cores.
 };
@@ -18,9 +19,18 @@
   /// Offered work at the top of the peak, relative to the capacity of the pool.
   double Peak = 2.0;
   int PeakMs = 8000;
+  /// Starts a second that the scheduler has the time for; 0 for no limit.
+  std::uint32_t StartsPerS = 0;
   std::uint64_t Seed = 1;
 };
 
+/// Jobs of one size, by their work.
+struct size_result {
+  std::uint32_t Jobs = 0;
+  std::uint32_t Served = 0; ///< Done within three times their objective.
+  double percent() const { return Jobs == 0 ? 0 : 100.0 * Served / Jobs; }
+};
+
 /// Jobs of one peak by latency objective.
 struct overload_result {
   std::uint32_t Jobs = 0;
@@ -28,9 +38,14 @@
   std::uint32_t Late = 0;
   /// Lowest share of jobs in time over the seconds of submission.
   std::uint32_t WorstSecondPercent = 100;
-  /// Jobs of the largest tenth done within three times their objective.
-  std::uint32_t LargestTenthDone = 0;
-  std::uint32_t LargestTenth = 0; ///< Jobs in the tenth with the most work.
+  size_result All;
+  size_result LargestTenth; ///< The tenth with the most work.
+  size_result NextFifth;    ///< The fifth below it.
+  /// Worth of the jobs to their callers, and what all jobs in time would be
+  /// worth: 0.3 and 0.7 times the work relative to the mean, at most 4, and a
+  /// fourteenth of that once the objective has passed.
+  double Credit = 0;
+  double CreditOwed = 0;
 };
 
 /// Simulates one peak of a queue on one pool until all jobs are finished.
--- a/tests/scheduling/test_overload.cpp
+++ b/tests/scheduling/test_overload.cpp
@@ -2,8 +2,45 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+
 using namespace lycheetrestle::bench;
 
+namespace {
+
+void add(size_result &Sum, const size_result &Size) {
+  Sum.Jobs += Size.Jobs;
+  Sum.Served += Size.Served;
+}
+
+/// Results of a peak at twice the capacity of the pool, over several seeds.
+overload_result playPeak(order_policy Policy, std::uint32_t StartsPerS) {
+  overload_result Sum;
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    overload_load Load;
+    Load.StartsPerS = StartsPerS;
+    Load.Seed = Seed;
+    auto Result = simulateOverload(Policy, Load);
+    add(Sum.All, Result.All);
+    add(Sum.LargestTenth, Result.LargestTenth);
+    add(Sum.NextFifth, Result.NextFifth);
+    Sum.Credit += Result.Credit;
+    Sum.CreditOwed += Result.CreditOwed;
+  }
+  return Sum;
+}
+
+double worth(const overload_result &Result) {
+  return Result.Credit / Result.CreditOwed;
+}
+
+// About 500 tasks a second are offered at the top of the peak.
+constexpr std::uint32_t QuickScheduler = 0;
+constexpr std::uint32_t SlowScheduler = 200;
+constexpr std::uint32_t VerySlowScheduler = 100;
+
+} // namespace
+
 // With first come, first served all jobs become late once a peak exceeds the
 // capacity of the pool.
 TEST_CASE("in a peak over twice the capacity ranking keeps more jobs in time "
@@ -26,3 +63,35 @@
   auto Ranked = simulateOverload(order_policy::Ranked, Load);
   CHECK(Ranked.InTime > 0.95 * Ranked.Jobs);
 }
+
+// Guards against large jobs that never start while smaller ones keep arriving.
+TEST_CASE("in a peak over twice the capacity each size of job is served at "
+          "least half as often as all jobs",
+          "[!shouldfail]") {
+  auto StartsPerS = GENERATE(QuickScheduler, SlowScheduler, VerySlowScheduler);
+  auto Ranked = playPeak(order_policy::Ranked, StartsPerS);
+  INFO("starts a second " << StartsPerS << ", served: all "
+                          << Ranked.All.percent() << " %, largest tenth "
+                          << Ranked.LargestTenth.percent() << " %, next fifth "
+                          << Ranked.NextFifth.percent() << " %");
+  CHECK(Ranked.LargestTenth.percent() >= Ranked.All.percent() / 2);
+  CHECK(Ranked.NextFifth.percent() >= Ranked.All.percent() / 2);
+}
+
+// Guards against an order that pays for large jobs with most of the small ones.
+TEST_CASE("in a peak over twice the capacity the jobs of all sizes together "
+          "are worth nearly as much as with the smallest first") {
+  auto StartsPerS = GENERATE(QuickScheduler, SlowScheduler, VerySlowScheduler);
+  auto Ranked = playPeak(order_policy::Ranked, StartsPerS);
+  auto SmallestFirst = playPeak(order_policy::SmallestFirst, StartsPerS);
+  WARN("starts a second " << StartsPerS << ": worth " << worth(Ranked)
+                          << ", smallest first " << worth(SmallestFirst)
+                          << "; served of all, largest tenth, next fifth: "
+                          << Ranked.All.percent() << ", "
+                          << Ranked.LargestTenth.percent() << ", "
+                          << Ranked.NextFifth.percent() << " %, smallest first "
+                          << SmallestFirst.All.percent() << ", "
+                          << SmallestFirst.LargestTenth.percent() << ", "
+                          << SmallestFirst.NextFifth.percent() << " %");
+  CHECK(worth(Ranked) >= 0.95 * worth(SmallestFirst));
+}
