Order jobs by a lottery, so that a peak leaves every size a share

Where the scheduler's starts are short and not cores, the order also gave up the jobs that are worth most for each start.

Within a group and priority the order is now a lottery: the key of an occurrence is drawn from an exponential distribution with its remaining work as mean, by a hash of its id, so that small jobs have more chances, every size has some, and a job keeps its luck between its steps. Jobs that are late for more than three times their objective, and of no use any more, form a group behind the late ones; they took the place of jobs that still had a use.

--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -1,6 +1,10 @@
 #include "scheduling/job_order.h"
 
+#include <boost/container_hash/hash.hpp>
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -15,6 +19,10 @@
 // Products of large estimates, sizes and slack factors exceed 64 bits.
 constexpr double MaxObjectiveMs = 1e15;
 constexpr double MaxWork = 1e18;
+// Callers have no use for results after this many times the objective.
+constexpr double UsefulFactor = 3;
+// Largest draw of a lottery, below the largest 64-bit number.
+constexpr double MaxTicket = 9e18;
 
 /// \param IsDone predicate on the index of a step; steps for which it returns
 /// true count as zero.
@@ -74,6 +82,18 @@
   return static_cast<std::int64_t>(std::min(Work, MaxWork));
 }
 
+std::int64_t ticketOf(std::string_view JobId, std::uint32_t Occurrence,
+                      std::int64_t RemainingWork) {
+  auto Hash = std::hash<std::string_view>()(JobId);
+  boost::hash_combine(Hash, Occurrence);
+  // In (0, 1], so that the logarithm is finite.
+  double Luck = (static_cast<double>(Hash) + 1) /
+                static_cast<double>(std::numeric_limits<std::size_t>::max());
+  double Work = static_cast<double>(std::max<std::int64_t>(RemainingWork, 1));
+  return static_cast<std::int64_t>(
+      std::min(-std::log(std::min(Luck, 1.0)) * Work, MaxTicket));
+}
+
 job_rank rankOf(const job_record &Job, const occurrence_record &Occurrence,
                 const queue_spec *Queue, const duration_model &Model,
                 std::int64_t NowMs) {
@@ -94,14 +114,17 @@
   std::int64_t Target = Queue ? Queue->TargetLatencyMs : 0;
   auto AllowedMs =
       static_cast<double>(criticalPathMs(Job.Spec, Model)) * Slack / 1000;
-  std::int64_t ObjectiveMs =
-      ReleaseMs +
+  auto ObjectiveMs =
       static_cast<std::int64_t>(std::min(AllowedMs, MaxObjectiveMs)) + Target;
-  Rank.LatestStartMs =
-      ObjectiveMs - remainingCriticalPathMs(Job.Spec, Occurrence, Model) *
-                        CountedEstimatePercent / 100;
+  auto RemainingMs = remainingCriticalPathMs(Job.Spec, Occurrence, Model) *
+                     CountedEstimatePercent / 100;
+  Rank.LatestStartMs = ReleaseMs + ObjectiveMs - RemainingMs;
+  Rank.LatestUsefulStartMs =
+      ReleaseMs + static_cast<std::int64_t>(UsefulFactor * ObjectiveMs) -
+      RemainingMs;
   Rank.Group = groupAt(Rank, NowMs);
   Rank.RemainingWork = remainingWork(Job.Spec, Occurrence, Model);
+  Rank.Ticket = ticketOf(Job.Spec.Id, Occurrence.Number, Rank.RemainingWork);
   return Rank;
 }
 
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -14,20 +14,28 @@
 constexpr std::uint8_t LongRunningGroup = 0;
 constexpr std::uint8_t InTimeGroup = 1;
 constexpr std::uint8_t LateGroup = 2;
+constexpr std::uint8_t ExpiredGroup = 3; ///< Of no use to the caller any more.
 
 /// Scheduling rank of a job's occurrence; smaller ranks are placed first. The
 /// members are compared in the order of their declaration.
 ///
-/// Designed for a pool whose load is twice its capacity for some seconds: work
-/// that can still meet its objective goes before work that cannot, and
-/// long-running tasks, which are few and serve others, go before both.
+/// Designed for a pool whose load is twice its capacity for some seconds, or
+/// several times what the scheduler can start: work that can still meet its
+/// objective goes before work that cannot, that before work that comes too late
+/// to be of use, and long-running tasks, which are few and serve others, before
+/// all. Within a group, the order is a lottery in which small jobs have more
+/// chances, so that every size gets a share: with the smallest job first, large
+/// ones never start while small ones keep arriving.
 struct job_rank {
   std::uint8_t Group = LongRunningGroup;
   std::uint32_t Priority = 0;
+  std::int64_t Ticket = 0;        ///< See ticketOf().
   std::int64_t RemainingWork = 0; ///< Core-milliseconds.
   /// Wall time up to which the occurrence counts as in time; for long-running
   /// jobs the time at which the occurrence was due to start.
   std::int64_t LatestStartMs = 0;
+  /// Wall time up to which the occurrence can still be of use.
+  std::int64_t LatestUsefulStartMs = 0;
   // clang-tidy 14 reports a variable inside the generated function.
   // NOLINTNEXTLINE(readability-identifier-naming)
   auto operator<=>(const job_rank &) const = default;
@@ -36,9 +44,19 @@
 /// \param Rank rank of an occurrence without long-running steps.
 /// \returns its group at a wall time.
 constexpr std::uint8_t groupAt(const job_rank &Rank, std::int64_t NowMs) {
-  return NowMs <= Rank.LatestStartMs ? InTimeGroup : LateGroup;
+  if (NowMs <= Rank.LatestStartMs)
+    return InTimeGroup;
+  return NowMs <= Rank.LatestUsefulStartMs ? LateGroup : ExpiredGroup;
 }
 
+/// Draws the place of an occurrence in a lottery whose chances are inverse to
+/// the work that is left: the draws are exponentially distributed, with that
+/// work as their mean. An occurrence keeps its luck until it is complete, so
+/// that what was begun is finished first.
+/// \returns the draw; smaller ones are placed first.
+std::int64_t ticketOf(std::string_view JobId, std::uint32_t Occurrence,
+                      std::int64_t RemainingWork);
+
 /// \param Occurrence its completed steps count as zero.
 /// \returns the expected duration in milliseconds of the longest chain of
 /// dependent steps that are not done.
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -151,9 +151,11 @@
                                          {*Rank, Job, &Occurrence, Step}})
                                 .first);
     });
-    // The occurrence is late from the next millisecond on.
+    // The next group begins in the millisecond after these times.
     if (Rank && Rank->Group == InTimeGroup)
       Entry.DueMs = std::min(Entry.DueMs, Rank->LatestStartMs + 1);
+    else if (Rank && Rank->Group == LateGroup)
+      Entry.DueMs = std::min(Entry.DueMs, Rank->LatestUsefulStartMs + 1);
     Entry.Demand += demandOf(*Job, Occurrence, Rank);
   }
   if (Entry.Steps.empty() && Entry.Demand == pool_demand())
@@ -187,7 +189,7 @@
                       [](const task_record &Task) { return Task.isWaiting(); });
     if (Spec.IsLongRunning)
       Demand.LongMilliCores += MilliCores * Waiting;
-    else if (Rank->Group != LateGroup)
+    else if (Rank->Group <= InTimeGroup)
       Demand.ShortMilliCores +=
           Waiting *
           std::llround(
--- a/tests/scheduling/test_overload.cpp
+++ b/tests/scheduling/test_overload.cpp
@@ -66,8 +66,7 @@
 
 // Guards against large jobs that never start while smaller ones keep arriving.
 TEST_CASE("in a peak over twice the capacity each size of job is served at "
-          "least half as often as all jobs",
-          "[!shouldfail]") {
+          "least half as often as all jobs") {
   auto StartsPerS = GENERATE(QuickScheduler, SlowScheduler, VerySlowScheduler);
   auto Ranked = playPeak(order_policy::Ranked, StartsPerS);
   INFO("starts a second " << StartsPerS << ", served: all "
--- a/tests/scheduling/test_waiting_index.cpp
+++ b/tests/scheduling/test_waiting_index.cpp
@@ -86,7 +86,7 @@
     const auto &Model = Durations.modelOf(Job);
     for (const auto &Occurrence : Job.OpenOccurrences) {
       bool IsLate =
-          Ranks.rankOf(Job, Occurrence, State.queueOf(Job), NowMs).Group ==
+          Ranks.rankOf(Job, Occurrence, State.queueOf(Job), NowMs).Group >=
           LateGroup;
       for (std::size_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
         const auto &Spec = Job.Spec.Steps[Step];
