--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -51,6 +51,7 @@
   std::int64_t MoveMs = 1500; ///< Downtime of a host that changes its pool.
   bool HasPlatform = false;
   bool HasAdviser = false;
+  /// Orders to hosts that the platform accepts from all schedulers together.
   double PlatformCallsPerSecond = 64.0;
   /// Ends that an endpoint lists in one answer. It keeps the others until the
   /// cursor confirms those.
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -36,10 +36,10 @@
 constexpr std::size_t MaxPages = 500;
 constexpr std::size_t MaxFailedPages = 10;
 
-// Limit of the hosts that are being moved or maintained. A wave may name 20,000
-// hosts and allow as many at once; commands and calls for all of them together
-// would keep the leader busy for longer than the election time-out.
-constexpr std::size_t MaxOperations = 256;
+// Limit of the hosts that are being maintained. A wave may name 20,000 hosts
+// and allow as many at once; commands and calls for all of them together would
+// keep the leader busy for longer than the election time-out.
+constexpr std::size_t MaxMaintenance = 256;
 
 std::string_view name(host_verdict Verdict) {
   switch (Verdict) {
@@ -154,6 +154,9 @@
   if (Hosts.ListedAt < StartedAt || Now < Hosts.NextWavePlan)
     return;
   Hosts.NextWavePlan = Now + WavePlanInterval;
+  auto InMaintenance = static_cast<std::size_t>(std::count_if(
+      Hosts.Operations.begin(), Hosts.Operations.end(),
+      [](const auto &Item) { return Item.second.Wave.has_value(); }));
   for (const auto &[Number, Wave] : State.waves()) {
     if (Wave.isComplete())
       continue;
@@ -172,7 +175,7 @@
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
     for (const auto &Name : Plan.Order) {
-      if (Hosts.Operations.size() >= MaxOperations)
+      if (InMaintenance >= MaxMaintenance)
         break;
       // Hosts chosen earlier in this loop may have used up a budget.
       const auto *Tracked = trackedOnHost(Name);
@@ -180,6 +183,7 @@
         continue;
       Hosts.Cordoned.emplace(Name, Now);
       addMaintenance(Name, Number, Now);
+      ++InMaintenance;
       Commands.emplace_back(order_maintenance{Number, Name});
       core::logEvent(core::log_level::Info, "maintenance_chosen",
                      {{"wave", Number},
