Refuse a job that cannot be started while it is of use

Such a job takes commits, ranks and starts from others, and its caller learns of it after its deadline.

admission_control compares the tasks that wait in the pool, of the same or a higher priority and still of use, with the pool's rate of starts, and the expected wait with the time for which the job is of use.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "scheduling/admission_control.h"
 #include "scheduling/advice_cache.h"
 #include "scheduling/crash_quarantine.h"
 #include "scheduling/demand_forecaster.h"
@@ -95,6 +96,13 @@
   std::optional<record_deregistration>
   recordDeregistration(std::string_view Id, core::time_point Now,
                        std::optional<std::uint64_t> IncarnationMs = {});
+  /// Called for a job that is not known yet.
+  /// \returns after which time the job may be submitted again when it is
+  /// refused, or nothing when it is accepted.
+  std::optional<core::duration> checkAdmission(std::string_view HostName,
+                                               std::string_view Path,
+                                               const job_spec &Spec,
+                                               core::time_point Now);
   /// Processes the answer to an order, or its absence.
   void finishOrder(order_result Result, core::time_point Now);
 
@@ -511,6 +519,10 @@
   void recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
                  const incarnation_end &End, core::time_point Now);
 
+  // leader_admission.cpp
+  /// Records for admission which pools have tasks that wait.
+  void recordBacklogs(core::time_point Now);
+
   // leader_queues.cpp
   /// Counts a command for the log of queues.
   void countQueueLoad(const command &Command, apply_outcome Outcome);
@@ -613,6 +625,7 @@
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
   queue_load_counter QueueLoad{Durations};
+  admission_control Admission;
   core::time_point NextQueueLog{};
   advice_cache Advice;
   core::time_point NextAdvice{};
--- a/scheduling/queue_load.h
+++ b/scheduling/queue_load.h
@@ -77,7 +77,7 @@
       : Durations(Durations) {}
 
   void recordAccepted(const job_record &Job);
-  void recordRefused(const job_record &Job);
+  void recordRefused(const queue_spec &Queue, const job_spec &Spec);
   void recordStart(const job_record &Job);
   void recordCompleted(const job_record &Job);
   /// \param NowMs wall time.
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -20,6 +20,16 @@
 // jobs is examined within half a second.
 constexpr std::size_t MaxRefreshedJobs = 128;
 
+/// \returns the tasks of the occurrence that have no run and are not done.
+std::int64_t countBacklog(const occurrence_record &Occurrence) {
+  std::int64_t Count = 0;
+  for (const auto &Step : Occurrence.Steps)
+    Count +=
+        std::count_if(Step.Tasks.begin(), Step.Tasks.end(),
+                      [](const task_record &Task) { return Task.isWaiting(); });
+  return Count;
+}
+
 /// Calls Visit with each waiting step of the occurrence.
 template <typename Callable>
 void visitWaitingSteps(const job_record &Job,
@@ -106,6 +116,7 @@
   Changed.clear();
   Outdated.clear();
   Demand.clear();
+  Backlogs.clear();
   IsStale = false;
   UpdatedMs = NowMs;
   Revision = Ranks.durations().revision();
@@ -119,6 +130,8 @@
     return;
   auto &Entry = Found->second;
   Demand[Entry.Pool] -= Entry.Demand;
+  if (Entry.Backlog > 0)
+    Backlogs[Entry.Pool][Entry.Priority] -= Entry.Backlog;
   if (!Entry.Steps.empty()) {
     auto Pool = Pools.find(Entry.Pool);
     for (auto Step : Entry.Steps)
@@ -157,10 +170,16 @@
     else if (Rank && Rank->Group == LateGroup)
       Entry.DueMs = std::min(Entry.DueMs, Rank->LatestUsefulStartMs + 1);
     Entry.Demand += demandOf(*Job, Occurrence, Rank);
+    if (Rank && (Rank->Group == InTimeGroup || Rank->Group == LateGroup)) {
+      Entry.Priority = Rank->Priority;
+      Entry.Backlog += countBacklog(Occurrence);
+    }
   }
   if (Entry.Steps.empty() && Entry.Demand == pool_demand())
     return;
   Demand[Entry.Pool] += Entry.Demand;
+  if (Entry.Backlog > 0)
+    Backlogs[Entry.Pool][Entry.Priority] += Entry.Backlog;
   if (!Entry.Steps.empty())
     Due.emplace(Entry.DueMs, Id);
   Jobs.emplace(Id, std::move(Entry));
--- a/scheduling/waiting_index.h
+++ b/scheduling/waiting_index.h
@@ -28,6 +28,10 @@
   bool operator==(const pool_demand &) const = default;
 };
 
+/// Tasks without a run that are still of use, by the priority of their queue.
+/// Those of steps that depend on others count too; long-running ones do not.
+using task_backlog = std::map<std::uint32_t, std::int64_t>;
+
 /// The waiting steps of each pool by rank, and the demand of each pool, kept
 /// between rounds of placement.
 ///
@@ -69,6 +73,11 @@
   /// \returns the demand of each pool that has had some, as of the last
   /// update().
   const std::map<std::string, pool_demand> &demand() const { return Demand; }
+  /// \returns the backlog of each pool that has had some, as of the last
+  /// update().
+  const std::map<std::string, task_backlog> &backlogs() const {
+    return Backlogs;
+  }
   /// \returns how many jobs all calls of update() have examined.
   std::uint64_t examinedJobs() const { return ExaminedJobs; }
 
@@ -78,6 +87,8 @@
     std::vector<step_set::iterator> Steps;
     std::int64_t DueMs = 0; ///< When a rank may change without a command.
     pool_demand Demand;
+    std::uint32_t Priority = 0;
+    std::int64_t Backlog = 0; ///< Its part of the pool's backlog.
   };
 
   void erase(const std::string &Id);
@@ -97,6 +108,7 @@
   /// With waiting steps or demand.
   std::unordered_map<std::string, job_entry> Jobs;
   std::map<std::string, pool_demand> Demand;          ///< By pool.
+  std::map<std::string, task_backlog> Backlogs;       ///< By pool.
   std::set<std::pair<std::int64_t, std::string>> Due; ///< DueMs and job.
   std::set<std::string> Changed; ///< Jobs changed since the last update().
   std::uint64_t Revision = 0;    ///< Of the durations behind the ranks.
