Let the interval of passes over all hosts grow with their number

The interval is now 200 us for each host, within 50 or 100 ms and 400 ms: the same as before up to 250 and 500 hosts, 220 ms at 1,100. A move takes 1.5 s and maintenance 2 s.

--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -19,8 +19,7 @@
 // Wait after a throttled call or an unanswered list, and before an order for a
 // host is repeated; twice as long after the platform refused the order.
 constexpr core::duration HostOrderBackoff = milliseconds(300);
-// Maintenance and moves take seconds, and a pass over all hosts takes about a
-// millisecond.
+// Maintenance and moves take seconds.
 constexpr core::duration PlanInterval = milliseconds(50);
 constexpr core::duration WavePlanInterval = milliseconds(100);
 // Minimum time between the starts of two lists, even when operations require a
@@ -147,13 +146,13 @@
   }
   if (Now < Hosts.NextPlan)
     return;
-  Hosts.NextPlan = Now + PlanInterval;
+  Hosts.NextPlan = Now + Hosts.passInterval(PlanInterval);
   evacuate(Now);
   planHostMoves(Now, WallMs);
   // A new leader needs its own list to determine which hosts are down.
   if (Hosts.ListedAt < StartedAt || Now < Hosts.NextWavePlan)
     return;
-  Hosts.NextWavePlan = Now + WavePlanInterval;
+  Hosts.NextWavePlan = Now + Hosts.passInterval(WavePlanInterval);
   auto InMaintenance = static_cast<std::size_t>(std::count_if(
       Hosts.Operations.begin(), Hosts.Operations.end(),
       [](const auto &Item) { return Item.second.Wave.has_value(); }));
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -121,7 +121,7 @@
   if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
       Now < Hosts.NextMovePlan)
     return;
-  Hosts.NextMovePlan = Now + MoveInterval;
+  Hosts.NextMovePlan = Now + Hosts.passInterval(MoveInterval);
   auto Required = requiredCores(Now, WallMs);
   std::vector<rebalance_host> View;
   std::size_t PendingMoves = 0;
--- a/tests/scheduling/test_decisions.cpp
+++ b/tests/scheduling/test_decisions.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/demand_forecaster.h"
 #include "scheduling/demand_smoother.h"
 #include "scheduling/endpoint_health.h"
+#include "scheduling/host_inventory.h"
 #include "scheduling/job_order.h"
 #include "scheduling/maintenance_planner.h"
 #include "scheduling/membership_manager.h"
@@ -13,6 +14,7 @@
 #include <catch2/catch.hpp>
 
 #include <set>
+#include <string>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
@@ -304,6 +306,21 @@
     CHECK(Move.Pool == "spare");
 }
 
+// Guards against a leader whose passes over all hosts take its time.
+TEST_CASE("passes over many hosts are as costly in a second as those over a "
+          "few") {
+  host_inventory Hosts;
+  auto IntervalWith = [&](int Count) {
+    for (int Host = static_cast<int>(Hosts.Hosts.size()); Host < Count; ++Host)
+      Hosts.Hosts["h" + std::to_string(Host)] = {};
+    return Hosts.passInterval(100ms);
+  };
+  CHECK(IntervalWith(0) == 100ms);
+  CHECK(IntervalWith(350) == 100ms);
+  CHECK(IntervalWith(1100) == 220ms);
+  CHECK(IntervalWith(10'000) == 400ms);
+}
+
 TEST_CASE("a busy host never moves") {
   std::vector<pool_view> Pools{{"a", false, 500}, {"b", false, 0}};
   auto Busy = movable("b1", "b", 0);
