Refuse a job only if the tasks in time leave it no start in time either

All waiting tasks counted as ahead of a job, also late ones, which stand behind it; and the limit was that of the job itself, which is longer for longer jobs.

A job is refused when the tasks in time leave it no start in time and all waiting tasks no start while it is of use, by the limits of the queue's typical job.

--- a/scheduling/admission_control.cpp
+++ b/scheduling/admission_control.cpp
@@ -61,7 +61,7 @@
 
 std::optional<admission_control::refusal>
 admission_control::check(const std::string &Pool, const task_backlog &Backlog,
-                         std::uint32_t Priority, core::duration UsefulFor,
+                         std::uint32_t Priority, const wait_limits &Limits,
                          core::time_point Now) const {
   auto Found = Pools.find(Pool);
   if (Found == Pools.end() || !Found->second.WaitingSince ||
@@ -70,16 +70,23 @@
   refusal Refusal;
   for (const auto &[Other, Tasks] : Backlog)
     if (Other <= Priority)
-      Refusal.WaitingTasks += Tasks;
+      Refusal.Ahead = {Refusal.Ahead.InTime + Tasks.InTime,
+                       Refusal.Ahead.Late + Tasks.Late};
   Refusal.StartsPerS = startsPerS(Found->second, Now);
   if (Refusal.StartsPerS <= 0)
     return std::nullopt;
-  auto Wait = static_cast<double>(Refusal.WaitingTasks) / Refusal.StartsPerS;
-  if (Wait <= seconds(UsefulFor))
+  auto WaitInTime =
+      static_cast<double>(Refusal.Ahead.InTime) / Refusal.StartsPerS;
+  auto Wait =
+      WaitInTime + static_cast<double>(Refusal.Ahead.Late) / Refusal.StartsPerS;
+  if (WaitInTime <= seconds(Limits.InTime) || Wait <= seconds(Limits.OfAnyUse))
     return std::nullopt;
   Refusal.ExpectedWait = fromSeconds(Wait);
+  // A job is accepted again as soon as one of the two waits is short enough.
   Refusal.RetryAfter = std::clamp<core::duration>(
-      Refusal.ExpectedWait - UsefulFor, std::chrono::seconds(1), MaxRetryAfter);
+      fromSeconds(std::min(WaitInTime - seconds(Limits.InTime),
+                           Wait - seconds(Limits.OfAnyUse))),
+      std::chrono::seconds(1), MaxRetryAfter);
   return Refusal;
 }
 
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -59,6 +59,12 @@
 
 } // namespace
 
+std::int64_t inTimeWaitMs(const job_spec &Spec, const queue_spec *Queue,
+                          const duration_model &Model) {
+  return objectiveMs(Spec, Queue, Model) -
+         criticalPathMs(Spec, Model) * CountedEstimatePercent / 100;
+}
+
 std::int64_t usefulWaitMs(const job_spec &Spec, const queue_spec *Queue,
                           const duration_model &Model) {
   return static_cast<std::int64_t>(UsefulFactor *
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -522,6 +522,9 @@
   // leader_admission.cpp
   /// Records for admission which pools have tasks that wait.
   void recordBacklogs(core::time_point Now);
+  /// Adds a job to those that the limits of its queue are averaged over.
+  /// \returns these limits.
+  wait_limits typicalLimits(const queue_spec &Queue, const job_spec &Spec);
 
   // leader_queues.cpp
   /// Counts a command for the log of queues.
@@ -626,6 +629,8 @@
   waiting_index Waiting{State, Ranks};
   queue_load_counter QueueLoad{Durations};
   admission_control Admission;
+  /// By host name and path prefix of the queue.
+  std::map<std::pair<std::string, std::string>, wait_limits> TypicalLimits;
   core::time_point NextQueueLog{};
   advice_cache Advice;
   core::time_point NextAdvice{};
--- a/scheduling/leader_admission.cpp
+++ b/scheduling/leader_admission.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Jobs over which the limits of a queue are averaged.
+constexpr int LimitsSmoothing = 32;
+constexpr std::int64_t MaxLimitMs = 3'600'000;
+
 std::int64_t toMs(core::duration Duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
       .count();
@@ -20,10 +24,30 @@
     Admission.recordBacklog(
         Pool,
         std::any_of(Backlog.begin(), Backlog.end(),
-                    [](const auto &Item) { return Item.second > 0; }),
+                    [](const auto &Item) {
+                      return Item.second.InTime + Item.second.Late > 0;
+                    }),
         Now);
 }
 
+wait_limits leader::typicalLimits(const queue_spec &Queue,
+                                  const job_spec &Spec) {
+  const auto &Model = Durations.modelOf(Queue.HostName, Queue.PathPrefix);
+  // Extreme estimates exceed the range of a duration.
+  auto Milliseconds = [](std::int64_t Ms) {
+    return core::duration(
+        std::chrono::milliseconds(std::clamp<std::int64_t>(Ms, 0, MaxLimitMs)));
+  };
+  wait_limits Own{Milliseconds(inTimeWaitMs(Spec, &Queue, Model)),
+                  Milliseconds(usefulWaitMs(Spec, &Queue, Model))};
+  auto &Typical =
+      TypicalLimits.try_emplace({Queue.HostName, Queue.PathPrefix}, Own)
+          .first->second;
+  Typical.InTime += (Own.InTime - Typical.InTime) / LimitsSmoothing;
+  Typical.OfAnyUse += (Own.OfAnyUse - Typical.OfAnyUse) / LimitsSmoothing;
+  return Typical;
+}
+
 std::optional<core::duration> leader::checkAdmission(std::string_view HostName,
                                                      std::string_view Path,
                                                      const job_spec &Spec,
@@ -35,13 +59,12 @@
       std::any_of(Spec.Steps.begin(), Spec.Steps.end(),
                   [](const step_spec &Step) { return Step.IsLongRunning; }))
     return std::nullopt;
+  auto Limits = typicalLimits(*Queue, Spec);
   auto Backlog = Waiting.backlogs().find(Queue->Pool);
   if (Backlog == Waiting.backlogs().end())
     return std::nullopt;
-  auto UsefulMs = usefulWaitMs(
-      Spec, Queue, Durations.modelOf(Queue->HostName, Queue->PathPrefix));
   auto Refusal = Admission.check(Queue->Pool, Backlog->second, Queue->Priority,
-                                 std::chrono::milliseconds(UsefulMs), Now);
+                                 Limits, Now);
   if (!Refusal)
     return std::nullopt;
   QueueLoad.recordRefused(*Queue, Spec);
@@ -50,10 +73,12 @@
                  {{"job", Spec.Id},
                   {"queue", Queue->HostName + Queue->PathPrefix},
                   {"pool", Queue->Pool},
-                  {"waiting_tasks", Refusal->WaitingTasks},
+                  {"in_time_tasks", Refusal->Ahead.InTime},
+                  {"late_tasks", Refusal->Ahead.Late},
                   {"starts_per_s", Refusal->StartsPerS},
                   {"expected_wait_ms", toMs(Refusal->ExpectedWait)},
-                  {"useful_ms", UsefulMs},
+                  {"in_time_limit_ms", toMs(Limits.InTime)},
+                  {"useful_limit_ms", toMs(Limits.OfAnyUse)},
                   {"retry_after_ms", toMs(Refusal->RetryAfter)},
                   {"verdict", "not-run"}});
   return Refusal->RetryAfter;
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -124,14 +124,21 @@
     insert(Id, NowMs);
 }
 
+void waiting_index::addBacklog(const job_entry &Entry, int Sign) {
+  if (Entry.Backlog.InTime == 0 && Entry.Backlog.Late == 0)
+    return;
+  auto &Tasks = Backlogs[Entry.Pool][Entry.Priority];
+  Tasks.InTime += Sign * Entry.Backlog.InTime;
+  Tasks.Late += Sign * Entry.Backlog.Late;
+}
+
 void waiting_index::erase(const std::string &Id) {
   auto Found = Jobs.find(Id);
   if (Found == Jobs.end())
     return;
   auto &Entry = Found->second;
   Demand[Entry.Pool] -= Entry.Demand;
-  if (Entry.Backlog > 0)
-    Backlogs[Entry.Pool][Entry.Priority] -= Entry.Backlog;
+  addBacklog(Entry, -1);
   if (!Entry.Steps.empty()) {
     auto Pool = Pools.find(Entry.Pool);
     for (auto Step : Entry.Steps)
@@ -172,14 +179,15 @@
     Entry.Demand += demandOf(*Job, Occurrence, Rank);
     if (Rank && (Rank->Group == InTimeGroup || Rank->Group == LateGroup)) {
       Entry.Priority = Rank->Priority;
-      Entry.Backlog += countBacklog(Occurrence);
+      (Rank->Group == InTimeGroup ? Entry.Backlog.InTime
+                                  : Entry.Backlog.Late) +=
+          countBacklog(Occurrence);
     }
   }
   if (Entry.Steps.empty() && Entry.Demand == pool_demand())
     return;
   Demand[Entry.Pool] += Entry.Demand;
-  if (Entry.Backlog > 0)
-    Backlogs[Entry.Pool][Entry.Priority] += Entry.Backlog;
+  addBacklog(Entry, 1);
   if (!Entry.Steps.empty())
     Due.emplace(Entry.DueMs, Id);
   Jobs.emplace(Id, std::move(Entry));
--- a/scheduling/waiting_index.h
+++ b/scheduling/waiting_index.h
@@ -28,9 +28,14 @@
   bool operator==(const pool_demand &) const = default;
 };
 
-/// Tasks without a run that are still of use, by the priority of their queue.
-/// Those of steps that depend on others count too; long-running ones do not.
-using task_backlog = std::map<std::uint32_t, std::int64_t>;
+/// Tasks without a run that are still of use. Those of steps that depend on
+/// others count too; long-running ones do not.
+struct waiting_tasks {
+  std::int64_t InTime = 0;
+  std::int64_t Late = 0;
+};
+/// By the priority of their queue.
+using task_backlog = std::map<std::uint32_t, waiting_tasks>;
 
 /// The waiting steps of each pool by rank, and the demand of each pool, kept
 /// between rounds of placement.
@@ -88,9 +93,11 @@
     std::int64_t DueMs = 0; ///< When a rank may change without a command.
     pool_demand Demand;
     std::uint32_t Priority = 0;
-    std::int64_t Backlog = 0; ///< Its part of the pool's backlog.
+    waiting_tasks Backlog; ///< Its part of the pool's backlog.
   };
 
+  /// Adds the job's part of the backlog of its pool, or removes it.
+  void addBacklog(const job_entry &Entry, int Sign);
   void erase(const std::string &Id);
   void insert(const std::string &Id, std::int64_t NowMs);
   void rebuild(std::int64_t NowMs);
