Take back moves, connections, passes, shared starts and refusals

Refusals took jobs that were served late without them. Which of passes, shared starts and connections cost what was not measured one by one.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -28,6 +28,9 @@
 // sent on a connection that the server is closing.
 constexpr long MaxIdleSeconds = 50;
 constexpr long MaxCachedConnections = 2048;
+// One connection may be held by a long poll, and short calls share the others.
+// Opening a connection for each call of a burst costs more than queueing.
+constexpr long MaxHostConnections = 3;
 constexpr std::size_t MaxIdleHandles = 1024;
 // Delay before results that did not fit into the ring are pushed again.
 constexpr core::duration FlushRetryInterval = std::chrono::milliseconds(1);
@@ -120,8 +123,7 @@
     auto *Multi = Transport.handle();
     curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
-    curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      static_cast<long>(Settings.MaxHostConnections));
+    curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS, MaxHostConnections);
   }
 
   ~implementation() {
--- a/http/client.h
+++ b/http/client.h
@@ -46,10 +46,6 @@
   /// been suspended, and the decision behind the call may be stale.
   core::duration MaxCallAge = std::chrono::milliseconds(500);
   std::size_t MaxResponseBytes = 4u << 20;
-  /// Connections to one address; further calls wait for one. One may be held by
-  /// a long poll, and short calls share the others: opening a connection for
-  /// each call of a burst costs more than queueing.
-  std::uint32_t MaxHostConnections = 3;
 };
 
 /// HTTP/1.1 client with persistent connections on its own thread. Each call
--- a/scheduling/calls.h
+++ b/scheduling/calls.h
@@ -1,7 +1,6 @@
 #ifndef LYCHEETRESTLE_SCHEDULING_CALLS_H
 #define LYCHEETRESTLE_SCHEDULING_CALLS_H
 
-#include "core/clock.h"
 #include "scheduling/orders.h"
 #include "scheduling/types.h"
 
@@ -87,7 +86,6 @@
   NoSuchWave,
   NotLeader,   ///< Not handled; Leader is the address of the leader, if known.
   Unavailable, ///< Certainly not executed; the caller may retry.
-  Overloaded,  ///< Never executed; the caller may retry after RetryAfter.
   Unknown,     ///< May or may not be executed.
   TooLarge,    ///< Never executed; the change exceeds what the log accepts.
 };
@@ -99,8 +97,7 @@
   job_state State = job_state::Queued;
   std::uint32_t Count = 0;
   std::string Text;
-  std::string Leader;          ///< IP address.
-  core::duration RetryAfter{}; ///< With Overloaded.
+  std::string Leader; ///< IP address.
   /// Where the endpoint is to send its next heartbeats, in the reply to one;
   /// empty for no change.
   std::optional<core::network_address> HeartbeatAddress = {};
--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -69,18 +69,6 @@
   core::time_point NextList{};
   core::time_point NextCall{}; ///< Earliest time of the next platform call.
 
-  /// \param Shortest interval of passes over few hosts.
-  /// \returns the interval of passes over all hosts. It grows with their
-  /// number, so that passes take a few percent of a leader's time at any
-  /// number.
-  core::duration passInterval(core::duration Shortest) const {
-    // A pass takes about 2 us of a core for each host.
-    constexpr core::duration IntervalPerHost = std::chrono::microseconds(200);
-    constexpr core::duration Longest = std::chrono::milliseconds(400);
-    return std::clamp(static_cast<core::duration::rep>(Hosts.size()) *
-                          IntervalPerHost,
-                      Shortest, std::max(Shortest, Longest));
-  }
   const host_row *find(const std::string &Host) const {
     auto Found = Hosts.find(Host);
     return Found == Hosts.end() ? nullptr : &Found->second;
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -46,32 +46,8 @@
   return Longest;
 }
 
-/// \returns the time after its release within which a job is to be complete.
-std::int64_t objectiveMs(const job_spec &Spec, const queue_spec *Queue,
-                         const duration_model &Model) {
-  double Slack = Queue ? Queue->SlackThousandths : 1000;
-  std::int64_t Target = Queue ? Queue->TargetLatencyMs : 0;
-  auto AllowedMs =
-      static_cast<double>(criticalPathMs(Spec, Model)) * Slack / 1000;
-  return static_cast<std::int64_t>(std::min(AllowedMs, MaxObjectiveMs)) +
-         Target;
-}
-
 } // namespace
 
-std::int64_t inTimeWaitMs(const job_spec &Spec, const queue_spec *Queue,
-                          const duration_model &Model) {
-  return objectiveMs(Spec, Queue, Model) -
-         criticalPathMs(Spec, Model) * CountedEstimatePercent / 100;
-}
-
-std::int64_t usefulWaitMs(const job_spec &Spec, const queue_spec *Queue,
-                          const duration_model &Model) {
-  return static_cast<std::int64_t>(UsefulFactor *
-                                   objectiveMs(Spec, Queue, Model)) -
-         criticalPathMs(Spec, Model) * CountedEstimatePercent / 100;
-}
-
 std::int64_t remainingCriticalPathMs(const job_spec &Spec,
                                      const occurrence_record &Occurrence,
                                      const duration_model &Model) {
@@ -134,7 +110,12 @@
     Rank.LatestStartMs = ReleaseMs;
     return Rank;
   }
-  auto ObjectiveMs = objectiveMs(Job.Spec, Queue, Model);
+  double Slack = Queue ? Queue->SlackThousandths : 1000;
+  std::int64_t Target = Queue ? Queue->TargetLatencyMs : 0;
+  auto AllowedMs =
+      static_cast<double>(criticalPathMs(Job.Spec, Model)) * Slack / 1000;
+  auto ObjectiveMs =
+      static_cast<std::int64_t>(std::min(AllowedMs, MaxObjectiveMs)) + Target;
   auto RemainingMs = remainingCriticalPathMs(Job.Spec, Occurrence, Model) *
                      CountedEstimatePercent / 100;
   Rank.LatestStartMs = ReleaseMs + ObjectiveMs - RemainingMs;
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -78,18 +78,6 @@
                            const occurrence_record &Occurrence,
                            const duration_model &Model);
 
-/// \param Queue the job's queue, or null when it was removed.
-/// \returns how long after its release a job without long-running steps may
-/// start to be in time, in milliseconds.
-std::int64_t inTimeWaitMs(const job_spec &Spec, const queue_spec *Queue,
-                          const duration_model &Model);
-
-/// \param Queue the job's queue, or null when it was removed.
-/// \returns how long after its release a job without long-running steps may
-/// start to be of any use, in milliseconds.
-std::int64_t usefulWaitMs(const job_spec &Spec, const queue_spec *Queue,
-                          const duration_model &Model);
-
 /// \param Job the job that Occurrence belongs to.
 /// \param Queue its queue, or null when it was removed.
 /// \param Model duration model of the queue.
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -219,8 +219,6 @@
     Run.MayBeStartedByOther = false;
     EndpointOfRun[Start->Task] = Start->Endpoint;
     recordRunsChanged(Start->Endpoint);
-    if (const auto *Step = findStep(Start->Task); Step && !Step->IsLongRunning)
-      Admission.recordStart(State.findJob(Start->Task.Job)->Pool, Now);
     return;
   }
   if (const auto *Submit = std::get_if<submit_job>(&Command)) {
@@ -667,7 +665,6 @@
   Waiting.update(WallMs);
   Metrics.add("placement_jobs_examined_total",
               Waiting.examinedJobs() - ExaminedBefore);
-  recordBacklogs(Now);
   if (Waiting.pools().empty()) {
     for (auto &[Pool, Quarantine] : Quarantines)
       Quarantine.recordPlacement(false, Now);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -3,7 +3,6 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
-#include "scheduling/admission_control.h"
 #include "scheduling/advice_cache.h"
 #include "scheduling/crash_quarantine.h"
 #include "scheduling/demand_forecaster.h"
@@ -52,7 +51,6 @@
   std::int64_t MoveMs = 1500; ///< Downtime of a host that changes its pool.
   bool HasPlatform = false;
   bool HasAdviser = false;
-  /// Orders to hosts that the platform accepts from all schedulers together.
   double PlatformCallsPerSecond = 64.0;
   /// Ends that an endpoint lists in one answer. It keeps the others until the
   /// cursor confirms those.
@@ -96,13 +94,6 @@
   std::optional<record_deregistration>
   recordDeregistration(std::string_view Id, core::time_point Now,
                        std::optional<std::uint64_t> IncarnationMs = {});
-  /// Called for a job that is not known yet.
-  /// \returns after which time the job may be submitted again when it is
-  /// refused, or nothing when it is accepted.
-  std::optional<core::duration> checkAdmission(std::string_view HostName,
-                                               std::string_view Path,
-                                               const job_spec &Spec,
-                                               core::time_point Now);
   /// Processes the answer to an order, or its absence.
   void finishOrder(order_result Result, core::time_point Now);
 
@@ -519,13 +510,6 @@
   void recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
                  const incarnation_end &End, core::time_point Now);
 
-  // leader_admission.cpp
-  /// Records for admission which pools have tasks that wait.
-  void recordBacklogs(core::time_point Now);
-  /// Adds a job to those that the limits of its queue are averaged over.
-  /// \returns these limits.
-  wait_limits typicalLimits(const queue_spec &Queue, const job_spec &Spec);
-
   // leader_queues.cpp
   /// Counts a command for the log of queues.
   void countQueueLoad(const command &Command, apply_outcome Outcome);
@@ -628,9 +612,6 @@
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
   queue_load_counter QueueLoad{Durations};
-  admission_control Admission;
-  /// By host name and path prefix of the queue.
-  std::map<std::pair<std::string, std::string>, wait_limits> TypicalLimits;
   core::time_point NextQueueLog{};
   advice_cache Advice;
   core::time_point NextAdvice{};
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -19,7 +19,8 @@
 // Wait after a throttled call or an unanswered list, and before an order for a
 // host is repeated; twice as long after the platform refused the order.
 constexpr core::duration HostOrderBackoff = milliseconds(300);
-// Maintenance and moves take seconds.
+// Maintenance and moves take seconds, and a pass over all hosts takes about a
+// millisecond.
 constexpr core::duration PlanInterval = milliseconds(50);
 constexpr core::duration WavePlanInterval = milliseconds(100);
 // Minimum time between the starts of two lists, even when operations require a
@@ -35,10 +36,10 @@
 constexpr std::size_t MaxPages = 500;
 constexpr std::size_t MaxFailedPages = 10;
 
-// Limit of the hosts that are being maintained. A wave may name 20,000 hosts
-// and allow as many at once; commands and calls for all of them together would
-// keep the leader busy for longer than the election time-out.
-constexpr std::size_t MaxMaintenance = 256;
+// Limit of the hosts that are being moved or maintained. A wave may name 20,000
+// hosts and allow as many at once; commands and calls for all of them together
+// would keep the leader busy for longer than the election time-out.
+constexpr std::size_t MaxOperations = 256;
 
 std::string_view name(host_verdict Verdict) {
   switch (Verdict) {
@@ -146,16 +147,13 @@
   }
   if (Now < Hosts.NextPlan)
     return;
-  Hosts.NextPlan = Now + Hosts.passInterval(PlanInterval);
+  Hosts.NextPlan = Now + PlanInterval;
   evacuate(Now);
   planHostMoves(Now, WallMs);
   // A new leader needs its own list to determine which hosts are down.
   if (Hosts.ListedAt < StartedAt || Now < Hosts.NextWavePlan)
     return;
-  Hosts.NextWavePlan = Now + Hosts.passInterval(WavePlanInterval);
-  auto InMaintenance = static_cast<std::size_t>(std::count_if(
-      Hosts.Operations.begin(), Hosts.Operations.end(),
-      [](const auto &Item) { return Item.second.Wave.has_value(); }));
+  Hosts.NextWavePlan = Now + WavePlanInterval;
   for (const auto &[Number, Wave] : State.waves()) {
     if (Wave.isComplete())
       continue;
@@ -174,7 +172,7 @@
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
     for (const auto &Name : Plan.Order) {
-      if (InMaintenance >= MaxMaintenance)
+      if (Hosts.Operations.size() >= MaxOperations)
         break;
       // Hosts chosen earlier in this loop may have used up a budget.
       const auto *Tracked = trackedOnHost(Name);
@@ -182,7 +180,6 @@
         continue;
       Hosts.Cordoned.emplace(Name, Now);
       addMaintenance(Name, Number, Now);
-      ++InMaintenance;
       Commands.emplace_back(order_maintenance{Number, Name});
       core::logEvent(core::log_level::Info, "maintenance_chosen",
                      {{"wave", Number},
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -12,9 +12,7 @@
 
 // About the interval at which the runs of one host change.
 constexpr core::duration MoveInterval = milliseconds(100);
-// Moves without an answer of the platform, in seconds of the rate that it
-// accepts: the time until an answer has been dealt with by a busy leader.
-constexpr double PendingMovesS = 0.25;
+constexpr std::size_t MaxPendingMoves = 16;
 // How long a failed placement counts as demand. Placement runs more often than
 // this while tasks wait.
 constexpr core::duration UnplaceableWindow = milliseconds(400);
@@ -25,11 +23,6 @@
   return std::chrono::duration_cast<milliseconds>(Duration).count();
 }
 
-std::size_t maxPendingMoves(const leader_settings &Settings) {
-  return static_cast<std::size_t>(
-      std::max(1.0, PendingMovesS * Settings.PlatformCallsPerSecond));
-}
-
 } // namespace
 
 std::map<std::string, double> leader::requiredCores(core::time_point Now,
@@ -121,7 +114,7 @@
   if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
       Now < Hosts.NextMovePlan)
     return;
-  Hosts.NextMovePlan = Now + Hosts.passInterval(MoveInterval);
+  Hosts.NextMovePlan = Now + MoveInterval;
   auto Required = requiredCores(Now, WallMs);
   std::vector<rebalance_host> View;
   std::size_t PendingMoves = 0;
@@ -163,10 +156,9 @@
     if (Host.AcceptsWork)
       Hosts.SurplusCores[Host.Pool] += Host.Cores;
   logPools(Pools, View, Now);
-  auto MaxPending = maxPendingMoves(Settings);
-  if (PendingMoves >= MaxPending)
+  if (PendingMoves >= MaxPendingMoves)
     return;
-  for (auto &Move : planMoves(Pools, View, MaxPending - PendingMoves)) {
+  for (auto &Move : planMoves(Pools, View, MaxPendingMoves - PendingMoves)) {
     auto &Operation = Hosts.Operations[Move.Host];
     Operation.TargetPool = Move.Pool;
     Operation.DecidedAt = Now;
--- a/scheduling/leader_queues.cpp
+++ b/scheduling/leader_queues.cpp
@@ -53,7 +53,6 @@
                    {{"queue", Queue.first + Queue.second},
                     {"pool", Load.Pool},
                     {"accepted_jobs", Load.AcceptedJobs.text()},
-                    {"refused_jobs", Load.RefusedJobs.text()},
                     {"started_tasks", Load.StartedTasks.text()},
                     {"completed_jobs", Load.CompletedJobs.text()},
                     {"waiting_tasks", Load.WaitingTasks.text()},
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
-#include <tuple>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -93,7 +92,6 @@
             Failed->second < MaxFailedPlacementsPerPool);
   }
 
-  std::size_t size() const { return Placements.size(); }
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
   std::vector<placement> take() { return std::move(Placements); }
 
@@ -470,67 +468,19 @@
   return Waiting;
 }
 
-namespace {
-
-/// The steps of a pool that a round has not visited.
-template <typename Iterator> struct pool_cursor {
-  std::string Pool;
-  Iterator Next;
-  Iterator End;
-  std::size_t Starts = 0; ///< In this round.
-};
-
-const waiting_step &stepOf(const waiting_step *Step) { return *Step; }
-const waiting_step &stepOf(const waiting_index::indexed_step &Indexed) {
-  return Indexed.Step;
-}
-
-/// Places the steps of all pools, which share the limit of starts. Among those
-/// whose first step has the same group and priority the next step is that of
-/// the pool with the fewest starts, so that a pool with many small jobs leaves
-/// the others theirs.
-template <typename Iterator>
-void placeByPool(placement_round &Round,
-                 std::vector<pool_cursor<Iterator>> Cursors) {
-  using cursor = pool_cursor<Iterator>;
-  auto Precedes = [](const cursor &Left, const cursor &Right) {
-    const auto &LeftRank = stepOf(*Left.Next).Rank;
-    const auto &RightRank = stepOf(*Right.Next).Rank;
-    return std::tie(LeftRank.Group, LeftRank.Priority, Left.Starts,
-                    *Left.Next) < std::tie(RightRank.Group, RightRank.Priority,
-                                           Right.Starts, *Right.Next);
-  };
-  while (!Round.isFull()) {
-    std::erase_if(Cursors, [&](const cursor &Cursor) {
-      return Cursor.Next == Cursor.End || !Round.mayPlaceIn(Cursor.Pool);
-    });
-    auto First = std::min_element(Cursors.begin(), Cursors.end(), Precedes);
-    if (First == Cursors.end())
-      return;
-    auto Before = Round.size();
-    Round.place(stepOf(*First->Next));
-    First->Starts += Round.size() - Before;
-    ++First->Next;
-  }
-}
-
-} // namespace
-
 std::vector<placement> placeRuns(std::span<const waiting_step> Waiting,
                                  std::span<placement_target *const> Targets,
                                  const placement_request &Request) {
   placement_round Round(Targets, Request);
-  std::map<std::string, std::vector<const waiting_step *>> Pools;
+  if (Request.EndpointFor)
+    for (const auto &Step : Waiting)
+      if (!Step.Job->Suspects.empty())
+        Round.placeSuspects(Step);
   for (const auto &Step : Waiting) {
-    if (Request.EndpointFor && !Step.Job->Suspects.empty())
-      Round.placeSuspects(Step);
-    Pools[Step.Job->Pool].push_back(&Step);
+    if (Round.isFull())
+      break;
+    Round.place(Step);
   }
-  std::vector<pool_cursor<std::vector<const waiting_step *>::const_iterator>>
-      Cursors;
-  for (const auto &[Pool, Steps] : Pools)
-    Cursors.push_back({Pool, Steps.begin(), Steps.end()});
-  placeByPool(Round, std::move(Cursors));
   return Round.take();
 }
 
@@ -542,10 +492,29 @@
   if (Request.EndpointFor)
     for (const auto &Step : Suspects)
       Round.placeSuspects(Step);
-  std::vector<pool_cursor<waiting_index::step_set::const_iterator>> Cursors;
+  struct pool_cursor {
+    const std::string *Pool;
+    waiting_index::step_set::const_iterator Next;
+    waiting_index::step_set::const_iterator End;
+  };
+  std::vector<pool_cursor> Cursors;
   for (const auto &[Pool, Steps] : Waiting.pools())
-    Cursors.push_back({Pool, Steps.begin(), Steps.end()});
-  placeByPool(Round, std::move(Cursors));
+    Cursors.push_back({&Pool, Steps.begin(), Steps.end()});
+  // Merges the pools by rank, because all of them share the limit of starts.
+  while (!Round.isFull()) {
+    std::erase_if(Cursors, [&](const pool_cursor &Cursor) {
+      return Cursor.Next == Cursor.End || !Round.mayPlaceIn(*Cursor.Pool);
+    });
+    auto First =
+        std::min_element(Cursors.begin(), Cursors.end(),
+                         [](const pool_cursor &Left, const pool_cursor &Right) {
+                           return *Left.Next < *Right.Next;
+                         });
+    if (First == Cursors.end())
+      break;
+    Round.place(First->Next->Step);
+    ++First->Next;
+  }
   return Round.take();
 }
 
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -115,12 +115,10 @@
 /// Latency-sensitive tasks are kept apart from best-effort tasks and from each
 /// other, and both prefer the endpoint with the most free cores. Long-running
 /// tasks are packed on few endpoints, and kept from those whose host a wave
-/// still has to interrupt, because each interruption uses up their budget. The
-/// pools share the limit of starts evenly where groups and priorities are the
-/// same. A gang is placed whole or not at all. \param State the jobs. \param
-/// Waiting the steps to place, from waitingSteps(). \param Targets the
-/// endpoints; their free capacity is reduced by the placements. \returns the
-/// runs to start.
+/// still has to interrupt, because each interruption uses up their budget. A
+/// gang is placed whole or not at all. \param State the jobs. \param Waiting
+/// the steps to place, from waitingSteps(). \param Targets the endpoints; their
+/// free capacity is reduced by the placements. \returns the runs to start.
 std::vector<placement> placeRuns(std::span<const waiting_step> Waiting,
                                  std::span<placement_target *const> Targets,
                                  const placement_request &Request);
--- a/scheduling/queue_load.cpp
+++ b/scheduling/queue_load.cpp
@@ -92,18 +92,6 @@
   }
 }
 
-void queue_load_counter::recordRefused(const queue_spec &Queue,
-                                       const job_spec &Spec) {
-  queue_key Key{Queue.HostName, Queue.PathPrefix};
-  auto Work = workCoreSeconds(
-      Spec, Durations.modelOf(Queue.HostName, Queue.PathPrefix));
-  auto &Classifier = Classifiers[Key];
-  auto &Load = Loads[Key];
-  Load.Pool = Queue.Pool;
-  Load.RefusedJobs.add(Classifier.classify(Work));
-  Classifier.record(Work);
-}
-
 void queue_load_counter::recordStart(const job_record &Job) {
   if (auto *Load = find(Job))
     Load->StartedTasks.add(sizeOf(Job));
--- a/scheduling/queue_load.h
+++ b/scheduling/queue_load.h
@@ -57,7 +57,6 @@
 struct queue_load {
   std::string Pool;
   size_counts AcceptedJobs;
-  size_counts RefusedJobs;
   size_counts StartedTasks;
   size_counts CompletedJobs;
   size_counts WaitingTasks; ///< At the end of the interval.
@@ -77,7 +76,6 @@
       : Durations(Durations) {}
 
   void recordAccepted(const job_record &Job);
-  void recordRefused(const queue_spec &Queue, const job_spec &Spec);
   void recordStart(const job_record &Job);
   void recordCompleted(const job_record &Job);
   /// \param NowMs wall time.
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -345,7 +345,6 @@
   ProposedEntries.clear();
   for (auto Call : Queued.clear())
     answerNotLeader(Call);
-  PendingSubmissions.clear();
   ProposalRefusal.clear();
   for (auto &[Token, Group] : RequestedReads)
     refuse(Group);
@@ -359,8 +358,6 @@
 void schedule_node::expirePendingCalls(core::time_point Now) {
   for (auto Call : Queued.expire(CallTimeout, Now))
     answer(Call, reply_kind::Unavailable);
-  if (Queued.empty() && ProposedEntries.empty())
-    PendingSubmissions.clear();
   for (auto &[Index, Entry] : ProposedEntries) {
     if (Now - Entry.Since <= CallTimeout)
       continue;
@@ -563,8 +560,6 @@
       Leader->recordApplied(Command, Outcome, Now);
     if (!Own)
       continue;
-    if (const auto *Submit = std::get_if<submit_job>(&Command))
-      PendingSubmissions.erase(Submit->Job.Id);
     logApplied(Command, Outcome, Entry.Index, Endpoint);
     answerApplied(Own->Calls[Index], Command, Outcome);
   }
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -24,7 +24,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -216,8 +215,6 @@
   proposal_queue Queued;
   std::string ProposalRefusal; ///< Why the log refused the oldest command.
   std::map<std::uint64_t, proposed_entry> ProposedEntries; ///< By index.
-  /// Ids of jobs that were queued or proposed since there was nothing to apply.
-  std::unordered_set<std::string> PendingSubmissions;
   std::map<std::uint64_t, core::time_point> PendingWrites; ///< By ticket.
   read_group PendingReads;                            ///< Not requested yet.
   std::map<std::uint64_t, read_group> RequestedReads; ///< By token.
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -31,8 +31,6 @@
     return "not_leader";
   case reply_kind::Unavailable:
     return "unavailable";
-  case reply_kind::Overloaded:
-    return "overloaded";
   case reply_kind::Unknown:
     return "unknown";
   case reply_kind::TooLarge:
@@ -99,20 +97,6 @@
     read({Id, std::move(Call)}, Now);
     return;
   }
-  // A copy of the job that is in the log already may still be committed.
-  bool IsNew =
-      !State.findJob(Call.Job.Id) && PendingSubmissions.count(Call.Job.Id) == 0;
-  if (auto RetryAfter = IsNew ? Leader->checkAdmission(Call.HostName, Call.Path,
-                                                       Call.Job, Now)
-                              : std::nullopt) {
-    reply Reply;
-    Reply.Id = Id;
-    Reply.Kind = reply_kind::Overloaded;
-    Reply.RetryAfter = *RetryAfter;
-    Replies.push_back(std::move(Reply));
-    return;
-  }
-  PendingSubmissions.insert(Call.Job.Id);
   queue(submit_job{std::move(Call.HostName), std::move(Call.Path),
                    std::move(Call.Job)},
         Id, Now);
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -7,7 +7,7 @@
 #include "core/metrics.h"
 #include "core/phase_timer.h"
 #include "gateway/messages.h"
-#include "http/client_channel.h"
+#include "http/client.h"
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
 #include "scheduling/heartbeat_relay.h"
@@ -64,11 +64,7 @@
 // Elements of the rings between the threads.
 constexpr std::size_t LinkRingCapacity = 16'384;
 constexpr std::size_t RequestRingCapacity = 8192;
-constexpr std::size_t CallRingCapacity = 16'384;   // Calls and their results.
-constexpr std::size_t PlatformRingCapacity = 1024; // The same, of the platform.
-// The platform answers after about 20 ms, so that this many connections carry
-// 600 orders to hosts a second beside the pages of a list.
-constexpr std::uint32_t PlatformConnections = 16;
+constexpr std::size_t CallRingCapacity = 16'384; // Calls and their results.
 // Callers retry after this time; an election is over by then.
 constexpr std::uint32_t RetryAfterS = 1;
 
@@ -110,8 +106,8 @@
       : Settings(Settings), Adapter(Adapter), Signals(Signals),
         ReadSeeds(ReadSeeds), LinkEvents(LinkRingCapacity, Signal),
         Requests(RequestRingCapacity, Signal),
-        EndpointCalls({}, CallRingCapacity, Signal),
-        PlatformCalls(platformClientSettings(), PlatformRingCapacity, Signal),
+        Calls(CallRingCapacity, CallsSignal), Results(CallRingCapacity, Signal),
+        Client({}, Calls, CallsSignal, Results),
         Hub(linkSettings(), linkHandlers()), Delegator(Settings.OwnEndpoints),
         Server(
             serverSettings(),
@@ -148,16 +144,14 @@
       return core::fail(ioFailure(std::move(Reason), "link_port"));
     if (auto Reason = Server.start(); !Reason.empty())
       return core::fail(ioFailure(std::move(Reason), "listen"));
-    EndpointCalls.start();
-    PlatformCalls.start();
+    Client.start();
     control::storage_worker<log_type> Storage(std::move(Log), Signal, Metrics);
     Storage.start();
     schedule_node Node(NodeSettings, Identity->Replica, std::move(Found),
                        Identity->Initial, Metrics, boot_clock::now());
     runEventLoop(Node, Storage);
     Server.stop();
-    EndpointCalls.stop();
-    PlatformCalls.stop();
+    Client.stop();
     Storage.stop();
     Hub.stop();
     core::logEvent(core::log_level::Info, "replica_stopped", {});
@@ -174,12 +168,6 @@
     return Result;
   }
 
-  static http::client_settings platformClientSettings() {
-    http::client_settings Result;
-    Result.MaxHostConnections = PlatformConnections;
-    return Result;
-  }
-
   std::optional<http::response> answerLocally(const http::request &Request) {
     if (Request.Target != "/metrics")
       return std::nullopt;
@@ -237,10 +225,8 @@
         else
           Node.storageFailed(Now);
       });
-      for (auto *Channel : {&EndpointCalls, &PlatformCalls})
-        Channel->drain([&](http::client_result &&Result) {
-          finishCall(Node, Result, Now);
-        });
+      Results.drain(
+          [&](http::client_result &&Result) { finishCall(Node, Result, Now); });
       finishOrders(Node, Delegator.expire(Now), Now);
       for (auto Id : Relay.expire(Now))
         answerUnheard(Node, Id);
@@ -585,9 +571,8 @@
     Call.Id = Order.Id;
     Call.Timeout = Order.Timeout;
     Call.Issued = Now;
-    auto &Channel = Order.Endpoint == 0 ? PlatformCalls : EndpointCalls;
     Orders.emplace(Order.Id, std::move(Order));
-    Channel.add(std::move(Call));
+    PendingCalls.push_back(std::move(Call));
   }
 
   void finishCall(schedule_node &Node, const http::client_result &Call,
@@ -623,8 +608,8 @@
       else
         addCall(std::move(Order), Now);
     }
-    EndpointCalls.flush();
-    PlatformCalls.flush();
+    while (!PendingCalls.empty() && Calls.push(std::move(PendingCalls.front())))
+      PendingCalls.pop_front();
     for (auto &Reply : Actions.Replies)
       sendReply(std::move(Reply), nextRelay(Node));
     while (!Responses.empty() && Server.deliver(std::move(Responses.front())))
@@ -783,10 +768,12 @@
   int ReloadsDone = 0;
   core::metrics_registry Metrics;
   core::ring_signal Signal;
+  core::ring_signal CallsSignal;
   transport::link_events LinkEvents;
   core::bounded_ring<http::server_request> Requests;
-  http::client_channel EndpointCalls;
-  http::client_channel PlatformCalls; ///< Also those to the adviser.
+  core::bounded_ring<http::client_call> Calls;
+  core::bounded_ring<http::client_result> Results;
+  http::client Client;
   transport::link_hub Hub;
   call_delegator Delegator;
   heartbeat_relay Relay;
@@ -803,6 +790,7 @@
   std::unordered_map<std::uint64_t, order> Orders; ///< With an open call.
   std::uint64_t LastCall = 0;
   std::deque<replication::storage_write> PendingWrites;
+  std::deque<http::client_call> PendingCalls;
   std::deque<http::server_response> Responses;
   enum loop_phase : std::size_t { Receive, Decide, Send, PhaseCount };
   core::phase_timer<core::thread_cpu_clock, PhaseCount> Timer;
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -14,7 +14,6 @@
 constexpr double MaxHostOperationS = 86'400;
 // Fifteen voters; replication::MaxMembers leaves room for as many learners.
 constexpr std::int64_t MaxToleratedLosses = 7;
-constexpr double MaxHostOrdersPerS = 100'000;
 constexpr double DefaultMaintenanceS = 2;
 constexpr double DefaultMoveS = 1.5;
 constexpr core::duration DefaultMaxLease = std::chrono::seconds(10);
@@ -41,8 +40,6 @@
       1000);
   Leader.MoveMs = static_cast<std::int64_t>(
       Reader.readNumber("move_s", 0, MaxHostOperationS, DefaultMoveS) * 1000);
-  Leader.PlatformCallsPerSecond = Reader.readNumber(
-      "host_orders_per_s", 0, MaxHostOrdersPerS, Leader.PlatformCallsPerSecond);
   Settings.Heartbeat = readMs(Reader, "heartbeat_ms", Settings.Heartbeat);
   Settings.ElectionTimeout =
       readMs(Reader, "election_timeout_ms", Settings.ElectionTimeout);
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -20,16 +20,6 @@
 // jobs is examined within half a second.
 constexpr std::size_t MaxRefreshedJobs = 128;
 
-/// \returns the tasks of the occurrence that have no run and are not done.
-std::int64_t countBacklog(const occurrence_record &Occurrence) {
-  std::int64_t Count = 0;
-  for (const auto &Step : Occurrence.Steps)
-    Count +=
-        std::count_if(Step.Tasks.begin(), Step.Tasks.end(),
-                      [](const task_record &Task) { return Task.isWaiting(); });
-  return Count;
-}
-
 /// Calls Visit with each waiting step of the occurrence.
 template <typename Callable>
 void visitWaitingSteps(const job_record &Job,
@@ -116,7 +106,6 @@
   Changed.clear();
   Outdated.clear();
   Demand.clear();
-  Backlogs.clear();
   IsStale = false;
   UpdatedMs = NowMs;
   Revision = Ranks.durations().revision();
@@ -124,21 +113,12 @@
     insert(Id, NowMs);
 }
 
-void waiting_index::addBacklog(const job_entry &Entry, int Sign) {
-  if (Entry.Backlog.InTime == 0 && Entry.Backlog.Late == 0)
-    return;
-  auto &Tasks = Backlogs[Entry.Pool][Entry.Priority];
-  Tasks.InTime += Sign * Entry.Backlog.InTime;
-  Tasks.Late += Sign * Entry.Backlog.Late;
-}
-
 void waiting_index::erase(const std::string &Id) {
   auto Found = Jobs.find(Id);
   if (Found == Jobs.end())
     return;
   auto &Entry = Found->second;
   Demand[Entry.Pool] -= Entry.Demand;
-  addBacklog(Entry, -1);
   if (!Entry.Steps.empty()) {
     auto Pool = Pools.find(Entry.Pool);
     for (auto Step : Entry.Steps)
@@ -177,17 +157,10 @@
     else if (Rank && Rank->Group == LateGroup)
       Entry.DueMs = std::min(Entry.DueMs, Rank->LatestUsefulStartMs + 1);
     Entry.Demand += demandOf(*Job, Occurrence, Rank);
-    if (Rank && (Rank->Group == InTimeGroup || Rank->Group == LateGroup)) {
-      Entry.Priority = Rank->Priority;
-      (Rank->Group == InTimeGroup ? Entry.Backlog.InTime
-                                  : Entry.Backlog.Late) +=
-          countBacklog(Occurrence);
-    }
   }
   if (Entry.Steps.empty() && Entry.Demand == pool_demand())
     return;
   Demand[Entry.Pool] += Entry.Demand;
-  addBacklog(Entry, 1);
   if (!Entry.Steps.empty())
     Due.emplace(Entry.DueMs, Id);
   Jobs.emplace(Id, std::move(Entry));
--- a/scheduling/waiting_index.h
+++ b/scheduling/waiting_index.h
@@ -28,15 +28,6 @@
   bool operator==(const pool_demand &) const = default;
 };
 
-/// Tasks without a run that are still of use. Those of steps that depend on
-/// others count too; long-running ones do not.
-struct waiting_tasks {
-  std::int64_t InTime = 0;
-  std::int64_t Late = 0;
-};
-/// By the priority of their queue.
-using task_backlog = std::map<std::uint32_t, waiting_tasks>;
-
 /// The waiting steps of each pool by rank, and the demand of each pool, kept
 /// between rounds of placement.
 ///
@@ -78,11 +69,6 @@
   /// \returns the demand of each pool that has had some, as of the last
   /// update().
   const std::map<std::string, pool_demand> &demand() const { return Demand; }
-  /// \returns the backlog of each pool that has had some, as of the last
-  /// update().
-  const std::map<std::string, task_backlog> &backlogs() const {
-    return Backlogs;
-  }
   /// \returns how many jobs all calls of update() have examined.
   std::uint64_t examinedJobs() const { return ExaminedJobs; }
 
@@ -92,12 +78,8 @@
     std::vector<step_set::iterator> Steps;
     std::int64_t DueMs = 0; ///< When a rank may change without a command.
     pool_demand Demand;
-    std::uint32_t Priority = 0;
-    waiting_tasks Backlog; ///< Its part of the pool's backlog.
   };
 
-  /// Adds the job's part of the backlog of its pool, or removes it.
-  void addBacklog(const job_entry &Entry, int Sign);
   void erase(const std::string &Id);
   void insert(const std::string &Id, std::int64_t NowMs);
   void rebuild(std::int64_t NowMs);
@@ -115,7 +97,6 @@
   /// With waiting steps or demand.
   std::unordered_map<std::string, job_entry> Jobs;
   std::map<std::string, pool_demand> Demand;          ///< By pool.
-  std::map<std::string, task_backlog> Backlogs;       ///< By pool.
   std::set<std::pair<std::int64_t, std::string>> Due; ///< DueMs and job.
   std::set<std::string> Changed; ///< Jobs changed since the last update().
   std::uint64_t Revision = 0;    ///< Of the durations behind the ranks.
