--- a/tests/entry/test_entry_process.cpp
+++ b/tests/entry/test_entry_process.cpp
@@ -2,6 +2,7 @@
 #include "routing/messages.h"
 #include "tests/entry/fake_endpoint.h"
 #include "tests/entry/raw_caller.h"
+#include "tests/main/free_port.h"
 #include "transport/link_hub.h"
 
 #include <catch2/catch.hpp>
@@ -13,12 +14,7 @@
 
 namespace {
 
-std::uint16_t freePort() {
-  asio::io_context Io;
-  asio::ip::tcp::acceptor Acceptor(Io,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return Acceptor.local_endpoint().port();
-}
+using test::freePort;
 
 // A control leader that confirms each probe with the same small fleet view.
 class fake_control {
--- a/tests/http/test_server_and_client.cpp
+++ b/tests/http/test_server_and_client.cpp
@@ -1,30 +1,16 @@
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/main/free_port.h"
 
 #include <catch2/catch.hpp>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace lycheetrestle;
 using namespace lycheetrestle::http;
 using namespace std::chrono_literals;
 
 namespace {
 
-std::uint16_t freePort() {
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(Socket, reinterpret_cast<sockaddr *>(&Address),
-               sizeof Address) == 0);
-  socklen_t Size = sizeof Address;
-  getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
-  close(Socket);
-  return ntohs(Address.sin_port);
-}
+using test::freePort;
 
 /// A server and a client on loopback; the test takes the place of the
 /// application thread.
--- a/tests/transport/hub_fixture.cpp
+++ b/tests/transport/hub_fixture.cpp
@@ -11,21 +11,6 @@
 
 namespace lycheetrestle::transport::test {
 
-std::uint16_t freePort() {
-  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof(Address);
-  bool Bound =
-      ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
-      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) == 0;
-  ::close(Socket);
-  if (!Bound)
-    throw std::runtime_error("no free port");
-  return ntohs(Address.sin_port);
-}
-
 link_handlers recorder::handlers() {
   link_handlers Handlers;
   Handlers.OnMessage = [this](const std::string &, std::string Bytes) {
--- a/tests/transport/hub_fixture.h
+++ b/tests/transport/hub_fixture.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETRESTLE_TESTS_TRANSPORT_HUB_FIXTURE_H
 #define LYCHEETRESTLE_TESTS_TRANSPORT_HUB_FIXTURE_H
 
+#include "tests/main/free_port.h"
 #include "transport/link_hub.h"
 
 #include <chrono>
@@ -18,8 +19,7 @@
 /// for it. Exceeds the hub's receive timeout of 3 s even on a busy machine.
 constexpr std::chrono::seconds WaitTimeout(30);
 
-/// \returns a TCP port of the loopback address that is currently free.
-std::uint16_t freePort();
+using lycheetrestle::test::freePort;
 
 /// Records the callbacks of one hub.
 class recorder {
