Log what each thread and phase of the leader uses

Threads register a name for their processor time, and each second a leader logs `leader_times`: six phases of an iteration, four of the node, four of the decisions, and each thread.

--- a/control/storage_worker.h
+++ b/control/storage_worker.h
@@ -7,6 +7,7 @@
 #include "core/event_log.h"
 #include "core/failure.h"
 #include "core/metrics.h"
+#include "core/thread_times.h"
 #include "replication/types.h"
 
 #include <atomic>
@@ -68,6 +69,7 @@
 
 private:
   void run() {
+    core::thread_times::registration Name("storage");
     std::optional<replication::storage_write> Next;
     Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
     while (true) {
@@ -96,6 +98,7 @@
       auto Begin = core::boot_clock::now();
       auto Failure = core::captureFailure([&] { return Log.execute(Write); });
       auto Elapsed = core::boot_clock::now() - Begin;
+      core::thread_times::record();
       Metrics.observe(
           "sync_ms",
           std::chrono::duration<double, std::milli>(Elapsed).count());
--- a/core/log_writer.cpp
+++ b/core/log_writer.cpp
@@ -1,5 +1,7 @@
 #include "core/log_writer.h"
 
+#include "core/thread_times.h"
+
 #include <csignal>
 #include <utility>
 
@@ -44,6 +46,7 @@
 }
 
 void log_writer::run() {
+  thread_times::registration Name("log");
   // Leaves all signals to the thread that waits for them.
   sigset_t All;
   sigfillset(&All);
@@ -58,6 +61,7 @@
     IsWriting = true;
     Lock.unlock();
     Output(Bytes);
+    thread_times::record();
     if (NewlyDropped > 0)
       Output("level=WARN event=log_lines_dropped lines=" +
              std::to_string(NewlyDropped) + "\n");
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "core/thread_times.h"
 #include "http/transfer_loop.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -139,7 +140,10 @@
       if (!IsDrainPosted.exchange(true))
         asio::post(Loop, [this] { drainCalls(); });
     });
-    Thread = std::thread([this] { Loop.run(); });
+    Thread = std::thread([this] {
+      core::thread_times::registration Name("http_client");
+      Loop.run();
+    });
   }
 
   void stop() {
@@ -152,6 +156,7 @@
 
 private:
   void drainCalls() {
+    core::thread_times::record();
     IsDrainPosted = false;
     Calls.drain([this](client_call &&Call) { begin(std::move(Call)); });
     Transport.begin();
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "core/event_log.h"
+#include "core/thread_times.h"
 #include "http/connection_drain.h"
 #include "http/tracked_socket.h"
 
@@ -159,6 +160,7 @@
   }
 
   void run() {
+    core::thread_times::registration Name("http_server");
     while (!Context.stopped()) {
       try {
         Context.run();
@@ -201,6 +203,7 @@
   }
 
   void sendResponses() {
+    core::thread_times::record();
     IsSendPosted = false;
     Responses.drain([this](server_response &&Response) {
       auto Found = Pending.find(Response.Id);
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -402,6 +402,7 @@
 std::vector<command> leader::takeCommands(core::time_point Now,
                                           std::int64_t WallMs) {
   std::vector<command> Commands;
+  Timer.beginIteration();
   for (auto &[Number, Cursor] : CursorAfterBatch) {
     auto Found = TrackedEndpoints.find(Number);
     if (Found == TrackedEndpoints.end())
@@ -411,16 +412,21 @@
   }
   CursorAfterBatch.clear();
   collectEnds(Commands);
+  Timer.finishPhase(Ends);
   if (Now >= NextLostCheck) {
     NextLostCheck = Now + LostCheckInterval;
     collectLosses(Commands, Now);
     collectOccurrences(Commands, WallMs);
   }
   collectIncarnations(Commands, Now);
+  Timer.finishPhase(Losses);
   planHosts(Commands, Now, WallMs);
   collectHosts(Commands);
+  Timer.finishPhase(HostPlans);
   if ((IsPlacementDue && Now >= EarliestPlacement) || Now >= NextPlacement)
     collectStarts(Commands, Now, WallMs);
+  Timer.finishPhase(Starts);
+  Timer.finishIteration();
   logQueues(Now, WallMs);
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "core/phase_timer.h"
 #include "scheduling/advice_cache.h"
 #include "scheduling/crash_quarantine.h"
 #include "scheduling/demand_forecaster.h"
@@ -117,6 +118,12 @@
   std::vector<unserved_task> unservedTasks(core::time_point Now,
                                            bool IsBatchOpen);
 
+  /// Phases of takeCommands().
+  enum phase : std::size_t { Ends, Losses, HostPlans, Starts, PhaseCount };
+  using phase_times = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
+  /// \returns the processor time of the phases since the previous call.
+  phase_times::totals takeTimes() { return Timer.take(); }
+
   /// Largest fencing token of a leader, so that those of endpoints stay below
   /// 2^53.
   static constexpr std::uint64_t MaxFence = (std::uint64_t(1) << 25) - 1;
@@ -551,6 +558,7 @@
   std::uint64_t Fence = 0;
   const schedule_state &State;
   core::metrics_registry &Metrics;
+  phase_times Timer;
   core::time_point StartedAt{};
   /// An earlier leader knew endpoints, so that it may have moved their hosts.
   bool MayFollowMoves = false;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -447,22 +447,27 @@
 
 node_actions schedule_node::takeActions(core::time_point Now) {
   node_actions Actions;
+  Timer.beginIteration();
   apply_budget Budget{MaxCommandsPerStep, MaxBytesPerStep};
   for (int Round = 0; Round != MaxRounds; ++Round) {
     flushReads(Now);
     propose(Now);
+    Timer.finishPhase(Propose);
     auto Output = Raft.takeOutput();
     bool IsIdle = Output.Messages.empty() && !Output.Write && !Output.Restore &&
                   Output.Committed.empty() && Output.Reads.empty();
     process(std::move(Output), Actions, Now);
+    Timer.finishPhase(Replicate);
     applyCommitted(Budget, Now);
     observeRole(Now);
     finishReads();
+    Timer.finishPhase(Apply);
     if (IsIdle || Budget.isSpent())
       break;
   }
   if (Leader && !ShutdownSince)
     Actions.Orders = Leader->takeOrders(Now);
+  Timer.finishPhase(Orders);
   if (CommittedEntries.empty() && !Budget.isSpent())
     Ahead.decode(Budget.Bytes);
   compactWhenDue();
@@ -471,9 +476,16 @@
   Messages.clear();
   Actions.Replies = std::exchange(Replies, {});
   Actions.NewPeers = std::exchange(NewPeers, {});
+  Timer.finishIteration();
   return Actions;
 }
 
+std::optional<leader::phase_times::totals> schedule_node::takeLeaderTimes() {
+  if (!Leader)
+    return std::nullopt;
+  return Leader->takeTimes();
+}
+
 void schedule_node::process(replication::raft_output Output,
                             node_actions &Actions, core::time_point Now) {
   if (Output.Restore && Output.Restore->LastIndex > AppliedIndex) {
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -4,6 +4,7 @@
 #include "control/control_frames.h"
 #include "core/clock.h"
 #include "core/metrics.h"
+#include "core/phase_timer.h"
 #include "replication/raft_node.h"
 #include "scheduling/ahead_decoder.h"
 #include "scheduling/calls.h"
@@ -104,6 +105,14 @@
   /// \returns the IP address of the leader, or an empty string.
   std::string leaderAddress() const;
 
+  /// Phases of takeActions().
+  enum phase : std::size_t { Propose, Replicate, Apply, Orders, PhaseCount };
+  using phase_times = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
+  /// \returns the processor time of the phases since the previous call.
+  phase_times::totals takeTimes() { return Timer.take(); }
+  /// \returns the same of this leader's decisions, or nothing for a follower.
+  std::optional<leader::phase_times::totals> takeLeaderTimes();
+
 private:
   /// A log entry that this leader proposed and that is not applied yet.
   struct proposed_entry {
@@ -198,6 +207,7 @@
   scheduler_settings Settings;
   replication::replica_id Self;
   core::metrics_registry &Metrics;
+  phase_times Timer;
   replication::raft_node Raft;
   schedule_state State;
   std::uint64_t AppliedIndex = 0;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -6,6 +6,7 @@
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "core/phase_timer.h"
+#include "core/thread_times.h"
 #include "gateway/messages.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -159,6 +160,17 @@
   }
 
 private:
+  enum loop_phase : std::size_t {
+    ReceiveLinks,
+    ReceiveRequests,
+    ReceiveResults,
+    Decide,
+    Send,
+    Publish,
+    PhaseCount
+  };
+  using loop_timer = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
+
   http::server_settings serverSettings() const {
     http::server_settings Result;
     Result.Listen = {Settings.Listen};
@@ -202,12 +214,14 @@
 
   void runEventLoop(schedule_node &Node,
                     control::storage_worker<log_type> &Storage) {
+    core::thread_times::registration Name("loop");
     core::time_point StopAt{};
     while (true) {
       auto Now = boot_clock::now();
       Timer.beginIteration();
       LinkEvents.drain(
           [&](transport::link_event &&Event) { receive(Node, Event, Now); });
+      Timer.finishPhase(ReceiveLinks);
       Requests.drain([&](http::server_request &&Request) {
         if (auto View = viewOf(Node, Request.Request.Target)) {
           Responses.push_back({Request.Id,
@@ -219,6 +233,7 @@
         handle(Node, Adapter.DecodeControlCall(Request.Request),
                {"", Request.Id, Request.Request.Target, false, ""}, Now);
       });
+      Timer.finishPhase(ReceiveRequests);
       Storage.results().drain([&](control::storage_result &&Result) {
         if (Result.Stored)
           Node.stored(Result.Ticket, Now);
@@ -231,7 +246,7 @@
       for (auto Id : Relay.expire(Now))
         answerUnheard(Node, Id);
       addDelegates(Node, Now);
-      Timer.finishPhase(Receive);
+      Timer.finishPhase(ReceiveResults);
       Node.tick(Now);
       auto Actions = Node.takeActions(Now);
       Timer.finishPhase(Decide);
@@ -239,9 +254,10 @@
       sendDelegated(Node, Now);
       sendRelayed(Node, Now);
       Timer.finishPhase(Send);
-      Timer.finishIteration();
       publishStatusAndMetrics(Node, Now);
       reloadSeeds(Node);
+      Timer.finishPhase(Publish);
+      Timer.finishIteration();
       if (Signals.Stops > 0) {
         if (StopAt == core::time_point()) {
           core::logEvent(core::log_level::Info, "shutdown_started", {});
@@ -651,13 +667,16 @@
     publishReplication(Node, Now);
   }
 
-  void publishLoad(const schedule_node &Node, core::time_point Now) {
+  void publishLoad(schedule_node &Node, core::time_point Now) {
     auto Loop = Timer.take();
+    publishTimes(Node, Loop);
     auto CpuBefore = std::exchange(CpuTime, core::processCpuTime());
     auto ToMs = [](core::duration Duration) {
       return std::chrono::duration<double, std::milli>(Duration).count();
     };
-    Metrics.set("loop_cpu_ms{phase=\"receive\"}", ToMs(Loop.Phases[Receive]));
+    auto Received = Loop.Phases[ReceiveLinks] + Loop.Phases[ReceiveRequests] +
+                    Loop.Phases[ReceiveResults];
+    Metrics.set("loop_cpu_ms{phase=\"receive\"}", ToMs(Received));
     Metrics.set("loop_cpu_ms{phase=\"decide\"}", ToMs(Loop.Phases[Decide]));
     Metrics.set("loop_cpu_ms{phase=\"send\"}", ToMs(Loop.Phases[Send]));
     Metrics.observe("longest_iteration_cpu_ms", ToMs(Loop.Longest));
@@ -672,7 +691,7 @@
     core::logEvent(core::log_level::Info, "leader_load",
                    {{"iterations", Loop.Iterations},
                     {"process_cpu_ms", ToMs(CpuTime - CpuBefore)},
-                    {"receive_cpu_ms", ToMs(Loop.Phases[Receive])},
+                    {"receive_cpu_ms", ToMs(Received)},
                     {"decide_cpu_ms", ToMs(Loop.Phases[Decide])},
                     {"send_cpu_ms", ToMs(Loop.Phases[Send])},
                     {"longest_cpu_ms", ToMs(Loop.Longest)},
@@ -685,6 +704,46 @@
                     {"suspects", Load->SuspectEndpoints}});
   }
 
+  /// Logs what the leader's processor time was used for: the phases of an
+  /// iteration, those of the node and of the decisions within them, and the
+  /// threads of the process.
+  void publishTimes(schedule_node &Node, const loop_timer::totals &Loop) {
+    auto ToMs = [](core::duration Duration) {
+      return std::chrono::duration<double, std::milli>(Duration).count();
+    };
+    auto Phases = Node.takeTimes().Phases;
+    auto Decisions = Node.takeLeaderTimes();
+    core::thread_times::record();
+    auto Before =
+        std::exchange(ThreadTimes, core::thread_times::instance().read());
+    auto UsedBy = [&](const char *Name) {
+      return ToMs(ThreadTimes[Name] - Before[Name]);
+    };
+    if (!Decisions)
+      return;
+    const auto &Decided = Decisions->Phases;
+    core::logEvent(core::log_level::Info, "leader_times",
+                   {{"links_ms", ToMs(Loop.Phases[ReceiveLinks])},
+                    {"requests_ms", ToMs(Loop.Phases[ReceiveRequests])},
+                    {"results_ms", ToMs(Loop.Phases[ReceiveResults])},
+                    {"propose_ms", ToMs(Phases[schedule_node::Propose])},
+                    {"ends_ms", ToMs(Decided[leader::Ends])},
+                    {"losses_ms", ToMs(Decided[leader::Losses])},
+                    {"host_plans_ms", ToMs(Decided[leader::HostPlans])},
+                    {"starts_ms", ToMs(Decided[leader::Starts])},
+                    {"replicate_ms", ToMs(Phases[schedule_node::Replicate])},
+                    {"apply_ms", ToMs(Phases[schedule_node::Apply])},
+                    {"orders_ms", ToMs(Phases[schedule_node::Orders])},
+                    {"send_ms", ToMs(Loop.Phases[Send])},
+                    {"publish_ms", ToMs(Loop.Phases[Publish])},
+                    {"thread_loop_ms", UsedBy("loop")},
+                    {"thread_links_ms", UsedBy("links")},
+                    {"thread_client_ms", UsedBy("http_client")},
+                    {"thread_server_ms", UsedBy("http_server")},
+                    {"thread_storage_ms", UsedBy("storage")},
+                    {"thread_log_ms", UsedBy("log")}});
+  }
+
   void publishReplication(schedule_node &Node, core::time_point Now) {
     auto ToMs = [](core::duration Duration) {
       return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
@@ -792,8 +851,8 @@
   std::deque<replication::storage_write> PendingWrites;
   std::deque<http::client_call> PendingCalls;
   std::deque<http::server_response> Responses;
-  enum loop_phase : std::size_t { Receive, Decide, Send, PhaseCount };
-  core::phase_timer<core::thread_cpu_clock, PhaseCount> Timer;
+  loop_timer Timer;
+  std::map<std::string, core::duration> ThreadTimes; ///< When last published.
   core::duration CpuTime{}; ///< Of the process, when it was last published.
   bool WasLeading = false;
   core::time_point NextStatus{};
--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -1,5 +1,6 @@
 #include "transport/hub_core.h"
 
+#include "core/thread_times.h"
 #include "transport/hello.h"
 
 #include <algorithm>
@@ -166,6 +167,7 @@
 }
 
 void link_hub::implementation::run() {
+  core::thread_times::registration Name("links");
   for (;;) {
     try {
       Context.run();
@@ -330,6 +332,7 @@
     if (Error || Stopping)
       return;
     tick(clock_type::now());
+    core::thread_times::record();
     scheduleTick();
   });
 }
