Measure the leader's processor time for a start over its whole path

No bench counted what one process does for a start beside its decisions: bench_schedule_load passes typed calls and orders.

--- a/bench/schedule_load.cpp
+++ b/bench/schedule_load.cpp
@@ -11,17 +11,31 @@
 // --jobs_per_s=38 --tasks=4 --host_milli_cores=18600 --long_jobs=30. Also
 // prints the CPU time of the longest step, which bounds how late a heartbeat is
 // sent.
+//
+// --whole_path adds what one process of the daemon does for a start around
+// these decisions: jobs arrive as messages of a gateway with the platform's
+// JSON, orders leave in and results return as messages of delegates, entries
+// are replicated to --followers other replicas, and heartbeats arrive in
+// batches of a relay. Sockets and threads are not included; the event
+// `leader_times` of the daemon shows these.
 
 #include "core/event_log.h"
+#include "gateway/messages.h"
+#include "platform/site_messages.h"
+#include "scheduling/call_delegator.h"
+#include "scheduling/heartbeat_relay.h"
 #include "scheduling/schedule_node.h"
 
 #include <gflags/gflags.h>
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <deque>
+#include <iterator>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <string>
@@ -37,9 +51,15 @@
 DEFINE_int32(long_tasks, 24, "tasks of each long-running job");
 DEFINE_int32(backlog_tasks, 0, "short tasks that wait when the load begins");
 DEFINE_int32(queues, 4, "number of queues in the configuration");
+DEFINE_int32(turn_s, 0,
+             "seconds in which all jobs go to one queue, then to the next one; "
+             "0: to all queues at the same time");
 DEFINE_int32(lengths_per_s, 0, "queue length calls per second");
 DEFINE_int32(host_milli_cores, 64'000, "cores of one endpoint, in thousandths");
 DEFINE_bool(wave, true, "run a maintenance wave over two fifths of the hosts");
+DEFINE_bool(whole_path, false, "include the messages of one process");
+DEFINE_int32(followers, 4, "replicas beside the leader, with --whole_path");
+DEFINE_int32(runs, 1, "repetitions; prints the median of each figure");
 DEFINE_bool(log, false, "format log events, as the daemon does, to /dev/null");
 
 using namespace lycheetrestle;
@@ -53,6 +73,7 @@
 constexpr std::uint32_t TaskMilliCores = 6200;
 constexpr double MeanTaskMs = 640;
 constexpr const char *Address = "10.0.0.1";
+constexpr int DelegateCount = 4;
 
 double cpuSeconds() {
   timespec Time{};
@@ -61,6 +82,77 @@
          static_cast<double>(Time.tv_nsec) * 1e-9;
 }
 
+/// The messages of the leader's process to and from its peers. What the peers
+/// do with them is not counted.
+class peer_messages {
+public:
+  peer_messages() {
+    for (int Index = 0; Index != DelegateCount; ++Index)
+      Leader.peerConnected("10.0.1." + std::to_string(Index));
+  }
+
+  /// Counted: sends the orders.
+  void send(std::vector<order> Orders, core::time_point Now) {
+    for (auto &Order : Orders)
+      if (!Leader.delegate(Order, Now))
+        Direct.push_back(std::move(Order));
+    Sent = Leader.takeMessages();
+  }
+  /// \returns the orders as the receivers see them.
+  std::vector<order> receive() {
+    auto Orders = std::exchange(Direct, {});
+    for (auto &Message : std::exchange(Sent, {})) {
+      auto &Delegate = Delegates.try_emplace(Message.Peer, 0).first->second;
+      for (auto &Order : Delegate.receive(Address, Message.Bytes).Orders) {
+        Origins[++LastReceived] = {Message.Peer, Order.Id};
+        Order.Id = LastReceived;
+        Orders.push_back(std::move(Order));
+      }
+    }
+    return Orders;
+  }
+  void answer(order_result Result) {
+    auto Origin = Origins.find(Result.Id);
+    if (Origin == Origins.end()) {
+      DirectResults.push_back(std::move(Result));
+      return;
+    }
+    Result.Id = Origin->second.Id;
+    Delegates.find(Origin->second.Delegate)->second.finish(Result);
+    Origins.erase(Origin);
+  }
+  void sendAnswers() {
+    for (auto &[Peer, Delegate] : Delegates)
+      for (auto &Message : Delegate.takeMessages())
+        Answers.emplace_back(Peer, std::move(Message.Bytes));
+  }
+  /// Counted: receives the results.
+  std::vector<order_result> receiveAnswers() {
+    auto Results = std::exchange(DirectResults, {});
+    for (const auto &[Peer, Bytes] : std::exchange(Answers, {})) {
+      auto Received = Leader.receive(Peer, Bytes).Results;
+      std::move(Received.begin(), Received.end(), std::back_inserter(Results));
+    }
+    return Results;
+  }
+
+private:
+  struct order_origin {
+    std::string Delegate;
+    std::uint64_t Id = 0; ///< At the delegate.
+  };
+
+  call_delegator Leader{0};
+  std::map<std::string, call_delegator> Delegates;
+  // Above the ids of the leader's own orders.
+  std::uint64_t LastReceived = std::uint64_t(1) << 62;
+  std::map<std::uint64_t, order_origin> Origins; ///< By order.
+  std::vector<order> Direct;
+  std::vector<call_delegator::outgoing_message> Sent;
+  std::vector<order_result> DirectResults;
+  std::vector<std::pair<std::string, std::string>> Answers;
+};
+
 struct load_endpoint {
   endpoint_facts Facts;
   std::uint64_t Sequence = 0;
@@ -78,9 +170,30 @@
   bool operator>(const run_finish &Other) const { return AtMs > Other.AtMs; }
 };
 
+struct figures {
+  double StartsPerSecond = 0;
+  double OrdersPerSecond = 0;
+  double Cores = 0;
+  double UsPerStart = 0;
+  double LiveJobs = 0; ///< At the end.
+  double UsPerStep = 0;
+  double LongestStepUs = 0;
+};
+
+double median(std::vector<figures> Runs, double figures::*Member) {
+  auto Middle = Runs.begin() + static_cast<std::ptrdiff_t>(Runs.size() / 2);
+  std::nth_element(Runs.begin(), Middle, Runs.end(),
+                   [&](const figures &Left, const figures &Right) {
+                     return Left.*Member < Right.*Member;
+                   });
+  return *Middle.*Member;
+}
+
 class load_simulation {
 public:
-  load_simulation() : Node(makeNode()) {
+  load_simulation() : Node(makeNode(0)) {
+    for (int Number = 1; Number <= followers(); ++Number)
+      Followers.emplace_back(new schedule_node(makeNode(Number)));
     for (int Index = 0; Index != FLAGS_endpoints; ++Index) {
       auto &Endpoint = Endpoints.emplace_back();
       Endpoint.Facts.Id = "i-" + std::to_string(100'000 + Index);
@@ -97,7 +210,7 @@
     }
   }
 
-  void simulate() {
+  figures simulate() {
     while (!Node.isLeading())
       step(false);
     call(configure_call{makeConfiguration()});
@@ -116,14 +229,13 @@
       step(true);
     auto Used = Cpu - Before;
     auto Ran = static_cast<double>(Starts - StartsBefore);
-    std::printf("endpoints %d  starts/s %.0f  orders/s %.0f  cores %.3f  "
-                "us a start %.0f  live jobs at the end %zu  "
-                "us a step %.0f  longest step us %.0f\n",
-                FLAGS_endpoints, Ran / FLAGS_seconds,
-                static_cast<double>(Orders) / FLAGS_seconds,
-                Used / FLAGS_seconds, Used / Ran * 1e6,
-                Node.state().liveJobs().size(),
-                Used / FLAGS_seconds * StepMs * 1e3, LongestStep * 1e6);
+    return {Ran / FLAGS_seconds,
+            static_cast<double>(Orders) / FLAGS_seconds,
+            Used / FLAGS_seconds,
+            Used / Ran * 1e6,
+            static_cast<double>(Node.state().liveJobs().size()),
+            Used / FLAGS_seconds * StepMs * 1e3,
+            LongestStep * 1e6};
   }
 
 private:
@@ -149,15 +261,24 @@
     return Configuration;
   }
 
-  schedule_node makeNode() {
+  static int followers() { return FLAGS_whole_path ? FLAGS_followers : 0; }
+
+  static std::string addressOf(int Number) {
+    return Number == 0 ? Address : "10.0.2." + std::to_string(Number);
+  }
+
+  schedule_node makeNode(int Number) {
     scheduler_settings Settings;
-    Settings.Name = "load";
-    Settings.Address = Address;
+    Settings.Name = "load" + std::to_string(Number);
+    Settings.Address = addressOf(Number);
     Settings.Leader.HasPlatform = true;
-    replication::replica_id Self{Address, 1};
+    // The first replica leads all the time.
+    if (Number > 0)
+      Settings.ElectionTimeout = std::chrono::hours(1);
     replication::membership Initial;
-    Initial.Members.push_back({Self, true});
-    return {Settings, Self, {}, Initial, Metrics, now()};
+    for (int Member = 0; Member <= followers(); ++Member)
+      Initial.Members.push_back({{addressOf(Member), 1}, true});
+    return {Settings, {addressOf(Number), 1}, {}, Initial, Metrics, now()};
   }
 
   core::time_point now() const {
@@ -173,35 +294,118 @@
     finishRuns();
     for (std::size_t Index = 0; Index != Endpoints.size(); ++Index)
       answerPoll(Endpoints[Index]);
+    prepareMessages(IsLoaded);
     auto Begin = cpuSeconds();
-    for (std::size_t Index = 0; Index != Endpoints.size(); ++Index)
-      if ((NowMs + static_cast<std::int64_t>(Index) * StepMs) % HeartbeatMs <
-          StepMs)
-        sendHeartbeat(Endpoints[Index]);
-    if (IsLoaded)
-      submit();
-    if (IsLoaded)
-      requestLengths();
-    for (auto &Answer : std::exchange(Answers, {}))
-      Node.orderFinished(std::move(Answer), now());
+    receiveMessages(IsLoaded);
     Node.tick(now());
     auto Actions = Node.takeActions(now());
     for (const auto &Write : Actions.Writes)
       Node.stored(Write.Ticket, now());
+    Orders += IsLoaded ? Actions.Orders.size() : 0;
+    if (FLAGS_whole_path) {
+      sendReplies(Actions.Replies);
+      Peers.send(std::exchange(Actions.Orders, {}), now());
+    }
     auto Used = cpuSeconds() - Begin;
     Cpu += Used;
     LongestStep = std::max(LongestStep, Used);
-    Orders += IsLoaded ? Actions.Orders.size() : 0;
+    if (FLAGS_whole_path)
+      Actions.Orders = Peers.receive();
     for (const auto &Order : Actions.Orders)
       execute(Order);
+    replicate(Actions.Messages);
   }
 
-  void sendHeartbeat(load_endpoint &Endpoint) {
+  /// Prepares what the peers have sent.
+  void prepareMessages(bool IsLoaded) {
+    for (std::size_t Index = 0; Index != Endpoints.size(); ++Index)
+      if ((NowMs + static_cast<std::int64_t>(Index) * StepMs) % HeartbeatMs <
+          StepMs)
+        Heartbeats.push_back({++LastCall, heartbeatOf(Endpoints[Index])});
+    if (!FLAGS_whole_path)
+      return;
+    HeartbeatBatch = encodeHeartbeats(std::exchange(Heartbeats, {}));
+    for (auto &Answer : std::exchange(Answers, {}))
+      Peers.answer(std::move(Answer));
+    Peers.sendAnswers();
+    if (IsLoaded)
+      submit();
+  }
+
+  void receiveMessages(bool IsLoaded) {
+    if (FLAGS_whole_path) {
+      if (auto Received = decodeHeartbeats(HeartbeatBatch))
+        Heartbeats = std::move(*Received);
+      for (const auto &Bytes : std::exchange(CallMessages, {}))
+        receiveCall(Bytes);
+      Answers = Peers.receiveAnswers();
+    } else if (IsLoaded) {
+      submit();
+    }
+    for (auto &Item : std::exchange(Heartbeats, {}))
+      Node.handle({Item.Id, heartbeat_call{std::move(Item.Heartbeat)}}, now());
+    if (IsLoaded)
+      requestLengths();
+    for (auto &Frame : std::exchange(Frames, {}))
+      Node.receive(Frame.Peer, Frame.Bytes, now());
+    for (auto &Answer : std::exchange(Answers, {}))
+      Node.orderFinished(std::move(Answer), now());
+  }
+
+  void receiveCall(const std::string &Bytes) {
+    auto Message = gateway::decodeMessage(Bytes);
+    auto &Call = std::get<gateway::call_message>(*Message);
+    http::request Request;
+    Request.Method = std::move(Call.Method);
+    Request.Host = std::move(Call.HostName);
+    Request.Target = std::move(Call.Target);
+    Request.Body = std::move(Call.Body);
+    auto Decoded = Adapter.DecodeCallerCall(Request);
+    if (!Decoded.Call) {
+      std::printf("expected a valid job, got the refusal %s\n",
+                  Decoded.Refusal.Body.c_str());
+      std::exit(1);
+    }
+    Node.handle({Call.Id, std::move(*Decoded.Call)}, now());
+  }
+
+  void sendReplies(const std::vector<reply> &Replies) {
+    for (const auto &Reply : Replies) {
+      auto Response = Adapter.EncodeReply(Reply);
+      gateway::reply_message Message;
+      Message.Id = Reply.Id;
+      Message.IsHandled = true;
+      Message.Status = Response.Status;
+      Message.Body = std::move(Response.Body);
+      BytesSent += gateway::encodeMessage(Message).size();
+    }
+  }
+
+  /// Lets the followers store and confirm what the leader has sent.
+  void replicate(const std::vector<peer_message> &Messages) {
+    for (int Number = 1; Number <= followers(); ++Number) {
+      auto &Follower = *Followers[static_cast<std::size_t>(Number - 1)];
+      for (const auto &Message : Messages)
+        if (Message.Peer == addressOf(Number))
+          Follower.receive(Address, Message.Bytes, now());
+      Follower.tick(now());
+      auto Actions = Follower.takeActions(now());
+      for (const auto &Write : Actions.Writes)
+        Follower.stored(Write.Ticket, now());
+      auto Later = Follower.takeActions(now());
+      for (auto *Messages : {&Actions.Messages, &Later.Messages})
+        for (auto &Message : *Messages)
+          if (Message.Peer == Address)
+            Frames.push_back({addressOf(Number), std::move(Message.Bytes)});
+    }
+  }
+
+  endpoint_heartbeat heartbeatOf(load_endpoint &Endpoint) const {
     endpoint_heartbeat Heartbeat;
     Heartbeat.Facts = Endpoint.Facts;
     Heartbeat.Sequence = ++Endpoint.Sequence;
     Heartbeat.ClockMs = static_cast<std::uint64_t>(NowMs);
-    call(heartbeat_call{std::move(Heartbeat)});
+    return Heartbeat;
   }
 
   void submit() {
@@ -223,7 +427,8 @@
 
   void submitShort() {
     job_spec Job;
-    Job.Id = "job" + std::to_string(1'000'000'000 + ++Jobs);
+    // The platform's ids are 16 hexadecimal digits.
+    Job.Id = std::to_string(1'000'000'000'000'000 + ++Jobs);
     Job.Payload = std::string(150, 'x');
     std::lognormal_distribution<double> Spread(-0.125, 0.5);
     for (int Index = 0; Index != FLAGS_steps; ++Index) {
@@ -235,8 +440,36 @@
         Step.DependsOn = {static_cast<std::uint32_t>(Index - 1)};
       Job.Steps.push_back(Step);
     }
-    auto Path = queuePath(Jobs) + Job.Id;
-    call(submit_call{"h", Path, std::move(Job)});
+    auto Turn = FLAGS_turn_s > 0
+                    ? static_cast<std::uint64_t>(NowMs / 1000 / FLAGS_turn_s)
+                    : Jobs;
+    auto Path = queuePath(Turn) + Job.Id;
+    if (FLAGS_whole_path)
+      CallMessages.push_back(encodeJob(Path, Job));
+    else
+      call(submit_call{"h", Path, std::move(Job)});
+  }
+
+  std::string encodeJob(const std::string &Path, const job_spec &Job) {
+    std::string Body = "{\"spec\":\"" + Job.Payload + "\",\"phases\":[";
+    for (std::size_t Index = 0; Index != Job.Steps.size(); ++Index) {
+      const auto &Step = Job.Steps[Index];
+      Body += Index > 0 ? ",{" : "{";
+      Body += "\"count\":" + std::to_string(Step.Count) +
+              ",\"cpu\":" + std::to_string(Step.Size.MilliCores) +
+              ",\"memMb\":" + std::to_string(Step.Size.MemoryMb) +
+              ",\"estimateMs\":" + std::to_string(Step.EstimateMs);
+      if (Index > 0)
+        Body += ",\"dependsOn\":[" + std::to_string(Index - 1) + "]";
+      Body += "}";
+    }
+    gateway::call_message Call;
+    Call.Id = ++LastCall;
+    Call.Method = "POST";
+    Call.HostName = "h";
+    Call.Target = Path;
+    Call.Body = Body + "]}";
+    return gateway::encodeMessage(Call);
   }
 
   static std::string queuePath(std::uint64_t Number) {
@@ -363,6 +596,14 @@
   std::uint64_t Starts = 0;
   std::uint64_t Orders = 0;
   std::uint64_t LengthCalls = 0;
+  std::uint64_t BytesSent = 0; ///< Of replies.
+  site_adapter Adapter = platform::makeSiteAdapter({});
+  std::vector<std::unique_ptr<schedule_node>> Followers;
+  peer_messages Peers;
+  std::vector<relayed_heartbeat> Heartbeats;
+  std::string HeartbeatBatch;
+  std::vector<std::string> CallMessages;
+  std::vector<peer_message> Frames; ///< Of followers.
   double Backlog = 0;
   double Lengths = 0;
   double Cpu = 0;
@@ -375,6 +616,15 @@
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   if (FLAGS_log)
     core::initializeLog("/dev/null", core::log_level::Info, "load");
-  load_simulation Simulation;
-  Simulation.simulate();
+  std::vector<figures> Runs;
+  for (int Run = 0; Run != FLAGS_runs; ++Run)
+    Runs.push_back(load_simulation().simulate());
+  std::printf(
+      "endpoints %d  starts/s %.0f  orders/s %.0f  cores %.3f  "
+      "us a start %.0f  live jobs at the end %.0f  "
+      "us a step %.0f  longest step us %.0f\n",
+      FLAGS_endpoints, median(Runs, &figures::StartsPerSecond),
+      median(Runs, &figures::OrdersPerSecond), median(Runs, &figures::Cores),
+      median(Runs, &figures::UsPerStart), median(Runs, &figures::LiveJobs),
+      median(Runs, &figures::UsPerStep), median(Runs, &figures::LongestStepUs));
 }
