Write and read the leader's replication messages in place

A leader sends an append and reads a reply for each commit and follower. Both passed through JSON values, the payload of an entry was copied five times on its way to each follower, and frames around them again.

The frames, append and append_reply are written and read in place, with the same bytes; a test compares them with the general encoder.

--- a/control/control_frames.cpp
+++ b/control/control_frames.cpp
@@ -1,12 +1,11 @@
 #include "control/control_frames.h"
 
 #include "core/cbor_limits.h"
-
-#include <nlohmann/json.hpp>
+#include "fleet/cbor_appender.h"
+#include "fleet/cbor_cursor.h"
 
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace lycheetrestle::control {
 
@@ -21,6 +20,8 @@
 // A frame is an array of scalars.
 constexpr std::size_t MaxDepth = 1;
 constexpr std::size_t MaxItems = 1 + FrameFields;
+// The head of an item with an argument of 64 bits.
+constexpr std::size_t MaxScalarBytes = 9;
 
 boost::leaf::error_id failCorrupt(std::string_view Field, std::string Value,
                                   std::string Rule) {
@@ -29,9 +30,44 @@
                      core::verdict::NotRun});
 }
 
-bool isName(const nlohmann::json &Value) {
-  return Value.is_string() &&
-         Value.get_ref<const std::string &>().size() <= MaxNameBytes;
+/// A field that does not satisfy its rule; without a name when all do.
+struct invalid_field {
+  const char *Name = nullptr;
+  const char *Rule = nullptr;
+};
+
+using frame_cursor = fleet::basic_cbor_cursor<fleet::log_limits>;
+
+bool readName(frame_cursor &Cursor, std::string &Name) {
+  return Cursor.read(Name) && Name.size() <= MaxNameBytes;
+}
+
+/// Reads the fields of a frame after the head of its array.
+invalid_field readFields(frame_cursor &Cursor, control_frame &Frame) {
+  constexpr auto MaxKind = static_cast<std::uint64_t>(frame_kind::Status);
+  std::uint64_t Kind = 0;
+  if (!Cursor.read(Kind) || Kind > MaxKind)
+    return {"kind", "must be the number of a kind"};
+  Frame.Kind = static_cast<frame_kind>(Kind);
+  constexpr const char *NameRule = "must be a string of at most 256 bytes";
+  constexpr const char *NumberRule = "must be an unsigned integer";
+  if (!readName(Cursor, Frame.Cluster))
+    return {"cluster", NameRule};
+  // A membership with a member without a name is refused or cannot be decoded,
+  // so a request to join under it would hold up those of other replicas.
+  if (!readName(Cursor, Frame.From.Name) || Frame.From.Name.empty())
+    return {"from", "must name the sender in at most 256 bytes"};
+  if (!Cursor.read(Frame.From.Incarnation))
+    return {"from incarnation", NumberRule};
+  if (!readName(Cursor, Frame.To.Name))
+    return {"to", NameRule};
+  if (!Cursor.read(Frame.To.Incarnation))
+    return {"to incarnation", NumberRule};
+  if (!Cursor.read(Frame.IsFormed))
+    return {"formed", "must be a boolean"};
+  if (!Cursor.readBytes(Frame.Bytes))
+    return {"bytes", "must be a byte string"};
+  return {};
 }
 
 } // namespace
@@ -42,55 +78,28 @@
 }
 
 std::string encodeFrame(const control_frame &Frame) {
-  nlohmann::json Value = nlohmann::json::array(
-      {static_cast<int>(Frame.Kind), Frame.Cluster, Frame.From.Name,
-       Frame.From.Incarnation, Frame.To.Name, Frame.To.Incarnation,
-       Frame.IsFormed,
-       nlohmann::json::binary(
-           std::vector<std::uint8_t>(Frame.Bytes.begin(), Frame.Bytes.end()))});
   std::string Bytes;
-  nlohmann::json::to_cbor(Value, Bytes);
+  Bytes.reserve(Frame.Bytes.size() + Frame.Cluster.size() +
+                Frame.From.Name.size() + Frame.To.Name.size() +
+                MaxScalarBytes * FrameFields);
+  fleet::cbor_appender Appender(Bytes);
+  Appender.beginArray(FrameFields);
+  Appender(Frame.Kind, Frame.Cluster, Frame.From.Name, Frame.From.Incarnation,
+           Frame.To.Name, Frame.To.Incarnation, Frame.IsFormed);
+  Appender.bytes(Frame.Bytes);
   return Bytes;
 }
 
 core::result<control_frame> decodeFrame(std::string_view Bytes) {
-  auto Parsed = core::parseCbor(Bytes, MaxDepth, MaxItems);
-  if (!Parsed || !Parsed->is_array() || Parsed->size() != FrameFields)
+  frame_cursor Cursor(Bytes);
+  if (!core::isBoundedCbor(Bytes, MaxDepth, MaxItems) ||
+      Cursor.beginArray() != FrameFields)
     return failCorrupt("frame", std::to_string(Bytes.size()) + " bytes",
                        "must be a CBOR array of eight scalars");
-  const auto &Value = *Parsed;
-  constexpr auto MaxKind = static_cast<std::uint64_t>(frame_kind::Status);
-  if (!Value[0].is_number_unsigned() || Value[0].get<std::uint64_t>() > MaxKind)
-    return failCorrupt("kind", Value[0].type_name(),
-                       "must be an integer of 0 to " + std::to_string(MaxKind));
-  for (std::size_t Field : {1, 2, 4})
-    if (!isName(Value[Field]))
-      return failCorrupt("field " + std::to_string(Field),
-                         Value[Field].type_name(),
-                         "must be a string of at most " +
-                             std::to_string(MaxNameBytes) + " bytes");
-  for (std::size_t Field : {3, 5})
-    if (!Value[Field].is_number_unsigned())
-      return failCorrupt("field " + std::to_string(Field),
-                         Value[Field].type_name(),
-                         "must be an unsigned integer");
-  if (!Value[6].is_boolean() || !Value[7].is_binary())
-    return failCorrupt("fields 6 and 7",
-                       std::string(Value[6].type_name()) + " and " +
-                           Value[7].type_name(),
-                       "must be a boolean and a byte string");
-  // A membership with such a member is refused or cannot be decoded, so a
-  // request to join under it would hold up those of other replicas.
-  if (Value[2].get_ref<const std::string &>().empty())
-    return failCorrupt("field 2", "", "must name the sender");
   control_frame Frame;
-  Frame.Kind = static_cast<frame_kind>(Value[0].get<std::uint64_t>());
-  Frame.Cluster = Value[1].get<std::string>();
-  Frame.From = {Value[2].get<std::string>(), Value[3].get<std::uint64_t>()};
-  Frame.To = {Value[4].get<std::string>(), Value[5].get<std::uint64_t>()};
-  Frame.IsFormed = Value[6].get<bool>();
-  const auto &Binary = Value[7].get_binary();
-  Frame.Bytes.assign(Binary.begin(), Binary.end());
+  if (auto Invalid = readFields(Cursor, Frame); Invalid.Name)
+    return failCorrupt(Invalid.Name, std::to_string(Bytes.size()) + " bytes",
+                       Invalid.Rule);
   return Frame;
 }
 
--- a/fleet/cbor_appender.h
+++ b/fleet/cbor_appender.h
@@ -31,6 +31,11 @@
     appendHead(ByteString, Value.size());
     Bytes.append(Value);
   }
+  /// Appends UTF-8 text.
+  void text(std::string_view Value) {
+    appendHead(Text, Value.size());
+    Bytes.append(Value);
+  }
   /// Appends the head of an array, to be followed by its items.
   void beginArray(std::size_t Items) { appendHead(Array, Items); }
   /// Appends the head of a map, to be followed by its keys and values.
@@ -49,8 +54,7 @@
     } else if constexpr (std::unsigned_integral<Type>) {
       appendHead(Unsigned, Value);
     } else if constexpr (std::same_as<Type, std::string>) {
-      appendHead(Text, Value.size());
-      Bytes.append(Value);
+      text(Value);
     } else if constexpr (requires { Value.has_value(); }) {
       if (Value)
         append(*Value);
--- a/fleet/cbor_cursor.h
+++ b/fleet/cbor_cursor.h
@@ -36,6 +36,13 @@
       readValue(Value);
     return Ok;
   }
+  /// Reads a byte string.
+  /// \returns whether it was read.
+  bool readBytes(std::string &Value) {
+    if (Ok)
+      readText(ByteString, Limits::ByteStringBytes, Value);
+    return Ok;
+  }
   /// Reads the head of a map.
   /// \returns its number of pairs, or 0 when the item is no map.
   std::size_t beginMap() { return beginContainer(Map); }
--- a/replication/messages.cpp
+++ b/replication/messages.cpp
@@ -1,6 +1,8 @@
 #include "replication/messages.h"
 
 #include "core/cbor_limits.h"
+#include "fleet/cbor_appender.h"
+#include "fleet/cbor_cursor.h"
 #include "replication/membership_rules.h"
 
 #include <nlohmann/json.hpp>
@@ -19,6 +21,10 @@
 // Five items for each entry and a margin for the other fields.
 constexpr std::size_t MaxItems = 6 * MaxEntriesPerMessage;
 constexpr std::size_t MaxNameBytes = 256;
+// Room for the fields of an entry, and of a message with two names, beside
+// their payloads.
+constexpr std::size_t EntryOverheadBytes = 32;
+constexpr std::size_t MessageOverheadBytes = 256;
 
 // Thrown within this file only; the decoders return no value instead.
 struct bad_message : std::runtime_error {
@@ -92,12 +98,6 @@
   return Members;
 }
 
-json entryToJson(const log_entry &Entry) {
-  return json::array({Entry.Index, Entry.Term,
-                      static_cast<std::uint64_t>(Entry.Kind),
-                      bytesToJson(Entry.Payload)});
-}
-
 log_entry entryFromJson(const json &Value) {
   require(Value.is_array() && Value.size() == 4, "an entry has four items");
   log_entry Entry;
@@ -133,17 +133,8 @@
 struct body_encoder {
   json &Object;
 
-  void operator()(const append_message &Body) const {
-    Object["type"] = "append";
-    Object["round"] = Body.Round;
-    Object["prev_index"] = Body.PrevIndex;
-    Object["prev_term"] = Body.PrevTerm;
-    Object["commit"] = Body.Commit;
-    json Entries = json::array();
-    for (const log_entry &Entry : Body.Entries)
-      Entries.push_back(entryToJson(Entry));
-    Object["entries"] = std::move(Entries);
-  }
+  // encodeAppend() writes these.
+  void operator()(const append_message &) const {}
   void operator()(const append_reply &Body) const {
     Object["type"] = "append_reply";
     Object["round"] = Body.Round;
@@ -280,6 +271,102 @@
   return transfer_now{readCounter(Object, "term")};
 }
 
+// A leader sends an append and receives a reply for each commit and follower,
+// so these two kinds are written and read in place, with the bytes that the
+// general encoder gives: the keys of a map are in the order of the alphabet.
+
+void append(fleet::cbor_appender &Appender, const replica_id &Id) {
+  Appender.beginArray(2);
+  Appender(Id.Name, Id.Incarnation);
+}
+
+std::string encodeAppend(const message &Message, const append_message &Body) {
+  std::size_t Size = 0;
+  for (const log_entry &Entry : Body.Entries)
+    Size += Entry.Payload.size() + EntryOverheadBytes;
+  std::string Bytes;
+  Bytes.reserve(Size + MessageOverheadBytes);
+  fleet::cbor_appender Appender(Bytes);
+  auto Key = [&](std::string_view Name) { Appender.text(Name); };
+  Appender.beginMap(9);
+  Key("commit");
+  Appender.append(Body.Commit);
+  Key("entries");
+  Appender.beginArray(Body.Entries.size());
+  for (const log_entry &Entry : Body.Entries) {
+    Appender.beginArray(4);
+    Appender(Entry.Index, Entry.Term, Entry.Kind);
+    Appender.bytes(Entry.Payload);
+  }
+  Key("from");
+  append(Appender, Message.From);
+  Key("prev_index");
+  Appender.append(Body.PrevIndex);
+  Key("prev_term");
+  Appender.append(Body.PrevTerm);
+  Key("round");
+  Appender.append(Body.Round);
+  Key("term");
+  Appender.append(Body.Term);
+  Key("to");
+  append(Appender, Message.To);
+  Key("type");
+  Key("append");
+  return Bytes;
+}
+
+/// Reads an append_reply in the order in which it is written.
+class reply_reader {
+public:
+  explicit reply_reader(std::string_view Bytes) : Cursor(Bytes) {}
+
+  /// \returns the message, or nothing when the bytes are another message.
+  std::optional<message> read() {
+    message Message;
+    append_reply Body;
+    IsOk = Cursor.beginMap() == 12;
+    readFlag("accepted", Body.Accepted);
+    readFlag("blocked", Body.Blocked);
+    readId("from", Message.From);
+    readCounter("hint_index", Body.HintIndex);
+    readCounter("hint_term", Body.HintTerm);
+    readCounter("match", Body.Match);
+    readCounter("received", Body.Received);
+    readCounter("rejected", Body.Rejected);
+    readCounter("round", Body.Round);
+    readCounter("term", Body.Term);
+    readId("to", Message.To);
+    std::string Type;
+    IsOk = IsOk && readKey("type") && Cursor.read(Type) &&
+           Type == "append_reply" && Body.Match <= Body.Received;
+    if (!IsOk)
+      return std::nullopt;
+    Message.Body = Body;
+    return Message;
+  }
+
+private:
+  bool readKey(std::string_view Name) {
+    IsOk = IsOk && Cursor.read(Key) && Key == Name;
+    return IsOk;
+  }
+  void readFlag(std::string_view Name, bool &Value) {
+    IsOk = readKey(Name) && Cursor.read(Value);
+  }
+  void readCounter(std::string_view Name, std::uint64_t &Value) {
+    IsOk = readKey(Name) && Cursor.read(Value) && Value < MaxCounter;
+  }
+  void readId(std::string_view Name, replica_id &Id) {
+    IsOk = readKey(Name) && Cursor.beginArray() == 2 && Cursor.read(Id.Name) &&
+           Cursor.read(Id.Incarnation) && !Id.Name.empty() &&
+           Id.Name.size() <= MaxNameBytes;
+  }
+
+  fleet::basic_cbor_cursor<fleet::log_limits> Cursor;
+  std::string Key;
+  bool IsOk = true;
+};
+
 std::string toCbor(const json &Value) {
   std::string Bytes;
   json::to_cbor(Value, Bytes);
@@ -289,6 +376,8 @@
 } // namespace
 
 std::string encodeMessage(const message &Message) {
+  if (const auto *Append = std::get_if<append_message>(&Message.Body))
+    return encodeAppend(Message, *Append);
   json Object = {{"from", idToJson(Message.From)},
                  {"to", idToJson(Message.To)},
                  {"term", std::visit([](const auto &Body) { return Body.Term; },
@@ -301,6 +390,8 @@
   if (Bytes.size() > MaxMessageBytes ||
       !core::isBoundedCbor(Bytes, MaxDepth, MaxItems))
     return std::nullopt;
+  if (auto Reply = reply_reader(Bytes).read())
+    return Reply;
   try {
     const json Object = json::from_cbor(Bytes.begin(), Bytes.end());
     require(Object.is_object(), "a message is a map");
--- a/tests/replication/test_messages.cpp
+++ b/tests/replication/test_messages.cpp
@@ -49,6 +49,17 @@
     CHECK(decodeMessage(encodeMessage(Message)) == Message);
 }
 
+// Guards against two encodings of one message: a replica of an earlier version
+// reads the general one.
+TEST_CASE("every message has the bytes of the general encoder") {
+  for (const message &Message : sampleMessages()) {
+    const std::string Bytes = encodeMessage(Message);
+    std::string General;
+    nlohmann::json::to_cbor(nlohmann::json::from_cbor(Bytes), General);
+    CHECK(Bytes == General);
+  }
+}
+
 TEST_CASE("truncated messages and messages with extra bytes are refused") {
   for (const message &Message : sampleMessages()) {
     const std::string Bytes = encodeMessage(Message);
