Log the starts and ends of a step's runs in one line

The runs that one log entry starts or ends are grouped by step: one line names them as index:attempt@endpoint. An end other than done keeps a line of its own, so that the commands of docs/OPERATIONS.md for failed jobs still hold.

--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -575,6 +575,7 @@
     logApplied(Command, Outcome, Entry.Index, Endpoint);
     answerApplied(Own->Calls[Index], Command, Outcome);
   }
+  Runs.flush();
   CommandsSinceCompaction += Batch->Commands.size();
   if (!Own)
     return Batch->Commands.size();
@@ -593,8 +594,7 @@
 }
 
 void schedule_node::logApplied(const command &Command, apply_outcome Outcome,
-                               std::uint64_t Index,
-                               std::uint32_t Endpoint) const {
+                               std::uint64_t Index, std::uint32_t Endpoint) {
   auto Result = toText(Outcome);
   auto Level = core::log_level::Info;
   if (const auto *Submit = std::get_if<submit_job>(&Command)) {
@@ -612,26 +612,11 @@
         Level, "job_cancelled",
         {{"job", Cancel->Job}, {"index", Index}, {"result", Result}});
   } else if (const auto *Start = std::get_if<start_run>(&Command)) {
-    core::logEvent(Level, "run_assigned",
-                   {{"job", Start->Task.Job},
-                    {"occurrence", Start->Task.Occurrence},
-                    {"step", Start->Task.Step},
-                    {"index", Start->Task.Index},
-                    {"attempt", Start->Attempt},
-                    {"endpoint", Start->Endpoint},
-                    {"result", Result}});
+    Runs.recordStart(*Start, Result);
   } else if (const auto *End = std::get_if<end_run>(&Command)) {
     const auto *Job = State.findJob(End->Task.Job);
-    core::logEvent(Level, "run_ended",
-                   {{"job", End->Task.Job},
-                    {"occurrence", End->Task.Occurrence},
-                    {"step", End->Task.Step},
-                    {"index", End->Task.Index},
-                    {"attempt", End->Attempt},
-                    {"endpoint", Endpoint},
-                    {"how", toText(End->Outcome)},
-                    {"job_state", Job ? toText(Job->State) : "forgotten"},
-                    {"result", Result}});
+    Runs.recordEnd(*End, Endpoint, Job ? toText(Job->State) : "forgotten",
+                   Result);
   } else if (const auto *Set = std::get_if<set_configuration>(&Command)) {
     core::logEvent(Level, "configuration_applied",
                    {{"version", Set->Configuration.Version},
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -15,6 +15,7 @@
 #include "scheduling/membership_manager.h"
 #include "scheduling/proposal_queue.h"
 #include "scheduling/replication_load.h"
+#include "scheduling/run_log.h"
 #include "scheduling/schedule_state.h"
 #include "scheduling/scheduler_settings.h"
 
@@ -155,7 +156,7 @@
   /// \returns the endpoint of the run that the command ends, or 0.
   std::uint32_t endpointOf(const command &Command) const;
   void logApplied(const command &Command, apply_outcome Outcome,
-                  std::uint64_t Index, std::uint32_t Endpoint) const;
+                  std::uint64_t Index, std::uint32_t Endpoint);
   void compactWhenDue();
   void expirePendingCalls(core::time_point Now);
 
@@ -208,6 +209,7 @@
   replication::replica_id Self;
   core::metrics_registry &Metrics;
   phase_times Timer;
+  run_log Runs;
   replication::raft_node Raft;
   schedule_state State;
   std::uint64_t AppliedIndex = 0;
