Look up endpoints and hosts without walking a tree

Endpoints by number and hosts by name were kept in ordered trees. A run costs about twenty look-ups of its endpoint, and a pass over the hosts six look-ups for each; with a thousand items each of them is ten cache misses.

indexed_map keeps the order and adds a hash index.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_HOST_INVENTORY_H
 
 #include "core/clock.h"
+#include "core/indexed_map.h"
 #include "scheduling/demand_smoother.h"
 #include "scheduling/maintenance_planner.h"
 #include "scheduling/orders.h"
@@ -41,14 +42,15 @@
 /// The leader's view of the hosts: the platform's newest list, cordoned hosts,
 /// and operations in progress.
 struct host_inventory {
-  std::map<std::string, host_row> Hosts;                       ///< By name.
+  core::indexed_map<std::string, host_row> Hosts;              ///< By name.
   std::unordered_map<std::string, std::string> HostOfEndpoint; ///< By id.
   core::time_point ListedAt{}; ///< When the newest whole list was requested.
   bool IsNewList = false;      ///< Its endpoints are still to be recorded.
-  std::map<std::string, core::time_point> Cordoned; ///< Since when, by host.
-  std::map<std::string, host_operation> Operations;
+  core::indexed_map<std::string, core::time_point>
+      Cordoned; ///< Since when, by host.
+  core::indexed_map<std::string, host_operation> Operations;
   /// Since when hosts have been up, not reserved and without a run, by host.
-  std::map<std::string, core::time_point> IdleSince;
+  core::indexed_map<std::string, core::time_point> IdleSince;
   std::map<std::string, double> SurplusCores; ///< Supply minus demand, by pool.
   /// When a long-running task last could not be placed in a pool.
   std::map<std::string, core::time_point> UnplaceableAt;
@@ -58,10 +60,11 @@
   core::time_point NextMovePlan{};
   core::time_point NextPoolLog{};
 
-  std::map<std::string, host_row> PartialList; ///< Pages received so far.
-  std::set<std::string> UnreadableHosts;       ///< Named on these pages.
-  std::set<std::string> PageTokens;            ///< Of these pages.
-  std::size_t FailedPages = 0; ///< In a row, with the same token.
+  core::indexed_map<std::string, host_row>
+      PartialList;                       ///< Pages received so far.
+  std::set<std::string> UnreadableHosts; ///< Named on these pages.
+  std::set<std::string> PageTokens;      ///< Of these pages.
+  std::size_t FailedPages = 0;           ///< In a row, with the same token.
   core::time_point ListStartedAt{};
   std::string PageToken;
   bool IsListing = false;
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -86,7 +86,7 @@
 
 tracked_endpoint &leader::trackEndpoint(std::uint32_t Endpoint,
                                         core::time_point Now) {
-  auto [Found, IsNew] = TrackedEndpoints.try_emplace(Endpoint);
+  auto [Found, IsNew] = TrackedEndpoints.emplace(Endpoint);
   if (IsNew) {
     Found->second.Endpoint = Endpoint;
     Found->second.TrackedSince = Now;
@@ -321,7 +321,7 @@
     Tracked.LeaseExpiry = std::max(
         Tracked.LeaseExpiry, Now + Settings.Lease * MaxLeasePercent / 100);
   }
-  auto Replaced = std::erase_if(TrackedEndpoints, [this](const auto &Item) {
+  auto Replaced = core::eraseIf(TrackedEndpoints, [this](const auto &Item) {
     if (State.endpoints().find(Item.first) != State.endpoints().end())
       return false;
     removeCandidate(Item.second);
@@ -431,7 +431,7 @@
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
     stopForgottenRuns(Now, WallMs);
-    std::erase_if(TrackedEndpoints, [this](const auto &Item) {
+    core::eraseIf(TrackedEndpoints, [this](const auto &Item) {
       if (State.endpoints().find(Item.first) != State.endpoints().end())
         return false;
       removeCandidate(Item.second);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_LEADER_H
 
 #include "core/clock.h"
+#include "core/indexed_map.h"
 #include "core/metrics.h"
 #include "core/phase_timer.h"
 #include "scheduling/advice_cache.h"
@@ -565,7 +566,7 @@
   /// Starts above the order ids of all earlier leaders, because answers to
   /// orders of an earlier leader in this process may still arrive.
   std::uint64_t LastOrder = 0;
-  std::map<std::uint32_t, tracked_endpoint> TrackedEndpoints;
+  core::indexed_map<std::uint32_t, tracked_endpoint> TrackedEndpoints;
   /// By pool, ordered by number.
   std::map<std::string, std::vector<tracked_endpoint *>, std::less<>>
       CandidateTargets;
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -474,7 +474,7 @@
   for (const auto &[Name, Row] : Hosts.Hosts)
     if (!Row.EndpointId.empty())
       Hosts.HostOfEndpoint[Row.EndpointId] = Name;
-  std::erase_if(Hosts.Operations, [&](const auto &Item) {
+  core::eraseIf(Hosts.Operations, [&](const auto &Item) {
     const auto &[Name, Operation] = Item;
     const auto *Row = Hosts.find(Name);
     // A kept row may be older than the operation.
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_SCHEDULE_STATE_H
 
 #include "core/failure.h"
+#include "core/indexed_map.h"
 #include "scheduling/commands.h"
 #include "scheduling/pending_job_counter.h"
 #include "scheduling/types.h"
@@ -192,7 +193,7 @@
   const std::set<std::pair<std::int64_t, std::string>> &repeatedJobs() const {
     return RepeatedJobs;
   }
-  const std::map<std::uint32_t, endpoint_record> &endpoints() const {
+  const core::indexed_map<std::uint32_t, endpoint_record> &endpoints() const {
     return Endpoints;
   }
   /// \returns the incarnation if it is the newest with this id, or null.
@@ -263,7 +264,7 @@
   pending_job_counter PendingJobs;
   std::set<std::pair<std::int64_t, std::string>> EndedJobs; ///< By end time.
   std::uint32_t LastEndpoint = 0;
-  std::map<std::uint32_t, endpoint_record> Endpoints;
+  core::indexed_map<std::uint32_t, endpoint_record> Endpoints;
   std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>>
       EndpointNumbers; ///< Newest incarnation by id.
   std::map<std::uint64_t, wave_record> Waves;
--- a/tests/scheduling/test_leader_crashes.cpp
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -63,7 +63,7 @@
   }
   /// Sends a heartbeat of all endpoints.
   void beat() {
-    for (const auto &[Number, Endpoint] : std::map(State.endpoints()))
+    for (const auto &[Number, Endpoint] : core::indexed_map(State.endpoints()))
       beat(Endpoint.Facts);
   }
   void beat(const endpoint_facts &Facts) {
