Compare the lists of endpoints without copies of their keys

For each answer of an endpoint the leader copied the key of every run that the answer lists into a set, looked up the step of each run twice, and walked all runs of the endpoint three times to find out when its next order is due.

Runs remember the newest list that shows them; the step of a run is looked up only if it has not moved for the shortest stall time, or if tasks that share an endpoint may disturb each other; one walk finds the time. Pending orders keep no copy of the payload.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -262,10 +262,6 @@
                      core::time_point Now);
   void collectDueOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                         core::time_point Now);
-  /// \returns whether no order to the endpoint may become due by a time that
-  /// nextOrderTime() does not know.
-  static bool isCalm(const tracked_endpoint &Tracked,
-                     const endpoint_record &Endpoint);
   void addRunOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                     core::time_point Now);
   void stopOrphanedRuns(tracked_endpoint &Tracked, std::vector<order> &Orders,
@@ -283,7 +279,10 @@
   order &addOrder(std::vector<order> &Orders, const tracked_endpoint *Tracked,
                   order_body Body, core::duration Timeout,
                   core::time_point Now);
+  /// \returns when the orders of the endpoint are to be collected next, if no
+  /// event comes before.
   core::time_point nextOrderTime(const tracked_endpoint &Tracked,
+                                 const endpoint_record &Endpoint,
                                  core::time_point Now) const;
   /// \returns the fencing token of orders to an incarnation. It rises with the
   /// leader and, under one leader, with each incarnation. An endpoint checks
@@ -587,7 +586,8 @@
   due_queue DueTimes;
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
-  std::map<std::uint64_t, pending_order> PendingOrders;
+  std::unordered_map<std::uint64_t, pending_order> PendingOrders;
+  std::uint64_t LastList = 0; ///< Number of lists compared so far.
   verdict_log Verdicts;
   /// Earliest time of the next placement of tasks whose start was refused.
   std::map<task_key, core::time_point> DeferredTasks;
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -64,7 +64,12 @@
     Order.Address = Facts.Address;
     Order.EndpointId = Facts.Id;
   }
+  // The answer needs no payload.
+  auto *Start = std::get_if<start_order>(&Order.Body);
+  auto Payload = Start ? std::exchange(Start->Payload, {}) : std::string();
   PendingOrders[Order.Id] = {Order, Now};
+  if (Start)
+    Start->Payload = std::move(Payload);
   Orders.push_back(std::move(Order));
   return Orders.back();
 }
@@ -130,35 +135,28 @@
     addThrottleOrders(Tracked, Orders, Now);
   }
   addPollOrder(Tracked, Orders, Now);
-  if (isCalm(Tracked, Endpoint->second))
-    Tracked.DueAt = Now + CalmCheckInterval;
-  Tracked.DueAt = std::min(Tracked.DueAt, nextOrderTime(Tracked, Now));
-}
-
-bool leader::isCalm(const tracked_endpoint &Tracked,
-                    const endpoint_record &Endpoint) {
-  return !Endpoint.Facts.IsDraining && !Tracked.IsSuspect &&
-         !Tracked.IsReplaced && !Tracked.MayInterfere &&
-         Tracked.ClockAt != core::time_point() &&
-         Tracked.OrphanedRuns.empty() &&
-         Tracked.Cursor <= Tracked.ConfirmedCursor &&
-         std::all_of(Tracked.Runs.begin(), Tracked.Runs.end(),
-                     [](const auto &Item) {
-                       const auto &Run = Item.second;
-                       return Run.Phase == run_phase::Running ||
-                              Run.IsOrderPending || Run.IsEnded;
-                     });
+  Tracked.DueAt = nextOrderTime(Tracked, Endpoint->second, Now);
 }
 
 core::time_point leader::nextOrderTime(const tracked_endpoint &Tracked,
+                                       const endpoint_record &Endpoint,
                                        core::time_point Now) const {
+  // Whether no order may become due by a time that is not known here.
+  bool IsCalm =
+      !Endpoint.Facts.IsDraining && !Tracked.IsSuspect && !Tracked.IsReplaced &&
+      !Tracked.MayInterfere && Tracked.ClockAt != core::time_point() &&
+      Tracked.OrphanedRuns.empty() && Tracked.Cursor <= Tracked.ConfirmedCursor;
   auto Next = core::time_point::max();
   if (!Tracked.PendingPoll && Tracked.NextPoll > Now)
     Next = Tracked.NextPoll;
-  for (const auto &[Key, Run] : Tracked.Runs)
-    if (!Run.IsOrderPending && !Run.IsEnded && Run.NextOrder > Now)
+  for (const auto &[Key, Run] : Tracked.Runs) {
+    if (Run.Phase == run_phase::Running || Run.IsOrderPending || Run.IsEnded)
+      continue;
+    IsCalm = false;
+    if (Run.NextOrder > Now)
       Next = std::min(Next, Run.NextOrder);
-  return Next;
+  }
+  return std::min(Next, Now + (IsCalm ? CalmCheckInterval : CheckInterval));
 }
 
 void leader::stopOrphanedRuns(tracked_endpoint &Tracked,
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -2,7 +2,6 @@
 #include "scheduling/leader.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -326,7 +325,7 @@
 void leader::reconcileRuns(tracked_endpoint &Tracked,
                            const endpoint_answer &Answer,
                            core::time_point SentAt, core::time_point Now) {
-  std::set<task_key> Present;
+  auto List = ++LastList;
   auto Orphans = std::exchange(Tracked.OrphanedRuns, {});
   for (const auto &Row : Answer.Running) {
     auto Found = Tracked.Runs.find(Row.Task);
@@ -348,7 +347,7 @@
       continue;
     }
     auto &Run = Found->second;
-    Present.insert(Row.Task);
+    Run.ListedIn = List;
     if (!Row.Checkpoint.empty())
       Run.Checkpoint = Row.Checkpoint;
     if (Run.Phase == run_phase::Committed || Run.Phase == run_phase::Starting ||
@@ -372,12 +371,14 @@
     }
     // The endpoint may list a member of a gang long after another member has
     // completed the gang, when the job is no longer kept.
+    if (Run.Phase != run_phase::Running || Run.ThrottlePercent != 100 ||
+        Row.Percent >= 100 || Now - Run.PercentChangedAt <= MinStallTime)
+      continue;
     const auto *Step = findStep(Row.Task);
     auto Limit = std::max<core::duration>(
         MinStallTime,
         milliseconds(StallEstimateFactor * (Step ? Step->EstimateMs : 0)));
-    if (Run.Phase == run_phase::Running && Run.ThrottlePercent == 100 &&
-        Row.Percent < 100 && Now - Run.PercentChangedAt > Limit) {
+    if (Now - Run.PercentChangedAt > Limit) {
       core::logEvent(core::log_level::Warning, "run_stalled",
                      {{"job", Row.Task.Job},
                       {"step", Row.Task.Step},
@@ -407,7 +408,7 @@
         checkVerdict(Tracked, Row.Task, Row.Attempt, "done", Now);
       continue;
     }
-    Present.insert(Row.Task);
+    Found->second.ListedIn = List;
     if (std::exchange(Found->second.IsEnded, true))
       continue;
     HasEnds = true;
@@ -423,7 +424,7 @@
   bool IsWhole = Answer.Ended.size() < Settings.MaxEndsPerAnswer;
   for (auto &[Key, Run] : Tracked.Runs) {
     if (!IsWhole || Run.IsEnded || Run.IsOrderPending ||
-        Run.VisibleSince >= SentAt || Present.count(Key) > 0)
+        Run.VisibleSince >= SentAt || Run.ListedIn == List)
       continue;
     bool IsUnconfirmed = Run.Phase == run_phase::Unconfirmed;
     if ((IsUnconfirmed && !Run.MayStartLate) ||
@@ -452,6 +453,10 @@
 void leader::updateThrottle(tracked_endpoint &Tracked,
                             const endpoint_answer &Answer,
                             core::time_point Now) {
+  const auto &Capacity = Tracked.FreeCapacity;
+  if (!Tracked.IsCapacityStale && !Tracked.MayInterfere &&
+      (Capacity.LatencySensitiveRuns == 0 || Capacity.BestEffortRuns == 0))
+    return;
   bool HasBestEffort = false;
   bool HasLatencySensitive = false;
   double WorstRatio = 0;
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -66,6 +66,7 @@
   std::uint32_t Percent = 0;           ///< Progress.
   core::time_point PercentChangedAt{}; ///< When Percent last changed.
   std::uint32_t ThrottlePercent = 100;
+  std::uint64_t ListedIn = 0; ///< Newest list of the endpoint that shows it.
   /// Since when its start waits for a heartbeat with the endpoint's capacity.
   std::optional<core::time_point> HeldSince;
 
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -175,18 +175,19 @@
     const auto &Spec = Job.Spec.Steps[Step];
     const auto &Tasks = Occurrence.Steps[Step].Tasks;
     std::int64_t MilliCores = reservedSize(Spec).MilliCores;
-    auto Running =
-        std::count_if(Tasks.begin(), Tasks.end(), [](const task_record &Task) {
-          return Task.Endpoint != 0;
-        });
+    if (Occurrence.Steps[Step].Done == Tasks.size())
+      continue;
+    std::int64_t Running = 0;
+    std::int64_t Waiting = 0;
+    for (const auto &Task : Tasks) {
+      Running += Task.Endpoint != 0;
+      Waiting += Task.isWaiting();
+    }
     (Spec.IsLongRunning ? Demand.LongMilliCores : Demand.ShortMilliCores) +=
         MilliCores * Running;
     // Without a rank no step of the occurrence waits.
-    if (!Rank || !hasWaitingTask(Job.Spec, Occurrence, Step))
+    if (!Rank || Waiting == 0 || !hasWaitingTask(Job.Spec, Occurrence, Step))
       continue;
-    auto Waiting =
-        std::count_if(Tasks.begin(), Tasks.end(),
-                      [](const task_record &Task) { return Task.isWaiting(); });
     if (Spec.IsLongRunning)
       Demand.LongMilliCores += MilliCores * Waiting;
     else if (Rank->Group <= InTimeGroup)
