Let results for the leader share messages

A delegate sent its results in each iteration of its event loop, up to 333 messages a second; four of them kept the leader in iterations of a few milliseconds, each of which wakes its threads and all its peers.

A delegate sends results to the same leader at most each 10 ms, and a leader whose endpoints are served by delegates begins iterations at least 8 ms after each other.

--- a/bench/schedule_load.cpp
+++ b/bench/schedule_load.cpp
@@ -96,7 +96,7 @@
     for (auto &Order : Orders)
       if (!Leader.delegate(Order, Now))
         Direct.push_back(std::move(Order));
-    Sent = Leader.takeMessages();
+    Sent = Leader.takeMessages(Now);
   }
   /// \returns the orders as the receivers see them.
   std::vector<order> receive() {
@@ -121,9 +121,9 @@
     Delegates.find(Origin->second.Delegate)->second.finish(Result);
     Origins.erase(Origin);
   }
-  void sendAnswers() {
+  void sendAnswers(core::time_point Now) {
     for (auto &[Peer, Delegate] : Delegates)
-      for (auto &Message : Delegate.takeMessages())
+      for (auto &Message : Delegate.takeMessages(Now))
         Answers.emplace_back(Peer, std::move(Message.Bytes));
   }
   /// Counted: receives the results.
@@ -327,7 +327,7 @@
     HeartbeatBatch = encodeHeartbeats(std::exchange(Heartbeats, {}));
     for (auto &Answer : std::exchange(Answers, {}))
       Peers.answer(std::move(Answer));
-    Peers.sendAnswers();
+    Peers.sendAnswers(now());
     if (IsLoaded)
       submit();
   }
--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -13,6 +13,10 @@
 // delegate and for its queue.
 constexpr core::duration DelegateMargin = milliseconds(300);
 constexpr core::duration ExpiryInterval = milliseconds(50);
+// Minimum time between two messages with results to the same leader. Without
+// it a delegate sends one for every few answers, and a leader with four busy
+// delegates spends more time on messages than on the results in them.
+constexpr core::duration ResultInterval = milliseconds(10);
 // A message grows to at most this size plus that of one order or result. A link
 // refuses messages above 4 MiB, and with one all its orders would fail.
 constexpr std::size_t MaxBatchBytes = 1u << 20;
@@ -131,12 +135,14 @@
     Result.Answer = no_answer{
         true, "answer of about " + std::to_string(messageBytes(Result)) +
                   " bytes with rows that are too large or too many"};
-  ResultsByPeer[Found->second.Peer].Results.push_back(std::move(Result));
+  ResultsByPeer[Found->second.Peer].Results.Results.push_back(
+      std::move(Result));
   ReceivedOrders.erase(Found);
   return true;
 }
 
-std::vector<call_delegator::outgoing_message> call_delegator::takeMessages() {
+std::vector<call_delegator::outgoing_message>
+call_delegator::takeMessages(core::time_point Now) {
   std::vector<outgoing_message> Messages;
   for (auto &[Peer, Orders] : std::exchange(OrdersByPeer, {}))
     for (auto &Group : split(std::move(Orders.Orders))) {
@@ -146,13 +152,26 @@
       Message.Bytes = encodeDelegation(delegated_orders{std::move(Group)});
       Messages.push_back(std::move(Message));
     }
-  for (auto &[Peer, Results] : std::exchange(ResultsByPeer, {}))
-    for (auto &Group : split(std::move(Results.Results)))
+  for (auto &[Peer, Waiting] : ResultsByPeer) {
+    auto &Results = Waiting.Results.Results;
+    if (Results.empty() || Now < Waiting.DueAt)
+      continue;
+    Waiting.DueAt = Now + ResultInterval;
+    for (auto &Group : split(std::exchange(Results, {})))
       Messages.push_back(
           {Peer, encodeDelegation(delegated_results{std::move(Group)}), {}});
+  }
   return Messages;
 }
 
+std::optional<core::time_point> call_delegator::nextResults() const {
+  std::optional<core::time_point> Next;
+  for (const auto &[Peer, Waiting] : ResultsByPeer)
+    if (!Waiting.Results.Results.empty())
+      Next = std::min(Next.value_or(Waiting.DueAt), Waiting.DueAt);
+  return Next;
+}
+
 std::vector<order_result>
 call_delegator::sendFailed(const outgoing_message &Message) {
   std::vector<order_result> Results;
--- a/scheduling/call_delegator.h
+++ b/scheduling/call_delegator.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -56,8 +57,12 @@
     std::string Bytes;
     std::vector<std::uint64_t> DelegatedOrders; ///< Ids of the orders in it.
   };
-  /// \returns the messages to send since the last call.
-  std::vector<outgoing_message> takeMessages();
+  /// \returns the orders to send since the last call, and the results that are
+  /// due. Results for a peer that got some less than ResultInterval ago wait
+  /// for later ones.
+  std::vector<outgoing_message> takeMessages(core::time_point Now);
+  /// \returns when the first results that wait are due, or nothing.
+  std::optional<core::time_point> nextResults() const;
   /// \param Message a message that the link did not accept.
   /// \returns the results of its orders, which have not run.
   std::vector<order_result> sendFailed(const outgoing_message &Message);
@@ -75,7 +80,11 @@
   sender_table Senders;
   std::unordered_map<std::uint64_t, delegated_order> Delegated;
   std::map<std::string, delegated_orders> OrdersByPeer;
-  std::map<std::string, delegated_results> ResultsByPeer;
+  struct waiting_results {
+    delegated_results Results;
+    core::time_point DueAt{};
+  };
+  std::map<std::string, waiting_results> ResultsByPeer;
   std::unordered_map<std::uint64_t, received_order> ReceivedOrders;
   std::uint64_t LastReceived = 0;
   core::time_point NextExpiry{};
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -46,6 +46,9 @@
 // iteration wakes threads of this process and of all linked schedulers, and a
 // round of decisions costs the same for one event as for many.
 constexpr core::duration MinIteration = std::chrono::milliseconds(3);
+// Replaces MinIteration at a leader whose endpoints are served by delegates. A
+// start takes two commits and two messages of about 10 ms each.
+constexpr core::duration MinBusyIteration = std::chrono::milliseconds(8);
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
 // Gateways reject requests when no leader has sent a status for a second.
 constexpr core::duration StatusInterval = std::chrono::milliseconds(300);
@@ -269,9 +272,13 @@
         if (Signals.Stops > 1 || Now >= StopAt)
           forceExit();
       }
-      auto Wait = Node.nextTick(Now) - boot_clock::now();
-      Signal.waitFor(std::clamp(Wait, MinWait, MaxWait));
-      if (auto Rest = Now + MinIteration - boot_clock::now();
+      auto NextAt = Node.nextTick(Now);
+      if (auto Results = Delegator.nextResults())
+        NextAt = std::min(NextAt, *Results);
+      Signal.waitFor(std::clamp(NextAt - boot_clock::now(), MinWait, MaxWait));
+      auto Interval = Node.isLeading() && usesRelays(Node) ? MinBusyIteration
+                                                           : MinIteration;
+      if (auto Rest = Now + Interval - boot_clock::now();
           Rest > core::duration())
         std::this_thread::sleep_for(Rest);
     }
@@ -565,7 +572,7 @@
   }
 
   void sendDelegated(schedule_node &Node, core::time_point Now) {
-    for (auto &Message : Delegator.takeMessages()) {
+    for (auto &Message : Delegator.takeMessages(Now)) {
       auto Bytes = std::move(Message.Bytes);
       if (Hub.send(Message.Peer, std::move(Bytes)))
         continue;
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -129,7 +129,7 @@
   Leader.peerConnected("delegate");
   auto Order = makeOrder(7);
   REQUIRE(Leader.delegate(Order, at(1s)));
-  auto Messages = Leader.takeMessages();
+  auto Messages = Leader.takeMessages(at(1s));
   REQUIRE(Messages.size() == 1);
   CHECK(Messages[0].Peer == "delegate");
   auto Received = Delegate.receive("leader", Messages[0].Bytes);
@@ -150,7 +150,7 @@
   CHECK(Start->Ticket == "t");
   order_result Result{Arrived.Id, makeAnswer()};
   REQUIRE(Delegate.finish(Result));
-  auto Answers = Delegate.takeMessages();
+  auto Answers = Delegate.takeMessages(at(1s));
   REQUIRE(Answers.size() == 1);
   auto Back = Leader.receive("delegate", Answers[0].Bytes);
   REQUIRE(Back.Results.size() == 1);
@@ -173,7 +173,8 @@
     Order.Body = Bodies[Body];
     REQUIRE(Leader.delegate(Order, at(1s)));
   }
-  auto Received = Delegate.receive("leader", Leader.takeMessages().at(0).Bytes);
+  auto Received =
+      Delegate.receive("leader", Leader.takeMessages(at(1s)).at(0).Bytes);
   REQUIRE(Received.Orders.size() == Bodies.size());
   CHECK(std::get<stop_order>(Received.Orders[0].Body).Fence == 3);
   CHECK(std::get<poll_order>(Received.Orders[1].Body).LeaseExpiryMs == 3u);
@@ -194,14 +195,16 @@
   call_delegator Delegate(0);
   Leader.peerConnected("delegate");
   for (bool IsRefused : {true, false}) {
+    auto Now = at(IsRefused ? 1s : 2s);
     auto Order = makeOrder(7);
-    REQUIRE(Leader.delegate(Order, at(1s)));
+    REQUIRE(Leader.delegate(Order, Now));
     auto Received =
-        Delegate.receive("leader", Leader.takeMessages().at(0).Bytes);
+        Delegate.receive("leader", Leader.takeMessages(Now).at(0).Bytes);
     order_result Result{Received.Orders.at(0).Id,
                         no_answer{false, "no connection", false, IsRefused}};
     REQUIRE(Delegate.finish(Result));
-    auto Back = Leader.receive("delegate", Delegate.takeMessages().at(0).Bytes);
+    auto Back =
+        Leader.receive("delegate", Delegate.takeMessages(Now).at(0).Bytes);
     REQUIRE(Back.Results.size() == 1);
     CHECK(noAnswer(Back.Results[0]).IsRefused == IsRefused);
     CHECK(!noAnswer(Back.Results[0]).MayHaveRun);
@@ -210,6 +213,40 @@
   }
 }
 
+// Guards against a message for every result, which costs a busy leader more
+// than the results do.
+TEST_CASE("results in quick succession share a message") {
+  call_delegator Leader(0);
+  call_delegator Delegate(0);
+  Leader.peerConnected("delegate");
+  std::vector<order> Orders;
+  for (std::uint64_t Id = 1; Id <= 4; ++Id) {
+    auto Order = makeOrder(Id);
+    REQUIRE(Leader.delegate(Order, at(1s)));
+  }
+  for (auto &Message : Leader.takeMessages(at(1s)))
+    Orders = Delegate.receive("leader", Message.Bytes).Orders;
+  REQUIRE(Orders.size() == 4);
+  auto Finish = [&](std::size_t Order) {
+    order_result Result{Orders[Order].Id, makeAnswer()};
+    REQUIRE(Delegate.finish(Result));
+  };
+  CHECK(!Delegate.nextResults());
+  Finish(0);
+  CHECK(Delegate.takeMessages(at(1000ms)).size() == 1);
+  Finish(1);
+  Finish(2);
+  CHECK(Delegate.takeMessages(at(1004ms)).empty());
+  auto Next = Delegate.nextResults();
+  REQUIRE(Next);
+  CHECK(*Next <= at(1010ms));
+  Finish(3);
+  auto Messages = Delegate.takeMessages(*Next);
+  REQUIRE(Messages.size() == 1);
+  CHECK(Leader.receive("delegate", Messages[0].Bytes).Results.size() == 3);
+  CHECK(!Delegate.nextResults());
+}
+
 TEST_CASE("a result of an own order is not sent to a peer") {
   call_delegator Delegator(0);
   order_result Result{7, makeAnswer()};
@@ -221,7 +258,7 @@
   Leader.peerConnected("delegate");
   auto First = makeOrder(1);
   REQUIRE(Leader.delegate(First, at(1s)));
-  Leader.takeMessages();
+  Leader.takeMessages(at(1s));
   auto Lost = Leader.peerDisconnected("delegate");
   REQUIRE(Lost.size() == 1);
   CHECK(noAnswer(Lost[0]).MayHaveRun);
@@ -229,7 +266,7 @@
   Leader.peerConnected("delegate");
   auto Second = makeOrder(2);
   REQUIRE(Leader.delegate(Second, at(2s)));
-  Leader.takeMessages();
+  Leader.takeMessages(at(1s));
   CHECK(Leader.expire(at(2900ms)).empty());
   auto Silent = Leader.expire(at(3100ms));
   REQUIRE(Silent.size() == 1);
@@ -246,7 +283,7 @@
   Leader.peerConnected("delegate");
   auto Order = makeOrder(1);
   REQUIRE(Leader.delegate(Order, at(1s)));
-  auto Messages = Leader.takeMessages();
+  auto Messages = Leader.takeMessages(at(1s));
   auto Results = Leader.sendFailed(Messages.at(0));
   REQUIRE(Results.size() == 1);
   CHECK(!noAnswer(Results[0]).MayHaveRun);
@@ -307,7 +344,7 @@
       REQUIRE(Leader.delegate(Order, at(1s)));
     }
     std::vector<order> Orders;
-    for (const auto &Message : Leader.takeMessages())
+    for (const auto &Message : Leader.takeMessages(at(1s)))
       for (auto &Order : Delegate.receive("l", Message.Bytes).Orders)
         Orders.push_back(std::move(Order));
     REQUIRE(Orders.size() == 2);
@@ -316,7 +353,7 @@
     REQUIRE(Delegate.finish(First));
     REQUIRE(Delegate.finish(Second));
     std::map<std::uint64_t, order_result> Results;
-    for (const auto &Message : Delegate.takeMessages()) {
+    for (const auto &Message : Delegate.takeMessages(at(1s))) {
       auto Received = Leader.receive("d", Message.Bytes);
       REQUIRE(Received.IsValid);
       for (auto &Result : Received.Results)
@@ -343,7 +380,7 @@
     REQUIRE(Leader.delegate(Order, at(1s)));
   }
   std::size_t Received = 0;
-  for (const auto &Message : Leader.takeMessages()) {
+  for (const auto &Message : Leader.takeMessages(at(1s))) {
     CHECK(Message.Bytes.size() < MaxMessageBytes);
     CHECK_FALSE(Message.DelegatedOrders.empty());
     for (auto &Order : Delegate.receive("l", Message.Bytes).Orders) {
@@ -358,7 +395,7 @@
   }
   CHECK(Received == 300);
   std::size_t Results = 0;
-  for (const auto &Message : Delegate.takeMessages()) {
+  for (const auto &Message : Delegate.takeMessages(at(1s))) {
     CHECK(Message.Bytes.size() < MaxMessageBytes);
     for (const auto &Result : Leader.receive("d", Message.Bytes).Results)
       Results += std::holds_alternative<endpoint_answer>(Result.Answer);
