Let delegates request and decode the lists of hosts

The leader requested the list of 1,100 hosts twice a second and decoded its JSON, at any load: 50 to 110 ms of its second, while four other schedulers of the same size were nearly idle. It is work that grows with the fleet and does not depend on the runs.

A delegate requests the pages and returns typed rows. Orders that change a host name the lease holder and are still sent by the leader. After a delegate got no list the leader requests the next one itself, because the delegate may be cut off from the platform.

--- a/scheduling/call_delegator.cpp
+++ b/scheduling/call_delegator.cpp
@@ -39,13 +39,15 @@
   return Groups;
 }
 
-/// \returns the result of an order that may have run.
-order_result lostResult(std::uint64_t Id, const char *Reason) {
-  return {Id, no_answer{true, Reason, true}};
-}
-
 } // namespace
 
+order_result call_delegator::lose(
+    const std::pair<const std::uint64_t, delegated_order> &Item,
+    const char *Reason) {
+  HasHostListFailed |= Item.second.IsHostList;
+  return {Item.first, no_answer{true, Reason, true}};
+}
+
 void call_delegator::peerConnected(const std::string &Peer) {
   Senders.addDelegate(Peer);
 }
@@ -61,19 +63,23 @@
   std::erase_if(Delegated, [&](const auto &Item) {
     if (Item.second.Peer != Peer)
       return false;
-    Results.push_back(lostResult(Item.first, "delegate disconnected"));
+    Results.push_back(lose(Item, "delegate disconnected"));
     return true;
   });
   return Results;
 }
 
 bool call_delegator::delegate(order &Order, core::time_point Now) {
-  if (!isForEndpoint(Order))
+  if (!isDelegable(Order))
+    return false;
+  bool IsHostList = std::holds_alternative<list_hosts_order>(Order.Body);
+  if (IsHostList && std::exchange(HasHostListFailed, false))
     return false;
   std::string Delegate(Senders.senderOf(Order.Endpoint, Now));
   if (Delegate.empty())
     return false;
-  Delegated[Order.Id] = {Delegate, Now + Order.Timeout + DelegateMargin};
+  Delegated[Order.Id] = {Delegate, Now + Order.Timeout + DelegateMargin,
+                         IsHostList};
   OrdersByPeer[Delegate].Orders.push_back(std::move(Order));
   return true;
 }
@@ -87,8 +93,7 @@
   std::erase_if(Delegated, [&](const auto &Item) {
     if (Now < Item.second.Deadline)
       return false;
-    Results.push_back(
-        lostResult(Item.first, "delegate did not answer in time"));
+    Results.push_back(lose(Item, "delegate did not answer in time"));
     Silent.push_back(Item.second.Peer);
     return true;
   });
@@ -116,9 +121,15 @@
     return Received;
   }
   Senders.addDelegate(Peer);
-  for (auto &Result : std::get<delegated_results>(*Message).Results)
-    if (Delegated.erase(Result.Id) > 0)
-      Received.Results.push_back(std::move(Result));
+  for (auto &Result : std::get<delegated_results>(*Message).Results) {
+    auto Found = Delegated.find(Result.Id);
+    if (Found == Delegated.end())
+      continue;
+    HasHostListFailed |= Found->second.IsHostList &&
+                         std::holds_alternative<no_answer>(Result.Answer);
+    Delegated.erase(Found);
+    Received.Results.push_back(std::move(Result));
+  }
   return Received;
 }
 
--- a/scheduling/call_delegator.h
+++ b/scheduling/call_delegator.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -71,13 +72,20 @@
   struct delegated_order {
     std::string Peer;
     core::time_point Deadline{};
+    bool IsHostList = false;
   };
   struct received_order {
     std::string Peer;
     std::uint64_t Id = 0; ///< Id of the order at the peer.
   };
 
+  /// \returns the entry's result, which says that the order may have run.
+  order_result lose(const std::pair<const std::uint64_t, delegated_order> &Item,
+                    const char *Reason);
+
   sender_table Senders;
+  /// The delegate may be out of reach of the platform.
+  bool HasHostListFailed = false;
   std::unordered_map<std::uint64_t, delegated_order> Delegated;
   std::map<std::string, delegated_orders> OrdersByPeer;
   struct waiting_results {
--- a/scheduling/delegation_messages.cpp
+++ b/scheduling/delegation_messages.cpp
@@ -13,6 +13,9 @@
 template <>
 inline constexpr auto LargestEnumerator<scheduling::endpoint_verdict> =
     scheduling::endpoint_verdict::BadOrder;
+template <>
+inline constexpr auto LargestEnumerator<scheduling::host_state> =
+    scheduling::host_state::Down;
 
 } // namespace lycheetrestle::fleet
 
@@ -36,6 +39,18 @@
 void fields(Archive &A, Type &R) {
   A(R.Task, R.Attempt, R.Percent, R.Fence);
 }
+template <typename Archive, record_of<list_hosts_order> Type>
+void fields(Archive &A, Type &R) {
+  A(R.PageToken);
+}
+template <typename Archive, record_of<host_row> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Name, R.Pool, R.State, R.Zone, R.Labels, R.Capacity, R.EndpointId);
+}
+template <typename Archive, record_of<hosts_answer> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Hosts, R.NextToken, R.UnreadableHosts);
+}
 // The rows have no nested record for the task: a list has up to hundreds.
 template <typename Archive, record_of<run_row> Type>
 void fields(Archive &A, Type &R) {
@@ -60,8 +75,9 @@
 
 constexpr const char *OrdersName = "orders";
 constexpr const char *ResultsName = "results";
-// The deepest item nests as message > results > result > answer > rows > row.
-constexpr std::size_t MaxDepth = 6;
+// The deepest item nests as message > results > result > hosts > rows > row >
+// labels > label.
+constexpr std::size_t MaxDepth = 8;
 // A row has 9 items; bounds the memory of a message of 4 MiB.
 constexpr std::size_t MaxItems = 30 * fleet::MaxListItems;
 // Largest answer that is transferred, and allowance for its fields other than
@@ -81,6 +97,7 @@
   std::optional<stop_order> Stop;
   std::optional<poll_order> Poll;
   std::optional<throttle_order> Throttle;
+  std::optional<list_hosts_order> Hosts;
 };
 
 /// A result with exactly one kind of answer.
@@ -88,16 +105,17 @@
   std::uint64_t Id = 0;
   std::optional<no_answer> NoAnswer;
   std::optional<endpoint_answer> Answer;
+  std::optional<hosts_answer> Hosts;
 };
 
 template <typename Archive, record_of<order_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Id, R.Endpoint, R.Address, R.EndpointId, R.TimeoutMs, R.Start, R.Stop,
-    R.Poll, R.Throttle);
+    R.Poll, R.Throttle, R.Hosts);
 }
 template <typename Archive, record_of<result_record> Type>
 void fields(Archive &A, Type &R) {
-  A(R.Id, R.NoAnswer, R.Answer);
+  A(R.Id, R.NoAnswer, R.Answer, R.Hosts);
 }
 
 order_record toRecord(const order &Order) {
@@ -117,6 +135,8 @@
     Record.Poll = *Poll;
   else if (const auto *Throttle = std::get_if<throttle_order>(&Order.Body))
     Record.Throttle = *Throttle;
+  else if (const auto *Hosts = std::get_if<list_hosts_order>(&Order.Body))
+    Record.Hosts = *Hosts;
   return Record;
 }
 
@@ -139,7 +159,9 @@
   Take(Record.Stop);
   Take(Record.Poll);
   Take(Record.Throttle);
-  if (Bodies != 1 || Order.Endpoint == 0)
+  Take(Record.Hosts);
+  bool IsForHosts = std::holds_alternative<list_hosts_order>(Order.Body);
+  if (Bodies != 1 || (Order.Endpoint == 0) != IsForHosts)
     return std::nullopt;
   return Order;
 }
@@ -151,13 +173,19 @@
     Record.Answer = *Answer;
   else if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer))
     Record.NoAnswer = *NoAnswer;
+  else if (const auto *Hosts = std::get_if<hosts_answer>(&Result.Answer))
+    Record.Hosts = *Hosts;
   return Record;
 }
 
 /// \returns the result, or nothing when the record has not exactly one answer.
 std::optional<order_result> fromRecord(result_record Record) {
-  if (Record.NoAnswer.has_value() == Record.Answer.has_value())
+  if (Record.NoAnswer.has_value() + Record.Answer.has_value() +
+          Record.Hosts.has_value() !=
+      1)
     return std::nullopt;
+  if (Record.Hosts)
+    return order_result{Record.Id, std::move(*Record.Hosts)};
   if (Record.Answer)
     return order_result{Record.Id, std::move(*Record.Answer)};
   return order_result{Record.Id, std::move(*Record.NoAnswer)};
@@ -176,9 +204,33 @@
   return Rows.size() <= fleet::MaxListItems;
 }
 
+/// \param Bytes the size of the rows is added to it.
+/// \returns whether a receiver accepts the rows.
+bool areTransferable(const hosts_answer &Hosts, std::size_t &Bytes) {
+  bool IsShort = Hosts.NextToken.size() <= fleet::MaxStringBytes;
+  auto Add = [&](const std::string &Text) {
+    Bytes += Text.size();
+    IsShort &= Text.size() <= fleet::MaxStringBytes;
+  };
+  for (const auto &Row : Hosts.Hosts) {
+    Bytes += RowOverheadBytes;
+    for (const auto *Text : {&Row.Name, &Row.Pool, &Row.Zone, &Row.EndpointId})
+      Add(*Text);
+    for (const auto &Label : Row.Labels)
+      Add(Label);
+    IsShort &= Row.Labels.size() <= fleet::MaxListItems;
+  }
+  for (const auto &Name : Hosts.UnreadableHosts)
+    Add(Name);
+  return IsShort && Hosts.Hosts.size() <= fleet::MaxListItems &&
+         Hosts.UnreadableHosts.size() <= fleet::MaxListItems;
+}
+
 } // namespace
 
-bool isForEndpoint(const order &Order) {
+bool isDelegable(const order &Order) {
+  if (std::holds_alternative<list_hosts_order>(Order.Body))
+    return true;
   return Order.Endpoint != 0 &&
          (std::holds_alternative<start_order>(Order.Body) ||
           std::holds_alternative<stop_order>(Order.Body) ||
@@ -201,6 +253,8 @@
     areTransferable(Answer->Ended, Size);
   } else if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer)) {
     Size += NoAnswer->Reason.size();
+  } else if (const auto *Hosts = std::get_if<hosts_answer>(&Result.Answer)) {
+    areTransferable(*Hosts, Size);
   }
   return Size;
 }
@@ -208,8 +262,10 @@
 bool isTransferable(const order_result &Result) {
   if (const auto *NoAnswer = std::get_if<no_answer>(&Result.Answer))
     return NoAnswer->Reason.size() <= fleet::MaxStringBytes;
-  const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
   std::size_t Bytes = 0;
+  if (const auto *Hosts = std::get_if<hosts_answer>(&Result.Answer))
+    return areTransferable(*Hosts, Bytes) && Bytes <= MaxAnswerBytes;
+  const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
   return Answer && areTransferable(Answer->Running, Bytes) &&
          areTransferable(Answer->Ended, Bytes) && Bytes <= MaxAnswerBytes;
 }
--- a/scheduling/delegation_messages.h
+++ b/scheduling/delegation_messages.h
@@ -24,9 +24,11 @@
 
 using delegation_message = std::variant<delegated_orders, delegated_results>;
 
-/// \returns whether the order is of a kind that only goes to endpoints; orders
-/// to the platform and the adviser are not delegated.
-bool isForEndpoint(const order &Order);
+/// \returns whether any scheduler may send the order for the leader: an order
+/// to an endpoint, or a request for the list of hosts. Orders that change a
+/// host name the sender as the lease holder, and an adviser queues the requests
+/// of each sender.
+bool isDelegable(const order &Order);
 /// \returns the approximate size of the order or result in a message, in bytes.
 std::size_t messageBytes(const order &Order);
 std::size_t messageBytes(const order_result &Result);
@@ -34,7 +36,7 @@
 /// refuse the whole message.
 bool isTransferable(const order_result &Result);
 
-/// \param Message orders for which isForEndpoint() is true, or results for
+/// \param Message orders for which isDelegable() is true, or results for
 /// which isTransferable() is true.
 /// \returns a CBOR map, which distinguishes it from a control frame.
 std::string encodeDelegation(const delegation_message &Message);
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -624,7 +624,7 @@
            Storage.writes().push(std::move(PendingWrites.front())))
       PendingWrites.pop_front();
     for (auto &Order : Actions.Orders) {
-      // Calls to the platform name this process as the lease holder, so the
+      // Calls that change a host name this process as the lease holder, so the
       // leader makes them itself.
       if (Delegator.delegate(Order, Now))
         Metrics.add("orders_lent_total");
--- a/tests/scheduling/test_call_delegator.cpp
+++ b/tests/scheduling/test_call_delegator.cpp
@@ -160,7 +160,7 @@
   CHECK(Leader.receive("delegate", Answers[0].Bytes).Results.empty());
 }
 
-TEST_CASE("every kind of order to an endpoint is delegated, and no other") {
+TEST_CASE("orders to endpoints and lists of hosts are delegated, no others") {
   call_delegator Leader(0);
   call_delegator Delegate(0);
   Leader.peerConnected("delegate");
@@ -181,14 +181,98 @@
   CHECK(std::get<poll_order>(Received.Orders[1].Body).WaitMs == 4);
   CHECK(!std::get<poll_order>(Received.Orders[2].Body).LeaseExpiryMs);
   CHECK(std::get<throttle_order>(Received.Orders[3].Body).Percent == 50);
-  auto ToPlatform = makeOrder(9, 0);
-  ToPlatform.Body = list_hosts_order{};
-  CHECK(!Leader.delegate(ToPlatform, at(1s)));
+  auto Move = makeOrder(9, 0);
+  Move.Body = move_host_order{"m-1", "pool", 1};
+  CHECK(!Leader.delegate(Move, at(1s)));
+  auto Maintenance = makeOrder(11, 0);
+  Maintenance.Body = maintenance_order{"m-1", 1, 1};
+  CHECK(!Leader.delegate(Maintenance, at(1s)));
   auto ToAdviser = makeOrder(10, 0);
   ToAdviser.Body = advise_order{};
   CHECK(!Leader.delegate(ToAdviser, at(1s)));
 }
 
+order makeListOrder(std::uint64_t Id) {
+  order Order;
+  Order.Id = Id;
+  Order.Timeout = 700ms;
+  Order.Body = list_hosts_order{"page 2"};
+  return Order;
+}
+
+TEST_CASE("a delegate returns the hosts of a list as the platform shows them") {
+  call_delegator Leader(0);
+  call_delegator Delegate(0);
+  Leader.peerConnected("delegate");
+  auto Order = makeListOrder(5);
+  REQUIRE(Leader.delegate(Order, at(1s)));
+  auto Received =
+      Delegate.receive("leader", Leader.takeMessages(at(1s)).at(0).Bytes);
+  REQUIRE(Received.Orders.size() == 1);
+  CHECK(std::get<list_hosts_order>(Received.Orders[0].Body).PageToken ==
+        "page 2");
+  CHECK(Received.Orders[0].Endpoint == 0);
+  hosts_answer Hosts;
+  Hosts.Hosts = {{"m-1",
+                  "pool",
+                  host_state::Maintenance,
+                  "zone",
+                  {"a", "r1-3"},
+                  {64'000, 128'000, 2},
+                  "i-1"},
+                 {"m-2", "", host_state::Down, "", {}, {}, ""}};
+  Hosts.NextToken = "page 3";
+  Hosts.UnreadableHosts = {"m-3"};
+  order_result Result{Received.Orders[0].Id, Hosts};
+  REQUIRE(Delegate.finish(Result));
+  auto Back =
+      Leader.receive("delegate", Delegate.takeMessages(at(1s)).at(0).Bytes);
+  REQUIRE(Back.Results.size() == 1);
+  CHECK(Back.Results[0].Id == 5);
+  const auto *Listed = std::get_if<hosts_answer>(&Back.Results[0].Answer);
+  REQUIRE(Listed);
+  REQUIRE(Listed->Hosts.size() == 2);
+  const auto &First = Listed->Hosts[0];
+  CHECK(First.Name == "m-1");
+  CHECK(First.Pool == "pool");
+  CHECK(First.State == host_state::Maintenance);
+  CHECK(First.Zone == "zone");
+  CHECK(First.Labels == std::vector<std::string>{"a", "r1-3"});
+  CHECK(First.Capacity == resource_amounts{64'000, 128'000, 2});
+  CHECK(First.EndpointId == "i-1");
+  CHECK(Listed->Hosts[1].State == host_state::Down);
+  CHECK(Listed->NextToken == "page 3");
+  CHECK(Listed->UnreadableHosts == std::vector<std::string>{"m-3"});
+}
+
+// Guards against a leader that knows no hosts because its delegate is cut off
+// from the platform.
+TEST_CASE(
+    "after a delegate got no list of hosts the leader requests the next") {
+  call_delegator Leader(0);
+  call_delegator Delegate(0);
+  Leader.peerConnected("delegate");
+  auto First = makeListOrder(1);
+  REQUIRE(Leader.delegate(First, at(1s)));
+  auto Received =
+      Delegate.receive("leader", Leader.takeMessages(at(1s)).at(0).Bytes);
+  order_result Result{Received.Orders.at(0).Id, no_answer{true, "timeout"}};
+  REQUIRE(Delegate.finish(Result));
+  auto Back =
+      Leader.receive("delegate", Delegate.takeMessages(at(1s)).at(0).Bytes);
+  REQUIRE(Back.Results.size() == 1);
+  auto Second = makeListOrder(2);
+  CHECK(!Leader.delegate(Second, at(2s)));
+  auto Third = makeListOrder(3);
+  CHECK(Leader.delegate(Third, at(3s)));
+  // A delegate that is lost with the order counts as well.
+  Leader.takeMessages(at(3s));
+  REQUIRE(Leader.peerDisconnected("delegate").size() == 1);
+  Leader.peerConnected("delegate");
+  auto Fourth = makeListOrder(4);
+  CHECK(!Leader.delegate(Fourth, at(4s)));
+}
+
 // Otherwise the leader takes an endpoint that has ended for one out of reach.
 TEST_CASE("the result of a delegated order tells whether it was refused") {
   call_delegator Leader(0);
@@ -320,6 +404,13 @@
   Odd = Orders;
   Odd["orders"][0][1] = 0;
   CHECK(!IsAccepted(Odd));
+  Odd = Orders;
+  Odd["orders"][0][9] = nlohmann::json::array({"page"});
+  CHECK(!IsAccepted(Odd));
+  Odd = Results;
+  Odd["results"][0][3] = nlohmann::json::array(
+      {nlohmann::json::array(), "", nlohmann::json::array()});
+  CHECK(!IsAccepted(Odd));
   Odd = Results;
   Odd["results"][0][2] = nullptr;
   CHECK(!IsAccepted(Odd));
