Let more ends share an answer when there are many

An endpoint was asked again 40 ms after an answer with an end, so that at 3,000 ends a second nearly every end costs an answer, which lists all runs of its endpoint. Above 1,000 such answers a second the wait grows in proportion, to at most 200 ms. With fewer nothing changes.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -15,6 +15,7 @@
 #include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
 #include "scheduling/placer.h"
+#include "scheduling/poll_pacer.h"
 #include "scheduling/pool_rebalancer.h"
 #include "scheduling/queue_load.h"
 #include "scheduling/rank_cache.h"
@@ -587,6 +588,7 @@
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
   std::unordered_map<std::uint64_t, pending_order> PendingOrders;
+  poll_pacer PollPacer;
   std::uint64_t LastList = 0; ///< Number of lists compared so far.
   verdict_log Verdicts;
   /// Earliest time of the next placement of tasks whose start was refused.
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -10,9 +10,6 @@
 
 using std::chrono::milliseconds;
 
-// Delay of the next poll after a run ended, so that ends in quick succession
-// share an answer.
-constexpr core::duration EndBatchDelay = milliseconds(40);
 // Delay of a poll after one that failed at a scheduler; repeating it at once
 // would add to the load that made it fail.
 constexpr core::duration LocalRetryInterval = milliseconds(100);
@@ -436,7 +433,9 @@
       beginStop(Run, stop_reason::NotListed, Now);
     }
   }
-  Tracked.NextPoll = HasEnds ? Now + EndBatchDelay : Now;
+  if (HasEnds)
+    PollPacer.recordAnswer(Now);
+  Tracked.NextPoll = HasEnds ? Now + PollPacer.delay(Now) : Now;
 }
 
 void leader::recordDuration(const task_key &Task, core::duration Elapsed) {
