Ping only links that are silent

Each side of a link sent a ping each second, also on links that carry messages all the time; a scheduler has links to 150 gateways. Whatever the peer has sent within the period shows as much as its answer to a ping.

--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -373,7 +373,8 @@
                        std::to_string(ReceiveTimeout.count()) + " ms");
     return;
   }
-  if (Now - State.LastPing < PingPeriod)
+  // Whatever the peer has sent lately shows as much as its answer to a ping.
+  if (Now - std::max(State.LastPing, State.LastReceived) < PingPeriod)
     return;
   State.LastPing = Now;
   websocketpp::lib::error_code Ignored;
