Do not bound the rate of starts by unanswered ones when delegates send them

At most 256 start orders may be without an answer. The limit protects a process that sends the orders itself. With delegates each start waits for a commit and for batches on its way and back, about a tenth of a second at full load, so that the limit itself bounded the rate: 256 in a tenth of a second. Samples of pending_starts were at 256, at 100 iterations a second with a third of the second left.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -26,7 +26,11 @@
 // this process to a fraction of the order's timeout: load beyond the send rate
 // of one process lowers the rate of starts instead of making all of them time
 // out. At 1,200 starts per second and 20 ms per answer about 25 are pending.
-constexpr std::size_t MaxPendingStarts = 256;
+constexpr std::size_t MaxPendingOwnStarts = 256;
+// The same when delegates send them. Each way of an order and of its answer
+// waits for a batch, so that at full load a start is committed after about 40
+// ms and answered 60 ms later; the limit must not be what bounds the rate then.
+constexpr std::size_t MaxPendingDelegatedStarts = 512;
 // Ranks depend on the time, so placement also runs without an event.
 constexpr core::duration PlacementInterval = milliseconds(100);
 // Events within this time share a round of placement, because a round over a
@@ -658,6 +662,9 @@
 void leader::collectStarts(std::vector<command> &Commands, core::time_point Now,
                            std::int64_t WallMs) {
   IsPlacementDue = false;
+  auto MaxPendingStarts = TrackedEndpoints.size() > Settings.OwnEndpoints
+                              ? MaxPendingDelegatedStarts
+                              : MaxPendingOwnStarts;
   if (PendingStarts >= MaxPendingStarts) {
     Metrics.add("placements_put_off_total");
     IsPlacementDue = true;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -58,6 +58,9 @@
   /// Ends that an endpoint lists in one answer. It keeps the others until the
   /// cursor confirms those.
   std::size_t MaxEndsPerAnswer = 500;
+  /// Number of endpoints up to which this process sends their orders itself;
+  /// with more, delegates do.
+  std::size_t OwnEndpoints = 60;
 };
 
 /// Decision logic of the leading scheduler: starts and stops of runs, leases,
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -322,6 +322,7 @@
   // time until the log was applied is part of it.
   auto LeaderSettings = Settings.Leader;
   LeaderSettings.PreviousLeaderGrace -= Now - ElectedAt;
+  LeaderSettings.OwnEndpoints = Settings.OwnEndpoints;
   Leader.emplace(LeaderSettings, LeaderTerm, State, Metrics, Now);
   reportDepartures(Now);
   core::logEvent(core::log_level::Info, "leading",
