--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -36,10 +36,14 @@
 // Events within this time share a round of placement, because a round over a
 // large backlog is expensive. Short compared to the latency objectives of jobs.
 constexpr core::duration MinPlacementInterval = milliseconds(15);
-constexpr core::duration LostCheckInterval = milliseconds(20);
+// How late the loss of an endpoint is noticed. A pass over a thousand endpoints
+// takes a tenth of a millisecond.
+constexpr core::duration LostCheckInterval = milliseconds(50);
+// A job opens at most one occurrence each time.
+constexpr core::duration OccurrenceInterval = milliseconds(20);
 // How late an endpoint that has become able to accept runs gets its first one.
 // A pass over a thousand endpoints takes half a millisecond.
-constexpr core::duration CandidateInterval = milliseconds(50);
+constexpr core::duration CandidateInterval = milliseconds(100);
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
@@ -102,6 +106,8 @@
       Found->second.Id = Record->second.Facts.Id;
       Found->second.Rack = Record->second.Facts.Rack;
       Found->second.Host = hostOf(Record->second);
+      Found->second.Earlier =
+          std::exchange(NewestTracked[Found->second.Id], Endpoint);
     }
     Found->second.LastHeartbeat = Now;
     DueEndpoints.push_back(Endpoint);
@@ -243,10 +249,10 @@
             State.findEndpoint(Record->Facts.Id, Record->Facts.IncarnationMs)) {
       auto &Tracked = trackEndpoint(Endpoint->Number, Now);
       applyFirstHeartbeat(Tracked, Endpoint->Facts);
-      std::uint32_t Earlier = 0;
-      for (const auto &[Number, Other] : TrackedEndpoints)
-        if (Number != Endpoint->Number && Other.Id == Endpoint->Facts.Id)
-          Earlier = Number;
+      auto Earlier =
+          TrackedEndpoints.find(Tracked.Earlier) == TrackedEndpoints.end()
+              ? 0
+              : Tracked.Earlier;
       if (Earlier != 0)
         transferRuns(Tracked, *Endpoint, Now);
       if (Record->End.Cause != end_cause::Unknown)
@@ -420,6 +426,9 @@
   if (Now >= NextLostCheck) {
     NextLostCheck = Now + LostCheckInterval;
     collectLosses(Commands, Now);
+  }
+  if (Now >= NextOccurrenceCheck) {
+    NextOccurrenceCheck = Now + OccurrenceInterval;
     collectOccurrences(Commands, WallMs);
   }
   collectIncarnations(Commands, Now);
@@ -441,6 +450,9 @@
       removeCandidate(Item.second);
       return true;
     });
+    std::erase_if(NewestTracked, [this](const auto &Item) {
+      return TrackedEndpoints.find(Item.second) == TrackedEndpoints.end();
+    });
     Ranks.prune(WallMs);
     Advice.prune(Now);
     pruneCandidates(Now);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -344,8 +344,11 @@
   /// Stops long-running tasks on cordoned hosts, within their budgets, when
   /// another endpoint has capacity for them.
   void evacuate(core::time_point Now);
+  /// Sizes for which no endpoint of a pool has room, by pool.
+  using full_pools = std::map<std::string, std::vector<resource_amounts>>;
+  /// \param Full what the earlier calls of the same pass have found.
   bool fitsElsewhere(const task_key &Task, std::uint32_t Endpoint,
-                     core::time_point Now);
+                     full_pools &Full, core::time_point Now);
   void addHostOrders(std::vector<order> &Orders, core::time_point Now);
   void finishHostOrder(const order &Order, const order_result &Result,
                        core::time_point Now);
@@ -570,6 +573,8 @@
   /// orders of an earlier leader in this process may still arrive.
   std::uint64_t LastOrder = 0;
   core::indexed_map<std::uint32_t, tracked_endpoint> TrackedEndpoints;
+  /// Number of the incarnation that was tracked last, by id. It may have ended.
+  std::unordered_map<std::string, std::uint32_t> NewestTracked;
   /// By pool, ordered by number.
   std::map<std::string, std::vector<tracked_endpoint *>, std::less<>>
       CandidateTargets;
@@ -606,6 +611,7 @@
   core::time_point NextPlacement{}; ///< Due even without an event.
   core::time_point EarliestPlacement{};
   core::time_point NextLostCheck{};
+  core::time_point NextOccurrenceCheck{};
   /// An incarnation that ended without an order.
   struct unplanned_end {
     std::string Rack;
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -192,21 +192,36 @@
 }
 
 bool leader::fitsElsewhere(const task_key &Task, std::uint32_t Endpoint,
-                           core::time_point Now) {
+                           full_pools &Full, core::time_point Now) {
   const auto &Job = *State.findJob(Task.Job);
   const auto &Step = Job.Spec.Steps[Task.Step];
   auto Size = reservedSize(Step);
+  // Most tasks of a wave have the same few sizes, and each would cost a pass
+  // over all endpoints of its pool.
+  auto &TooLarge = Full[Job.Pool];
+  if (std::any_of(
+          TooLarge.begin(), TooLarge.end(),
+          [&](const resource_amounts &Known) { return Known.fitsIn(Size); }))
+    return false;
   auto Targets = candidateTargets(Job.Pool, Now);
+  bool HasRoom = std::any_of(
+      Targets.begin(), Targets.end(), [&](const tracked_endpoint *Candidate) {
+        const auto &Target = Candidate->FreeCapacity;
+        return !Target.IsReserved && Size.fitsIn(Target.Free);
+      });
+  if (!HasRoom) {
+    TooLarge.push_back(Size);
+    return false;
+  }
+  auto StepOfTask = Step.MaxPerEndpoint > 0 ? stepKey(Task) : std::string();
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const tracked_endpoint *Candidate) {
                        const auto &Target = Candidate->FreeCapacity;
                        if (Target.Endpoint == Endpoint || Target.IsReserved ||
-                           Size.MilliCores > Target.Free.MilliCores ||
-                           Size.MemoryMb > Target.Free.MemoryMb ||
-                           Size.Accelerators > Target.Free.Accelerators)
+                           !Size.fitsIn(Target.Free))
                          return false;
                        if (Step.MaxPerEndpoint > 0) {
-                         auto Runs = Target.RunsByStep.find(stepKey(Task));
+                         auto Runs = Target.RunsByStep.find(StepOfTask);
                          if (Runs != Target.RunsByStep.end() &&
                              Runs->second >= Step.MaxPerEndpoint)
                            return false;
@@ -219,6 +234,7 @@
   if (Hosts.Cordoned.empty())
     return;
   step_availabilities Known;
+  full_pools Full;
   for (const auto &[Name, Since] : Hosts.Cordoned) {
     const auto *Found = trackedOnHost(Name);
     auto Operation = Hosts.Operations.find(Name);
@@ -234,7 +250,7 @@
       if (!Step || !Step->IsLongRunning || Run.Phase != run_phase::Running ||
           isOver(Job->State) || !mayStop(Key, Known, Now))
         continue;
-      if (!fitsElsewhere(Key, Tracked.Endpoint, Now)) {
+      if (!fitsElsewhere(Key, Tracked.Endpoint, Full, Now)) {
         Hosts.UnplaceableAt[Job->Pool] = Now;
         continue;
       }
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -165,6 +165,9 @@
   endpoint_health Health;
 
   std::string Id;
+  /// Number of the incarnation with the same id that was tracked before it, or
+  /// 0. It may have ended.
+  std::uint32_t Earlier = 0;
   std::string Rack;
   std::string Host; ///< Empty until a list of hosts shows it.
 };
--- a/scheduling/types.h
+++ b/scheduling/types.h
@@ -17,6 +17,11 @@
   std::uint32_t MilliCores = 0; ///< Thousandths of a core.
   std::uint32_t MemoryMb = 0;
   std::uint32_t Accelerators = 0;
+  /// \returns whether Room holds at least these amounts.
+  bool fitsIn(const resource_amounts &Room) const {
+    return MilliCores <= Room.MilliCores && MemoryMb <= Room.MemoryMb &&
+           Accelerators <= Room.Accelerators;
+  }
   bool operator==(const resource_amounts &) const = default;
 };
 
