Take back shortcuts of the passes over endpoints

Losses and candidates were looked for 30 and 50 ms later.

The search for each task and the intervals are as they were.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -36,14 +36,10 @@
 // Events within this time share a round of placement, because a round over a
 // large backlog is expensive. Short compared to the latency objectives of jobs.
 constexpr core::duration MinPlacementInterval = milliseconds(15);
-// How late the loss of an endpoint is noticed. A pass over a thousand endpoints
-// takes a tenth of a millisecond.
-constexpr core::duration LostCheckInterval = milliseconds(50);
-// A job opens at most one occurrence each time.
-constexpr core::duration OccurrenceInterval = milliseconds(20);
+constexpr core::duration LostCheckInterval = milliseconds(20);
 // How late an endpoint that has become able to accept runs gets its first one.
 // A pass over a thousand endpoints takes half a millisecond.
-constexpr core::duration CandidateInterval = milliseconds(100);
+constexpr core::duration CandidateInterval = milliseconds(50);
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
 // An endpoint that deregistered ends its runs within this time.
 constexpr core::duration DeregistrationMargin = milliseconds(300);
@@ -426,9 +422,6 @@
   if (Now >= NextLostCheck) {
     NextLostCheck = Now + LostCheckInterval;
     collectLosses(Commands, Now);
-  }
-  if (Now >= NextOccurrenceCheck) {
-    NextOccurrenceCheck = Now + OccurrenceInterval;
     collectOccurrences(Commands, WallMs);
   }
   collectIncarnations(Commands, Now);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -611,7 +611,6 @@
   core::time_point NextPlacement{}; ///< Due even without an event.
   core::time_point EarliestPlacement{};
   core::time_point NextLostCheck{};
-  core::time_point NextOccurrenceCheck{};
   /// An incarnation that ended without an order.
   struct unplanned_end {
     std::string Rack;
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -105,7 +105,6 @@
   void placeTasks(const waiting_step &Waiting, const step_spec &Spec,
                   const target_list &Pool) {
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
-    placement_target *Last = nullptr;
     for (std::uint32_t Index = 0; Index != Tasks.size() && !isFull(); ++Index) {
       if (!Tasks[Index].isWaiting())
         continue;
@@ -115,11 +114,9 @@
       auto Only = endpointFor(Waiting, Key);
       if (Only.has_value() != PlacesSuspects || Only == 0u)
         continue;
-      placement_target *Target = nullptr;
-      if (!Only && Last && staysBest(Spec, *Last))
-        Target = Last;
-      else if (Only || !isTooLarge(Waiting.Job->Pool, Spec))
-        Target = choose(Waiting, Spec, Key, Pool, "", Only);
+      auto *Target = !Only && isTooLarge(Waiting.Job->Pool, Spec)
+                         ? nullptr
+                         : choose(Waiting, Spec, Key, Pool, "", Only);
       // A suspect that waits says nothing about the capacity of the pool.
       if (!Target && Only)
         continue;
@@ -132,21 +129,9 @@
         return;
       }
       commit(Spec, Key, Tasks[Index].Attempt + 1, *Target, Only.has_value());
-      Last = Only ? nullptr : Target;
     }
   }
 
-  /// \param Chosen the best endpoint for the task of the step that was placed
-  /// last.
-  /// \returns whether it is certainly the best for the next one, too: its cost
-  /// is its free cores, which that task has reduced.
-  static bool staysBest(const step_spec &Spec, const placement_target &Chosen) {
-    return !Spec.IsBestEffort && !Spec.IsLongRunning && Spec.TargetMs == 0 &&
-           Spec.MaxPerEndpoint == 0 && Spec.DataRack.empty() &&
-           reservedSize(Spec).MilliCores > 0 &&
-           fits(Chosen.Free, reservedSize(Spec));
-  }
-
   void placeGang(const waiting_step &Waiting, const step_spec &Spec,
                  const target_list &Pool) {
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
