Log what keeps the work of a pool from being started

Once a second, for at most four pools in which a task has been unserved for 3 s or a job has had no run for 5 s: pool_blocked with the endpoints by the first reason against new runs, the room believed free, the room held by phase with the age of the oldest run, orders without a result by kind with the age of the oldest, and what the last round of placement did. task_unserved names the reason of that round instead of capacity, how long this leader knows of the task (known_ms instead of since_ms, which began anew with each leader) and the time since the submission (waiting_ms). No decision changes.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -123,7 +123,9 @@
       const auto *Task = State.findTask(Key);
       if (!Task)
         continue;
-      Tracked.Runs[Key].Attempt = Task->Attempt;
+      auto &Run = Tracked.Runs[Key];
+      Run.Attempt = Task->Attempt;
+      Run.TrackedSince = Now;
       EndpointOfRun[Key] = Number;
     }
     Tracked.HadRunsAtStart = !Endpoint.Runs.empty();
@@ -221,6 +223,7 @@
     auto &Run = Tracked.Runs[Start->Task];
     Run = {};
     Run.Attempt = Start->Attempt;
+    Run.TrackedSince = Now;
     // Entries of earlier leaders are applied before this one is created.
     Run.MayBeStartedByOther = false;
     EndpointOfRun[Start->Task] = Start->Endpoint;
@@ -317,6 +320,7 @@
     auto &Run = Found->second;
     EndpointOfRun[Key] = Endpoint.Number;
     Run.Attempt = Task->Attempt;
+    Run.TrackedSince = Now;
     Run.Phase = run_phase::Unconfirmed;
     Run.MayStartLate = true;
     for (const auto &[Number, Earlier] : TrackedEndpoints) {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -14,8 +14,10 @@
 #include "scheduling/host_inventory.h"
 #include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
+#include "scheduling/placement_report.h"
 #include "scheduling/placer.h"
 #include "scheduling/poll_pacer.h"
+#include "scheduling/pool_blockage.h"
 #include "scheduling/pool_rebalancer.h"
 #include "scheduling/queue_load.h"
 #include "scheduling/rank_cache.h"
@@ -117,11 +119,20 @@
   leader_load load(core::time_point Now, std::int64_t WallMs) const;
   /// Called regularly; the time since when a task is unserved is that of the
   /// first call that found it so.
+  /// \param WallMs wall time.
   /// \param IsBatchOpen whether decisions of this leader are not committed yet.
   /// \returns the long-running tasks that are not at work, the suspect tasks
   /// that wait for a run, and what each of them waits for.
   std::vector<unserved_task> unservedTasks(core::time_point Now,
+                                           std::int64_t WallMs,
                                            bool IsBatchOpen);
+  /// Called after unservedTasks().
+  /// \param WallMs wall time.
+  /// \returns what keeps the work of pools from being started in which a task
+  /// has been unserved, or a job without a run, for seconds. The pools with
+  /// the oldest such work come first, and others than these are left out.
+  std::vector<pool_blockage> blockedPools(core::time_point Now,
+                                          std::int64_t WallMs);
 
   /// Phases of takeCommands().
   enum phase : std::size_t { Ends, Losses, HostPlans, Starts, PhaseCount };
@@ -178,11 +189,23 @@
                             pool_flags &HasEndpoint,
                             core::time_point Now) const;
 
+  /// \returns why the last round of placement left the step of a long-running
+  /// task without an endpoint, or nothing when it has not.
+  std::optional<placement_failure> failureOf(task_key Task) const;
   /// Adds to a task that is not at work what is known about the endpoint of its
   /// run.
   void describeEndpointOf(unserved_task &Task, const tracked_endpoint &Tracked,
                           core::time_point Now) const;
 
+  // leader_blockage.cpp
+  /// \returns whether the endpoint accepts new runs, or why it does not.
+  endpoint_use useOf(const endpoint_record &Endpoint,
+                     const tracked_endpoint &Tracked,
+                     core::time_point Now) const;
+  /// Adds what an endpoint of the pool contributes.
+  void addEndpoint(pool_blockage &Blockage, tracked_endpoint &Tracked,
+                   const endpoint_record &Endpoint, core::time_point Now) const;
+
   // leader.cpp
   tracked_endpoint &trackEndpoint(std::uint32_t Endpoint, core::time_point Now);
   /// Tracks the endpoints and runs of the replicated state after a change of
@@ -623,6 +646,7 @@
   /// By pool, when a line about its suspects may be logged again.
   std::map<std::string, core::time_point> NextSuspectLog;
   std::size_t PendingStarts = 0; ///< Start orders without a result.
+  placement_report LastRound;    ///< Of the newest round of placement.
   /// Since when the tasks of unservedTasks() are not at work, by task.
   std::map<task_key, core::time_point> UnservedSince;
   host_inventory Hosts;
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/leader_load.h"
 
 #include "scheduling/leader.h"
+#include "scheduling/pool_blockage.h"
 
 #include <algorithm>
 #include <utility>
@@ -55,7 +56,10 @@
       return "endpoint";
     if (waitsForTrial(Task, Job))
       return "trial";
-    return IsBatchOpen ? "commit_of_decisions" : "capacity";
+    if (IsBatchOpen)
+      return "commit_of_decisions";
+    auto Failure = failureOf(Task);
+    return Failure ? toText(*Failure) : "capacity";
   }
   auto Tracked = TrackedEndpoints.find(Record.Endpoint);
   if (Tracked == TrackedEndpoints.end())
@@ -79,6 +83,18 @@
   return "unknown";
 }
 
+std::optional<placement_failure> leader::failureOf(task_key Task) const {
+  // One entry for a step, of its first waiting task.
+  auto First = Task;
+  First.Index = 0;
+  auto Found = LastRound.LongRunning.lower_bound(First);
+  if (Found == LastRound.LongRunning.end())
+    return std::nullopt;
+  auto Other = Found->first;
+  Other.Index = Task.Index;
+  return Other == Task ? std::optional(Found->second) : std::nullopt;
+}
+
 void leader::describeEndpointOf(unserved_task &Task,
                                 const tracked_endpoint &Tracked,
                                 core::time_point Now) const {
@@ -92,6 +108,7 @@
 }
 
 std::vector<unserved_task> leader::unservedTasks(core::time_point Now,
+                                                 std::int64_t WallMs,
                                                  bool IsBatchOpen) {
   std::vector<unserved_task> Result;
   pool_flags HasEndpoint;
@@ -122,6 +139,10 @@
               waitsFor(Key, Record, Job, IsBatchOpen, HasEndpoint, Now)};
           if (Tracked != TrackedEndpoints.end())
             describeEndpointOf(Task, Tracked->second, Now);
+          if (Record.Attempt == 0 && Record.isWaiting() &&
+              Job.Spec.RepeatCount == 0 &&
+              Job.Spec.Steps[Step].DependsOn.empty())
+            Task.Waiting = std::chrono::milliseconds(WallMs - SubmittedMs);
           Result.push_back(std::move(Task));
         }
       }
--- a/scheduling/leader_load.h
+++ b/scheduling/leader_load.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace lycheetrestle::scheduling {
@@ -28,7 +29,7 @@
 /// A long-running task that is not at work, or a suspect task without a run.
 struct unserved_task {
   task_key Task;
-  core::duration Since{};     ///< How long it has not been at work.
+  core::duration Since{};     ///< How long this leader finds it so.
   std::uint32_t Endpoint = 0; ///< Number; 0 when no run is assigned.
   std::string_view WaitsFor;  ///< For the log.
   /// What is known about the endpoint of its run; empty without one.
@@ -38,6 +39,9 @@
   core::duration LeaseLeft{};
   /// Since this leader's last contact with the endpoint; negative without one.
   core::duration ContactAge = std::chrono::milliseconds(-1);
+  /// Since the submission of its job, when the task never had a run, it waits
+  /// for no earlier step and the job is not repeated.
+  std::optional<core::duration> Waiting = {};
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -337,8 +337,10 @@
       if (auto Known = Orphans.find(Row.Task);
           Known != Orphans.end() && Known->second.Attempt == Row.Attempt)
         Orphan = Known->second;
-      else
+      else {
         checkVerdict(Tracked, Row.Task, Row.Attempt, "running", Now);
+        Orphan.ListedSince = Now;
+      }
       Orphan.Attempt = Row.Attempt;
       Orphan.Percent = Row.Percent;
       continue;
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -245,7 +245,14 @@
 std::vector<unserved_task> schedule_node::unservedTasks(core::time_point Now) {
   if (!Leader)
     return {};
-  return Leader->unservedTasks(Now, IsLeaderBatchOpen);
+  return Leader->unservedTasks(Now, core::wallMilliseconds(),
+                               IsLeaderBatchOpen);
+}
+
+std::vector<pool_blockage> schedule_node::blockedPools(core::time_point Now) {
+  if (!Leader)
+    return {};
+  return Leader->blockedPools(Now, core::wallMilliseconds());
 }
 
 core::time_point schedule_node::nextTick(core::time_point Now) const {
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -103,6 +103,9 @@
   std::size_t pendingWrites() const { return PendingWrites.size(); }
   /// \returns the long-running tasks without a run at work, at a leader.
   std::vector<unserved_task> unservedTasks(core::time_point Now);
+  /// Called after unservedTasks().
+  /// \returns what holds the pools whose work waits for long, at a leader.
+  std::vector<pool_blockage> blockedPools(core::time_point Now);
   /// \returns the IP address of the leader, or an empty string.
   std::string leaderAddress() const;
 
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -13,6 +13,7 @@
 #include "scheduling/call_delegator.h"
 #include "scheduling/heartbeat_relay.h"
 #include "scheduling/observer_process.h"
+#include "scheduling/pool_blockage.h"
 #include "scheduling/refusal_log.h"
 #include "scheduling/schedule_node.h"
 #include "scheduling/schedule_views.h"
@@ -817,7 +818,8 @@
                       {"step", Task.Task.Step},
                       {"index", Task.Task.Index},
                       {"endpoint", Task.Endpoint},
-                      {"since_ms", ToMs(Task.Since)},
+                      {"known_ms", ToMs(Task.Since)},
+                      {"waiting_ms", Task.Waiting ? ToMs(*Task.Waiting) : -1},
                       {"waits_for", Task.WaitsFor},
                       {"draining", Task.IsDraining},
                       {"deregistered", Task.HasDeregistered},
@@ -825,6 +827,8 @@
                       {"answer_age_ms", ToMs(Task.ContactAge)}});
     }
     Metrics.set("unserved_tasks", static_cast<double>(Unserved));
+    for (const auto &Blockage : Node.blockedPools(Now))
+      logBlockage(Blockage);
   }
 
   const scheduler_settings &Settings;
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -41,6 +41,8 @@
 /// State that the leader keeps of one run on an endpoint.
 struct tracked_run {
   std::uint32_t Attempt = 0;
+  /// When this leader first knew of it on this endpoint.
+  core::time_point TrackedSince{};
   run_phase Phase = run_phase::Committed;
   bool IsOrderPending = false; ///< An order for this run is unanswered.
   /// An earlier leader may have sent a start order.
@@ -94,6 +96,7 @@
   std::uint32_t Attempt = 0;
   std::uint32_t Percent = 0;   ///< Progress.
   core::time_point NextStop{}; ///< Earliest time of the next stop order.
+  core::time_point ListedSince{};
 };
 
 /// Unreplicated state that the leader keeps of one incarnation of an endpoint.
