Treat orders whose result is overdue as unanswered

An order ends only with its result. Where a result is lost within a process, the order is pending for good: its endpoint is never polled again, its run gets no further order, unanswered starts use up the limit of all starts, and with a call to the adviser or a page of the list of hosts nothing of the kind is sent any more. By reading, the HTTP client, the delegator and the node give each order a result; that no such loss occurs rested on all of them together.

Each order now has a deadline: its time-out and 3 s for queues and delegates. Past it the leader treats it as unanswered, it may have run, and logs order_expired; a later result is ignored. One pass over the pending orders every 500 ms, and none after a pause of the process, so that results which came meanwhile are processed first. A fault of this process says nothing about the endpoint, which is not suspected for it.

FencedAt replaces IsFenced, without effect yet.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -545,7 +545,7 @@
                            const tracked_endpoint &Tracked,
                            core::time_point Now) const {
   if (!Endpoint.Facts.Address || Endpoint.Facts.IsDraining ||
-      Tracked.IsSuspect || Tracked.IsFenced || Tracked.IsReplaced ||
+      Tracked.IsSuspect || Tracked.FencedAt || Tracked.IsReplaced ||
       Tracked.RemoveAt || Tracked.ClockAt == core::time_point() ||
       Tracked.Health.isAvoided(Now))
     return false;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -123,9 +123,8 @@
   /// \param IsBatchOpen whether decisions of this leader are not committed yet.
   /// \returns the long-running tasks that are not at work, the suspect tasks
   /// that wait for a run, and what each of them waits for.
-  std::vector<unserved_task> unservedTasks(core::time_point Now,
-                                           std::int64_t WallMs,
-                                           bool IsBatchOpen);
+  std::vector<unserved_task>
+  unservedTasks(core::time_point Now, std::int64_t WallMs, bool IsBatchOpen);
   /// Called after unservedTasks().
   /// \param WallMs wall time.
   /// \returns what keeps the work of pools from being started in which a task
@@ -133,6 +132,9 @@
   /// the oldest such work come first, and others than these are left out.
   std::vector<pool_blockage> blockedPools(core::time_point Now,
                                           std::int64_t WallMs);
+  /// \returns the endpoints of the pool and the room on them as this leader
+  /// believes, without orders and waiting work.
+  pool_blockage describeRoom(const std::string &Pool, core::time_point Now);
 
   /// Phases of takeCommands().
   enum phase : std::size_t { Ends, Losses, HostPlans, Starts, PhaseCount };
@@ -285,6 +287,9 @@
                     core::time_point Now);
 
   // leader_orders.cpp
+  /// Treats orders whose result is overdue as unanswered, at most twice a
+  /// second. A result that comes later is ignored.
+  void expireOrders(core::time_point Now);
   void collectOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
                      core::time_point Now);
   void collectDueOrders(tracked_endpoint &Tracked, std::vector<order> &Orders,
@@ -619,6 +624,7 @@
   /// Endpoints that answered a poll since the last takeCommands().
   std::vector<std::uint32_t> PolledEndpoints;
   std::unordered_map<std::uint64_t, pending_order> PendingOrders;
+  core::time_point NextOrderExpiry{};
   poll_pacer PollPacer;
   std::uint64_t LastList = 0; ///< Number of lists compared so far.
   verdict_log Verdicts;
--- a/scheduling/leader_blockage.cpp
+++ b/scheduling/leader_blockage.cpp
@@ -52,28 +52,6 @@
   return room_holder::Untracked;
 }
 
-order_kind kindOf(const order_body &Body) {
-  struct visitor {
-    order_kind operator()(const start_order &) { return order_kind::Start; }
-    order_kind operator()(const stop_order &) { return order_kind::Stop; }
-    order_kind operator()(const poll_order &) { return order_kind::Poll; }
-    order_kind operator()(const throttle_order &) {
-      return order_kind::Throttle;
-    }
-    order_kind operator()(const advise_order &) { return order_kind::Advice; }
-    order_kind operator()(const list_hosts_order &) {
-      return order_kind::HostList;
-    }
-    order_kind operator()(const move_host_order &) {
-      return order_kind::HostOrder;
-    }
-    order_kind operator()(const maintenance_order &) {
-      return order_kind::HostOrder;
-    }
-  };
-  return std::visit(visitor(), Body);
-}
-
 void addRun(held_room &Held, const step_spec *Step, core::duration Age) {
   ++Held.Runs;
   Held.Oldest = std::max(Held.Oldest, Age);
@@ -110,6 +88,50 @@
 
 } // namespace
 
+order_kind kindOf(const order_body &Body) {
+  struct visitor {
+    order_kind operator()(const start_order &) { return order_kind::Start; }
+    order_kind operator()(const stop_order &) { return order_kind::Stop; }
+    order_kind operator()(const poll_order &) { return order_kind::Poll; }
+    order_kind operator()(const throttle_order &) {
+      return order_kind::Throttle;
+    }
+    order_kind operator()(const advise_order &) { return order_kind::Advice; }
+    order_kind operator()(const list_hosts_order &) {
+      return order_kind::HostList;
+    }
+    order_kind operator()(const move_host_order &) {
+      return order_kind::HostOrder;
+    }
+    order_kind operator()(const maintenance_order &) {
+      return order_kind::HostOrder;
+    }
+  };
+  return std::visit(visitor(), Body);
+}
+
+std::string_view toText(order_kind Kind) {
+  switch (Kind) {
+  case order_kind::Start:
+    return "start";
+  case order_kind::Stop:
+    return "stop";
+  case order_kind::Poll:
+    return "poll";
+  case order_kind::Throttle:
+    return "throttle";
+  case order_kind::Advice:
+    return "advice";
+  case order_kind::HostList:
+    return "host_list";
+  case order_kind::HostOrder:
+    return "host_order";
+  case order_kind::Count:
+    break;
+  }
+  return "unknown";
+}
+
 std::string_view toText(placement_failure Reason) {
   switch (Reason) {
   case placement_failure::NoEndpoint:
@@ -188,7 +210,7 @@
 endpoint_use leader::useOf(const endpoint_record &Endpoint,
                            const tracked_endpoint &Tracked,
                            core::time_point Now) const {
-  if (Tracked.IsFenced)
+  if (Tracked.FencedAt)
     return endpoint_use::Fenced;
   if (Tracked.IsReplaced || EndedIncarnations.count(Tracked.Endpoint) > 0)
     return endpoint_use::Replaced;
@@ -239,6 +261,19 @@
            Now - Orphan.ListedSince);
 }
 
+pool_blockage leader::describeRoom(const std::string &Pool,
+                                   core::time_point Now) {
+  pool_blockage Result;
+  Result.Pool = Pool;
+  for (auto &[Number, Tracked] : TrackedEndpoints) {
+    auto Endpoint = State.endpoints().find(Number);
+    if (Endpoint != State.endpoints().end() &&
+        Endpoint->second.Facts.Pool == Pool)
+      addEndpoint(Result, Tracked, Endpoint->second, Now);
+  }
+  return Result;
+}
+
 std::vector<pool_blockage> leader::blockedPools(core::time_point Now,
                                                 std::int64_t WallMs) {
   std::map<std::string, pool_blockage, std::less<>> Pools;
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -1,5 +1,6 @@
 #include "core/event_log.h"
 #include "scheduling/leader.h"
+#include "scheduling/pool_blockage.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +42,13 @@
 // an endpoint that enforces no limits; one heartbeat may be lost.
 constexpr int MaxHeldIntervals = 2;
 
+// Added to the time-out of an order before its result counts as lost in this
+// process or at a delegate. Allows for the queue of the HTTP client, in which
+// calls wait for one of a few connections to an endpoint, and for delegates.
+constexpr core::duration ResultMargin = std::chrono::seconds(3);
+constexpr core::duration OrderExpiryInterval = milliseconds(500);
+constexpr std::size_t MaxExpiryLines = 5; // In each pass.
+
 // Allows for the error of the estimated clock when a lease is issued.
 constexpr core::duration LeaseMargin = milliseconds(300);
 
@@ -93,8 +101,37 @@
   return ClockMs + toMs(Settings.Lease);
 }
 
+void leader::expireOrders(core::time_point Now) {
+  if (Now < NextOrderExpiry)
+    return;
+  bool WasSuspended = Now - NextOrderExpiry > OrderExpiryInterval;
+  NextOrderExpiry = Now + OrderExpiryInterval;
+  // The results that came in the meantime are processed first.
+  if (WasSuspended)
+    return;
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Id, Pending] : PendingOrders)
+    if (Now - Pending.SentAt > Pending.Order.Timeout + ResultMargin)
+      Expired.push_back(Id);
+  std::sort(Expired.begin(), Expired.end());
+  for (std::size_t Index = 0; Index != Expired.size(); ++Index) {
+    const auto &Pending = PendingOrders.find(Expired[Index])->second;
+    if (Index < MaxExpiryLines)
+      core::logEvent(core::log_level::Warning, "order_expired",
+                     {{"order", toText(kindOf(Pending.Order.Body))},
+                      {"endpoint", Pending.Order.Endpoint},
+                      {"timeout_ms", toMs(Pending.Order.Timeout)},
+                      {"age_ms", toMs(Now - Pending.SentAt)},
+                      {"expired", Expired.size()}});
+    finishOrder({Expired[Index], no_answer{true, "no result", true}}, Now);
+  }
+  if (!Expired.empty())
+    Metrics.add("orders_expired_total", Expired.size());
+}
+
 std::vector<order> leader::takeOrders(core::time_point Now) {
   std::vector<order> Orders;
+  expireOrders(Now);
   auto Due = std::exchange(DueEndpoints, {});
   for (auto Number : DueTimes.takeDue(Now))
     Due.push_back(Number);
@@ -123,7 +160,7 @@
                               core::time_point Now) {
   Tracked.DueAt = Now + CheckInterval;
   auto Endpoint = State.endpoints().find(Tracked.Endpoint);
-  if (Tracked.IsFenced || (Tracked.IsReplaced && !Tracked.IsVerificationDue) ||
+  if (Tracked.FencedAt || (Tracked.IsReplaced && !Tracked.IsVerificationDue) ||
       EndedIncarnations.count(Tracked.Endpoint) > 0 ||
       Endpoint == State.endpoints().end() || !Endpoint->second.Facts.Address)
     return;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -146,7 +146,7 @@
     return false;
   }
   if (Answer.Verdict == endpoint_verdict::Fenced) {
-    Tracked.IsFenced = true;
+    Tracked.FencedAt = Tracked.FencedAt.value_or(Now);
     core::logEvent(
         core::log_level::Warning, "endpoint_fenced",
         {{"endpoint", Facts.Id}, {"fence", fenceOf(Tracked.Endpoint)}});
--- a/scheduling/pool_blockage.h
+++ b/scheduling/pool_blockage.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_POOL_BLOCKAGE_H
 
 #include "core/clock.h"
+#include "scheduling/orders.h"
 #include "scheduling/placement_report.h"
 #include "scheduling/placer.h"
 
@@ -90,6 +91,8 @@
   placement_counts LastRound;
 };
 
+order_kind kindOf(const order_body &Body);
+std::string_view toText(order_kind Kind);
 std::string_view toText(placement_failure Reason);
 
 /// Writes the line `pool_blocked`.
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -61,6 +61,7 @@
   bool MayStartLate = false;
   bool IsStopSent = false;
   bool IsStopAcknowledged = false;
+  core::time_point StopAcknowledgedAt{};         ///< While acknowledged.
   stop_reason StopReason = stop_reason::JobOver; ///< While stopping.
   core::time_point StopDecidedAt{};              ///< While stopping.
   bool IsEnded = false; ///< The end is about to be proposed or was proposed.
@@ -121,7 +122,8 @@
   /// It has not obeyed an order yet, so that one for an earlier incarnation
   /// with its id would still be executed.
   bool MayObeyEarlier = false;
-  bool IsFenced = false;   ///< The endpoint obeys a later leader.
+  /// When the endpoint answered that it obeys a higher fencing token.
+  std::optional<core::time_point> FencedAt;
   bool IsReplaced = false; ///< Another incarnation answers under this id.
   bool IsVerificationDue = false; ///< A poll is due although it is idle.
   core::time_point NextVerification{};
--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -401,7 +401,8 @@
     if (Answers[Index].AtMs <= NowMs) {
       auto Answer = std::move(Answers[Index]);
       Answers.erase(Answers.begin() + static_cast<std::ptrdiff_t>(Index));
-      if (Answer.Leader == LeaderNumber)
+      if (Answer.Leader == LeaderNumber &&
+          ResultlessOrders.erase(Answer.Result.Id) == 0)
         Leader->finishOrder(std::move(Answer.Result), now());
     }
   while (!Log.empty() && Log.front().first <= NowMs) {
@@ -488,6 +489,8 @@
 
 void fake_site::send(order Order) {
   SentOrders.push_back(Order);
+  if (Rates.LostResults > 0 && occurs(Rates.LostResults))
+    ResultlessOrders.insert(Order.Id);
   if (Order.Endpoint == 0) {
     sendToPlatform(std::move(Order));
     return;
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -32,6 +32,9 @@
   unsigned OrdersThatOutliveRestarts = 0;
   /// Starts that an endpoint in bad health refuses without looking at them.
   unsigned UnhealthyAnswers = 0;
+  /// Orders whose result never reaches the leader, not even that there is no
+  /// answer.
+  unsigned LostResults = 0;
 };
 
 /// Simulates endpoints with leases, fencing tokens and lists of ends, a log
@@ -73,6 +76,16 @@
   /// Sets the capacity of all endpoints to its largest value for good.
   void settleCapacities();
   leader &current() { return *Leader; }
+  /// Makes an endpoint refuse the orders of the current leader and of all
+  /// earlier ones to its present incarnation, as after an order of another
+  /// writer.
+  void raiseFence(std::uint32_t Index, std::uint64_t Fence) {
+    Endpoints[Index].Fence = Fence;
+  }
+  /// \returns the number of runs on an endpoint.
+  std::size_t runsOn(std::uint32_t Index) const {
+    return Endpoints[Index].Running.size();
+  }
 
   /// Puts the endpoints into racks and removes all other pools, so that no host
   /// moves.
@@ -279,6 +292,7 @@
   std::deque<std::pair<std::int64_t, std::vector<command>>> Log;
   std::vector<delivery> Deliveries;
   std::vector<answer> Answers;
+  std::set<std::uint64_t> ResultlessOrders;
   std::vector<platform_call> PlatformCalls; ///< Not executed yet.
   std::set<task_key> DoneRecorded;
   std::set<task_key> DoneConfirmed; ///< To an endpoint, by a cursor.
