Use an endpoint again that refused a fencing token of this leader

An endpoint that answered fenced once got no order of this leader any more. Its runs were neither polled nor lost, because only suspected and replaced endpoints lose theirs when the lease has expired: such tasks stood still for good, and the endpoint, whose heartbeats went on, was never used again. The higher token need not be that of a later leader: tokens also rise with the incarnations of an id, and another writer may send one.

Its runs are now lost when their leases have expired. When none is left and 5 s have passed, the record ends (fenced_endpoint_dropped), and the next heartbeat records the endpoint with a number, and so a token, that is higher. A leader that was deposed commits neither.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -20,6 +20,10 @@
 // An endpoint without runs is removed after this time without a heartbeat or an
 // answer.
 constexpr core::duration SilentEndpointRetention = std::chrono::seconds(30);
+// An endpoint that obeys a higher fencing token is recorded again after this
+// time. A later leader has deposed this one by then, so that the token came
+// from an order for another incarnation or from another writer.
+constexpr core::duration FencedEndpointRetention = std::chrono::seconds(5);
 // Limit of starts in one log entry; keeps an entry below 64 KB.
 constexpr std::size_t MaxStartsPerBatch = 400;
 // Limit of unanswered start orders. It bounds the queueing time of an order in
@@ -501,11 +505,20 @@
       if (Now - std::max(Tracked.LastHeartbeat, Tracked.LastAnswer) >
           SilentEndpointRetention)
         Commands.emplace_back(end_endpoint{Number});
+      else if (Tracked.FencedAt && Now >= Tracked.LeaseExpiry &&
+               Now - *Tracked.FencedAt >= FencedEndpointRetention) {
+        // Its next heartbeat records it again, with a higher fencing token.
+        core::logEvent(core::log_level::Warning, "fenced_endpoint_dropped",
+                       {{"endpoint", Tracked.Id},
+                        {"number", Number},
+                        {"fence", fenceOf(Number)}});
+        Commands.emplace_back(end_endpoint{Number});
+      }
       continue;
     }
     // The polls of an endpoint that answers report the state of its runs. One
     // that another incarnation replaced is not polled.
-    if (!Tracked.IsSuspect && !Tracked.IsReplaced)
+    if (!Tracked.IsSuspect && !Tracked.IsReplaced && !Tracked.FencedAt)
       continue;
     if (Now < Tracked.LeaseExpiry) {
       requestHostList(ProofListInterval);
