End reservations for suspects also when no task waits

Reservations were planned and cleared only in rounds of placement with a waiting task. After the last one, an endpoint that had been reserved for a suspect stayed marked for as long as nothing else waited. New work was not kept out, since its round plans anew, but a cordoned host was not evacuated to such an endpoint, and the log counted it as reserved.

A round without waiting tasks now keeps only the marks of endpoints on which a suspect runs on trial.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -700,9 +700,25 @@
   Waiting.update(WallMs);
   Metrics.add("placement_jobs_examined_total",
               Waiting.examinedJobs() - ExaminedBefore);
+  auto HasTrial = [&](const tracked_endpoint &Tracked) {
+    return std::any_of(
+        Tracked.Runs.begin(), Tracked.Runs.end(), [&](const auto &Run) {
+          const auto *Job = State.findJob(Run.first.Job);
+          const auto *Suspect = Job ? Job->findSuspect(Run.first) : nullptr;
+          const auto *Task = State.findTask(Run.first);
+          return Suspect && Task && Suspect->isSuspect() &&
+                 isOnTrial(Run.first, *Suspect, *Task, Now);
+        });
+  };
   if (Waiting.pools().empty()) {
     for (auto &[Pool, Quarantine] : Quarantines)
       Quarantine.recordPlacement(false, Now);
+    // No suspect waits: what is reserved for one would stay so, and keep runs
+    // on cordoned hosts from being evacuated to it.
+    if (HasSuspectMarks)
+      for (auto &[Number, Tracked] : TrackedEndpoints)
+        if (Tracked.FreeCapacity.IsReserved)
+          Tracked.FreeCapacity.IsReserved = HasTrial(Tracked);
     return;
   }
   std::vector<placement_target *> Targets;
