Stop a run again that is listed long after its stop was acknowledged

An acknowledged stop was never sent again. An endpoint that acknowledges it and lists the run all the same, for seconds, kept the task and its room for good. The stop is now repeated when the run is listed 3 s after the acknowledgement, with a line stopped_run_listed and the counter stops_repeated_total. The test fails before: one stop in 10 s.

--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -19,6 +19,9 @@
 // and StallEstimateFactor times its estimate.
 constexpr core::duration MinStallTime = milliseconds(2500);
 constexpr std::int64_t StallEstimateFactor = 3;
+// A run that an endpoint still lists this long after it acknowledged the stop
+// is stopped again. Endpoints end a run within a fraction of it.
+constexpr core::duration MaxStopTime = std::chrono::seconds(3);
 // Limit of the runs of one endpoint that are stopped because nothing assigned
 // them to it. It lists the others again; without a limit one answer of 4 MiB
 // would cause an order for each of its rows.
@@ -291,6 +294,7 @@
       Answer->Verdict != endpoint_verdict::Accepted)
     return;
   Found->second.IsStopAcknowledged = true;
+  Found->second.StopAcknowledgedAt = Now;
   Found->second.VisibleSince = Now;
 }
 
@@ -347,6 +351,18 @@
     }
     auto &Run = Found->second;
     Run.ListedIn = List;
+    if (Run.IsStopAcknowledged &&
+        SentAt - Run.StopAcknowledgedAt > MaxStopTime) {
+      // The endpoint says that it stopped the run, and lists it all the same.
+      Run.IsStopAcknowledged = false;
+      Metrics.add("stops_repeated_total");
+      core::logEvent(core::log_level::Warning, "stopped_run_listed",
+                     {{"job", Row.Task.Job},
+                      {"step", Row.Task.Step},
+                      {"index", Row.Task.Index},
+                      {"attempt", Row.Attempt},
+                      {"endpoint", Tracked.Endpoint}});
+    }
     if (!Row.Checkpoint.empty())
       Run.Checkpoint = Row.Checkpoint;
     if (Run.Phase == run_phase::Committed || Run.Phase == run_phase::Starting ||
--- a/tests/scheduling/test_leader_stops.cpp
+++ b/tests/scheduling/test_leader_stops.cpp
@@ -175,3 +175,23 @@
   Play.advance(10ms);
   CHECK(Play.answer<stop_order>(Play.verdict(endpoint_verdict::Accepted)) == 1);
 }
+
+TEST_CASE("a run that is listed for seconds after its stop was acknowledged is "
+          "stopped again") {
+  start_harness Play;
+  Play.advance(10ms);
+  REQUIRE(Play.answer<start_order>(Play.verdict(endpoint_verdict::Accepted)) ==
+          1);
+  cancel_job Cancel{Host, Prefix + "l", "l"};
+  Play.Leader->recordApplied(Cancel, Play.State.apply(Cancel, 1000), Play.Now);
+  std::size_t Stops = 0;
+  for (int Round = 0; Round != 100; ++Round) {
+    Play.advance(100ms);
+    Play.answer<poll_order>(
+        Play.listing({{Play.Task, 1, "", 100, std::nullopt}}));
+    Stops += Play.answer<stop_order>(Play.verdict(endpoint_verdict::Accepted));
+  }
+  // 10 s, and one more after each 3 s.
+  CHECK(Stops >= 3);
+  CHECK(Stops <= 4);
+}
