Play refused fencing tokens in the test of believed capacity

An endpoint obeys an order that its leader meant for another incarnation. The test waits 19 s after the last disturbance before its 3 s: a host is avoided for 15 s after its crashes, for which it was down up to 4 s, and a late order is carried out up to 12 s later.

--- a/tests/scheduling/test_believed_capacity.cpp
+++ b/tests/scheduling/test_believed_capacity.cpp
@@ -78,8 +78,8 @@
   static constexpr int TickMs = 100;
   static constexpr int DisturbedMs = 10'000;
   // An endpoint executes a late order up to 12 s after it was sent, and a host
-  // is down for 4 s and lists its endpoint at the next heartbeat.
-  static constexpr int LateOrderMs = 12'000;
+  // on which endpoints crashed twice is avoided for 15 s after it was down.
+  static constexpr int LateOrderMs = 19'000;
   static constexpr int SettleMs = 3000;
 
   std::uint64_t draw(std::uint64_t Range) { return Random() % Range; }
@@ -106,9 +106,10 @@
 
   void disturb() {
     auto Index = static_cast<std::uint32_t>(draw(Count));
-    switch (draw(9)) {
+    switch (draw(11)) {
     case 0:
       Site.changeLeader();
+      ++Leaders;
       break;
     case 1:
       Site.crashFor(Index, 500 + static_cast<int>(draw(3000)));
@@ -134,11 +135,26 @@
     case 6:
       Site.setFaults({});
       break;
+    case 7:
+      raiseFence(Index);
+      break;
+    case 8:
+      Site.crashHost(Index, 200 + static_cast<int>(draw(4000)));
+      break;
     default:
       break;
     }
   }
 
+  /// Delivers an order that this leader meant for another incarnation.
+  void raiseFence(std::uint32_t Index) {
+    constexpr unsigned IncarnationBits = 28;
+    std::uint64_t Newest = 0;
+    for (const auto &[Number, Endpoint] : Site.State.endpoints())
+      Newest = std::max<std::uint64_t>(Newest, Number);
+    Site.raiseFence(Index, (Leaders << IncarnationBits) | Newest);
+  }
+
   void endDisturbances() {
     Site.setFaults({});
     Site.setPlatformAvailable(true);
@@ -196,6 +212,7 @@
   fake_site Site;
   std::uint64_t Jobs = 0;
   std::uint64_t LongJobs = 0;
+  std::uint64_t Leaders = 1;
 };
 
 std::uint64_t numberFrom(const char *Name, std::uint64_t Default) {
