--- a/tests/scheduling/test_believed_capacity.cpp
+++ b/tests/scheduling/test_believed_capacity.cpp
@@ -226,7 +226,7 @@
           "free, 3 s after the last disturbance") {
   throwing_invariants Invariants;
   auto First = numberFrom("LT_FIRST_SEED", 1);
-  auto Seeds = numberFrom("LT_SEEDS", 60);
+  auto Seeds = numberFrom("LT_SEEDS", 200);
   for (auto Seed = First; Seed != First + Seeds; ++Seed) {
     INFO("seed " << Seed);
     std::string Wrong;
