Keep the terms of a removed queue with its jobs

A task that had failed once and waited never started again, and the job never ended. A job of a queue that requires advice was started without a ticket.

Cause: queueOf() was null once the queue was removed, and each caller had its own default: one attempt, priority 0, no slack, no advice.

A queue that returns applies again.

--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -182,6 +182,9 @@
     R.EndedMs, R.NextOccurrence, R.OccurrencesDone, R.OpenOccurrences,
     R.RunsLeft);
   A.trailing(R.Suspects, R.GivenUp);
+  // Rarely set; without it earlier versions can read the record.
+  if (!std::is_const_v<Type> || R.RemovedQueue)
+    A.trailing(R.RemovedQueue);
 }
 template <typename Archive, record_of<endpoint_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader_advice.cpp
+++ b/scheduling/leader_advice.cpp
@@ -26,10 +26,7 @@
   if (!Settings.HasAdviser || Now < NextAdvice)
     return;
   NextAdvice = Now + AdviceInterval;
-  const auto &Queues = State.currentConfiguration().Queues;
-  if (std::none_of(Queues.begin(), Queues.end(), [](const queue_spec &Queue) {
-        return Queue.Advice.has_value();
-      }))
+  if (!State.mayRequireAdvice())
     return;
   for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     const auto &Job = *State.findJob(Id);
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -76,7 +76,16 @@
 }
 
 const queue_spec *schedule_state::queueOf(const job_record &Job) const {
-  return Job.QueueNumber ? &Configuration.Queues[*Job.QueueNumber] : nullptr;
+  if (Job.QueueNumber)
+    return &Configuration.Queues[*Job.QueueNumber];
+  return Job.RemovedQueue ? &*Job.RemovedQueue : nullptr;
+}
+
+bool schedule_state::mayRequireAdvice() const {
+  return !AdvisedRemovedJobs.empty() ||
+         std::any_of(
+             Configuration.Queues.begin(), Configuration.Queues.end(),
+             [](const queue_spec &Queue) { return Queue.Advice.has_value(); });
 }
 
 const pool_spec *schedule_state::findPool(std::string_view Name) const {
@@ -132,8 +141,8 @@
 apply_outcome schedule_state::applyTyped(const set_configuration &Command) {
   if (Command.Configuration.Version <= Configuration.Version)
     return apply_outcome::Unchanged;
-  Configuration = Command.Configuration;
-  assignQueueNumbers();
+  auto Earlier = std::exchange(Configuration, Command.Configuration);
+  assignQueueNumbers(&Earlier);
   for (const auto &[SubmittedMs, Id] : LiveJobs) {
     auto &Job = Jobs.find(Id)->second;
     if (const auto *Queue = queueOf(Job))
@@ -142,7 +151,7 @@
   return apply_outcome::Accepted;
 }
 
-void schedule_state::assignQueueNumbers() {
+void schedule_state::assignQueueNumbers(const configuration *Earlier) {
   using name = std::pair<std::string_view, std::string_view>;
   std::map<name, std::uint32_t> Numbers;
   for (std::uint32_t Number = 0; Number != Configuration.Queues.size();
@@ -153,9 +162,17 @@
   for (const auto &[SubmittedMs, Id] : LiveJobs) {
     auto &Job = Jobs.find(Id)->second;
     auto Found = Numbers.find({Job.QueueHost, Job.QueuePrefix});
-    Job.QueueNumber.reset();
-    if (Found != Numbers.end())
+    auto Previous = std::exchange(Job.QueueNumber, std::nullopt);
+    if (Found != Numbers.end()) {
       Job.QueueNumber = Found->second;
+      Job.RemovedQueue.reset();
+    } else if (Earlier && Previous) {
+      Job.RemovedQueue = Earlier->Queues[*Previous];
+    }
+    if (Job.RemovedQueue && Job.RemovedQueue->Advice)
+      AdvisedRemovedJobs.insert(Id);
+    else
+      AdvisedRemovedJobs.erase(Id);
   }
 }
 
@@ -346,6 +363,8 @@
     PendingJobs.remove(Job.QueueHost, Job.QueuePrefix);
   Job.State = State;
   Job.QueueNumber.reset();
+  Job.RemovedQueue.reset();
+  AdvisedRemovedJobs.erase(Job.Spec.Id);
   Job.EndedMs = TimeMs;
   LiveJobs.erase({Job.SubmittedMs, Job.Spec.Id});
   RepeatedJobs.erase({Job.SubmittedMs, Job.Spec.Id});
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -97,6 +97,9 @@
   std::optional<suspect_record> GivenUp;
   /// Index of the queue in the configuration; not part of a snapshot.
   std::optional<std::uint32_t> QueueNumber;
+  /// The queue as it was when a configuration removed it; empty while there is
+  /// one, and once the job has ended.
+  std::optional<queue_spec> RemovedQueue;
 
   /// \returns the total number of occurrences.
   std::uint32_t occurrences() const {
@@ -179,7 +182,10 @@
   /// longest, or null.
   const queue_spec *findQueue(std::string_view HostName,
                               std::string_view Path) const;
-  /// \returns the queue of a job, or null after the queue was removed.
+  /// \returns the queue of a job. After the queue was removed, as it was then:
+  /// the job keeps its attempts, its priority and its policy. Null only once
+  /// the job has ended, or when a snapshot of an earlier version lacks the
+  /// removed queue.
   const queue_spec *queueOf(const job_record &Job) const;
   const pool_spec *findPool(std::string_view Name) const;
   const job_record *findJob(std::string_view Id) const;
@@ -202,6 +208,9 @@
   /// \returns the newest incarnation with this id, or null.
   const endpoint_record *findEndpoint(std::string_view Id) const;
   const std::map<std::uint64_t, wave_record> &waves() const { return Waves; }
+  /// \returns whether a queue of the configuration, or one that was removed
+  /// while a job of it was live, requires advice.
+  bool mayRequireAdvice() const;
   /// \returns the ids of the live jobs with a suspect task.
   const std::set<std::string> &suspectJobs() const { return SuspectJobs; }
   /// \returns the ids of the jobs of which a task was given up.
@@ -254,7 +263,9 @@
   void finishJob(job_record &Job, job_state State);
   void evictEndedJobs();
   std::uint32_t maxAttempts(const job_record &Job) const;
-  void assignQueueNumbers();
+  /// \param Earlier the configuration that the numbers so far refer to, or null
+  /// when no job has one.
+  void assignQueueNumbers(const configuration *Earlier);
 
   std::int64_t TimeMs = 0; ///< Largest time of a command.
   configuration Configuration;
@@ -268,6 +279,7 @@
   std::unordered_map<std::string, std::uint32_t, text_hash, std::equal_to<>>
       EndpointNumbers; ///< Newest incarnation by id.
   std::map<std::uint64_t, wave_record> Waves;
+  std::set<std::string> AdvisedRemovedJobs; ///< Live, by RemovedQueue.
   std::set<std::string> SuspectJobs;
   std::set<std::string> GivenUpJobs;
   std::vector<std::string> NewlyGivenUp; ///< Not part of a snapshot.
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -126,7 +126,7 @@
             });
   if (!IsValid)
     return Malformed();
-  State.assignQueueNumbers();
+  State.assignQueueNumbers(nullptr);
   return State;
 }
 
