Count the failed attempts of a gang instead of its members

Two members of a gang that failed in the same attempt counted as two failed attempts, so the job was shown as failed too early: a gang is to fail `maxAttempts` times. And a member that had failed as often as a later configuration allows was kept from starting while the others started and waited for it.

Change: of the members that fail in one attempt the first one counts.

Both new tests failed on the code before.

--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -171,6 +171,9 @@
 template <typename Archive, record_of<step_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Tasks, R.Done);
+  // Rarely set; without it earlier versions can read the record.
+  if (!std::is_const_v<Type> || R.FailedAttempt != 0)
+    A.trailing(R.FailedAttempt);
 }
 template <typename Archive, record_of<occurrence_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -25,6 +25,17 @@
   return Occurrence;
 }
 
+/// \returns how often the task has failed, or the gang that it belongs to.
+std::uint32_t failuresOf(const step_spec &Spec, const step_record &Step,
+                         std::uint32_t Index) {
+  if (!Spec.IsGang)
+    return Step.Tasks[Index].Failures;
+  std::uint32_t Failures = 0;
+  for (const auto &Member : Step.Tasks)
+    Failures += Member.Failures;
+  return Failures;
+}
+
 bool isReady(const job_spec &Spec, const occurrence_record &Occurrence,
              std::uint32_t Step) {
   return std::all_of(
@@ -242,11 +253,13 @@
     return apply_outcome::Stale;
   // A configuration with a lower maximum of attempts may have been committed
   // after the leader decided on this start.
-  if (!Job.Spec.Steps[Command.Task.Step].IsLongRunning &&
-      Task->Failures >= maxAttempts(Job))
+  const auto &Spec = Job.Spec.Steps[Command.Task.Step];
+  const auto &Occurrence = *Job.findOpen(Command.Task.Occurrence);
+  if (!Spec.IsLongRunning &&
+      failuresOf(Spec, Occurrence.Steps[Command.Task.Step],
+                 Command.Task.Index) >= maxAttempts(Job))
     return apply_outcome::Stale;
-  if (!isReady(Job.Spec, *Job.findOpen(Command.Task.Occurrence),
-               Command.Task.Step))
+  if (!isReady(Job.Spec, Occurrence, Command.Task.Step))
     return apply_outcome::Invalid;
   Task->Attempt = Command.Attempt;
   Task->Endpoint = Command.Endpoint;
@@ -289,12 +302,12 @@
       Job.OpenOccurrences.clear();
     return apply_outcome::Accepted;
   }
-  auto &Tasks =
-      Job.findOpen(Command.Task.Occurrence)->Steps[Command.Task.Step].Tasks;
+  auto &Step =
+      Job.findOpen(Command.Task.Occurrence)->Steps[Command.Task.Step];
   if (!Command.Checkpoint.empty()) {
     Task->Checkpoint = Command.Checkpoint;
     if (Spec.IsGang)
-      for (auto &Member : Tasks)
+      for (auto &Member : Step.Tasks)
         Member.Checkpoint = Command.Checkpoint;
   }
   if (Command.Outcome == run_end::Done && !Spec.IsLongRunning) {
@@ -306,14 +319,14 @@
   }
   if (Command.Outcome != run_end::Failed || Spec.IsLongRunning)
     return apply_outcome::Accepted;
-  ++Task->Failures;
-  auto Failures = Task->Failures;
+  // The members of a gang work only together, so one attempt fails once.
   if (Spec.IsGang) {
-    Failures = 0;
-    for (const auto &Member : Tasks)
-      Failures += Member.Failures;
+    if (Command.Attempt <= Step.FailedAttempt)
+      return apply_outcome::Accepted;
+    Step.FailedAttempt = Command.Attempt;
   }
-  if (Failures >= maxAttempts(Job))
+  ++Task->Failures;
+  if (failuresOf(Spec, Step, Command.Task.Index) >= maxAttempts(Job))
     finishJob(Job, job_state::Failed);
   return apply_outcome::Accepted;
 }
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -22,6 +22,8 @@
 /// Progress of one task.
 struct task_record {
   std::uint32_t Attempt = 0; ///< Number of the newest run.
+  /// Runs that ended as failed. Of the members of a gang that fail in one
+  /// attempt, the first one counts.
   std::uint32_t Failures = 0;
   std::uint32_t Endpoint = 0; ///< Incarnation that may run it, or 0.
   bool IsDone = false;
@@ -34,6 +36,8 @@
 struct step_record {
   std::vector<task_record> Tasks;
   std::uint32_t Done = 0; ///< Tasks that are done.
+  /// Newest attempt of a gang that counts as failed, or 0.
+  std::uint32_t FailedAttempt = 0;
 };
 
 /// Progress of one occurrence of a job.
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -189,6 +189,49 @@
   CHECK(stateOf(State, "j") == job_state::Failed);
 }
 
+// Guards against a gang that is given up before it has used its attempts.
+TEST_CASE("members of a gang that fail in the same attempt count as one failed "
+          "attempt") {
+  auto State = makeState(1);
+  State.apply(set_configuration{makeConfiguration(2, 3)}, 0);
+  auto Step = makeStep(4);
+  Step.IsGang = true;
+  State.apply(submission(makeJob("j", {Step})), 0);
+  for (std::uint32_t Attempt = 1; Attempt <= 3; ++Attempt) {
+    CHECK(stateOf(State, "j") != job_state::Failed);
+    for (std::uint32_t Index = 0; Index != 4; ++Index)
+      REQUIRE(start(State, {"j", 0, 0, Index}, Attempt) ==
+              apply_outcome::Accepted);
+    for (std::uint32_t Index = 0; Index != 4; ++Index) {
+      end(State, {"j", 0, 0, Index}, Attempt, run_end::Failed);
+      auto Bytes = State.snapshot();
+      auto Restored =
+          core::capture([&] { return schedule_state::restore(Bytes); });
+      REQUIRE(Restored.index() == 0);
+      CHECK(std::get<0>(Restored).snapshot() == Bytes);
+      State = std::move(std::get<0>(Restored));
+    }
+  }
+  CHECK(stateOf(State, "j") == job_state::Failed);
+}
+
+// Guards against a gang of which a part starts and waits for the others.
+TEST_CASE("no member of a gang starts when the gang has used the attempts of a "
+          "later configuration") {
+  auto State = makeState(1);
+  State.apply(set_configuration{makeConfiguration(2, 3)}, 0);
+  auto Step = makeStep(2);
+  Step.IsGang = true;
+  State.apply(submission(makeJob("j", {Step})), 0);
+  for (std::uint32_t Index = 0; Index != 2; ++Index)
+    start(State, {"j", 0, 0, Index}, 1);
+  end(State, {"j", 0, 0, 0}, 1, run_end::Failed);
+  end(State, {"j", 0, 0, 1}, 1, run_end::GangMemberEnded);
+  State.apply(set_configuration{makeConfiguration(3, 1)}, 0);
+  for (std::uint32_t Index = 0; Index != 2; ++Index)
+    CHECK(start(State, {"j", 0, 0, Index}, 2) == apply_outcome::Stale);
+}
+
 TEST_CASE("occurrences open in order and the job completes with the last") {
   auto State = makeState(1);
   auto Job = makeJob("j", {makeStep(1)});
