Count a job as pending again when all its starts were refused

Change: when the only run of a job ends as refused and no earlier run of it ended otherwise, the job is queued and counted again. Callers may see `queued` after `running`; the state says then what is true, and no rule excludes it.

What remains: a job with several runs under way counts as begun until the last of them is refused. The new test of refused starts failed on the code before; the one of runs that had begun passes on both.

--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -185,9 +185,10 @@
     R.EndedMs, R.NextOccurrence, R.OccurrencesDone, R.OpenOccurrences,
     R.RunsLeft);
   A.trailing(R.Suspects, R.GivenUp);
-  // Rarely set; without it earlier versions can read the record.
-  if (!std::is_const_v<Type> || R.RemovedQueue)
-    A.trailing(R.RemovedQueue);
+  // Without them earlier versions can read the record of a job that has ended
+  // or waits.
+  if (!std::is_const_v<Type> || R.RemovedQueue || R.HasOnlyRefusals)
+    A.trailing(R.RemovedQueue, R.HasOnlyRefusals);
 }
 template <typename Archive, record_of<endpoint_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -266,8 +266,10 @@
   Task->StartedMs = TimeMs;
   Endpoint->second.Runs.push_back(Command.Task);
   ++Job.RunsLeft;
-  if (Job.State == job_state::Queued)
+  if (Job.State == job_state::Queued) {
     PendingJobs.remove(Job.QueueHost, Job.QueuePrefix);
+    Job.HasOnlyRefusals = true;
+  }
   Job.State = job_state::Running;
   return apply_outcome::Accepted;
 }
@@ -302,8 +304,8 @@
       Job.OpenOccurrences.clear();
     return apply_outcome::Accepted;
   }
-  auto &Step =
-      Job.findOpen(Command.Task.Occurrence)->Steps[Command.Task.Step];
+  recordBegin(Job, Command.Outcome);
+  auto &Step = Job.findOpen(Command.Task.Occurrence)->Steps[Command.Task.Step];
   if (!Command.Checkpoint.empty()) {
     Task->Checkpoint = Command.Checkpoint;
     if (Spec.IsGang)
@@ -331,6 +333,16 @@
   return apply_outcome::Accepted;
 }
 
+void schedule_state::recordBegin(job_record &Job, run_end Outcome) {
+  if (Outcome != run_end::Refused)
+    Job.HasOnlyRefusals = false;
+  if (!Job.HasOnlyRefusals || Job.RunsLeft > 0)
+    return;
+  Job.HasOnlyRefusals = false;
+  Job.State = job_state::Queued;
+  PendingJobs.add(Job.QueueHost, Job.QueuePrefix);
+}
+
 void schedule_state::finishTask(job_record &Job, const task_key &Key) {
   auto *Occurrence = Job.findOpen(Key.Occurrence);
   auto &Step = Occurrence->Steps[Key.Step];
@@ -377,6 +389,7 @@
   Job.State = State;
   Job.QueueNumber.reset();
   Job.RemovedQueue.reset();
+  Job.HasOnlyRefusals = false;
   AdvisedRemovedJobs.erase(Job.Spec.Id);
   Job.EndedMs = TimeMs;
   LiveJobs.erase({Job.SubmittedMs, Job.Spec.Id});
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -104,6 +104,9 @@
   /// The queue as it was when a configuration removed it; empty while there is
   /// one, and once the job has ended.
   std::optional<queue_spec> RemovedQueue;
+  /// Runs were started, and none has ended otherwise than refused: no task has
+  /// begun if none of them is left. False in snapshots of earlier versions.
+  bool HasOnlyRefusals = false;
 
   /// \returns the total number of occurrences.
   std::uint32_t occurrences() const {
@@ -228,6 +231,7 @@
   /// \returns the task, or null when its occurrence is not open.
   const task_record *findTask(const task_key &Task) const;
   /// \returns the number of jobs of the queue of which no task has started.
+  /// A job whose endpoints refused all its starts counts.
   std::uint32_t pendingJobs(std::string_view QueueHost,
                             std::string_view QueuePrefix) const;
 
@@ -261,6 +265,9 @@
   bool isSameGang(const task_key &Left, const task_key &Right) const;
   task_record *mutableTask(const task_key &Task);
   void removeRun(job_record &Job, task_record &Task, const task_key &Key);
+  /// Records that a run of a live job has ended, which shows whether a task of
+  /// the job has begun. Counts the job as pending again when all were refused.
+  void recordBegin(job_record &Job, run_end Outcome);
   void finishTask(job_record &Job, const task_key &Key);
   /// Marks all tasks of a gang as done when one member reports that it is done.
   void finishGang(job_record &Job, const task_key &Key);
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -289,6 +289,53 @@
   CHECK(State.pendingJobs(Host, Prefix) == 1);
 }
 
+// Guards against jobs that have not begun and that callers do not see as
+// pending, because an endpoint refused their start.
+TEST_CASE("a job of which all starts were refused is pending again") {
+  bool IsRestored = GENERATE(false, true);
+  auto State = makeState(1);
+  State.apply(submission(makeJob("j", {makeStep(2)})), 0);
+  auto Restore = [&] {
+    auto Bytes = State.snapshot();
+    auto Restored =
+        core::capture([&] { return schedule_state::restore(Bytes); });
+    REQUIRE(Restored.index() == 0);
+    CHECK(std::get<0>(Restored).snapshot() == Bytes);
+    if (IsRestored)
+      State = std::move(std::get<0>(Restored));
+  };
+  for (std::uint32_t Attempt = 1; Attempt <= 3; ++Attempt) {
+    CHECK(State.pendingJobs(Host, Prefix) == 1);
+    start(State, {"j", 0, 0, 0}, Attempt);
+    start(State, {"j", 0, 0, 1}, Attempt);
+    Restore();
+    CHECK(State.pendingJobs(Host, Prefix) == 0);
+    CHECK(stateOf(State, "j") == job_state::Running);
+    end(State, {"j", 0, 0, 0}, Attempt, run_end::Refused);
+    CHECK(State.pendingJobs(Host, Prefix) == 0);
+    end(State, {"j", 0, 0, 1}, Attempt, run_end::Refused);
+    CHECK(State.pendingJobs(Host, Prefix) == 1);
+    CHECK(stateOf(State, "j") == job_state::Queued);
+    Restore();
+  }
+  State.apply(cancel_job{Host, Prefix + "j", "j"}, 3);
+  CHECK(State.pendingJobs(Host, Prefix) == 0);
+}
+
+TEST_CASE("a job of which a run has begun is not pending again after a refused "
+          "start") {
+  auto Outcome =
+      GENERATE(run_end::Lost, run_end::Failed, run_end::Stopped, run_end::Done);
+  auto State = makeState(1);
+  State.apply(submission(makeJob("j", {makeStep(2)})), 0);
+  start(State, {"j", 0, 0, 0}, 1);
+  end(State, {"j", 0, 0, 0}, 1, Outcome);
+  start(State, {"j", 0, 0, 1}, 1);
+  end(State, {"j", 0, 0, 1}, 1, run_end::Refused);
+  CHECK(State.pendingJobs(Host, Prefix) == 0);
+  CHECK(stateOf(State, "j") == job_state::Running);
+}
+
 TEST_CASE("a wave is complete when the maintenance of every host has begun") {
   auto State = makeState(0);
   State.apply(start_wave{3, {"h1", "h2"}, 1000, 1}, 0);
