Let a repeated change wait for its earlier copy instead of refusing it

A leader that had committed nothing for a second answered a second copy of a submission with 503, not executed, although its first copy was proposed and could be committed later; a copy that expired in the queue was answered in the same way. A caller was so told that its job never runs, and it ran. The same held for cancellations, configurations and waves.

Change: the leader knows which changes of callers are queued or proposed. A call for one of them waits for the earlier copy while no new change is accepted, and is answered with its result, or as unknown (504) after the time of all calls. A copy that is dropped from the queue is answered as unknown while another one is open. A change without an earlier copy is refused as before.

--- a/scheduling/proposal_queue.cpp
+++ b/scheduling/proposal_queue.cpp
@@ -1,13 +1,18 @@
 #include "scheduling/proposal_queue.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
 
+bool proposal_queue::accepts(core::time_point Now) const {
+  return Commands.size() < MaxCommands && wait(Now) <= MaxWait;
+}
+
 bool proposal_queue::push(command Command, std::uint64_t Call,
                           core::time_point Now) {
-  if (Commands.size() >= MaxCommands || wait(Now) > MaxWait)
+  if (!accepts(Now))
     return false;
   Commands.push_back({std::move(Command), Call, Now, false, ""});
   return true;
@@ -65,19 +70,20 @@
                   std::make_move_iterator(Proposal.Commands.end()));
 }
 
-std::vector<std::uint64_t> proposal_queue::expire(core::duration Timeout,
-                                                  core::time_point Now) {
-  std::vector<std::uint64_t> Calls;
+std::vector<queued_command> proposal_queue::takeExpired(core::duration Timeout,
+                                                        core::time_point Now) {
+  std::vector<queued_command> Expired;
   // Commands are in the order of their age.
   if (wait(Now) <= Timeout)
-    return Calls;
-  std::erase_if(Commands, [&](const queued_command &Command) {
-    if (Command.Call == 0 || Now - Command.Since <= Timeout)
-      return false;
-    Calls.push_back(Command.Call);
-    return true;
-  });
-  return Calls;
+    return Expired;
+  auto Kept = std::stable_partition(
+      Commands.begin(), Commands.end(), [&](const queued_command &Command) {
+        return Command.Call == 0 || Now - Command.Since <= Timeout;
+      });
+  Expired.assign(std::make_move_iterator(Kept),
+                 std::make_move_iterator(Commands.end()));
+  Commands.erase(Kept, Commands.end());
+  return Expired;
 }
 
 std::vector<std::uint64_t> proposal_queue::clear() {
--- a/scheduling/proposal_queue.h
+++ b/scheduling/proposal_queue.h
@@ -51,6 +51,8 @@
   explicit proposal_queue(std::size_t MaxCommandBytes)
       : MaxCommandBytes(MaxCommandBytes) {}
 
+  /// \returns whether push() accepts a command now.
+  bool accepts(core::time_point Now) const;
   /// Adds a command for which a call waits.
   /// \returns false when the queue accepts none now; the command is discarded.
   bool push(command Command, std::uint64_t Call, core::time_point Now);
@@ -66,9 +68,8 @@
   /// Puts the commands of a proposal that the log did not accept back.
   void putBack(proposal Proposal);
   /// Removes the commands whose calls have waited for longer than the time.
-  /// \returns the calls.
-  std::vector<std::uint64_t> expire(core::duration Timeout,
-                                    core::time_point Now);
+  std::vector<queued_command> takeExpired(core::duration Timeout,
+                                          core::time_point Now);
   /// Removes all commands.
   /// \returns the calls that wait for them.
   std::vector<std::uint64_t> clear();
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -353,6 +353,7 @@
   ProposedEntries.clear();
   for (auto Call : Queued.clear())
     answerNotLeader(Call);
+  answer(OpenChanges.clear(), reply_kind::Unknown);
   ProposalRefusal.clear();
   for (auto &[Token, Group] : RequestedReads)
     refuse(Group);
@@ -364,8 +365,9 @@
 }
 
 void schedule_node::expirePendingCalls(core::time_point Now) {
-  for (auto Call : Queued.expire(CallTimeout, Now))
-    answer(Call, reply_kind::Unavailable);
+  for (const auto &Expired : Queued.takeExpired(CallTimeout, Now))
+    answerDropped(Expired.Call, Expired.Command, reply_kind::Unavailable);
+  answer(OpenChanges.expire(CallTimeout, Now), reply_kind::Unknown);
   for (auto &[Index, Entry] : ProposedEntries) {
     if (Now - Entry.Since <= CallTimeout)
       continue;
@@ -387,8 +389,14 @@
   bool IsStalled =
       !ProposedEntries.empty() &&
       Now - ProposedEntries.begin()->second.Since > proposal_queue::MaxWait;
-  if (IsStalled || !Queued.push(std::move(Command), Call, Now))
+  if (!IsStalled && Queued.accepts(Now)) {
+    OpenChanges.add(Command);
+    Queued.push(std::move(Command), Call, Now);
+  } else if (!OpenChanges.contains(Command)) {
     answer(Call, reply_kind::Unavailable);
+  } else if (!OpenChanges.wait(Command, Call, Now)) {
+    answer(Call, reply_kind::Unknown);
+  }
 }
 
 void schedule_node::refuseOversized(const queued_command &Command) {
@@ -398,7 +406,7 @@
                   {"max_bytes", MaxCommandBytes},
                   {"verdict", "not-run"}});
   Metrics.add("commands_too_large_total");
-  answer(Command.Call, reply_kind::TooLarge);
+  answerDropped(Command.Call, Command.Command, reply_kind::TooLarge);
   if (!Command.EndsLeaderBatch)
     return;
   // The batch ends with the last entry that was proposed for it.
@@ -553,6 +561,8 @@
     if (Own->Term != Entry.Term) {
       for (auto Call : Own->Calls)
         answer(Call, reply_kind::Unknown);
+      for (const auto &Command : Own->Batch.Commands)
+        answer(OpenChanges.recordDropped(Command), reply_kind::Unknown);
       Own.reset();
     }
   }
@@ -582,6 +592,8 @@
       continue;
     logApplied(Command, Outcome, Entry.Index, Endpoint);
     answerApplied(Own->Calls[Index], Command, Outcome);
+    for (auto Call : OpenChanges.recordApplied(Command))
+      answerApplied(Call, Command, Outcome);
   }
   Runs.flush();
   CommandsSinceCompaction += Batch->Commands.size();
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -13,6 +13,7 @@
 #include "scheduling/founding_proposer.h"
 #include "scheduling/leader.h"
 #include "scheduling/membership_manager.h"
+#include "scheduling/open_changes.h"
 #include "scheduling/proposal_queue.h"
 #include "scheduling/replication_load.h"
 #include "scheduling/run_log.h"
@@ -166,6 +167,11 @@
   // schedule_node_calls.cpp
   void queue(command Command, std::uint64_t Call, core::time_point Now);
   void answer(std::uint64_t Call, reply_kind Kind);
+  void answer(std::span<const std::uint64_t> Calls, reply_kind Kind);
+  /// Answers a call whose command was dropped before the log accepted it, and
+  /// those that waited for this copy.
+  void answerDropped(std::uint64_t Call, const command &Command,
+                     reply_kind Kind);
   void answerNotLeader(std::uint64_t Call);
   /// Tells a new leader which endpoints this scheduler knows to have exited.
   void reportDepartures(core::time_point Now);
@@ -230,6 +236,7 @@
   proposal_queue Queued;
   std::string ProposalRefusal; ///< Why the log refused the oldest command.
   std::map<std::uint64_t, proposed_entry> ProposedEntries; ///< By index.
+  open_changes OpenChanges; ///< Of Queued and ProposedEntries.
   std::map<std::uint64_t, core::time_point> PendingWrites; ///< By ticket.
   read_group PendingReads;                            ///< Not requested yet.
   std::map<std::uint64_t, read_group> RequestedReads; ///< By token.
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -48,6 +48,19 @@
   Replies.push_back(std::move(Reply));
 }
 
+void schedule_node::answer(std::span<const std::uint64_t> Calls,
+                           reply_kind Kind) {
+  for (auto Call : Calls)
+    answer(Call, Kind);
+}
+
+void schedule_node::answerDropped(std::uint64_t Call, const command &Command,
+                                  reply_kind Kind) {
+  answer(OpenChanges.recordDropped(Command), Kind);
+  // Another copy may still be committed.
+  answer(Call, OpenChanges.contains(Command) ? reply_kind::Unknown : Kind);
+}
+
 void schedule_node::answerNotLeader(std::uint64_t Call) {
   if (Call == 0)
     return;
--- a/tests/scheduling/test_proposal_queue.cpp
+++ b/tests/scheduling/test_proposal_queue.cpp
@@ -84,8 +84,10 @@
   auto Later = Now + proposal_queue::MaxWait;
   REQUIRE(Queue.push(submissionOf(2, 1), 2, Later));
   CHECK(!Queue.push(submissionOf(3, 1), 3, Later + 1ms));
-  CHECK(Queue.expire(2s, Now + 2s).empty());
-  CHECK(Queue.expire(2s, Now + 2s + 1ms) == std::vector<std::uint64_t>{1});
+  CHECK(Queue.takeExpired(2s, Now + 2s).empty());
+  auto Expired = Queue.takeExpired(2s, Now + 2s + 1ms);
+  REQUIRE(Expired.size() == 1);
+  CHECK(Expired[0].Call == 1);
   CHECK(Queue.size() == 2);
   CHECK(Queue.clear() == std::vector<std::uint64_t>{2});
 }
--- a/tests/scheduling/test_schedule_node.cpp
+++ b/tests/scheduling/test_schedule_node.cpp
@@ -308,6 +308,62 @@
   CHECK(Scheduler.awaitReply(Later, 100ms) == reply_kind::Unavailable);
 }
 
+// Guards against a caller that is told that its job never runs while an earlier
+// copy of the submission is committed later.
+TEST_CASE("a repeated change is not answered as not executed while an earlier "
+          "copy may be committed") {
+  leading_scheduler Scheduler;
+  Scheduler.IsStalled = true;
+  auto First = Scheduler.call(submitCall("j"));
+  for (int Step = 0; Step != 120; ++Step)
+    Scheduler.advance();
+  auto Copy = Scheduler.call(submitCall("j"));
+  auto Other = Scheduler.call(submitCall("k"));
+  CHECK(Scheduler.awaitReply(Other, 100ms) == reply_kind::Unavailable);
+  CHECK(!Scheduler.awaitReply(Copy, 500ms));
+
+  SECTION("the earlier copy is committed") {
+    Scheduler.IsStalled = false;
+    CHECK(Scheduler.awaitReply(Copy, 100ms) == reply_kind::Accepted);
+    CHECK(Scheduler.awaitReply(First, 100ms) == reply_kind::Accepted);
+  }
+  SECTION("the disk stays stalled") {
+    CHECK(Scheduler.awaitReply(First, AcknowledgementBound) ==
+          reply_kind::Unknown);
+    CHECK(Scheduler.awaitReply(Copy, AcknowledgementBound) ==
+          reply_kind::Unknown);
+    Scheduler.IsStalled = false;
+    for (int Step = 0; Step != 10; ++Step)
+      Scheduler.advance();
+    CHECK(Scheduler.Node.state().findJob("j"));
+  }
+}
+
+TEST_CASE("a repeated change that waits in the queue until it expires is not "
+          "answered as not executed while an earlier copy is in the log") {
+  leading_scheduler Scheduler;
+  Scheduler.IsStalled = true;
+  auto First = Scheduler.call(submitCall("j"));
+  Scheduler.advance();
+  // More than the log accepts without a commit.
+  std::vector<std::uint64_t> Calls;
+  for (int Index = 0; Index != 400; ++Index)
+    Calls.push_back(
+        Scheduler.call(submitCall("j" + std::to_string(Index), 60'000)));
+  auto Copy = Scheduler.call(submitCall("j"));
+  CHECK(Scheduler.awaitReply(First, AcknowledgementBound) ==
+        reply_kind::Unknown);
+  CHECK(Scheduler.awaitReply(Copy, AcknowledgementBound) ==
+        reply_kind::Unknown);
+  CHECK(Scheduler.awaitReply(Calls.back(), AcknowledgementBound) ==
+        reply_kind::Unavailable);
+  Scheduler.IsStalled = false;
+  for (int Step = 0; Step != 100; ++Step)
+    Scheduler.advance();
+  CHECK(Scheduler.Node.state().findJob("j"));
+  CHECK(!Scheduler.Node.state().findJob("j399"));
+}
+
 // Guards against a leader that cannot commit its first entry and reports that
 // nothing waits.
 TEST_CASE("a leader whose first entry is not committed reports what it waits "
