Read no row of the list of hosts that lacks the id of a host that is up

A row of another writer without the field `id` was read as that of a host without an endpoint.

Change: a row with the state `up` and without `id` is not readable, like a row with any other odd field: what is known of the host stays. An `id` that is null, or missing for a host that is not up, still means no endpoint.

--- a/tests/platform/test_decoder_fuzz.cpp
+++ b/tests/platform/test_decoder_fuzz.cpp
@@ -205,6 +205,7 @@
       {"pool", Missing},
       {"pool", 7},
       {"zone", 7},
+      {"id", Missing},
       {"id", 7},
       {"labels", "a"},
       {"capacity", 7},
