Confirm the ends of an endpoint beside a disproven incarnation

Heartbeats of another writer with the id of a sound endpoint, repeated, kept its ends from being confirmed: while another incarnation was a candidate for the id, each poll carried the cursor 0.

Change: a candidate at whose address another incarnation answers is dropped; its next heartbeat causes the next probe, as before. And only a candidate at the endpoint's own address holds the cursor back: one elsewhere does not answer the endpoint's polls.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -168,6 +168,9 @@
   void collectIncarnations(std::vector<command> &Commands,
                            core::time_point Now);
   void pruneCandidates(core::time_point Now);
+  /// \returns whether an unproven incarnation with the endpoint's id may answer
+  /// at its address.
+  bool hasCandidateAtAddress(const tracked_endpoint &Tracked) const;
   /// \returns whether the heartbeat may be the endpoint's newest one.
   static bool isInOrder(const tracked_endpoint &Tracked,
                         const endpoint_heartbeat &Heartbeat,
--- a/scheduling/leader_incarnations.cpp
+++ b/scheduling/leader_incarnations.cpp
@@ -233,7 +233,13 @@
                       {"reason", IsProven ? "the recorded one may be alive"
                                  : Answer ? "another one answers there"
                                           : "nothing answers there"}});
-    // Its next heartbeat causes the next probe.
+    // Its next heartbeat causes the next probe. One at whose address another
+    // incarnation answers is not there: until then, it must not keep ends of
+    // the recorded one from being confirmed.
+    if (Answer && !IsProven)
+      Known->second.erase(Found);
+    if (Known->second.empty())
+      Candidates.erase(Known);
     return;
   }
   UncommittedHeartbeats[Facts.Id] = {Found->Heartbeat, Found->HeardAt};
@@ -243,6 +249,18 @@
     Candidates.erase(Known);
 }
 
+bool leader::hasCandidateAtAddress(const tracked_endpoint &Tracked) const {
+  auto Known = Candidates.find(Tracked.Id);
+  if (Known == Candidates.end())
+    return false;
+  const auto &Address =
+      State.endpoints().find(Tracked.Endpoint)->second.Facts.Address;
+  return std::any_of(Known->second.begin(), Known->second.end(),
+                     [&](const incarnation_candidate &Candidate) {
+                       return Candidate.Heartbeat.Facts.Address == Address;
+                     });
+}
+
 bool leader::mayReplace(const endpoint_facts &Facts, core::time_point Now) {
   const auto *Recorded = State.findEndpoint(Facts.Id);
   if (!Recorded || Recorded->Facts.IncarnationMs <= Facts.IncarnationMs ||
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -344,8 +344,8 @@
   poll_order Poll;
   Poll.Fence = fenceOf(Tracked.Endpoint);
   // Another incarnation may answer, whose ends have other numbers.
-  bool MayBeAnother = Tracked.IsSuspect || Tracked.IsReplaced ||
-                      Candidates.count(Tracked.Id) > 0;
+  bool MayBeAnother =
+      Tracked.IsSuspect || Tracked.IsReplaced || hasCandidateAtAddress(Tracked);
   Poll.Cursor = MayBeAnother ? 0 : Tracked.Cursor;
   bool RequiresList = std::any_of(
       Tracked.Runs.begin(), Tracked.Runs.end(), [](const auto &Item) {
--- a/tests/scheduling/test_odd_heartbeats.cpp
+++ b/tests/scheduling/test_odd_heartbeats.cpp
@@ -192,6 +192,22 @@
   }
 }
 
+// Guards against ends that are never read: an endpoint lists a bounded number
+// of them, and the next ones only after those were confirmed.
+TEST_CASE("odd heartbeats do not keep the ends of a sound endpoint from being "
+          "confirmed") {
+  for (const auto &Case : oddCases()) {
+    INFO(Case.Name);
+    odd_site Site(Case);
+    Site.limitEnds(3);
+    Site.run(StartupMs);
+    Site.runSeconds(30);
+    Site.run(MaxJobMs);
+    Site.check();
+    CHECK(Site.MaxConcurrentRuns == 1);
+  }
+}
+
 TEST_CASE("an endpoint that restarts under its id is used whatever its clock "
           "says") {
   // The start time is the wall clock of a host, which may have been stepped in
