Report what a round of placement did with the waiting steps

The placer fills a placement_report: steps tried, tasks placed, and steps left by reason. The leader keeps the report of its last round.

placement_request::IsAllowed mixed three questions. It is split in three, so that the reasons can be told apart: whether the endpoint accepts runs, whether an order may interrupt its host, and whether there is a ticket. The first two are asked once in a round for each endpoint. Which runs start is unchanged.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -698,6 +698,7 @@
                 [&](const auto &Item) { return Item.second <= Now; });
   auto ExaminedBefore = Waiting.examinedJobs();
   Waiting.update(WallMs);
+  LastRound = {};
   Metrics.add("placement_jobs_examined_total",
               Waiting.examinedJobs() - ExaminedBefore);
   auto HasTrial = [&](const tracked_endpoint &Tracked) {
@@ -734,17 +735,16 @@
     return DeferredTasks.find(Key) != DeferredTasks.end();
   };
   requestAdvice(Targets, Now);
-  std::unordered_map<std::uint32_t, bool> Schedulable;
+  Request.IsSchedulable = [&](std::uint32_t Endpoint) {
+    return isSchedulable(TrackedEndpoints.find(Endpoint)->second, Now);
+  };
+  Request.MayBeInterrupted = [&](std::uint32_t Endpoint) {
+    return mayBeOnOrderedHost(Endpoint, Now) ||
+           mayBeMovedByEarlierLeader(Endpoint, Now);
+  };
   Request.IsAllowed = [&](const task_key &Key, const job_record &Job,
                           std::uint32_t Endpoint) {
-    auto [Known, IsNew] = Schedulable.try_emplace(Endpoint);
-    if (IsNew)
-      Known->second =
-          isSchedulable(TrackedEndpoints.find(Endpoint)->second, Now);
-    return Known->second && isAllowed(Key, Job, Endpoint, Now) &&
-           (!Job.Spec.Steps[Key.Step].IsLongRunning ||
-            (!mayBeOnOrderedHost(Endpoint, Now) &&
-             !mayBeMovedByEarlierLeader(Endpoint, Now)));
+    return isAllowed(Key, Job, Endpoint, Now);
   };
   auto Suspects = planSuspects(Targets, Now);
   if (!Suspects.empty())
@@ -760,6 +760,7 @@
   };
   std::set<std::string> HeldUp;
   Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
+  Request.Report = &LastRound;
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(
            Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -660,7 +660,6 @@
   /// By pool, when a line about its suspects may be logged again.
   std::map<std::string, core::time_point> NextSuspectLog;
   std::size_t PendingStarts = 0; ///< Start orders without a result.
-  placement_report LastRound;    ///< Of the newest round of placement.
   /// Since when the tasks of unservedTasks() are not at work, by task.
   std::map<task_key, core::time_point> UnservedSince;
   host_inventory Hosts;
@@ -668,6 +667,7 @@
   duration_models Durations;
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
+  placement_report LastRound; ///< Of the last round of placement.
   queue_load_counter QueueLoad{Durations};
   core::time_point NextQueueLog{};
   advice_cache Advice;
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -45,6 +46,12 @@
          Target.Labels.end();
 }
 
+/// What is asked at most once in a round for an endpoint.
+struct endpoint_answers {
+  std::optional<bool> IsSchedulable;
+  std::optional<bool> MayBeInterrupted;
+};
+
 /// One round of placement.
 class placement_round {
 public:
@@ -58,8 +65,13 @@
   }
 
   void place(const waiting_step &Waiting) {
-    if (!mayPlaceIn(Waiting.Job->Pool))
+    if (!mayPlaceIn(Waiting.Job->Pool)) {
+      if (Request.Report)
+        recordPassedOver(Waiting.Job->Pool, 1);
       return;
+    }
+    if (Request.Report)
+      ++Request.Report->Pools[Waiting.Job->Pool].Tried;
     auto Pool = ByPool.find(Waiting.Job->Pool);
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
     if (Spec.IsGang)
@@ -91,8 +103,23 @@
             Failed->second < MaxFailedPlacementsPerPool);
   }
 
+  /// Records steps of the pool that were not tried.
+  void recordPassedOver(const std::string &Pool, std::size_t Steps) {
+    if (!Request.Report || Steps == 0)
+      return;
+    auto Reason = ByPool.find(Pool) == ByPool.end()
+                      ? placement_failure::NoEndpoint
+                      : placement_failure::Skipped;
+    Request.Report->Pools[Pool][Reason] += Steps;
+  }
+
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
-  std::vector<placement> take() { return std::move(Placements); }
+  std::vector<placement> take() {
+    if (Request.Report)
+      for (const auto *Pool : PoolsOfPlacements)
+        ++Request.Report->Pools[*Pool].Placed;
+    return std::move(Placements);
+  }
 
 private:
   using target_list = std::vector<placement_target *>;
@@ -105,15 +132,25 @@
   void placeTasks(const waiting_step &Waiting, const step_spec &Spec,
                   const target_list &Pool) {
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
+    std::optional<task_key> Held;
+    auto HeldReason = placement_failure::Deferred;
     for (std::uint32_t Index = 0; Index != Tasks.size() && !isFull(); ++Index) {
       if (!Tasks[Index].isWaiting())
         continue;
       auto Key = keyOf(Waiting, Index);
-      if (Request.IsDeferred && Request.IsDeferred(Key))
+      if (Request.IsDeferred && Request.IsDeferred(Key)) {
+        if (!Held)
+          Held = Key;
         continue;
+      }
       auto Only = endpointFor(Waiting, Key);
-      if (Only.has_value() != PlacesSuspects || Only == 0u)
+      if (Only.has_value() != PlacesSuspects || Only == 0u) {
+        if (!Held && Only == 0u) {
+          Held = Key;
+          HeldReason = placement_failure::Trial;
+        }
         continue;
+      }
       auto *Target = !Only && isTooLarge(Waiting.Job->Pool, Spec)
                          ? nullptr
                          : choose(Waiting, Spec, Key, Pool, "", Only);
@@ -126,10 +163,15 @@
             choose(Waiting, Spec, Key, Pool, "", AnyEndpoint))
           Request.RecordHeldUp(Waiting.Job->Pool);
         ++FailedPlacements[Waiting.Job->Pool];
+        recordFailure(Waiting, Spec, Key,
+                      [&] { return reasonOf(Waiting, Spec, Key, Pool); });
         return;
       }
-      commit(Spec, Key, Tasks[Index].Attempt + 1, *Target, Only.has_value());
+      commit(Waiting, Spec, Key, Tasks[Index].Attempt + 1, *Target,
+             Only.has_value());
     }
+    if (Held && !PlacesSuspects)
+      recordFailure(Waiting, Spec, *Held, [&] { return HeldReason; });
   }
 
   void placeGang(const waiting_step &Waiting, const step_spec &Spec,
@@ -137,15 +179,25 @@
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
     std::uint32_t Attempt = 0;
     bool HasSuspect = false;
+    auto RecordHeld = [&](std::uint32_t Index, placement_failure Reason) {
+      if (!PlacesSuspects)
+        recordFailure(Waiting, Spec, keyOf(Waiting, Index),
+                      [&] { return Reason; });
+    };
     for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
       auto Only = endpointFor(Waiting, keyOf(Waiting, Index));
-      if (Only == 0u)
+      if (Only == 0u) {
+        RecordHeld(Index, placement_failure::Trial);
         return;
+      }
       HasSuspect |= Only.has_value();
       // All members of an earlier attempt must have ended.
-      if (!Tasks[Index].isWaiting() ||
-          (Request.IsDeferred && Request.IsDeferred(keyOf(Waiting, Index))))
+      if (!Tasks[Index].isWaiting())
+        return;
+      if (Request.IsDeferred && Request.IsDeferred(keyOf(Waiting, Index))) {
+        RecordHeld(Index, placement_failure::Deferred);
         return;
+      }
       Attempt = std::max(Attempt, Tasks[Index].Attempt + 1);
     }
     if (HasSuspect != PlacesSuspects)
@@ -165,10 +217,16 @@
       for (std::size_t Index = 0; Index != Pool.size(); ++Index)
         *Pool[Index] = Saved[Index];
       Placements.resize(SavedCount);
+      PoolsOfPlacements.resize(SavedCount);
     }
     if (HasSuspect)
       return;
     ++FailedPlacements[Waiting.Job->Pool];
+    recordFailure(Waiting, Spec, keyOf(Waiting, 0), [&] {
+      auto Reason = reasonOf(Waiting, Spec, keyOf(Waiting, 0), Pool);
+      return Reason == placement_failure::Count ? placement_failure::GangRoom
+                                                : Reason;
+    });
     if (Request.RecordHeldUp &&
         std::any_of(Pool.begin(), Pool.end(), [&](const auto *Target) {
           return Target->IsReserved && fits(Target->Free, reservedSize(Spec));
@@ -244,9 +302,82 @@
                   const std::string &Rack) const {
     return (Spec.RequiredLabel.empty() ||
             hasLabel(Target, Spec.RequiredLabel)) &&
-           (Rack.empty() || Target.Rack == Rack) &&
+           (Rack.empty() || Target.Rack == Rack) && isSchedulable(Target) &&
            (!Request.IsAllowed ||
-            Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint));
+            Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint)) &&
+           (!Spec.IsLongRunning || !mayBeInterrupted(Target));
+  }
+
+  bool isSchedulable(const placement_target &Target) const {
+    if (!Request.IsSchedulable)
+      return true;
+    auto &Answer = Answers[Target.Endpoint].IsSchedulable;
+    if (!Answer)
+      Answer = Request.IsSchedulable(Target.Endpoint);
+    return *Answer;
+  }
+
+  bool mayBeInterrupted(const placement_target &Target) const {
+    if (!Request.MayBeInterrupted)
+      return false;
+    auto &Answer = Answers[Target.Endpoint].MayBeInterrupted;
+    if (!Answer)
+      Answer = Request.MayBeInterrupted(Target.Endpoint);
+    return *Answer;
+  }
+
+  /// Records that the step ended with a task without a place.
+  /// \param ReasonOf called only if there is a report.
+  template <typename Callable>
+  void recordFailure(const waiting_step &Waiting, const step_spec &Spec,
+                     const task_key &Key, Callable &&ReasonOf) {
+    if (!Request.Report)
+      return;
+    auto Reason = ReasonOf();
+    ++Request.Report->Pools[Waiting.Job->Pool][Reason];
+    if (Spec.IsLongRunning)
+      Request.Report->LongRunning.emplace(Key, Reason);
+  }
+
+  /// \returns why the task, which is no suspect, has no place on the endpoint,
+  /// or Count if it has one. Whether the endpoint accepts runs isn't checked.
+  placement_failure reasonOn(const waiting_step &Waiting, const step_spec &Spec,
+                             const task_key &Key,
+                             const placement_target &Target) const {
+    if (!fits(Target.Free, reservedSize(Spec)))
+      return placement_failure::Size;
+    if (!Spec.RequiredLabel.empty() && !hasLabel(Target, Spec.RequiredLabel))
+      return placement_failure::Label;
+    if (Target.IsReserved)
+      return placement_failure::Reserved;
+    if (Spec.MaxPerEndpoint > 0) {
+      auto Runs = Target.RunsByStep.find(stepKey(Key));
+      if (Runs != Target.RunsByStep.end() &&
+          Runs->second >= Spec.MaxPerEndpoint)
+        return placement_failure::Spread;
+    }
+    if (Spec.IsLongRunning && mayBeInterrupted(Target))
+      return placement_failure::OrderedHost;
+    if (Request.IsAllowed &&
+        !Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint))
+      return placement_failure::Advice;
+    return placement_failure::Count;
+  }
+
+  /// \returns the last of the reasons on all endpoints, or Count if the task
+  /// has a place on one of them.
+  placement_failure reasonOf(const waiting_step &Waiting, const step_spec &Spec,
+                             const task_key &Key,
+                             const target_list &Pool) const {
+    // Sizes are known to be too large for the endpoints that aren't reserved.
+    if (!HasReserved && isTooLarge(Waiting.Job->Pool, Spec))
+      return placement_failure::Size;
+    auto Last = placement_failure::NoEndpoint;
+    for (const auto *Target : Pool)
+      if (auto Reason = reasonOn(Waiting, Spec, Key, *Target);
+          Reason > Last && isSchedulable(*Target))
+        Last = Reason;
+    return Last;
   }
 
   bool placeMembers(const waiting_step &Waiting, const step_spec &Spec,
@@ -261,7 +392,7 @@
         Target = choose(Waiting, Spec, Key, Pool, Rack, std::nullopt);
       if (!Target)
         return false;
-      commit(Spec, Key, Attempt, *Target, Only.has_value());
+      commit(Waiting, Spec, Key, Attempt, *Target, Only.has_value());
     }
     return true;
   }
@@ -371,7 +502,8 @@
     return Cost;
   }
 
-  void commit(const step_spec &Spec, const task_key &Key, std::uint32_t Attempt,
+  void commit(const waiting_step &Waiting, const step_spec &Spec,
+              const task_key &Key, std::uint32_t Attempt,
               placement_target &Target, bool IsSuspect) {
     if (IsSuspect && Request.CrashesOf)
       for (auto Incarnation : Request.CrashesOf(Key))
@@ -385,6 +517,7 @@
     if (Spec.MaxPerEndpoint > 0)
       ++Target.RunsByStep[stepKey(Key)];
     Placements.push_back({{Key, Attempt, Target.Endpoint}, Size});
+    PoolsOfPlacements.push_back(&Waiting.Job->Pool);
   }
 
   const placement_request &Request;
@@ -394,7 +527,9 @@
   /// round.
   std::map<std::string, std::vector<resource_amounts>> TooLarge;
   bool HasReserved = false; ///< A target is reserved.
+  mutable std::unordered_map<std::uint32_t, endpoint_answers> Answers;
   std::vector<placement> Placements;
+  std::vector<const std::string *> PoolsOfPlacements; ///< Of each placement.
   bool PlacesSuspects = false;
 };
 
@@ -475,11 +610,11 @@
     for (const auto &Step : Waiting)
       if (!Step.Job->Suspects.empty())
         Round.placeSuspects(Step);
-  for (const auto &Step : Waiting) {
-    if (Round.isFull())
-      break;
-    Round.place(Step);
-  }
+  auto Next = Waiting.begin();
+  for (; Next != Waiting.end() && !Round.isFull(); ++Next)
+    Round.place(*Next);
+  for (; Request.Report && Next != Waiting.end(); ++Next)
+    Round.recordPassedOver(Next->Job->Pool, 1);
   return Round.take();
 }
 
@@ -495,14 +630,18 @@
     const std::string *Pool;
     waiting_index::step_set::const_iterator Next;
     waiting_index::step_set::const_iterator End;
+    std::size_t Left; ///< Steps from Next on.
   };
   std::vector<pool_cursor> Cursors;
   for (const auto &[Pool, Steps] : Waiting.pools())
-    Cursors.push_back({&Pool, Steps.begin(), Steps.end()});
+    Cursors.push_back({&Pool, Steps.begin(), Steps.end(), Steps.size()});
   // Merges the pools by rank, because all of them share the limit of starts.
   while (!Round.isFull()) {
     std::erase_if(Cursors, [&](const pool_cursor &Cursor) {
-      return Cursor.Next == Cursor.End || !Round.mayPlaceIn(*Cursor.Pool);
+      if (Cursor.Next != Cursor.End && Round.mayPlaceIn(*Cursor.Pool))
+        return false;
+      Round.recordPassedOver(*Cursor.Pool, Cursor.Left);
+      return true;
     });
     auto First =
         std::min_element(Cursors.begin(), Cursors.end(),
@@ -513,7 +652,10 @@
       break;
     Round.place(First->Next->Step);
     ++First->Next;
+    --First->Left;
   }
+  for (const auto &Cursor : Cursors)
+    Round.recordPassedOver(*Cursor.Pool, Cursor.Left);
   return Round.take();
 }
 
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETRESTLE_SCHEDULING_PLACER_H
 #define LYCHEETRESTLE_SCHEDULING_PLACER_H
 
+#include "scheduling/placement_report.h"
 #include "scheduling/rank_cache.h"
 #include "scheduling/schedule_state.h"
 
@@ -73,6 +74,13 @@
   /// Whether a task must not be placed now, for example after an endpoint
   /// refused it. May be empty.
   std::function<bool(const task_key &)> IsDeferred;
+  /// Whether the endpoint accepts new runs now. Asked at most once in a round
+  /// for each endpoint, and only where a task would fit. May be empty.
+  std::function<bool(std::uint32_t)> IsSchedulable;
+  /// Whether an order may still interrupt the host of the endpoint, so that no
+  /// long-running task may start there. Asked at most once in a round for each
+  /// endpoint. May be empty.
+  std::function<bool(std::uint32_t)> MayBeInterrupted;
   /// Whether the task may run on the endpoint, for queues that require advice.
   /// May be empty.
   std::function<bool(const task_key &, const job_record &, std::uint32_t)>
@@ -89,6 +97,8 @@
   /// Called with each pool in which a task that is no suspect fits only an
   /// endpoint that is reserved. May be empty.
   std::function<void(const std::string &)> RecordHeldUp;
+  /// Receives what the round did. May be null.
+  placement_report *Report = nullptr;
 };
 
 /// \returns the key of the task's step in placement_target::RunsByStep.
