Bound the work of a round of placement by what steps ask for

Cause: a round ended in a pool after 24 steps without a place. Long-running steps rank first and each round begins with the same ones, so 24 of them without a place kept out all other steps of the pool.

The waiting index keeps the steps of a pool by what they ask for: amounts, label, long-running, and whether there are conditions besides (a limit per endpoint, a gang, advice). A round merges these classes by rank. Once no endpoint that accepts runs has room for what a step asks for, all steps that ask for at least as much are passed over. That is exact, and needs one pass over the endpoints instead of one for each step. Steps with conditions that have no place although an endpoint has room are bounded by visits of endpoints: half of them for the highest ranks, the other half continues where the round before stopped. Steps without conditions have no bound.

The reference of test_placement_reference.cpp had the limit of 24 as well. It has no limit now, so it expects all starts that the older one expected and those behind the limit. checkOrder() of test_waiting_index.cpp checks the classes too.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -761,6 +761,7 @@
   std::set<std::string> HeldUp;
   Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
   Request.Report = &LastRound;
+  Request.Bounds = &PlacementBounds;
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(
            Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -14,6 +14,7 @@
 #include "scheduling/host_inventory.h"
 #include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
+#include "scheduling/placement_bound.h"
 #include "scheduling/placement_report.h"
 #include "scheduling/placer.h"
 #include "scheduling/poll_pacer.h"
@@ -667,6 +668,7 @@
   duration_models Durations;
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
+  placement_bounds PlacementBounds;
   placement_report LastRound; ///< Of the last round of placement.
   queue_load_counter QueueLoad{Durations};
   core::time_point NextQueueLog{};
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/placer.h"
 
 #include "scheduling/job_order.h"
+#include "scheduling/placement_bound.h"
 #include "scheduling/waiting_index.h"
 
 #include <algorithm>
@@ -13,10 +14,8 @@
 
 namespace {
 
-// Failed placements in a pool after which a round skips its remaining steps:
-// those are rarely smaller, and with a large backlog each of them would cost a
-// scan of all endpoints.
-constexpr std::uint32_t MaxFailedPlacementsPerPool = 24;
+// Long-running steps of a class without room whose tasks a report names.
+constexpr std::size_t MaxReportedSteps = 32;
 
 bool fits(const resource_amounts &Free, const resource_amounts &Size) {
   return Size.fitsIn(Free);
@@ -52,6 +51,48 @@
   std::optional<bool> MayBeInterrupted;
 };
 
+using target_list = std::vector<placement_target *>;
+
+/// What no endpoint of a pool has room for in this round.
+struct missing_room {
+  resource_amounts Size;
+  std::string RequiredLabel;
+  bool IsLongRunning = false;
+  placement_failure Reason = placement_failure::Size;
+  /// \returns whether there is no room either for a step that asks for at least
+  /// these amounts.
+  bool covers(const resource_amounts &AtLeast, const std::string &Label,
+              bool IsLong) const {
+    return Size.fitsIn(AtLeast) && (IsLong || !IsLongRunning) &&
+           (RequiredLabel.empty() || RequiredLabel == Label);
+  }
+};
+
+/// A pool during a round of placement.
+struct pool_round {
+  target_list Targets;
+  /// Most of each resource that is free on one endpoint, when the round began.
+  resource_amounts MostFree;
+  /// Room only shrinks within a round. No entry covers another.
+  std::vector<missing_room> Missing;
+  bool IsHeldUp = false; ///< RecordHeldUp was called.
+  placement_counts *Counts = nullptr;
+
+  const missing_room *findMissing(const resource_amounts &AtLeast,
+                                  const std::string &Label,
+                                  bool IsLongRunning) const {
+    auto Found = std::find_if(
+        Missing.begin(), Missing.end(), [&](const missing_room &Known) {
+          return Known.covers(AtLeast, Label, IsLongRunning);
+        });
+    return Found == Missing.end() ? nullptr : &*Found;
+  }
+  const missing_room *findMissing(const step_spec &Spec) const {
+    return findMissing(reservedSize(Spec), Spec.RequiredLabel,
+                       Spec.IsLongRunning);
+  }
+};
+
 /// One round of placement.
 class placement_round {
 public:
@@ -59,58 +100,73 @@
                   const placement_request &Request)
       : Request(Request) {
     for (auto *Target : Targets) {
-      ByPool[Target->Pool].push_back(Target);
+      auto &Pool = Pools[Target->Pool];
+      Pool.Targets.push_back(Target);
+      auto &Most = Pool.MostFree;
+      Most.MilliCores = std::max(Most.MilliCores, Target->Free.MilliCores);
+      Most.MemoryMb = std::max(Most.MemoryMb, Target->Free.MemoryMb);
+      Most.Accelerators =
+          std::max(Most.Accelerators, Target->Free.Accelerators);
       HasReserved |= Target->IsReserved;
     }
+    if (Request.Report)
+      for (auto &[Name, Pool] : Pools)
+        Pool.Counts = &Request.Report->Pools[Name];
   }
 
-  void place(const waiting_step &Waiting) {
-    if (!mayPlaceIn(Waiting.Job->Pool)) {
-      if (Request.Report)
-        recordPassedOver(Waiting.Job->Pool, 1);
-      return;
-    }
-    if (Request.Report)
-      ++Request.Report->Pools[Waiting.Job->Pool].Tried;
-    auto Pool = ByPool.find(Waiting.Job->Pool);
+  /// \returns the pool, or null if it has no endpoint.
+  pool_round *findPool(const std::string &Name) {
+    auto Found = Pools.find(Name);
+    return Found == Pools.end() ? nullptr : &Found->second;
+  }
+
+  /// \param Pool of the step's job.
+  /// \returns 0, or how many endpoints were visited for a task that has no
+  /// place although an endpoint has room for it.
+  std::size_t place(const waiting_step &Waiting, pool_round &Pool) {
+    if (Pool.Counts)
+      ++Pool.Counts->Tried;
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
-    if (Spec.IsGang)
-      placeGang(Waiting, Spec, Pool->second);
-    else
-      placeTasks(Waiting, Spec, Pool->second);
+    if (!Spec.IsLongRunning && Waiting.Job->Suspects.empty())
+      if (const auto *Missing = Pool.findMissing(Spec)) {
+        if (Pool.Counts)
+          ++(*Pool.Counts)[Missing->Reason];
+        return 0;
+      }
+    return Spec.IsGang ? placeGang(Waiting, Spec, Pool)
+                       : placeTasks(Waiting, Spec, Pool);
   }
 
   /// Places the tasks of the step that are suspects. An endpoint is reserved
   /// for each of them, so neither their rank nor a backlog holds them up.
   void placeSuspects(const waiting_step &Waiting) {
-    auto Pool = ByPool.find(Waiting.Job->Pool);
-    if (Pool == ByPool.end())
+    auto *Pool = findPool(Waiting.Job->Pool);
+    if (!Pool)
       return;
     PlacesSuspects = true;
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
     if (Spec.IsGang)
-      placeGang(Waiting, Spec, Pool->second);
+      placeGang(Waiting, Spec, *Pool);
     else
-      placeTasks(Waiting, Spec, Pool->second);
+      placeTasks(Waiting, Spec, *Pool);
     PlacesSuspects = false;
   }
 
-  /// \returns whether place() may still place a step of the pool.
-  bool mayPlaceIn(const std::string &Pool) const {
-    auto Failed = FailedPlacements.find(Pool);
-    return ByPool.find(Pool) != ByPool.end() &&
-           (Failed == FailedPlacements.end() ||
-            Failed->second < MaxFailedPlacementsPerPool);
+  /// Records steps of the pool that were not tried.
+  void recordPassedOver(const std::string &Pool, std::size_t Steps,
+                        placement_failure Reason) {
+    if (Request.Report && Steps > 0)
+      Request.Report->Pools[Pool][Reason] += Steps;
   }
 
-  /// Records steps of the pool that were not tried.
-  void recordPassedOver(const std::string &Pool, std::size_t Steps) {
-    if (!Request.Report || Steps == 0)
-      return;
-    auto Reason = ByPool.find(Pool) == ByPool.end()
-                      ? placement_failure::NoEndpoint
-                      : placement_failure::Skipped;
-    Request.Report->Pools[Pool][Reason] += Steps;
+  /// Records why the tasks of a long-running step were not tried.
+  void recordPassedOver(const waiting_step &Waiting, placement_failure Reason) {
+    const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
+    for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index)
+      if (Tasks[Index].isWaiting()) {
+        Request.Report->LongRunning.emplace(keyOf(Waiting, Index), Reason);
+        return;
+      }
   }
 
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
@@ -122,15 +178,13 @@
   }
 
 private:
-  using target_list = std::vector<placement_target *>;
-
   task_key keyOf(const waiting_step &Waiting, std::uint32_t Index) const {
     return {Waiting.Job->Spec.Id, Waiting.Occurrence->Number, Waiting.Step,
             Index};
   }
 
-  void placeTasks(const waiting_step &Waiting, const step_spec &Spec,
-                  const target_list &Pool) {
+  std::size_t placeTasks(const waiting_step &Waiting, const step_spec &Spec,
+                         pool_round &Pool) {
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
     std::optional<task_key> Held;
     auto HeldReason = placement_failure::Deferred;
@@ -151,112 +205,135 @@
         }
         continue;
       }
-      auto *Target = !Only && isTooLarge(Waiting.Job->Pool, Spec)
+      const auto *Missing = Only ? nullptr : Pool.findMissing(Spec);
+      auto *Target = Missing
                          ? nullptr
-                         : choose(Waiting, Spec, Key, Pool, "", Only);
+                         : choose(Waiting, Spec, Key, Pool.Targets, "", Only);
       // A suspect that waits says nothing about the capacity of the pool.
       if (!Target && Only)
         continue;
       if (!Target) {
-        recordTooLarge(Waiting.Job->Pool, Spec, Pool);
-        if (Request.RecordHeldUp && HasReserved &&
-            choose(Waiting, Spec, Key, Pool, "", AnyEndpoint))
-          Request.RecordHeldUp(Waiting.Job->Pool);
-        ++FailedPlacements[Waiting.Job->Pool];
-        recordFailure(Waiting, Spec, Key,
-                      [&] { return reasonOf(Waiting, Spec, Key, Pool); });
-        return;
+        if (!Missing && HasReserved && !Pool.IsHeldUp && Request.RecordHeldUp &&
+            choose(Waiting, Spec, Key, Pool.Targets, "", AnyEndpoint))
+          recordHeldUp(Waiting, Pool);
+        return recordNoPlace(Waiting, Spec, Key, Pool, Missing);
       }
       commit(Waiting, Spec, Key, Tasks[Index].Attempt + 1, *Target,
              Only.has_value());
     }
     if (Held && !PlacesSuspects)
-      recordFailure(Waiting, Spec, *Held, [&] { return HeldReason; });
+      recordFailure(Waiting, Spec, *Held, HeldReason);
+    return 0;
   }
 
-  void placeGang(const waiting_step &Waiting, const step_spec &Spec,
-                 const target_list &Pool) {
+  std::size_t placeGang(const waiting_step &Waiting, const step_spec &Spec,
+                        pool_round &Pool) {
+    const auto &Targets = Pool.Targets;
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
     std::uint32_t Attempt = 0;
     bool HasSuspect = false;
     auto RecordHeld = [&](std::uint32_t Index, placement_failure Reason) {
       if (!PlacesSuspects)
-        recordFailure(Waiting, Spec, keyOf(Waiting, Index),
-                      [&] { return Reason; });
+        recordFailure(Waiting, Spec, keyOf(Waiting, Index), Reason);
     };
     for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
       auto Only = endpointFor(Waiting, keyOf(Waiting, Index));
       if (Only == 0u) {
         RecordHeld(Index, placement_failure::Trial);
-        return;
+        return 0;
       }
       HasSuspect |= Only.has_value();
       // All members of an earlier attempt must have ended.
       if (!Tasks[Index].isWaiting())
-        return;
+        return 0;
       if (Request.IsDeferred && Request.IsDeferred(keyOf(Waiting, Index))) {
         RecordHeld(Index, placement_failure::Deferred);
-        return;
+        return 0;
       }
       Attempt = std::max(Attempt, Tasks[Index].Attempt + 1);
     }
     if (HasSuspect != PlacesSuspects)
-      return;
+      return 0;
+    auto Key = keyOf(Waiting, 0);
+    // A gang with suspects may use the endpoints that are reserved for them.
+    const auto *Missing =
+        Waiting.Job->Suspects.empty() ? Pool.findMissing(Spec) : nullptr;
+    if (Missing)
+      return recordNoPlace(Waiting, Spec, Key, Pool, Missing);
     auto SavedCount = Placements.size();
     std::vector<std::string> Racks{""};
     if (Spec.PrefersSameRack)
-      Racks = racksOf(Pool);
+      Racks = racksOf(Targets);
     for (const auto &Rack : Racks) {
-      if (!hasRoomForGang(Waiting, Spec, Pool, Rack))
+      if (!hasRoomForGang(Waiting, Spec, Targets, Rack))
         continue;
       std::vector<placement_target> Saved;
-      for (const auto *Target : Pool)
+      for (const auto *Target : Targets)
         Saved.push_back(*Target);
-      if (placeMembers(Waiting, Spec, Pool, Rack, Attempt))
-        return;
-      for (std::size_t Index = 0; Index != Pool.size(); ++Index)
-        *Pool[Index] = Saved[Index];
+      if (placeMembers(Waiting, Spec, Targets, Rack, Attempt))
+        return 0;
+      for (std::size_t Index = 0; Index != Targets.size(); ++Index)
+        *Targets[Index] = Saved[Index];
       Placements.resize(SavedCount);
       PoolsOfPlacements.resize(SavedCount);
     }
     if (HasSuspect)
-      return;
-    ++FailedPlacements[Waiting.Job->Pool];
-    recordFailure(Waiting, Spec, keyOf(Waiting, 0), [&] {
-      auto Reason = reasonOf(Waiting, Spec, keyOf(Waiting, 0), Pool);
-      return Reason == placement_failure::Count ? placement_failure::GangRoom
-                                                : Reason;
-    });
-    if (Request.RecordHeldUp &&
-        std::any_of(Pool.begin(), Pool.end(), [&](const auto *Target) {
+      return 0;
+    if (Request.RecordHeldUp && !Pool.IsHeldUp &&
+        std::any_of(Targets.begin(), Targets.end(), [&](const auto *Target) {
           return Target->IsReserved && fits(Target->Free, reservedSize(Spec));
         }))
-      Request.RecordHeldUp(Waiting.Job->Pool);
+      recordHeldUp(Waiting, Pool);
+    return Racks.size() * recordNoPlace(Waiting, Spec, Key, Pool, nullptr);
+  }
+
+  void recordHeldUp(const waiting_step &Waiting, pool_round &Pool) {
+    Pool.IsHeldUp = true;
+    Request.RecordHeldUp(Waiting.Job->Pool);
   }
 
-  /// \returns whether a task of this size or a smaller one had no room on any
-  /// endpoint of the pool in this round. Most steps of a backlog have about the
+  /// Records that a task that is no suspect has no place, and whether an
+  /// endpoint has room for it at all. Most steps of a backlog have about the
   /// same size, and each would cost a pass over all endpoints.
-  bool isTooLarge(const std::string &Pool, const step_spec &Spec) const {
-    auto Found = TooLarge.find(Pool);
-    if (Found == TooLarge.end())
-      return false;
-    auto Size = reservedSize(Spec);
-    return std::any_of(
-        Found->second.begin(), Found->second.end(),
-        [&](const resource_amounts &Known) { return fits(Size, Known); });
+  /// \param Missing the room that is known to be missing, or null.
+  /// \returns the visits of endpoints if one has room, or 0.
+  std::size_t recordNoPlace(const waiting_step &Waiting, const step_spec &Spec,
+                            const task_key &Key, pool_round &Pool,
+                            const missing_room *Missing) {
+    if (Missing) {
+      recordFailure(Waiting, Spec, Key, Missing->Reason);
+      return 0;
+    }
+    bool HasRoom = std::any_of(
+        Pool.Targets.begin(), Pool.Targets.end(), [&](const auto *Target) {
+          return !Target->IsReserved && hasRoom(Spec, *Target);
+        });
+    auto Reason = placement_failure::Size;
+    if (Request.Report)
+      Reason = reasonOf(Waiting, Spec, Key, Pool.Targets);
+    // Each member of the gang has a place, but not all at the same time.
+    if (Reason == placement_failure::Count)
+      Reason = placement_failure::GangRoom;
+    recordFailure(Waiting, Spec, Key, Reason);
+    if (HasRoom)
+      return Pool.Targets.size();
+    missing_room New{reservedSize(Spec), Spec.RequiredLabel, Spec.IsLongRunning,
+                     Reason};
+    std::erase_if(Pool.Missing, [&](const missing_room &Known) {
+      return New.covers(Known.Size, Known.RequiredLabel, Known.IsLongRunning);
+    });
+    Pool.Missing.push_back(std::move(New));
+    return 0;
   }
 
-  /// Remembers the size if it is what kept the task from all endpoints.
-  void recordTooLarge(const std::string &Pool, const step_spec &Spec,
-                      const target_list &Targets) {
-    auto Size = reservedSize(Spec);
-    if (isTooLarge(Pool, Spec) ||
-        std::any_of(Targets.begin(), Targets.end(), [&](const auto *Target) {
-          return !Target->IsReserved && fits(Target->Free, Size);
-        }))
-      return;
-    TooLarge[Pool].push_back(Size);
+  /// \returns whether the endpoint has room for a task of any step that asks
+  /// for the same.
+  bool hasRoom(const step_spec &Spec, const placement_target &Target) const {
+    return fits(Target.Free, reservedSize(Spec)) &&
+           (Spec.RequiredLabel.empty() ||
+            hasLabel(Target, Spec.RequiredLabel)) &&
+           isSchedulable(Target) &&
+           (!Spec.IsLongRunning || !mayBeInterrupted(Target));
   }
 
   std::optional<std::uint32_t> endpointFor(const waiting_step &Waiting,
@@ -327,13 +404,10 @@
   }
 
   /// Records that the step ended with a task without a place.
-  /// \param ReasonOf called only if there is a report.
-  template <typename Callable>
   void recordFailure(const waiting_step &Waiting, const step_spec &Spec,
-                     const task_key &Key, Callable &&ReasonOf) {
+                     const task_key &Key, placement_failure Reason) {
     if (!Request.Report)
       return;
-    auto Reason = ReasonOf();
     ++Request.Report->Pools[Waiting.Job->Pool][Reason];
     if (Spec.IsLongRunning)
       Request.Report->LongRunning.emplace(Key, Reason);
@@ -369,9 +443,6 @@
   placement_failure reasonOf(const waiting_step &Waiting, const step_spec &Spec,
                              const task_key &Key,
                              const target_list &Pool) const {
-    // Sizes are known to be too large for the endpoints that aren't reserved.
-    if (!HasReserved && isTooLarge(Waiting.Job->Pool, Spec))
-      return placement_failure::Size;
     auto Last = placement_failure::NoEndpoint;
     for (const auto *Target : Pool)
       if (auto Reason = reasonOn(Waiting, Spec, Key, *Target);
@@ -521,11 +592,7 @@
   }
 
   const placement_request &Request;
-  std::map<std::string, target_list> ByPool;
-  std::map<std::string, std::uint32_t> FailedPlacements;
-  /// Sizes for which no endpoint has room, by pool. Room only shrinks within a
-  /// round.
-  std::map<std::string, std::vector<resource_amounts>> TooLarge;
+  std::map<std::string, pool_round> Pools;
   bool HasReserved = false; ///< A target is reserved.
   mutable std::unordered_map<std::uint32_t, endpoint_answers> Answers;
   std::vector<placement> Placements;
@@ -533,6 +600,59 @@
   bool PlacesSuspects = false;
 };
 
+/// The steps of a class that a round has not looked at.
+struct class_cursor {
+  const std::string *Name; ///< Of the pool.
+  pool_round *Pool;
+  const waiting_index::request_class *Class;
+  const waiting_index::class_steps::rank_set *Steps;
+  resource_amounts LeastSize;
+  waiting_index::class_steps::rank_set::const_iterator Next;
+  std::size_t Left;       ///< Steps that were not tried.
+  placement_bound *Bound; ///< Or null if the class has none.
+};
+
+/// Records that the round tries none of the steps that are left.
+void leave(placement_round &Round, const class_cursor &Cursor,
+           placement_failure Reason, const placement_report *Report) {
+  Round.recordPassedOver(*Cursor.Name, Cursor.Left, Reason);
+  if (!Report || !Cursor.Class->IsLongRunning)
+    return;
+  auto Step = Cursor.Next;
+  for (std::size_t Count = 0;
+       Count != MaxReportedSteps && Step != Cursor.Steps->end();
+       ++Count, ++Step)
+    Round.recordPassedOver((*Step)->Step, Reason);
+}
+
+/// Places the next step of the class, unless the bound leaves it out.
+/// \returns whether the class has a further step to look at.
+bool advance(placement_round &Round, class_cursor &Cursor,
+             const placement_report *Report) {
+  if (const auto *Missing = Cursor.Pool->findMissing(
+          Cursor.LeastSize, Cursor.Class->RequiredLabel,
+          Cursor.Class->IsLongRunning)) {
+    leave(Round, Cursor, Missing->Reason, Report);
+    return false;
+  }
+  const auto &Step = **Cursor.Next;
+  if (Cursor.Bound && Cursor.Bound->isSpent()) {
+    leave(Round, Cursor, placement_failure::Skipped, Report);
+    return false;
+  }
+  if (Cursor.Bound && !Cursor.Bound->mayTry(Step)) {
+    Cursor.Next = Cursor.Steps->upper_bound(&*Cursor.Bound->resumesAfter());
+    if (Cursor.Next == Cursor.Steps->end())
+      leave(Round, Cursor, placement_failure::Skipped, Report);
+    return Cursor.Next != Cursor.Steps->end();
+  }
+  auto Visits = Round.place(Step.Step, *Cursor.Pool);
+  if (Cursor.Bound && Visits > 0)
+    Cursor.Bound->recordFailure(Step, Visits);
+  --Cursor.Left;
+  return ++Cursor.Next != Cursor.Steps->end();
+}
+
 } // namespace
 
 void capacity_use::add(const resource_amounts &Size) {
@@ -611,10 +731,14 @@
       if (!Step.Job->Suspects.empty())
         Round.placeSuspects(Step);
   auto Next = Waiting.begin();
-  for (; Next != Waiting.end() && !Round.isFull(); ++Next)
-    Round.place(*Next);
+  for (; Next != Waiting.end() && !Round.isFull(); ++Next) {
+    if (auto *Pool = Round.findPool(Next->Job->Pool))
+      Round.place(*Next, *Pool);
+    else
+      Round.recordPassedOver(Next->Job->Pool, 1, placement_failure::NoEndpoint);
+  }
   for (; Request.Report && Next != Waiting.end(); ++Next)
-    Round.recordPassedOver(Next->Job->Pool, 1);
+    Round.recordPassedOver(Next->Job->Pool, 1, placement_failure::Skipped);
   return Round.take();
 }
 
@@ -626,36 +750,53 @@
   if (Request.EndpointFor)
     for (const auto &Step : Suspects)
       Round.placeSuspects(Step);
-  struct pool_cursor {
-    const std::string *Pool;
-    waiting_index::step_set::const_iterator Next;
-    waiting_index::step_set::const_iterator End;
-    std::size_t Left; ///< Steps from Next on.
+  std::vector<class_cursor> Cursors;
+  for (const auto &[Name, Classes] : Waiting.classes()) {
+    auto *Pool = Round.findPool(Name);
+    if (!Pool) {
+      Round.recordPassedOver(Name, Waiting.pools().at(Name).size(),
+                             placement_failure::NoEndpoint);
+      continue;
+    }
+    placement_bound *Bound = nullptr;
+    if (Request.Bounds) {
+      Bound = &(*Request.Bounds)[Name];
+      Bound->beginRound(Pool->Targets.size());
+    }
+    for (const auto &[Class, Steps] : Classes) {
+      const auto &ByRank = Steps.byRank();
+      class_cursor Cursor{&Name,
+                          Pool,
+                          &Class,
+                          &ByRank,
+                          Steps.leastSize(),
+                          ByRank.begin(),
+                          ByRank.size(),
+                          Class.IsConstrained ? Bound : nullptr};
+      if (Cursor.LeastSize.fitsIn(Pool->MostFree))
+        Cursors.push_back(Cursor);
+      else
+        leave(Round, Cursor, placement_failure::Size, Request.Report);
+    }
+  }
+  // Merges pools and classes by rank; all pools share the limit of starts.
+  auto IsLater = [](const class_cursor &Left, const class_cursor &Right) {
+    return **Right.Next < **Left.Next;
   };
-  std::vector<pool_cursor> Cursors;
-  for (const auto &[Pool, Steps] : Waiting.pools())
-    Cursors.push_back({&Pool, Steps.begin(), Steps.end(), Steps.size()});
-  // Merges the pools by rank, because all of them share the limit of starts.
-  while (!Round.isFull()) {
-    std::erase_if(Cursors, [&](const pool_cursor &Cursor) {
-      if (Cursor.Next != Cursor.End && Round.mayPlaceIn(*Cursor.Pool))
-        return false;
-      Round.recordPassedOver(*Cursor.Pool, Cursor.Left);
-      return true;
-    });
-    auto First =
-        std::min_element(Cursors.begin(), Cursors.end(),
-                         [](const pool_cursor &Left, const pool_cursor &Right) {
-                           return *Left.Next < *Right.Next;
-                         });
-    if (First == Cursors.end())
-      break;
-    Round.place(First->Next->Step);
-    ++First->Next;
-    --First->Left;
+  std::make_heap(Cursors.begin(), Cursors.end(), IsLater);
+  while (!Round.isFull() && !Cursors.empty()) {
+    std::pop_heap(Cursors.begin(), Cursors.end(), IsLater);
+    if (advance(Round, Cursors.back(), Request.Report))
+      std::push_heap(Cursors.begin(), Cursors.end(), IsLater);
+    else
+      Cursors.pop_back();
   }
   for (const auto &Cursor : Cursors)
-    Round.recordPassedOver(*Cursor.Pool, Cursor.Left);
+    Round.recordPassedOver(*Cursor.Name, Cursor.Left,
+                           placement_failure::Skipped);
+  if (Request.Bounds)
+    for (auto &[Name, Bound] : *Request.Bounds)
+      Bound.recordEnd();
   return Round.take();
 }
 
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -16,6 +16,8 @@
 
 namespace lycheetrestle::scheduling {
 
+class placement_bound;
+
 /// An endpoint that accepts new runs.
 struct placement_target {
   std::uint32_t Endpoint = 0;
@@ -99,6 +101,9 @@
   std::function<void(const std::string &)> RecordHeldUp;
   /// Receives what the round did. May be null.
   placement_report *Report = nullptr;
+  /// Bounds of the work on steps without a place, by pool, kept from round to
+  /// round. Without them all steps are tried.
+  std::map<std::string, placement_bound, std::less<>> *Bounds = nullptr;
 };
 
 /// \returns the key of the task's step in placement_target::RunsByStep.
@@ -135,8 +140,9 @@
 
 class waiting_index;
 
-/// Places waiting tasks as the other placeRuns() does, and visits only the
-/// steps up to those at which their pools have no room left.
+/// Places waiting tasks as the other placeRuns() does. Steps of a class for
+/// which no endpoint has room are not visited, and constrained steps without a
+/// place only within the bounds of the request.
 /// \param Suspects the steps of the jobs with suspect tasks, by rank.
 std::vector<placement> placeRuns(const waiting_index &Waiting,
                                  std::span<const waiting_step> Suspects,
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/waiting_index.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <limits>
 #include <optional>
@@ -20,6 +21,18 @@
 // jobs is examined within half a second.
 constexpr std::size_t MaxRefreshedJobs = 128;
 
+// Leading bits of an amount that tell two classes of requests apart. With
+// three there are four classes for each doubling, so that a round merges few
+// classes however many sizes a backlog has.
+constexpr int ClassBits = 3;
+
+/// \returns the amount without all but its leading bits.
+std::uint32_t leadingBits(std::uint32_t Amount) {
+  auto Width = static_cast<int>(std::bit_width(Amount));
+  auto Dropped = std::max(0, Width - ClassBits);
+  return Amount >> Dropped << Dropped;
+}
+
 /// Calls Visit with each waiting step of the occurrence.
 template <typename Callable>
 void visitWaitingSteps(const job_record &Job,
@@ -49,6 +62,52 @@
                   Other.Step.Step);
 }
 
+bool waiting_index::request_class::operator<(const request_class &Other) const {
+  return std::tie(Size.MilliCores, Size.MemoryMb, Size.Accelerators,
+                  IsLongRunning, IsConstrained, RequiredLabel) <
+         std::tie(Other.Size.MilliCores, Other.Size.MemoryMb,
+                  Other.Size.Accelerators, Other.IsLongRunning,
+                  Other.IsConstrained, Other.RequiredLabel);
+}
+
+resource_amounts waiting_index::class_steps::leastSize() const {
+  return {MilliCores.begin()->first, MemoryMb.begin()->first,
+          Accelerators.begin()->first};
+}
+
+waiting_index::class_steps::rank_set::iterator
+waiting_index::class_steps::insert(const indexed_step &Step,
+                                   const resource_amounts &Size) {
+  ++MilliCores[Size.MilliCores];
+  ++MemoryMb[Size.MemoryMb];
+  ++Accelerators[Size.Accelerators];
+  return Steps.insert(&Step).first;
+}
+
+void waiting_index::class_steps::erase(rank_set::iterator Step,
+                                       const resource_amounts &Size) {
+  auto Remove = [](amount_counts &Counts, std::uint32_t Amount) {
+    auto Found = Counts.find(Amount);
+    if (--Found->second == 0)
+      Counts.erase(Found);
+  };
+  Steps.erase(Step);
+  Remove(MilliCores, Size.MilliCores);
+  Remove(MemoryMb, Size.MemoryMb);
+  Remove(Accelerators, Size.Accelerators);
+}
+
+waiting_index::request_class
+waiting_index::classOf(const job_record &Job, const step_spec &Step) const {
+  const auto *Queue = State.queueOf(Job);
+  auto Size = reservedSize(Step);
+  return {Step.RequiredLabel,
+          Step.IsLongRunning,
+          Step.MaxPerEndpoint > 0 || Step.IsGang || (Queue && Queue->Advice),
+          {leadingBits(Size.MilliCores), leadingBits(Size.MemoryMb),
+           leadingBits(Size.Accelerators)}};
+}
+
 void waiting_index::recordApplied(const command &Command) {
   if (const auto *Submit = std::get_if<submit_job>(&Command))
     Changed.insert(Submit->Job.Id);
@@ -100,6 +159,7 @@
 }
 
 void waiting_index::rebuild(std::int64_t NowMs) {
+  Classes.clear();
   Pools.clear();
   Jobs.clear();
   Due.clear();
@@ -121,10 +181,18 @@
   Demand[Entry.Pool] -= Entry.Demand;
   if (!Entry.Steps.empty()) {
     auto Pool = Pools.find(Entry.Pool);
-    for (auto Step : Entry.Steps)
-      Pool->second.erase(Step);
-    if (Pool->second.empty())
+    auto PoolClasses = Classes.find(Entry.Pool);
+    for (std::size_t Index = 0; Index != Entry.Steps.size(); ++Index) {
+      auto [Class, Step, Size] = Entry.Classes[Index];
+      Class->second.erase(Step, Size);
+      if (Class->second.byRank().empty())
+        PoolClasses->second.erase(Class);
+      Pool->second.erase(Entry.Steps[Index]);
+    }
+    if (Pool->second.empty()) {
       Pools.erase(Pool);
+      Classes.erase(PoolClasses);
+    }
     Due.erase({Entry.DueMs, Id});
   }
   Jobs.erase(Found);
@@ -150,6 +218,11 @@
                                          Occurrence.Number,
                                          {*Rank, Job, &Occurrence, Step}})
                                 .first);
+      const auto &Spec = Job->Spec.Steps[Step];
+      auto Size = reservedSize(Spec);
+      auto Class = Classes[Job->Pool].try_emplace(classOf(*Job, Spec)).first;
+      Entry.Classes.push_back(
+          {Class, Class->second.insert(*Entry.Steps.back(), Size), Size});
     });
     // The next group begins in the millisecond after these times.
     if (Rank && Rank->Group == InTimeGroup)
--- a/scheduling/waiting_index.h
+++ b/scheduling/waiting_index.h
@@ -49,6 +49,44 @@
     bool operator<(const indexed_step &Other) const;
   };
   using step_set = std::set<indexed_step>;
+  /// What decides which endpoints have room for a step.
+  struct request_class {
+    std::string RequiredLabel; ///< Or empty.
+    bool IsLongRunning = false;
+    /// Whether a step has further conditions, so that it may have no place
+    /// although an endpoint has room: a limit per endpoint, a gang, or a queue
+    /// with advice.
+    bool IsConstrained = false;
+    /// The amounts of each step without all but their leading bits.
+    resource_amounts Size;
+    bool operator<(const request_class &Other) const;
+  };
+  struct rank_less {
+    bool operator()(const indexed_step *Left, const indexed_step *Right) const {
+      return *Left < *Right;
+    }
+  };
+  /// Steps of one class.
+  class class_steps {
+  public:
+    using rank_set = std::set<const indexed_step *, rank_less>;
+    const rank_set &byRank() const { return Steps; }
+    /// \returns the least of each amount of the steps. There must be one.
+    resource_amounts leastSize() const;
+    /// \param Size amounts of the step.
+    /// \returns its place, for erase().
+    rank_set::iterator insert(const indexed_step &Step,
+                              const resource_amounts &Size);
+    void erase(rank_set::iterator Step, const resource_amounts &Size);
+
+  private:
+    using amount_counts = std::map<std::uint32_t, std::size_t>;
+    rank_set Steps;
+    amount_counts MilliCores;
+    amount_counts MemoryMb;
+    amount_counts Accelerators;
+  };
+  using class_map = std::map<request_class, class_steps>;
 
   /// \param State the jobs; must outlive this object.
   /// \param Ranks must outlive this object.
@@ -64,6 +102,8 @@
 
   /// \returns the steps of each pool that has some, as of the last update().
   const std::map<std::string, step_set> &pools() const { return Pools; }
+  /// \returns the steps of pools() by what they ask for. None is empty.
+  const std::map<std::string, class_map> &classes() const { return Classes; }
   /// \returns the steps of the jobs as of the last update(), by rank.
   std::vector<waiting_step> stepsOf(const std::set<std::string> &JobIds) const;
   /// \returns the demand of each pool that has had some, as of the last
@@ -73,9 +113,16 @@
   std::uint64_t examinedJobs() const { return ExaminedJobs; }
 
 private:
+  /// Where a step is among those that ask for the same.
+  struct class_place {
+    class_map::iterator Class;
+    class_steps::rank_set::iterator Step;
+    resource_amounts Size;
+  };
   struct job_entry {
     std::string Pool;
     std::vector<step_set::iterator> Steps;
+    std::vector<class_place> Classes; ///< Of each of the steps.
     std::int64_t DueMs = 0; ///< When a rank may change without a command.
     pool_demand Demand;
   };
@@ -90,10 +137,12 @@
   pool_demand demandOf(const job_record &Job,
                        const occurrence_record &Occurrence,
                        const std::optional<job_rank> &Rank) const;
+  request_class classOf(const job_record &Job, const step_spec &Step) const;
 
   const schedule_state &State;
   rank_cache &Ranks;
   std::map<std::string, step_set> Pools; ///< None is empty.
+  std::map<std::string, class_map> Classes;
   /// With waiting steps or demand.
   std::unordered_map<std::string, job_entry> Jobs;
   std::map<std::string, pool_demand> Demand;          ///< By pool.
--- a/tests/scheduling/test_placement_reference.cpp
+++ b/tests/scheduling/test_placement_reference.cpp
@@ -20,18 +20,16 @@
 }
 
 /// Best fit without any shortcut: each task of each step considers each
-/// endpoint with every check. A step ends at its first task without a place.
+/// endpoint with every check. A step ends at its first task without a place,
+/// and no number of them ends the round.
 std::vector<start_run> placeByReference(std::span<const waiting_step> Waiting,
                                         std::vector<placement_target> &Targets,
                                         const placement_request &Request) {
-  constexpr std::uint32_t MaxFailures = 24;
   std::vector<start_run> Starts;
-  std::uint32_t Failures = 0;
   for (const auto &Step : Waiting) {
     const auto &Spec = Step.Job->Spec.Steps[Step.Step];
     const auto &Tasks = Step.Occurrence->Steps[Step.Step].Tasks;
-    for (std::uint32_t Index = 0;
-         Index != Tasks.size() && Failures < MaxFailures; ++Index) {
+    for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
       if (!Tasks[Index].isWaiting())
         continue;
       task_key Key{Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
@@ -46,10 +44,8 @@
         if (!Best || Target.Free.MilliCores < Best->Free.MilliCores)
           Best = &Target;
       }
-      if (!Best) {
-        ++Failures;
+      if (!Best)
         break;
-      }
       Best->Free.MilliCores -= Spec.Size.MilliCores;
       Best->Free.MemoryMb -= Spec.Size.MemoryMb;
       if (Spec.MaxPerEndpoint > 0)
--- a/tests/scheduling/test_waiting_index.cpp
+++ b/tests/scheduling/test_waiting_index.cpp
@@ -58,6 +58,30 @@
   return Result;
 }
 
+/// Checks that each step is in one class, whose amounts it has at least. A step
+/// in the wrong class would wait for room that it does not need.
+void checkClasses(const waiting_index::class_map &Classes,
+                  const waiting_index::step_set &Steps) {
+  std::size_t Classed = 0;
+  for (const auto &[Class, Members] : Classes) {
+    Classed += Members.byRank().size();
+    auto Least = Members.leastSize();
+    bool IsReached = false;
+    for (const auto *Member : Members.byRank()) {
+      CHECK(Steps.count(*Member) == 1);
+      const auto &Spec = Member->Step.Job->Spec.Steps[Member->Step.Step];
+      CHECK(Class.RequiredLabel == Spec.RequiredLabel);
+      CHECK(Class.IsLongRunning == Spec.IsLongRunning);
+      CHECK(
+          (Class.IsConstrained || (Spec.MaxPerEndpoint == 0 && !Spec.IsGang)));
+      CHECK(Least.fitsIn(reservedSize(Spec)));
+      IsReached |= reservedSize(Spec).MilliCores == Least.MilliCores;
+    }
+    CHECK(IsReached);
+  }
+  CHECK(Classed == Steps.size());
+}
+
 /// Checks that the index has the steps that a pass over all jobs finds, in the
 /// same order.
 void checkOrder(const waiting_index &Index,
@@ -71,6 +95,7 @@
     for (const auto &Step : Steps)
       Indexed.push_back(valueOf(Step.Step));
     CHECK(Indexed == stepsOfPool(Waiting, Pool));
+    checkClasses(Index.classes().at(Pool), Steps);
   }
 }
 
