Pause tasks that crash endpoints instead of ending their jobs

Callers saw a job as failed although no run of it had ended failed: two endpoints had crashed under one of its tasks. schedule_state::recordCrash() finished the job at the second crash alone and at the third in any case.

The verdict and all that existed for it are removed. Long-running tasks pause for 5 s at most, because callers see them as lost from 6 s after their last run on. A crash that no suspect explains is tolerated for one in four endpoints of the pool: the first crash under each task that crashes endpoints has no explanation until the second one.

--- a/scheduling/crash_quarantine.cpp
+++ b/scheduling/crash_quarantine.cpp
@@ -54,6 +54,8 @@
   auto Earlier = std::exchange(Waits, {});
   auto WasSpread = std::exchange(Spread, {});
   for (const auto &Task : Tasks) {
+    if (Task.IsProven)
+      continue;
     if (!Task.Endpoints.empty()) {
       if (WasSpread.count(Task.Task) > 0)
         Spread.insert(Task.Task);
@@ -96,6 +98,7 @@
   // One task of a job at a time: its tasks often share the fault.
   std::set<std::string> Jobs;
   std::vector<const quarantined_task *> Waiting;
+  bool HasProven = false;
   for (const auto &Task : Tasks) {
     Plan.Waiting += Task.Endpoints.empty();
     if (Spread.count(Task.Task) > 0) {
@@ -104,9 +107,11 @@
       continue;
     }
     if (Task.Endpoints.empty()) {
-      Waiting.push_back(&Task);
+      if (!Task.IsPaused)
+        Waiting.push_back(&Task);
       continue;
     }
+    HasProven |= Task.IsProven;
     Jobs.insert(Task.Task.Job);
     // A new leader does not know which tasks were spread.
     if (Plan.Reserved.size() >= Limit)
@@ -128,12 +133,13 @@
   for (const auto *Task : Waiting) {
     if (Plan.Reserved.size() >= Limit)
       break;
-    if (Jobs.count(Task->Task.Job) > 0)
+    if (Jobs.count(Task->Task.Job) > 0 || (Task->IsProven && HasProven))
       continue;
     auto Free = candidates(Endpoints, *Task, Plan.Reserved, MayRun);
     if (Free.empty())
       continue;
     Jobs.insert(Task->Task.Job);
+    HasProven |= Task->IsProven;
     auto ByRuns = [](const auto *Left, const auto *Right) {
       return Left->Runs < Right->Runs;
     };
--- a/scheduling/crash_quarantine.h
+++ b/scheduling/crash_quarantine.h
@@ -28,6 +28,10 @@
   task_key Task;             ///< Index is 0 for a gang.
   std::uint32_t Attempt = 0; ///< Number of its newest run.
   std::int64_t RanMs = 0;    ///< Shortest time from a start to a crash.
+  bool IsPaused = false;     ///< May not start yet; see crash_backoff.h.
+  /// It crashes its endpoints. It never starts beside other runs because it
+  /// has waited, and no other such task of the pool starts meanwhile.
+  bool IsProven = false;
   std::set<std::string> CrashedHosts;
   /// Endpoints on which it is on trial; empty while it waits.
   std::vector<std::uint32_t> Endpoints;
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -6,6 +6,7 @@
 #include "scheduling/schedule_state.h"
 
 #include <concepts>
+#include <optional>
 #include <type_traits>
 
 namespace lycheetrestle::fleet {
@@ -158,6 +159,11 @@
 template <typename Archive, record_of<crash_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Incarnation, R.EndpointId, R.Host);
+  A.trailing(R.IsAlone, R.TimeMs, R.RanMs);
+}
+template <typename Archive, record_of<recent_crash> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Incarnation, R.Pool, R.TimeMs);
 }
 template <typename Archive, record_of<suspect_record> Type>
 void fields(Archive &A, Type &R) {
@@ -184,11 +190,13 @@
   A(R.Spec, R.QueueHost, R.QueuePrefix, R.Pool, R.State, R.SubmittedMs,
     R.EndedMs, R.NextOccurrence, R.OccurrencesDone, R.OpenOccurrences,
     R.RunsLeft);
-  A.trailing(R.Suspects, R.GivenUp);
-  // Without them earlier versions can read the record of a job that has ended
-  // or waits.
+  A.trailing(R.Suspects);
+  // Earlier versions ended jobs because of crashes and stored the task here.
+  // Without the last two they can read the record of a job that has ended or
+  // waits.
+  std::optional<suspect_record> GivenUp;
   if (!std::is_const_v<Type> || R.RemovedQueue || R.HasOnlyRefusals)
-    A.trailing(R.RemovedQueue, R.HasOnlyRefusals);
+    A.trailing(GivenUp, R.RemovedQueue, R.HasOnlyRefusals);
 }
 template <typename Archive, record_of<endpoint_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -145,8 +145,7 @@
       stopRunsOf(Job, Now);
 }
 
-void leader::stopRunsOf(const job_record &Job, core::time_point Now,
-                        bool IsFinal) {
+void leader::stopRunsOf(const job_record &Job, core::time_point Now) {
   for (const auto &Occurrence : Job.OpenOccurrences)
     for (std::uint32_t Step = 0; Step != Occurrence.Steps.size(); ++Step) {
       const auto &Tasks = Occurrence.Steps[Step].Tasks;
@@ -158,10 +157,7 @@
             Tracked.Runs.find({Job.Spec.Id, Occurrence.Number, Step, Index});
         if (Run == Tracked.Runs.end())
           continue;
-        if (IsFinal || !keepsTasksAtWork(Job, Step))
-          beginStop(Run->second, stop_reason::JobOver, Now);
-        else
-          keepAtWork(Run->second, Now);
+        beginStop(Run->second, stop_reason::JobOver, Now);
         markDue(Tracked);
       }
     }
@@ -444,7 +440,6 @@
   logQueues(Now, WallMs);
   if (Now >= NextPrune) {
     NextPrune = Now + PruneInterval;
-    stopForgottenRuns(Now, WallMs);
     core::eraseIf(TrackedEndpoints, [this](const auto &Item) {
       if (State.endpoints().find(Item.first) != State.endpoints().end())
         return false;
@@ -746,7 +741,7 @@
                           std::uint32_t Endpoint) {
     return isAllowed(Key, Job, Endpoint, Now);
   };
-  auto Suspects = planSuspects(Targets, Now);
+  auto Suspects = planSuspects(Targets, Now, WallMs);
   if (!Suspects.empty())
     Request.EndpointFor =
         [&](const task_key &Key) -> std::optional<std::uint32_t> {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -230,9 +230,7 @@
   const step_spec *findStep(const task_key &Task) const;
   void removeRun(const task_key &Task, std::uint32_t Attempt);
   /// Stops the runs of a job that is over.
-  /// \param IsFinal whether also those that keepsTasksAtWork() spares.
-  void stopRunsOf(const job_record &Job, core::time_point Now,
-                  bool IsFinal = false);
+  void stopRunsOf(const job_record &Job, core::time_point Now);
   /// Makes the next takeOrders() send a stop of the run.
   static void beginStop(tracked_run &Run, stop_reason Reason,
                         core::time_point Now);
@@ -493,23 +491,20 @@
                         const std::string &Host, core::time_point Now) const;
 
   // leader_stops.cpp
-  /// \returns whether tasks of the step that are at work go on although the
-  /// job is over: it was given up because of crashes near one of its tasks.
-  /// The verdict may be wrong, and the other tasks serve their callers, so only
-  /// the caller's cancellation ends them at once.
-  static bool keepsTasksAtWork(const job_record &Job, std::uint32_t Step);
   /// Makes the next poll tell whether the run is at work before it is stopped.
   static void verifyStart(tracked_run &Run, core::time_point Now);
-  /// Leaves the run of such a step at work, or ends it if it is not at work.
-  static void keepAtWork(tracked_run &Run, core::time_point Now);
-  /// Stops what keepsTasksAtWork() spared when the job is no longer kept.
-  void stopForgottenRuns(core::time_point Now, std::int64_t WallMs);
   /// Logs the stop of a run that the endpoint lists although it is not assigned
   /// to it.
   void logOrphanStop(const tracked_endpoint &Tracked, const task_key &Key,
                      const orphaned_run &Run, core::time_point Now) const;
 
   // leader_crashes.cpp
+  /// The time after a crash in which a waiting task may not start.
+  struct start_pause {
+    std::int64_t CrashMs = 0; ///< Wall time of the crash.
+    core::time_point CrashedAt{};
+    core::time_point Until{};
+  };
   /// \returns what is known about the end of an incarnation that has ended.
   incarnation_end endOf(const endpoint_record &Endpoint,
                         core::time_point Now) const;
@@ -530,8 +525,20 @@
   /// \returns for each waiting suspect task the endpoint on which it may start
   /// now, AnyEndpoint, or 0; all suspect members of a gang have the same one.
   std::unordered_map<task_key, std::uint32_t, task_key_hash>
-  planSuspects(std::span<placement_target *const> Targets,
-               core::time_point Now);
+  planSuspects(std::span<placement_target *const> Targets, core::time_point Now,
+               std::int64_t WallMs);
+  /// Records how long a waiting task may not start after a crash.
+  /// \param Earlier the pauses before this round.
+  /// \returns whether it may not start now.
+  bool recordPause(const task_key &Key, const crash_history &History,
+                   const crash_pause &Pause,
+                   const std::map<task_key, start_pause> &Earlier,
+                   core::time_point Now, std::int64_t WallMs);
+  /// \returns how long the task may not start because of crashes, or 0.
+  core::duration pauseLeft(const task_key &Key, core::time_point Now) const;
+  /// Logs and counts the crashes that the newest command has counted against
+  /// tasks, and takes those that are explained off the hosts.
+  void recordCountedCrashes();
   /// Logs, at most once a second and pool, that suspects wait.
   void logSuspects(const std::string &Pool, const quarantine_plan &Plan,
                    core::time_point Now);
@@ -549,8 +556,7 @@
   /// \returns whether the task may run on the endpoint when that is empty.
   bool mayHoldAlone(const task_key &Key, std::uint32_t Endpoint,
                     core::time_point Now) const;
-  /// Logs and counts the crash of an incarnation and the tasks that were given
-  /// up for it, and stops the runs of their jobs.
+  /// Logs and counts the crash of an incarnation, and what it says about tasks.
   /// \param Tracked the incarnation, or the one that took its place.
   /// \param Number number of the incarnation that ended.
   void recordEnd(const tracked_endpoint &Tracked, std::uint32_t Number,
@@ -657,6 +663,7 @@
   std::vector<unplanned_end> UnplannedEnds; ///< Recent ones.
   host_crash_log HostCrashes;
   std::map<std::string, crash_quarantine> Quarantines; ///< By pool.
+  std::map<task_key, start_pause> StartPauses;         ///< Of waiting tasks.
   bool HasSuspectMarks = false; ///< Some target may be reserved or hold some.
   /// By pool, when a line about its suspects may be logged again.
   std::map<std::string, core::time_point> NextSuspectLog;
--- a/scheduling/leader_budget.cpp
+++ b/scheduling/leader_budget.cpp
@@ -79,8 +79,7 @@
 const step_spec *leader::findBudgetedStep(const task_key &Task) const {
   const auto *Job = State.findJob(Task.Job);
   const auto *Step = findStep(Task);
-  if (!Step || !Step->IsLongRunning ||
-      (isOver(Job->State) && !keepsTasksAtWork(*Job, Task.Step)))
+  if (!Step || !Step->IsLongRunning || isOver(Job->State))
     return nullptr;
   return Step;
 }
@@ -263,7 +262,6 @@
        {"endpoint", Tracked.Endpoint},
        {"reason", toText(Run.StopReason)},
        {"job_over", isOver(Job->State)},
-       {"given_up", Job->GivenUp.has_value()},
        {"drain_near_end", IsDraining && isDrainNearEnd(Tracked, Now)},
        {"percent", Run.Percent},
        {"peers_unavailable", Peers.Unavailable},
@@ -279,8 +277,7 @@
   for (const auto &[Key, Run] : Tracked.Runs) {
     const auto *Job = State.findJob(Key.Job);
     const auto *Step = findStep(Key);
-    if (!Step || !Step->IsLongRunning ||
-        (isOver(Job->State) && !keepsTasksAtWork(*Job, Key.Step)))
+    if (!Step || !Step->IsLongRunning || isOver(Job->State))
       continue;
     auto Peers = countPeers(Key, interruption::Endpoint, Now);
     core::logEvent(core::log_level::Info, "run_interruption_sent",
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -27,6 +27,8 @@
 constexpr int MaxQuietIntervals = 2;
 
 constexpr core::duration SuspectLogInterval = std::chrono::seconds(1);
+// Lines task_backed_off for the crash of one endpoint; the counter has all.
+constexpr std::size_t MaxBackoffLines = 10;
 
 std::uint32_t toMs(core::duration Duration) {
   auto Count = std::chrono::duration_cast<milliseconds>(Duration).count();
@@ -116,19 +118,21 @@
 
 std::unordered_map<task_key, std::uint32_t, task_key_hash>
 leader::planSuspects(std::span<placement_target *const> Targets,
-                     core::time_point Now) {
+                     core::time_point Now, std::int64_t WallMs) {
   std::unordered_map<task_key, std::uint32_t, task_key_hash> Places;
   if (std::exchange(HasSuspectMarks, false))
     for (auto &[Number, Tracked] : TrackedEndpoints) {
       Tracked.FreeCapacity.IsReserved = false;
       Tracked.FreeCapacity.SuspectRuns.clear();
     }
+  auto EarlierPauses = std::exchange(StartPauses, {});
   if (State.suspectJobs().empty()) {
     Quarantines.clear();
     NextSuspectLog.clear();
     return Places;
   }
   HasSuspectMarks = true;
+  auto Census = State.crashCensus();
   std::unordered_map<std::uint32_t, placement_target *> TargetOf;
   for (auto *Target : Targets)
     TargetOf[Target->Endpoint] = Target;
@@ -145,10 +149,20 @@
       if (auto Target = TargetOf.find(Task->Endpoint); Target != TargetOf.end())
         for (const auto &Crash : Suspect.Crashes)
           ++Target->second->SuspectRuns[Crash.Incarnation];
+      bool IsLongRunning = Job.Spec.Steps[Key.Step].IsLongRunning;
+      auto History = Suspect.history();
+      auto Pause = pauseAfterCrashes(History, Census, Job.Pool, IsLongRunning);
+      bool IsPaused =
+          Task->isWaiting() &&
+          recordPause(Key, History, Pause, EarlierPauses, Now, WallMs);
+      bool IsProven = Pause.Evidence == crash_evidence::Strong;
       // A trial would keep a long-running task away for seconds, which counts
       // against its budget; its crashes are counted all the same.
-      if (Job.Spec.Steps[Key.Step].IsLongRunning)
+      if (IsLongRunning) {
+        if (IsPaused)
+          Places[Key] = 0;
         continue;
+      }
       auto Unit = Key;
       if (Job.Spec.Steps[Key.Step].IsGang)
         Unit.Index = 0;
@@ -160,6 +174,8 @@
       Quarantined.Attempt = std::max(Quarantined.Attempt, Task->Attempt);
       Quarantined.RanMs =
           IsNew ? Suspect.RanMs : std::min(Quarantined.RanMs, Suspect.RanMs);
+      Quarantined.IsPaused |= IsPaused;
+      Quarantined.IsProven |= IsProven;
       for (const auto &Crash : Suspect.Crashes)
         Quarantined.CrashedHosts.insert(Crash.Host);
       if (Task->Endpoint != 0) {
@@ -203,6 +219,35 @@
   return Places;
 }
 
+bool leader::recordPause(const task_key &Key, const crash_history &History,
+                         const crash_pause &Pause,
+                         const std::map<task_key, start_pause> &Earlier,
+                         core::time_point Now, std::int64_t WallMs) {
+  if (Pause.Ms == 0)
+    return false;
+  auto Known = Earlier.find(Key);
+  auto &Entry = StartPauses[Key];
+  if (Known != Earlier.end() && Known->second.CrashMs == History.NewestMs) {
+    Entry = Known->second;
+  } else {
+    // The clocks of leaders differ and may be stepped: the wall time is used
+    // once, and the rest is counted with the steady clock.
+    auto PassedMs =
+        std::clamp<std::int64_t>(WallMs - History.NewestMs, 0, Pause.Ms);
+    Entry = {History.NewestMs, Now - milliseconds(PassedMs), {}};
+  }
+  Entry.Until = Entry.CrashedAt + milliseconds(Pause.Ms);
+  return Now < Entry.Until;
+}
+
+core::duration leader::pauseLeft(const task_key &Key,
+                                 core::time_point Now) const {
+  auto Found = StartPauses.find(Key);
+  return Found == StartPauses.end()
+             ? core::duration()
+             : std::max(core::duration(), Found->second.Until - Now);
+}
+
 void leader::logSuspects(const std::string &Pool, const quarantine_plan &Plan,
                          core::time_point Now) {
   auto &Next = NextSuspectLog[Pool];
@@ -325,24 +370,39 @@
     if (End.Cause == end_cause::Crashed)
       HostCrashes.record(Tracked.Host, Number, std::move(Tasks), Now);
   }
-  for (const auto &Id : State.newlyGivenUp()) {
-    const auto &Job = *State.findJob(Id);
-    const auto &Task = *Job.GivenUp;
-    std::string Endpoints;
-    for (const auto &Crash : Task.Crashes) {
-      Endpoints += (Endpoints.empty() ? "" : ",") + Crash.EndpointId;
-      HostCrashes.forgive(Crash.Incarnation);
-    }
-    Metrics.add("tasks_given_up_total");
-    core::logEvent(core::log_level::Warning, "task_given_up",
-                   {{"job", Id},
-                    {"occurrence", Task.Occurrence},
-                    {"step", Task.Step},
-                    {"index", Task.Index},
-                    {"attempt", Task.Attempt},
-                    {"endpoints", Endpoints}});
-    if (Job.RunsLeft > 0)
-      stopRunsOf(Job, Now);
+  recordCountedCrashes();
+}
+
+void leader::recordCountedCrashes() {
+  if (State.newlyCounted().empty())
+    return;
+  auto Census = State.crashCensus();
+  std::size_t Lines = 0;
+  for (const auto &[Key, IsBlamed] : State.newlyCounted()) {
+    const auto *Job = State.findJob(Key.Job);
+    const auto *Suspect = Job ? Job->findSuspect(Key) : nullptr;
+    if (!Suspect || !Suspect->isSuspect())
+      continue;
+    if (IsBlamed)
+      for (const auto &Crash : Suspect->Crashes)
+        HostCrashes.forgive(Crash.Incarnation);
+    auto History = Suspect->history();
+    auto Pause = pauseAfterCrashes(History, Census, Job->Pool,
+                                   Job->Spec.Steps[Key.Step].IsLongRunning);
+    Metrics.add("crash_backoffs_total{evidence=\"" +
+                std::string(toText(Pause.Evidence)) + "\"}");
+    if (++Lines > MaxBackoffLines)
+      continue;
+    core::logEvent(core::log_level::Warning, "task_backed_off",
+                   {{"job", Key.Job},
+                    {"occurrence", Key.Occurrence},
+                    {"step", Key.Step},
+                    {"index", Key.Index},
+                    {"attempt", Suspect->Attempt},
+                    {"crashes", History.Crashes},
+                    {"alone", History.Alone},
+                    {"pause_ms", Pause.Ms},
+                    {"evidence", toText(Pause.Evidence)}});
   }
 }
 
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -54,6 +54,8 @@
           });
     if (!Pool->second)
       return "endpoint";
+    if (pauseLeft(Task, Now) > core::duration())
+      return "crash_backoff";
     if (waitsForTrial(Task, Job))
       return "trial";
     if (IsBatchOpen)
@@ -163,6 +165,8 @@
            waitsFor(Key, *Record, Job, IsBatchOpen, HasEndpoint, Now)});
     }
   }
+  for (auto &Task : Result)
+    Task.PauseLeft = pauseLeft(Task.Task, Now);
   UnservedSince = std::move(Since);
   return Result;
 }
--- a/scheduling/leader_load.h
+++ b/scheduling/leader_load.h
@@ -42,6 +42,7 @@
   /// Since the submission of its job, when the task never had a run, it waits
   /// for no earlier step and the job is not repeated.
   std::optional<core::duration> Waiting = {};
+  core::duration PauseLeft{}; ///< Until it may start again after a crash.
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -374,8 +374,7 @@
     // Its start may have been executed late by a later incarnation than the one
     // at which it was stopped when the job ended.
     const auto *Owner = State.findJob(Row.Task.Job);
-    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State) &&
-        (Row.Percent < 100 || !keepsTasksAtWork(*Owner, Row.Task.Step))) {
+    if (Run.Phase == run_phase::Running && Owner && isOver(Owner->State)) {
       beginStop(Run, stop_reason::JobOver, Now);
       continue;
     }
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -62,6 +62,18 @@
   return nullptr;
 }
 
+crash_history suspect_record::history() const {
+  crash_history History;
+  History.Crashes = Crashes.size();
+  for (const auto &Crash : Crashes) {
+    History.Alone += Crash.IsAlone;
+    History.Short += Crash.RanMs <= ShortRunMs;
+    History.NewestMs = std::max(History.NewestMs, Crash.TimeMs);
+    History.Incarnations.push_back(Crash.Incarnation);
+  }
+  return History;
+}
+
 occurrence_record *job_record::findOpen(std::uint32_t Occurrence) {
   return const_cast<occurrence_record *>(
       std::as_const(*this).findOpen(Occurrence));
@@ -70,7 +82,7 @@
 apply_outcome schedule_state::apply(const command &Command,
                                     std::int64_t NewTimeMs) {
   TimeMs = std::max(TimeMs, NewTimeMs);
-  NewlyGivenUp.clear();
+  NewlyCounted.clear();
   AffectedJobs.clear();
   return std::visit([this](const auto &Typed) { return applyTyped(Typed); },
                     Command);
@@ -218,14 +230,8 @@
   if (Found == Jobs.end())
     return apply_outcome::NoSuchJob;
   auto &Job = Found->second;
-  if (isOver(Job.State)) {
-    // The long-running tasks of a job that was given up go on until it is
-    // cancelled; a later leader has to know that it was.
-    if (!Job.GivenUp || Job.State != job_state::Failed || Job.RunsLeft == 0)
-      return apply_outcome::Unchanged;
-    Job.State = job_state::Cancelled;
-    return apply_outcome::Accepted;
-  }
+  if (isOver(Job.State))
+    return apply_outcome::Unchanged;
   finishJob(Job, job_state::Cancelled);
   return apply_outcome::Accepted;
 }
@@ -412,7 +418,6 @@
     // The job is needed until its last run has been stopped.
     if (Found->second.RunsLeft != 0)
       return;
-    GivenUpJobs.erase(Found->first);
     Jobs.erase(Found);
     EndedJobs.erase(EndedJobs.begin());
   }
@@ -555,6 +560,12 @@
                                  const incarnation_end &End) {
   if (End.Cause != end_cause::Crashed && End.Cause != end_cause::FailedWithRack)
     return;
+  std::erase_if(RecentCrashes, [&](const recent_crash &Crash) {
+    return Crash.TimeMs + RecentCrashMs < TimeMs;
+  });
+  if (RecentCrashes.size() == MaxRecentCrashes)
+    RecentCrashes.erase(RecentCrashes.begin());
+  RecentCrashes.push_back({Endpoint.Number, Endpoint.Facts.Pool, TimeMs});
   auto Runs = Endpoint.LostRuns;
   for (const auto &Key : Endpoint.Runs) {
     if (std::find(End.Unstarted.begin(), End.Unstarted.end(), Key) !=
@@ -580,25 +591,22 @@
         std::all_of(Runs.begin(), Runs.end(), [&](const lost_run &Other) {
           return Other.Task == Run.Task || isSameGang(Other.Task, Run.Task);
         });
-    auto &Job = Found->second;
-    if (!countCrash(Job, Run, Endpoint, End.Cause, IsAlone))
+    const auto *Suspect =
+        countCrash(Found->second, Run, Endpoint, End.Cause, IsAlone);
+    if (!Suspect || Suspect->Crashes.size() < 2)
       continue;
-    Job.GivenUp = *Job.findSuspect(Run.Task);
-    finishJob(Job, job_state::Failed);
-    GivenUpJobs.insert(Run.Task.Job);
-    NewlyGivenUp.push_back(Run.Task.Job);
-    AffectedJobs.push_back(Run.Task.Job);
+    NewlyCounted.push_back({Run.Task, IsAlone});
     if (IsAlone)
-      exonerate(Job.GivenUp->Crashes);
+      exonerate(Run.Task, Suspect->Crashes);
   }
 }
 
-bool schedule_state::countCrash(job_record &Job, const lost_run &Run,
-                                const endpoint_record &Endpoint,
-                                end_cause Cause, bool IsAlone) {
+suspect_record *schedule_state::countCrash(job_record &Job, const lost_run &Run,
+                                           const endpoint_record &Endpoint,
+                                           end_cause Cause, bool IsAlone) {
   const auto *Task = findTask(Run.Task);
   if (!Task || Task->IsDone)
-    return false;
+    return nullptr;
   auto *Suspect = const_cast<suspect_record *>(Job.findSuspect(Run.Task));
   if (!Suspect) {
     Suspect = &Job.Suspects.emplace_back();
@@ -607,26 +615,31 @@
     Suspect->Index = Run.Task.Index;
   }
   if (Suspect->Attempt >= Run.Attempt)
-    return false;
+    return nullptr;
   Suspect->Attempt = Run.Attempt;
   // Several tasks that crash endpoints can look like the failure of a rack. It
   // is improbable that a second rack fails under the same task by chance.
   if (Cause == end_cause::FailedWithRack && Suspect->RackFailures++ == 0)
-    return false;
+    return nullptr;
   auto RanMs = std::min(Run.EndedMs - Run.StartedMs, SoundRunMs);
   Suspect->RanMs =
       Suspect->Crashes.empty() ? RanMs : std::min(Suspect->RanMs, RanMs);
-  Suspect->Crashes.push_back(
-      {Endpoint.Number, Endpoint.Facts.Id, Endpoint.Host});
+  if (Suspect->Crashes.size() == MaxCrashRecords)
+    Suspect->Crashes.erase(Suspect->Crashes.begin());
+  Suspect->Crashes.push_back({Endpoint.Number, Endpoint.Facts.Id, Endpoint.Host,
+                              IsAlone, TimeMs, RanMs});
   SuspectJobs.insert(Job.Spec.Id);
-  return Suspect->Crashes.size() >= (IsAlone ? MaxCrashesAlone : MaxCrashes);
+  return Suspect;
 }
 
-void schedule_state::exonerate(const std::vector<crash_record> &Crashes) {
+void schedule_state::exonerate(const task_key &Blamed,
+                               const std::vector<crash_record> &Crashes) {
   for (const auto &Id : std::set<std::string>(SuspectJobs)) {
     auto &Job = Jobs.find(Id)->second;
     for (auto &Suspect : Job.Suspects) {
-      if (Suspect.WasExonerated)
+      const task_key Key{Id, Suspect.Occurrence, Suspect.Step, Suspect.Index};
+      if (Suspect.WasExonerated || Key == Blamed || isSameGang(Key, Blamed) ||
+          explainsCrashes(Suspect.history()))
         continue;
       auto IsExplained = [&](const crash_record &Crash) {
         return std::any_of(Crashes.begin(), Crashes.end(),
@@ -640,6 +653,24 @@
   }
 }
 
+crash_census schedule_state::crashCensus() const {
+  std::set<std::uint32_t> Explained;
+  for (const auto &Id : SuspectJobs)
+    for (const auto &Suspect : findJob(Id)->Suspects) {
+      auto History = Suspect.history();
+      if (explainsCrashes(History))
+        Explained.insert(History.Incarnations.begin(),
+                         History.Incarnations.end());
+    }
+  crash_census Census;
+  for (const auto &Crash : RecentCrashes)
+    if (Explained.count(Crash.Incarnation) == 0)
+      Census.Unexplained.push_back(Crash);
+  for (const auto &[Number, Endpoint] : Endpoints)
+    ++Census.Endpoints[Endpoint.Facts.Pool];
+  return Census;
+}
+
 void schedule_state::forgetSuspect(job_record &Job, const task_key &Task) {
   std::erase_if(Job.Suspects, [&](const suspect_record &Suspect) {
     return Suspect.Occurrence == Task.Occurrence && Suspect.Step == Task.Step &&
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -4,6 +4,7 @@
 #include "core/failure.h"
 #include "core/indexed_map.h"
 #include "scheduling/commands.h"
+#include "scheduling/crash_backoff.h"
 #include "scheduling/pending_job_counter.h"
 #include "scheduling/types.h"
 
@@ -51,7 +52,13 @@
 struct crash_record {
   std::uint32_t Incarnation = 0; ///< Number of the incarnation.
   std::string EndpointId;
-  std::string Host; ///< Empty when it is not known.
+  std::string Host;     ///< Empty when it is not known.
+  bool IsAlone = false; ///< No other run could be blamed.
+  /// Wall time at which it was recorded; 0 if an earlier version did.
+  std::int64_t TimeMs = 0;
+  /// Time from the start of the run to the record; unknown from an earlier
+  /// version.
+  std::int64_t RanMs = SoundRunMs;
 };
 
 /// A task that may have crashed endpoints.
@@ -63,14 +70,22 @@
   /// was transferred to a later incarnation or the proof of the crash came
   /// after the run was recorded as lost.
   std::uint32_t Attempt = 0;
-  std::vector<crash_record> Crashes; ///< Fewer than MaxCrashes.
+  std::vector<crash_record> Crashes; ///< The newest MaxCrashRecords.
   std::int64_t RanMs = 0; ///< Shortest time from a start to the crash.
   std::uint32_t RackFailures = 0;
-  /// Crashes were taken off because a task that was given up explains them.
+  /// Crashes were taken off because another task explains them.
   /// Done once only, so that tasks that crash endpoints together do not clear
   /// each other for ever.
   bool WasExonerated = false;
   bool isSuspect() const { return !Crashes.empty(); }
+  /// \returns what the pause after a crash depends on.
+  crash_history history() const;
+};
+
+/// A crash that was counted against a task.
+struct counted_crash {
+  task_key Task;
+  bool IsBlamed = false; ///< The task explains the crash; see exonerate().
 };
 
 /// A run that was recorded as lost while its incarnation may have been alive.
@@ -97,8 +112,6 @@
   std::vector<occurrence_record> OpenOccurrences; ///< Not complete.
   std::uint32_t RunsLeft = 0;                     ///< Runs that have not ended.
   std::vector<suspect_record> Suspects; ///< Empty once the job has ended.
-  /// The task whose crashes ended the job.
-  std::optional<suspect_record> GivenUp;
   /// Index of the queue in the configuration; not part of a snapshot.
   std::optional<std::uint32_t> QueueNumber;
   /// The queue as it was when a configuration removed it; empty while there is
@@ -220,13 +233,17 @@
   bool mayRequireAdvice() const;
   /// \returns the ids of the live jobs with a suspect task.
   const std::set<std::string> &suspectJobs() const { return SuspectJobs; }
-  /// \returns the ids of the jobs of which a task was given up.
-  const std::set<std::string> &givenUpJobs() const { return GivenUpJobs; }
-  /// \returns the ids of those that the newest command has added.
-  const std::vector<std::string> &newlyGivenUp() const { return NewlyGivenUp; }
+  /// \returns the second and later crashes under tasks that the newest command
+  /// has counted.
+  const std::vector<counted_crash> &newlyCounted() const {
+    return NewlyCounted;
+  }
+  /// \returns the recent crashes that no task explains, and the number of
+  /// endpoints of each pool; see explainsCrashes().
+  crash_census crashCensus() const;
   /// \returns the ids of the jobs whose runs the newest command has moved to
-  /// another incarnation or ended together with one, or that it has given up;
-  /// an id may be repeated. The job that a command names is not among them.
+  /// another incarnation or ended together with one; an id may be repeated. The
+  /// job that a command names is not among them.
   const std::vector<std::string> &affectedJobs() const { return AffectedJobs; }
   /// \returns the task, or null when its occurrence is not open.
   const task_record *findTask(const task_key &Task) const;
@@ -250,16 +267,18 @@
   apply_outcome applyTyped(const record_host &Command);
   apply_outcome applyTyped(const record_contact &Command);
   apply_outcome applyTyped(const record_deregistration &Command);
-  /// Counts the crash of an incarnation for the runs that may have caused it,
-  /// and gives up tasks.
+  /// Counts the crash of an incarnation for the runs that may have caused it.
+  /// No job ends because of that: only ends as failed count as attempts.
   void recordCrash(const endpoint_record &Endpoint, const incarnation_end &End);
   void recordLostRun(const end_run &End, const task_record &Task);
-  /// \returns whether the task is to be given up.
-  bool countCrash(job_record &Job, const lost_run &Run,
-                  const endpoint_record &Endpoint, end_cause Cause,
-                  bool IsAlone);
-  /// Takes the crashes of these incarnations off all other tasks.
-  void exonerate(const std::vector<crash_record> &Crashes);
+  /// \returns the record of the task if the crash was counted, or null.
+  suspect_record *countCrash(job_record &Job, const lost_run &Run,
+                             const endpoint_record &Endpoint, end_cause Cause,
+                             bool IsAlone);
+  /// Takes the crashes that a task explains off all others, but for members of
+  /// its gang.
+  void exonerate(const task_key &Blamed,
+                 const std::vector<crash_record> &Crashes);
   void forgetSuspect(job_record &Job, const task_key &Task);
   void updateSuspectJob(const job_record &Job);
   bool isSameGang(const task_key &Left, const task_key &Right) const;
@@ -292,15 +311,14 @@
   std::map<std::uint64_t, wave_record> Waves;
   std::set<std::string> AdvisedRemovedJobs; ///< Live, by RemovedQueue.
   std::set<std::string> SuspectJobs;
-  std::set<std::string> GivenUpJobs;
-  std::vector<std::string> NewlyGivenUp; ///< Not part of a snapshot.
-  std::vector<std::string> AffectedJobs; ///< Not part of a snapshot.
+  std::vector<recent_crash> RecentCrashes; ///< The oldest first.
+  std::vector<counted_crash> NewlyCounted; ///< Not part of a snapshot.
+  std::vector<std::string> AffectedJobs;   ///< Not part of a snapshot.
 };
 
-/// A task is given up when this many endpoints crashed under it.
-inline constexpr std::size_t MaxCrashes = 3;
-/// The same when no other run can be blamed for the last crash.
-inline constexpr std::size_t MaxCrashesAlone = 2;
+/// Crashes that are kept for a task. The pause after a crash has reached its
+/// maximum by then.
+inline constexpr std::size_t MaxCrashRecords = 16;
 inline constexpr std::size_t MaxLostRuns = 256;
 
 /// How long the state of a job is kept after its end. Callers may query it for
--- a/scheduling/schedule_views.cpp
+++ b/scheduling/schedule_views.cpp
@@ -74,17 +74,27 @@
   return {{"endpoints", std::move(Rows)}};
 }
 
-json taskView(const suspect_record &Task) {
+json taskView(const suspect_record &Task, const job_record &Job,
+              const crash_census &Census) {
   auto Endpoints = json::array();
   for (const auto &Crash : Task.Crashes)
     Endpoints.push_back(Crash.EndpointId);
+  auto History = Task.history();
+  auto Pause = pauseAfterCrashes(History, Census, Job.Pool,
+                                 Job.Spec.Steps[Task.Step].IsLongRunning);
   return {{"occurrence", Task.Occurrence},
           {"step", Task.Step},
           {"index", Task.Index},
+          {"crashes", History.Crashes},
+          {"crashes_alone", History.Alone},
+          {"last_crash_ms", History.NewestMs},
+          {"pause_ms", Pause.Ms},
+          {"evidence", toText(Pause.Evidence)},
           {"crashed_endpoints", std::move(Endpoints)}};
 }
 
-json jobView(const std::string &Id, const job_record &Job) {
+json jobView(const std::string &Id, const job_record &Job,
+             const crash_census &Census) {
   static constexpr std::array Names{"queued", "running", "complete", "failed",
                                     "cancelled"};
   json Row = {{"id", Id},
@@ -97,28 +107,28 @@
   auto Suspects = json::array();
   for (const auto &Suspect : Job.Suspects)
     if (Suspect.isSuspect())
-      Suspects.push_back(taskView(Suspect));
+      Suspects.push_back(taskView(Suspect, Job, Census));
   if (!Suspects.empty())
     Row["suspect_tasks"] = std::move(Suspects);
-  if (Job.GivenUp)
-    Row["given_up"] = taskView(*Job.GivenUp);
   return Row;
 }
 
 json jobsView(const schedule_node &Node) {
   const auto &State = Node.state();
   auto Rows = json::array();
-  // Jobs of which a task was given up come first, so that a long list of live
-  // jobs does not hide them.
-  for (const auto &Id : State.givenUpJobs()) {
+  auto Census = State.crashCensus();
+  // Jobs with suspect tasks come first, so that a long list of live jobs does
+  // not hide them.
+  for (const auto &Id : State.suspectJobs()) {
     if (Rows.size() == MaxViewRows)
       break;
-    Rows.push_back(jobView(Id, *State.findJob(Id)));
+    Rows.push_back(jobView(Id, *State.findJob(Id), Census));
   }
   for (const auto &[SubmittedMs, Id] : State.liveJobs()) {
     if (Rows.size() == MaxViewRows)
       break;
-    Rows.push_back(jobView(Id, *State.findJob(Id)));
+    if (State.suspectJobs().count(Id) == 0)
+      Rows.push_back(jobView(Id, *State.findJob(Id), Census));
   }
   return {{"jobs", std::move(Rows)}};
 }
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -823,6 +823,7 @@
                       {"waits_for", Task.WaitsFor},
                       {"draining", Task.IsDraining},
                       {"deregistered", Task.HasDeregistered},
+                      {"pause_left_ms", ToMs(Task.PauseLeft)},
                       {"lease_left_ms", ToMs(Task.LeaseLeft)},
                       {"answer_age_ms", ToMs(Task.ContactAge)}});
     }
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -21,7 +21,8 @@
   LastEndpointPart,
   EndpointsPart,
   WavesPart,
-  PartCount
+  PartCount, ///< Of snapshots without recent crashes, as in earlier versions.
+  RecentCrashesPart = PartCount
 };
 
 /// Appends the jobs sorted by id, so that equal states have equal snapshots.
@@ -66,13 +67,15 @@
 std::string schedule_state::snapshot() const {
   std::string Bytes;
   fleet::cbor_appender Appender(Bytes);
-  Appender.beginArray(PartCount);
+  Appender.beginArray(PartCount + (RecentCrashes.empty() ? 0 : 1));
   Appender.append(TimeMs);
   Appender.append(Configuration);
   appendJobs(Appender, Jobs);
   Appender.append(LastEndpoint);
   appendValues(Appender, Endpoints);
   appendValues(Appender, Waves);
+  if (!RecentCrashes.empty())
+    Appender.append(RecentCrashes);
   return Bytes;
 }
 
@@ -88,7 +91,8 @@
     return Malformed();
   const auto &Parts = *Parsed;
   bool IsValid =
-      Parts.is_array() && Parts.size() == PartCount &&
+      Parts.is_array() &&
+      (Parts.size() == PartCount || Parts.size() == RecentCrashesPart + 1) &&
       log_reader::fromJson(Parts[TimePart], State.TimeMs) &&
       log_reader::fromJson(Parts[ConfigurationPart], State.Configuration) &&
       log_reader::fromJson(Parts[LastEndpointPart], State.LastEndpoint);
@@ -107,8 +111,6 @@
                           return Suspect.isSuspect();
                         }))
           State.SuspectJobs.insert(Job.Spec.Id);
-        if (Job.GivenUp)
-          State.GivenUpJobs.insert(Job.Spec.Id);
         auto Id = Job.Spec.Id;
         State.Jobs.emplace(std::move(Id), std::move(Job));
       });
@@ -124,6 +126,10 @@
               auto Number = Wave.Wave;
               State.Waves.emplace(Number, std::move(Wave));
             });
+  if (IsValid && Parts.size() > RecentCrashesPart)
+    IsValid = readValues<recent_crash>(
+        Parts[RecentCrashesPart],
+        [&](recent_crash Crash) { State.RecentCrashes.push_back(Crash); });
   if (!IsValid)
     return Malformed();
   State.assignQueueNumbers(nullptr);
