--- a/scheduling/crash_backoff.h
+++ b/scheduling/crash_backoff.h
@@ -75,8 +75,7 @@
 /// pause stays under the 6 s after its last run in which they do not.
 /// \returns the pause, counted from History.NewestMs.
 crash_pause pauseAfterCrashes(const crash_history &History,
-                              const crash_census &Census,
-                              std::string_view Pool,
+                              const crash_census &Census, std::string_view Pool,
                               bool IsLongRunning = false);
 
 /// \returns whether the crashes under the task are probably its own, so that
--- a/scheduling/host_crash_log.h
+++ b/scheduling/host_crash_log.h
@@ -17,8 +17,9 @@
 /// Designed for hosts whose endpoints crash again and again, beside tasks that
 /// crash the endpoints of any host: crashes count against a host only while no
 /// single task ran at all of them, and not after a task that crashes
-/// endpoints explains them. Crashes of many hosts within moments count against none of
-/// them: a pool that crashed as a whole twice was avoided as a whole for 15 s.
+/// endpoints explains them. Crashes of many hosts within moments count against
+/// none of them: a pool that crashed as a whole twice was avoided as a whole
+/// for 15 s.
 class host_crash_log {
 public:
   /// Records a crash.
