Keep the place at which a round of placement continues

The position behind which the next round continues lost the number of its step, so that the later steps of one job were tried again in each round and those of later jobs never, if they alone used up the bound. It was also lost when the limit of starts ended a round.

The position keeps the number of the step, and a round that reached the limit of starts keeps the position.

--- a/scheduling/placement_bound.cpp
+++ b/scheduling/placement_bound.cpp
@@ -48,12 +48,14 @@
   }
   Phase = phase::Spent;
   After = Step;
-  // The job may be gone by the next round.
-  After->Step = {};
+  // The job may be gone by the next round; the order depends on the number of
+  // the step.
+  After->Step.Job = nullptr;
+  After->Step.Occurrence = nullptr;
 }
 
-void placement_bound::recordEnd() {
-  if (Phase != phase::Spent)
+void placement_bound::recordEnd(bool IsFull) {
+  if (Phase != phase::Spent && !IsFull)
     After.reset();
 }
 
--- a/scheduling/placement_bound.h
+++ b/scheduling/placement_bound.h
@@ -36,9 +36,10 @@
   /// Records that a step that was tried has no place.
   /// \param Visits endpoints that were visited for it.
   void recordFailure(const indexed_step &Step, std::size_t Visits);
-  /// Records that the round is over. It has tried all steps that it may try up
-  /// to the last one, or up to the one that reached the limit of starts.
-  void recordEnd();
+  /// Records that the round is over.
+  /// \param IsFull whether the limit of starts ended it before it had tried all
+  /// steps that it may try; the next round continues behind the same step.
+  void recordEnd(bool IsFull = false);
 
   /// \returns the number of rounds in which each of the steps is tried at least
   /// once, if none of them visits more than all endpoints.
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -796,7 +796,7 @@
                            placement_failure::Skipped);
   if (Request.Bounds)
     for (auto &[Name, Bound] : *Request.Bounds)
-      Bound.recordEnd();
+      Bound.recordEnd(Round.isFull());
   return Round.take();
 }
 
--- a/tests/scheduling/test_placement_bounds.cpp
+++ b/tests/scheduling/test_placement_bounds.cpp
@@ -236,6 +236,57 @@
   }
 }
 
+// Guards against a resume position that forgets the number of a step: the steps
+// of one job were tried again in each round, and those behind it never.
+TEST_CASE("many steps of one job without a place let later jobs be tried") {
+  constexpr std::size_t Endpoints = 1100;
+  constexpr std::uint32_t StepsOfJob = 40;
+  std::vector<waiting_index::indexed_step> Steps(StepsOfJob + 1);
+  for (std::uint32_t Index = 0; Index != StepsOfJob; ++Index) {
+    Steps[Index].Job = "a";
+    Steps[Index].Step.Step = Index;
+  }
+  Steps.back().Job = "b";
+  placement_bound Bound;
+  bool WasTried = false;
+  for (std::size_t Round = 0;
+       Round != placement_bound::roundsToTryAll(Steps.size(), Endpoints);
+       ++Round) {
+    Bound.beginRound(Endpoints);
+    for (const auto &Step : Steps)
+      if (Bound.mayTry(Step)) {
+        WasTried |= Step.Job == "b";
+        Bound.recordFailure(Step, Endpoints);
+      }
+    Bound.recordEnd();
+  }
+  CHECK(WasTried);
+}
+
+// Guards against a resume position that is lost when the limit of starts ends a
+// round: with a steady backlog the lowest ranks were never tried.
+TEST_CASE(
+    "a round that reaches the limit of starts keeps the resume position") {
+  std::vector<waiting_index::indexed_step> Steps(100);
+  for (std::size_t Index = 0; Index != Steps.size(); ++Index)
+    Steps[Index].SubmittedMs = static_cast<std::int64_t>(Index);
+  placement_bound Bound;
+  Bound.beginRound(1100);
+  for (const auto &Step : Steps)
+    if (Bound.mayTry(Step))
+      Bound.recordFailure(Step, 1100);
+  Bound.recordEnd();
+  REQUIRE(Bound.resumesAfter());
+  auto Position = Bound.resumesAfter()->SubmittedMs;
+  Bound.beginRound(1100);
+  Bound.recordEnd(true);
+  REQUIRE(Bound.resumesAfter());
+  CHECK(Bound.resumesAfter()->SubmittedMs == Position);
+  Bound.beginRound(1100);
+  Bound.recordEnd();
+  CHECK_FALSE(Bound.resumesAfter());
+}
+
 // Review case 3: 26 long-running jobs have one task on each of seven endpoints
 // and one without a place, since an eighth is lost.
 TEST_CASE("long-running jobs short of an endpoint let ordinary jobs start") {
