Notice reserved room that steps with other limits hold up

The release of endpoints that are reserved for suspects asked whether the one step that had no room could start on one of them, with all its limits. Steps of its size are passed over from then on, so that a step whose limit of tasks on an endpoint is used up there hid that others could start. Found by review. The room for the size and the label decides now.

--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -214,7 +214,7 @@
         continue;
       if (!Target) {
         if (!Missing && HasReserved && !Pool.IsHeldUp && Request.RecordHeldUp &&
-            choose(Waiting, Spec, Key, Pool.Targets, "", AnyEndpoint))
+            hasReservedRoom(Spec, Pool))
           recordHeldUp(Waiting, Pool);
         return recordNoPlace(Waiting, Spec, Key, Pool, Missing);
       }
@@ -279,14 +279,21 @@
     }
     if (HasSuspect)
       return 0;
-    if (Request.RecordHeldUp && !Pool.IsHeldUp &&
-        std::any_of(Targets.begin(), Targets.end(), [&](const auto *Target) {
-          return Target->IsReserved && fits(Target->Free, reservedSize(Spec));
-        }))
+    if (Request.RecordHeldUp && !Pool.IsHeldUp && hasReservedRoom(Spec, Pool))
       recordHeldUp(Waiting, Pool);
     return Racks.size() * recordNoPlace(Waiting, Spec, Key, Pool, nullptr);
   }
 
+  /// \returns whether an endpoint that is reserved has room for a task of the
+  /// step. Other limits of the step do not count: smaller steps without them
+  /// are passed over once this one has no room.
+  bool hasReservedRoom(const step_spec &Spec, const pool_round &Pool) const {
+    return std::any_of(Pool.Targets.begin(), Pool.Targets.end(),
+                       [&](const auto *Target) {
+                         return Target->IsReserved && hasRoom(Spec, *Target);
+                       });
+  }
+
   void recordHeldUp(const waiting_step &Waiting, pool_round &Pool) {
     Pool.IsHeldUp = true;
     Request.RecordHeldUp(Waiting.Job->Pool);
