Keep a host from work while an unanswered move may still take effect

A call to the platform may wait before it is sent, and the time in which its order may take effect was counted from the decision to send it. A move could be dropped, and a long-running task be placed on its host, just before the platform took the host down.

The time is counted from the result as well, and a move that may have been carried out is dropped only when a later list has shown its host, or a second has passed without a list. A move that was never sent because the platform takes no more calls delays the next one of its host by a second only.

--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -361,10 +361,19 @@
   Operation.IsOrderPending = false;
   const auto *Verdict = std::get_if<host_verdict>(&Result.Answer);
   if (!Verdict) {
+    if (!Move)
+      return;
+    if (NoAnswer && !NoAnswer->MayHaveRun) {
+      Operation.MayTakeEffectUntil = {};
+      return;
+    }
     // Repeated orders would keep the host from work for as long as the platform
     // does not answer; the move is dropped once it can no longer take effect.
-    if (Move)
-      Operation.NextOrder = core::time_point::max();
+    // The call may have been sent later than its order was made.
+    Operation.NextOrder = core::time_point::max();
+    Operation.MayTakeEffectUntil =
+        std::max(Operation.MayTakeEffectUntil,
+                 Now + HostOrderLifetime - PlatformTimeout);
     return;
   }
   core::logEvent(core::log_level::Info,
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -18,6 +18,9 @@
 // move keeps the host from work until it is dropped.
 constexpr core::duration MinMoveDelay = std::chrono::seconds(1);
 constexpr core::duration MaxMoveDelay = std::chrono::seconds(16);
+// How long a list is awaited that shows whether an unanswered order moved its
+// host; lists follow each other within half of it while the platform answers.
+constexpr core::duration MaxListWait = std::chrono::seconds(1);
 // How long a failed placement counts as demand. Placement runs more often than
 // this while tasks wait.
 constexpr core::duration UnplaceableWindow = milliseconds(400);
@@ -126,25 +129,34 @@
     return Now > Item.second.Until + MaxMoveDelay;
   });
   std::vector<std::string> Dropped;
-  for (const auto &[Name, Operation] : Hosts.Operations)
-    if (!Operation.Wave && !Operation.HasBegun && !Operation.IsOrderPending &&
-        Now >= Operation.DecidedAt + HostOrderLifetime &&
-        Now >= Operation.MayTakeEffectUntil)
+  for (const auto &[Name, Operation] : Hosts.Operations) {
+    if (Operation.Wave || Operation.HasBegun || Operation.IsOrderPending ||
+        Now < Operation.DecidedAt + HostOrderLifetime ||
+        Now < Operation.MayTakeEffectUntil)
+      continue;
+    // The order may have moved the host: a list that is newer shows it.
+    bool MayHaveMoved = Operation.MayTakeEffectUntil != core::time_point();
+    if (!MayHaveMoved || Hosts.ListedAt > Operation.MayTakeEffectUntil ||
+        Now >= Operation.MayTakeEffectUntil + MaxListWait)
       Dropped.push_back(Name);
+  }
   if (Dropped.empty())
     return;
   for (const auto &Name : Dropped) {
     auto Found = Hosts.Operations.find(Name);
+    bool WasSent = Found->second.MayTakeEffectUntil != core::time_point();
     core::logEvent(core::log_level::Warning, "move_dropped",
                    {{"host", Name},
                     {"pool", Found->second.TargetPool},
+                    {"sent", WasSent},
                     {"decided_ms_ago", toMs(Now - Found->second.DecidedAt)}});
     Hosts.Operations.erase(Found);
+    // A platform that takes no more calls says nothing about this host.
+    if (!WasSent)
+      Hosts.MoveBackoffs.erase(Name);
     delayNextMove(Name, Now);
   }
   Metrics.add("moves_dropped_total", Dropped.size());
-  // An order without an answer may have moved its host.
-  Hosts.NextList = std::min(Hosts.NextList, Now);
   IsPlacementDue = true;
 }
 
