Expire orders also when the leader is late each time

Overdue orders are not expired in the first pass after a pause of the process. A leader whose iterations take longer than a second would have seen a pause in each pass. At most every second pass is put off now. Found by review.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -640,6 +640,7 @@
   std::vector<std::uint32_t> PolledEndpoints;
   std::unordered_map<std::uint64_t, pending_order> PendingOrders;
   core::time_point NextOrderExpiry{};
+  bool WasExpiryPutOff = false; ///< By the newest expireOrders().
   poll_pacer PollPacer;
   std::uint64_t LastList = 0; ///< Number of lists compared so far.
   verdict_log Verdicts;
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -106,7 +106,10 @@
     return;
   bool WasSuspended = Now - NextOrderExpiry > OrderExpiryInterval;
   NextOrderExpiry = Now + OrderExpiryInterval;
-  // The results that came in the meantime are processed first.
+  // The results that came in the meantime are processed first. A leader that is
+  // late each time expires orders all the same.
+  if (std::exchange(WasExpiryPutOff, WasSuspended && !WasExpiryPutOff))
+    WasSuspended = false;
   if (WasSuspended)
     return;
   std::vector<std::uint64_t> Expired;
