Judge crashes under a task by all that is known of their time

A pause after crashes depends on the unexplained crashes of the pool. These were forgotten after 30 s, so that the evidence against a task that waited for longer became strong while nothing had happened, and it paused for two minutes more beside free room. They are kept for longer than the longest pause now, at most 512 of them. The pause is counted from the last sign of life of the endpoint instead of the record of its crash, which may come seconds later. Found by review.

--- a/scheduling/crash_backoff.h
+++ b/scheduling/crash_backoff.h
@@ -12,9 +12,10 @@
 namespace lycheetrestle::scheduling {
 
 /// How long crashes of endpoints are kept to judge the crashes under a task.
-inline constexpr std::int64_t RecentCrashMs = 30'000;
-/// More than the endpoints that large pools lose in that time. The oldest are
-/// dropped first.
+/// Longer than the longest pause, so that its evidence lasts as long.
+inline constexpr std::int64_t RecentCrashMs = 900'000;
+/// More than the endpoints that large pools lose within a minute. The oldest
+/// are dropped first.
 inline constexpr std::size_t MaxRecentCrashes = 512;
 
 /// A task that crashes endpoints does so at once, and the list of hosts shows
@@ -42,7 +43,8 @@
   std::size_t Crashes = 0;
   std::size_t Alone = 0;     ///< Crashes while no other run could be blamed.
   std::size_t Short = 0;     ///< Crashes at most ShortRunMs after the start.
-  std::int64_t NewestMs = 0; ///< Wall time of the newest one.
+  std::int64_t NewestMs = 0; ///< Wall time at which the newest was recorded.
+  std::int64_t SilentMs = 0; ///< Time from that crash to its record, at most.
   std::vector<std::uint32_t> Incarnations;
 };
 
@@ -73,7 +75,7 @@
 /// \param Pool the pool of the task.
 /// \param IsLongRunning whether callers see the task as lost at any time; its
 /// pause stays under the 6 s after its last run in which they do not.
-/// \returns the pause, counted from History.NewestMs.
+/// \returns the pause, counted from the newest crash.
 crash_pause pauseAfterCrashes(const crash_history &History,
                               const crash_census &Census, std::string_view Pool,
                               bool IsLongRunning = false);
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -159,7 +159,7 @@
 template <typename Archive, record_of<crash_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Incarnation, R.EndpointId, R.Host);
-  A.trailing(R.IsAlone, R.TimeMs, R.RanMs);
+  A.trailing(R.IsAlone, R.TimeMs, R.RanMs, R.SilentMs);
 }
 template <typename Archive, record_of<recent_crash> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -232,8 +232,8 @@
   } else {
     // The clocks of leaders differ and may be stepped: the wall time is used
     // once, and the rest is counted with the steady clock.
-    auto PassedMs =
-        std::clamp<std::int64_t>(WallMs - History.NewestMs, 0, Pause.Ms);
+    auto PassedMs = std::clamp<std::int64_t>(
+        WallMs - History.NewestMs + History.SilentMs, 0, Pause.Ms);
     Entry = {History.NewestMs, Now - milliseconds(PassedMs), {}};
   }
   Entry.Until = Entry.CrashedAt + milliseconds(Pause.Ms);
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -68,7 +68,10 @@
   for (const auto &Crash : Crashes) {
     History.Alone += Crash.IsAlone;
     History.Short += Crash.RanMs <= ShortRunMs;
-    History.NewestMs = std::max(History.NewestMs, Crash.TimeMs);
+    if (Crash.TimeMs >= History.NewestMs) {
+      History.NewestMs = Crash.TimeMs;
+      History.SilentMs = Crash.SilentMs;
+    }
     History.Incarnations.push_back(Crash.Incarnation);
   }
   return History;
@@ -592,7 +595,7 @@
           return Other.Task == Run.Task || isSameGang(Other.Task, Run.Task);
         });
     const auto *Suspect =
-        countCrash(Found->second, Run, Endpoint, End.Cause, IsAlone);
+        countCrash(Found->second, Run, Endpoint, End, IsAlone);
     if (!Suspect || Suspect->Crashes.size() < 2)
       continue;
     NewlyCounted.push_back({Run.Task, IsAlone});
@@ -603,7 +606,8 @@
 
 suspect_record *schedule_state::countCrash(job_record &Job, const lost_run &Run,
                                            const endpoint_record &Endpoint,
-                                           end_cause Cause, bool IsAlone) {
+                                           const incarnation_end &End,
+                                           bool IsAlone) {
   const auto *Task = findTask(Run.Task);
   if (!Task || Task->IsDone)
     return nullptr;
@@ -619,7 +623,7 @@
   Suspect->Attempt = Run.Attempt;
   // Several tasks that crash endpoints can look like the failure of a rack. It
   // is improbable that a second rack fails under the same task by chance.
-  if (Cause == end_cause::FailedWithRack && Suspect->RackFailures++ == 0)
+  if (End.Cause == end_cause::FailedWithRack && Suspect->RackFailures++ == 0)
     return nullptr;
   auto RanMs = std::min(Run.EndedMs - Run.StartedMs, SoundRunMs);
   Suspect->RanMs =
@@ -627,7 +631,8 @@
   if (Suspect->Crashes.size() == MaxCrashRecords)
     Suspect->Crashes.erase(Suspect->Crashes.begin());
   Suspect->Crashes.push_back({Endpoint.Number, Endpoint.Facts.Id, Endpoint.Host,
-                              IsAlone, TimeMs, RanMs});
+                              IsAlone, TimeMs, RanMs,
+                              std::min<std::int64_t>(End.SilentMs, RanMs)});
   SuspectJobs.insert(Job.Spec.Id);
   return Suspect;
 }
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -59,6 +59,9 @@
   /// Time from the start of the run to the record; unknown from an earlier
   /// version.
   std::int64_t RanMs = SoundRunMs;
+  /// Time from the last sign of life of the endpoint to the record, at most
+  /// RanMs.
+  std::int64_t SilentMs = 0;
 };
 
 /// A task that may have crashed endpoints.
@@ -273,8 +276,8 @@
   void recordLostRun(const end_run &End, const task_record &Task);
   /// \returns the record of the task if the crash was counted, or null.
   suspect_record *countCrash(job_record &Job, const lost_run &Run,
-                             const endpoint_record &Endpoint, end_cause Cause,
-                             bool IsAlone);
+                             const endpoint_record &Endpoint,
+                             const incarnation_end &End, bool IsAlone);
   /// Takes the crashes that a task explains off all others, but for members of
   /// its gang.
   void exonerate(const task_key &Blamed,
--- a/tests/scheduling/test_crash_counts.cpp
+++ b/tests/scheduling/test_crash_counts.cpp
@@ -454,8 +454,8 @@
     REQUIRE(Job.size() == 12);
     for (auto &Suspect : Job[11])
       for (auto &Crash : Suspect[4]) {
-        REQUIRE(Crash.size() == 6);
-        Crash.erase(Crash.end() - 3, Crash.end());
+        REQUIRE(Crash.size() == 7);
+        Crash.erase(Crash.end() - 4, Crash.end());
       }
     if (Job[0][0] == "j") {
       Job.push_back(Job[11][0]);
