Hold a task back for a minute at most while its pool is not calm

Three crashes soon after the starts of a task were strong evidence against it, whatever else crashed in its pool, and it paused for two minutes, then eight. With other unexplained crashes in the pool the pause is 45 s now, then 60 s.

--- a/scheduling/crash_backoff.cpp
+++ b/scheduling/crash_backoff.cpp
@@ -10,7 +10,7 @@
 // MinAloneCrashes of them.
 constexpr std::size_t MinCrashes = 3;
 constexpr std::size_t MinAloneCrashes = 2;
-// Sufficient without a calm pool.
+// Or if this many came at most ShortRunMs after its starts.
 constexpr std::size_t MinShortCrashes = 3;
 // Long-running tasks get no trial and are rarely alone. That one task is at
 // work at so many crashes of a calm pool is improbable too.
@@ -34,6 +34,10 @@
 constexpr std::int64_t FirstStrongPauseMs = 120'000;
 constexpr std::int64_t StrongPauseFactor = 4;
 constexpr std::int64_t MaxStrongPauseMs = 600'000;
+// After short runs only, while other endpoints of the pool crash too: a sound
+// task may have had them by chance, and goes on within a minute.
+constexpr std::int64_t FirstStormPauseMs = 45'000;
+constexpr std::int64_t MaxStormPauseMs = 60'000;
 // Callers see a long-running task as lost from 6 s after its last run on.
 constexpr std::int64_t MaxLongRunningPauseMs = 5000;
 
@@ -72,15 +76,20 @@
   if (History.Crashes < 2)
     return {};
   bool IsSuspicious =
+      History.Short >= MinShortCrashes ||
       History.Crashes >= MinCrashesBesideOthers ||
       (History.Crashes >= MinCrashes && History.Alone >= MinAloneCrashes);
-  if (History.Short >= MinShortCrashes ||
-      (IsSuspicious && isCalm(History, Census, Pool)))
+  auto Steps = History.Crashes - std::min(History.Crashes, MinCrashes);
+  if (IsSuspicious && isCalm(History, Census, Pool))
     return {
-        growingPause(FirstStrongPauseMs, StrongPauseFactor,
-                     History.Crashes - MinCrashes,
+        growingPause(FirstStrongPauseMs, StrongPauseFactor, Steps,
                      IsLongRunning ? MaxLongRunningPauseMs : MaxStrongPauseMs),
         crash_evidence::Strong};
+  if (History.Short >= MinShortCrashes)
+    return {
+        growingPause(FirstStormPauseMs, StrongPauseFactor, Steps,
+                     IsLongRunning ? MaxLongRunningPauseMs : MaxStormPauseMs),
+        crash_evidence::Strong};
   return {growingPause(FirstWeakPauseMs, WeakPauseFactor, History.Crashes - 2,
                        MaxWeakPauseMs),
           crash_evidence::Weak};
