Require callers' keys and decide on them at the leader

Change: a configuration may have workspaces with keys, priority, weight and limit, and public queues. Unknown keys get 401, the key of another workspace 403 on a job. Limits and weights are stored and not yet used; the group of jobs above a rate exists and is not yet filled.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -242,8 +242,9 @@
                  [](const gateway::gateway_settings &Settings,
                     const core::process_requests &Requests,
                     const core::seed_reader &ReadSeeds) {
-                   gateway::gateway_dialect Dialect{platform::DeadlineHeader,
-                                                    platform::ReadinessPath};
+                   gateway::gateway_dialect Dialect{
+                       platform::DeadlineHeader, platform::ReadinessPath,
+                       platform::KeyHeader, platform::KeyScheme};
                    return gateway::runGateway(Settings, Dialect, Requests,
                                               ReadSeeds);
                  });
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -69,8 +69,9 @@
   return leader(Now).has_value();
 }
 
-void forwarder::request(http::server_request Request, core::time_point Deadline,
-                        core::time_point Now) {
+void forwarder::request(http::server_request Request,
+                        workspaces::key_digest KeyDigest,
+                        core::time_point Deadline, core::time_point Now) {
   auto Leader = leader(Now);
   if (!Leader) {
     Metrics.add("requests_total{outcome=\"no_leader\"}");
@@ -92,9 +93,12 @@
   Call.RequestId = Request.Id;
   Call.Deadline = Deadline - Settings.ResponseMargin;
   Call.StartedAt = Now;
-  Call.Call = {
-      Id, std::move(Request.Request.Method), std::move(Request.Request.Host),
-      std::move(Request.Request.Target), std::move(Request.Request.Body)};
+  Call.Call = {Id,
+               std::move(Request.Request.Method),
+               std::move(Request.Request.Host),
+               std::move(Request.Request.Target),
+               std::move(Request.Request.Body),
+               std::move(KeyDigest)};
   send(Call, *Leader);
 }
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -80,9 +80,10 @@
   /// Adds schedulers to connect to. None is ever removed.
   void addSchedulers(std::span<const std::string> Addresses);
   /// Forwards a request to the leader, or rejects it when none is known.
+  /// \param KeyDigest digest of the caller's key, or empty.
   /// \param Deadline time until which the caller waits.
-  void request(http::server_request Request, core::time_point Deadline,
-               core::time_point Now);
+  void request(http::server_request Request, workspaces::key_digest KeyDigest,
+               core::time_point Deadline, core::time_point Now);
   /// Handles a message from a scheduler.
   /// \param Peer IP address of the scheduler.
   void receive(const std::string &Peer, message Message, core::time_point Now);
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -9,6 +9,9 @@
 #include "transport/link_events.h"
 #include "transport/link_hub.h"
 #include "transport/traffic_metrics.h"
+#include "workspaces/key_digest.h"
+
+#include <strings.h>
 
 #include <charconv>
 #include <deque>
@@ -80,6 +83,8 @@
     if (Settings.Metrics.Port != 0)
       Result.Listen.push_back(Settings.Metrics);
     Result.RetainedHeaders = {Dialect.DeadlineHeader};
+    if (!Dialect.KeyHeader.empty())
+      Result.RetainedHeaders.push_back(Dialect.KeyHeader);
     Result.MaxBodyBytes = MaxBodyBytes;
     return Result;
   }
@@ -130,7 +135,8 @@
           [&](transport::link_event &&Event) { receive(Event, Now); });
       Requests.drain([&](http::server_request &&Request) {
         auto Deadline = Now + deadlineOf(Request.Request);
-        Forwarder.request(std::move(Request), Deadline, Now);
+        auto Digest = keyDigestOf(Request.Request);
+        Forwarder.request(std::move(Request), std::move(Digest), Deadline, Now);
       });
       Forwarder.tick(Now);
       execute(Now);
@@ -182,6 +188,19 @@
     return std::chrono::milliseconds(Count);
   }
 
+  workspaces::key_digest keyDigestOf(const http::request &Request) const {
+    if (Dialect.KeyHeader.empty())
+      return {};
+    auto Value = http::findHeader(Request.Headers, Dialect.KeyHeader.c_str());
+    // Names of schemes are case-insensitive.
+    if (strncasecmp(Value.c_str(), Dialect.KeyScheme.c_str(),
+                    Dialect.KeyScheme.size()) != 0)
+      return {};
+    std::string_view Key(Value);
+    Key.remove_prefix(Dialect.KeyScheme.size());
+    return workspaces::digestOf(Key);
+  }
+
   void receive(const transport::link_event &Event, core::time_point Now) {
     if (Event.Bytes.empty()) {
       Forwarder.linkChanged(Event.Peer, Event.IsUp, Now);
--- a/gateway/gateway_process.h
+++ b/gateway/gateway_process.h
@@ -15,6 +15,8 @@
 struct gateway_dialect {
   std::string DeadlineHeader; ///< Time that the caller waits, in milliseconds.
   std::string ReadinessPath;  ///< Path of the load balancer's check.
+  std::string KeyHeader;      ///< Header with the caller's key.
+  std::string KeyScheme;      ///< Precedes the key in it, with a space.
 };
 
 /// Runs a gateway until it is stopped.
--- a/gateway/messages.cpp
+++ b/gateway/messages.cpp
@@ -47,6 +47,9 @@
   A.bytes(R.HostName);
   A.bytes(R.Target);
   A.bytes(R.Body);
+  // Without it earlier versions can read the message.
+  if (!std::is_const_v<Type> || !R.KeyDigest.empty())
+    A.trailing(R.KeyDigest);
 }
 template <typename Archive, record_of<reply_message> Type>
 void fields(Archive &A, Type &R) {
--- a/gateway/messages.h
+++ b/gateway/messages.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEETRESTLE_GATEWAY_MESSAGES_H
 #define LYCHEETRESTLE_GATEWAY_MESSAGES_H
 
+#include "workspaces/key_digest.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +28,7 @@
   std::string HostName;
   std::string Target; ///< Path and query of the request.
   std::string Body;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
   bool operator==(const call_message &) const = default;
 };
 
--- a/scheduling/calls.h
+++ b/scheduling/calls.h
@@ -17,23 +17,27 @@
   std::string HostName;
   std::string Path;
   job_spec Job;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
 };
 /// Queries the state of a job.
 struct job_state_call {
   std::string HostName;
   std::string Path;
   std::string Job;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
 };
 /// Cancels a job.
 struct cancel_call {
   std::string HostName;
   std::string Path;
   std::string Job;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
 };
 /// Queries the number of jobs of a queue that have not started.
 struct queue_length_call {
   std::string HostName;
   std::string Path;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
 };
 /// An endpoint reports that it is up, and its facts.
 struct heartbeat_call {
@@ -68,6 +72,9 @@
                  heartbeat_call, deregister_call, configure_call,
                  read_configuration_call, start_wave_call, wave_state_call>;
 
+/// Sets the digest of the caller's key in a call that has one.
+void setKeyDigest(call_body &Call, workspaces::key_digest Digest);
+
 /// A request to the scheduler.
 struct call {
   std::uint64_t Id = 0; ///< Returned in the reply.
@@ -84,10 +91,12 @@
   NoSuchQueue,
   NoSuchJob,
   NoSuchWave,
-  NotLeader,   ///< Not handled; Leader is the address of the leader, if known.
-  Unavailable, ///< Certainly not executed; the caller may retry.
-  Unknown,     ///< May or may not be executed.
-  TooLarge,    ///< Never executed; the change exceeds what the log accepts.
+  Unauthorized, ///< Never executed; the queue requires a valid key.
+  Forbidden,    ///< Never executed; the job is one of another workspace.
+  NotLeader,    ///< Not handled; Leader is the address of the leader, if known.
+  Unavailable,  ///< Certainly not executed; the caller may retry.
+  Unknown,      ///< May or may not be executed.
+  TooLarge,     ///< Never executed; the change exceeds what the log accepts.
 };
 
 /// The reply to a call.
--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -25,6 +25,9 @@
   std::string HostName;
   std::string Path;
   job_spec Job;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
+  /// The leader received it above the rate of its workspace.
+  bool IsOverRate = false;
   bool operator==(const submit_job &) const = default;
 };
 
@@ -33,6 +36,7 @@
   std::string HostName;
   std::string Path;
   std::string Job;
+  workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
   bool operator==(const cancel_job &) const = default;
 };
 
--- a/scheduling/configuration_check.cpp
+++ b/scheduling/configuration_check.cpp
@@ -1,6 +1,9 @@
 #include "scheduling/configuration_check.h"
 
+#include <map>
 #include <set>
+#include <span>
+#include <string_view>
 #include <utility>
 
 namespace lycheetrestle::scheduling {
@@ -21,6 +24,34 @@
   return std::string(List) + "[" + std::to_string(Index) + "]." + Field;
 }
 
+/// The value of an error about a key is the name of a workspace: a key must not
+/// stand in responses and logs.
+std::optional<core::failure>
+checkWorkspaces(std::span<const workspaces::workspace_spec> Workspaces) {
+  std::set<std::string_view> Names;
+  std::map<std::string_view, std::string_view> Owners; // By digest of a key.
+  for (std::size_t Index = 0; Index != Workspaces.size(); ++Index) {
+    const auto &Workspace = Workspaces[Index];
+    if (!Names.insert(Workspace.Name).second)
+      return violation(pathOf("workspaces", Index, "name"), Workspace.Name,
+                       "must be unique among the workspaces");
+    for (const auto &Key : Workspace.Keys) {
+      auto [Owner, IsNew] = Owners.emplace(Key, Workspace.Name);
+      if (!IsNew)
+        return violation(pathOf("workspaces", Index, "keys"),
+                         std::string(Owner->second),
+                         "must share no key with the named workspace, nor "
+                         "hold a key twice");
+    }
+    if (Owners.size() > workspaces::MaxKeys)
+      return violation(
+          pathOf("workspaces", Index, "keys"), std::to_string(Owners.size()),
+          "must be at most " + std::to_string(workspaces::MaxKeys) +
+              " in all workspaces");
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::optional<core::failure>
@@ -46,7 +77,7 @@
       return violation(pathOf("queues", Index, "timeout_ms"), "0",
                        "must be at least 1");
   }
-  return std::nullopt;
+  return checkWorkspaces(Configuration.Workspaces);
 }
 
 std::optional<core::failure> checkJob(const job_spec &Job) {
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -23,6 +23,24 @@
 
 } // namespace lycheetrestle::fleet
 
+namespace lycheetrestle::workspaces {
+
+/// Matches a record type, const for the writing archive and not const for the
+/// reading one.
+template <typename Type, typename Record>
+concept stored_as = std::same_as<std::remove_const_t<Type>, Record>;
+
+template <typename Archive, stored_as<resource_limit> Type>
+void fields(Archive &A, Type &R) {
+  A(R.MilliCores, R.MemoryMb, R.Accelerators);
+}
+template <typename Archive, stored_as<workspace_spec> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Name, R.Keys, R.Priority, R.Weight, R.Limit);
+}
+
+} // namespace lycheetrestle::workspaces
+
 namespace lycheetrestle::scheduling {
 
 // The fields() functions define which members are stored, and in which order;
@@ -45,6 +63,9 @@
 void fields(Archive &A, Type &R) {
   A(R.Name, R.HostName, R.PathPrefix, R.Pool, R.Priority, R.MaxAttempts,
     R.TimeoutMs, R.TargetLatencyMs, R.SlackThousandths, R.Advice);
+  // Rarely set; without it earlier versions can read the record.
+  if (!std::is_const_v<Type> || R.IsPublic)
+    A.trailing(R.IsPublic);
 }
 template <typename Archive, record_of<pool_spec> Type>
 void fields(Archive &A, Type &R) {
@@ -54,6 +75,9 @@
 void fields(Archive &A, Type &R) {
   A(R.Version, R.Queues, R.Pools);
   A.bytes(R.Text);
+  // Without them earlier versions can read the record.
+  if (!std::is_const_v<Type> || R.RequiresKeys)
+    A.trailing(R.RequiresKeys, R.Workspaces);
 }
 template <typename Archive, record_of<step_spec> Type>
 void fields(Archive &A, Type &R) {
@@ -90,10 +114,14 @@
 template <typename Archive, record_of<submit_job> Type>
 void fields(Archive &A, Type &R) {
   A(R.HostName, R.Path, R.Job);
+  if (!std::is_const_v<Type> || !R.KeyDigest.empty() || R.IsOverRate)
+    A.trailing(R.KeyDigest, R.IsOverRate);
 }
 template <typename Archive, record_of<cancel_job> Type>
 void fields(Archive &A, Type &R) {
   A(R.HostName, R.Path, R.Job);
+  if (!std::is_const_v<Type> || !R.KeyDigest.empty())
+    A.trailing(R.KeyDigest);
 }
 template <typename Archive, record_of<open_occurrence> Type>
 void fields(Archive &A, Type &R) {
@@ -206,8 +234,11 @@
   // Without the last two they can read the record of a job that has ended or
   // waits.
   std::optional<suspect_record> GivenUp;
-  if (!std::is_const_v<Type> || R.RemovedQueue || R.HasOnlyRefusals)
+  bool HasWorkspace = !std::is_const_v<Type> || !R.Workspace.empty();
+  if (HasWorkspace || R.RemovedQueue || R.HasOnlyRefusals)
     A.trailing(GivenUp, R.RemovedQueue, R.HasOnlyRefusals);
+  if (HasWorkspace)
+    A.trailing(R.Workspace, R.IsOverRate);
 }
 template <typename Archive, record_of<endpoint_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -122,6 +122,7 @@
   Rank.LatestUsefulStartMs =
       ReleaseMs + static_cast<std::int64_t>(UsefulFactor * ObjectiveMs) -
       RemainingMs;
+  Rank.IsOverRate = Job.IsOverRate;
   Rank.Group = groupAt(Rank, NowMs);
   Rank.RemainingWork = remainingWork(Job.Spec, Occurrence, Model);
   Rank.Ticket = ticketOf(Job.Spec.Id, Occurrence.Number, Rank.RemainingWork);
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -14,7 +14,9 @@
 constexpr std::uint8_t LongRunningGroup = 0;
 constexpr std::uint8_t InTimeGroup = 1;
 constexpr std::uint8_t LateGroup = 2;
-constexpr std::uint8_t ExpiredGroup = 3; ///< Of no use to the caller any more.
+/// Submitted above the rate of its workspace.
+constexpr std::uint8_t OverRateGroup = 3;
+constexpr std::uint8_t ExpiredGroup = 4; ///< Of no use to the caller any more.
 
 /// Scheduling rank of a job's occurrence; smaller ranks are placed first. The
 /// members are compared in the order of their declaration.
@@ -23,9 +25,11 @@
 /// several times what the scheduler can start: work that can still meet its
 /// objective goes before work that cannot, that before work that comes too late
 /// to be of use, and long-running tasks, which are few and serve others, before
-/// all. Within a group, the order is a lottery in which small jobs have more
-/// chances, so that every size gets a share: with the smallest job first, large
-/// ones never start while small ones keep arriving.
+/// all. What a workspace submits above its rate goes after all that can still
+/// be of use, so that it slows nobody else. Within a group, the order is a
+/// lottery in which small jobs have more chances, so that every size gets a
+/// share: with the smallest job first, large ones never start while small ones
+/// keep arriving.
 struct job_rank {
   std::uint8_t Group = LongRunningGroup;
   std::uint32_t Priority = 0;
@@ -36,6 +40,7 @@
   std::int64_t LatestStartMs = 0;
   /// Wall time up to which the occurrence can still be of use.
   std::int64_t LatestUsefulStartMs = 0;
+  bool IsOverRate = false; ///< Of the job.
   // clang-tidy 14 reports a variable inside the generated function.
   // NOLINTNEXTLINE(readability-identifier-naming)
   auto operator<=>(const job_rank &) const = default;
@@ -44,6 +49,8 @@
 /// \param Rank rank of an occurrence without long-running steps.
 /// \returns its group at a wall time.
 constexpr std::uint8_t groupAt(const job_rank &Rank, std::int64_t NowMs) {
+  if (Rank.IsOverRate)
+    return NowMs <= Rank.LatestUsefulStartMs ? OverRateGroup : ExpiredGroup;
   if (NowMs <= Rank.LatestStartMs)
     return InTimeGroup;
   return NowMs <= Rank.LatestUsefulStartMs ? LateGroup : ExpiredGroup;
--- a/scheduling/leader_blockage.cpp
+++ b/scheduling/leader_blockage.cpp
@@ -154,6 +154,8 @@
     return "deferred";
   case placement_failure::Trial:
     return "trial";
+  case placement_failure::WorkspaceLimit:
+    return "workspace_limit";
   case placement_failure::Skipped:
     return "skipped";
   case placement_failure::Count:
--- a/scheduling/placement_report.h
+++ b/scheduling/placement_report.h
@@ -15,17 +15,18 @@
 /// reasons are checked in this order; the one named is that of the endpoint
 /// that came closest.
 enum class placement_failure : std::uint8_t {
-  NoEndpoint,  ///< The pool has no endpoint that accepts new runs.
-  Size,        ///< No endpoint has room for a task of this size.
-  Label,       ///< No endpoint with room has the required label.
-  Reserved,    ///< Only endpoints reserved for suspects have room.
-  Spread,      ///< The limit of tasks of the step on each endpoint.
-  OrderedHost, ///< An order may still interrupt each host with room.
-  Advice,      ///< No valid ticket of the adviser.
-  GangRoom,    ///< Not all members of the gang fit at the same time.
-  Deferred,    ///< Waits after a refused start.
-  Trial,       ///< A suspect that waits for a trial.
-  Skipped,     ///< The round ended before it was tried.
+  NoEndpoint,     ///< The pool has no endpoint that accepts new runs.
+  Size,           ///< No endpoint has room for a task of this size.
+  Label,          ///< No endpoint with room has the required label.
+  Reserved,       ///< Only endpoints reserved for suspects have room.
+  Spread,         ///< The limit of tasks of the step on each endpoint.
+  OrderedHost,    ///< An order may still interrupt each host with room.
+  Advice,         ///< No valid ticket of the adviser.
+  GangRoom,       ///< Not all members of the gang fit at the same time.
+  Deferred,       ///< Waits after a refused start.
+  Trial,          ///< A suspect that waits for a trial.
+  WorkspaceLimit, ///< The workspace of the job is at its limit.
+  Skipped,        ///< The round ended before it was tried.
   Count
 };
 
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -114,6 +114,10 @@
     return "no_such_queue";
   case apply_outcome::NoSuchJob:
     return "no_such_job";
+  case apply_outcome::Unauthorized:
+    return "unauthorized";
+  case apply_outcome::Forbidden:
+    return "forbidden";
   case apply_outcome::Stale:
     return "stale";
   case apply_outcome::Invalid:
@@ -362,6 +366,7 @@
     refuse(Group);
   ConfirmedReads.clear();
   refuse(PendingReads);
+  LeadershipConfirmedAt = {};
 }
 
 void schedule_node::expirePendingCalls(core::time_point Now) {
@@ -521,6 +526,8 @@
       continue;
     if (Read.Confirmed) {
       Found->second.Index = Read.Index;
+      LeadershipConfirmedAt =
+          std::max(LeadershipConfirmedAt, Found->second.Since);
       ConfirmedReads.push_back(std::move(Found->second));
     } else {
       refuse(Found->second);
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -180,8 +180,14 @@
   /// Answers the call from the state once leadership is confirmed.
   void read(call Call, core::time_point Now);
   void flushReads(core::time_point Now);
+  /// Answers a call that requires a key from the state, once leadership is
+  /// confirmed unless that was done lately.
+  void readWithKey(call Call, core::time_point Now);
   void finishReads();
   void answerRead(const call &Call);
+  /// \param Job id of the job that the call names.
+  caller_access accessOf(std::string_view KeyDigest, std::string_view HostName,
+                         std::string_view Path, std::string_view Job) const;
   /// Answers the calls of the group with NotLeader.
   void refuse(read_group &Group);
   void handleCall(std::uint64_t Id, submit_call Call, core::time_point Now);
@@ -241,6 +247,8 @@
   read_group PendingReads;                            ///< Not requested yet.
   std::map<std::uint64_t, read_group> RequestedReads; ///< By token.
   std::vector<read_group> ConfirmedReads;             ///< Wait for their index.
+  /// When the newest confirmation of leadership began.
+  core::time_point LeadershipConfirmedAt{};
   departure_memory Departures; ///< While it does not lead.
   membership_manager Members;
   std::optional<founding_acceptor> Acceptor;
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -7,6 +7,20 @@
 
 namespace lycheetrestle::scheduling {
 
+namespace {
+
+// A leader that confirmed its leadership within this time answers reads that
+// require a key at once. A key that another leader has withdrawn works for no
+// longer than that, also at a process that was suspended.
+constexpr core::duration ConfirmationValidity = std::chrono::milliseconds(200);
+
+reply_kind toReply(caller_access Access) {
+  return Access == caller_access::Forbidden ? reply_kind::Forbidden
+                                            : reply_kind::Unauthorized;
+}
+
+} // namespace
+
 std::string_view toString(reply_kind Kind) {
   switch (Kind) {
   case reply_kind::Accepted:
@@ -27,6 +41,10 @@
     return "no_such_job";
   case reply_kind::NoSuchWave:
     return "no_such_wave";
+  case reply_kind::Unauthorized:
+    return "unauthorized";
+  case reply_kind::Forbidden:
+    return "forbidden";
   case reply_kind::NotLeader:
     return "not_leader";
   case reply_kind::Unavailable:
@@ -39,9 +57,21 @@
   return "invalid";
 }
 
+void setKeyDigest(call_body &Call, workspaces::key_digest Digest) {
+  std::visit(
+      [&](auto &Typed) {
+        if constexpr (requires { Typed.KeyDigest; })
+          Typed.KeyDigest = std::move(Digest);
+      },
+      Call);
+}
+
 void schedule_node::answer(std::uint64_t Call, reply_kind Kind) {
   if (Call == 0)
     return;
+  if (Kind == reply_kind::Unauthorized || Kind == reply_kind::Forbidden)
+    Metrics.add("calls_refused_total{reason=\"" + std::string(toString(Kind)) +
+                "\"}");
   reply Reply;
   Reply.Id = Call;
   Reply.Kind = Kind;
@@ -105,49 +135,44 @@
 
 void schedule_node::handleCall(std::uint64_t Id, submit_call Call,
                                core::time_point Now) {
-  if (!State.findQueue(Call.HostName, Call.Path) &&
-      !State.findJob(Call.Job.Id)) {
+  bool IsUnknown =
+      !State.findQueue(Call.HostName, Call.Path) && !State.findJob(Call.Job.Id);
+  if (IsUnknown || accessOf(Call.KeyDigest, Call.HostName, Call.Path,
+                            Call.Job.Id) != caller_access::Allowed) {
     read({Id, std::move(Call)}, Now);
     return;
   }
   queue(submit_job{std::move(Call.HostName), std::move(Call.Path),
-                   std::move(Call.Job)},
+                   std::move(Call.Job), std::move(Call.KeyDigest)},
         Id, Now);
 }
 
 void schedule_node::handleCall(std::uint64_t Id, job_state_call Call,
                                core::time_point Now) {
-  const auto *Job = State.findJob(Call.Job);
-  if (!Job) {
+  if (State.findJob(Call.Job))
+    readWithKey({Id, std::move(Call)}, Now);
+  else
     read({Id, std::move(Call)}, Now);
-    return;
-  }
-  reply Reply;
-  Reply.Id = Id;
-  Reply.Kind = reply_kind::State;
-  Reply.State = Job->State;
-  Replies.push_back(std::move(Reply));
 }
 
 void schedule_node::handleCall(std::uint64_t Id, cancel_call Call,
                                core::time_point Now) {
+  if (accessOf(Call.KeyDigest, Call.HostName, Call.Path, Call.Job) !=
+      caller_access::Allowed) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
   queue(cancel_job{std::move(Call.HostName), std::move(Call.Path),
-                   std::move(Call.Job)},
+                   std::move(Call.Job), std::move(Call.KeyDigest)},
         Id, Now);
 }
 
 void schedule_node::handleCall(std::uint64_t Id, queue_length_call Call,
                                core::time_point Now) {
-  const auto *Queue = State.findQueue(Call.HostName, Call.Path);
-  if (!Queue) {
+  if (State.findQueue(Call.HostName, Call.Path))
+    readWithKey({Id, std::move(Call)}, Now);
+  else
     read({Id, std::move(Call)}, Now);
-    return;
-  }
-  reply Reply;
-  Reply.Id = Id;
-  Reply.Kind = reply_kind::QueueLength;
-  Reply.Count = State.pendingJobs(Queue->HostName, Queue->PathPrefix);
-  Replies.push_back(std::move(Reply));
 }
 
 void schedule_node::handleCall(std::uint64_t Id, heartbeat_call Call,
@@ -201,6 +226,12 @@
   case apply_outcome::NoSuchJob:
     answer(Call, reply_kind::NoSuchJob);
     return;
+  case apply_outcome::Unauthorized:
+    answer(Call, reply_kind::Unauthorized);
+    return;
+  case apply_outcome::Forbidden:
+    answer(Call, reply_kind::Forbidden);
+    return;
   default:
     break;
   }
@@ -215,6 +246,22 @@
   PendingReads.Calls.push_back(std::move(Call));
 }
 
+void schedule_node::readWithKey(call Call, core::time_point Now) {
+  bool IsConfirmed = LeadershipConfirmedAt != core::time_point() &&
+                     Now - LeadershipConfirmedAt <= ConfirmationValidity;
+  if (!State.currentConfiguration().RequiresKeys || IsConfirmed)
+    answerRead(Call);
+  else
+    read(std::move(Call), Now);
+}
+
+caller_access schedule_node::accessOf(std::string_view KeyDigest,
+                                      std::string_view HostName,
+                                      std::string_view Path,
+                                      std::string_view Job) const {
+  return State.accessOf(KeyDigest, HostName, Path, State.findJob(Job));
+}
+
 void schedule_node::flushReads(core::time_point Now) {
   if (PendingReads.Calls.empty())
     return;
@@ -243,12 +290,33 @@
 void schedule_node::answerRead(const call &Call) {
   reply Reply;
   Reply.Id = Call.Id;
+  auto Access = std::visit(
+      [this](const auto &Typed) {
+        if constexpr (requires { Typed.Job.Id; })
+          return accessOf(Typed.KeyDigest, Typed.HostName, Typed.Path,
+                          Typed.Job.Id);
+        else if constexpr (requires { Typed.Job; })
+          return accessOf(Typed.KeyDigest, Typed.HostName, Typed.Path,
+                          Typed.Job);
+        else if constexpr (requires { Typed.KeyDigest; })
+          return accessOf(Typed.KeyDigest, Typed.HostName, Typed.Path, "");
+        else
+          return caller_access::Allowed;
+      },
+      Call.Body);
+  if (Access != caller_access::Allowed) {
+    answer(Call.Id, toReply(Access));
+    return;
+  }
   if (const auto *Submit = std::get_if<submit_call>(&Call.Body)) {
     // A configuration that was committed meanwhile may have added the queue;
     // the caller then has to submit the job again.
     Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
                      ? reply_kind::Unavailable
                      : reply_kind::NoSuchQueue;
+  } else if (std::holds_alternative<cancel_call>(Call.Body)) {
+    // A configuration that was committed meanwhile has added the key.
+    Reply.Kind = reply_kind::Unavailable;
   } else if (const auto *JobState = std::get_if<job_state_call>(&Call.Body)) {
     const auto *Job = State.findJob(JobState->Job);
     Reply.Kind = Job ? reply_kind::State : reply_kind::NoSuchJob;
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -45,6 +45,12 @@
       });
 }
 
+/// \returns the outcome of a command whose caller may not change the job.
+apply_outcome toOutcome(caller_access Access) {
+  return Access == caller_access::Forbidden ? apply_outcome::Forbidden
+                                            : apply_outcome::Unauthorized;
+}
+
 } // namespace
 
 const occurrence_record *job_record::findOpen(std::uint32_t Occurrence) const {
@@ -121,6 +127,33 @@
   return nullptr;
 }
 
+const workspaces::workspace_spec *
+schedule_state::findWorkspace(std::string_view KeyDigest) const {
+  auto Found = Keys.find(KeyDigest);
+  return Found ? &Configuration.Workspaces[*Found] : nullptr;
+}
+
+caller_access schedule_state::accessOf(std::string_view KeyDigest,
+                                       std::string_view HostName,
+                                       std::string_view Path,
+                                       const job_record *Job) const {
+  if (!Configuration.RequiresKeys)
+    return caller_access::Allowed;
+  const auto *Queue = findQueue(HostName, Path);
+  if (!Queue && Job)
+    Queue = queueOf(*Job);
+  // A job without a workspace was accepted without a key.
+  bool NeedsKey = Queue ? !Queue->IsPublic : Job && !Job->Workspace.empty();
+  if (!NeedsKey)
+    return caller_access::Allowed;
+  const auto *Workspace = findWorkspace(KeyDigest);
+  if (!Workspace)
+    return caller_access::Unauthorized;
+  return Job && !Job->Workspace.empty() && Job->Workspace != Workspace->Name
+             ? caller_access::Forbidden
+             : caller_access::Allowed;
+}
+
 const job_record *schedule_state::findJob(std::string_view Id) const {
   auto Found = Jobs.find(Id);
   return Found == Jobs.end() ? nullptr : &Found->second;
@@ -168,6 +201,7 @@
   if (Command.Configuration.Version <= Configuration.Version)
     return apply_outcome::Unchanged;
   auto Earlier = std::exchange(Configuration, Command.Configuration);
+  Keys = workspaces::key_index(Configuration.Workspaces);
   assignQueueNumbers(&Earlier);
   for (const auto &[SubmittedMs, Id] : LiveJobs) {
     auto &Job = Jobs.find(Id)->second;
@@ -203,7 +237,12 @@
 }
 
 apply_outcome schedule_state::applyTyped(const submit_job &Command) {
-  if (Jobs.find(Command.Job.Id) != Jobs.end())
+  const auto *Known = findJob(Command.Job.Id);
+  auto Access =
+      accessOf(Command.KeyDigest, Command.HostName, Command.Path, Known);
+  if (Access != caller_access::Allowed)
+    return toOutcome(Access);
+  if (Known)
     return apply_outcome::Unchanged;
   const auto *Queue = findQueue(Command.HostName, Command.Path);
   if (!Queue)
@@ -217,6 +256,9 @@
   Job.QueueNumber =
       static_cast<std::uint32_t>(Queue - Configuration.Queues.data());
   Job.SubmittedMs = TimeMs;
+  if (const auto *Workspace = findWorkspace(Command.KeyDigest))
+    Job.Workspace = Workspace->Name;
+  Job.IsOverRate = Command.IsOverRate;
   LiveJobs.emplace(TimeMs, Job.Spec.Id);
   PendingJobs.add(Job.QueueHost, Job.QueuePrefix);
   if (Job.Spec.RepeatCount != 0)
@@ -229,6 +271,10 @@
 }
 
 apply_outcome schedule_state::applyTyped(const cancel_job &Command) {
+  auto Access = accessOf(Command.KeyDigest, Command.HostName, Command.Path,
+                         findJob(Command.Job));
+  if (Access != caller_access::Allowed)
+    return toOutcome(Access);
   auto Found = Jobs.find(Command.Job);
   if (Found == Jobs.end())
     return apply_outcome::NoSuchJob;
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -7,6 +7,7 @@
 #include "scheduling/crash_backoff.h"
 #include "scheduling/pending_job_counter.h"
 #include "scheduling/types.h"
+#include "workspaces/key_index.h"
 
 #include <cstdint>
 #include <deque>
@@ -126,6 +127,10 @@
   /// Runs were started, and none has ended otherwise than refused: no task has
   /// begun if none of them is left. False in snapshots of earlier versions.
   bool HasOnlyRefusals = false;
+  std::string
+      Workspace; ///< Name of the workspace that it counts for, or empty.
+  /// It was submitted above the rate of its workspace.
+  bool IsOverRate = false;
 
   /// \returns the total number of occurrences.
   std::uint32_t occurrences() const {
@@ -177,12 +182,21 @@
   Unchanged, ///< The state already contained it, or something newer.
   NoSuchQueue,
   NoSuchJob,
-  Stale, ///< The task, incarnation or wave has changed; no effect.
+  Unauthorized, ///< The queue requires a key, and no workspace has this one.
+  Forbidden,    ///< The job belongs to another workspace than the key.
+  Stale,        ///< The task, incarnation or wave has changed; no effect.
   /// No correct leader proposes it in this state; no effect. Stopping instead
   /// would stop every replica that replays the entry.
   Invalid,
 };
 
+/// What a caller may do with a queue or a job.
+enum class caller_access : std::uint8_t {
+  Allowed,
+  Unauthorized, ///< The queue requires a key, and no workspace has this one.
+  Forbidden,    ///< The job belongs to another workspace than the key.
+};
+
 /// Transparent hash: allows a lookup by string view without a copy.
 struct text_hash {
   using is_transparent = void;
@@ -222,6 +236,16 @@
   /// removed queue.
   const queue_spec *queueOf(const job_record &Job) const;
   const pool_spec *findPool(std::string_view Name) const;
+  /// \returns the workspace that has the key, or null.
+  const workspaces::workspace_spec *
+  findWorkspace(std::string_view KeyDigest) const;
+  /// \param HostName,Path select the queue.
+  /// \param Job the job that the caller names, or null when it names none or
+  /// an unknown one.
+  /// \returns what the caller with the key may do. A path without a queue
+  /// allows everything as long as there is no job.
+  caller_access accessOf(std::string_view KeyDigest, std::string_view HostName,
+                         std::string_view Path, const job_record *Job) const;
   const job_record *findJob(std::string_view Id) const;
   const job_map &jobs() const { return Jobs; }
   /// \returns time of submission and id of the jobs that have not ended, in
@@ -319,6 +343,7 @@
 
   std::int64_t TimeMs = 0; ///< Largest time of a command.
   configuration Configuration;
+  workspaces::key_index Keys; ///< Of the configuration.
   job_map Jobs;
   std::set<std::pair<std::int64_t, std::string>> LiveJobs;
   std::set<std::pair<std::int64_t, std::string>> RepeatedJobs;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -353,8 +353,14 @@
     Request.Host = std::move(Call->HostName);
     Request.Target = std::move(Call->Target);
     Request.Body = std::move(Call->Body);
-    handle(Node, Adapter.DecodeCallerCall(Request),
-           {Event.Peer, Call->Id, Request.Target, false, ""}, Now);
+    auto Decoded = Adapter.DecodeCallerCall(Request);
+    if (Decoded.Call)
+      setKeyDigest(*Decoded.Call, std::move(Call->KeyDigest));
+    // The process may have been suspended since the iteration began, and the
+    // call may have come after that.
+    handle(Node, std::move(Decoded),
+           {Event.Peer, Call->Id, Request.Target, false, ""},
+           boot_clock::now());
   }
 
   void handle(schedule_node &Node, decoded_call Decoded, call_origin Origin,
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -132,6 +132,7 @@
         [&](recent_crash Crash) { State.RecentCrashes.push_back(Crash); });
   if (!IsValid)
     return Malformed();
+  State.Keys = workspaces::key_index(State.Configuration.Workspaces);
   State.assignQueueNumbers(nullptr);
   return State;
 }
--- a/scheduling/types.h
+++ b/scheduling/types.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_SCHEDULING_TYPES_H
 
 #include "core/network_address.h"
+#include "workspaces/workspace.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -49,6 +50,7 @@
   /// steps times this many thousandths, plus TargetLatencyMs.
   std::uint32_t SlackThousandths = 1000;
   std::optional<advice_terms> Advice;
+  bool IsPublic = false; ///< Its callers need no key.
   bool operator==(const queue_spec &) const = default;
 };
 
@@ -69,6 +71,9 @@
   std::uint64_t Version = 0;
   std::vector<queue_spec> Queues;
   std::vector<pool_spec> Pools;
+  std::vector<workspaces::workspace_spec> Workspaces;
+  /// Whether callers of queues that are not public need a key of a workspace.
+  bool RequiresKeys = false;
   std::string Text; ///< The unchanged document of the operator.
   bool operator==(const configuration &) const = default;
 };
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -227,7 +227,7 @@
     // The next group begins in the millisecond after these times.
     if (Rank && Rank->Group == InTimeGroup)
       Entry.DueMs = std::min(Entry.DueMs, Rank->LatestStartMs + 1);
-    else if (Rank && Rank->Group == LateGroup)
+    else if (Rank && (Rank->Group == LateGroup || Rank->Group == OverRateGroup))
       Entry.DueMs = std::min(Entry.DueMs, Rank->LatestUsefulStartMs + 1);
     Entry.Demand += demandOf(*Job, Occurrence, Rank);
   }
--- a/scripts/install_dependencies.sh
+++ b/scripts/install_dependencies.sh
@@ -4,7 +4,7 @@
 Packages=(cmake ninja-build g++ ccache clang-format clang-tidy python3
   librestinio-dev libasio-dev libfmt-dev libhttp-parser-dev libwebsocketpp-dev
   nlohmann-json3-dev libboost1.81-dev libgflags-dev liblog4cplus-dev
-  libcurl4-openssl-dev libjemalloc-dev catch2 libtrompeloeil-cpp-dev)
+  libcurl4-openssl-dev libssl-dev libjemalloc-dev catch2 libtrompeloeil-cpp-dev)
 Missing=()
 for Package in "${Packages[@]}"; do
   dpkg-query -W -f='${Status}' "$Package" 2>/dev/null | grep -q 'install ok installed' || Missing+=("$Package")
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -33,7 +33,7 @@
     Request.Id = Id;
     Request.Request.Method = "POST";
     Request.Request.Target = "/q/1";
-    Forwarder.request(std::move(Request), Now + 3s, Now);
+    Forwarder.request(std::move(Request), "", Now + 3s, Now);
     collect();
   }
   void reply(const std::string &Peer, std::uint64_t Id, bool IsHandled,
--- a/tests/gateway/test_gateway_stop.cpp
+++ b/tests/gateway/test_gateway_stop.cpp
@@ -115,7 +115,7 @@
   }
 
   gateway_settings Settings;
-  gateway_dialect Dialect{"X-Deadline", "/ready"};
+  gateway_dialect Dialect{"X-Deadline", "/ready", "X-Key", "Token "};
   core::process_requests Signals;
   core::seed_reader ReadSeeds = [] { return std::nullopt; };
   std::atomic<bool> HasFailed = false;
