Decide on access to a job by the job's own queue

Cause: the access was decided by the queue of the path, while the id alone selects the job: anyone could read and cancel the job of any workspace through the path of a public queue, without a key. Change: a job needs the key of its workspace unless its own queue is public.

--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -140,10 +140,17 @@
   if (!Configuration.RequiresKeys)
     return caller_access::Allowed;
   const auto *Queue = findQueue(HostName, Path);
-  if (!Queue && Job)
-    Queue = queueOf(*Job);
-  // A job without a workspace was accepted without a key.
-  bool NeedsKey = Queue ? !Queue->IsPublic : Job && !Job->Workspace.empty();
+  bool NeedsKey = Queue && !Queue->IsPublic;
+  // The id alone identifies the job, whatever queue the path names. A job
+  // without a workspace was accepted without a key.
+  if (Job) {
+    // A job that has ended has no queue, except for the one that the path
+    // names.
+    bool IsOwnPath = Queue && Queue->HostName == Job->QueueHost &&
+                     Queue->PathPrefix == Job->QueuePrefix;
+    const auto *JobQueue = IsOwnPath ? Queue : queueOf(*Job);
+    NeedsKey |= JobQueue ? !JobQueue->IsPublic : !Job->Workspace.empty();
+  }
   if (!NeedsKey)
     return caller_access::Allowed;
   const auto *Workspace = findWorkspace(KeyDigest);
