Keep the limits of workspaces and divide full pools by their weights

A workspace could run any amount, and one that sent several times its usual load took a full pool from all others.

The state derives what the runs of each workspace use, in all and by pool, and the leader adds the runs that endpoints list without an assignment. A round of placement starts nothing beyond a limit; a gang fits as a whole or waits, and gangs that are too large hold no smaller step. In a full pool a workspace that used more than twice its share by weight over 5 s ranks behind the others in the same group of ranks. Jobs beyond its weight a second are recorded as over rate. Tasks that wait for a limit ask for no host to be moved.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -494,6 +494,7 @@
       return TrackedEndpoints.find(Number) == TrackedEndpoints.end();
     });
     Ranks.prune(WallMs);
+    Rates.prune(Now);
     std::erase_if(EndsWithLeases, [Now](const auto &Item) {
       return Now >= Item.second + MaxOrderDelay;
     });
@@ -760,6 +761,9 @@
                  isOnTrial(Run.first, *Suspect, *Task, Now);
         });
   };
+  // Also without waiting work, so that an end counts from now on.
+  if (State.currentConfiguration().RequiresKeys)
+    Shares.update(State, Waiting, Now);
   if (Waiting.pools().empty()) {
     for (auto &[Pool, Quarantine] : Quarantines)
       Quarantine.recordPlacement(false, Now);
@@ -812,6 +816,17 @@
   Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
   Request.Report = &LastRound;
   Request.Bounds = &PlacementBounds;
+  auto Orphaned = orphanedUse(Now);
+  workspaces::start_budget Budget([&](std::string_view Workspace) {
+    return accountOf(Workspace, Orphaned);
+  });
+  if (State.currentConfiguration().RequiresKeys) {
+    Request.Budget = &Budget;
+    Request.LevelOf = [this](const std::string &Pool,
+                             const std::string &Workspace) {
+      return Shares.levelOf(Pool, Workspace);
+    };
+  }
   std::set<task_key> Placed;
   for (auto &Placement : placeRuns(
            Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
@@ -839,7 +854,8 @@
         if (task_key Key{Step.Job->Spec.Id, Step.Occurrence->Number, Step.Step,
                          Index};
             Tasks[Index].isWaiting() && Placed.count(Key) == 0 &&
-            !isSuspectTask(*Step.Job, Key))
+            !isSuspectTask(*Step.Job, Key) &&
+            failureOf(Key) != placement_failure::WorkspaceLimit)
           Hosts.UnplaceableAt[Pool] = Now;
     }
 }
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -28,6 +28,9 @@
 #include "scheduling/tracked_endpoint.h"
 #include "scheduling/verdict_log.h"
 #include "scheduling/waiting_index.h"
+#include "scheduling/workspace_shares.h"
+#include "workspaces/rate_meter.h"
+#include "workspaces/start_budget.h"
 
 #include <cstdint>
 #include <limits>
@@ -137,6 +140,11 @@
   /// believes, without orders and waiting work.
   pool_blockage describeRoom(const std::string &Pool, core::time_point Now);
 
+  /// Takes a job of the workspace into account.
+  /// \returns whether the workspace submits more jobs than its rate allows.
+  bool isOverRate(const workspaces::workspace_spec &Workspace,
+                  core::time_point Now);
+
   /// Phases of takeCommands().
   enum phase : std::size_t { Ends, Losses, HostPlans, Starts, PhaseCount };
   using phase_times = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
@@ -244,6 +252,17 @@
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
+  // leader_workspaces.cpp
+  using workspace_use =
+      std::map<std::string, workspaces::resource_usage, std::less<>>;
+  /// \returns what the runs use that are listed by an endpoint to which they
+  /// are not assigned, by workspace.
+  workspace_use orphanedUse(core::time_point Now) const;
+  /// \param Orphaned result of orphanedUse().
+  /// \returns what a workspace uses, with the orphaned runs, and its limit.
+  workspaces::start_budget::account
+  accountOf(std::string_view Workspace, const workspace_use &Orphaned) const;
+
   /// Records the pools in which a long-running task could not be placed.
   void recordUnplaceableTasks(const std::set<task_key> &Placed,
                               core::time_point Now);
@@ -556,6 +575,9 @@
   /// \returns whether an endpoint lists an earlier run of the task, which is
   /// not assigned to it and may be at work.
   bool isOrphaned(const task_key &Task, core::time_point Now) const;
+  /// \returns whether the endpoint may still execute its orphaned runs.
+  bool mayRunOrphans(const tracked_endpoint &Tracked,
+                     core::time_point Now) const;
   /// Proposes an end as done of a run that is not assigned to the endpoint for
   /// its task, unless a later run of it may have been started, or the verdict
   /// on the run was that its lease had expired.
@@ -763,6 +785,8 @@
   duration_models Durations;
   rank_cache Ranks{Durations};
   waiting_index Waiting{State, Ranks};
+  workspaces::rate_meter Rates;
+  workspace_shares Shares;
   placement_bounds PlacementBounds;
   placement_report LastRound; ///< Of the last round of placement.
   queue_load_counter QueueLoad{Durations};
--- a/scheduling/leader_orphans.cpp
+++ b/scheduling/leader_orphans.cpp
@@ -24,23 +24,24 @@
 }
 
 bool leader::isOrphaned(const task_key &Task, core::time_point Now) const {
-  return std::any_of(
-      OrphanEndpoints.begin(), OrphanEndpoints.end(),
-      [&](std::uint32_t Number) {
-        auto Found = TrackedEndpoints.find(Number);
-        if (Found == TrackedEndpoints.end() ||
-            EndedIncarnations.count(Number) > 0)
-          return false;
-        const auto &Tracked = Found->second;
-        if (Tracked.OrphanedRuns.count(Task) == 0)
-          return false;
-        // Its lease is not renewed once the endpoint does not answer or obey.
-        bool IsPolled =
-            !Tracked.IsSuspect && !Tracked.IsReplaced && !Tracked.FencedAt;
-        return IsPolled ||
-               Now < std::max(Tracked.LeaseExpiry,
-                              endOfLongestLease(Tracked.LastAnswer));
-      });
+  return std::any_of(OrphanEndpoints.begin(), OrphanEndpoints.end(),
+                     [&](std::uint32_t Number) {
+                       auto Found = TrackedEndpoints.find(Number);
+                       return Found != TrackedEndpoints.end() &&
+                              Found->second.OrphanedRuns.count(Task) > 0 &&
+                              mayRunOrphans(Found->second, Now);
+                     });
+}
+
+bool leader::mayRunOrphans(const tracked_endpoint &Tracked,
+                           core::time_point Now) const {
+  if (EndedIncarnations.count(Tracked.Endpoint) > 0)
+    return false;
+  // Its lease is not renewed once the endpoint does not answer or obey.
+  bool IsPolled =
+      !Tracked.IsSuspect && !Tracked.IsReplaced && !Tracked.FencedAt;
+  return IsPolled || Now < std::max(Tracked.LeaseExpiry,
+                                    endOfLongestLease(Tracked.LastAnswer));
 }
 
 void leader::claimDone(tracked_endpoint &Tracked, const end_row &Row,
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -16,6 +16,14 @@
 
 // Long-running steps of a class without room whose tasks a report names.
 constexpr std::size_t MaxReportedSteps = 32;
+// Steps of a class that a round tries although the limit of their workspace
+// holds them. Sizes within a class differ by a quarter, so that a smaller step
+// may fit, but a backlog of thousands is not searched for it.
+constexpr std::size_t MaxLimitFailures = 32;
+
+// Marks the bound of the steps of workspaces above their share. Steps must be
+// asked about by rank, and these follow the others whatever their rank.
+constexpr const char *SuffixAbove = "\nabove";
 
 bool fits(const resource_amounts &Free, const resource_amounts &Size) {
   return Size.fitsIn(Free);
@@ -122,8 +130,10 @@
 
   /// \param Pool of the step's job.
   /// \returns 0, or how many endpoints were visited for a task that has no
-  /// place although an endpoint has room for it.
+  /// place although an endpoint has room for it; the number of tasks that were
+  /// visited when the limit of the workspace holds it.
   std::size_t place(const waiting_step &Waiting, pool_round &Pool) {
+    IsLimitReached = false;
     if (Pool.Counts)
       ++Pool.Counts->Tried;
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
@@ -170,6 +180,15 @@
   }
 
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
+  /// \returns whether the limit of the last placed step's workspace held a task
+  /// of it back.
+  bool isLimitReached() const { return IsLimitReached; }
+  /// \returns whether the workspace may start a run of at least this size.
+  bool mayStart(const std::string &Workspace, const resource_amounts &Least) {
+    return !Request.Budget ||
+           Request.Budget->allows(Workspace, {Least.MilliCores, Least.MemoryMb,
+                                              Least.Accelerators});
+  }
   std::vector<placement> take() {
     if (Request.Report)
       for (const auto *Pool : PoolsOfPlacements)
@@ -178,6 +197,15 @@
   }
 
 private:
+  bool isWithinLimit(const waiting_step &Waiting, const step_spec &Spec,
+                     std::size_t Count) {
+    if (!Request.Budget || Request.Budget->allows(Waiting.Job->Workspace,
+                                                  usageOf(Spec).times(Count)))
+      return true;
+    IsLimitReached = true;
+    return false;
+  }
+
   task_key keyOf(const waiting_step &Waiting, std::uint32_t Index) const {
     return {Waiting.Job->Spec.Id, Waiting.Occurrence->Number, Waiting.Step,
             Index};
@@ -205,6 +233,10 @@
         }
         continue;
       }
+      if (!isWithinLimit(Waiting, Spec, 1)) {
+        recordFailure(Waiting, Spec, Key, placement_failure::WorkspaceLimit);
+        return 1;
+      }
       const auto *Missing = Only ? nullptr : Pool.findMissing(Spec);
       auto *Target = Missing
                          ? nullptr
@@ -255,6 +287,10 @@
     if (HasSuspect != PlacesSuspects)
       return 0;
     auto Key = keyOf(Waiting, 0);
+    if (!isWithinLimit(Waiting, Spec, Tasks.size())) {
+      RecordHeld(0, placement_failure::WorkspaceLimit);
+      return Tasks.size();
+    }
     // A gang with suspects may use the endpoints that are reserved for them.
     const auto *Missing =
         Waiting.Job->Suspects.empty() ? Pool.findMissing(Spec) : nullptr;
@@ -274,6 +310,10 @@
         return 0;
       for (std::size_t Index = 0; Index != Targets.size(); ++Index)
         *Targets[Index] = Saved[Index];
+      if (Request.Budget)
+        Request.Budget->remove(
+            Waiting.Job->Workspace,
+            usageOf(Spec).times(Placements.size() - SavedCount));
       Placements.resize(SavedCount);
       PoolsOfPlacements.resize(SavedCount);
     }
@@ -588,6 +628,8 @@
         ++Target.SuspectRuns[Incarnation];
     auto Size = reservedSize(Spec);
     subtract(Target.Free, Size);
+    if (Request.Budget)
+      Request.Budget->add(Waiting.Job->Workspace, usageOf(Spec));
     Target.LatencySensitiveRuns += Spec.TargetMs > 0;
     Target.BestEffortRuns += Spec.IsBestEffort;
     Target.LongRunning += Spec.IsLongRunning;
@@ -601,6 +643,7 @@
   const placement_request &Request;
   std::map<std::string, pool_round> Pools;
   bool HasReserved = false; ///< A target is reserved.
+  bool IsLimitReached = false;
   mutable std::unordered_map<std::uint32_t, endpoint_answers> Answers;
   std::vector<placement> Placements;
   std::vector<const std::string *> PoolsOfPlacements; ///< Of each placement.
@@ -617,6 +660,21 @@
   waiting_index::class_steps::rank_set::const_iterator Next;
   std::size_t Left;       ///< Steps that were not tried.
   placement_bound *Bound; ///< Or null if the class has none.
+  workspaces::share_level Level = workspaces::share_level::Within;
+  std::size_t LimitFailures = 0; ///< Steps held by the limit of the workspace.
+
+  /// \returns whether the other cursor's next step is placed first.
+  bool isAfter(const class_cursor &Other) const {
+    const auto &Own = **Next;
+    const auto &Others = **Other.Next;
+    // Shares order the work within a group of ranks; long-running tasks are
+    // few and serve others.
+    bool ComparesLevels = Own.Rank.Group == Others.Rank.Group &&
+                          Own.Rank.Group != LongRunningGroup;
+    if (ComparesLevels && Level != Other.Level)
+      return Level > Other.Level;
+    return Others < Own;
+  }
 };
 
 /// Records that the round tries none of the steps that are left.
@@ -642,6 +700,10 @@
     leave(Round, Cursor, Missing->Reason, Report);
     return false;
   }
+  if (!Round.mayStart(Cursor.Class->Workspace, Cursor.LeastSize)) {
+    leave(Round, Cursor, placement_failure::WorkspaceLimit, Report);
+    return false;
+  }
   const auto &Step = **Cursor.Next;
   if (Cursor.Bound && Cursor.Bound->isSpent()) {
     leave(Round, Cursor, placement_failure::Skipped, Report);
@@ -657,7 +719,15 @@
   if (Cursor.Bound && Visits > 0)
     Cursor.Bound->recordFailure(Step, Visits);
   --Cursor.Left;
-  return ++Cursor.Next != Cursor.Steps->end();
+  ++Cursor.Next;
+  // The other steps of the class ask for about as much, but for gangs, which
+  // the bound limits.
+  if (Round.isLimitReached() && !Cursor.Bound &&
+      ++Cursor.LimitFailures == MaxLimitFailures) {
+    leave(Round, Cursor, placement_failure::WorkspaceLimit, Report);
+    return false;
+  }
+  return Cursor.Next != Cursor.Steps->end();
 }
 
 } // namespace
@@ -766,9 +836,14 @@
       continue;
     }
     placement_bound *Bound = nullptr;
+    placement_bound *BoundAbove = nullptr;
     if (Request.Bounds) {
       Bound = &(*Request.Bounds)[Name];
       Bound->beginRound(Pool->Targets.size());
+      if (Request.LevelOf) {
+        BoundAbove = &(*Request.Bounds)[Name + SuffixAbove];
+        BoundAbove->beginRound(Pool->Targets.size());
+      }
     }
     for (const auto &[Class, Steps] : Classes) {
       const auto &ByRank = Steps.byRank();
@@ -780,6 +855,10 @@
                           ByRank.begin(),
                           ByRank.size(),
                           Class.IsConstrained ? Bound : nullptr};
+      if (Request.LevelOf && !Class.Workspace.empty())
+        Cursor.Level = Request.LevelOf(Name, Class.Workspace);
+      if (Cursor.Bound && Cursor.Level == workspaces::share_level::Above)
+        Cursor.Bound = BoundAbove;
       if (Cursor.LeastSize.fitsIn(Pool->MostFree))
         Cursors.push_back(Cursor);
       else
@@ -788,7 +867,7 @@
   }
   // Merges pools and classes by rank; all pools share the limit of starts.
   auto IsLater = [](const class_cursor &Left, const class_cursor &Right) {
-    return **Right.Next < **Left.Next;
+    return Left.isAfter(Right);
   };
   std::make_heap(Cursors.begin(), Cursors.end(), IsLater);
   while (!Round.isFull() && !Cursors.empty()) {
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -4,6 +4,8 @@
 #include "scheduling/placement_report.h"
 #include "scheduling/rank_cache.h"
 #include "scheduling/schedule_state.h"
+#include "workspaces/share_policy.h"
+#include "workspaces/start_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -99,6 +101,13 @@
   /// Called with each pool in which a task that is no suspect fits only an
   /// endpoint that is reserved. May be empty.
   std::function<void(const std::string &)> RecordHeldUp;
+  /// Limits of the workspaces; reduced by the placements. Null for none.
+  workspaces::start_budget *Budget = nullptr;
+  /// \returns whether a workspace has used more of a pool than its share, so
+  /// that its work goes after that of others. May be empty.
+  std::function<workspaces::share_level(const std::string &Pool,
+                                        const std::string &Workspace)>
+      LevelOf;
   /// Receives what the round did. May be null.
   placement_report *Report = nullptr;
   /// Bounds of the work on steps without a place, by pool, kept from round to
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -14,6 +14,11 @@
 // longer than that, also at a process that was suspended.
 constexpr core::duration ConfirmationValidity = std::chrono::milliseconds(200);
 
+bool hasLongRunningStep(const job_spec &Job) {
+  return std::any_of(Job.Steps.begin(), Job.Steps.end(),
+                     [](const step_spec &Step) { return Step.IsLongRunning; });
+}
+
 reply_kind toReply(caller_access Access) {
   return Access == caller_access::Forbidden ? reply_kind::Forbidden
                                             : reply_kind::Unauthorized;
@@ -142,9 +147,14 @@
     read({Id, std::move(Call)}, Now);
     return;
   }
-  queue(submit_job{std::move(Call.HostName), std::move(Call.Path),
-                   std::move(Call.Job), std::move(Call.KeyDigest)},
-        Id, Now);
+  submit_job Submit{std::move(Call.HostName), std::move(Call.Path),
+                    std::move(Call.Job), std::move(Call.KeyDigest)};
+  const auto *Workspace = State.findWorkspace(Submit.KeyDigest);
+  // A retry of a job that is accepted, or may be, is no further job.
+  if (Workspace && !hasLongRunningStep(Submit.Job) &&
+      !State.findJob(Submit.Job.Id) && !OpenChanges.contains(Submit))
+    Submit.IsOverRate = Leader->isOverRate(*Workspace, Now);
+  queue(std::move(Submit), Id, Now);
 }
 
 void schedule_node::handleCall(std::uint64_t Id, job_state_call Call,
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -53,6 +53,10 @@
 
 } // namespace
 
+workspaces::resource_usage usageOf(const step_spec &Step) {
+  return {Step.Size.MilliCores, Step.Size.MemoryMb, Step.Size.Accelerators};
+}
+
 const occurrence_record *job_record::findOpen(std::uint32_t Occurrence) const {
   for (const auto &Candidate : OpenOccurrences)
     if (Candidate.Number == Occurrence)
@@ -129,10 +133,51 @@
 
 const workspaces::workspace_spec *
 schedule_state::findWorkspace(std::string_view KeyDigest) const {
-  auto Found = Keys.find(KeyDigest);
+  auto Found = Workspaces.findKey(KeyDigest);
+  return Found ? &Configuration.Workspaces[*Found] : nullptr;
+}
+
+const workspaces::workspace_spec *
+schedule_state::findWorkspaceByName(std::string_view Name) const {
+  auto Found = Workspaces.findName(Name);
   return Found ? &Configuration.Workspaces[*Found] : nullptr;
 }
 
+void schedule_state::addUsage(const job_record &Job, const step_spec &Step) {
+  if (Job.Workspace.empty() || usageOf(Step).isZero())
+    return;
+  auto &Usage = WorkspaceUsage[Job.Workspace];
+  Usage.Total.add(usageOf(Step));
+  Usage.ByPool[Job.Pool].add(usageOf(Step));
+}
+
+void schedule_state::removeUsage(const job_record &Job, const step_spec &Step) {
+  // Runs that use nothing leave no entry.
+  auto Usage = WorkspaceUsage.find(Job.Workspace);
+  if (Usage == WorkspaceUsage.end())
+    return;
+  auto &ByPool = Usage->second.ByPool;
+  auto Pool = ByPool.find(Job.Pool);
+  if (Pool == ByPool.end())
+    return;
+  Usage->second.Total.remove(usageOf(Step));
+  Pool->second.remove(usageOf(Step));
+  if (Pool->second.isZero())
+    ByPool.erase(Pool);
+  if (ByPool.empty())
+    WorkspaceUsage.erase(Usage);
+}
+
+void schedule_state::rebuildUsage() {
+  WorkspaceUsage.clear();
+  for (const auto &[Number, Endpoint] : Endpoints)
+    for (const auto &Key : Endpoint.Runs)
+      if (findTask(Key)) {
+        const auto &Job = *findJob(Key.Job);
+        addUsage(Job, Job.Spec.Steps[Key.Step]);
+      }
+}
+
 caller_access schedule_state::accessOf(std::string_view KeyDigest,
                                        std::string_view HostName,
                                        std::string_view Path,
@@ -201,13 +246,14 @@
   if (Command.Configuration.Version <= Configuration.Version)
     return apply_outcome::Unchanged;
   auto Earlier = std::exchange(Configuration, Command.Configuration);
-  Keys = workspaces::key_index(Configuration.Workspaces);
+  Workspaces = workspaces::workspace_index(Configuration.Workspaces);
   assignQueueNumbers(&Earlier);
   for (const auto &[SubmittedMs, Id] : LiveJobs) {
     auto &Job = Jobs.find(Id)->second;
     if (const auto *Queue = queueOf(Job))
       Job.Pool = Queue->Pool;
   }
+  rebuildUsage();
   return apply_outcome::Accepted;
 }
 
@@ -321,6 +367,7 @@
   Task->StartedMs = TimeMs;
   Task->OpenStartMs = 0;
   Endpoint->second.Runs.push_back(Command.Task);
+  addUsage(Job, Spec);
   ++Job.RunsLeft;
   if (Job.State == job_state::Queued) {
     PendingJobs.remove(Job.QueueHost, Job.QueuePrefix);
@@ -336,6 +383,7 @@
   if (Endpoint != Endpoints.end())
     std::erase(Endpoint->second.Runs, Key);
   Task.Endpoint = 0;
+  removeUsage(Job, Job.Spec.Steps[Key.Step]);
   --Job.RunsLeft;
 }
 
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -7,7 +7,8 @@
 #include "scheduling/crash_backoff.h"
 #include "scheduling/pending_job_counter.h"
 #include "scheduling/types.h"
-#include "workspaces/key_index.h"
+#include "workspaces/usage.h"
+#include "workspaces/workspace_index.h"
 
 #include <cstdint>
 #include <deque>
@@ -197,6 +198,20 @@
   Forbidden,    ///< The job belongs to another workspace than the key.
 };
 
+/// What the runs of a workspace use that have not ended.
+struct workspace_usage {
+  workspaces::resource_usage Total;
+  /// By the pool of the job.
+  std::map<std::string, workspaces::resource_usage, std::less<>> ByPool;
+};
+
+/// By name of the workspace.
+using usage_map = std::map<std::string, workspace_usage, std::less<>>;
+
+/// \returns what a run of the step counts for its workspace, on all endpoints
+/// together. Best-effort tasks count with their cores, too.
+workspaces::resource_usage usageOf(const step_spec &Step);
+
 /// Transparent hash: allows a lookup by string view without a copy.
 struct text_hash {
   using is_transparent = void;
@@ -239,6 +254,12 @@
   /// \returns the workspace that has the key, or null.
   const workspaces::workspace_spec *
   findWorkspace(std::string_view KeyDigest) const;
+  /// \returns the workspace with the name, or null.
+  const workspaces::workspace_spec *
+  findWorkspaceByName(std::string_view Name) const;
+  /// \returns what the runs that have not ended use, by the name of the
+  /// workspace of their job; only workspaces with such runs.
+  const usage_map &workspaceUsage() const { return WorkspaceUsage; }
   /// \param HostName,Path select the queue.
   /// \param Job the job that the caller names, or null when it names none or
   /// an unknown one.
@@ -323,6 +344,10 @@
   bool isSameGang(const task_key &Left, const task_key &Right) const;
   task_record *mutableTask(const task_key &Task);
   void removeRun(job_record &Job, task_record &Task, const task_key &Key);
+  void addUsage(const job_record &Job, const step_spec &Step);
+  void removeUsage(const job_record &Job, const step_spec &Step);
+  /// Computes the usage from all runs that have not ended.
+  void rebuildUsage();
   /// \returns whether the end as done belongs to an earlier run of a task that
   /// waits because the run was recorded otherwise.
   bool isUnclaimedDone(const end_run &End) const;
@@ -343,7 +368,8 @@
 
   std::int64_t TimeMs = 0; ///< Largest time of a command.
   configuration Configuration;
-  workspaces::key_index Keys; ///< Of the configuration.
+  workspaces::workspace_index Workspaces; ///< Of the configuration.
+  usage_map WorkspaceUsage;               ///< Not part of a snapshot.
   job_map Jobs;
   std::set<std::pair<std::int64_t, std::string>> LiveJobs;
   std::set<std::pair<std::int64_t, std::string>> RepeatedJobs;
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -132,7 +132,9 @@
         [&](recent_crash Crash) { State.RecentCrashes.push_back(Crash); });
   if (!IsValid)
     return Malformed();
-  State.Keys = workspaces::key_index(State.Configuration.Workspaces);
+  State.Workspaces =
+      workspaces::workspace_index(State.Configuration.Workspaces);
+  State.rebuildUsage();
   State.assignQueueNumbers(nullptr);
   return State;
 }
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -64,10 +64,10 @@
 
 bool waiting_index::request_class::operator<(const request_class &Other) const {
   return std::tie(Size.MilliCores, Size.MemoryMb, Size.Accelerators,
-                  IsLongRunning, IsConstrained, RequiredLabel) <
+                  IsLongRunning, IsConstrained, RequiredLabel, Workspace) <
          std::tie(Other.Size.MilliCores, Other.Size.MemoryMb,
                   Other.Size.Accelerators, Other.IsLongRunning,
-                  Other.IsConstrained, Other.RequiredLabel);
+                  Other.IsConstrained, Other.RequiredLabel, Other.Workspace);
 }
 
 resource_amounts waiting_index::class_steps::leastSize() const {
@@ -102,6 +102,7 @@
   const auto *Queue = State.queueOf(Job);
   auto Size = reservedSize(Step);
   return {Step.RequiredLabel,
+          Job.Workspace,
           Step.IsLongRunning,
           Step.MaxPerEndpoint > 0 || Step.IsGang || (Queue && Queue->Advice),
           {leadingBits(Size.MilliCores), leadingBits(Size.MemoryMb),
--- a/scheduling/waiting_index.h
+++ b/scheduling/waiting_index.h
@@ -52,6 +52,7 @@
   /// What decides which endpoints have room for a step.
   struct request_class {
     std::string RequiredLabel; ///< Or empty.
+    std::string Workspace;     ///< Of the job, or empty.
     bool IsLongRunning = false;
     /// Whether a step has further conditions, so that it may have no place
     /// although an endpoint has room: a limit per endpoint, a gang, or a queue
