Answer no call with the outcome of a copy that has another key

Cause: a submission or cancellation that waited for an open copy got the answer to it, also when the copy came with another key: a foreign key could get 200, and the own key 401 or 403. Change: copies count for each key and together. A call waits only for a copy with its own key; while one with another key is open, the answer is unknown (504), because a key of the same workspace may have been rotated.

--- a/scheduling/open_changes.cpp
+++ b/scheduling/open_changes.cpp
@@ -8,7 +8,7 @@
 
 /// \returns what all copies of a change have in common, or an empty string for
 /// a command that callers do not repeat.
-std::string keyOf(const command &Command) {
+std::string nameOf(const command &Command) {
   if (const auto *Submit = std::get_if<submit_job>(&Command))
     return "submit " + Submit->Job.Id;
   if (const auto *Cancel = std::get_if<cancel_job>(&Command))
@@ -20,20 +20,38 @@
   return {};
 }
 
+/// \returns what the copies of one caller's key have in common. Only calls with
+/// that key wait under it; the copies count under both names.
+std::string nameWithKey(const command &Command) {
+  auto Name = nameOf(Command);
+  std::visit(
+      [&](const auto &Typed) {
+        if constexpr (requires { Typed.KeyDigest; })
+          Name += " " + Typed.KeyDigest;
+        else
+          Name += " ";
+      },
+      Command);
+  return Name;
+}
+
 } // namespace
 
 void open_changes::add(const command &Command) {
-  if (auto Key = keyOf(Command); !Key.empty())
-    ++Changes[std::move(Key)].Copies;
+  auto Name = nameOf(Command);
+  if (Name.empty())
+    return;
+  ++Changes[std::move(Name)].Copies;
+  ++Changes[nameWithKey(Command)].Copies;
 }
 
 bool open_changes::contains(const command &Command) const {
-  return Changes.find(keyOf(Command)) != Changes.end();
+  return Changes.find(nameOf(Command)) != Changes.end();
 }
 
 bool open_changes::wait(const command &Command, std::uint64_t Call,
                         core::time_point Now) {
-  auto Found = Changes.find(keyOf(Command));
+  auto Found = Changes.find(nameWithKey(Command));
   if (Found == Changes.end() || WaitingCalls >= MaxWaitingCalls)
     return false;
   Found->second.Waiting.push_back({Call, Now});
@@ -50,18 +68,26 @@
 }
 
 std::vector<std::uint64_t> open_changes::recordApplied(const command &Command) {
-  auto Found = Changes.find(keyOf(Command));
+  auto Found = Changes.find(nameWithKey(Command));
   if (Found == Changes.end())
     return {};
   auto Calls = release(Found->second);
   if (--Found->second.Copies == 0)
     Changes.erase(Found);
+  auto All = Changes.find(nameOf(Command));
+  if (--All->second.Copies == 0)
+    Changes.erase(All);
   return Calls;
 }
 
 std::vector<std::uint64_t> open_changes::recordDropped(const command &Command) {
-  auto Found = Changes.find(keyOf(Command));
-  if (Found == Changes.end() || --Found->second.Copies > 0)
+  auto Found = Changes.find(nameWithKey(Command));
+  if (Found == Changes.end())
+    return {};
+  auto All = Changes.find(nameOf(Command));
+  if (--All->second.Copies == 0)
+    Changes.erase(All);
+  if (--Found->second.Copies > 0)
     return {};
   auto Calls = release(Found->second);
   Changes.erase(Found);
--- a/scheduling/open_changes.h
+++ b/scheduling/open_changes.h
@@ -16,8 +16,8 @@
 /// neither applied nor dropped.
 ///
 /// A caller that got no answer sends its change again. While an earlier copy
-/// may still be committed, the later one must not be answered as not executed,
-/// also when the leader accepts no new changes.
+/// may still be committed, the later one must not be answered as not executed.
+/// It gets the answer to a copy only if that has the same key: access differs.
 class open_changes {
 public:
   /// Calls that may wait for the copies of others; bounds their memory.
@@ -27,14 +27,14 @@
   void add(const command &Command);
   /// \returns whether a copy of the change is queued or proposed.
   bool contains(const command &Command) const;
-  /// Makes a call wait for an open copy of its change.
+  /// Makes a call wait for an open copy of its change with the same key.
   /// \returns false when there is none, or when too many calls wait.
   bool wait(const command &Command, std::uint64_t Call, core::time_point Now);
   /// Records that a copy was applied.
   /// \returns the calls that waited for it.
   std::vector<std::uint64_t> recordApplied(const command &Command);
   /// Records that a copy was dropped before the log accepted it.
-  /// \returns the calls that waited for it and have no other copy to wait for.
+  /// \returns its calls without another copy; one with another key may be left.
   std::vector<std::uint64_t> recordDropped(const command &Command);
   /// \returns the calls that have waited for longer than the time.
   std::vector<std::uint64_t> expire(core::duration Timeout,
@@ -56,7 +56,7 @@
   /// \returns the calls that wait for the change, which no longer wait then.
   std::vector<std::uint64_t> release(open_change &Change);
 
-  std::unordered_map<std::string, open_change> Changes; ///< By key.
+  std::unordered_map<std::string, open_change> Changes; ///< By both names.
   std::size_t WaitingCalls = 0;
 };
 
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -86,9 +86,12 @@
 
 void schedule_node::answerDropped(std::uint64_t Call, const command &Command,
                                   reply_kind Kind) {
-  answer(OpenChanges.recordDropped(Command), Kind);
+  auto Waiting = OpenChanges.recordDropped(Command);
   // Another copy may still be committed.
-  answer(Call, OpenChanges.contains(Command) ? reply_kind::Unknown : Kind);
+  if (OpenChanges.contains(Command))
+    Kind = reply_kind::Unknown;
+  answer(Waiting, Kind);
+  answer(Call, Kind);
 }
 
 void schedule_node::answerNotLeader(std::uint64_t Call) {
