Read a caller's key without the white space around it

Cause: the HTTP parser leaves white space after the value of a header, so that a valid key followed by a blank was refused with 401. Change: blanks and tabs around the key are not part of it.

--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -198,7 +198,12 @@
       return {};
     std::string_view Key(Value);
     Key.remove_prefix(Dialect.KeyScheme.size());
-    return workspaces::digestOf(Key);
+    // The HTTP parser leaves the optional white space after a value.
+    auto First = Key.find_first_not_of(" \t");
+    if (First == std::string_view::npos)
+      return {};
+    auto Last = Key.find_last_not_of(" \t");
+    return workspaces::digestOf(Key.substr(First, Last - First + 1));
   }
 
   void receive(const transport::link_event &Event, core::time_point Now) {
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -28,12 +28,12 @@
     Forwarder.tick(Now);
     collect();
   }
-  void request(std::uint64_t Id) {
+  void request(std::uint64_t Id, const std::string &KeyDigest = "") {
     http::server_request Request;
     Request.Id = Id;
     Request.Request.Method = "POST";
     Request.Request.Target = "/q/1";
-    Forwarder.request(std::move(Request), "", Now + 3s, Now);
+    Forwarder.request(std::move(Request), KeyDigest, Now + 3s, Now);
     collect();
   }
   void reply(const std::string &Peer, std::uint64_t Id, bool IsHandled,
@@ -352,3 +352,30 @@
   Fixture.reply("a", Fixture.Calls[0].Call.Id, true);
   CHECK(Fixture.Responses.size() == 1);
 }
+
+// Guards against a caller that gets 401 only because the leader changed.
+TEST_CASE("a call that is sent again to the next leader keeps the digest of "
+          "the caller's key") {
+  forwarder_fixture Fixture;
+  Fixture.status("a", true, 3);
+  Fixture.request(1, "digest");
+  REQUIRE(Fixture.Calls.size() == 1);
+  CHECK(Fixture.Calls[0].Call.KeyDigest == "digest");
+  Fixture.status("b", true, 4);
+  Fixture.reply("a", Fixture.Calls[0].Call.Id, false);
+  Fixture.advance(100ms);
+  REQUIRE(Fixture.Calls.size() == 2);
+  CHECK(Fixture.Calls[1].Peer == "b");
+  CHECK(Fixture.Calls[1].Call.KeyDigest == "digest");
+}
+
+TEST_CASE("401 and 403 of the leader reach the caller unchanged") {
+  for (std::uint16_t Status : {401, 403}) {
+    forwarder_fixture Fixture;
+    Fixture.status("a", true, 3);
+    Fixture.request(1, "digest");
+    Fixture.reply("a", Fixture.Calls.at(0).Call.Id, true, Status);
+    REQUIRE(Fixture.Responses.size() == 1);
+    CHECK(Fixture.Responses[0].Response.Status == Status);
+  }
+}
