--- a/tests/scheduling/random_state.cpp
+++ b/tests/scheduling/random_state.cpp
@@ -11,11 +11,16 @@
 
 constexpr std::uint32_t QueueCount = 3;
 constexpr std::uint32_t EndpointCount = 6;
+constexpr std::uint32_t WorkspaceCount = 3;
 
 std::string prefixOf(std::uint32_t Queue) {
   return "/q" + std::to_string(Queue) + "/";
 }
 
+workspaces::key_digest keyOf(std::uint32_t Workspace) {
+  return workspaces::digestOf("key" + std::to_string(Workspace));
+}
+
 } // namespace
 
 random_state::random_state(std::uint64_t Seed) : Random(Seed) {
@@ -52,7 +57,7 @@
   auto Job =
       "j" + std::to_string(1 + draw(static_cast<std::uint32_t>(Jobs) + 1));
   if (Kind < 95)
-    return cancel_job{Host, Prefix + Job, Job};
+    return cancel_job{Host, Prefix + Job, Job, keyOf(draw(WorkspaceCount))};
   const auto *Found = State.findJob(Job);
   return open_occurrence{Job, Found ? Found->NextOccurrence : 0};
 }
@@ -77,7 +82,10 @@
   Job.StartAtMs = NowMs;
   Job.IntervalMs = draw(100);
   auto Path = prefixOf(draw(QueueCount)) + Job.Id;
-  return submit_job{Host, std::move(Path), std::move(Job)};
+  submit_job Submission{Host, std::move(Path), std::move(Job)};
+  Submission.KeyDigest = keyOf(draw(WorkspaceCount));
+  Submission.IsOverRate = draw(5) == 0;
+  return Submission;
 }
 
 command random_state::configure() {
@@ -93,8 +101,22 @@
     Model.Pool = draw(2) == 0 ? "a" : "b";
     Model.Priority = draw(2);
     Model.TargetLatencyMs = 200 + draw(1000);
+    Model.IsPublic = draw(4) == 0;
     Configuration.Queues.push_back(Model);
   }
+  // Keys are withdrawn and given to other workspaces while jobs live.
+  Configuration.RequiresKeys = draw(4) != 0;
+  for (std::uint32_t Index = 0;
+       Configuration.RequiresKeys && Index != WorkspaceCount; ++Index) {
+    workspaces::workspace_spec Workspace;
+    Workspace.Name = "w" + std::to_string(Index);
+    if (draw(8) != 0)
+      Workspace.Keys.push_back(keyOf(Index));
+    Workspace.Priority = draw(3);
+    Workspace.Weight = draw(5);
+    Workspace.Limit = {draw(2) * 8000, draw(2) * 4000, draw(2)};
+    Configuration.Workspaces.push_back(std::move(Workspace));
+  }
   return set_configuration{std::move(Configuration)};
 }
 
