--- a/tests/scheduling/test_workspace_access.cpp
+++ b/tests/scheduling/test_workspace_access.cpp
@@ -98,7 +98,8 @@
   }
 
   void change(call_body Body) {
-    REQUIRE(replyTo(call(std::move(Body)), 1s) == reply_kind::Accepted);
+    auto Call = call(std::move(Body));
+    REQUIRE(replyTo(Call, 1s) == reply_kind::Accepted);
   }
   /// \returns the id of the call.
   std::uint64_t call(call_body Body) {
