Bound the log by bytes and refuse changes before the disk is full

A change that was applied, or of which a copy is open, is never answered so.

With fakes, 150 configurations of 256 KB on disks of 12 MB stay below half of it; without the limits their writes fail.

--- a/control/storage_worker.h
+++ b/control/storage_worker.h
@@ -66,12 +66,14 @@
 
   core::bounded_ring<replication::storage_write> &writes() { return Writes; }
   core::bounded_ring<storage_result> &results() { return Results; }
+  /// \returns the size of all files of the store. Safe from any thread.
+  std::uint64_t storedBytes() const { return StoredBytes; }
 
 private:
   void run() {
     core::thread_times::registration Name("storage");
     std::optional<replication::storage_write> Next;
-    Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
+    publishSize();
     while (true) {
       if (Next || (Next = take())) {
         write_batch Batch(std::move(*Next));
@@ -102,7 +104,7 @@
       Metrics.observe(
           "sync_ms",
           std::chrono::duration<double, std::milli>(Elapsed).count());
-      Metrics.set("log_bytes", static_cast<double>(Log.sizeBytes()));
+      publishSize();
       if (!Failure) {
         while (!Results.push({Write.Ticket, true}) && !Stopping)
           std::this_thread::sleep_for(FullRingWait);
@@ -120,6 +122,11 @@
     }
   }
 
+  void publishSize() {
+    StoredBytes = Log.sizeBytes();
+    Metrics.set("log_bytes", static_cast<double>(StoredBytes));
+  }
+
   void waitForRetry() {
     auto Until = core::boot_clock::now() + RetryInterval;
     for (auto Now = core::boot_clock::now(); Now < Until && !Stopping;
@@ -128,6 +135,7 @@
   }
 
   Store Log;
+  std::atomic<std::uint64_t> StoredBytes = 0;
   core::metrics_registry &Metrics;
   core::ring_signal Signal;
   core::bounded_ring<replication::storage_write> Writes;
--- a/scheduling/proposal_queue.cpp
+++ b/scheduling/proposal_queue.cpp
@@ -86,6 +86,19 @@
   return Expired;
 }
 
+std::vector<queued_command>
+proposal_queue::takeIf(bool (*Predicate)(const command &)) {
+  std::vector<queued_command> Taken;
+  auto Kept = std::stable_partition(Commands.begin(), Commands.end(),
+                                    [&](const queued_command &Command) {
+                                      return !Predicate(Command.Command);
+                                    });
+  Taken.assign(std::make_move_iterator(Kept),
+               std::make_move_iterator(Commands.end()));
+  Commands.erase(Kept, Commands.end());
+  return Taken;
+}
+
 std::vector<std::uint64_t> proposal_queue::clear() {
   std::vector<std::uint64_t> Calls;
   for (const auto &Command : std::exchange(Commands, {}))
--- a/scheduling/proposal_queue.h
+++ b/scheduling/proposal_queue.h
@@ -70,6 +70,8 @@
   /// Removes the commands whose calls have waited for longer than the time.
   std::vector<queued_command> takeExpired(core::duration Timeout,
                                           core::time_point Now);
+  /// Removes the commands for which the predicate holds.
+  std::vector<queued_command> takeIf(bool (*Predicate)(const command &));
   /// Removes all commands.
   /// \returns the calls that wait for them.
   std::vector<std::uint64_t> clear();
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -38,6 +38,9 @@
 // Maximum number of rounds in takeActions(). One output can lead to the next,
 // for example an applied start to an order.
 constexpr int MaxRounds = 4;
+// A snapshot of a state that nearly fills the disk frees little; it is repeated
+// after this time, because the state shrinks when jobs end.
+constexpr core::duration FullDiskSnapshotInterval = std::chrono::seconds(2);
 
 replication::raft_settings raftSettings(const scheduler_settings &Settings,
                                         const replication::replica_id &Self) {
@@ -57,6 +60,16 @@
 }
 
 /// \returns the properties of a step that placement depends on, for the log.
+constexpr const char *RefusedForSpaceMetric = "changes_refused_for_space_total";
+
+/// \returns whether the command is refused while the disk is nearly full. What
+/// the leader decides on the jobs that it has, and cancellations, are small and
+/// have the rest of the disk.
+bool needsSpace(const command &Command) {
+  return std::holds_alternative<set_configuration>(Command) ||
+         std::holds_alternative<submit_job>(Command);
+}
+
 std::string describe(const step_spec &Step) {
   auto Text = std::to_string(Step.Count) + "x" +
               std::to_string(Step.Size.MilliCores) + "m/" +
@@ -151,6 +164,7 @@
   if (!Persisted.Snapshot)
     return;
   State = restoreState(Persisted.Snapshot->State);
+  SnapshotBytes = Persisted.Snapshot->State.size();
   AppliedIndex = Persisted.Snapshot->LastIndex;
   CompactedIndex = AppliedIndex;
 }
@@ -394,16 +408,37 @@
   bool IsStalled =
       !ProposedEntries.empty() &&
       Now - ProposedEntries.begin()->second.Since > proposal_queue::MaxWait;
-  if (!IsStalled && Queued.accepts(Now)) {
+  bool IsRefused = needsSpace(Command) && isStorageNearlyFull();
+  if (!IsStalled && !IsRefused && Queued.accepts(Now)) {
     OpenChanges.add(Command);
     Queued.push(std::move(Command), Call, Now);
   } else if (!OpenChanges.contains(Command)) {
-    answer(Call, reply_kind::Unavailable);
+    if (IsRefused)
+      Metrics.add(RefusedForSpaceMetric);
+    answer(Call,
+           isApplied(Command) ? reply_kind::Unknown : reply_kind::Unavailable);
   } else if (!OpenChanges.wait(Command, Call, Now)) {
     answer(Call, reply_kind::Unknown);
   }
 }
 
+bool schedule_node::isApplied(const command &Command) const {
+  if (const auto *Submit = std::get_if<submit_job>(&Command))
+    return State.findJob(Submit->Job.Id) != nullptr;
+  const auto *Set = std::get_if<set_configuration>(&Command);
+  return Set &&
+         Set->Configuration.Version <= State.currentConfiguration().Version;
+}
+
+void schedule_node::refuseForSpace() {
+  if (!isStorageNearlyFull())
+    return;
+  for (const auto &Refused : Queued.takeIf(needsSpace)) {
+    Metrics.add(RefusedForSpaceMetric);
+    answerDropped(Refused.Call, Refused.Command, reply_kind::Unavailable);
+  }
+}
+
 void schedule_node::refuseOversized(const queued_command &Command) {
   core::logEvent(core::log_level::Warning, "command_refused",
                  {{"reason", "larger than the largest log entry"},
@@ -435,6 +470,7 @@
     IsLeaderBatchOpen = !Decided.empty();
     Queued.pushDecided(std::move(Decided), Now);
   }
+  refuseForSpace();
   while (true) {
     while (auto Oversized = Queued.takeOversized())
       refuseOversized(*Oversized);
@@ -491,7 +527,7 @@
   Timer.finishPhase(Orders);
   if (CommittedEntries.empty() && !Budget.isSpent())
     Ahead.decode(Budget.Bytes);
-  compactWhenDue();
+  compactWhenDue(Now);
   std::move(Messages.begin(), Messages.end(),
             std::back_inserter(Actions.Messages));
   Messages.clear();
@@ -514,6 +550,8 @@
     AppliedIndex = Output.Restore->LastIndex;
     CompactedIndex = AppliedIndex;
     CommandsSinceCompaction = 0;
+    BytesSinceCompaction = 0;
+    SnapshotBytes = Output.Restore->State.size();
     Ahead.clear();
     core::logEvent(core::log_level::Info, "snapshot_restored",
                    {{"index", AppliedIndex}});
@@ -573,6 +611,7 @@
       Own.reset();
     }
   }
+  BytesSinceCompaction += Entry.Payload.size();
   if (Entry.Kind != replication::entry_kind::Command)
     return 0;
   auto Batch = Own ? std::optional(std::move(Own->Batch))
@@ -686,13 +725,47 @@
   }
 }
 
-void schedule_node::compactWhenDue() {
-  if (AppliedIndex - CompactedIndex < Settings.SnapshotEveryEntries &&
-      CommandsSinceCompaction < Settings.SnapshotEveryCommands)
+bool schedule_node::isSnapshotDue(core::time_point Now) const {
+  // Refused changes add nothing to the log, so the other limits might never be
+  // reached again.
+  bool FreesSpace = isStorageNearlyFull() && AppliedIndex > CompactedIndex &&
+                    Now - LastCompaction >= FullDiskSnapshotInterval;
+  return FreesSpace ||
+         AppliedIndex - CompactedIndex >= Settings.SnapshotEveryEntries ||
+         CommandsSinceCompaction >= Settings.SnapshotEveryCommands ||
+         BytesSinceCompaction >= Settings.snapshotBytes();
+}
+
+bool schedule_node::isStorageNearlyFull() const {
+  // The next snapshot is written beside the newest one and the log.
+  auto NextSnapshotBytes = SnapshotBytes + BytesSinceCompaction;
+  return Settings.DiskBytes != 0 &&
+         (StoredBytes > Settings.maxStoredBytes() ||
+          StoredBytes + NextSnapshotBytes + Settings.reservedBytes() >
+              Settings.DiskBytes);
+}
+
+void schedule_node::setStoredBytes(std::uint64_t Bytes) {
+  StoredBytes = Bytes;
+  bool IsNearlyFull = isStorageNearlyFull();
+  if (std::exchange(WasNearlyFull, IsNearlyFull) == IsNearlyFull)
+    return;
+  core::logEvent(core::log_level::Warning,
+                 IsNearlyFull ? "disk_nearly_full" : "disk_has_space",
+                 {{"stored_bytes", StoredBytes},
+                  {"snapshot_bytes", SnapshotBytes},
+                  {"disk_bytes", Settings.DiskBytes}});
+}
+
+void schedule_node::compactWhenDue(core::time_point Now) {
+  if (!isSnapshotDue(Now))
     return;
   CompactedIndex = AppliedIndex;
   CommandsSinceCompaction = 0;
+  BytesSinceCompaction = 0;
+  LastCompaction = Now;
   auto Bytes = State.snapshot();
+  SnapshotBytes = Bytes.size();
   core::logEvent(core::log_level::Info, "snapshot_taken",
                  {{"index", AppliedIndex}, {"bytes", Bytes.size()}});
   Raft.compact(AppliedIndex, std::move(Bytes));
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -77,6 +77,8 @@
   void stored(std::uint64_t Ticket, core::time_point Now);
   /// Handles that a write failed.
   void storageFailed(core::time_point Now);
+  /// Sets the size of the files in the data folder.
+  void setStoredBytes(std::uint64_t Bytes);
   /// Starts to transfer leadership and rejects calls from now on.
   void beginShutdown(core::time_point Now);
   /// \returns whether the replica can stop: shutdown has begun, all writes are
@@ -148,6 +150,11 @@
   /// become voters are joining: it would be on fewer disks than wanted.
   bool isForming(core::time_point Now) const;
   void propose(core::time_point Now);
+  /// \returns whether the state has the job or the configuration, or a newer
+  /// configuration.
+  bool isApplied(const command &Command) const;
+  /// Answers the calls of queued changes for which the disk has no space.
+  void refuseForSpace();
   /// Answers the call of a command that exceeds the largest entry.
   void refuseOversized(const queued_command &Command);
   void process(replication::raft_output Output, node_actions &Actions,
@@ -161,7 +168,11 @@
   std::uint32_t endpointOf(const command &Command) const;
   void logApplied(const command &Command, apply_outcome Outcome,
                   std::uint64_t Index, std::uint32_t Endpoint);
-  void compactWhenDue();
+  void compactWhenDue(core::time_point Now);
+  bool isSnapshotDue(core::time_point Now) const;
+  /// \returns whether the data folder has no space for further configurations
+  /// and jobs, which includes that the next snapshot may not fit.
+  bool isStorageNearlyFull() const;
   void expirePendingCalls(core::time_point Now);
 
   // schedule_node_calls.cpp
@@ -230,6 +241,11 @@
   std::uint64_t AppliedIndex = 0;
   std::uint64_t CompactedIndex = 0;
   std::size_t CommandsSinceCompaction = 0;
+  std::uint64_t BytesSinceCompaction = 0; ///< Of payload.
+  core::time_point LastCompaction{};
+  std::uint64_t SnapshotBytes = 0; ///< Size of the newest snapshot.
+  std::uint64_t StoredBytes = 0;
+  bool WasNearlyFull = false; ///< At the last setStoredBytes().
   std::deque<replication::log_entry> CommittedEntries; ///< Not applied yet.
   ahead_decoder Ahead{{}};      ///< Of the log that was read from the disk.
   std::uint64_t LeaderTerm = 0; ///< Term in which this replica leads, or 0.
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -142,6 +142,11 @@
     read({Id, std::move(Call)}, Now);
     return;
   }
+  // A retry of an accepted job needs no space.
+  if (isStorageNearlyFull() && State.findJob(Call.Job.Id)) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
   queue(submit_job{std::move(Call.HostName), std::move(Call.Path),
                    std::move(Call.Job), std::move(Call.KeyDigest)},
         Id, Now);
@@ -195,6 +200,11 @@
 
 void schedule_node::handleCall(std::uint64_t Id, configure_call Call,
                                core::time_point Now) {
+  if (isStorageNearlyFull() &&
+      Call.Configuration.Version <= State.currentConfiguration().Version) {
+    read({Id, std::move(Call)}, Now);
+    return;
+  }
   queue(set_configuration{std::move(Call.Configuration)}, Id, Now);
 }
 
@@ -311,9 +321,17 @@
   if (const auto *Submit = std::get_if<submit_call>(&Call.Body)) {
     // A configuration that was committed meanwhile may have added the queue;
     // the caller then has to submit the job again.
-    Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
-                     ? reply_kind::Unavailable
-                     : reply_kind::NoSuchQueue;
+    if (State.findJob(Submit->Job.Id))
+      Reply.Kind = reply_kind::Accepted;
+    else
+      Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
+                       ? reply_kind::Unavailable
+                       : reply_kind::NoSuchQueue;
+  } else if (const auto *Change = std::get_if<configure_call>(&Call.Body)) {
+    Reply.Kind =
+        Change->Configuration.Version <= State.currentConfiguration().Version
+            ? reply_kind::Accepted
+            : reply_kind::Unavailable;
   } else if (std::holds_alternative<cancel_call>(Call.Body)) {
     // A configuration that was committed meanwhile has added the key.
     Reply.Kind = reply_kind::Unavailable;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -122,7 +122,8 @@
             Requests) {}
 
   core::result<void> run() {
-    log_type Log{storage::posix_files(Settings.DataFolder)};
+    log_type Log{storage::posix_files(Settings.DataFolder),
+                 {Settings.segmentBytes()}};
     BOOST_LEAF_AUTO(Identity, Log.readIdentity());
     auto NodeSettings = Settings;
     NodeSettings.StartNonce = randomNumber();
@@ -251,6 +252,7 @@
         answerUnheard(Node, Id);
       addDelegates(Node, Now);
       Timer.finishPhase(ReceiveResults);
+      Node.setStoredBytes(Storage.storedBytes());
       Node.tick(Now);
       auto Actions = Node.takeActions(Now);
       Timer.finishPhase(Decide);
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t MaxTimingMs = 600'000;
 constexpr double MaxHostOperationS = 86'400;
+constexpr std::int64_t MaxDiskMb = 1'000'000;
 // Fifteen voters; replication::MaxMembers leaves room for as many learners.
 constexpr std::int64_t MaxToleratedLosses = 7;
 constexpr double DefaultMaintenanceS = 2;
@@ -49,6 +50,17 @@
                   "must be at least three times heartbeat_ms");
 }
 
+void readStorage(object_reader &Reader, scheduler_settings &Settings) {
+  constexpr unsigned BitsOfMb = 20;
+  auto DiskMb = Reader.readInteger("disk_mb", 0, MaxDiskMb, 0);
+  Settings.DiskBytes = static_cast<std::uint64_t>(DiskMb) << BitsOfMb;
+  Settings.SnapshotEveryBytes =
+      static_cast<std::uint64_t>(Reader.readInteger(
+          "snapshot_every_mb", 1, MaxDiskMb,
+          static_cast<std::int64_t>(Settings.SnapshotEveryBytes >> BitsOfMb)))
+      << BitsOfMb;
+}
+
 } // namespace
 
 core::result<scheduler_settings> parseSchedulerSettings(std::string_view Text) {
@@ -80,6 +92,9 @@
         Nested.readInteger("own_endpoints", 0, 100'000,
                            static_cast<std::int64_t>(Settings.OwnEndpoints)));
   });
+  core::readNested(Reader, "storage", [&](object_reader &Nested) {
+    readStorage(Nested, Settings);
+  });
   core::readNested(Reader, "timing", [&](object_reader &Nested) {
     readTiming(Nested, Settings);
   });
--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -54,6 +54,35 @@
   /// A restarted scheduler replays that many in a third of a second at a third
   /// of a core.
   std::size_t SnapshotEveryCommands = 50'000;
+  /// Bytes of applied entries between two snapshots. One entry may hold a
+  /// configuration of 4 MiB, so that the other limits do not bound the log.
+  std::uint64_t SnapshotEveryBytes = 32u << 20;
+  /// Space for the data folder; 0: not known.
+  std::uint64_t DiskBytes = 0;
+
+  /// \returns the bytes of applied entries after which a snapshot is due. The
+  /// log, the snapshot and the next one share half of the disk.
+  std::uint64_t snapshotBytes() const {
+    constexpr std::uint64_t LogPart = 6;
+    return DiskBytes == 0 ? SnapshotEveryBytes
+                          : std::min(SnapshotEveryBytes, DiskBytes / LogPart);
+  }
+  /// \returns the size at which the log starts a new file. Files are removed as
+  /// a whole after a snapshot, so that a larger one would hold what the
+  /// snapshot replaces.
+  std::uint64_t segmentBytes() const {
+    constexpr std::uint64_t DefaultBytes = 8u << 20;
+    constexpr std::uint64_t SegmentPart = 16;
+    return DiskBytes == 0 ? DefaultBytes
+                          : std::min(DefaultBytes, DiskBytes / SegmentPart);
+  }
+  /// \returns the size of the stored files above which configurations and jobs
+  /// are refused: the rest is for the next snapshot and for what the leader
+  /// decides on the jobs that it has.
+  std::uint64_t maxStoredBytes() const { return DiskBytes / 4 * 3; }
+  /// \returns the bytes that remain beside the stored files and the next
+  /// snapshot for changes that are not refused.
+  std::uint64_t reservedBytes() const { return DiskBytes / 8; }
 
   /// \returns the number of voters to reach: with 2f + 1 voters every
   /// acknowledged change is on at least f + 1 disks. Never fewer than three,
--- a/tests/process/site_run.py
+++ b/tests/process/site_run.py
@@ -27,6 +27,7 @@
         self.jobs = 0
         self.daemon_type = Process
         self.tolerated_losses = 1
+        self.storage = {}  # Settings of the storage of schedulers.
 
     def ip(self, index):
         return '127.%d.0.%d' % (self.net, index)
@@ -50,7 +51,7 @@
             'seeds': [self.control_address(seed) for seed in seeds], 'founding': founding,
             'data_folder': str(data) if has_disk else '',
             'tolerated_losses': self.tolerated_losses, 'timing': {'beat_ms': 500},
-            'sending': {'own_endpoints': own_endpoints},
+            'sending': {'own_endpoints': own_endpoints}, 'storage': self.storage,
             'log': {'level': 'debug'}})
 
     def start_gateway(self, index, seeds):
--- a/tests/scheduling/test_full_disks.cpp
+++ b/tests/scheduling/test_full_disks.cpp
@@ -53,6 +53,11 @@
   /// Submissions wait for the next leader, as at a gateway, instead of being
   /// refused.
   bool HoldsSubmissions = false;
+  std::size_t ConfigurationBytes = 2; ///< Of the text of each configuration.
+  /// Limits by bytes; both 0: not known, and no snapshot is due by bytes.
+  std::uint64_t DiskBytes = 0;
+  std::uint64_t SnapshotEveryBytes = 0;
+  std::uint64_t SegmentBytes = 4000; ///< Many changes of the segment.
 };
 
 /// Schedulers with a log_store each on a simulated disk that can be full,
@@ -130,6 +135,7 @@
   void change() {
     auto Since = Now;
     configure_call Call{makeConfiguration(++Version)};
+    Call.Configuration.Text = std::string(Settings.ConfigurationBytes, 'x');
     auto Target = leader().value_or(0);
     while (true) {
       auto Id = send(Target, Call);
@@ -160,7 +166,7 @@
       auto Status = Host->Node.status();
       CHECK(Host->Node.state().currentConfiguration().Version == Version);
       CHECK(Host->Disk->contents().count("temporary") == 0);
-      log_type Reloaded(fake_files(Host->Disk), storeSettings());
+      log_type Reloaded(fake_files(Host->Disk), {Settings.SegmentBytes});
       auto Outcome = core::capture([&] { return Reloaded.load(); });
       REQUIRE(Outcome.index() == 0);
       const auto &Found = std::get<0>(Outcome);
@@ -174,6 +180,45 @@
 
   std::size_t mostWaitingWrites() const { return MostWaitingWrites; }
   std::uint64_t failedWrites() const { return FailedWrites; }
+  std::uint64_t mostStoredBytes() const { return MostStoredBytes; }
+
+  /// Limits the disks of all hosts.
+  void limitDisks(std::uint64_t Capacity) {
+    for (auto &Host : Hosts)
+      Host->Disk->Capacity = Capacity;
+  }
+
+  /// Sets the bytes beside the log in all data folders.
+  void setOtherBytes(std::uint64_t Bytes) {
+    for (auto &Host : Hosts)
+      Host->OtherBytes = Bytes;
+    run(2 * Step);
+  }
+
+  /// Sends a call to the leader.
+  /// \returns its id.
+  std::uint64_t sendToLeader(call_body Body) {
+    REQUIRE(leader().has_value());
+    return send(*leader(), std::move(Body));
+  }
+
+  /// \returns the outcome of a call, or nothing while it has none.
+  std::optional<reply_kind> outcome(std::uint64_t Call) const {
+    auto Found = Answers.find(Call);
+    return Found == Answers.end() ? std::nullopt
+                                  : std::optional(Found->second.Kind);
+  }
+
+  /// \returns the outcome of a call to the leader.
+  reply_kind ask(call_body Body, core::duration Limit = AnswerTime) {
+    auto Id = sendToLeader(std::move(Body));
+    bool IsAnswered = runUntil([&] { return outcome(Id).has_value(); }, Limit);
+    INFO(describe());
+    REQUIRE(IsAnswered);
+    return *outcome(Id);
+  }
+
+  std::uint64_t version() const { return Version; }
 
   std::string describe() const {
     std::string Text = "now " + std::to_string(toMs(Now.time_since_epoch()));
@@ -199,9 +244,11 @@
     simulated_host(std::string HostName, scheduler_settings HostSettings,
                    replication::replica_id Self,
                    replication::membership Initial,
-                   std::shared_ptr<fake_disk> HostDisk, core::time_point Now)
+                   std::shared_ptr<fake_disk> HostDisk,
+                   storage::log_store_settings LogSettings,
+                   core::time_point Now)
         : Name(std::move(HostName)), Disk(std::move(HostDisk)),
-          Log(fake_files(Disk), storeSettings()),
+          Log(fake_files(Disk), LogSettings),
           Node(std::move(HostSettings), std::move(Self), open(),
                std::move(Initial), Metrics, Now) {}
 
@@ -220,6 +267,7 @@
     core::time_point NextWrite{};
     core::time_point IsolatedUntil{};
     int Fills = 0; ///< Calls of fill(); the last one ends the full time.
+    std::uint64_t OtherBytes = 0; ///< Reported with those of the log.
   };
 
   struct message_in_flight {
@@ -237,12 +285,6 @@
     return "10.0.0." + std::to_string(Index + 1);
   }
 
-  static storage::log_store_settings storeSettings() {
-    storage::log_store_settings Result;
-    Result.SegmentBytes = 4000; // Many changes of the segment.
-    return Result;
-  }
-
   std::unique_ptr<simulated_host> makeHost(std::size_t Index,
                                            std::uint64_t Incarnation,
                                            replication::membership Initial) {
@@ -251,12 +293,17 @@
     for (std::size_t Seed = 0; Seed != Settings.Voters; ++Seed)
       Result.Seeds.push_back(nameOf(Seed));
     Result.SnapshotEveryEntries = Settings.SnapshotEveryEntries;
+    Result.DiskBytes = Settings.DiskBytes;
+    Result.SnapshotEveryBytes = Settings.SnapshotEveryBytes == 0
+                                    ? NoLimit
+                                    : Settings.SnapshotEveryBytes;
     // Every scheduler that joins becomes a voter.
     Result.ToleratedLosses = 3;
     replication::replica_id Self{Result.Address, Incarnation};
     return std::make_unique<simulated_host>(
         nameOf(Index), std::move(Result), std::move(Self), std::move(Initial),
-        std::make_shared<fake_disk>(Random()), Now);
+        std::make_shared<fake_disk>(Random()),
+        storage::log_store_settings{Settings.SegmentBytes}, Now);
   }
 
   bool hasSettled() const {
@@ -295,9 +342,12 @@
     submitJobs();
     deliverMessages();
     for (std::size_t Index = 0; Index != Hosts.size(); ++Index) {
-      writeNext(*Hosts[Index]);
-      Hosts[Index]->Node.tick(Now);
-      execute(Index, Hosts[Index]->Node.takeActions(Now));
+      auto &Target = *Hosts[Index];
+      writeNext(Target);
+      MostStoredBytes = std::max(MostStoredBytes, Target.Disk->usedBytes());
+      Target.Node.setStoredBytes(Target.Log.sizeBytes() + Target.OtherBytes);
+      Target.Node.tick(Now);
+      execute(Index, Target.Node.takeActions(Now));
     }
     // Calls are answered in any order, but the ids grow with time.
     if (!Unanswered.empty() && Now - Unanswered.begin()->second >= AnswerTime)
@@ -394,6 +444,7 @@
   std::uint64_t Version = 0;
   std::uint64_t FailedWrites = 0;
   std::size_t MostWaitingWrites = 0;
+  std::uint64_t MostStoredBytes = 0; ///< At any host, during a write too.
 };
 
 } // namespace
@@ -586,3 +637,187 @@
   Cluster.change();
   Cluster.checkRecovered();
 }
+
+namespace {
+
+constexpr std::uint64_t SmallDisk = 12u << 20;
+
+/// Settings of a cluster whose disks hold 48 of its configurations.
+cluster_settings smallDisks() {
+  cluster_settings Settings;
+  Settings.ConfigurationBytes = 256u << 10;
+  Settings.DiskBytes = SmallDisk;
+  scheduler_settings Derived;
+  Derived.DiskBytes = SmallDisk;
+  Settings.SegmentBytes = Derived.segmentBytes();
+  return Settings;
+}
+
+configure_call largeChange(std::uint64_t Version, std::size_t Bytes) {
+  configure_call Call{makeConfiguration(Version)};
+  Call.Configuration.Text = std::string(Bytes, 'x');
+  return Call;
+}
+
+submit_call callToSubmit(const std::string &Id) {
+  return {Host, Prefix + Id, makeJob(Id, {makeStep(1)})};
+}
+
+} // namespace
+
+// Guards against a log that is bounded only by its number of entries: large
+// configurations fill the disks of all schedulers at the same time, and no
+// snapshot that would free them can be committed any more.
+TEST_CASE("large configurations never fill more than half of the disks") {
+  auto Seed = GENERATE(std::uint64_t(1), std::uint64_t(2), std::uint64_t(3));
+  auto Settings = smallDisks();
+  Settings.Seed = Seed;
+  disk_cluster Cluster(Settings);
+  Cluster.limitDisks(SmallDisk);
+  for (int Turn = 0; Turn != 150; ++Turn)
+    Cluster.change();
+  CHECK(Cluster.failedWrites() == 0);
+  CHECK(Cluster.mostStoredBytes() < SmallDisk / 2);
+  Cluster.limitDisks(NoLimit);
+  Cluster.checkRecovered();
+}
+
+// The fault that the limit by bytes prevents, so that the test above is known
+// to exercise it.
+TEST_CASE("without the limit by bytes, large configurations fill the disks") {
+  auto Settings = smallDisks();
+  Settings.DiskBytes = 0;
+  disk_cluster Cluster(Settings);
+  Cluster.limitDisks(SmallDisk);
+  for (std::uint64_t Turn = 0; Turn != 150 && Cluster.failedWrites() == 0;
+       ++Turn)
+    Cluster.ask(
+        largeChange(Cluster.version() + Turn + 1, Settings.ConfigurationBytes));
+  CHECK(Cluster.failedWrites() > 0);
+}
+
+// Guards against a leader that accepts changes until its disk is full, and
+// against one that refuses for good.
+TEST_CASE("a nearly full disk refuses configurations and jobs at once, and "
+          "nothing else") {
+  auto Settings = smallDisks();
+  Settings.SubmitInterval = 1h;
+  disk_cluster Cluster(Settings);
+  REQUIRE(Cluster.ask(callToSubmit("before")) == reply_kind::Accepted);
+  REQUIRE(Cluster.ask(callToSubmit("other")) == reply_kind::Accepted);
+  Cluster.setOtherBytes(SmallDisk / 4 * 3);
+
+  CHECK(Cluster.ask(callToSubmit("later"), 2 * Step) ==
+        reply_kind::Unavailable);
+  CHECK(Cluster.ask(configure_call{makeConfiguration(Cluster.version() + 1)},
+                    2 * Step) == reply_kind::Unavailable);
+  // A retry is not told that nothing ran.
+  CHECK(Cluster.ask(callToSubmit("before")) == reply_kind::Accepted);
+  CHECK(Cluster.ask(configure_call{makeConfiguration(Cluster.version())}) ==
+        reply_kind::Accepted);
+  CHECK(Cluster.ask(job_state_call{Host, Prefix + "before", "before"}) ==
+        reply_kind::State);
+  CHECK(Cluster.ask(read_configuration_call{}) == reply_kind::Text);
+  CHECK(Cluster.ask(cancel_call{Host, Prefix + "other", "other"}) ==
+        reply_kind::Accepted);
+  CHECK(Cluster.ask(job_state_call{Host, Prefix + "later", "later"}) ==
+        reply_kind::NoSuchJob);
+
+  Cluster.setOtherBytes(0);
+  CHECK(Cluster.ask(callToSubmit("later")) == reply_kind::Accepted);
+  Cluster.change();
+  Cluster.checkRecovered();
+}
+
+// Guards against a retry that is told that its job did not run although a copy
+// is in the log and is committed later.
+TEST_CASE("a nearly full disk refuses no change of which a copy is open") {
+  auto Settings = smallDisks();
+  Settings.SubmitInterval = 1h;
+  disk_cluster Cluster(Settings);
+  auto Change = configure_call{makeConfiguration(Cluster.version() + 1)};
+  auto FirstJob = Cluster.sendToLeader(callToSubmit("j"));
+  auto FirstChange = Cluster.sendToLeader(Change);
+  // Proposed, but not committed yet.
+  Cluster.run(Step);
+  REQUIRE(!Cluster.outcome(FirstJob));
+  Cluster.setOtherBytes(SmallDisk);
+  CHECK(Cluster.ask(callToSubmit("j")) == reply_kind::Accepted);
+  CHECK(Cluster.ask(Change) == reply_kind::Accepted);
+  CHECK(Cluster.outcome(FirstJob) == reply_kind::Accepted);
+  CHECK(Cluster.outcome(FirstChange) == reply_kind::Accepted);
+  CHECK(Cluster.ask(callToSubmit("other"), 2 * Step) ==
+        reply_kind::Unavailable);
+}
+
+// Guards against changes that were queued before the disk was nearly full and
+// fill it, and against a refusal while nothing in the log could be committed.
+TEST_CASE("changes that wait for the log are refused when the disk becomes "
+          "nearly full") {
+  auto Settings = smallDisks();
+  Settings.SubmitInterval = 1h;
+  Settings.ConfigurationBytes = 2u << 20;
+  disk_cluster Cluster(Settings);
+  auto Last = *Cluster.leader();
+  std::vector<std::uint64_t> Calls;
+  for (std::uint64_t Turn = 1; Turn != 12; ++Turn) {
+    Calls.push_back(Cluster.sendToLeader(
+        largeChange(Cluster.version() + Turn, Settings.ConfigurationBytes)));
+  }
+  // The log takes 8 MiB at a time.
+  Cluster.run(Step);
+  Cluster.setOtherBytes(SmallDisk);
+  REQUIRE(Cluster.runUntil(
+      [&] {
+        return std::all_of(Calls.begin(), Calls.end(), [&](auto Call) {
+          return Cluster.outcome(Call).has_value();
+        });
+      },
+      AnswerTime));
+  REQUIRE(Cluster.leader() == Last);
+  std::size_t Accepted = 0;
+  for (auto Call : Calls) {
+    if (Cluster.outcome(Call) != reply_kind::Accepted)
+      break;
+    ++Accepted;
+  }
+  CHECK(Accepted > 0);
+  CHECK(Accepted <= 5);
+  for (auto Index = Accepted; Index != Calls.size(); ++Index)
+    CHECK(Cluster.outcome(Calls[Index]) == reply_kind::Unavailable);
+  Cluster.run(1s);
+  CHECK(Cluster.ask(configure_call{makeConfiguration(
+            Cluster.version() + Accepted)}) == reply_kind::Accepted);
+  CHECK(Cluster.ask(configure_call{makeConfiguration(
+            Cluster.version() + Accepted + 1)}) == reply_kind::Unavailable);
+}
+
+// Guards against a refusal without an end: refused changes add nothing to the
+// log, so that no snapshot would become due.
+TEST_CASE("a disk that jobs have nearly filled accepts again when they are "
+          "cancelled") {
+  auto Settings = smallDisks();
+  Settings.SubmitInterval = 1h;
+  disk_cluster Cluster(Settings);
+  Cluster.limitDisks(SmallDisk);
+  std::vector<std::string> Jobs;
+  auto Outcome = reply_kind::Accepted;
+  for (int Turn = 0; Turn != 100 && Outcome == reply_kind::Accepted; ++Turn) {
+    Jobs.push_back("j" + std::to_string(Turn));
+    auto Call = callToSubmit(Jobs.back());
+    Call.Job.Payload = std::string(200'000, 'x');
+    Outcome = Cluster.ask(std::move(Call));
+  }
+  REQUIRE(Outcome == reply_kind::Unavailable);
+  CHECK(Cluster.failedWrites() == 0);
+  Jobs.pop_back();
+  for (const auto &Id : Jobs)
+    REQUIRE(Cluster.ask(cancel_call{Host, Prefix + Id, Id}) ==
+            reply_kind::Accepted);
+  Cluster.run(5s);
+  CHECK(Cluster.ask(callToSubmit("later")) == reply_kind::Accepted);
+  CHECK(Cluster.failedWrites() == 0);
+  Cluster.limitDisks(NoLimit);
+  Cluster.change();
+  Cluster.checkRecovered();
+}
