Test that queued copies of a job are not refused, and record what callers get

Cause: the test of a queued copy passed also without the check, because the job would have been accepted anyway. Change: the test uses a job that is refused as a new one. Another test covers configurations that require keys.

--- a/tests/scheduling/test_job_admission.cpp
+++ b/tests/scheduling/test_job_admission.cpp
@@ -144,6 +144,19 @@
   CHECK(fill(Scheduler) == 100);
 }
 
+TEST_CASE("where the configuration requires keys, jobs are refused without the "
+          "setting",
+          "[admission]") {
+  overloaded_scheduler Scheduler(false);
+  auto Configuration = makeConfiguration(3);
+  Configuration.RequiresKeys = true;
+  for (auto &Queue : Configuration.Queues)
+    Queue.IsPublic = true;
+  Scheduler.call(configure_call{Configuration});
+  Scheduler.advanceTime(1s);
+  CHECK(fill(Scheduler) < 100);
+}
+
 TEST_CASE("a known job is not refused", "[admission]") {
   overloaded_scheduler Scheduler(true);
   REQUIRE(fill(Scheduler) < 100);
@@ -152,19 +165,26 @@
 
 TEST_CASE("a job with a copy that may still be committed is not refused",
           "[admission]") {
+  overloaded_scheduler Other(true);
+  auto Accepted = fill(Other);
+  REQUIRE(Accepted < 100);
+  // Refused as a new job behind the others.
+  auto Id = "fill" + std::to_string(Accepted);
   overloaded_scheduler Scheduler(true);
   Scheduler.IsStalled = true;
-  // The copies fill the pool before any of them is committed.
-  auto First = Scheduler.submit("j", 4);
-  for (int Number = 0; Number != 50; ++Number)
-    Scheduler.submit("other" + std::to_string(Number), 40);
-  auto Second = Scheduler.submit("j", 4);
+  auto First = Scheduler.submit(Id, 4);
+  for (int Number = 0; Number != Accepted + 20; ++Number)
+    if (Number != Accepted)
+      Scheduler.submit("fill" + std::to_string(Number), 4);
+  auto Second = Scheduler.submit(Id, 4);
   Scheduler.IsStalled = false;
   for (auto Call : {First, Second}) {
     auto Reply = Scheduler.awaitReply(Call);
     REQUIRE(Reply);
     CHECK(Reply->Kind == reply_kind::Accepted);
   }
+  CHECK(Scheduler.Metrics.counter("jobs_refused_total{reason=\"too_late\"}") >
+        0);
 }
 
 TEST_CASE("a scheduler that gives up its leadership refuses no job",
