--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -95,6 +95,9 @@
   core::readNested(Reader, "storage", [&](object_reader &Nested) {
     readStorage(Nested, Settings);
   });
+  core::readNested(Reader, "admission", [&](object_reader &Nested) {
+    Settings.Leader.RefusesOverload = Nested.readBool("enabled", false);
+  });
   core::readNested(Reader, "timing", [&](object_reader &Nested) {
     readTiming(Nested, Settings);
   });
