--- a/tests/gateway/test_decoder_fuzz.cpp
+++ b/tests/gateway/test_decoder_fuzz.cpp
@@ -11,7 +11,8 @@
   const std::vector<std::string> Samples{
       encodeMessage(status_message{true, 7, {"10.0.0.1", "10.0.0.2"}}),
       encodeMessage(call_message{3, "POST", "h.example", "/q/0123456789abcdef",
-                                 std::string("{}\0\xff", 4)}),
+                                 std::string("{}\0\xff", 4),
+                                 std::string(64, 'a')}),
       encodeMessage(reply_message{3, true, false, 503, 1, "body"})};
   test::fuzzOptional(
       document_format::Cbor, Samples, 2000, decodeMessage,
