--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -252,6 +252,15 @@
   return Result;
 }
 
+std::map<std::string, std::uint64_t> fake_site::runningMilliCores() const {
+  std::map<std::string, std::uint64_t> Result;
+  for (const auto &Endpoint : Endpoints)
+    for (const auto &[Task, Run] : Endpoint.Running)
+      if (const auto *Job = State.findJob(Task.Job))
+        Result[Job->Workspace] += Job->Spec.Steps[Task.Step].Size.MilliCores;
+  return Result;
+}
+
 void fake_site::darkenRack(std::uint32_t Rack) {
   for (auto Index = Rack * DarkRackSize;
        Index <
--- a/tests/scheduling/fake_site.h
+++ b/tests/scheduling/fake_site.h
@@ -88,6 +88,10 @@
     return Endpoints[Index].Running.size();
   }
 
+  /// \returns the thousandths of a core of all runs on the endpoints, by the
+  /// workspace of their job.
+  std::map<std::string, std::uint64_t> runningMilliCores() const;
+
   /// Puts the endpoints into racks and removes all other pools, so that no host
   /// moves.
   void formRacks(std::uint32_t RackSize = 4);
