--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -195,6 +195,7 @@
   schedule endpoints      endpoint incarnations with pool and number of runs
   schedule jobs           unfinished jobs, oldest first
   schedule waves          maintenance waves of the scheduler
+  schedule workspaces     use, limit, share and queued tasks of workspaces
 
 Flags
   --control=HOST:PORT,... control replicas; default LYCHEETRESTLE_CONTROL
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -88,10 +88,11 @@
                MembersPath[] = "/v1/schedule/members",
                EndpointsPath[] = "/v1/schedule/endpoints",
                ScheduledJobsPath[] = "/v1/schedule/jobs",
-               ScheduledWavesPath[] = "/v1/schedule/waves";
+               ScheduledWavesPath[] = "/v1/schedule/waves",
+               WorkspacesPath[] = "/v1/schedule/workspaces";
 
 using enum argument;
-constexpr std::array<command_entry, 25> Commands = {{
+constexpr std::array<command_entry, 26> Commands = {{
     {"validate", {File, None}, 1, true, &validateCommand},
     {"plan", {File, None}, 1, false, &planCommand},
     {"submit", {File, None}, 1, false, &submitCommand},
@@ -117,6 +118,7 @@
     {"schedule endpoints", {None, None}, 0, false, &readPath<EndpointsPath>},
     {"schedule jobs", {None, None}, 0, false, &readPath<ScheduledJobsPath>},
     {"schedule waves", {None, None}, 0, false, &readPath<ScheduledWavesPath>},
+    {"schedule workspaces", {None, None}, 0, false, &readPath<WorkspacesPath>},
 }};
 
 const command_entry *findCommand(const std::vector<std::string> &Words) {
--- a/scheduling/leader_queues.cpp
+++ b/scheduling/leader_queues.cpp
@@ -1,5 +1,6 @@
 #include "core/event_log.h"
 #include "scheduling/leader.h"
+#include "scheduling/workspace_load.h"
 
 #include <algorithm>
 #include <vector>
@@ -34,6 +35,7 @@
   if (Now < NextQueueLog)
     return;
   NextQueueLog = Now + QueueLogInterval;
+  logWorkspaceLoads(State, Metrics);
   Waiting.update(WallMs);
   auto Loads = QueueLoad.take(Waiting, WallMs);
   using item = decltype(Loads)::value_type;
--- a/scheduling/schedule_views.cpp
+++ b/scheduling/schedule_views.cpp
@@ -1,7 +1,10 @@
 #include "scheduling/schedule_views.h"
 
+#include "scheduling/workspace_load.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -150,17 +153,38 @@
   return {{"waves", std::move(Rows)}};
 }
 
+json workspacesView(const schedule_node &Node) {
+  auto Rows = json::array();
+  auto Loads = workspaceLoads(Node.state());
+  Loads.resize(std::min(Loads.size(), MaxViewRows));
+  for (const auto &Load : Loads)
+    Rows.push_back({{"name", Load.Name},
+                    {"queued_tasks", Load.QueuedTasks},
+                    {"held_by_limit", Load.HeldTasks},
+                    {"over_rate", Load.OverRateTasks},
+                    {"running_millicores", Load.Use.MilliCores},
+                    {"running_mb", Load.Use.MemoryMb},
+                    {"running_accelerators", Load.Use.Accelerators},
+                    {"limit_millicores", Load.Limit.MilliCores},
+                    {"limit_mb", Load.Limit.MemoryMb},
+                    {"limit_accelerators", Load.Limit.Accelerators},
+                    {"used_share", Load.UsedShare},
+                    {"weight_share", Load.WeightShare}});
+  return {{"workspaces", std::move(Rows)}};
+}
+
 } // namespace
 
 std::optional<std::string> viewOf(const schedule_node &Node,
                                   std::string_view Path) {
   using view = json (*)(const schedule_node &);
-  static constexpr std::array<std::pair<std::string_view, view>, 5> Views{
+  static constexpr std::array<std::pair<std::string_view, view>, 6> Views{
       {{"/v1/schedule", statusView},
        {"/v1/schedule/members", membersView},
        {"/v1/schedule/endpoints", endpointsView},
        {"/v1/schedule/jobs", jobsView},
-       {"/v1/schedule/waves", wavesView}}};
+       {"/v1/schedule/waves", wavesView},
+       {"/v1/schedule/workspaces", workspacesView}}};
   for (const auto &[Name, View] : Views)
     if (Path == Name)
       return View(Node).dump(-1, ' ', false, json::error_handler_t::replace);
--- a/scheduling/schedule_views.h
+++ b/scheduling/schedule_views.h
@@ -15,7 +15,7 @@
 /// Renders the state of a scheduler for the operators' tool. On a follower it
 /// is the state up to its applied index.
 /// \param Path `/v1/schedule`, or one of its lists: `members`, `endpoints`,
-/// `jobs`, `waves`.
+/// `jobs`, `waves`, `workspaces`.
 /// \returns the document as JSON, or nothing for any other path.
 std::optional<std::string> viewOf(const schedule_node &Node,
                                   std::string_view Path);
--- a/tests/scheduling/test_schedule_views.cpp
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -147,6 +147,47 @@
   }
 }
 
+// Guards against an operator who cannot tell a workspace at its limit from one
+// that waits for capacity.
+TEST_CASE("workspaces: the view shows use, limit, share and what is held") {
+  single_scheduler Scheduler;
+  auto Configuration = makeConfiguration(7);
+  Configuration.RequiresKeys = true;
+  for (std::string Name : {"idle", "limited", "other"}) {
+    workspaces::workspace_spec Spec;
+    Spec.Name = Name;
+    Spec.Keys = {workspaces::digestOf(Name)};
+    Spec.Weight = Name == "limited" ? 30 : 10;
+    Spec.Limit.MilliCores = Name == "limited" ? 2500 : 0;
+    Configuration.Workspaces.push_back(Spec);
+  }
+  Scheduler.call(configure_call{Configuration});
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = makeEndpoint("e1");
+  Heartbeat.ClockMs = 1;
+  Scheduler.call(heartbeat_call{Heartbeat});
+  Scheduler.wait();
+  for (std::string Name : {"limited", "other"}) {
+    submit_call Submit{Host, Prefix + Name, makeJob(Name, {makeStep(4)})};
+    Submit.KeyDigest = workspaces::digestOf(Name);
+    Scheduler.call(Submit);
+  }
+  Scheduler.wait();
+  auto Rows = Scheduler.view("/v1/schedule/workspaces")["workspaces"];
+  REQUIRE(Rows.size() == 2);
+  CHECK(Rows[0]["name"] == "other");
+  CHECK(Rows[0]["running_millicores"] == 4000);
+  CHECK(Rows[0]["limit_millicores"] == 0);
+  CHECK(Rows[0]["queued_tasks"] == 0);
+  CHECK(Rows[0]["weight_share"] == 0.25);
+  CHECK(Rows[1]["name"] == "limited");
+  CHECK(Rows[1]["running_millicores"] == 2000);
+  CHECK(Rows[1]["limit_millicores"] == 2500);
+  CHECK(Rows[1]["queued_tasks"] == 2);
+  CHECK(Rows[1]["held_by_limit"] == 2);
+  CHECK(Rows[1]["over_rate"] == 0);
+}
+
 TEST_CASE("other paths give no view") {
   single_scheduler Scheduler;
   CHECK(!viewOf(Scheduler.Node, "/v1/schedule/"));
