Begin the last hosts of a wave in time and say what they wait for

Waves missed their deadline by some hosts. Three causes were found by reading and shown by a play of the planner alone: hosts that share the budget of a long-running step were the last to be cordoned, although the budget lets them begin only one after another; hosts that only moved to another pool took slots of the wave, and may move shortly before the deadline; and cordoned hosts whose budget was used up held up others.

Budgets are asked as before. wave_waits (one line a second) and `schedule waves` name what each waiting host waits for.

Not measured with a whole deployment.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -64,6 +64,8 @@
   std::map<std::string, core::time_point> UnplaceableAt;
   core::time_point NextPlan{};
   core::time_point NextWavePlan{};
+  std::map<std::uint64_t, wave_delay> WaveDelays; ///< By wave; newest plans.
+  core::time_point NextWaveLog{};
   std::map<std::string, demand_smoother> Smoothers; ///< By pool.
   core::time_point NextMovePlan{};
   /// Hosts whose last move did not begin.
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -38,6 +38,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -126,6 +127,10 @@
   /// that wait for a run, and what each of them waits for.
   std::vector<unserved_task>
   unservedTasks(core::time_point Now, std::int64_t WallMs, bool IsBatchOpen);
+  /// \returns why hosts of running waves wait, by wave.
+  const std::map<std::uint64_t, wave_delay> &waveDelays() const {
+    return Hosts.WaveDelays;
+  }
   /// Called after unservedTasks().
   /// \param WallMs wall time.
   /// \returns what keeps the work of pools from being started in which a task
@@ -451,6 +456,18 @@
   void finishHostList(bool IsWhole);
   /// Ends incarnations that the platform no longer lists on their host.
   void endReplacedIncarnations();
+  /// Hosts of a wave that have not begun and have tasks of one step.
+  struct step_hosts {
+    std::uint32_t Hosts = 0;
+    std::uint32_t LastEndpoint = 0; ///< Counted last.
+    std::uint32_t Number = 0;       ///< Of the step, among those of the wave.
+  };
+  /// By the first task of the step.
+  using budget_rounds = std::unordered_map<task_key, step_hosts, task_key_hash>;
+  budget_rounds budgetRounds(const wave_record &Wave) const;
+  /// Logs, at most once a second, why the hosts of the wave that is nearest to
+  /// its deadline wait.
+  void logWaveDelay(core::time_point Now);
   std::vector<maintenance_host> maintenanceHosts(const wave_record &Wave,
                                                  core::time_point Now) const;
   const tracked_endpoint *trackedOnHost(const std::string &Host) const;
@@ -649,6 +666,9 @@
   void dropMovesThatDidNotBegin(core::time_point Now);
   /// Keeps the host from being chosen for a move for a while.
   void delayNextMove(const std::string &Host, core::time_point Now);
+  /// \returns the hosts that must not move, because their wave is due.
+  std::unordered_set<std::string_view>
+  hostsThatStayUp(std::int64_t WallMs) const;
   void planHostMoves(core::time_point Now, std::int64_t WallMs);
   void logPools(std::span<const pool_view> Pools,
                 std::span<const rebalance_host> View, core::time_point Now);
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -23,6 +23,10 @@
 // millisecond.
 constexpr core::duration PlanInterval = milliseconds(50);
 constexpr core::duration WavePlanInterval = milliseconds(100);
+// One line a second shows why the hosts of a wave wait; its names are enough to
+// follow the last hosts of a wave.
+constexpr core::duration WaveLogInterval = std::chrono::seconds(1);
+constexpr std::size_t MaxLoggedHosts = 10;
 // Minimum time between the starts of two lists, even when operations require a
 // new list earlier.
 constexpr core::duration MinListInterval = milliseconds(400);
@@ -83,23 +87,55 @@
   return Found == TrackedEndpoints.end() ? nullptr : &Found->second;
 }
 
+leader::budget_rounds leader::budgetRounds(const wave_record &Wave) const {
+  budget_rounds Rounds;
+  name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
+  for (const auto &Name : Wave.Hosts) {
+    auto Operation = Hosts.Operations.find(Name);
+    bool IsOrdered =
+        Operation != Hosts.Operations.end() && Operation->second.Wave;
+    const auto *Tracked =
+        Begun.count(Name) > 0 || IsOrdered ? nullptr : trackedOnHost(Name);
+    if (!Tracked)
+      continue;
+    for (const auto &[Key, Run] : Tracked->Runs)
+      if (findBudgetedStep(Key)) {
+        auto [Found, IsNew] =
+            Rounds.try_emplace({Key.Job, Key.Occurrence, Key.Step, 0});
+        auto &Step = Found->second;
+        if (IsNew)
+          Step.Number = static_cast<std::uint32_t>(Rounds.size());
+        Step.Hosts += std::exchange(Step.LastEndpoint, Tracked->Endpoint) !=
+                      Tracked->Endpoint;
+      }
+  }
+  return Rounds;
+}
+
 std::vector<maintenance_host>
 leader::maintenanceHosts(const wave_record &Wave, core::time_point Now) const {
   std::vector<maintenance_host> View;
   name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
   step_availabilities Known;
+  auto Rounds = budgetRounds(Wave);
   for (const auto &Name : Wave.Hosts) {
     const auto *Row = Hosts.find(Name);
     auto Operation = Hosts.Operations.find(Name);
     maintenance_host Host;
     Host.Name = Name;
-    Host.IsInMaintenance = Operation != Hosts.Operations.end() ||
+    bool HasOperation = Operation != Hosts.Operations.end();
+    // A host that moves to another pool takes no slot of the wave.
+    Host.IsMoving = (HasOperation && !Operation->second.Wave) ||
+                    (Row && Row->State == host_state::Moving);
+    Host.IsInMaintenance = (HasOperation && Operation->second.Wave) ||
                            (Row && Row->State == host_state::Maintenance);
+    Host.HasBegun =
+        Begun.count(Name) > 0 || (HasOperation && Operation->second.HasBegun);
     if (Begun.count(Name) > 0 && !Host.IsInMaintenance)
       continue;
     // A list may omit an existing host for a while; only the answer to a
     // maintenance order shows that the host does not exist.
-    Host.IsUp = !Row || Row->State == host_state::Up;
+    Host.IsUp = !Host.IsMoving && (!Row || Row->State == host_state::Up);
     if (Row)
       Host.Pool = Row->Pool;
     const auto *Pool = Row ? State.findPool(Row->Pool) : nullptr;
@@ -120,6 +156,16 @@
           ++Host.LongRuns;
         else
           ++Host.ShortRuns;
+        auto Found = Rounds.find({Key.Job, Key.Occurrence, Key.Step, 0});
+        if (Found == Rounds.end() || !findBudgetedStep(Key))
+          continue;
+        auto Budget = std::max(1u, Step->MaxUnavailable);
+        auto Needed = (Found->second.Hosts + Budget - 1) / Budget;
+        if (Needed <= Host.BudgetRounds)
+          continue;
+        Host.BudgetRounds = Needed;
+        Host.BudgetGroup = Found->second.Number;
+        Host.HostsPerRound = Budget;
       }
       Host.MayInterrupt = mayInterrupt(*Tracked, Known, Now);
     }
@@ -154,6 +200,7 @@
   if (Hosts.ListedAt < StartedAt || Now < Hosts.NextWavePlan)
     return;
   Hosts.NextWavePlan = Now + WavePlanInterval;
+  std::map<std::uint64_t, wave_delay> Delays;
   for (const auto &[Number, Wave] : State.waves()) {
     if (Wave.isComplete())
       continue;
@@ -169,6 +216,9 @@
     auto View = maintenanceHosts(Wave, Now);
     auto Plan = planMaintenance(Wave, View, WallMs - Wave.StartedMs,
                                 Settings.MaintenanceMs);
+    auto &Delay = Delays[Number];
+    Delay.LeftMs = Wave.StartedMs + Wave.DeadlineMs - WallMs;
+    Delay.Waiting = std::move(Plan.Waiting);
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
     for (const auto &Name : Plan.Order) {
@@ -189,6 +239,30 @@
                       {"list_age_ms", toMs(Now - Hosts.ListedAt)}});
     }
   }
+  Hosts.WaveDelays = std::move(Delays);
+  logWaveDelay(Now);
+}
+
+void leader::logWaveDelay(core::time_point Now) {
+  auto Nearest =
+      std::min_element(Hosts.WaveDelays.begin(), Hosts.WaveDelays.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second.LeftMs < Right.second.LeftMs;
+                       });
+  if (Nearest == Hosts.WaveDelays.end() || Nearest->second.Waiting.empty() ||
+      Now < Hosts.NextWaveLog)
+    return;
+  Hosts.NextWaveLog = Now + WaveLogInterval;
+  const auto &[Number, Delay] = *Nearest;
+  const auto &Wave = State.waves().at(Number);
+  core::logEvent(core::log_level::Info, "wave_waits",
+                 {{"wave", Number},
+                  {"hosts", Wave.Hosts.size()},
+                  {"begun", Wave.Begun.size()},
+                  {"at_once", Wave.MaxCount},
+                  {"left_ms", Delay.LeftMs},
+                  {"waits_for", Delay.counts()},
+                  {"first", Delay.names(MaxLoggedHosts)}});
 }
 
 bool leader::fitsElsewhere(const task_key &Task, std::uint32_t Endpoint,
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -160,6 +160,20 @@
   IsPlacementDue = true;
 }
 
+std::unordered_set<std::string_view>
+leader::hostsThatStayUp(std::int64_t WallMs) const {
+  std::unordered_set<std::string_view> Names;
+  for (const auto &[Number, Wave] : State.waves()) {
+    if (Wave.isComplete() ||
+        !mustStayUp(Wave, WallMs - Wave.StartedMs, Settings.MoveMs))
+      continue;
+    Names.insert(Wave.Hosts.begin(), Wave.Hosts.end());
+    for (const auto &Name : Wave.Begun)
+      Names.erase(Name);
+  }
+  return Names;
+}
+
 void leader::planHostMoves(core::time_point Now, std::int64_t WallMs) {
   if (!Settings.HasPlatform || Hosts.ListedAt < StartedAt ||
       Now < Hosts.NextMovePlan)
@@ -167,6 +181,7 @@
   Hosts.NextMovePlan = Now + MoveInterval;
   dropMovesThatDidNotBegin(Now);
   auto Required = requiredCores(Now, WallMs);
+  auto StayingUp = hostsThatStayUp(WallMs);
   std::vector<rebalance_host> View;
   std::size_t PendingMoves = 0;
   for (const auto &[Name, Row] : Hosts.Hosts) {
@@ -192,8 +207,9 @@
     else
       Hosts.IdleSince.erase(Name);
     auto Backoff = Hosts.MoveBackoffs.find(Name);
-    Host.MayMove = IsIdle && (Backoff == Hosts.MoveBackoffs.end() ||
-                              Now >= Backoff->second.Until);
+    Host.MayMove =
+        IsIdle && StayingUp.count(Name) == 0 &&
+        (Backoff == Hosts.MoveBackoffs.end() || Now >= Backoff->second.Until);
     Host.AcceptsWork |=
         Row.State == host_state::Up && !IsReserved && Pool && !Pool->IsStandby;
     View.push_back(std::move(Host));
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -109,6 +109,10 @@
   /// Called after unservedTasks().
   /// \returns what holds the pools whose work waits for long, at a leader.
   std::vector<pool_blockage> blockedPools(core::time_point Now);
+  /// \returns why hosts of running waves wait, by wave, or null for a follower.
+  const std::map<std::uint64_t, wave_delay> *waveDelays() const {
+    return Leader ? &Leader->waveDelays() : nullptr;
+  }
   /// \returns the IP address of the leader, or an empty string.
   std::string leaderAddress() const;
 
--- a/scheduling/schedule_views.cpp
+++ b/scheduling/schedule_views.cpp
@@ -11,6 +11,9 @@
 
 using json = nlohmann::ordered_json;
 
+// Hosts of a wave that are named with what they wait for.
+constexpr std::size_t MaxWaitingHosts = 50;
+
 const char *roleName(replication::raft_role Role) {
   switch (Role) {
   case replication::raft_role::Learner:
@@ -139,14 +142,22 @@
 
 json wavesView(const schedule_node &Node) {
   auto Rows = json::array();
-  for (const auto &[Number, Wave] : Node.state().waves())
+  const auto *Delays = Node.waveDelays();
+  for (const auto &[Number, Wave] : Node.state().waves()) {
+    wave_delay Delay;
+    if (Delays && Delays->count(Number) > 0)
+      Delay = Delays->at(Number);
     Rows.push_back({{"number", Number},
                     {"state", Wave.isComplete() ? "complete" : "running"},
                     {"hosts", Wave.Hosts.size()},
                     {"ordered", Wave.Ordered.size()},
                     {"begun", Wave.Begun.size()},
                     {"at_once", Wave.MaxCount},
-                    {"started_ms", Wave.StartedMs}});
+                    {"started_ms", Wave.StartedMs},
+                    {"deadline_ms", Wave.StartedMs + Wave.DeadlineMs},
+                    {"waits_for", Delay.counts()},
+                    {"waiting", Delay.names(MaxWaitingHosts)}});
+  }
   return {{"waves", std::move(Rows)}};
 }
 
--- a/tests/scheduling/test_schedule_views.cpp
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -108,6 +108,11 @@
   auto Wave = Scheduler.view("/v1/schedule/waves")["waves"][0];
   CHECK(Wave["hosts"] == 2);
   CHECK(Wave["state"] == "running");
+  CHECK(Wave["deadline_ms"].get<std::int64_t>() ==
+        Wave["started_ms"].get<std::int64_t>() + 1000);
+  // Hosts wait for a plan, which needs a list of the platform.
+  CHECK(Wave["waits_for"] == "");
+  CHECK(Wave["waiting"] == "");
 }
 
 TEST_CASE("the view of jobs shows the crashes and the pause of suspect tasks") {
