Keep untrusted clients within the memory and descriptors of a process

Cause: RESTinio bounds one request but not all together, and keeps 48 bytes for each chunk of a body; a gateway and a scheduler accepted any number of connections; a body over the limit closed the connection without a response.

Change: one budget of bytes and connections for the HTTP servers of a process (http/connection_budget), from the new settings `limits`. A connection reserves what its request takes before it reads on; without room it is not read, and is closed after a bounded time. The parser callbacks keep no record of chunks, end a request whose body exceeds the limit so that it gets 413, and limit the head to 16,384 bytes. Stalled requests and the quietest connections are closed when there are too many. The body of a request to a gateway is limited to the documented 262,144 bytes (1 MiB before), deadlines to 55 s.

--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -13,6 +13,7 @@
 
 #include <strings.h>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <utility>
@@ -28,7 +29,11 @@
 constexpr core::duration MetricsInterval = std::chrono::milliseconds(1000);
 // An election takes 0.6 to 1.2 s.
 constexpr core::duration LeaderlessThreshold = std::chrono::milliseconds(1000);
-constexpr std::size_t MaxBodyBytes = 1u << 20;
+// The HTTP server closes a connection whose request has waited for 60 s. Before
+// that, each request gets a response and no longer holds its body.
+constexpr core::duration MaxDeadline = std::chrono::seconds(55);
+// A largest body takes 10 s at a tenth of a gateway's 2 Mbit/s.
+constexpr core::duration RequestTimeout = std::chrono::seconds(30);
 // Elements of a ring between two threads.
 constexpr std::size_t RingCapacity = 8192;
 
@@ -77,7 +82,7 @@
   }
 
 private:
-  http::server_settings serverSettings() const {
+  http::server_settings serverSettings() {
     http::server_settings Result;
     Result.Listen = {Settings.Listen, Settings.Readiness};
     if (Settings.Metrics.Port != 0)
@@ -86,6 +91,10 @@
     if (!Dialect.KeyHeader.empty())
       Result.RetainedHeaders.push_back(Dialect.KeyHeader);
     Result.MaxBodyBytes = MaxBodyBytes;
+    Result.Limits = Settings.Limits;
+    Result.ReservedPorts = {Settings.Readiness.Port, Settings.Metrics.Port};
+    Result.RequestTimeout = RequestTimeout;
+    Result.Metrics = &Metrics;
     return Result;
   }
 
@@ -185,7 +194,10 @@
         std::from_chars(Text.data(), Text.data() + Text.size(), Count);
     if (Parsed.ec != std::errc() || Count <= 0)
       return forwarder_settings().DefaultDeadline;
-    return std::chrono::milliseconds(Count);
+    return std::chrono::milliseconds(std::min<std::int64_t>(
+        Count,
+        std::chrono::duration_cast<std::chrono::milliseconds>(MaxDeadline)
+            .count()));
   }
 
   workspaces::key_digest keyDigestOf(const http::request &Request) const {
--- a/gateway/gateway_settings.cpp
+++ b/gateway/gateway_settings.cpp
@@ -27,6 +27,7 @@
       Reader.readInteger("scheduler_link_port", 1, 65'535));
   Settings.Seeds = core::readSeeds(Reader);
   Settings.Log = core::readLog(Reader);
+  Settings.Limits = http::readLimits(Reader, Settings.Limits);
   auto ReadMs = [&](std::string_view Name, core::duration Default) {
     return std::chrono::milliseconds(Reader.readInteger(
         Name, 0, MaxStopMs,
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/common_settings.h"
 #include "core/failure.h"
+#include "http/limit_settings.h"
 
 #include <cstdint>
 #include <string>
@@ -12,6 +13,11 @@
 
 namespace lycheetrestle::gateway {
 
+/// Documented limit of the body of a request, in bytes.
+inline constexpr std::size_t MaxBodyBytes = 262'144;
+/// Memory of the machines that run gateways, in MiB.
+inline constexpr std::size_t DefaultMemoryMb = 160;
+
 /// Settings of a process with the role `gateway`.
 struct gateway_settings {
   std::string Name;
@@ -23,6 +29,8 @@
   std::uint16_t SchedulerLinkPort = 0; ///< The same at every scheduler.
   std::vector<std::string> Seeds;      ///< IP addresses of schedulers.
   core::log_settings Log;
+  /// Limits of the process, of which its HTTP connections use a part.
+  http::process_limits Limits{DefaultMemoryMb, http::DefaultDescriptors};
   /// How long the gateway keeps serving after a stop request: the load balancer
   /// stops sending connections after two failed checks, a second apart.
   core::duration StopLinger = std::chrono::milliseconds(2500);
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log.h"
 #include "core/thread_times.h"
+#include "http/bounded_parser.h"
 #include "http/connection_drain.h"
 #include "http/tracked_socket.h"
 
@@ -24,6 +25,7 @@
 struct server_traits : public restinio::default_single_thread_traits_t {
   using request_handler_t = handler;
   using stream_socket_t = tracked_socket;
+  using http_methods_mapper_t = bounded_http_methods;
 };
 
 constexpr std::size_t ResponseRingSize = 8192;
@@ -35,6 +37,16 @@
 constexpr auto IdleTimeout = std::chrono::seconds(120);
 constexpr auto RequestTimeout = std::chrono::seconds(60);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
+// Of the descriptors, one of so many is for connections that wait for their
+// peer to close them.
+constexpr std::size_t ClosingParts = 8;
+// Linux grows the buffers of a connection to several MB, and doubles this value
+// for its own records.
+constexpr int KernelBufferBytes = 32'768;
+// Responses up to this size are always sent: they fit into the allowance of a
+// connection.
+constexpr std::size_t SmallResponseBytes = 16'384;
+
 std::string toText(restinio::string_view_t View) {
   return std::string(View.data(), View.size());
 }
@@ -58,7 +70,14 @@
                  core::bounded_ring<server_request> &Requests)
       : Settings(std::move(NewSettings)), Local(std::move(NewLocal)),
         Requests(Requests), Responses(ResponseRingSize, ResponseSignal),
-        Work(asio::make_work_guard(Context)), Drain(Context) {
+        Work(asio::make_work_guard(Context)), Drain(Context),
+        Registry(asio::use_service<connection_registry>(
+            static_cast<asio::execution_context &>(Context))) {
+    if (Settings.Limits) {
+      auto Limits = connectionLimits();
+      ResponseRoom = Limits.Budget.SharedBytes;
+      Registry.limit(Context, std::move(Limits));
+    }
     ResponseSignal.setForward([this] {
       if (!IsSendPosted.exchange(true))
         asio::post(Context, [this] { sendResponses(); });
@@ -130,6 +149,17 @@
 private:
   using server_type = restinio::http_server_t<server_traits>;
 
+  connection_limits connectionLimits() const {
+    connection_limits Result;
+    Result.MaxRequestBytes = MaxHeadBytes + Settings.MaxBodyBytes;
+    Result.Budget = limitsFor(*Settings.Limits, Result.MaxRequestBytes);
+    Result.Closing = Settings.Limits->Descriptors / ClosingParts;
+    Result.RequestTimeout = Settings.RequestTimeout;
+    Result.ReservedPorts = Settings.ReservedPorts;
+    Result.Metrics = Settings.Metrics;
+    return Result;
+  }
+
   void open(const core::socket_address &Address,
             std::promise<std::string> &Opened) {
     auto Limits = restinio::incoming_http_msg_limits_t()
@@ -145,6 +175,17 @@
               .request_handler(
                   [this](auto Request) { return accept(std::move(Request)); })
               .incoming_http_msg_limits(Limits)
+              .acceptor_options_setter(
+                  [HasLimits = Settings.Limits.has_value()](auto &Options) {
+                    Options.set_option(asio::socket_base::reuse_address(true));
+                    if (!HasLimits)
+                      return;
+                    // Accepted sockets inherit them.
+                    Options.set_option(asio::socket_base::receive_buffer_size(
+                        KernelBufferBytes));
+                    Options.set_option(
+                        asio::socket_base::send_buffer_size(KernelBufferBytes));
+                  })
               .read_next_http_message_timelimit(IdleTimeout)
               .handle_request_timeout(RequestTimeout)
               .write_http_response_timelimit(WriteTimeout);
@@ -173,6 +214,11 @@
 
   restinio::request_handling_status_t
   accept(restinio::request_handle_t Handle) {
+    if (isTooLarge(*Handle)) {
+      Registry.countRefusal("body_size");
+      respond(Handle, {413, {}, ""}, true);
+      return restinio::request_accepted();
+    }
     request Request = read(*Handle);
     if (Local)
       if (auto Response = Local(Request)) {
@@ -229,17 +275,35 @@
     PendingCount = 0;
   }
 
+  /// \param MustClose whether the response ends its connection.
   void respond(const restinio::request_handle_t &Handle,
-               const response &Response) const {
+               const response &Response, bool MustClose = false) {
+    // Clients that read nothing could otherwise fill the memory with copies of
+    // a large document. A read changes nothing, so that it can be refused now.
+    bool IsLarge = Response.Body.size() > SmallResponseBytes;
+    if (IsLarge && Settings.Limits &&
+        Handle->header().method() == restinio::http_method_get() &&
+        LargeResponseBytes + Response.Body.size() > ResponseRoom) {
+      Registry.countRefusal("response_room");
+      return respond(Handle, Refusal, true);
+    }
     auto Message = Handle->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(Response.Status),
         reasonPhrase(Response.Status)));
     for (const auto &Header : Response.Headers)
       Message.append_header(Header.Name, Header.Value);
-    if (CloseConnections)
+    if (CloseConnections || MustClose)
       Message.connection_close();
     Message.set_body(Response.Body);
-    Message.done();
+    if (!IsLarge)
+      return void(Message.done());
+    // Destroyed after the write, or with a response that is not written.
+    std::shared_ptr<void> Held(static_cast<void *>(nullptr),
+                               [this, Size = Response.Body.size()](void *) {
+                                 LargeResponseBytes -= Size;
+                               });
+    LargeResponseBytes += Response.Body.size();
+    Message.done([Held](const asio::error_code &) {});
   }
 
   /// The request has not run.
@@ -249,9 +313,14 @@
   core::bounded_ring<server_request> &Requests;
   core::ring_signal ResponseSignal;
   core::bounded_ring<server_response> Responses;
+  /// Largest sum of large responses that are not yet written, and that sum, to
+  /// which responses in Context refer.
+  std::size_t ResponseRoom = 0;
+  std::size_t LargeResponseBytes = 0;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   connection_drain Drain;
+  connection_registry &Registry;
   std::vector<std::unique_ptr<server_type>> Servers;
   std::map<std::uint64_t, restinio::request_handle_t> Pending;
   std::atomic<std::size_t> PendingCount = 0;
--- a/http/server.h
+++ b/http/server.h
@@ -2,7 +2,10 @@
 #define LYCHEETRESTLE_HTTP_SERVER_H
 
 #include "core/bounded_ring.h"
+#include "core/clock.h"
 #include "core/common_settings.h"
+#include "core/metrics.h"
+#include "http/connection_budget.h"
 #include "http/messages.h"
 
 #include <cstddef>
@@ -36,6 +39,14 @@
   /// Maximum number of requests without a response. Further ones get 503, as do
   /// requests that do not fit into the ring.
   std::size_t MaxPending = 4096;
+  /// Limits of all connections together; none if absent.
+  std::optional<process_limits> Limits = std::nullopt;
+  /// Ports in Listen that are not for clients that nobody controls.
+  std::vector<std::uint16_t> ReservedPorts = {};
+  /// Longest time in which a request must arrive completely, with Limits.
+  core::duration RequestTimeout = std::chrono::seconds(60);
+  /// For the connections, with Limits. May be null; must outlive the server.
+  core::metrics_registry *Metrics = nullptr;
 };
 
 /// Answers a request on the server's thread, or returns std::nullopt to pass it
@@ -44,7 +55,8 @@
     std::function<std::optional<response>(const request &Request)>;
 
 /// HTTP/1.1 server on its own thread, for one or more addresses. It pushes the
-/// requests into a ring and sends the responses that deliver() queues.
+/// requests into a ring and sends the responses that deliver() queues. A body
+/// over the limit gets 413 without being read, and its connection is closed.
 class server {
 public:
   /// \param Settings addresses and limits.
--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -1,8 +1,11 @@
 #include "http/tracked_socket.h"
 
+#include "core/event_log.h"
+
+#include <algorithm>
 #include <array>
 #include <chrono>
-#include <vector>
+#include <string>
 
 namespace lycheetrestle::http {
 
@@ -11,8 +14,19 @@
 // Bounds the wait for a peer that does not close its connection.
 constexpr auto PeerCloseTimeout = std::chrono::seconds(1);
 // Further connections are closed at once, so that peers that never close theirs
-// cannot use up the file descriptors.
+// cannot use up the file descriptors. Used where no limits are set.
 constexpr std::size_t MaxClosing = 256;
+constexpr auto CheckInterval = std::chrono::milliseconds(250);
+// Longest wait of a connection for room in the budget.
+constexpr auto RoomTimeout = std::chrono::seconds(2);
+// A request of which nothing arrives for this time is given up. Clients must
+// send a head within 3 s.
+constexpr auto StallTimeout = std::chrono::seconds(5);
+// The same while other connections wait for room.
+constexpr auto CrowdedStallTimeout = std::chrono::seconds(1);
+// One of so many waiting connections is closed in a check.
+constexpr std::size_t WaitingParts = 8;
+constexpr auto LogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -59,25 +73,224 @@
   std::array<char, 4096> Discarded{};
 };
 
-void connection_registry::closeIdle() {
-  for (auto Position = Open.begin(); Position != Open.end();) {
-    auto &Socket = **Position;
-    asio::error_code Error;
-    // Bytes that have arrived are read first.
-    if (!Socket.isIdle() || Socket.available(Error) > 0) {
-      ++Position;
+void connection_registry::limit(asio::io_context &Context,
+                                connection_limits NewLimits) {
+  Budget.emplace(NewLimits.Budget);
+  Limits = std::move(NewLimits);
+  Timer.emplace(Context);
+  checkPeriodically();
+}
+
+void connection_registry::shutdown() {
+  Timer.reset();
+  Closing.clear();
+}
+
+bool connection_registry::open(tracked_socket &Socket) {
+  if (!Open.insert(&Socket).second || !Limits)
+    return true;
+  asio::error_code Error;
+  auto Peer = Socket.remote_endpoint(Error);
+  if (!Error)
+    Socket.Account.Address = Peer.address().to_string();
+  auto Own = Socket.local_endpoint(Error);
+  const auto &Reserved = Limits->ReservedPorts;
+  if (!Error &&
+      std::find(Reserved.begin(), Reserved.end(), Own.port()) != Reserved.end())
+    Socket.Account.Class = listener_class::Reserved;
+  Socket.ActiveAt = core::boot_clock::now();
+  Budget->open(Socket.Account);
+  if (!Budget->isFull(Socket.Account.Class))
+    return true;
+  if (auto *Other = leastActive(Socket)) {
+    evict(*Other, "connections");
+    return true;
+  }
+  countRefusal("connections");
+  return false;
+}
+
+void connection_registry::remove(tracked_socket &Socket) {
+  if (Open.erase(&Socket) == 0)
+    return;
+  if (Budget)
+    Budget->close(Socket.Account);
+  std::erase(Waiting, &Socket);
+  // The function may own the socket.
+  if (Socket.Resume)
+    asio::post(Socket.get_executor(),
+               [Resume = std::exchange(Socket.Resume, {})] {});
+  resumeWaiting();
+}
+
+bool connection_registry::reserve(tracked_socket &Socket,
+                                  std::size_t MoreBytes) {
+  if (!Budget || !Socket.Account.IsOpen)
+    return true;
+  return Budget->reserve(Socket.Account,
+                         memoryFor(std::min(Socket.RequestBytes + MoreBytes,
+                                            Limits->MaxRequestBytes)));
+}
+
+void connection_registry::release(tracked_socket &Socket) {
+  if (!Budget || !Socket.Account.IsOpen)
+    return;
+  Socket.ActiveAt = core::boot_clock::now();
+  Socket.RequestBytes = 0;
+  if (Socket.Account.SharedBytes == 0)
+    return;
+  Budget->release(Socket.Account);
+  resumeWaiting();
+}
+
+void connection_registry::wait(tracked_socket &Socket, std::size_t MoreBytes) {
+  Socket.WaitsSince = core::boot_clock::now();
+  Socket.WantedBytes = MoreBytes;
+  Waiting.push_back(&Socket);
+}
+
+void connection_registry::resumeWaiting() {
+  if (Waiting.empty() || IsResumePosted || !Timer)
+    return;
+  IsResumePosted = true;
+  asio::post(Timer->get_executor(), [this] {
+    IsResumePosted = false;
+    std::vector<std::function<void(asio::error_code)>> Ready;
+    std::erase_if(Waiting, [&](tracked_socket *Socket) {
+      if (!reserve(*Socket, Socket->WantedBytes))
+        return false;
+      Ready.push_back(std::exchange(Socket->Resume, {}));
+      return true;
+    });
+    for (auto &Resume : Ready)
+      Resume({});
+  });
+}
+
+void connection_registry::checkPeriodically() {
+  Timer->expires_after(CheckInterval);
+  Timer->async_wait([this](asio::error_code Error) {
+    if (Error)
+      return;
+    checkAll();
+    checkPeriodically();
+  });
+}
+
+void connection_registry::checkAll() {
+  auto Now = core::boot_clock::now();
+  std::vector<tracked_socket *> Stalled;
+  for (auto *Socket : Open)
+    if (Socket->IsReading && Socket->HasRequestBytes &&
+        ((!Socket->Resume && Now - Socket->ActiveAt >= StallTimeout) ||
+         Now - Socket->RequestSince >= Limits->RequestTimeout))
+      Stalled.push_back(Socket);
+  for (auto *Socket : Stalled)
+    evict(*Socket, "request_time");
+  evictStalled(Now);
+  // Only a part, so that the others can use the room that this makes.
+  auto Count = (Waiting.size() + WaitingParts - 1) / WaitingParts;
+  for (; Count != 0 && Now - Waiting.front()->WaitsSince >= RoomTimeout;
+       --Count)
+    evict(*Waiting.front(), "no_room");
+  publish();
+}
+
+void connection_registry::evictStalled(core::time_point Now) {
+  if (Waiting.empty())
+    return;
+  std::vector<tracked_socket *> Stalled;
+  for (auto *Socket : Open)
+    if (Socket->IsReading && Socket->Account.SharedBytes > 0 &&
+        !Socket->Resume && Now - Socket->ActiveAt >= CrowdedStallTimeout)
+      Stalled.push_back(Socket);
+  std::sort(Stalled.begin(), Stalled.end(), [](auto *Left, auto *Right) {
+    return Left->ActiveAt < Right->ActiveAt;
+  });
+  if (Stalled.size() > Waiting.size())
+    Stalled.resize(Waiting.size());
+  for (auto *Socket : Stalled)
+    evict(*Socket, "stalled");
+}
+
+tracked_socket *
+connection_registry::leastActive(const tracked_socket &Except) const {
+  tracked_socket *Best = nullptr;
+  std::size_t Most = 0;
+  for (auto *Socket : Open) {
+    // A request that was passed on keeps its connection, so that its response
+    // can be sent.
+    bool IsPending = !Socket->IsReading && Socket->HasRequestBytes;
+    if (Socket == &Except || IsPending ||
+        Socket->Account.Class != Except.Account.Class)
       continue;
-    }
-    Socket.base::close(Error);
-    Position = Open.erase(Position);
+    auto Count = Budget->connectionsFrom(Socket->Account.Address);
+    if (Best &&
+        (Count < Most || (Count == Most && Socket->ActiveAt >= Best->ActiveAt)))
+      continue;
+    Best = Socket;
+    Most = Count;
   }
+  return Best;
 }
 
-void connection_registry::closeAll() {
+void connection_registry::evict(tracked_socket &Socket,
+                                std::string_view Reason) {
+  countRefusal(Reason);
   asio::error_code Ignored;
+  Socket.base::close(Ignored);
+  remove(Socket);
+}
+
+void connection_registry::countRefusal(std::string_view Reason) {
+  if (Limits && Limits->Metrics)
+    Limits->Metrics->add("http_refusals_total{reason=\"" + std::string(Reason) +
+                         "\"}");
+  auto &Count = Refusals[std::string(Reason)];
+  ++Count.Unlogged;
+  auto Now = core::boot_clock::now();
+  if (Count.LoggedAt != core::time_point() &&
+      Now - Count.LoggedAt < LogInterval)
+    return;
+  Count.LoggedAt = Now;
+  core::logEvent(core::log_level::Warning, "client_refused",
+                 {{"reason", Reason},
+                  {"count", std::exchange(Count.Unlogged, 0)},
+                  {"connections", count()},
+                  {"held_bytes", Budget ? Budget->sharedBytes() : 0},
+                  {"waiting", Waiting.size()}});
+}
+
+void connection_registry::publish() {
+  if (!Limits->Metrics)
+    return;
+  Limits->Metrics->set("http_connections", static_cast<double>(count()));
+  Limits->Metrics->set("http_held_bytes",
+                       static_cast<double>(Budget->sharedBytes()));
+  Limits->Metrics->set("http_waiting_connections",
+                       static_cast<double>(Waiting.size()));
+}
+
+void connection_registry::closeIdle() {
+  std::vector<tracked_socket *> Idle;
+  asio::error_code Error;
+  // Bytes that have arrived are read first.
   for (auto *Socket : Open)
-    Socket->base::close(Ignored);
-  Open.clear();
+    if (Socket->isIdle() && Socket->available(Error) == 0)
+      Idle.push_back(Socket);
+  for (auto *Socket : Idle) {
+    Socket->base::close(Error);
+    remove(*Socket);
+  }
+}
+
+void connection_registry::closeAll() {
+  asio::error_code Ignored;
+  while (!Open.empty()) {
+    auto &Socket = **Open.begin();
+    Socket.base::close(Ignored);
+    remove(Socket);
+  }
   // close() removes the connection from Closing.
   std::vector<std::shared_ptr<closing_connection>> All(Closing.begin(),
                                                        Closing.end());
@@ -97,10 +310,19 @@
   base::shutdown(mustCloseAfterPeer() ? shutdown_send : Direction, Error);
 }
 
+void tracked_socket::countRead(std::size_t Length) {
+  ActiveAt = core::boot_clock::now();
+  if (!HasRequestBytes)
+    RequestSince = ActiveAt;
+  HasRequestBytes = true;
+  RequestBytes += Length;
+}
+
 void tracked_socket::close() {
-  Registry.Open.erase(this);
+  Registry.remove(*this);
+  auto ClosingLimit = Registry.Limits ? Registry.Limits->Closing : MaxClosing;
   if (is_open() && mustCloseAfterPeer() &&
-      Registry.Closing.size() < MaxClosing) {
+      Registry.Closing.size() < ClosingLimit) {
     // Operations that are pending would keep the socket from moving.
     asio::error_code Ignored;
     cancel(Ignored);
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -1,21 +1,47 @@
 #ifndef LYCHEETRESTLE_HTTP_TRACKED_SOCKET_H
 #define LYCHEETRESTLE_HTTP_TRACKED_SOCKET_H
 
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "http/connection_budget.h"
+
 #include <asio.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace lycheetrestle::http {
 
 class tracked_socket;
 class closing_connection;
 
+/// Limits of the connections on one io_context.
+struct connection_limits {
+  budget_limits Budget;
+  /// Largest request with its head; what a client sends beyond it is not kept.
+  std::size_t MaxRequestBytes = 0;
+  /// Connections that wait for their peer to close after the last response.
+  std::size_t Closing = 0;
+  /// Longest time in which a request must arrive completely.
+  core::duration RequestTimeout{};
+  /// Ports of the listeners of the class Reserved.
+  std::vector<std::uint16_t> ReservedPorts;
+  core::metrics_registry *Metrics = nullptr; ///< Optional.
+};
+
 /// The open connections of the servers on one io_context. RESTinio has no
-/// access to them, which a stop needs. Used only on the thread of the context.
+/// access to them, which a stop needs. With limits, a connection that would
+/// exceed the budget is not read until there is room, and is closed if there is
+/// none in time. Used only on the thread of the context.
 class connection_registry : public asio::execution_context::service {
 public:
   using key_type = connection_registry; // NOLINT: name required by Asio.
@@ -23,6 +49,9 @@
   explicit connection_registry(asio::execution_context &Context)
       : service(Context) {}
 
+  /// Sets the limits. Without this call there are none.
+  /// \param Context the context of the registry.
+  void limit(asio::io_context &Context, connection_limits NewLimits);
   /// Closes each connection that waits for a request of which no byte has
   /// arrived.
   void closeIdle();
@@ -31,17 +60,51 @@
   /// \returns the number of open connections, including those that wait for
   /// their peer to close.
   std::size_t count() const { return Open.size() + Closing.size(); }
+  /// Counts and logs a refusal; of each reason one line a second.
+  void countRefusal(std::string_view Reason);
 
 private:
   friend class tracked_socket;
   friend class closing_connection;
 
-  void shutdown() override { Closing.clear(); }
+  /// Refusals that were counted but not logged.
+  struct refusal_count {
+    std::uint64_t Unlogged = 0;
+    core::time_point LoggedAt{};
+  };
+
+  void shutdown() override;
   /// Keeps a connection whose response was sent until its peer closes it.
   void closeAfterPeer(asio::ip::tcp::socket &&Socket);
 
+  /// Counts a connection, and closes another one if there are too many.
+  /// \returns false if none of the others can be closed.
+  bool open(tracked_socket &Socket);
+  void remove(tracked_socket &Socket);
+  /// \returns whether a connection may read more bytes.
+  bool reserve(tracked_socket &Socket, std::size_t MoreBytes);
+  void release(tracked_socket &Socket);
+  void wait(tracked_socket &Socket, std::size_t MoreBytes);
+  void resumeWaiting();
+  void checkPeriodically();
+  void checkAll();
+  /// Closes connections that hold reserved bytes and send nothing, one for each
+  /// connection that waits for room.
+  void evictStalled(core::time_point Now);
+  /// \returns the connection that has been quiet longest among those from the
+  /// address with the most connections, or null.
+  tracked_socket *leastActive(const tracked_socket &Except) const;
+  void evict(tracked_socket &Socket, std::string_view Reason);
+  void publish();
+
   std::unordered_set<tracked_socket *> Open;
   std::unordered_set<std::shared_ptr<closing_connection>> Closing;
+  std::optional<connection_limits> Limits;
+  std::optional<connection_budget> Budget;
+  std::optional<asio::steady_timer> Timer;
+  std::deque<tracked_socket *> Waiting;
+  bool IsResumePosted = false;
+  std::map<std::string, refusal_count, std::less<>> Refusals; ///< By reason.
 };
 
 /// The socket of an HTTP connection, for use by RESTinio, whose calls select
@@ -51,7 +114,7 @@
 /// connection that is closed with unread bytes, which destroys the part of the
 /// response that was not yet received. It reads from the kernel only when the
 /// bytes are passed on at once, so that a close never drops a request that was
-/// read.
+/// read, and only when the budget of the registry has room for them.
 class tracked_socket : public asio::ip::tcp::socket {
 public:
   using base = asio::ip::tcp::socket;
@@ -62,30 +125,27 @@
   /// Sockets are moved only before their first read.
   tracked_socket(tracked_socket &&) = default;
   tracked_socket &operator=(tracked_socket &&) = delete;
-  ~tracked_socket() { Registry.Open.erase(this); }
+  ~tracked_socket() { Registry.remove(*this); }
 
   /// Reads what has arrived. At most one read may be pending.
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers &Target, Handler &&OnRead) { // NOLINT
-    Registry.Open.insert(this);
     IsReading = true;
     auto Executor = asio::get_associated_executor(OnRead, get_executor());
+    if (!Registry.open(*this)) {
+      asio::post(asio::bind_executor(
+          Executor, [OnRead = std::forward<Handler>(OnRead)]() mutable {
+            OnRead(asio::error::no_descriptors, 0);
+          }));
+      return;
+    }
     base::async_wait(
         wait_read,
         asio::bind_executor(
             Executor, [this, Target, OnRead = std::forward<Handler>(OnRead)](
                           asio::error_code Error) mutable {
               // The handler keeps the connection, and so this socket, alive.
-              IsReading = false;
-              std::size_t Length = 0;
-              if (!Error)
-                Length = readAvailable(Target, Error);
-              if (Error == asio::error::would_block)
-                return async_read_some(Target, std::move(OnRead));
-              if (Length > 0)
-                HasRequestBytes = true;
-              HasPeerEnded = Error == asio::error::eof;
-              OnRead(Error, Length);
+              readWhenReserved(Target, std::move(OnRead), Error);
             }));
   }
 
@@ -94,6 +154,7 @@
   void async_write_some(const Buffers &Source, Handler &&OnWritten) { // NOLINT
     HasRequestBytes = false;
     HasResponded = true;
+    Registry.release(*this);
     base::async_write_some(Source, std::forward<Handler>(OnWritten));
   }
 
@@ -106,6 +167,29 @@
 private:
   friend class connection_registry;
 
+  template <typename Buffers, typename Handler>
+  void readWhenReserved(const Buffers &Target, Handler OnRead,
+                        asio::error_code Error) {
+    if (!Error && !Registry.reserve(*this, asio::buffer_size(Target))) {
+      // The registry closes the connection if there is no room in time.
+      Resume = [this, Target, OnRead](asio::error_code NewError) {
+        readWhenReserved(Target, OnRead, NewError);
+      };
+      Registry.wait(*this, asio::buffer_size(Target));
+      return;
+    }
+    IsReading = false;
+    std::size_t Length = 0;
+    if (!Error)
+      Length = readAvailable(Target, Error);
+    if (Error == asio::error::would_block)
+      return async_read_some(Target, std::move(OnRead));
+    if (Length > 0)
+      countRead(Length);
+    HasPeerEnded = Error == asio::error::eof;
+    OnRead(Error, Length);
+  }
+
   template <typename Buffers>
   std::size_t readAvailable(const Buffers &Target, asio::error_code &Error) {
     if (!is_open()) {
@@ -117,12 +201,21 @@
     return Error ? 0 : base::read_some(Target, Error);
   }
 
+  void countRead(std::size_t Length);
   bool isIdle() const { return IsReading && !HasRequestBytes; }
   bool mustCloseAfterPeer() const {
     return HasResponded && !HasRequestBytes && !HasPeerEnded;
   }
 
   connection_registry &Registry;
+  connection_account Account;
+  /// Continues a read that waits for room, or ends it with an error.
+  std::function<void(asio::error_code)> Resume;
+  core::time_point WaitsSince{};
+  std::size_t WantedBytes = 0;     ///< Which the read that waits may return.
+  core::time_point ActiveAt{};     ///< Last read or response.
+  core::time_point RequestSince{}; ///< First byte of the request.
+  std::size_t RequestBytes = 0;    ///< Read since the last response began.
   bool IsReading = false;
   /// Bytes of a request were read since the last response began.
   bool HasRequestBytes = false;
--- a/scheduling/observer_process.cpp
+++ b/scheduling/observer_process.cpp
@@ -28,7 +28,6 @@
 // Gateways only learn the addresses of schedulers from it.
 constexpr core::duration StatusInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t RingCapacity = 4096;
-constexpr std::size_t MaxBodyBytes = 4u << 20;
 // Callers retry after this time; an election is over by then.
 constexpr const char *RetryAfterS = "1";
 
@@ -69,12 +68,15 @@
   }
 
 private:
-  http::server_settings serverSettings() const {
+  http::server_settings serverSettings() {
     http::server_settings Result;
     Result.Listen = {Settings.Listen};
     if (Settings.Metrics.Port != 0)
       Result.Listen.push_back(Settings.Metrics);
     Result.MaxBodyBytes = MaxBodyBytes;
+    Result.Limits = Settings.Limits;
+    Result.ReservedPorts = {Settings.Metrics.Port};
+    Result.Metrics = &Metrics;
     return Result;
   }
 
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -65,7 +65,6 @@
 // Incarnation of the initial voters in data folders of earlier versions. All
 // others choose a larger random number.
 constexpr std::uint64_t FirstIncarnation = 1;
-constexpr std::size_t MaxBodyBytes = 4u << 20;
 // Elements of the rings between the threads.
 constexpr std::size_t LinkRingCapacity = 16'384;
 constexpr std::size_t RequestRingCapacity = 8192;
@@ -175,12 +174,15 @@
   };
   using loop_timer = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
 
-  http::server_settings serverSettings() const {
+  http::server_settings serverSettings() {
     http::server_settings Result;
     Result.Listen = {Settings.Listen};
     if (Settings.Metrics.Port != 0)
       Result.Listen.push_back(Settings.Metrics);
     Result.MaxBodyBytes = MaxBodyBytes;
+    Result.Limits = Settings.Limits;
+    Result.ReservedPorts = {Settings.Metrics.Port};
+    Result.Metrics = &Metrics;
     return Result;
   }
 
--- a/scheduling/scheduler_settings.cpp
+++ b/scheduling/scheduler_settings.cpp
@@ -75,6 +75,7 @@
   Settings.Leader.HasPlatform = Settings.PlatformAddress.has_value();
   Settings.Leader.HasAdviser = Settings.AdviserAddress.has_value();
   Settings.Log = core::readLog(Reader);
+  Settings.Limits = http::readLimits(Reader, Settings.Limits);
   core::readNested(Reader, "sending", [&](object_reader &Nested) {
     Settings.OwnEndpoints = static_cast<std::size_t>(
         Nested.readInteger("own_endpoints", 0, 100'000,
--- a/scheduling/scheduler_settings.h
+++ b/scheduling/scheduler_settings.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/common_settings.h"
 #include "core/failure.h"
+#include "http/limit_settings.h"
 #include "scheduling/leader.h"
 
 #include <algorithm>
@@ -15,6 +16,11 @@
 
 namespace lycheetrestle::scheduling {
 
+/// Largest body of a request to a scheduler, in bytes: a configuration.
+inline constexpr std::size_t MaxBodyBytes = std::size_t(4) << 20u;
+/// Memory of the machines that run schedulers, in MiB.
+inline constexpr std::size_t DefaultMemoryMb = 384;
+
 /// Settings of a process with the role `scheduler`.
 struct scheduler_settings {
   std::string Name;    ///< For logs, and as the lease holder at the platform.
@@ -36,6 +42,8 @@
   std::optional<core::network_address> PlatformAddress;
   std::optional<core::network_address> AdviserAddress;
   core::log_settings Log;
+  /// Limits of the process, of which its HTTP connections use a part.
+  http::process_limits Limits{DefaultMemoryMb, http::DefaultDescriptors};
   leader_settings Leader;
   /// Number of endpoints up to which the leader calls all of them itself; with
   /// more, all calls are delegated. The leader can send about 600 orders a
--- a/tests/gateway/test_gateway_settings.cpp
+++ b/tests/gateway/test_gateway_settings.cpp
@@ -31,6 +31,8 @@
   REQUIRE(Outcome.index() == 0);
   CHECK(std::get<0>(Outcome).Readiness.Port == 81);
   CHECK(std::get<0>(Outcome).SchedulerLinkPort == 7000);
+  CHECK(std::get<0>(Outcome).Limits.MemoryMb == 160);
+  CHECK(std::get<0>(Outcome).Limits.Descriptors == 1024);
 }
 
 TEST_CASE("an invalid gateway setting is rejected and its field is named") {
@@ -38,4 +40,10 @@
   CHECK(failingField(replaced("7001", "70010")) == "link_port");
   CHECK(failingField(replaced("\"link_port\": 7001,", "")) == "link_port");
   CHECK(failingField(replaced("\"name\"", "\"nmae\"")) == "name");
+  CHECK(failingField(replaced("\"link_port\"",
+                              "\"limits\": {\"memory_mb\": 1}, "
+                              "\"link_port\"")) == "limits.memory_mb");
+  CHECK(failingField(replaced("\"link_port\"",
+                              "\"limits\": {\"descriptors\": 8}, "
+                              "\"link_port\"")) == "limits.descriptors");
 }
