--- a/scheduling/leader_admission.cpp
+++ b/scheduling/leader_admission.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 bool leader::hasAdmissionControl() const {
-  return Settings.RefusesOverload || State.currentConfiguration().RequiresKeys;
+  return Settings.RefusesOverload;
 }
 
 std::map<std::string, std::int64_t> leader::joiningMilliCores() const {
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -139,6 +139,13 @@
     if (Pool.Counts)
       ++Pool.Counts->Tried;
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
+    // Work above a rate would fill the room that a large task of others waits
+    // for: each place is taken by a smaller task as soon as it is free.
+    if (Pool.IsShort && Waiting.Rank.IsOverRate) {
+      if (Pool.Counts)
+        ++(*Pool.Counts)[placement_failure::Size];
+      return 0;
+    }
     if (!Spec.IsLongRunning && Waiting.Job->Suspects.empty())
       if (const auto *Missing = Pool.findMissing(Spec)) {
         if (Pool.Counts)
@@ -704,11 +711,14 @@
     leave(Round, Cursor, Missing->Reason, Report);
     return false;
   }
-  // Work above a rate would fill the room that a large task of others waits
-  // for: each place is taken by a smaller task as soon as it is free.
-  if (Cursor.Pool->IsShort && (*Cursor.Next)->Rank.IsOverRate) {
-    leave(Round, Cursor, placement_failure::Size, Report);
-    return false;
+  // place() starts none of them; a backlog is not visited for that.
+  if (Cursor.Pool->IsShort && (*Cursor.Next)->Rank.Group == OverRateGroup) {
+    waiting_index::indexed_step FirstExpired;
+    FirstExpired.Rank.Group = ExpiredGroup;
+    Cursor.Next = Cursor.Steps->lower_bound(&FirstExpired);
+    if (Cursor.Next == Cursor.Steps->end())
+      leave(Round, Cursor, placement_failure::Size, Report);
+    return Cursor.Next != Cursor.Steps->end();
   }
   if (!Round.mayStart(Cursor.Class->Workspace, Cursor.LeastSize)) {
     leave(Round, Cursor, placement_failure::WorkspaceLimit, Report);
