--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -141,7 +141,7 @@
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
     // Work above a rate would fill the room that a large task of others waits
     // for: each place is taken by a smaller task as soon as it is free.
-    if (Pool.IsShort && Waiting.Rank.IsOverRate) {
+    if (holdsOverRate(Pool) && Waiting.Rank.IsOverRate) {
       if (Pool.Counts)
         ++(*Pool.Counts)[placement_failure::Size];
       return 0;
@@ -189,6 +189,10 @@
   }
 
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
+  /// \returns whether steps above a rate wait because others find no room.
+  bool holdsOverRate(const pool_round &Pool) const {
+    return Request.LevelOf && Pool.IsShort;
+  }
   /// \returns whether the limit of the last placed step's workspace held a task
   /// of it back.
   bool isLimitReached() const { return IsLimitReached; }
@@ -711,8 +715,9 @@
     leave(Round, Cursor, Missing->Reason, Report);
     return false;
   }
-  // place() starts none of them; a backlog is not visited for that.
-  if (Cursor.Pool->IsShort && (*Cursor.Next)->Rank.Group == OverRateGroup) {
+  // place() starts none of these steps; a backlog is not visited for that.
+  if (Round.holdsOverRate(*Cursor.Pool) &&
+      (*Cursor.Next)->Rank.Group == OverRateGroup) {
     waiting_index::indexed_step FirstExpired;
     FirstExpired.Rank.Group = ExpiredGroup;
     Cursor.Next = Cursor.Steps->lower_bound(&FirstExpired);
