--- a/scheduling/leader_admission.cpp
+++ b/scheduling/leader_admission.cpp
@@ -30,9 +30,7 @@
 
 } // namespace
 
-bool leader::hasAdmissionControl() const {
-  return Settings.RefusesOverload;
-}
+bool leader::hasAdmissionControl() const { return Settings.RefusesOverload; }
 
 std::map<std::string, std::int64_t> leader::joiningMilliCores() const {
   std::map<std::string, std::int64_t> Joining;
