Format the tests of admission

Cause: one line of test_job_admission.cpp was not formatted after its name changed. Result: the format check is clean.

--- a/tests/scheduling/test_job_admission.cpp
+++ b/tests/scheduling/test_job_admission.cpp
@@ -138,8 +138,7 @@
         2);
 }
 
-TEST_CASE("without the setting no job is refused",
-          "[admission]") {
+TEST_CASE("without the setting no job is refused", "[admission]") {
   overloaded_scheduler Scheduler(false);
   CHECK(fill(Scheduler) == 100);
 }
