--- a/tests/process/site_run.py
+++ b/tests/process/site_run.py
@@ -4,8 +4,10 @@
 import http.client
 import json
 import pathlib
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 
@@ -16,10 +18,31 @@
 CONTROL_PORT, LINK_PORT, GATEWAY_PORT, READY_PORT, ENDPOINT_PORT = 7801, 7802, 7804, 7805, 7807
 HOST, PREFIX, SERVICE = 'q.example', '/jobs/', 'svc'
 
+# Loopback nets of tests; the soaks use 100 and above, by seed.
+NETS = range(64, 100)
+NET_LOCK_PORT = 7800
+net_locks = []
+
+
+def reserve_net():
+    """Returns a loopback net that no concurrent test uses. A bound socket, which is open
+    until this process ends, is the lock of the net."""
+    for net in random.sample(NETS, len(NETS)):
+        lock = socket.socket()
+        try:
+            lock.bind(('127.%d.0.254' % net, NET_LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        net_locks.append(lock)
+        return net
+    raise StepError('every loopback net is reserved')
+
 
 class SiteDeployment:
     """Starts the processes of one deployment and sends requests to them. Addresses are
-    127.NET.0.INDEX: concurrent tests use different nets and the same ports."""
+    127.NET.0.INDEX: concurrent tests use different nets and the same ports, see
+    reserve_net()."""
 
     def __init__(self, programs, folder, net, group):
         self.programs, self.net, self.group = pathlib.Path(programs), net, group
--- a/tests/process/test_full_disks.py
+++ b/tests/process/test_full_disks.py
@@ -20,9 +20,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import PipedProcess, ProcessGroup, StepError, wait_until  # noqa: E402
-from site_run import SiteDeployment  # noqa: E402
+from site_run import SiteDeployment, reserve_net  # noqa: E402
 
-NET = 82
 SEEDS = [1, 2, 3]
 JOINING = 4
 GATEWAY = 9
@@ -130,7 +129,7 @@
     programs, folder = sys.argv[1:]
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 300) as group:
-        deployment = SiteDeployment(programs, folder, NET, group)
+        deployment = SiteDeployment(programs, folder, reserve_net(), group)
         deployment.daemon_type = PipedProcess
         deployment.tolerated_losses = 2  # All four schedulers vote.
         test = FullDisks(deployment)
--- a/tests/process/test_gateway_stop.py
+++ b/tests/process/test_gateway_stop.py
@@ -27,9 +27,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
 from site_run import (GATEWAY_PORT, HOST, PREFIX, READY_PORT,  # noqa: E402
-                      SiteDeployment)
+                      SiteDeployment, reserve_net)
 
-NET = 87
 SCHEDULERS = [1, 2, 3]
 GATEWAYS = [11, 12, 13, 14]
 ENDPOINT = 20
@@ -271,7 +270,7 @@
     programs, folder = sys.argv[1:]
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 300) as group:
-        test = GatewayStopTest(SiteDeployment(programs, folder, NET, group))
+        test = GatewayStopTest(SiteDeployment(programs, folder, reserve_net(), group))
         try:
             test.run()
         except StepError as failure:
--- a/tests/process/test_large_configurations.py
+++ b/tests/process/test_large_configurations.py
@@ -16,9 +16,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
-from site_run import SiteDeployment  # noqa: E402
+from site_run import SiteDeployment, reserve_net  # noqa: E402
 
-NET = 87
 SEEDS = [1, 2, 3]
 GATEWAY = 9
 DISK_MB = 24
@@ -108,7 +107,7 @@
     options = dict(option.partition('=')[::2] for option in sys.argv[3:])
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 300) as group:
-        deployment = LargeDeployment(programs, folder, NET, group)
+        deployment = LargeDeployment(programs, folder, reserve_net(), group)
         if '--unlimited' in options:
             deployment.storage = {'snapshot_every_mb': 1_000_000}
         else:
--- a/tests/process/test_odd_messages.py
+++ b/tests/process/test_odd_messages.py
@@ -21,9 +21,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError  # noqa: E402
 from site_run import (CONTROL_PORT, GATEWAY_PORT, HOST, LINK_PORT, PREFIX,  # noqa: E402
-                      READY_PORT, SERVICE, SiteDeployment)
+                      READY_PORT, SERVICE, SiteDeployment, reserve_net)
 
-NET = 86
 SCHEDULERS, GATEWAY, ENDPOINT, RECORDER = [1, 2, 3], 8, 10, 4
 SENDERS = 4
 # Values of every type and at the bounds of the integer types.
@@ -179,7 +178,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     frames = []
     with ProcessGroup(folder, int(options.seconds) + 200) as group:
-        deployment = SiteDeployment(options.programs.absolute(), folder, NET, group)
+        deployment = SiteDeployment(options.programs.absolute(), folder, reserve_net(), group)
         record_frames((deployment.ip(RECORDER), LINK_PORT), frames)
         for index in SCHEDULERS:
             deployment.start_scheduler(index, SCHEDULERS + [RECORDER], True)
--- a/tests/process/test_revoked_keys.py
+++ b/tests/process/test_revoked_keys.py
@@ -16,9 +16,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
-from site_run import GATEWAY_PORT, HOST, PREFIX, ROOT, SiteDeployment  # noqa: E402
+from site_run import GATEWAY_PORT, HOST, PREFIX, ROOT, SiteDeployment, reserve_net  # noqa: E402
 
-NET = 93
 SCHEDULERS = [1, 2, 3]
 GATEWAYS = [8, 9]
 PUBLIC_PREFIX = '/public/'
@@ -263,7 +262,7 @@
     programs, folder = sys.argv[1:]
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 300) as group:
-        test = RevokedKeys(SiteDeployment(programs, folder, NET, group))
+        test = RevokedKeys(SiteDeployment(programs, folder, reserve_net(), group))
         try:
             test.run()
         except StepError as failure:
--- a/tests/process/test_scheduler_membership.py
+++ b/tests/process/test_scheduler_membership.py
@@ -14,9 +14,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
-from site_run import SiteDeployment  # noqa: E402
+from site_run import SiteDeployment, reserve_net  # noqa: E402
 
-NET = 81
 SEEDS = [1, 2, 3]
 GATEWAY = 9
 # Time without contact after which a new replica takes the place of a voter, with some
@@ -78,7 +77,7 @@
     programs, folder = sys.argv[1:]
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 200) as group:
-        deployment = SiteDeployment(programs, folder, NET, group)
+        deployment = SiteDeployment(programs, folder, reserve_net(), group)
         try:
             run(deployment)
         except StepError as failure:
--- a/tests/process/test_untrusted_clients.py
+++ b/tests/process/test_untrusted_clients.py
@@ -21,9 +21,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
 from site_run import (CONTROL_PORT, GATEWAY_PORT, HOST, PREFIX,  # noqa: E402
-                      READY_PORT, SiteDeployment)
+                      READY_PORT, SiteDeployment, reserve_net)
 
-NET = 89
 SCHEDULERS = [1, 2, 3]
 GATEWAY = 11
 # Limits of the processes, and the bounds that the test checks.
@@ -332,7 +331,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     with ProcessGroup(folder, 400) as group:
         test = UntrustedClientsTest(
-            LimitedDeployment(programs, folder, NET, group, has_limits))
+            LimitedDeployment(programs, folder, reserve_net(), group, has_limits))
         try:
             test.run(names)
         except StepError as failure:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,7 @@
 from fault_proxy import FaultProxy  # noqa: E402
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
 from run_check import RunCheck  # noqa: E402
-from site_run import ENDPOINT_PORT, SiteDeployment  # noqa: E402
+from site_run import ENDPOINT_PORT, SiteDeployment, reserve_net  # noqa: E402
 
 SCHEDULERS, GATEWAYS, ENDPOINTS = [1, 2, 3], [8, 9], [10, 11, 12, 13]
 CALLER_COUNT = 3
@@ -205,12 +205,13 @@
     parser.add_argument('folder', type=pathlib.Path)
     parser.add_argument('seeds', type=int, nargs='+')
     parser.add_argument('--seconds', type=float, default=12)
-    parser.add_argument('--net', type=int, default=91, help='loopback net 127.N')
+    parser.add_argument('--net', type=int, help='loopback net 127.N (default: a free one)')
     options = parser.parse_args()
     failed = False
     for seed in options.seeds:
         folder = options.folder.absolute() / ('seed-%d' % seed)
-        violations = run(options.programs.absolute(), folder, seed, options.seconds, options.net)
+        violations = run(options.programs.absolute(), folder, seed, options.seconds,
+                         options.net or reserve_net())
         for line in violations[:20]:
             print('VIOLATION seed %d: %s' % (seed, line), flush=True)
         failed = failed or bool(violations)
