--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -53,7 +53,7 @@
       : Settings(Settings), StopRequests(StopRequests),
         LinkMessages(LinkMessageCapacity, Signal),
         Requests(RequestCapacity, Signal), Hub(linkSettings(), linkHandlers()),
-        Frontend(Settings.Listen, Requests, Metrics) {
+        Frontend({Settings.Listen, Settings.Limits}, Requests, Metrics) {
     if (Platform)
       Worker.emplace(std::move(*Platform), Signal, Metrics);
   }
--- a/control/control_settings.cpp
+++ b/control/control_settings.cpp
@@ -191,6 +191,7 @@
   readEntries(Reader, Settings);
   readPlatform(Reader, Settings);
   Settings.Log = core::readLog(Reader);
+  Settings.Limits = http::readLimits(Reader, Settings.Limits);
   core::readNested(Reader, "timing", [&](object_reader &Nested) {
     readTiming(Nested, Settings.Timing);
   });
--- a/control/control_settings.h
+++ b/control/control_settings.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/common_settings.h"
 #include "core/failure.h"
+#include "http/limit_settings.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,9 @@
 /// Default of `snapshot.every_entries`.
 constexpr std::int64_t DefaultSnapshotEntries = 5000;
 
+/// Memory of the machines that run control replicas, in MiB.
+inline constexpr std::size_t DefaultMemoryMb = 384;
+
 using core::socket_address;
 
 /// One control replica as listed in the settings of all processes.
@@ -59,6 +63,8 @@
   timing_settings Timing;
   /// Number of applied entries after which the log is compacted.
   std::uint64_t SnapshotEveryEntries = DefaultSnapshotEntries;
+  /// Limits of the process, of which its HTTP connections use a part.
+  http::process_limits Limits{DefaultMemoryMb, http::DefaultDescriptors};
 };
 
 /// Parses and validates a settings file.
--- a/control/http_frontend.cpp
+++ b/control/http_frontend.cpp
@@ -5,6 +5,7 @@
 #include "declaration/declaration.h"
 #include "http/bounded_parser.h"
 #include "http/connection_drain.h"
+#include "http/response_room.h"
 #include "http/tracked_socket.h"
 
 #include <restinio/all.hpp>
@@ -21,11 +22,13 @@
 namespace {
 
 using router = restinio::router::express_router_t<>;
+using handler = std::function<restinio::request_handling_status_t(
+    restinio::request_handle_t)>;
 
 struct frontend_traits : public restinio::default_single_thread_traits_t {
-  using request_handler_t = router;
+  using request_handler_t = handler;
   using stream_socket_t = http::tracked_socket;
-  using http_methods_mapper_t = http::chunkless_http_methods;
+  using http_methods_mapper_t = http::bounded_http_methods;
 };
 
 // Limit of requests without an answer; each of them keeps its body in memory.
@@ -36,9 +39,7 @@
 constexpr std::size_t MaxFieldNameBytes = 256;
 constexpr std::size_t MaxFieldValueBytes = 8192;
 constexpr std::size_t MaxFields = 64;
-// RESTinio closes the connection without an answer when a body exceeds its
-// limit, so the limit is above the size that is answered with 413.
-constexpr std::size_t MaxBodyBytes = 2 * declaration::MaxDeclarationBytes;
+constexpr std::size_t MaxBodyBytes = declaration::MaxDeclarationBytes;
 constexpr auto ReadTimeout = std::chrono::seconds(60);
 constexpr auto HandleTimeout = std::chrono::seconds(30);
 constexpr auto WriteTimeout = std::chrono::seconds(30);
@@ -63,12 +64,19 @@
 
 class http_frontend::implementation {
 public:
-  implementation(socket_address NewListen,
+  implementation(http_frontend_settings NewSettings,
                  core::bounded_ring<control_request> &Requests,
                  core::metrics_registry &Metrics)
-      : Listen(std::move(NewListen)), Requests(Requests), Metrics(Metrics),
-        Answers(MaxPending, AnswerSignal), Work(asio::make_work_guard(Context)),
-        Drain(Context) {
+      : Listen(std::move(NewSettings.Listen)), Requests(Requests),
+        Metrics(Metrics), Answers(MaxPending, AnswerSignal),
+        Limits(http::limitConnections(NewSettings.Limits, MaxBodyBytes,
+                                      ReadTimeout)),
+        Room(Limits.Budget.SharedBytes), Work(asio::make_work_guard(Context)),
+        Drain(Context), Registry(asio::use_service<http::connection_registry>(
+                            static_cast<asio::execution_context &>(Context))),
+        Router(makeRouter()) {
+    Limits.Metrics = &Metrics;
+    Registry.limit(Context, Limits);
     AnswerSignal.setForward(
         [this] { asio::post(Context, [this] { sendAnswers(); }); });
   }
@@ -79,22 +87,27 @@
     std::promise<std::string> Opened;
     auto Result = Opened.get_future();
     try {
-      Server.emplace(restinio::external_io_context(Context),
-                     [&](auto &Settings) {
-                       Settings.address(Listen.Address)
-                           .port(Listen.Port)
-                           .request_handler(makeRouter())
-                           .incoming_http_msg_limits(
-                               restinio::incoming_http_msg_limits_t()
-                                   .max_url_size(MaxUrlBytes)
-                                   .max_field_name_size(MaxFieldNameBytes)
-                                   .max_field_value_size(MaxFieldValueBytes)
-                                   .max_field_count(MaxFields)
-                                   .max_body_size(MaxBodyBytes))
-                           .read_next_http_message_timelimit(ReadTimeout)
-                           .handle_request_timeout(HandleTimeout)
-                           .write_http_response_timelimit(WriteTimeout);
-                     });
+      Server.emplace(
+          restinio::external_io_context(Context), [&](auto &Settings) {
+            Settings.address(Listen.Address)
+                .port(Listen.Port)
+                .request_handler(
+                    [this](auto Request) { return handle(std::move(Request)); })
+                .acceptor_options_setter([](auto &Options) {
+                  Options.set_option(asio::socket_base::reuse_address(true));
+                  http::limitKernelBuffers(Options);
+                })
+                .incoming_http_msg_limits(
+                    restinio::incoming_http_msg_limits_t()
+                        .max_url_size(MaxUrlBytes)
+                        .max_field_name_size(MaxFieldNameBytes)
+                        .max_field_value_size(MaxFieldValueBytes)
+                        .max_field_count(MaxFields)
+                        .max_body_size(MaxBodyBytes))
+                .read_next_http_message_timelimit(ReadTimeout)
+                .handle_request_timeout(HandleTimeout)
+                .write_http_response_timelimit(WriteTimeout);
+          });
     } catch (const std::exception &Exception) {
       return Exception.what();
     }
@@ -133,27 +146,57 @@
   }
 
 private:
+  restinio::request_handling_status_t
+  handle(restinio::request_handle_t Request) {
+    if (!http::isTooLarge(*Request))
+      return (*Router)(std::move(Request));
+    Registry.countRefusal("body_size");
+    respond(
+        Request,
+        failureAnswer(
+            0, {core::error_code::TooLarge,
+                "must have at most " + std::to_string(MaxBodyBytes) + " bytes",
+                "body", Request->header().get_field_or("Content-Length", ""),
+                core::verdict::NotRun}),
+        "application/json", true);
+    return restinio::request_accepted();
+  }
+
+  /// \param MustClose whether the response ends its connection.
   void respond(const restinio::request_handle_t &Request,
-               const control_answer &Answer, const char *ContentType) const {
+               const control_answer &Answer, const char *ContentType,
+               bool MustClose = false) {
+    // A read changes nothing, so that it can be refused now.
+    if (Request->header().method() == restinio::http_method_get() &&
+        !Room.fits(Answer.Body.size())) {
+      Registry.countRefusal("response_room");
+      return respond(Request,
+                     failureAnswer(0, {core::error_code::Overloaded,
+                                       "too many large responses are not yet "
+                                       "received; try again",
+                                       "", "", core::verdict::NotRun}),
+                     "application/json", true);
+    }
     auto Response = Request->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(Answer.Status),
         Answer.Status == 200 ? "OK" : "Error"));
     Response.append_header(restinio::http_field::content_type, ContentType);
     if (!Answer.Leader.empty())
       Response.append_header("X-Leader", Answer.Leader);
-    if (IsStopping)
+    if (IsStopping || MustClose)
       Response.connection_close();
     Response.set_body(Answer.Body);
-    Response.done();
+    Response.done(
+        [Held = Room.hold(Answer.Body.size())](const asio::error_code &) {});
   }
 
   void respondJson(const restinio::request_handle_t &Request,
-                   const control_answer &Answer) const {
+                   const control_answer &Answer) {
     respond(Request, Answer, "application/json");
   }
 
   void respondFailure(const restinio::request_handle_t &Request,
-                      const core::failure &Failure) const {
+                      const core::failure &Failure) {
     respondJson(Request, failureAnswer(0, Failure));
   }
 
@@ -314,9 +357,13 @@
   core::metrics_registry &Metrics;
   core::ring_signal AnswerSignal;
   core::bounded_ring<control_answer> Answers;
+  http::connection_limits Limits;
+  http::response_room Room; ///< Responses in Context refer to it.
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   http::connection_drain Drain;
+  http::connection_registry &Registry;
+  std::unique_ptr<router> Router;
   std::optional<restinio::http_server_t<frontend_traits>> Server;
   std::map<std::uint64_t, restinio::request_handle_t> Pending;
   std::uint64_t LastId = 0;
@@ -325,10 +372,10 @@
   std::thread Thread;
 };
 
-http_frontend::http_frontend(socket_address Listen,
+http_frontend::http_frontend(http_frontend_settings Settings,
                              core::bounded_ring<control_request> &Requests,
                              core::metrics_registry &Metrics)
-    : Impl(std::make_unique<implementation>(std::move(Listen), Requests,
+    : Impl(std::make_unique<implementation>(std::move(Settings), Requests,
                                             Metrics)) {}
 
 http_frontend::~http_frontend() = default;
--- a/control/http_frontend.h
+++ b/control/http_frontend.h
@@ -11,14 +11,21 @@
 
 namespace lycheetrestle::control {
 
+/// Address and limits of the HTTP server.
+struct http_frontend_settings {
+  socket_address Listen;
+  http::process_limits Limits; ///< Of all connections together.
+};
+
 /// HTTP server of a control replica, on its own thread. It parses and validates
-/// requests, passes them to the control thread and sends the answers.
+/// requests, passes them to the control thread and sends the answers. A body
+/// over the limit gets 413 without being read, and its connection is closed.
 class http_frontend {
 public:
-  /// \param Listen the listen address.
+  /// \param Settings address and limits.
   /// \param Requests ring to the control thread; must outlive the frontend.
   /// \param Metrics served at `/metrics`; must outlive the frontend.
-  http_frontend(socket_address Listen,
+  http_frontend(http_frontend_settings Settings,
                 core::bounded_ring<control_request> &Requests,
                 core::metrics_registry &Metrics);
   /// Stops the server if it is running.
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -102,6 +102,7 @@
   Frontend.CorrelationTag = Settings.Name + "-" + toHex(Incarnation);
   Frontend.MaxBodyBytes = Settings.MaxBodyBytes;
   Frontend.MaxConnections = Settings.MaxCallerConnections;
+  Frontend.Limits = Settings.Limits;
   return Frontend;
 }
 
--- a/entry/entry_settings.cpp
+++ b/entry/entry_settings.cpp
@@ -103,6 +103,7 @@
     Read("body_bytes", 64 << 20, Settings.MaxBodyBytes);
     Read("response_bytes", 64 << 20, Settings.MaxResponseBytes);
     Read("caller_connections", 100000, Settings.MaxCallerConnections);
+    Settings.Limits = http::readLimitFields(Nested, Settings.Limits);
   });
   core::readNested(Reader, "timing", [&](auto &Nested) {
     auto Read = [&](std::string_view Name, std::int64_t Minimum,
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include "core/common_settings.h"
 #include "core/failure.h"
+#include "http/limit_settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +13,9 @@
 
 namespace lycheetrestle::entry {
 
+/// Room for the default of MaxCallerConnections, see http::limitsFor().
+inline constexpr http::process_limits DefaultProcessLimits{512, 4096};
+
 using core::socket_address;
 
 /// Name and link address of a process of the fleet manager.
@@ -36,6 +40,8 @@
   std::size_t MaxBodyBytes = 1u << 20;
   std::size_t MaxResponseBytes = 4u << 20;
   std::uint32_t MaxCallerConnections = 2000;
+  /// Limits of the process, of which its HTTP connections use a part.
+  http::process_limits Limits = DefaultProcessLimits;
 
   std::uint32_t FreshnessMs = 3000; ///< Maximum age of the configuration.
   std::uint32_t ProbeIntervalMs = 250;
--- a/entry/http_frontend.cpp
+++ b/entry/http_frontend.cpp
@@ -4,6 +4,8 @@
 #include "entry/request_reader.h"
 #include "entry/ring_sender.h"
 #include "http/bounded_parser.h"
+#include "http/response_room.h"
+#include "http/tracked_socket.h"
 
 #include <restinio/all.hpp>
 
@@ -25,9 +27,8 @@
 // RESTinio detects that a caller closed its connection during a request only
 // while it keeps reading, which it does only when pipelining is allowed.
 constexpr std::size_t MaxPipelined = 2;
-// Bodies above the limit, up to this factor times the limit, are refused with
-// 413. On larger ones RESTinio closes the connection without a response.
-constexpr std::size_t HardLimitFactor = 2;
+// Longest time in which a request must arrive completely.
+constexpr auto RequestTimeout = std::chrono::seconds(30);
 // Delay before disconnects that did not fit into the ring are pushed again.
 constexpr auto FlushRetryInterval = std::chrono::milliseconds(5);
 
@@ -51,8 +52,8 @@
     : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
                                               restinio::null_logger_t> {
   using connection_state_listener_t = close_listener;
-  using http_methods_mapper_t = http::chunkless_http_methods;
-  static constexpr bool use_connection_count_limiter = true; // NOLINT
+  using stream_socket_t = http::tracked_socket;
+  using http_methods_mapper_t = http::bounded_http_methods;
 };
 
 using server = restinio::http_server_t<frontend_traits>;
@@ -86,6 +87,7 @@
   View.Method = Header.method().c_str();
   View.Target = Header.request_target();
   View.Body = Request.body();
+  View.IsBodyTooLarge = http::isTooLarge(Request);
   View.FindHeader = [&Header](std::string_view Name) {
     header_values Values;
     Header.for_each_field([&](const auto &Field) {
@@ -108,7 +110,11 @@
   implementation(http_frontend_settings Settings, frontend_rings Rings,
                  core::metrics_registry &Metrics, std::function<bool()> IsReady)
       : Settings(std::move(Settings)), Rings(Rings), Metrics(Metrics),
-        IsReady(std::move(IsReady)), Disconnects(Rings.Events), RetryTimer(Io) {
+        IsReady(std::move(IsReady)), Disconnects(Rings.Events),
+        Limits(makeLimits()), Room(Limits.Budget.SharedBytes), RetryTimer(Io),
+        Registry(asio::use_service<http::connection_registry>(
+            static_cast<asio::execution_context &>(Io))) {
+    Registry.limit(Io, Limits);
   }
 
   ~implementation() { stop(); }
@@ -151,11 +157,25 @@
   struct pending_request {
     restinio::request_handle_t Request;
     std::uint64_t Connection = 0;
+    restinio::endpoint_t Client;
     std::string CorrelationId; ///< Empty for management requests.
     core::time_point Arrived;
     bool IsAnswered = false;
+    bool MustClose = false; ///< The response ends its connection.
   };
 
+  http::connection_limits makeLimits() {
+    auto Result = http::limitConnections(Settings.Limits, Settings.MaxBodyBytes,
+                                         RequestTimeout);
+    Result.Budget.Connections =
+        std::min(Result.Budget.Connections, Settings.MaxConnections);
+    // The listener has no class of its own for monitoring and endpoints.
+    Result.Budget.ReservedConnections = 0;
+    Result.ReadsAhead = true;
+    Result.Metrics = &Metrics;
+    return Result;
+  }
+
   restinio::server_settings_t<frontend_traits> makeSettings() {
     restinio::server_settings_t<frontend_traits> Server;
     Server.address(asio::ip::make_address(Settings.Listen.Address))
@@ -165,18 +185,17 @@
         .write_http_response_timelimit(Settings.WriteTimeout)
         .handle_request_timeout(Settings.HandleTimeout)
         .max_pipelined_requests(MaxPipelined)
-        .max_parallel_connections(Settings.MaxConnections)
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}
-                .max_url_size(MaxUrlBytes)
-                .max_field_name_size(MaxFieldBytes)
-                .max_field_value_size(MaxFieldBytes)
-                .max_field_count(MaxFields)
-                .max_body_size(Settings.MaxBodyBytes * HardLimitFactor))
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(MaxUrlBytes)
+                                      .max_field_name_size(MaxFieldBytes)
+                                      .max_field_value_size(MaxFieldBytes)
+                                      .max_field_count(MaxFields)
+                                      .max_body_size(Settings.MaxBodyBytes))
         .connection_state_listener(std::make_shared<close_listener>(
             [this](std::uint64_t Connection) { onClosed(Connection); }))
         .acceptor_options_setter([](auto &Options) {
           Options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+          http::limitKernelBuffers(Options);
         })
         .socket_options_setter([](auto &Options) {
           Options.set_option(asio::ip::tcp::no_delay(true));
@@ -208,10 +227,15 @@
     auto Id = ++LastId;
     auto View = makeView(*Request);
     auto Connection = Request->connection_id();
+    Registry.passOn(Request->remote_endpoint());
     ++Unfinished;
     IdsByConnection[Connection].push_back(Id);
-    Pending.emplace(
-        Id, pending_request{Request, Connection, {}, boot_clock::now(), false});
+    Pending.emplace(Id, pending_request{Request,
+                                        Connection,
+                                        Request->remote_endpoint(),
+                                        {},
+                                        boot_clock::now(),
+                                        false});
     if (View.Target.substr(0, ServicesPrefix.size()) == ServicesPrefix)
       onCallerRequest(Id, View);
     else
@@ -225,6 +249,7 @@
       return Settings.CorrelationTag + "-" + std::to_string(Id);
     });
     Pending.at(Id).CorrelationId = Outcome.Request.CorrelationId;
+    Pending.at(Id).MustClose = View.IsBodyTooLarge;
     if (!Outcome.Refusal.empty()) {
       routing::caller_response Response;
       Response.Id = Id;
@@ -246,6 +271,11 @@
 
   void onManagementRequest(std::uint64_t Id, const request_view &View) {
     auto Path = View.Target.substr(0, View.Target.find('?'));
+    if (View.IsBodyTooLarge) {
+      Pending.at(Id).MustClose = true;
+      return answer(Id, 413, "application/json",
+                    errorJson(bodyTooLarge(View, Settings.MaxBodyBytes)));
+    }
     if (Path == "/v1/announcements" && View.Method == "POST")
       return onAnnouncement(Id, View);
     bool IsRead = View.Method == "GET" || View.Method == "HEAD";
@@ -332,6 +362,9 @@
     auto Id = Found->first;
     Found->second.IsAnswered = true;
     auto Request = std::move(Found->second.Request);
+    // Requests that ran are answered in any case.
+    if (!Room.fits(Body.size()))
+      Registry.closeStalledWriters();
     auto Builder = Request->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(static_cast<std::uint16_t>(Status)),
         reasonPhrase(Status)));
@@ -339,10 +372,11 @@
       Builder.append_header(std::move(Name), std::move(Value));
     if (!ContentType.empty())
       Builder.append_header("Content-Type", std::string(ContentType));
-    if (IsClosing)
+    if (IsClosing || Found->second.MustClose)
       Builder.connection_close();
+    auto Held = Room.hold(Body.size());
     Builder.set_body(std::move(Body));
-    Builder.done([this, Id](const asio::error_code &) { finish(Id); });
+    Builder.done([this, Id, Held](const asio::error_code &) { finish(Id); });
   }
 
   // Called when the response was written or writing it failed.
@@ -350,6 +384,7 @@
     auto Found = Pending.find(Id);
     if (Found == Pending.end())
       return;
+    Registry.complete(Found->second.Client);
     auto Ids = IdsByConnection.find(Found->second.Connection);
     if (Ids != IdsByConnection.end()) {
       Ids->second.erase(std::remove(Ids->second.begin(), Ids->second.end(), Id),
@@ -395,8 +430,11 @@
   core::metrics_registry &Metrics;
   std::function<bool()> IsReady;
   ring_sender<frontend_event> Disconnects;
+  http::connection_limits Limits;
+  http::response_room Room; ///< Responses in Io refer to it.
   asio::io_context Io{1};
   asio::steady_timer RetryTimer;
+  http::connection_registry &Registry;
   std::unique_ptr<server> Server;
   std::thread Thread;
   pending_map Pending;
--- a/entry/http_frontend.h
+++ b/entry/http_frontend.h
@@ -18,7 +18,10 @@
   socket_address Listen;      ///< Port 0 selects a free port.
   std::string CorrelationTag; ///< Prefix of generated correlation ids.
   std::size_t MaxBodyBytes = 1u << 20;
+  /// A further connection closes one without a request that was passed on. May
+  /// be less because of Limits.
   std::size_t MaxConnections = 2000;
+  http::process_limits Limits = DefaultProcessLimits;
   /// Timeout for receiving a request, and for idle connections.
   core::duration ReadTimeout = std::chrono::seconds(15);
   /// Timeout for writing a response.
@@ -38,8 +41,9 @@
 /// HTTP server for callers, endpoints and monitoring, on its own thread.
 /// Requests for the router become one event each and are answered by one reply.
 /// When the ring of events is full, they are refused at once with 503 and
-/// verdict not-run. Invalid requests, `/healthz`, `/readyz` and `/metrics` are
-/// answered on the HTTP thread.
+/// verdict not-run. A body over the limit gets 413 without being read, and its
+/// connection is closed. Invalid requests, `/healthz`, `/readyz` and `/metrics`
+/// are answered on the HTTP thread.
 class http_frontend {
 public:
   /// \param Settings addresses and limits.
--- a/entry/request_reader.cpp
+++ b/entry/request_reader.cpp
@@ -127,16 +127,23 @@
     readDeadline(*Deadline, Outcome);
   if (auto Type = readHeader(View, Outcome, "Content-Type"))
     Request.ContentType = *Type;
-  if (View.Body.size() > MaxBodyBytes)
-    refuse(Outcome, 413, "too-large",
-           {core::error_code::TooLarge,
-            "must have at most " + std::to_string(MaxBodyBytes) + " bytes",
-            "body", std::to_string(View.Body.size()), core::verdict::NotRun});
+  if (View.IsBodyTooLarge || View.Body.size() > MaxBodyBytes)
+    refuse(Outcome, 413, "too-large", bodyTooLarge(View, MaxBodyBytes));
   if (Outcome.Refusal.empty())
     Request.Body = View.Body;
   return Outcome;
 }
 
+core::failure bodyTooLarge(const request_view &View, std::size_t MaxBodyBytes) {
+  // The size of a body without an announced length is not known.
+  auto Size = View.IsBodyTooLarge
+                  ? std::string(View.FindHeader("Content-Length").First)
+                  : std::to_string(View.Body.size());
+  return {core::error_code::TooLarge,
+          "must have at most " + std::to_string(MaxBodyBytes) + " bytes",
+          "body", std::move(Size), core::verdict::NotRun};
+}
+
 std::string errorJson(const core::failure &Failure) {
   nlohmann::json Body = {{"error", core::toString(Failure.Code)},
                          {"field", Failure.Field},
--- a/entry/request_reader.h
+++ b/entry/request_reader.h
@@ -24,6 +24,7 @@
   std::string_view Method;
   std::string_view Target; ///< Path and query.
   std::string_view Body;
+  bool IsBodyTooLarge = false; ///< The body was not read completely.
   /// Finds a header by its case-insensitive name.
   std::function<header_values(std::string_view)> FindHeader;
 };
@@ -46,6 +47,9 @@
 readCallerRequest(const request_view &View, std::size_t MaxBodyBytes,
                   const std::function<std::string()> &MakeCorrelationId);
 
+/// \returns the failure for a body of more than MaxBodyBytes.
+core::failure bodyTooLarge(const request_view &View, std::size_t MaxBodyBytes);
+
 /// \param Failure the failure to encode.
 /// \returns the JSON body of an error response.
 std::string errorJson(const core::failure &Failure);
--- a/http/bounded_parser.h
+++ b/http/bounded_parser.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEETRESTLE_HTTP_BOUNDED_PARSER_H
 #define LYCHEETRESTLE_HTTP_BOUNDED_PARSER_H
 
+#include "http/connection_budget.h"
+
 #include <restinio/all.hpp>
 
 #include <climits>
@@ -18,13 +20,6 @@
 /// - They limit the size of the head.
 struct bounded_http_methods : public restinio::default_http_methods_t {};
 
-/// Selects the parser callbacks of RESTinio without the record of each chunk,
-/// for servers that refuse large bodies themselves.
-struct chunkless_http_methods : public restinio::default_http_methods_t {};
-
-/// Documented limit of the head of a request; http_parser itself allows 80 KB.
-inline constexpr std::size_t MaxHeadBytes = 16'384;
-
 /// Marks a request whose body exceeds the limit. No client can send this name,
 /// because a field name must not contain a colon.
 inline constexpr const char *TooLargeField = ":too-large";
@@ -106,14 +101,6 @@
   return Settings;
 }
 
-template <>
-inline http_parser_settings
-create_parser_settings<lycheetrestle::http::chunkless_http_methods>() noexcept {
-  auto Settings = create_parser_settings<restinio::default_http_methods_t>();
-  Settings.on_chunk_header = lycheetrestle::http::detail::onChunkHeader;
-  return Settings;
-}
-
 } // namespace restinio::impl
 
 #endif
--- a/http/connection_budget.cpp
+++ b/http/connection_budget.cpp
@@ -1,6 +1,7 @@
 #include "http/connection_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheetrestle::http {
 
@@ -92,7 +93,7 @@
   if (Wanted <= Account.SharedBytes)
     return true;
   auto More = Wanted - Account.SharedBytes;
-  if (!hasRoom(Account, More))
+  if (!Account.IsCompleting && !hasRoom(Account, More))
     return false;
   SharedBytes += More;
   if (Account.Class == listener_class::Public)
@@ -102,14 +103,26 @@
   return true;
 }
 
-void connection_budget::release(connection_account &Account) {
-  if (Account.SharedBytes == 0)
+bool connection_budget::beginCompletion(connection_account &Account) {
+  if (HasCompletion)
+    return false;
+  HasCompletion = true;
+  Account.IsCompleting = true;
+  return true;
+}
+
+void connection_budget::reduce(connection_account &Account, std::size_t Bytes) {
+  if (std::exchange(Account.IsCompleting, false))
+    HasCompletion = false;
+  auto Kept = Bytes > Limits.AllowanceBytes ? Bytes - Limits.AllowanceBytes : 0;
+  if (Account.SharedBytes <= Kept)
     return;
-  SharedBytes -= Account.SharedBytes;
+  auto Less = Account.SharedBytes - Kept;
+  SharedBytes -= Less;
   if (Account.Class == listener_class::Public)
-    PublicBytes -= Account.SharedBytes;
-  ByAddress.at(Account.Address).SharedBytes -= Account.SharedBytes;
-  Account.SharedBytes = 0;
+    PublicBytes -= Less;
+  ByAddress.at(Account.Address).SharedBytes -= Less;
+  Account.SharedBytes = Kept;
 }
 
 std::size_t
--- a/http/connection_budget.h
+++ b/http/connection_budget.h
@@ -8,6 +8,9 @@
 
 namespace lycheetrestle::http {
 
+/// Documented limit of the head of a request; http_parser itself allows 80 KB.
+inline constexpr std::size_t MaxHeadBytes = 16'384;
+
 /// Resources of the machine that a process may use.
 struct process_limits {
   std::size_t MemoryMb = 0; ///< In MiB.
@@ -51,6 +54,7 @@
   listener_class Class = listener_class::Public;
   std::string Address; ///< IP address of the peer.
   bool IsOpen = false;
+  bool IsCompleting = false; ///< See connection_budget::beginCompletion().
   std::size_t SharedBytes = 0;
 };
 
@@ -73,8 +77,14 @@
   /// \param Bytes all bytes that it is going to hold.
   /// \returns false, with nothing changed, if there is no room.
   bool reserve(connection_account &Account, std::size_t Bytes);
+  /// Lets one connection reserve beyond the limits until it releases bytes, so
+  /// that requests which together hold all room end one after the other.
+  /// \returns false if another connection does so.
+  bool beginCompletion(connection_account &Account);
   /// Releases the bytes that a connection has reserved.
-  void release(connection_account &Account);
+  void release(connection_account &Account) { reduce(Account, 0); }
+  /// Releases what a connection has reserved beyond the given bytes.
+  void reduce(connection_account &Account, std::size_t Bytes);
 
   /// \returns the bytes that are reserved beyond the allowances.
   std::size_t sharedBytes() const { return SharedBytes; }
@@ -95,6 +105,7 @@
   std::size_t PublicConnections = 0;
   std::size_t SharedBytes = 0;
   std::size_t PublicBytes = 0;
+  bool HasCompletion = false; ///< An account is completing.
   std::map<std::string, usage> ByAddress;
 };
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -4,6 +4,7 @@
 #include "core/thread_times.h"
 #include "http/bounded_parser.h"
 #include "http/connection_drain.h"
+#include "http/response_room.h"
 #include "http/tracked_socket.h"
 
 #include <restinio/all.hpp>
@@ -37,16 +38,6 @@
 constexpr auto IdleTimeout = std::chrono::seconds(120);
 constexpr auto RequestTimeout = std::chrono::seconds(60);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
-// Of the descriptors, one of so many is for connections that wait for their
-// peer to close them.
-constexpr std::size_t ClosingParts = 8;
-// Linux grows the buffers of a connection to several MB, and doubles this value
-// for its own records.
-constexpr int KernelBufferBytes = 32'768;
-// Responses up to this size are always sent: they fit into the allowance of a
-// connection.
-constexpr std::size_t SmallResponseBytes = 16'384;
-
 std::string toText(restinio::string_view_t View) {
   return std::string(View.data(), View.size());
 }
@@ -74,8 +65,11 @@
         Registry(asio::use_service<connection_registry>(
             static_cast<asio::execution_context &>(Context))) {
     if (Settings.Limits) {
-      auto Limits = connectionLimits();
-      ResponseRoom = Limits.Budget.SharedBytes;
+      auto Limits = limitConnections(*Settings.Limits, Settings.MaxBodyBytes,
+                                     Settings.RequestTimeout);
+      Limits.ReservedPorts = Settings.ReservedPorts;
+      Limits.Metrics = Settings.Metrics;
+      ResponseRoom.emplace(Limits.Budget.SharedBytes);
       Registry.limit(Context, std::move(Limits));
     }
     ResponseSignal.setForward([this] {
@@ -149,17 +143,6 @@
 private:
   using server_type = restinio::http_server_t<server_traits>;
 
-  connection_limits connectionLimits() const {
-    connection_limits Result;
-    Result.MaxRequestBytes = MaxHeadBytes + Settings.MaxBodyBytes;
-    Result.Budget = limitsFor(*Settings.Limits, Result.MaxRequestBytes);
-    Result.Closing = Settings.Limits->Descriptors / ClosingParts;
-    Result.RequestTimeout = Settings.RequestTimeout;
-    Result.ReservedPorts = Settings.ReservedPorts;
-    Result.Metrics = Settings.Metrics;
-    return Result;
-  }
-
   void open(const core::socket_address &Address,
             std::promise<std::string> &Opened) {
     auto Limits = restinio::incoming_http_msg_limits_t()
@@ -178,13 +161,8 @@
               .acceptor_options_setter(
                   [HasLimits = Settings.Limits.has_value()](auto &Options) {
                     Options.set_option(asio::socket_base::reuse_address(true));
-                    if (!HasLimits)
-                      return;
-                    // Accepted sockets inherit them.
-                    Options.set_option(asio::socket_base::receive_buffer_size(
-                        KernelBufferBytes));
-                    Options.set_option(
-                        asio::socket_base::send_buffer_size(KernelBufferBytes));
+                    if (HasLimits)
+                      limitKernelBuffers(Options);
                   })
               .read_next_http_message_timelimit(IdleTimeout)
               .handle_request_timeout(RequestTimeout)
@@ -278,12 +256,10 @@
   /// \param MustClose whether the response ends its connection.
   void respond(const restinio::request_handle_t &Handle,
                const response &Response, bool MustClose = false) {
-    // Clients that read nothing could otherwise fill the memory with copies of
-    // a large document. A read changes nothing, so that it can be refused now.
-    bool IsLarge = Response.Body.size() > SmallResponseBytes;
-    if (IsLarge && Settings.Limits &&
+    // A read changes nothing, so that it can be refused now.
+    if (ResponseRoom &&
         Handle->header().method() == restinio::http_method_get() &&
-        LargeResponseBytes + Response.Body.size() > ResponseRoom) {
+        !ResponseRoom->fits(Response.Body.size())) {
       Registry.countRefusal("response_room");
       return respond(Handle, Refusal, true);
     }
@@ -295,15 +271,10 @@
     if (CloseConnections || MustClose)
       Message.connection_close();
     Message.set_body(Response.Body);
-    if (!IsLarge)
+    if (!ResponseRoom)
       return void(Message.done());
-    // Destroyed after the write, or with a response that is not written.
-    std::shared_ptr<void> Held(static_cast<void *>(nullptr),
-                               [this, Size = Response.Body.size()](void *) {
-                                 LargeResponseBytes -= Size;
-                               });
-    LargeResponseBytes += Response.Body.size();
-    Message.done([Held](const asio::error_code &) {});
+    Message.done([Held = ResponseRoom->hold(Response.Body.size())](
+                     const asio::error_code &) {});
   }
 
   /// The request has not run.
@@ -313,10 +284,8 @@
   core::bounded_ring<server_request> &Requests;
   core::ring_signal ResponseSignal;
   core::bounded_ring<server_response> Responses;
-  /// Largest sum of large responses that are not yet written, and that sum, to
-  /// which responses in Context refer.
-  std::size_t ResponseRoom = 0;
-  std::size_t LargeResponseBytes = 0;
+  /// With Limits. Responses in Context refer to it.
+  std::optional<response_room> ResponseRoom;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   connection_drain Drain;
--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -2,6 +2,8 @@
 
 #include "core/event_log.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -17,7 +19,7 @@
 // cannot use up the file descriptors. Used where no limits are set.
 constexpr std::size_t MaxClosing = 256;
 constexpr auto CheckInterval = std::chrono::milliseconds(250);
-// Longest wait of a connection for room in the budget.
+// Longest wait of a request for room in the budget, in all.
 constexpr auto RoomTimeout = std::chrono::seconds(2);
 // A request of which nothing arrives for this time is given up. Clients must
 // send a head within 3 s.
@@ -27,9 +29,35 @@
 // One of so many waiting connections is closed in a check.
 constexpr std::size_t WaitingParts = 8;
 constexpr auto LogInterval = std::chrono::seconds(1);
+// A request that takes longer than the grace time must arrive at this rate.
+// Clients wait 3 s at most for a response.
+constexpr auto RateGrace = std::chrono::seconds(5);
+constexpr std::size_t MinBytesPerSecond = 1024;
+// Time without progress after which a response counts as not received.
+constexpr auto WriteStallTimeout = std::chrono::seconds(1);
+// Of the descriptors, one of so many is for connections that wait for their
+// peer to close them.
+constexpr std::size_t ClosingParts = 8;
+
+bool isTooSlow(core::duration Elapsed, std::size_t Bytes) {
+  auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(Elapsed);
+  return Elapsed >= RateGrace &&
+         Bytes / MinBytesPerSecond < static_cast<std::size_t>(Seconds.count());
+}
 
 } // namespace
 
+connection_limits limitConnections(const process_limits &Process,
+                                   std::size_t MaxBodyBytes,
+                                   core::duration RequestTimeout) {
+  connection_limits Result;
+  Result.MaxRequestBytes = MaxHeadBytes + MaxBodyBytes;
+  Result.Budget = limitsFor(Process, Result.MaxRequestBytes);
+  Result.Closing = Process.Descriptors / ClosingParts;
+  Result.RequestTimeout = RequestTimeout;
+  return Result;
+}
+
 /// A connection whose response was sent. It discards what its peer still sends,
 /// until the peer closes the connection or the time-out ends.
 class closing_connection
@@ -93,6 +121,10 @@
   auto Peer = Socket.remote_endpoint(Error);
   if (!Error)
     Socket.Account.Address = Peer.address().to_string();
+  if (!Error && Limits->ReadsAhead) {
+    Socket.Client = Peer;
+    ByClient[Peer] = &Socket;
+  }
   auto Own = Socket.local_endpoint(Error);
   const auto &Reserved = Limits->ReservedPorts;
   if (!Error &&
@@ -115,6 +147,9 @@
     return;
   if (Budget)
     Budget->close(Socket.Account);
+  auto Found = ByClient.find(Socket.Client);
+  if (Found != ByClient.end() && Found->second == &Socket)
+    ByClient.erase(Found);
   std::erase(Waiting, &Socket);
   // The function may own the socket.
   if (Socket.Resume)
@@ -129,24 +164,60 @@
     return true;
   return Budget->reserve(Socket.Account,
                          memoryFor(std::min(Socket.RequestBytes + MoreBytes,
-                                            Limits->MaxRequestBytes)));
+                                            Limits->MaxRequestBytes *
+                                                (Limits->ReadsAhead ? 2 : 1))));
 }
 
 void connection_registry::release(tracked_socket &Socket) {
-  if (!Budget || !Socket.Account.IsOpen)
-    return;
   Socket.ActiveAt = core::boot_clock::now();
+  if (Limits && Limits->ReadsAhead) {
+    Socket.IsWriting = true;
+    return;
+  }
   Socket.RequestBytes = 0;
-  if (Socket.Account.SharedBytes == 0)
+  if (!Budget || Socket.Account.SharedBytes == 0)
     return;
   Budget->release(Socket.Account);
   resumeWaiting();
 }
 
+void connection_registry::passOn(const asio::ip::tcp::endpoint &Client) {
+  auto Found = ByClient.find(Client);
+  if (Found == ByClient.end())
+    return;
+  ++Found->second->PassedOn;
+  Found->second->PassedBytes = Found->second->RequestBytes;
+}
+
+void connection_registry::complete(const asio::ip::tcp::endpoint &Client) {
+  auto Found = ByClient.find(Client);
+  if (Found == ByClient.end() || Found->second->PassedOn == 0)
+    return;
+  auto &Socket = *Found->second;
+  Socket.IsWriting = false;
+  if (--Socket.PassedOn > 0)
+    return;
+  Socket.RequestBytes -= std::exchange(Socket.PassedBytes, 0);
+  Socket.RequestSince = core::boot_clock::now();
+  Budget->reduce(Socket.Account, memoryFor(Socket.RequestBytes));
+  resumeWaiting();
+}
+
+void connection_registry::closeStalledWriters() {
+  auto Now = core::boot_clock::now();
+  std::vector<tracked_socket *> Stalled;
+  for (auto *Socket : Open)
+    if (Socket->IsWriting && Now - Socket->ActiveAt >= WriteStallTimeout)
+      Stalled.push_back(Socket);
+  for (auto *Socket : Stalled)
+    evict(*Socket, "response_room");
+}
+
 void connection_registry::wait(tracked_socket &Socket, std::size_t MoreBytes) {
   Socket.WaitsSince = core::boot_clock::now();
   Socket.WantedBytes = MoreBytes;
   Waiting.push_back(&Socket);
+  resumeWaiting();
 }
 
 void connection_registry::resumeWaiting() {
@@ -156,12 +227,22 @@
   asio::post(Timer->get_executor(), [this] {
     IsResumePosted = false;
     std::vector<std::function<void(asio::error_code)>> Ready;
-    std::erase_if(Waiting, [&](tracked_socket *Socket) {
+    auto MayResume = [&](tracked_socket *Socket) {
       if (!reserve(*Socket, Socket->WantedBytes))
         return false;
+      Socket->Waited += core::boot_clock::now() - Socket->WaitsSince;
       Ready.push_back(std::exchange(Socket->Resume, {}));
       return true;
-    });
+    };
+    std::erase_if(Waiting, MayResume);
+    // If all room is held by requests that wait, none of them would ever end.
+    auto Oldest = std::min_element(
+        Waiting.begin(), Waiting.end(), [](auto *Left, auto *Right) {
+          return Left->RequestSince < Right->RequestSince;
+        });
+    if (Oldest != Waiting.end() &&
+        Budget->beginCompletion((*Oldest)->Account) && MayResume(*Oldest))
+      Waiting.erase(Oldest);
     for (auto &Resume : Ready)
       Resume({});
   });
@@ -181,18 +262,31 @@
   auto Now = core::boot_clock::now();
   std::vector<tracked_socket *> Stalled;
   for (auto *Socket : Open)
-    if (Socket->IsReading && Socket->HasRequestBytes &&
-        ((!Socket->Resume && Now - Socket->ActiveAt >= StallTimeout) ||
+    if (Socket->isReadingRequest() &&
+        ((!Socket->Resume &&
+          (Now - Socket->ActiveAt >= StallTimeout ||
+           isTooSlow(Now - Socket->RequestSince, Socket->RequestBytes))) ||
          Now - Socket->RequestSince >= Limits->RequestTimeout))
       Stalled.push_back(Socket);
   for (auto *Socket : Stalled)
     evict(*Socket, "request_time");
+  // A connection that waits is not read, so that its end would go unnoticed.
+  std::vector<tracked_socket *> Gone;
+  for (auto *Socket : Waiting)
+    if (!Socket->isPending() && Socket->hasPeerClosed())
+      Gone.push_back(Socket);
+  for (auto *Socket : Gone)
+    evict(*Socket, "client_gone");
   evictStalled(Now);
   // Only a part, so that the others can use the room that this makes.
   auto Count = (Waiting.size() + WaitingParts - 1) / WaitingParts;
-  for (; Count != 0 && Now - Waiting.front()->WaitsSince >= RoomTimeout;
-       --Count)
-    evict(*Waiting.front(), "no_room");
+  std::vector<tracked_socket *> Expired;
+  for (auto *Socket : Waiting)
+    if (Expired.size() < Count && !Socket->isPending() &&
+        Socket->Waited + (Now - Socket->WaitsSince) >= RoomTimeout)
+      Expired.push_back(Socket);
+  for (auto *Socket : Expired)
+    evict(*Socket, "no_room");
   publish();
 }
 
@@ -201,7 +295,7 @@
     return;
   std::vector<tracked_socket *> Stalled;
   for (auto *Socket : Open)
-    if (Socket->IsReading && Socket->Account.SharedBytes > 0 &&
+    if (Socket->isReadingRequest() && Socket->Account.SharedBytes > 0 &&
         !Socket->Resume && Now - Socket->ActiveAt >= CrowdedStallTimeout)
       Stalled.push_back(Socket);
   std::sort(Stalled.begin(), Stalled.end(), [](auto *Left, auto *Right) {
@@ -220,8 +314,7 @@
   for (auto *Socket : Open) {
     // A request that was passed on keeps its connection, so that its response
     // can be sent.
-    bool IsPending = !Socket->IsReading && Socket->HasRequestBytes;
-    if (Socket == &Except || IsPending ||
+    if (Socket == &Except || Socket->isPending() ||
         Socket->Account.Class != Except.Account.Class)
       continue;
     auto Count = Budget->connectionsFrom(Socket->Account.Address);
@@ -310,11 +403,17 @@
   base::shutdown(mustCloseAfterPeer() ? shutdown_send : Direction, Error);
 }
 
+bool tracked_socket::hasPeerClosed() {
+  pollfd Poll{native_handle(), POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) == 1;
+}
+
 void tracked_socket::countRead(std::size_t Length) {
   ActiveAt = core::boot_clock::now();
-  if (!HasRequestBytes)
+  if (RequestBytes == PassedBytes) {
     RequestSince = ActiveAt;
-  HasRequestBytes = true;
+    Waited = {};
+  }
   RequestBytes += Length;
 }
 
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -34,10 +34,30 @@
   /// Longest time in which a request must arrive completely.
   core::duration RequestTimeout{};
   /// Ports of the listeners of the class Reserved.
-  std::vector<std::uint16_t> ReservedPorts;
+  std::vector<std::uint16_t> ReservedPorts = {};
+  /// The servers read the next request while they answer one, and report each
+  /// request with connection_registry::passOn() and complete().
+  bool ReadsAhead = false;
   core::metrics_registry *Metrics = nullptr; ///< Optional.
 };
 
+/// \param MaxBodyBytes largest body of a request.
+/// \param RequestTimeout longest time in which a request must arrive
+/// completely. \returns limits for the connections of a process.
+connection_limits limitConnections(const process_limits &Process,
+                                   std::size_t MaxBodyBytes,
+                                   core::duration RequestTimeout);
+
+/// Bounds the kernel's buffers of the connections of a listener, which Linux
+/// lets grow to several MB.
+/// \param Options options of the listening socket; accepted ones inherit them.
+template <typename Options> void limitKernelBuffers(Options &Listener) {
+  // Linux doubles this value for its own records.
+  constexpr int BufferBytes = 32'768;
+  Listener.set_option(asio::socket_base::receive_buffer_size(BufferBytes));
+  Listener.set_option(asio::socket_base::send_buffer_size(BufferBytes));
+}
+
 /// The open connections of the servers on one io_context. RESTinio has no
 /// access to them, which a stop needs. With limits, a connection that would
 /// exceed the budget is not read until there is room, and is closed if there is
@@ -62,6 +82,14 @@
   std::size_t count() const { return Open.size() + Closing.size(); }
   /// Counts and logs a refusal; of each reason one line a second.
   void countRefusal(std::string_view Reason);
+  /// Protects the connection of a client, with ReadsAhead: a request was read
+  /// completely and its response is not yet written.
+  void passOn(const asio::ip::tcp::endpoint &Client);
+  /// Ends passOn(): the response was written, or writing it failed.
+  void complete(const asio::ip::tcp::endpoint &Client);
+  /// Closes the connections, with ReadsAhead, whose clients have received
+  /// nothing of a response for 1 s.
+  void closeStalledWriters();
 
 private:
   friend class tracked_socket;
@@ -98,6 +126,8 @@
   void publish();
 
   std::unordered_set<tracked_socket *> Open;
+  /// With ReadsAhead.
+  std::map<asio::ip::tcp::endpoint, tracked_socket *> ByClient;
   std::unordered_set<std::shared_ptr<closing_connection>> Closing;
   std::optional<connection_limits> Limits;
   std::optional<connection_budget> Budget;
@@ -152,7 +182,6 @@
   /// Writes a part of a response.
   template <typename Buffers, typename Handler>
   void async_write_some(const Buffers &Source, Handler &&OnWritten) { // NOLINT
-    HasRequestBytes = false;
     HasResponded = true;
     Registry.release(*this);
     base::async_write_some(Source, std::forward<Handler>(OnWritten));
@@ -202,23 +231,39 @@
   }
 
   void countRead(std::size_t Length);
-  bool isIdle() const { return IsReading && !HasRequestBytes; }
+  /// \returns whether the peer has closed its side, also with unread bytes.
+  bool hasPeerClosed();
+  bool isIdle() const { return IsReading && RequestBytes == 0; }
+  /// A complete request was passed on and has no complete response.
+  bool isPending() const {
+    return PassedOn > 0 || (!IsReading && RequestBytes > 0);
+  }
+  /// A part of a request was read, and no response is outstanding.
+  bool isReadingRequest() const {
+    return IsReading && RequestBytes > 0 && PassedOn == 0;
+  }
   bool mustCloseAfterPeer() const {
-    return HasResponded && !HasRequestBytes && !HasPeerEnded;
+    return HasResponded && RequestBytes == PassedBytes && !HasPeerEnded;
   }
 
   connection_registry &Registry;
   connection_account Account;
+  asio::ip::tcp::endpoint Client; ///< With ReadsAhead.
   /// Continues a read that waits for room, or ends it with an error.
   std::function<void(asio::error_code)> Resume;
   core::time_point WaitsSince{};
+  core::duration Waited{};         ///< Earlier, for room for the same request.
   std::size_t WantedBytes = 0;     ///< Which the read that waits may return.
   core::time_point ActiveAt{};     ///< Last read or response.
   core::time_point RequestSince{}; ///< First byte of the request.
-  std::size_t RequestBytes = 0;    ///< Read since the last response began.
+  /// Read since the last response began; with ReadsAhead, since the last one
+  /// was complete.
+  std::size_t RequestBytes = 0;
+  std::size_t PassedOn = 0; ///< Requests without a complete response.
+  /// Part of RequestBytes that was read before the last of them was passed on.
+  std::size_t PassedBytes = 0;
   bool IsReading = false;
-  /// Bytes of a request were read since the last response began.
-  bool HasRequestBytes = false;
+  bool IsWriting = false; ///< With ReadsAhead.
   bool HasResponded = false;
   bool HasPeerEnded = false;
 };
--- a/tests/control/test_http_frontend.cpp
+++ b/tests/control/test_http_frontend.cpp
@@ -22,7 +22,7 @@
   core::ring_signal Signal;
   core::bounded_ring<control_request> Requests{64, Signal};
   core::metrics_registry Metrics;
-  http_frontend Frontend{{"127.0.0.1", Port}, Requests, Metrics};
+  http_frontend Frontend{{{"127.0.0.1", Port}, {32, 64}}, Requests, Metrics};
 };
 
 constexpr std::string_view Query = "GET /v1/status HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -62,3 +62,18 @@
   CHECK(Result.IsClosing);
   CHECK(Result.Body.find("may-have-run") != std::string::npos);
 }
+
+// Guards against a connection that ends without a response.
+TEST_CASE("a declaration over the limit gets 413 and ends its connection") {
+  frontend_fixture Fixture;
+  caller_connection Caller(Fixture.Port);
+  REQUIRE(Caller.send("POST /v1/declarations HTTP/1.1\r\nHost: h\r\n"
+                      "Content-Length: 50000000\r\n\r\nx"));
+  auto Result = Caller.receive();
+  CHECK(Result.Status == 413);
+  CHECK(Result.IsClosing);
+  CHECK(Result.Body.find("\"value\":\"50000000\"") != std::string::npos);
+  CHECK(Result.Body.find("not-run") != std::string::npos);
+  control_request Request;
+  CHECK_FALSE(Fixture.Requests.pop(Request));
+}
--- a/tests/entry/test_http_frontend.cpp
+++ b/tests/entry/test_http_frontend.cpp
@@ -174,16 +174,76 @@
   CHECK_FALSE(Fixture.Events.pop(Event));
 }
 
-// Bodies over twice the limit are not read.
-TEST_CASE("a body far over the limit closes the connection") {
+// Guards against a connection that ends without a response.
+TEST_CASE("a body far over the limit gets 413 and ends its connection") {
+  const std::string ChunkedHead = "POST /services/plots HTTP/1.1\r\nHost: x\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n";
+  auto Bytes = GENERATE_COPY(
+      post("/services/plots", 50'000'000, std::string(50'000, 'x')),
+      ChunkedHead + "1000\r\n" + std::string(0x1000, 'x') + "\r\n",
+      post("/v1/announcements", 50'000'000, ""));
   frontend_fixture Fixture;
   raw_caller Caller(Fixture.Frontend.port());
-  Caller.send(post("/services/plots", 2001, std::string(2001, 'x')));
+  auto Response = Caller.request(Bytes);
+  CHECK(has(Response, "HTTP/1.1 413 "));
+  CHECK(has(Response, "\"verdict\":\"not-run\""));
+  CHECK(has(Response, "Connection: close\r\n"));
   CHECK(Caller.receive().empty());
   frontend_event Event;
   CHECK_FALSE(Fixture.Events.pop(Event));
 }
 
+// Guards against a request that is lost because its connection is closed in
+// favour of new ones.
+TEST_CASE("connections over the limit replace idle ones only") {
+  auto Settings = makeSettings();
+  Settings.MaxConnections = 8;
+  frontend_fixture Fixture(Settings);
+  raw_caller Busy(Fixture.Frontend.port());
+  Busy.send(get("/services/plots/1"));
+  auto Request = Fixture.wait<routing::caller_request>();
+  std::vector<std::unique_ptr<raw_caller>> Idle;
+  for (int Index = 0; Index != 20; ++Index)
+    Idle.push_back(std::make_unique<raw_caller>(Fixture.Frontend.port()));
+  raw_caller Next(Fixture.Frontend.port());
+  CHECK(has(Next.request(get("/healthz")), "200 OK"));
+  CHECK(Idle.front()->receive().empty());
+  Fixture.respond(Request.Id, "done");
+  CHECK(has(Busy.receive(), "done"));
+}
+
+// Guards against bytes of the next request that are no longer counted when the
+// response to the one before is written.
+TEST_CASE("a request that is read ahead keeps its reservation") {
+  auto Settings = makeSettings();
+  Settings.MaxBodyBytes = 100'000;
+  frontend_fixture Fixture(Settings);
+  auto HeldBytes = [&] {
+    const std::string Name = "http_held_bytes ";
+    auto Text = Fixture.Metrics.expose();
+    auto Found = Text.rfind(Name);
+    return Found == std::string::npos
+               ? -1
+               : std::strtod(Text.c_str() + Found + Name.size(), nullptr);
+  };
+  raw_caller Caller(Fixture.Frontend.port());
+  Caller.send(get("/services/plots/1"));
+  auto Request = Fixture.wait<routing::caller_request>();
+  Caller.send(post("/services/plots/2", 100'000, std::string(90'000, 'x')));
+  REQUIRE(waitUntil([&] { return HeldBytes() >= 4 * 80'000; }));
+  Fixture.respond(Request.Id, "done");
+  CHECK(has(Caller.receive(), "done"));
+  REQUIRE(waitUntil([&] { return Fixture.Frontend.isFlushed(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  CHECK(HeldBytes() >= 4 * 80'000);
+  Caller.send(std::string(10'000, 'x'));
+  auto Second = Fixture.wait<routing::caller_request>();
+  CHECK(Second.Body.size() == 100'000);
+  Fixture.respond(Second.Id, "second");
+  CHECK(has(Caller.receive(), "second"));
+  REQUIRE(waitUntil([&] { return HeldBytes() == 0; }));
+}
+
 // A caller that stalls in the middle of its request must not occupy a
 // connection, and the incomplete request must not be dispatched.
 TEST_CASE("a stalled caller is disconnected without an event") {
--- a/tests/http/test_bounded_requests.cpp
+++ b/tests/http/test_bounded_requests.cpp
@@ -5,6 +5,8 @@
 
 #include <cstdio>
 #include <memory>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace lycheetrestle;
@@ -19,7 +21,10 @@
 /// A server that responds with the body that it received.
 class echo_server {
 public:
-  echo_server() : Requests(16, Signal), Server(settings(), echo, Requests) {
+  explicit echo_server(std::size_t BodyBytes = MaxBodyBytes,
+                       process_limits Limits = {32, 64})
+      : Requests(16, Signal),
+        Server(settings(BodyBytes, Limits), echo, Requests) {
     REQUIRE(Server.start().empty());
   }
 
@@ -33,11 +38,11 @@
   std::uint16_t Port = freeLoopbackPort();
 
 private:
-  server_settings settings() const {
+  server_settings settings(std::size_t BodyBytes, process_limits Limits) const {
     server_settings Settings;
     Settings.Listen = {{"127.0.0.1", Port}};
-    Settings.MaxBodyBytes = MaxBodyBytes;
-    Settings.Limits = process_limits{32, 64};
+    Settings.MaxBodyBytes = BodyBytes;
+    Settings.Limits = Limits;
     return Settings;
   }
   static std::optional<response> echo(const request &Request) {
@@ -102,3 +107,29 @@
   CHECK(Server.send(postRequest("/x", "b")).Status == 200);
   CHECK(Quiet.front()->isEnded());
 }
+
+// Guards against requests that together hold all room, of which none can be
+// read to its end.
+TEST_CASE("requests that hold all room together are served one by one",
+          "[bounded]") {
+  constexpr std::size_t BodyBytes = 400'000;
+  echo_server Server(BodyBytes, {32, 400});
+  auto Request = postRequest("/x", std::string(BodyBytes, 'b'));
+  std::vector<std::unique_ptr<caller_connection>> Callers;
+  for (int Index = 0; Index != 4; ++Index)
+    Callers.push_back(std::make_unique<caller_connection>(Server.Port));
+  // A half of each exceeds the room of the address already.
+  for (auto &Caller : Callers)
+    REQUIRE(Caller->send(std::string_view(Request).substr(0, 200'000)));
+  std::vector<std::thread> Senders;
+  std::vector<exchange> Results(Callers.size());
+  for (std::size_t Index = 0; Index != Callers.size(); ++Index)
+    Senders.emplace_back([&, Index] {
+      Callers[Index]->send(std::string_view(Request).substr(200'000));
+      Results[Index] = Callers[Index]->receive();
+    });
+  for (auto &Sender : Senders)
+    Sender.join();
+  for (const auto &Result : Results)
+    CHECK(Result.Status == 200);
+}
--- a/tests/http/test_connection_budget.cpp
+++ b/tests/http/test_connection_budget.cpp
@@ -86,6 +86,28 @@
   REQUIRE(Budget.connectionsFrom("a") == 8);
 }
 
+TEST_CASE("One connection at a time may complete beyond the limits",
+          "[connection_budget]") {
+  connection_budget Budget(Limits);
+  auto First = makeAccount("a");
+  auto Second = makeAccount("b");
+  auto Third = makeAccount("c");
+  for (auto *Account : {&First, &Second, &Third})
+    Budget.open(*Account);
+  auto Largest = Limits.AllowanceBytes + Limits.SharedBytes;
+  REQUIRE_FALSE(Budget.reserve(First, Largest));
+  REQUIRE(Budget.beginCompletion(First));
+  REQUIRE_FALSE(Budget.beginCompletion(Second));
+  REQUIRE(Budget.reserve(First, Largest));
+  REQUIRE_FALSE(Budget.reserve(Second, Limits.AllowanceBytes + 1));
+  Budget.release(First);
+  REQUIRE(Budget.sharedBytes() == 0);
+  REQUIRE(Budget.beginCompletion(Second));
+  REQUIRE(Budget.reserve(Second, Largest));
+  Budget.close(Second);
+  REQUIRE(Budget.beginCompletion(Third));
+}
+
 TEST_CASE("Closing returns all that was reserved", "[connection_budget]") {
   std::mt19937 Random(7);
   connection_budget Budget(Limits);
@@ -98,10 +120,12 @@
     auto &Account = Accounts[Random() % Accounts.size()];
     if (!Account.IsOpen)
       Budget.open(Account);
-    else if (auto Choice = Random() % 4; Choice == 0)
+    else if (auto Choice = Random() % 5; Choice == 0)
       Budget.close(Account);
     else if (Choice == 1)
       Budget.release(Account);
+    else if (Choice == 2)
+      Budget.reduce(Account, Random() % 700);
     else
       Budget.reserve(Account, Random() % 700);
     std::size_t Sum = 0;
--- a/tests/process/test_untrusted_clients.py
+++ b/tests/process/test_untrusted_clients.py
@@ -11,14 +11,14 @@
 --without-limits omits the settings `limits`, for programs that do not know them.
 """
 
+import functools
 import pathlib
-import select
 import shutil
-import socket
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
+import crowd  # noqa: E402
+from crowd import PART, CrowdTest, exchange  # noqa: E402
 from processes import ProcessGroup, StepError, wait_until  # noqa: E402
 from site_run import (CONTROL_PORT, GATEWAY_PORT, HOST, PREFIX,  # noqa: E402
                       READY_PORT, SiteDeployment, reserve_net)
@@ -31,117 +31,11 @@
 CROWD = 250
 SCHEDULER_CROWD = 450
 MAX_BODY = 262_144  # Documented limit of a gateway.
-# The crowd has sent what it can when no connection made progress for this time.
-QUIET_S = 2
-SEND_LIMIT_S = 60
-PART = 65_536
+post_head = functools.partial(crowd.post_head, HOST)
+chunked = functools.partial(crowd.chunked, HOST)
 JOB_BODY = b'{"spec":"x","phases":[{"count":1,"cpu":1,"estimateMs":50}]}'
 
 
-def post_head(path, fields):
-    return ('POST %s HTTP/1.1\r\nHost: %s\r\n%s\r\n\r\n' % (path, HOST, fields)).encode()
-
-
-def chunked(path, body_parts):
-    """Returns a request with the chunks, without the last chunk that ends the body."""
-    return post_head(path, 'Transfer-Encoding: chunked') + b''.join(
-        b'%x\r\n%s\r\n' % (len(part), part) for part in body_parts)
-
-
-class Connection:
-    """A connection that sends the given bytes and reads only if asked to."""
-
-    def __init__(self, address, data, reads):
-        self.data, self.reads = memoryview(data), reads
-        self.sent, self.received, self.is_closed = 0, b'', False
-        self.socket = socket.socket()
-        if not reads:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        self.socket.setblocking(False)
-        self.socket.connect_ex(address)
-
-    def wanted_events(self):
-        if self.is_closed:
-            return 0
-        return ((select.POLLOUT if self.sent < len(self.data) else 0)
-                | (select.POLLIN if self.reads else 0))
-
-    def advance(self, events):
-        """Returns whether bytes were sent or received."""
-        try:
-            if events & select.POLLIN:
-                part = self.socket.recv(PART)
-                self.received += part
-                self.is_closed = not part
-                return True
-            if events & select.POLLOUT:
-                self.sent += self.socket.send(self.data[self.sent:self.sent + PART])
-                return True
-        except BlockingIOError:
-            return False
-        except OSError:
-            self.is_closed = True
-        if events & (select.POLLERR | select.POLLHUP):
-            self.is_closed = True
-        return False
-
-
-class Crowd:
-    """Connections that stay open until the end of the case."""
-
-    def __init__(self, address, data, count, reads=True):
-        self.connections = [Connection(address, data, reads) for _ in range(count)]
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        for connection in self.connections:
-            connection.socket.close()
-
-    def send(self, watch):
-        """Sends until all is sent or nothing moves; calls watch() now and then."""
-        end = time.monotonic() + SEND_LIMIT_S
-        last_progress = time.monotonic()
-        while time.monotonic() < min(end, last_progress + QUIET_S):
-            poller = select.poll()
-            by_number = {}
-            for connection in self.connections:
-                if not connection.is_closed:
-                    poller.register(connection.socket, connection.wanted_events())
-                    by_number[connection.socket.fileno()] = connection
-            for number, events in poller.poll(100):
-                if by_number[number].advance(events):
-                    last_progress = time.monotonic()
-            watch()
-
-    def summary(self):
-        return '%d of %d sent everything, %d closed' % (
-            sum(c.sent == len(c.data) for c in self.connections), len(self.connections),
-            sum(c.is_closed for c in self.connections))
-
-
-def exchange(address, data):
-    """Sends a request on its own connection and returns the status of the response, 0 if
-    the connection ended without one."""
-    received = b''
-    with socket.create_connection(address, timeout=20) as connection:
-        try:
-            for begin in range(0, len(data), PART):
-                connection.sendall(data[begin:begin + PART])
-        except (BrokenPipeError, ConnectionResetError):
-            pass
-        try:
-            while b'\r\n' not in received:
-                part = connection.recv(4096)
-                if not part:
-                    break
-                received += part
-        except (ConnectionResetError, TimeoutError):
-            pass
-    return int(received.split()[1]) if received else 0
-
-
 class LimitedDeployment(SiteDeployment):
     """A deployment with lowered limits."""
 
@@ -156,11 +50,10 @@
         return super().start_daemon(name, settings)
 
 
-class UntrustedClientsTest:
+class UntrustedClientsTest(CrowdTest):
     def __init__(self, deployment):
+        super().__init__(deployment.group)
         self.deployment = deployment
-        self.faults = []
-        self.peak_descriptors = 0
 
     # Cases at a gateway: (data, connections, whether they read).
 
@@ -215,16 +108,7 @@
                 self.run_case(name, self.run_scheduler_case, case)
         if not names or 'calm' in names:
             self.run_case('calm', self.run_calm, None)
-        if self.faults:
-            raise StepError('%d faults: %s' % (len(self.faults), '; '.join(self.faults)))
-
-    def run_case(self, name, run, case):
-        """Runs one case; the others run also after its failure."""
-        try:
-            print('%s: %s' % (name, run(case)), flush=True)
-        except StepError as failure:
-            print('%s: FAILED: %s' % (name, failure), flush=True)
-            self.faults.append('%s: %s' % (name, failure))
+        self.check_faults()
 
     def start_gateway(self):
         self.deployment.start_gateway(GATEWAY, SCHEDULERS)
@@ -251,31 +135,6 @@
     def is_caller_served(self):
         return self.deployment.gateway_request(GATEWAY, 'GET', PREFIX)[0] == 200
 
-    def run_crowd(self, name, address, case, limits, is_served):
-        data, count, reads = case
-        process = self.deployment.group.processes[name]
-        self.peak_descriptors = 0
-
-        def watch():
-            if not process.is_running():
-                raise StepError('%s has ended' % name)
-            folder = pathlib.Path('/proc/%d/fd' % process.child.pid)
-            self.peak_descriptors = max(self.peak_descriptors, len(list(folder.iterdir())))
-
-        with Crowd(address, data, count, reads) as crowd:
-            crowd.send(watch)
-            wait_until(is_served, 'response to an ordinary request with the crowd connected')
-            watch()
-            peak_kb = peak_memory_kb(process)
-            result = 'peak %.1f MB, %d descriptors; %s' % (
-                peak_kb / 1024, self.peak_descriptors, crowd.summary())
-        if peak_kb > limits['memory_mb'] * 1024:
-            raise StepError('expected at most %d MB: %s' % (limits['memory_mb'], result))
-        if self.peak_descriptors > limits['descriptors']:
-            raise StepError('expected at most %d descriptors: %s' % (
-                limits['descriptors'], result))
-        return result
-
     def run_calm(self, _):
         """Requests one at a time: those inside the limits are served, and those over the
         limit read 413 and have no effect."""
@@ -316,14 +175,6 @@
         return 'all statuses as expected'
 
 
-def peak_memory_kb(process):
-    """Returns the largest resident memory that the process had."""
-    for line in pathlib.Path('/proc/%d/status' % process.child.pid).read_text().splitlines():
-        if line.startswith('VmHWM:'):
-            return int(line.split()[1])
-    raise StepError('%s: no VmHWM in the process status' % process.name)
-
-
 def main():
     programs, folder, *rest = sys.argv[1:]
     has_limits = '--without-limits' not in rest
