Explain where a job would go without submitting it

Cause: operators asked why a job waits and where it would go; the log names only long-running tasks and blocked pools. Change: schedule explain asks the leader, which uses the checks of a round of placement and the decision of admission control without recording anything. leader::placementRequest() and schedule_state::recordOf() are split off for it.

--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -19,6 +19,8 @@
 DEFINE_string(by, "", "audit: only changes of this actor");
 DEFINE_string(object, "", "audit: only changes of this host or object");
 DEFINE_string(kind, "", "audit: only changes of this kind");
+DEFINE_string(queue, "", "schedule explain: HOST/PATH of the queue");
+DEFINE_string(key_file, "", "schedule explain: file with the caller's key");
 DEFINE_uint64(after, 0, "audit: only changes after this index");
 DEFINE_uint32(limit, 100, "audit: at most this many changes");
 // NOLINTEND(readability-identifier-naming)
@@ -156,6 +158,8 @@
   Options.By = FLAGS_by;
   Options.Object = FLAGS_object;
   Options.Kind = FLAGS_kind;
+  Options.Queue = FLAGS_queue;
+  Options.KeyFile = FLAGS_key_file;
   Options.After = FLAGS_after;
   Options.Limit = FLAGS_limit;
   return Line;
@@ -196,6 +200,10 @@
   schedule jobs           unfinished jobs, oldest first
   schedule waves          maintenance waves of the scheduler
   schedule workspaces     use, limit, share and queued tasks of workspaces
+  schedule explain JOB    where the waiting tasks of a job would start now
+  schedule explain FILE --queue=HOST/PATH [--key_file=FILE]
+                          the same, and the answer, for a job that is not
+                          submitted; PATH ends with / or with the job's id
 
 Flags
   --control=HOST:PORT,... control replicas; default LYCHEETRESTLE_CONTROL
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -6,6 +6,7 @@
 #include "ctl/declaration_commands.h"
 #include "ctl/input_file.h"
 #include "ctl/wait_command.h"
+#include "workspaces/key_digest.h"
 
 #include <algorithm>
 #include <array>
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr std::size_t MaxJobBytes = 64u << 10;
+constexpr std::size_t MaxKeyBytes = 1024;
+// Stands for the id of a job that is not submitted.
+constexpr std::string_view ExampleJobId = "0000000000000000";
 
 /// Local validation of an argument, before any request is sent.
 enum class argument : unsigned char { None, File, Name, Number };
@@ -78,6 +82,38 @@
   return Context.finish(Context.Client->read(Path));
 }
 
+core::result<std::string> explanationRequest(const command_context &Context) {
+  const auto &Argument = Context.Arguments[0];
+  const auto &Queue = Context.Options.Queue;
+  if (Queue.empty())
+    return nlohmann::json{{"job", Argument}}.dump();
+  BOOST_LEAF_AUTO(Document, readInput(Argument, MaxJobBytes));
+  auto Slash = Queue.find('/');
+  if (Slash == std::string::npos || Slash == 0)
+    return core::fail({core::error_code::BadInput, "must be HOST/PATH", "queue",
+                       Queue, core::verdict::NotRun});
+  auto Path = Queue.substr(Slash);
+  if (Path.back() == '/')
+    Path += ExampleJobId;
+  nlohmann::json Body = {
+      {"host", Queue.substr(0, Slash)}, {"path", Path}, {"document", Document}};
+  if (!Context.Options.KeyFile.empty()) {
+    BOOST_LEAF_AUTO(Key, readInput(Context.Options.KeyFile, MaxKeyBytes));
+    while (!Key.empty() && (Key.back() == '\n' || Key.back() == '\r'))
+      Key.pop_back();
+    Body["key_digest"] = workspaces::digestOf(Key);
+  }
+  return Body.dump();
+}
+
+exit_code explainJob(const command_context &Context) {
+  auto Body = core::capture([&] { return explanationRequest(Context); });
+  if (auto *Failure = std::get_if<1>(&Body))
+    return Context.rejectInput(*Failure);
+  return Context.finish(Context.Client->postDryRun(
+      "/v1/schedule/explain", std::move(std::get<0>(Body))));
+}
+
 constexpr char StatusPath[] = "/v1/status", HostsPath[] = "/v1/hosts",
                ReplicasPath[] = "/v1/replicas", WavesPath[] = "/v1/waves",
                JobsPath[] = "/v1/jobs", StartPath[] = "/v1/maintenance/start",
@@ -92,7 +128,7 @@
                WorkspacesPath[] = "/v1/schedule/workspaces";
 
 using enum argument;
-constexpr std::array<command_entry, 26> Commands = {{
+constexpr std::array<command_entry, 27> Commands = {{
     {"validate", {File, None}, 1, true, &validateCommand},
     {"plan", {File, None}, 1, false, &planCommand},
     {"submit", {File, None}, 1, false, &submitCommand},
@@ -119,6 +155,7 @@
     {"schedule jobs", {None, None}, 0, false, &readPath<ScheduledJobsPath>},
     {"schedule waves", {None, None}, 0, false, &readPath<ScheduledWavesPath>},
     {"schedule workspaces", {None, None}, 0, false, &readPath<WorkspacesPath>},
+    {"schedule explain", {File, None}, 1, false, &explainJob},
 }};
 
 const command_entry *findCommand(const std::vector<std::string> &Words) {
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -18,8 +18,10 @@
   std::chrono::milliseconds WaitTimeout{60000}; ///< For a whole wait.
   bool Wait = false;            ///< Submit: wait until in force everywhere.
   std::string By, Object, Kind; ///< Audit filters, empty for all.
-  std::uint64_t After = 0;      ///< Audit: only changes after this index.
-  std::uint32_t Limit = 100;    ///< Audit: maximum number of changes.
+  std::string Queue;            ///< Explanation: host and path of the queue.
+  std::string KeyFile; ///< Explanation: file with the caller's key, or empty.
+  std::uint64_t After = 0;   ///< Audit: only changes after this index.
+  std::uint32_t Limit = 100; ///< Audit: maximum number of changes.
 };
 
 } // namespace lycheetrestle::ctl
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -734,6 +734,30 @@
   return Found->second;
 }
 
+placement_request leader::placementRequest(core::time_point Now) const {
+  placement_request Request;
+  Request.IsDeferred = [this, Now](const task_key &Key) {
+    return DeferredTasks.find(Key) != DeferredTasks.end() ||
+           isOrphaned(Key, Now);
+  };
+  Request.IsSchedulable = [this, Now](std::uint32_t Endpoint) {
+    return isSchedulable(TrackedEndpoints.find(Endpoint)->second, Now);
+  };
+  Request.MayBeInterrupted = [this, Now](std::uint32_t Endpoint) {
+    return mayBeOnOrderedHost(Endpoint, Now) ||
+           mayBeMovedByEarlierLeader(Endpoint, Now);
+  };
+  Request.IsAllowed = [this, Now](const task_key &Key, const job_record &Job,
+                                  std::uint32_t Endpoint) {
+    return isAllowed(Key, Job, Endpoint, Now);
+  };
+  Request.CrashesOf = [this](const task_key &Key) { return crashesOf(Key); };
+  Request.HostRisk = [this, Now](const task_key &Key, std::uint32_t Endpoint) {
+    return hostRisk(Key, Endpoint, Now);
+  };
+  return Request;
+}
+
 void leader::collectStarts(std::vector<command> &Commands, core::time_point Now,
                            std::int64_t WallMs) {
   IsPlacementDue = false;
@@ -784,25 +808,10 @@
       // Reservations for suspects are planned over all targets.
       if (State.suspectJobs().empty() || isSchedulable(*Tracked, Now))
         Targets.push_back(&Tracked->FreeCapacity);
-  placement_request Request;
+  requestAdvice(Targets, Now);
+  auto Request = placementRequest(Now);
   Request.MaxStarts =
       std::min(MaxStartsPerBatch, MaxPendingStarts - PendingStarts);
-  Request.IsDeferred = [&](const task_key &Key) {
-    return DeferredTasks.find(Key) != DeferredTasks.end() ||
-           isOrphaned(Key, Now);
-  };
-  requestAdvice(Targets, Now);
-  Request.IsSchedulable = [&](std::uint32_t Endpoint) {
-    return isSchedulable(TrackedEndpoints.find(Endpoint)->second, Now);
-  };
-  Request.MayBeInterrupted = [&](std::uint32_t Endpoint) {
-    return mayBeOnOrderedHost(Endpoint, Now) ||
-           mayBeMovedByEarlierLeader(Endpoint, Now);
-  };
-  Request.IsAllowed = [&](const task_key &Key, const job_record &Job,
-                          std::uint32_t Endpoint) {
-    return isAllowed(Key, Job, Endpoint, Now);
-  };
   auto Suspects = planSuspects(Targets, Now, WallMs);
   if (!Suspects.empty())
     Request.EndpointFor =
@@ -811,10 +820,6 @@
       return Found == Suspects.end() ? std::nullopt
                                      : std::optional(Found->second);
     };
-  Request.CrashesOf = [&](const task_key &Key) { return crashesOf(Key); };
-  Request.HostRisk = [&](const task_key &Key, std::uint32_t Endpoint) {
-    return hostRisk(Key, Endpoint, Now);
-  };
   std::set<std::string> HeldUp;
   Request.RecordHeldUp = [&](const std::string &Pool) { HeldUp.insert(Pool); };
   Request.Report = &LastRound;
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -14,6 +14,7 @@
 #include "scheduling/duration_models.h"
 #include "scheduling/host_crash_log.h"
 #include "scheduling/host_inventory.h"
+#include "scheduling/job_outlook.h"
 #include "scheduling/leader_load.h"
 #include "scheduling/orders.h"
 #include "scheduling/placement_bound.h"
@@ -162,6 +163,25 @@
   bool isOverRate(const workspaces::workspace_spec &Workspace,
                   core::time_point Now);
 
+  /// \returns whether a job that the workspace submitted now would exceed its
+  /// rate.
+  bool wouldExceedRate(const workspaces::workspace_spec &Workspace,
+                       core::time_point Now) const;
+
+  // leader_outlook.cpp
+  /// \param Job an accepted job, or the record that a job would get.
+  /// \param Occurrence one of its occurrences.
+  /// \param WallMs wall time.
+  /// \returns where its tasks would start now. Nothing is started or counted.
+  job_outlook outlookOf(const job_record &Job,
+                        const occurrence_record &Occurrence,
+                        core::time_point Now, std::int64_t WallMs);
+  /// \param WallMs wall time.
+  /// \returns the decision of refuse() on the job, or nothing without admission
+  /// control. Nothing is counted.
+  std::optional<admission::decision> estimate(const submit_job &Submit,
+                                              std::int64_t WallMs) const;
+
   /// Phases of takeCommands().
   enum phase : std::size_t { Ends, Losses, HostPlans, Starts, PhaseCount };
   using phase_times = core::phase_timer<core::thread_cpu_clock, PhaseCount>;
@@ -269,6 +289,13 @@
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
+  /// \returns the checks of a round of placement, without the limits of
+  /// workspaces and without suspects.
+  placement_request placementRequest(core::time_point Now) const;
+  // leader_outlook.cpp
+  step_outlook describe(const placement_outlook &Found, const job_record &Job,
+                        const occurrence_record &Occurrence, std::uint32_t Step,
+                        core::time_point Now) const;
   // leader_workspaces.cpp
   using workspace_use =
       std::map<std::string, workspaces::resource_usage, std::less<>>;
--- a/scheduling/leader_blockage.cpp
+++ b/scheduling/leader_blockage.cpp
@@ -88,6 +88,38 @@
 
 } // namespace
 
+std::string_view toText(endpoint_use Use) {
+  switch (Use) {
+  case endpoint_use::Fenced:
+    return "fenced";
+  case endpoint_use::Replaced:
+    return "replaced";
+  case endpoint_use::Unanswered:
+    return "unanswered";
+  case endpoint_use::Draining:
+    return "draining";
+  case endpoint_use::Starting:
+    return "starting";
+  case endpoint_use::Silent:
+    return "silent";
+  case endpoint_use::BadHealth:
+    return "bad_health";
+  case endpoint_use::BadHost:
+    return "bad_host";
+  case endpoint_use::Ordered:
+    return "ordered";
+  case endpoint_use::Other:
+    return "other";
+  case endpoint_use::Reserved:
+    return "reserved";
+  case endpoint_use::Schedulable:
+    return "schedulable";
+  case endpoint_use::Count:
+    break;
+  }
+  return "unknown";
+}
+
 order_kind kindOf(const order_body &Body) {
   struct visitor {
     order_kind operator()(const start_order &) { return order_kind::Start; }
--- a/scheduling/leader_workspaces.cpp
+++ b/scheduling/leader_workspaces.cpp
@@ -7,6 +7,12 @@
   return !Rates.take(Workspace.Name, Workspace.Weight, Now);
 }
 
+bool leader::wouldExceedRate(const workspaces::workspace_spec &Workspace,
+                             core::time_point Now) const {
+  return Rates.untilToken(Workspace.Name, Workspace.Weight, Now) >
+         core::duration();
+}
+
 leader::workspace_use leader::orphanedUse(core::time_point Now) const {
   workspace_use Result;
   for (auto Number : OrphanEndpoints) {
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -188,6 +188,41 @@
       }
   }
 
+  placement_outlook explain(const waiting_step &Waiting) {
+    placement_outlook Outlook;
+    const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
+    const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
+    auto *Pool = findPool(Waiting.Job->Pool);
+    auto Task = std::find_if(
+        Tasks.begin(), Tasks.end(),
+        [](const task_record &Candidate) { return Candidate.isWaiting(); });
+    if (!Pool) {
+      Outlook.Held = placement_failure::NoEndpoint;
+      return Outlook;
+    }
+    if (Task == Tasks.end())
+      return Outlook;
+    auto Key = keyOf(Waiting, static_cast<std::uint32_t>(Task - Tasks.begin()));
+    if (Request.IsDeferred && Request.IsDeferred(Key))
+      Outlook.Held = placement_failure::Deferred;
+    else if (!isWithinLimit(Waiting, Spec, Spec.IsGang ? Tasks.size() : 1))
+      Outlook.Held = placement_failure::WorkspaceLimit;
+    else if (Spec.IsGang && !hasRoomForGang(Waiting, Spec, Pool->Targets, ""))
+      Outlook.Held = placement_failure::GangRoom;
+    const auto *Best = Outlook.Held ? nullptr
+                                    : choose(Waiting, Spec, Key, Pool->Targets,
+                                             "", std::nullopt);
+    if (Best)
+      Outlook.Endpoint = Best->Endpoint;
+    for (const auto *Target : Pool->Targets)
+      if (Target != Best)
+        Outlook.Others.emplace_back(Target->Endpoint,
+                                    isSchedulable(*Target)
+                                        ? reasonOn(Waiting, Spec, Key, *Target)
+                                        : placement_failure::NoEndpoint);
+    return Outlook;
+  }
+
   bool isFull() const { return Placements.size() >= Request.MaxStarts; }
   /// \returns whether steps above a rate wait because others find no room.
   bool holdsOverRate(const pool_round &Pool) const {
@@ -777,6 +812,12 @@
           Left(Capacity.Accelerators, Accelerators)};
 }
 
+placement_outlook explainPlacement(const waiting_step &Waiting,
+                                   std::span<placement_target *const> Targets,
+                                   const placement_request &Request) {
+  return placement_round(Targets, Request).explain(Waiting);
+}
+
 std::string stepKey(const task_key &Task) {
   return Task.Job + "." + std::to_string(Task.Occurrence) + "." +
          std::to_string(Task.Step);
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheetrestle::scheduling {
@@ -115,6 +116,22 @@
   std::map<std::string, placement_bound, std::less<>> *Bounds = nullptr;
 };
 
+/// Where the next waiting task of a step would start, and why not elsewhere.
+struct placement_outlook {
+  std::uint32_t Endpoint = 0; ///< Or 0 when the task has to wait.
+  /// Why it waits, if that does not depend on the endpoint.
+  std::optional<placement_failure> Held;
+  /// The other endpoints of the pool with the reason against each of them;
+  /// Count for one that has a place too.
+  std::vector<std::pair<std::uint32_t, placement_failure>> Others;
+};
+
+/// Looks for a place as placeRuns() does for a step that comes first in a round
+/// and is no suspect. The targets stay unchanged.
+placement_outlook explainPlacement(const waiting_step &Waiting,
+                                   std::span<placement_target *const> Targets,
+                                   const placement_request &Request);
+
 /// \returns the key of the task's step in placement_target::RunsByStep.
 std::string stepKey(const task_key &Task);
 
--- a/scheduling/pool_blockage.h
+++ b/scheduling/pool_blockage.h
@@ -32,6 +32,9 @@
   Count
 };
 
+/// \returns a fixed name for logs and views.
+std::string_view toText(endpoint_use Use);
+
 /// Why a run takes up room, for the log.
 enum class room_holder : std::uint8_t {
   Committed,
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -273,6 +273,27 @@
   return Leader->blockedPools(Now, core::wallMilliseconds());
 }
 
+std::optional<job_outlook>
+schedule_node::outlookOf(const job_record &Job,
+                         const occurrence_record &Occurrence,
+                         core::time_point Now) {
+  if (!Leader)
+    return std::nullopt;
+  return Leader->outlookOf(Job, Occurrence, Now, core::wallMilliseconds());
+}
+
+std::optional<admission::decision>
+schedule_node::estimate(const submit_job &Submit) const {
+  if (!Leader)
+    return std::nullopt;
+  return Leader->estimate(Submit, core::wallMilliseconds());
+}
+
+bool schedule_node::wouldExceedRate(const workspaces::workspace_spec &Workspace,
+                                    core::time_point Now) const {
+  return Leader && Leader->wouldExceedRate(Workspace, Now);
+}
+
 core::time_point schedule_node::nextTick(core::time_point Now) const {
   if (!CommittedEntries.empty() || !Ahead.isDone())
     return Now;
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -113,6 +113,15 @@
   const std::map<std::uint64_t, wave_delay> *waveDelays() const {
     return Leader ? &Leader->waveDelays() : nullptr;
   }
+  /// \returns leader::outlookOf(), or nothing for a follower.
+  std::optional<job_outlook> outlookOf(const job_record &Job,
+                                       const occurrence_record &Occurrence,
+                                       core::time_point Now);
+  /// \returns leader::estimate(), or nothing for a follower.
+  std::optional<admission::decision> estimate(const submit_job &Submit) const;
+  /// \returns leader::wouldExceedRate(), or false for a follower.
+  bool wouldExceedRate(const workspaces::workspace_spec &Workspace,
+                       core::time_point Now) const;
   /// \returns the IP address of the leader, or an empty string.
   std::string leaderAddress() const;
 
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -206,6 +206,26 @@
              : caller_access::Allowed;
 }
 
+job_record schedule_state::recordOf(const submit_job &Submit,
+                                    const queue_spec &Queue) const {
+  job_record Job;
+  Job.Spec = Submit.Job;
+  Job.QueueHost = Queue.HostName;
+  Job.QueuePrefix = Queue.PathPrefix;
+  Job.Pool = Queue.Pool;
+  Job.QueueNumber =
+      static_cast<std::uint32_t>(&Queue - Configuration.Queues.data());
+  Job.SubmittedMs = TimeMs;
+  if (const auto *Workspace = findWorkspace(Submit.KeyDigest))
+    Job.Workspace = Workspace->Name;
+  Job.IsOverRate = Submit.IsOverRate;
+  if (Job.Spec.RepeatCount == 0) {
+    Job.OpenOccurrences.push_back(makeOccurrence(Job.Spec, 0));
+    Job.NextOccurrence = 1;
+  }
+  return Job;
+}
+
 const job_record *schedule_state::findJob(std::string_view Id) const {
   auto Found = Jobs.find(Id);
   return Found == Jobs.end() ? nullptr : &Found->second;
@@ -301,25 +321,11 @@
   if (!Queue)
     return apply_outcome::NoSuchQueue;
   evictEndedJobs();
-  auto &Job = Jobs[Command.Job.Id];
-  Job.Spec = Command.Job;
-  Job.QueueHost = Queue->HostName;
-  Job.QueuePrefix = Queue->PathPrefix;
-  Job.Pool = Queue->Pool;
-  Job.QueueNumber =
-      static_cast<std::uint32_t>(Queue - Configuration.Queues.data());
-  Job.SubmittedMs = TimeMs;
-  if (const auto *Workspace = findWorkspace(Command.KeyDigest))
-    Job.Workspace = Workspace->Name;
-  Job.IsOverRate = Command.IsOverRate;
+  const auto &Job = Jobs[Command.Job.Id] = recordOf(Command, *Queue);
   LiveJobs.emplace(TimeMs, Job.Spec.Id);
   PendingJobs.add(Job.QueueHost, Job.QueuePrefix);
   if (Job.Spec.RepeatCount != 0)
     RepeatedJobs.emplace(TimeMs, Job.Spec.Id);
-  if (Job.Spec.RepeatCount == 0) {
-    Job.OpenOccurrences.push_back(makeOccurrence(Job.Spec, 0));
-    Job.NextOccurrence = 1;
-  }
   return apply_outcome::Accepted;
 }
 
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -268,6 +268,9 @@
   caller_access accessOf(std::string_view KeyDigest, std::string_view HostName,
                          std::string_view Path, const job_record *Job) const;
   const job_record *findJob(std::string_view Id) const;
+  /// \param Queue the queue that the submission names.
+  /// \returns the record of a job that is accepted now.
+  job_record recordOf(const submit_job &Submit, const queue_spec &Queue) const;
   const job_map &jobs() const { return Jobs; }
   /// \returns time of submission and id of the jobs that have not ended, in
   /// that order.
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -11,6 +11,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "scheduling/call_delegator.h"
+#include "scheduling/explanation.h"
 #include "scheduling/heartbeat_relay.h"
 #include "scheduling/observer_process.h"
 #include "scheduling/pool_blockage.h"
@@ -237,6 +238,13 @@
                                 std::move(*View)}});
           return;
         }
+        if (Request.Request.Method == "POST" &&
+            Request.Request.Target == ExplanationPath) {
+          Responses.push_back(
+              {Request.Id, explain(Node, Request.Request, Adapter,
+                                   Settings.Listen.Port, Now)});
+          return;
+        }
         handle(Node, Adapter.DecodeControlCall(Request.Request),
                {"", Request.Id, Request.Request.Target, false, ""}, Now);
       });
--- /dev/null
+++ b/tests/scheduling/single_scheduler.h
@@ -0,0 +1,84 @@
+#ifndef LYCHEETRESTLE_TESTS_SCHEDULING_SINGLE_SCHEDULER_H
+#define LYCHEETRESTLE_TESTS_SCHEDULING_SINGLE_SCHEDULER_H
+
+#include "scheduling/schedule_node.h"
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+#include <variant>
+
+namespace lycheetrestle::scheduling::test {
+
+/// The only scheduler of its cluster; its writes finish immediately.
+class single_scheduler {
+public:
+  single_scheduler() : Node(makeNode()) {
+    while (!Node.isLeading())
+      advance();
+  }
+
+  void call(call_body Body) {
+    Node.handle({++LastCall, std::move(Body)}, Now);
+    advance();
+    advance();
+  }
+
+  /// Sends the heartbeat of an incarnation that answers probes, and commits.
+  void restart(const endpoint_heartbeat &Heartbeat) {
+    AnsweredMs = Heartbeat.Facts.IncarnationMs;
+    call(heartbeat_call{Heartbeat});
+    advance();
+  }
+
+  /// Lets half a second pass.
+  void wait() {
+    for (int Round = 0; Round != 10; ++Round)
+      advance();
+  }
+
+  core::time_point now() const { return Now; }
+
+private:
+  // Declared before Node, whose construction uses them.
+  core::metrics_registry Metrics;
+  core::time_point Now{std::chrono::seconds(1)};
+  std::uint64_t LastCall = 0;
+  std::uint64_t AnsweredMs = 0; ///< Incarnation in the answers to probes.
+
+public:
+  schedule_node Node;
+
+private:
+  schedule_node makeNode() {
+    scheduler_settings Settings;
+    Settings.Address = "10.0.0.1";
+    replication::replica_id Self{"10.0.0.1", 1};
+    replication::membership Initial;
+    Initial.Members.push_back({Self, true});
+    return {Settings, Self, {}, Initial, Metrics, Now};
+  }
+
+  void advance() {
+    Now += std::chrono::milliseconds(50);
+    Node.tick(Now);
+    auto Actions = Node.takeActions(Now);
+    for (const auto &Write : Actions.Writes)
+      Node.stored(Write.Ticket, Now);
+    endpoint_answer Answer;
+    Answer.Verdict = endpoint_verdict::Accepted;
+    auto Accepted = Answer;
+    Answer.IncarnationMs = AnsweredMs;
+    // Orders to recorded endpoints get no answer, but for starts: a run with an
+    // unanswered one would wait for a later incarnation.
+    for (const auto &Order : Actions.Orders)
+      if (Node.state().endpoints().count(Order.Endpoint) == 0)
+        Node.orderFinished({Order.Id, Answer}, Now);
+      else if (std::holds_alternative<start_order>(Order.Body))
+        Node.orderFinished({Order.Id, Accepted}, Now);
+  }
+};
+
+} // namespace lycheetrestle::scheduling::test
+
+#endif
--- a/tests/scheduling/test_schedule_views.cpp
+++ b/tests/scheduling/test_schedule_views.cpp
@@ -1,5 +1,6 @@
 #include "schedule_fixture.h"
 #include "scheduling/schedule_views.h"
+#include "single_scheduler.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -10,78 +11,12 @@
 
 namespace {
 
-/// The only scheduler of its cluster; its writes finish immediately.
-class single_scheduler {
-public:
-  single_scheduler() : Node(makeNode()) {
-    while (!Node.isLeading())
-      advance();
-  }
-
-  void call(call_body Body) {
-    Node.handle({++LastCall, std::move(Body)}, Now);
-    advance();
-    advance();
-  }
-
-  /// Sends the heartbeat of an incarnation that answers probes, and commits.
-  void restart(const endpoint_heartbeat &Heartbeat) {
-    AnsweredMs = Heartbeat.Facts.IncarnationMs;
-    call(heartbeat_call{Heartbeat});
-    advance();
-  }
-
-  /// Lets half a second pass.
-  void wait() {
-    for (int Round = 0; Round != 10; ++Round)
-      advance();
-  }
-
-  nlohmann::json view(std::string_view Path) const {
-    auto Text = viewOf(Node, Path);
-    REQUIRE(Text);
-    return nlohmann::json::parse(*Text);
-  }
-
-private:
-  // Declared before Node, whose construction uses them.
-  core::metrics_registry Metrics;
-  core::time_point Now{std::chrono::seconds(1)};
-  std::uint64_t LastCall = 0;
-  std::uint64_t AnsweredMs = 0; ///< Incarnation in the answers to probes.
-
-public:
-  schedule_node Node;
-
-private:
-  schedule_node makeNode() {
-    scheduler_settings Settings;
-    Settings.Address = "10.0.0.1";
-    replication::replica_id Self{"10.0.0.1", 1};
-    replication::membership Initial;
-    Initial.Members.push_back({Self, true});
-    return {Settings, Self, {}, Initial, Metrics, Now};
-  }
-
-  void advance() {
-    Now += std::chrono::milliseconds(50);
-    Node.tick(Now);
-    auto Actions = Node.takeActions(Now);
-    for (const auto &Write : Actions.Writes)
-      Node.stored(Write.Ticket, Now);
-    endpoint_answer Answer;
-    Answer.Verdict = endpoint_verdict::Accepted;
-    auto Accepted = Answer;
-    Answer.IncarnationMs = AnsweredMs;
-    // Orders to recorded endpoints get no answer, but for starts: a run with an
-    // unanswered one would wait for a later incarnation.
-    for (const auto &Order : Actions.Orders)
-      if (Node.state().endpoints().count(Order.Endpoint) == 0)
-        Node.orderFinished({Order.Id, Answer}, Now);
-      else if (std::holds_alternative<start_order>(Order.Body))
-        Node.orderFinished({Order.Id, Accepted}, Now);
-  }
-};
+nlohmann::json viewOf(const single_scheduler &Scheduler,
+                      std::string_view Path) {
+  auto Text = scheduling::viewOf(Scheduler.Node, Path);
+  REQUIRE(Text);
+  return nlohmann::json::parse(*Text);
+}
 
 } // namespace
 
@@ -93,19 +28,20 @@
   Scheduler.call(heartbeat_call{Heartbeat});
   Scheduler.call(submit_call{Host, Prefix + "j", makeJob("j", {makeStep(2)})});
   Scheduler.call(start_wave_call{3, {"h1", "h2"}, 1000, 1});
-  auto Status = Scheduler.view("/v1/schedule");
+  auto Status = viewOf(Scheduler, "/v1/schedule");
   CHECK(Status["role"] == "leader");
   CHECK(Status["leader"] == "10.0.0.1");
   CHECK(Status["configuration"] == 7);
   CHECK(Status["running_waves"] == 1);
-  CHECK(Scheduler.view("/v1/schedule/members")["members"][0]["voter"] == true);
-  auto Endpoint = Scheduler.view("/v1/schedule/endpoints")["endpoints"][0];
+  CHECK(viewOf(Scheduler, "/v1/schedule/members")["members"][0]["voter"] ==
+        true);
+  auto Endpoint = viewOf(Scheduler, "/v1/schedule/endpoints")["endpoints"][0];
   CHECK(Endpoint["name"] == "e1");
   CHECK(Endpoint["pool"] == "a");
-  auto Job = Scheduler.view("/v1/schedule/jobs")["jobs"][0];
+  auto Job = viewOf(Scheduler, "/v1/schedule/jobs")["jobs"][0];
   CHECK(Job["id"] == "j");
   CHECK(Job["queue"] == Host + Prefix);
-  auto Wave = Scheduler.view("/v1/schedule/waves")["waves"][0];
+  auto Wave = viewOf(Scheduler, "/v1/schedule/waves")["waves"][0];
   CHECK(Wave["hosts"] == 2);
   CHECK(Wave["state"] == "running");
   CHECK(Wave["deadline_ms"].get<std::int64_t>() ==
@@ -130,7 +66,7 @@
     // The endpoint crashed and comes back; then it leaves for good.
     Heartbeat.Facts.IncarnationMs = 9;
     Scheduler.restart(Heartbeat);
-    auto Job = Scheduler.view("/v1/schedule/jobs")["jobs"][0];
+    auto Job = viewOf(Scheduler, "/v1/schedule/jobs")["jobs"][0];
     CHECK(Job["state"] == "running");
     REQUIRE(Job["suspect_tasks"].size() == 1);
     auto Task = Job["suspect_tasks"][0];
@@ -178,7 +114,7 @@
     Scheduler.call(Submit);
   }
   Scheduler.wait();
-  auto Rows = Scheduler.view("/v1/schedule/workspaces")["workspaces"];
+  auto Rows = viewOf(Scheduler, "/v1/schedule/workspaces")["workspaces"];
   REQUIRE(Rows.size() == 2);
   CHECK(Rows[0]["name"] == "other");
   CHECK(Rows[0]["running_millicores"] == 4000);
