Give the answers of the leader in an explanation

The estimate used another calibration than the leader for a priority without jobs, a deferred first task hid the others, a job that is accepted was explained as a new one, long-running jobs could be shown above their rate, and advice hid all places of a job that is not submitted. Change: as the leader decides; hasLongRunningStep() replaces three copies. Result: test_explanation passes with a case of an accepted job.

--- a/scheduling/explanation.cpp
+++ b/scheduling/explanation.cpp
@@ -94,6 +94,7 @@
                {"queue", Job.QueueHost + Job.QueuePrefix},
                {"pool", Job.Pool},
                {"leader_is_new", Outlook.IsLeaderNew},
+               {"advice_pending", Outlook.IsAdvicePending},
                {"group", groupName(Outlook.Rank.Group)},
                {"priority", Outlook.Rank.Priority},
                {"steps_before", Outlook.StepsBefore},
@@ -144,13 +145,18 @@
   const auto *Queue = State.findQueue(Submit.HostName, Submit.Path);
   if (!Queue)
     return respond(200, {{"answer", 404}, {"reason", "no such queue"}});
+  const auto *Known = State.findJob(Submit.Job.Id);
   auto Access =
-      State.accessOf(Submit.KeyDigest, Submit.HostName, Submit.Path, nullptr);
+      State.accessOf(Submit.KeyDigest, Submit.HostName, Submit.Path, Known);
   if (Access != caller_access::Allowed)
-    return respond(200, {{"answer", 401},
-                         {"reason", accessName(Access)},
-                         {"queue", Queue->HostName + Queue->PathPrefix}});
-  if (const auto *Workspace = State.findWorkspace(Submit.KeyDigest))
+    return respond(200,
+                   {{"answer", Access == caller_access::Forbidden ? 403 : 401},
+                    {"reason", accessName(Access)},
+                    {"queue", Queue->HostName + Queue->PathPrefix}});
+  if (Known)
+    return explainAccepted(Node, Submit.Job.Id, Now);
+  const auto *Workspace = State.findWorkspace(Submit.KeyDigest);
+  if (Workspace && !hasLongRunningStep(Submit.Job))
     Submit.IsOverRate = Node.wouldExceedRate(*Workspace, Now);
   auto Job = State.recordOf(Submit, *Queue);
   auto Admission = Node.estimate(Submit);
--- a/scheduling/job_order.cpp
+++ b/scheduling/job_order.cpp
@@ -58,6 +58,11 @@
   return longestPathMs(Spec, Model, [](std::size_t) { return false; });
 }
 
+bool hasLongRunningStep(const job_spec &Spec) {
+  return std::any_of(Spec.Steps.begin(), Spec.Steps.end(),
+                     [](const step_spec &Step) { return Step.IsLongRunning; });
+}
+
 std::int64_t objectiveMs(const job_spec &Spec, const queue_spec *Queue,
                          const duration_model &Model) {
   double Slack = Queue ? Queue->SlackThousandths : 1000;
@@ -115,10 +120,7 @@
       Job.Spec.RepeatCount == 0
           ? Job.SubmittedMs
           : Job.Spec.StartAtMs + Occurrence.Number * Job.Spec.IntervalMs;
-  bool IsLongRunning =
-      std::any_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
-                  [](const step_spec &Step) { return Step.IsLongRunning; });
-  if (IsLongRunning) {
+  if (hasLongRunningStep(Job.Spec)) {
     Rank.LatestStartMs = ReleaseMs;
     return Rank;
   }
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -75,6 +75,9 @@
 /// dependent steps.
 std::int64_t criticalPathMs(const job_spec &Spec, const duration_model &Model);
 
+/// \returns whether a step of the job is long-running.
+bool hasLongRunningStep(const job_spec &Spec);
+
 /// Callers have no use for results after this many times the objective.
 constexpr double UsefulFactor = 3;
 
--- a/scheduling/job_outlook.h
+++ b/scheduling/job_outlook.h
@@ -35,16 +35,18 @@
 /// What a leader would do with an occurrence of a job now.
 struct job_outlook {
   bool IsLeaderNew = false; ///< It does not know all endpoints yet.
+  /// Places depend on advice that is requested once the job is accepted.
+  bool IsAdvicePending = false;
   job_rank Rank;
   /// Waiting steps of the pool that are placed before it; counted up to
-  /// MaxCountedSteps.
+  /// MaxStepsBefore.
   std::size_t StepsBefore = 0;
   workspaces::share_level Level = workspaces::share_level::Within;
   workspaces::start_budget::account Account; ///< Of its workspace.
   std::vector<step_outlook> Steps; ///< With tasks that could start now.
 };
 
-inline constexpr std::size_t MaxCountedSteps = 10'000;
+inline constexpr std::size_t MaxStepsBefore = 10'000;
 
 } // namespace lycheetrestle::scheduling
 
--- a/scheduling/leader_outlook.cpp
+++ b/scheduling/leader_outlook.cpp
@@ -36,10 +36,15 @@
   if (auto Pool = Waiting.pools().find(Job.Pool); Pool != Waiting.pools().end())
     for (auto Step = Pool->second.begin();
          Step != Pool->second.end() && *Step < Place &&
-         Result.StepsBefore != MaxCountedSteps;
+         Result.StepsBefore != MaxStepsBefore;
          ++Step)
       ++Result.StepsBefore;
   auto Request = placementRequest(Now);
+  // Advice is requested only for tasks of accepted jobs.
+  if (State.findJob(Job.Spec.Id) != &Job) {
+    Request.IsAllowed = {};
+    Result.IsAdvicePending = Queue && Queue->Advice;
+  }
   auto Orphaned = orphanedUse(Now);
   workspaces::start_budget Budget([&](std::string_view Workspace) {
     return accountOf(Workspace, Orphaned);
@@ -109,8 +114,10 @@
     return std::nullopt;
   auto Job = admissionDemand(Submit, *Queue, Durations, WallMs);
   auto Known = Load->second;
-  if (auto Found = Calibrations.find(Job.Priority); Found != Calibrations.end())
-    Known.LowRatio = Found->second.lowRatio();
+  auto Calibration = Calibrations.find(Job.Priority);
+  Known.LowRatio = Calibration == Calibrations.end()
+                       ? admission::completion_calibration().lowRatio()
+                       : Calibration->second.lowRatio();
   return admission::decide(Known, Job, WallMs);
 }
 
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -193,17 +193,29 @@
     const auto &Spec = Waiting.Job->Spec.Steps[Waiting.Step];
     const auto &Tasks = Waiting.Occurrence->Steps[Waiting.Step].Tasks;
     auto *Pool = findPool(Waiting.Job->Pool);
-    auto Task = std::find_if(
-        Tasks.begin(), Tasks.end(),
-        [](const task_record &Candidate) { return Candidate.isWaiting(); });
     if (!Pool) {
       Outlook.Held = placement_failure::NoEndpoint;
       return Outlook;
     }
-    if (Task == Tasks.end())
+    // A gang starts as a whole; of other steps the first task that may.
+    std::optional<std::uint32_t> First;
+    bool HasDeferred = false;
+    for (std::uint32_t Index = 0; Index != Tasks.size(); ++Index) {
+      if (!Tasks[Index].isWaiting()) {
+        if (Spec.IsGang)
+          return Outlook;
+        continue;
+      }
+      bool IsDeferred =
+          Request.IsDeferred && Request.IsDeferred(keyOf(Waiting, Index));
+      HasDeferred |= IsDeferred;
+      if (!First && !IsDeferred)
+        First = Index;
+    }
+    if (!First && !HasDeferred)
       return Outlook;
-    auto Key = keyOf(Waiting, static_cast<std::uint32_t>(Task - Tasks.begin()));
-    if (Request.IsDeferred && Request.IsDeferred(Key))
+    auto Key = keyOf(Waiting, First.value_or(0));
+    if (!First || (Spec.IsGang && HasDeferred))
       Outlook.Held = placement_failure::Deferred;
     else if (!isWithinLimit(Waiting, Spec, Spec.IsGang ? Tasks.size() : 1))
       Outlook.Held = placement_failure::WorkspaceLimit;
--- a/scheduling/queue_load.cpp
+++ b/scheduling/queue_load.cpp
@@ -17,10 +17,7 @@
 // Waiting steps of a pool that one take() counts; bounds its processor time.
 constexpr std::size_t MaxCountedSteps = 10'000;
 
-bool isCounted(const job_record &Job) {
-  return std::none_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
-                      [](const step_spec &Step) { return Step.IsLongRunning; });
-}
+bool isCounted(const job_record &Job) { return !hasLongRunningStep(Job.Spec); }
 
 queue_load_counter::queue_key keyOf(const job_record &Job) {
   return {Job.QueueHost, Job.QueuePrefix};
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/schedule_node.h"
 
 #include "core/event_log.h"
+#include "scheduling/job_order.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,11 +15,6 @@
 // longer than that, also at a process that was suspended.
 constexpr core::duration ConfirmationValidity = std::chrono::milliseconds(200);
 
-bool hasLongRunningStep(const job_spec &Job) {
-  return std::any_of(Job.Steps.begin(), Job.Steps.end(),
-                     [](const step_spec &Step) { return Step.IsLongRunning; });
-}
-
 reply_kind toReply(caller_access Access) {
   return Access == caller_access::Forbidden ? reply_kind::Forbidden
                                             : reply_kind::Unauthorized;
--- a/tests/scheduling/test_explanation.cpp
+++ b/tests/scheduling/test_explanation.cpp
@@ -139,6 +139,12 @@
   auto Held = Fixture.askFor(explanation_fixture::newJob(1, Key));
   CHECK(Held["workspace"]["running_millicores"] == 1000);
   CHECK(Held["steps"][0]["held_by"] == "workspace_limit");
+  // The adapter gives each job that is not submitted the id "new".
+  Submit.Job = makeJob("new", {makeStep(1)});
+  Fixture.Scheduler.call(Submit);
+  auto Known = Fixture.askFor(explanation_fixture::newJob(5, Key));
+  CHECK(Known["steps"][0]["waiting_tasks"] == 1);
+  CHECK_FALSE(Known.contains("answer"));
 }
 
 TEST_CASE("invalid questions are refused with the field", "[explanation]") {
