Name the check of a reset connection for what it does

Cause: found in a read-through: hasPeerClosed() tells whether a connection was reset, and the formatter had joined two lines of a comment. Change: isReset(), comments. No behaviour. Result: test_http, test_entry and test_control pass.

--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -279,10 +279,10 @@
       Stalled.push_back(Socket);
   for (auto *Socket : Stalled)
     evict(*Socket, "request_time");
-  // A connection that waits is not read, so that its end would go unnoticed.
+  // A connection that waits is not read, so that a reset would go unnoticed.
   std::vector<tracked_socket *> Gone;
   for (auto *Socket : Waiting)
-    if (!Socket->isPending() && Socket->hasPeerClosed())
+    if (!Socket->isPending() && Socket->isReset())
       Gone.push_back(Socket);
   for (auto *Socket : Gone)
     evict(*Socket, "client_gone");
@@ -412,7 +412,7 @@
   base::shutdown(mustCloseAfterPeer() ? shutdown_send : Direction, Error);
 }
 
-bool tracked_socket::hasPeerClosed() {
+bool tracked_socket::isReset() {
   // POLLHUP and POLLERR are always reported. A client that has only ended its
   // own side may still wait for a response.
   pollfd Poll{native_handle(), 0, 0};
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -43,8 +43,8 @@
 };
 
 /// \param MaxBodyBytes largest body of a request.
-/// \param RequestTimeout longest time in which a request must arrive
-/// completely. \returns limits for the connections of a process.
+/// \param RequestTimeout longest time for a request to arrive completely.
+/// \returns limits for the connections of a process.
 connection_limits limitConnections(const process_limits &Process,
                                    std::size_t MaxBodyBytes,
                                    core::duration RequestTimeout);
@@ -238,7 +238,7 @@
 
   void countRead(std::size_t Length);
   /// \returns whether the connection is reset, also with unread bytes.
-  bool hasPeerClosed();
+  bool isReset();
   bool isIdle() const { return IsReading && RequestBytes == 0; }
   /// A complete request was passed on and has no complete response.
   bool isPending() const {
