Tell in open_start_kept whether the order is assumed and the run was listed

Cause: a run that waits for the next incarnation of a lost endpoint may do so because its start order got no answer, or because a new leader only assumes that. One line could not tell the two apart, nor whether the run was ever seen.

--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -85,6 +85,8 @@
                     {"attempt", Run.Attempt},
                     {"endpoint", Tracked.Id},
                     {"number", Tracked.Endpoint},
+                    {"assumed", Run.IsOpenAssumed},
+                    {"listed", Run.ListedIn != 0},
                     {"open_ms", std::chrono::duration_cast<milliseconds>(
                                     Run.OpenUntil - Now)
                                     .count()}});
