Take a listed run for proof that its start order was executed

Cause: a new leader assumes that each start committed less than 1.2 s before the end of the former one has an order on its way, for 12 s. Nothing took that back. When the endpoint was lost within this time, its runs waited for the next incarnation although the leader had read lists that show them at work. Change: a run in a list settles an assumed order. That is sound only while one copy exists, so a second one is sent only after the log says that the first may have no answer: by the leader that sent it, and by a new leader that may repeat an order of the former one. The next leader then knows of both. Evidence: the three new cases fail on the code before (the task stays assigned to the lost endpoint; a second copy is sent without a record). Four test harnesses commit the new record before they expect the repeated start; what they check is unchanged.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -244,6 +244,13 @@
       withdrawClaimed(Tracked, Start->Task, Now);
     return;
   }
+  if (const auto *Open = std::get_if<record_open_start>(&Command)) {
+    // Its start may be waiting to be sent again.
+    if (auto Place = EndpointOfRun.find(Open->Task);
+        Place != EndpointOfRun.end())
+      markDue(trackEndpoint(Place->second, Now));
+    return;
+  }
   if (const auto *Submit = std::get_if<submit_job>(&Command)) {
     const auto *Job = State.findJob(Submit->Job.Id);
     if (Job && Outcome == apply_outcome::Accepted && Job->Spec.RepeatCount == 0)
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -435,6 +435,15 @@
   /// Sets until when the start of a run of an earlier leader may be executed.
   void inheritOpenStart(tracked_run &Run, const task_record &Task,
                         bool HasEnded, core::time_point Now) const;
+  /// Takes the run in a list for that of the only copy of its start order.
+  /// An earlier leader sends a second copy, and this one sends its own, only
+  /// after the log says that the first may have no answer.
+  static void settleAssumedStart(tracked_run &Run);
+  /// Proposes to record that an earlier copy of the start order may have no
+  /// answer.
+  /// \returns whether the log says so, or there is no earlier copy.
+  bool mayRepeatStart(const task_key &Task, const task_record &Record,
+                      tracked_run &Run);
   /// \param TimeMs wall time of an earlier command.
   /// \returns the time from it to the newest command, which passes no faster
   /// than the time of the leaders, or zero.
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -39,6 +39,25 @@
     Run.OpenUntil = Now + MaxOrderDelay;
 }
 
+void leader::settleAssumedStart(tracked_run &Run) {
+  if (!Run.IsOpenAssumed || !Run.MayBeStartedByOther ||
+      Run.FirstSentAt != core::time_point())
+    return;
+  Run.IsOpenAssumed = false;
+  Run.OpenUntil = {};
+}
+
+bool leader::mayRepeatStart(const task_key &Task, const task_record &Record,
+                            tracked_run &Run) {
+  bool HasCopy = Run.UnansweredStarts > 0 ||
+                 (Run.MayBeStartedByOther && Run.IsOpenAssumed);
+  if (!HasCopy || Record.OpenStartMs != 0)
+    return true;
+  if (!std::exchange(Run.IsOpenProposed, true))
+    OpenStarts.push_back({Task, Run.Attempt});
+  return false;
+}
+
 core::duration leader::logTimeSince(std::int64_t TimeMs) const {
   return milliseconds(std::max<std::int64_t>(0, State.timeMs() - TimeMs));
 }
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -300,6 +300,7 @@
     const auto *Task = State.findTask(Key);
     if (!Task || Task->Attempt != Run.Attempt ||
         PendingStarts >= MaxUnansweredStarts ||
+        !mayRepeatStart(Key, *Task, Run) ||
         !maySendStart(Tracked, Key, Run, Now))
       continue;
     const auto &Job = *State.findJob(Key.Job);
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -247,6 +247,7 @@
       Found->second.OpenUntil =
           std::max(Found->second.OpenUntil, SentAt + MaxOrderDelay);
       Found->second.IsOpenAssumed = false;
+      Found->second.IsOpenProposed = true;
       OpenStarts.push_back({Order.Task, Order.Attempt});
     }
     logUnansweredStart(Tracked, Order, NoAnswer, SentAt, Now);
@@ -381,6 +382,7 @@
     }
     auto &Run = Found->second;
     Run.ListedIn = List;
+    settleAssumedStart(Run);
     if (Run.IsStopAcknowledged &&
         SentAt - Run.StopAcknowledgedAt > MaxStopTime) {
       // The endpoint says that it stopped the run, and lists it all the same.
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -61,6 +61,8 @@
   /// OpenUntil is only assumed: an earlier leader committed the start shortly
   /// before its end, and nothing says that the order had no answer.
   bool IsOpenAssumed = false;
+  /// That a start order may have no answer was proposed to the log.
+  bool IsOpenProposed = false;
   /// When this leader first sent a start order, or zero.
   core::time_point FirstSentAt{};
   core::time_point NextOrder{};    ///< Earliest time of the next order.
--- a/tests/scheduling/test_leader_stops.cpp
+++ b/tests/scheduling/test_leader_stops.cpp
@@ -66,9 +66,14 @@
     Step.IsLongRunning = true;
     submit_job Submit = submission(makeJob("l", {Step}));
     Leader->recordApplied(Submit, State.apply(Submit, 1000), Now);
+    commit();
+    REQUIRE(State.findTask(Task)->Endpoint != 0);
+  }
+
+  /// Commits what the leader decides.
+  void commit() {
     for (const auto &Command : Leader->takeCommands(Now, 1000))
       Leader->recordApplied(Command, State.apply(Command, 1000), Now);
-    REQUIRE(State.findTask(Task)->Endpoint != 0);
   }
 
   /// Advances the time and collects the orders.
@@ -106,6 +111,7 @@
     advance(10ms);
     answer<poll_order>(listing({}));
     REQUIRE(answer<start_order>(no_answer{true, "timeout"}) == 1);
+    commit();
     advance(10ms);
     answer<poll_order>(listing({}));
     advance(300ms);
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -84,8 +84,9 @@
         Leader->finishOrder({Next->second, no_answer{true, "timeout"}}, Now);
         Next = TimeOuts.erase(Next);
       }
-      for (const auto &Command : Leader->takeCommands(Now, wallMs()))
-        apply(Command);
+      if (!HoldsCommits)
+        for (const auto &Command : Leader->takeCommands(Now, wallMs()))
+          apply(Command);
     }
   }
   const task_record *task() const { return State.findTask(Task); }
@@ -95,6 +96,9 @@
     HoldsLists = false;
     Leader->finishOrder(std::move(*HeldList), Now);
   }
+  /// Makes a commit of the leader's commands last until releaseCommits().
+  void holdCommits() { HoldsCommits = true; }
+  void releaseCommits() { HoldsCommits = false; }
   bool isAssignedTo(std::string_view Id) const {
     const auto *Endpoint = State.findEndpoint(Id);
     return Endpoint && task() && task()->Endpoint == Endpoint->Number;
@@ -179,6 +183,7 @@
   std::uint64_t Sequence = 0;
   int Steps = 0;
   bool HoldsLists = false;
+  bool HoldsCommits = false;
   std::optional<order_result> HeldList;      ///< The answer to a list of hosts.
   std::map<std::string, std::uint64_t> Live; ///< Incarnations, by id.
   std::multimap<core::time_point, std::uint64_t> TimeOuts;
@@ -233,6 +238,52 @@
   CHECK(Site.isAssignedTo("e2"));
 }
 
+TEST_CASE(
+    "a task that a list shows at work under a new leader starts elsewhere "
+    "at once when its endpoint ends") {
+  two_hosts Site;
+  Site.startOnFirst();
+  Site.changeLeader();
+  Site.run(1s);
+  REQUIRE(Site.Started.size() == 1);
+  Site.crash("e1");
+  Site.run(4s);
+  CHECK_FALSE(Site.State.findEndpoint("e1"));
+  CHECK(Site.isAssignedTo("e2"));
+}
+
+TEST_CASE(
+    "a start that an earlier leader may have sent is not sent again before "
+    "the log says so") {
+  two_hosts Site;
+  Site.startOnFirst();
+  Site.Lists["e1"].Running.clear(); // The order is on its way.
+  Site.changeLeader();
+  Site.holdCommits();
+  Site.run(1s);
+  CHECK(Site.Started.size() == 1);
+  Site.releaseCommits();
+  Site.run(100ms);
+  CHECK(Site.Started.size() == 2);
+  CHECK(Site.task()->OpenStartMs != 0);
+}
+
+TEST_CASE(
+    "a start without an answer is not sent again before the log says so") {
+  two_hosts Site;
+  Site.Silent = {"e1"};
+  Site.startOnFirst();
+  Site.holdCommits();
+  Site.run(800ms);
+  Site.Silent.clear();
+  Site.run(2s);
+  CHECK(Site.Started.size() == 1);
+  Site.releaseCommits();
+  Site.run(1s);
+  CHECK(Site.Started.size() == 2);
+  CHECK(Site.task()->Attempt == 1);
+}
+
 TEST_CASE(
     "a task whose start has no answer waits until the order can no longer "
     "be executed on its host, also under the next leader") {
--- a/tests/scheduling/test_refused_starts.cpp
+++ b/tests/scheduling/test_refused_starts.cpp
@@ -33,6 +33,8 @@
       Leader->recordHeartbeat(Heartbeat, Now);
     }
     takeOrders();
+    // That the earlier leader's order may have no answer.
+    commit();
   }
 
   /// Answers the oldest unanswered order of this kind.
--- a/tests/scheduling/test_replaced_receivers.cpp
+++ b/tests/scheduling/test_replaced_receivers.cpp
@@ -369,6 +369,8 @@
   Site.changeLeader(6);
   Site.sendHeartbeat();
   // The leader cannot know whether its predecessor sent them.
+  Site.collect();
+  Site.commit();
   for (int Start = 0; Start != 2; ++Start)
     Site.answerStart();
   Site.answerList(70);
