Count the wait for an assumed order from the end of its endpoint

The wait for the next incarnation of a lost endpoint began anew with each change of leader, so that its tasks could stand still for 12 s more each time. Cause: only orders that are known to have no answer had a time in the log. A leader that finds an ended endpoint without one counted from its own election. Change: the command that ends the incarnation records its own time for the runs that it keeps. No order for the incarnation is sent after it. Evidence: the new case fails on the code before (still assigned after 15 s) and passes with it.

--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -620,10 +620,14 @@
   if (!Endpoint.HasEnded)
     recordCrash(Endpoint, Command.End);
   for (const auto &Key : std::vector<task_key>(Endpoint.Runs)) {
+    auto *Task = mutableTask(Key);
     if (std::find(Command.OpenStarts.begin(), Command.OpenStarts.end(), Key) !=
-        Command.OpenStarts.end())
+        Command.OpenStarts.end()) {
+      // No order for this incarnation is sent later.
+      if (Task->OpenStartMs == 0)
+        Task->OpenStartMs = TimeMs;
       continue;
-    const auto *Task = findTask(Key);
+    }
     applyTyped(end_run{Key, Task->Attempt, run_end::Lost, ""});
     AffectedJobs.push_back(Key.Job);
   }
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -33,7 +33,8 @@
   std::string Checkpoint;     ///< The next run continues from here.
   std::int64_t StartedMs = 0; ///< Wall time of the newest start.
   /// Wall time at which a start order of the newest run was recorded as
-  /// unanswered, or 0.
+  /// unanswered, or at which its incarnation ended while one may have been, or
+  /// 0.
   std::int64_t OpenStartMs = 0;
   bool isWaiting() const { return !IsDone && Endpoint == 0; }
 };
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -252,6 +252,23 @@
   CHECK(Site.isAssignedTo("e2"));
 }
 
+TEST_CASE("the wait for an order that an earlier leader may have sent does not "
+          "begin anew with the next leader") {
+  two_hosts Site;
+  Site.startOnFirst();
+  Site.Silent = Site.Mute = {"e1"};
+  Site.crash("e1");
+  Site.changeLeader();
+  Site.run(6s);
+  REQUIRE(Site.State.findEndpoint("e1")->HasEnded);
+  Site.apply(submission(makeJob("k", {makeStep(1)}))); // Has the time.
+  Site.changeLeader();
+  Site.run(4s);
+  CHECK(Site.isAssignedTo("e1"));
+  Site.run(5s);
+  CHECK_FALSE(Site.isAssignedTo("e1"));
+}
+
 TEST_CASE(
     "a start that an earlier leader may have sent is not sent again before "
     "the log says so") {
