--- a/tests/scheduling/test_unlisted_endpoints.cpp
+++ b/tests/scheduling/test_unlisted_endpoints.cpp
@@ -37,7 +37,8 @@
 /// capacity for it and is listed on h2.
 class unlisted_endpoint {
 public:
-  unlisted_endpoint() {
+  /// \param IsStartAnswered whether e1 answers the start of the task.
+  explicit unlisted_endpoint(bool IsStartAnswered = true) {
     auto Configuration = makeConfiguration(1);
     Configuration.Pools.resize(1); // No host moves.
     State.apply(set_configuration{Configuration}, wallMs());
@@ -48,8 +49,16 @@
     beat("e1");
     auto Step = makeStep(1);
     Step.IsLongRunning = true;
+    if (!IsStartAnswered)
+      cutOff();
     apply(submission(makeJob("j", {Step})));
-    run(3s);
+    run(1s);
+    REQUIRE(isAssignedTo("e1"));
+    if (!IsStartAnswered) {
+      Silent.erase("e2");
+      return;
+    }
+    run(2s);
     REQUIRE(Lists["e1"].Running.size() == 1);
     Silent.clear();
     run(3s);
@@ -85,8 +94,8 @@
   }
   /// Cuts e1 off: it gets nothing, and nothing comes from it.
   void cutOff() {
-    Silent = {"e1"};
-    Mute = {"e1"};
+    Silent.insert("e1");
+    Mute.insert("e1");
   }
   bool isAssignedTo(std::string_view Id) const {
     const auto *Endpoint = State.findEndpoint(Id);
@@ -237,3 +246,31 @@
   Site.run(2s);
   CHECK(Site.isAssignedTo("e2"));
 }
+
+TEST_CASE(
+    "a task whose start has no answer waits for the order and a list, not "
+    "for a lease, when no list has shown its endpoint") {
+  unlisted_endpoint Site(false);
+  Site.run(10s);
+  CHECK(Site.isAssignedTo("e1"));
+  SECTION("the lists name all endpoints") {
+    Site.run(4s);
+    CHECK(Site.isAssignedTo("e2"));
+  }
+  SECTION("a host is up and its endpoint is not named") {
+    Site.List = [] {
+      auto Unnamed = hostRow("h1", "");
+      Unnamed.State = host_state::Up;
+      return hosts_answer{{Unnamed, hostRow("h2", "e2")}, ""};
+    };
+    Site.run(4s);
+    CHECK(Site.isAssignedTo("e1"));
+  }
+  SECTION("the next incarnation is listed") {
+    Site.List = [] {
+      return hosts_answer{{hostRow("h1", "e1"), hostRow("h2", "e2")}, ""};
+    };
+    Site.run(4s);
+    CHECK(Site.isAssignedTo("e1"));
+  }
+}
