Record that an incarnation may hold a lease of an ended one

A task could run twice: the next leader took the run of a restarted endpoint for lost 7.15 s after its election, while a late poll for the former incarnation may have given the present one the longest lease, 10.2 s on the slowest clock.

Cause: only the memory of a leader held that an incarnation with the id had ended lately. The takeover time is replicated when an incarnation is recorded in the place of another one, but not when the former one was recorded as ended before that, so that restoreRuns() set no longer bound.

record_endpoint now says so, and the state records the takeover time as for a replaced incarnation. The field is written only when it is set. Earlier versions cannot read such a record: replace all schedulers at once.

Test: "the next leader allows for leases of the former incarnation when it was recorded as ended before the present one was recorded". It asserts the bound of the leader, with an endpoint that is out of reach.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -83,6 +83,9 @@
   /// Number of the incarnation that it replaces although that one's start time
   /// is later, because a clock was stepped; 0 when the start times decide.
   std::uint32_t Replaces = 0;
+  /// An incarnation with the id ended lately: polls for it may still give this
+  /// one a lease in another clock.
+  bool MayHoldEarlierLease = false;
   bool operator==(const record_endpoint &) const = default;
 };
 
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -144,8 +144,10 @@
   A(R.Facts);
   A.trailing(R.End);
   // Rarely set; without it earlier versions can read the record.
-  if (!std::is_const_v<Type> || R.Replaces != 0)
+  if (!std::is_const_v<Type> || R.Replaces != 0 || R.MayHoldEarlierLease)
     A.trailing(R.Replaces);
+  if (!std::is_const_v<Type> || R.MayHoldEarlierLease)
+    A.trailing(R.MayHoldEarlierLease);
 }
 template <typename Archive, record_of<end_endpoint> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -124,7 +124,7 @@
     // leading.
     Tracked.LeaseExpiry = Now + Settings.PreviousLeaderGrace +
                           Settings.Lease * MaxLeasePercent / 100;
-    // As transferRuns() did when the incarnation was recorded.
+    // As transferRuns() or inheritLeases() did when it was recorded.
     if (Endpoint.TookOverMs != 0)
       Tracked.LeaseExpiry =
           std::max(Tracked.LeaseExpiry,
--- a/scheduling/leader_incarnations.cpp
+++ b/scheduling/leader_incarnations.cpp
@@ -324,6 +324,9 @@
         Record.End = {};
     }
   }
+  auto Ended = EndsWithLeases.find(Facts.Id);
+  Record.MayHoldEarlierLease = !Earlier && Ended != EndsWithLeases.end() &&
+                               Now < Ended->second + MaxOrderDelay;
   Record.Facts = std::move(Facts);
   return Record;
 }
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -594,8 +594,11 @@
   auto &Endpoint = Endpoints[++LastEndpoint];
   Endpoint.Number = LastEndpoint;
   Endpoint.Facts = Facts;
-  if (!Earlier)
+  if (!Earlier) {
+    if (Command.MayHoldEarlierLease)
+      Endpoint.TookOverMs = TimeMs;
     return apply_outcome::Accepted;
+  }
   // A start order for the earlier incarnation may have reached the new one, so
   // the runs end only after the new incarnation reports what it runs.
   auto &Previous = Endpoints.find(*Earlier)->second;
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -160,7 +160,8 @@
   /// with its id may still execute.
   bool HasEnded = false;
   /// Wall time at which it took the place of an earlier incarnation with its
-  /// id, or 0. Orders for that one may give it leases in another clock.
+  /// id, or followed one that had ended lately, or 0. Orders for that one may
+  /// give it leases in another clock.
   std::int64_t TookOverMs = 0;
 };
 
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -288,6 +288,30 @@
   CHECK(Site.Started.size() == 1);
 }
 
+TEST_CASE("the next leader allows for leases of the former incarnation when it "
+          "was recorded as ended before the present one was recorded") {
+  two_hosts Site;
+  Site.startOnFirst();
+  Site.crash("e1");
+  for (int Step = 0; Step != 400 && Site.State.findEndpoint("e1"); ++Step)
+    Site.run(10ms);
+  REQUIRE_FALSE(Site.State.findEndpoint("e1"));
+  // A late poll gives the next incarnation the longest lease at its start.
+  Site.startIncarnation("e1", 2);
+  Site.apply(submission(makeJob("k", {makeStep(1)})));
+  auto Number = Site.State.findEndpoint("e1")->Number;
+  const task_key Later{"k", 0, 0, 0};
+  Site.apply(start_run{Later, 1, Number});
+  Site.run(50ms);
+  REQUIRE(Site.Lists["e1"].Running.size() == 1);
+  Site.Silent.insert("e1");
+  Site.Mute.insert("e1");
+  Site.changeLeader();
+  Site.run(leader_settings().MaxLease);
+  REQUIRE(Site.State.findTask(Later));
+  CHECK(Site.State.findTask(Later)->Endpoint == Number);
+}
+
 TEST_CASE("an ended incarnation with an open start gets no further run") {
   unanswered_start Site;
   auto Number = Site.State.findEndpoint("e1")->Number;
