--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -463,8 +463,9 @@
   /// \returns whether no later incarnation can have the endpoint's id, because
   /// another endpoint took its address or its host.
   bool isSucceeded(const tracked_endpoint &Tracked) const;
-  /// \returns whether a whole list of hosts, requested after the time, shows
-  /// that the endpoint's host does not run an endpoint with its id.
+  /// \returns whether a whole list of hosts, requested after the time, shows no
+  /// endpoint with the id on the host of this one, or on any host if no list
+  /// has shown it on one.
   bool isDownAfter(const tracked_endpoint &Tracked,
                    core::time_point Time) const;
   /// \returns why no incarnation with the id of an endpoint that has ended runs
@@ -523,6 +524,19 @@
   void finishHostList(bool IsWhole);
   /// Ends incarnations that the platform no longer lists on their host.
   void endReplacedIncarnations();
+  using listed_ids = std::unordered_set<std::string_view>;
+  /// \param Host of the endpoint, or an empty string.
+  /// \param Listed ids of the endpoints in the list of hosts, which may be
+  /// incomplete.
+  /// \returns whether the list proves that the incarnation has ended.
+  bool isListedAsEnded(const endpoint_record &Endpoint,
+                       const tracked_endpoint &Tracked, const std::string &Host,
+                       const listed_ids &Listed) const;
+  /// \returns whether a list of all hosts that does not name the endpoint
+  /// proves the end of an incarnation which no list has shown: it was silent
+  /// before the list was requested, and a listed host may have been its own.
+  bool hasEndedUnlisted(const endpoint_record &Endpoint,
+                        const tracked_endpoint &Tracked) const;
   /// Hosts of a wave that have not begun and have tasks of one step.
   struct step_hosts {
     std::uint32_t Hosts = 0;
