Do not avoid hosts that crash together with whole racks

Tasks waited up to 7,750 ms beside two idle hosts after a second crash of most of a pool: crashes of many hosts within 2 s count against none of them, but hosts that failed with their rack were not among the many. Two hosts of a smaller rack, which crashed in the same moment as two whole racks, seemed to crash alone, twice in 30 s, and got no work for 15 s. Failures of racks are recorded now: they never count against their host, but they count among the many.

The new test fails before the change (placeOf("j") is 0).

--- a/scheduling/host_crash_log.cpp
+++ b/scheduling/host_crash_log.cpp
@@ -22,24 +22,30 @@
 
 void host_crash_log::record(const std::string &Host, std::uint32_t Endpoint,
                             std::set<task_key> Tasks, core::time_point Now) {
+  add(Host, {Endpoint, std::move(Tasks), Now, false});
+}
+
+void host_crash_log::recordRackFailure(const std::string &Host,
+                                       core::time_point Now) {
+  add(Host, {0, {}, Now, true});
+}
+
+void host_crash_log::add(const std::string &Host, crash Crash) {
   if (Host.empty())
     return;
+  auto Now = Crash.At;
   for (auto &[Name, List] : Crashes)
     std::erase_if(List,
-                  [&](const crash &Crash) { return Now - Crash.At > Window; });
+                  [&](const crash &Known) { return Now - Known.At > Window; });
   std::erase_if(Crashes, [](const auto &Item) { return Item.second.empty(); });
-  Crashes[Host].push_back({Endpoint, std::move(Tasks), Now, false});
-  markMassCrash(Now);
-}
-
-void host_crash_log::markMassCrash(core::time_point Now) {
+  Crashes[Host].push_back(std::move(Crash));
   std::vector<crash *> Recent;
   for (auto &[Name, List] : Crashes)
     if (Now - List.back().At <= MassWindow)
       Recent.push_back(&List.back());
   if (Recent.size() >= MinMassHosts)
-    for (auto *Crash : Recent)
-      Crash->IsOfMany = true;
+    for (auto *Known : Recent)
+      Known->IsOfMany = true;
 }
 
 bool host_crash_log::hasCrashed(const std::string &Host,
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -373,6 +373,8 @@
       Quarantines[Pool].recordCrash(Now);
     if (End.Cause == end_cause::Crashed)
       HostCrashes.record(Tracked.Host, Number, std::move(Tasks), Now);
+    else
+      HostCrashes.recordRackFailure(Tracked.Host, Now);
   }
   recordCountedCrashes();
 }
--- a/tests/scheduling/test_leader_crashes.cpp
+++ b/tests/scheduling/test_leader_crashes.cpp
@@ -160,6 +160,17 @@
     Row.State = host_state::Down;
     Row.EndpointId.clear();
   }
+  /// Starts the next endpoint of a host that is down, under the same id.
+  void bringUp(std::uint32_t Host, std::uint64_t IncarnationMs,
+               const std::string &Rack) {
+    auto Name = std::to_string(Host);
+    auto Facts = makeEndpoint("e" + Name, IncarnationMs);
+    Facts.Rack = Rack;
+    auto &Row = Rows["h" + Name];
+    Row.State = host_state::Up;
+    Row.EndpointId = Facts.Id;
+    beat(Facts);
+  }
   /// \returns the cause with which the incarnation was ended last.
   std::optional<end_cause> causeOf(std::uint32_t Number) const {
     for (const auto &Command : Committed)
@@ -412,6 +423,27 @@
   }
 }
 
+TEST_CASE("hosts that crash together with whole racks are not avoided") {
+  const std::vector<std::string> Racks{"r", "r", "r", "r", "s", "s"};
+  crash_site Site(6, Racks);
+  for (auto IncarnationMs : {9u, 10u}) {
+    for (std::uint32_t Number = 1; Number <= 6; ++Number)
+      Site.takeDown(Number);
+    Site.list();
+    auto Earlier = 6 * (IncarnationMs - 9);
+    CHECK(Site.causeOf(1 + Earlier) == end_cause::FailedWithRack);
+    CHECK(Site.causeOf(5 + Earlier) == end_cause::Crashed);
+    Site.Now += 5s;
+    for (std::uint32_t Number = 1; Number <= 6; ++Number)
+      if (IncarnationMs == 9 || Number == 5)
+        Site.bringUp(Number, IncarnationMs, Racks[Number - 1]);
+    Site.list();
+  }
+  Site.submit("j");
+  Site.commit();
+  CHECK(Site.placeOf("j") != 0);
+}
+
 TEST_CASE("two endpoints of a rack are no failure of the rack") {
   crash_site Site(6, {"r", "r", "r", "r", "s", "s"});
   Site.submit("j");
