Lift reservations for suspects although a few held-up tasks find room

With few endpoints up after a crash of a whole pool, tasks that are no suspects waited over 3 s beside endpoints that were reserved for trials. Reservations are lifted after they have held up others for 2 s, but a single round of placement in which nothing was held up, for example because an endpoint came back, started the 2 s anew while the other tasks still waited. Only half a second without held-up tasks does that now, and lifting the reservations.

The new test fails before the change.

--- a/scheduling/crash_quarantine.cpp
+++ b/scheduling/crash_quarantine.cpp
@@ -19,6 +19,9 @@
 // Added to twice the time that a suspect ran before: polls show a crash up to
 // this much later.
 constexpr std::int64_t TrialMarginMs = 1000;
+// Other tasks still count as held up after a shorter time in which some of them
+// found room elsewhere.
+constexpr core::duration MaxHoldBreak = milliseconds(500);
 
 /// \returns the endpoints that are free for the task; those whose host crashed
 /// under it only when there is no other.
@@ -168,16 +171,21 @@
       WithoutTrial.erase(Task->Task);
     }
   }
-  if (HeldUpSince && isWaitOver(*HeldUpSince, Now))
+  if (HeldUpSince && isWaitOver(*HeldUpSince, Now)) {
     Plan.Reserved.clear();
+    HeldUpSince.reset();
+  }
   return Plan;
 }
 
 void crash_quarantine::recordPlacement(bool IsHeldUp, core::time_point Now) {
-  if (!IsHeldUp)
+  if (IsHeldUp) {
+    if (!HeldUpSince)
+      HeldUpSince = Now;
+    LastHeldUp = Now;
+  } else if (Now - LastHeldUp >= MaxHoldBreak) {
     HeldUpSince.reset();
-  else if (!HeldUpSince)
-    HeldUpSince = Now;
+  }
 }
 
 bool crash_quarantine::waitsForTrial(const task_key &Task) const {
--- a/scheduling/crash_quarantine.h
+++ b/scheduling/crash_quarantine.h
@@ -128,8 +128,9 @@
   /// Tasks that were spread, until they wait anew or are no suspects.
   std::set<task_key> Spread;
   std::set<task_key> WithoutTrial; ///< Tasks that the newest plan holds up.
-  /// Since when reservations have held up other tasks without a break.
+  /// Since when reservations have held up other tasks without a long break.
   std::optional<core::time_point> HeldUpSince;
+  core::time_point LastHeldUp{};
   std::optional<core::time_point> LastCrash;
 };
 
--- a/tests/scheduling/test_crash_quarantine.cpp
+++ b/tests/scheduling/test_crash_quarantine.cpp
@@ -221,6 +221,30 @@
         First);
 }
 
+TEST_CASE(
+    "a reservation that holds up tasks ends in time although some of them "
+    "find room elsewhere meanwhile") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j")};
+  List[0].Endpoints = {1};
+  const std::set<std::uint32_t> First{1};
+  Quarantine.plan(endpoints(2), List, anywhere, at(1s));
+  Quarantine.recordPlacement(true, at(1s));
+  Quarantine.recordPlacement(true, at(1900ms));
+  Quarantine.recordPlacement(false, at(2s));
+  Quarantine.recordPlacement(true, at(2100ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(3s)).Reserved.empty());
+  // The next time counts from its own begin.
+  Quarantine.recordPlacement(true, at(3100ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(5s)).Reserved ==
+        First);
+  // A longer time without tasks that are held up ends the count.
+  Quarantine.recordPlacement(false, at(5s));
+  Quarantine.recordPlacement(true, at(5050ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(6s)).Reserved ==
+        First);
+}
+
 TEST_CASE("a suspect that fits no endpoint reserves none and does not hold up "
           "the others") {
   crash_quarantine Quarantine;
