--- a/tests/scheduling/test_crash_quarantine.cpp
+++ b/tests/scheduling/test_crash_quarantine.cpp
@@ -185,6 +185,25 @@
         1);
 }
 
+TEST_CASE("the wait of a gang for a trial includes the time in which its crash "
+          "was not proved yet") {
+  std::vector List{suspect("j")};
+  List[0].Silence = 800ms;
+  auto Endpoints = endpoints(4, 5);
+  crash_quarantine Quarantine;
+  Quarantine.recordCrash(at(1s));
+  Quarantine.plan(Endpoints, List, anywhere, at(1050ms));
+  CHECK(Quarantine.plan(Endpoints, List, anywhere, at(2490ms)).Spread.empty());
+  CHECK(Quarantine.plan(Endpoints, List, anywhere, at(2510ms)).Spread.size() ==
+        1);
+  // It could not run when it crashed.
+  crash_quarantine Late;
+  Late.recordCrash(at(1s));
+  Late.plan(Endpoints, List, anywhere, at(3s));
+  CHECK(Late.plan(Endpoints, List, anywhere, at(4900ms)).Spread.empty());
+  CHECK(Late.plan(Endpoints, List, anywhere, at(5s)).Spread.size() == 1);
+}
+
 // Deadly tasks that were spread beside others crashed more endpoints than
 // before the wait was bounded.
 TEST_CASE(
@@ -221,6 +240,30 @@
         First);
 }
 
+TEST_CASE(
+    "a reservation that holds up tasks ends in time although some of them "
+    "find room elsewhere meanwhile") {
+  crash_quarantine Quarantine;
+  std::vector List{suspect("j")};
+  List[0].Endpoints = {1};
+  const std::set<std::uint32_t> First{1};
+  Quarantine.plan(endpoints(2), List, anywhere, at(1s));
+  Quarantine.recordPlacement(true, at(1s));
+  Quarantine.recordPlacement(true, at(1900ms));
+  Quarantine.recordPlacement(false, at(2s));
+  Quarantine.recordPlacement(true, at(2100ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(3s)).Reserved.empty());
+  // The next time counts from its own begin.
+  Quarantine.recordPlacement(true, at(3100ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(5s)).Reserved ==
+        First);
+  // A longer time without tasks that are held up ends the count.
+  Quarantine.recordPlacement(false, at(5s));
+  Quarantine.recordPlacement(true, at(5050ms));
+  CHECK(Quarantine.plan(endpoints(2), List, anywhere, at(6s)).Reserved ==
+        First);
+}
+
 TEST_CASE("a suspect that fits no endpoint reserves none and does not hold up "
           "the others") {
   crash_quarantine Quarantine;
