Release a host as soon as a list shows that its failed move did nothing

Tasks with a limit per host stood still beside hosts that were up and idle: a move that the platform answered with 5xx kept its host from work for 3 s after the decision and up to a list more (move_dropped decided_ms_ago=3103 to 3516 in the logs), for up to 16 hosts of a pool at once.

Cause: an answer with a server error was treated like a call without an answer, which may be carried out later. An answered call has taken effect or never will, and a list that was requested after the answer shows which.

no_answer tells now whether there was a response. The next list is requested at once, and the move ends when its host is listed as up, in its old pool, with the endpoint that it had when the order was sent. A row that was kept from an earlier list does not count. Without such a list the bounds stay as they were.

The new test failed before: 3 s after the first moves, 4 of 6 tasks of a spread job were started. With the change all six are within 1.5 s.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -34,6 +34,10 @@
   core::time_point NextOrder{};
   /// An order that was sent may still interrupt the host's runs.
   core::time_point MayTakeEffectUntil{};
+  std::string EndpointId; ///< On the host when the newest order was sent.
+  /// When the platform answered the newest order with a failure. A list that
+  /// was requested later shows whether the order took effect.
+  std::optional<core::time_point> FailedAt;
   /// The order waits for the unavailability budgets of the host's runs, which
   /// therefore count as available.
   bool IsHeld = false;
@@ -54,6 +58,8 @@
   /// The same for the newest list in which every host could be read.
   core::time_point WholeListedAt{};
   bool IsNewList = false; ///< Its endpoints are still to be recorded.
+  /// Hosts whose rows are of an earlier list than the newest one.
+  std::set<std::string> KeptHosts;
   core::indexed_map<std::string, core::time_point>
       Cordoned; ///< Since when, by host.
   core::indexed_map<std::string, host_operation> Operations;
@@ -88,6 +94,12 @@
     auto Found = Hosts.find(Host);
     return Found == Hosts.end() ? nullptr : &Found->second;
   }
+  /// \returns the row of the host in a list that was requested after the given
+  /// time, or null without one.
+  const host_row *findNewer(const std::string &Host,
+                            core::time_point Time) const {
+    return ListedAt > Time && KeptHosts.count(Host) == 0 ? find(Host) : nullptr;
+  }
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -743,6 +743,10 @@
   /// Ends moves that the platform has not accepted in time, once no order for
   /// them can take effect any more, so that their hosts get work again.
   void dropMovesThatDidNotBegin(core::time_point Now);
+  /// \param Move its newest order was answered with a failure.
+  /// \returns whether a later list shows that the order did nothing.
+  bool isShownUnmoved(const std::string &Host,
+                      const host_operation &Move) const;
   /// Keeps the host from being chosen for a move for a while.
   void delayNextMove(const std::string &Host, core::time_point Now);
   /// \returns the hosts that must not move, because their wave is due.
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -380,6 +380,9 @@
     }
     Operation.IsOrderPending = true;
     Operation.MayTakeEffectUntil = Now + HostOrderLifetime;
+    Operation.FailedAt.reset();
+    const auto *Row = Hosts.find(Name);
+    Operation.EndpointId = Row ? Row->EndpointId : std::string();
     core::logEvent(core::log_level::Info,
                    Operation.Wave ? "maintenance_sent" : "move_sent",
                    {{"host", Name},
@@ -441,6 +444,10 @@
       Operation.MayTakeEffectUntil = {};
       return;
     }
+    if (NoAnswer && NoAnswer->HasResponse) {
+      Operation.FailedAt = Now;
+      Hosts.NextList = Now;
+    }
     // Repeated orders would keep the host from work for as long as the platform
     // does not answer; the move is dropped once it can no longer take effect.
     // The call may have been sent later than its order was made.
@@ -578,11 +585,11 @@
   endReplacedIncarnations();
   auto Earlier = std::exchange(Hosts.Hosts, std::move(Hosts.PartialList));
   Hosts.PartialList.clear();
-  std::set<std::string> Kept;
+  Hosts.KeptHosts.clear();
   for (auto &[Name, Row] : Earlier)
     if ((!IsWhole || Hosts.UnreadableHosts.count(Name) > 0) &&
         Hosts.Hosts.emplace(Name, std::move(Row)).second)
-      Kept.insert(Name);
+      Hosts.KeptHosts.insert(Name);
   Hosts.ListedAt = Hosts.ListStartedAt;
   if (IsWhole && Hosts.UnreadableHosts.empty())
     Hosts.WholeListedAt = Hosts.ListStartedAt;
@@ -596,7 +603,7 @@
     const auto *Row = Hosts.find(Name);
     // A kept row may be older than the operation.
     bool IsBack = Operation.HasBegun && Hosts.ListedAt > Operation.BegunAt &&
-                  (IsWhole || Row) && Kept.count(Name) == 0 &&
+                  (IsWhole || Row) && Hosts.KeptHosts.count(Name) == 0 &&
                   (!Row || Row->State == host_state::Up) &&
                   Operation.IsStartProposed;
     if (IsBack)
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -124,14 +124,26 @@
   Backoff.Until = Now + Backoff.Delay;
 }
 
+bool leader::isShownUnmoved(const std::string &Host,
+                            const host_operation &Move) const {
+  const auto *Row = Hosts.findNewer(Host, *Move.FailedAt);
+  return Row && Row->State == host_state::Up && Row->Pool != Move.TargetPool &&
+         Row->EndpointId == Move.EndpointId;
+}
+
 void leader::dropMovesThatDidNotBegin(core::time_point Now) {
   core::eraseIf(Hosts.MoveBackoffs, [&](const auto &Item) {
     return Now > Item.second.Until + MaxMoveDelay;
   });
   std::vector<std::string> Dropped;
   for (const auto &[Name, Operation] : Hosts.Operations) {
-    if (Operation.Wave || Operation.HasBegun || Operation.IsOrderPending ||
-        Now < Operation.DecidedAt + HostOrderLifetime ||
+    if (Operation.Wave || Operation.HasBegun || Operation.IsOrderPending)
+      continue;
+    if (Operation.FailedAt && isShownUnmoved(Name, Operation)) {
+      Dropped.push_back(Name);
+      continue;
+    }
+    if (Now < Operation.DecidedAt + HostOrderLifetime ||
         Now < Operation.MayTakeEffectUntil)
       continue;
     // The order may have moved the host: a list that is newer shows it.
--- a/scheduling/orders.h
+++ b/scheduling/orders.h
@@ -175,6 +175,9 @@
   bool IsLocal = false;
   /// Nothing listens at the receiver's address.
   bool IsRefused = false;
+  /// The receiver answered, so that the order takes no effect after this. Set
+  /// for orders to hosts, which are never delegated.
+  bool HasResponse = false;
 };
 
 using order_answer = std::variant<no_answer, endpoint_answer, hosts_answer,
--- a/tests/platform/test_site_documents.cpp
+++ b/tests/platform/test_site_documents.cpp
@@ -471,6 +471,7 @@
   Lost.Reason = "timeout";
   auto Answer = Adapter.DecodeAnswer(endpointOrder(stop_order{}), Lost);
   CHECK(std::get<no_answer>(Answer).MayHaveRun);
+  CHECK(!std::get<no_answer>(Answer).HasResponse);
   http::client_result UnreadableResult;
   UnreadableResult.IsComplete = true;
   UnreadableResult.Response.Status = 200;
@@ -481,6 +482,19 @@
       Adapter.DecodeAnswer(List, UnreadableResult)));
 }
 
+TEST_CASE("a move that is answered with a server error has a response") {
+  auto Adapter = makeSiteAdapter({});
+  http::client_result Failed;
+  Failed.IsComplete = true;
+  Failed.Response.Status = 503;
+  order Move;
+  Move.Body = move_host_order{"h", "pool", 1};
+  auto Answer = Adapter.DecodeAnswer(Move, Failed);
+  REQUIRE(std::holds_alternative<no_answer>(Answer));
+  CHECK(std::get<no_answer>(Answer).MayHaveRun);
+  CHECK(std::get<no_answer>(Answer).HasResponse);
+}
+
 // Guards against texts that fill a log entry, and each replica's memory.
 TEST_CASE("texts beyond their limit are refused with field and value") {
   auto Job = [](const json &Document) {
--- a/tests/scheduling/test_refused_moves.cpp
+++ b/tests/scheduling/test_refused_moves.cpp
@@ -104,6 +104,9 @@
   std::optional<leader> Leader;
 };
 
+const no_answer FailedMove{
+    .MayHaveRun = true, .Reason = "status 503", .HasResponse = true};
+
 void checkHostsAreUsed(order_answer Answer) {
   refusing_site Site(std::move(Answer));
   Site.run(10s); // Idle hosts are to move to another pool or to standby.
@@ -142,3 +145,20 @@
 TEST_CASE("a host gets work while the platform does not answer its move") {
   checkHostsAreUsed(no_answer{true, "timeout"});
 }
+
+TEST_CASE("a host gets work while the platform answers its move with a server "
+          "error") {
+  checkHostsAreUsed(FailedMove);
+}
+
+// Guards against hosts that get no work for as long as an unanswered order may
+// take effect, although the platform answered and lists them as unchanged.
+TEST_CASE("hosts whose moves failed get work as soon as a list shows them") {
+  refusing_site Site(FailedMove);
+  while (Site.MovedHosts.empty())
+    Site.run(50ms);
+  REQUIRE(Site.MovedHosts.size() >= 3);
+  Site.submitSpreadJob();
+  Site.run(1500ms);
+  CHECK(Site.StartedTasks.size() == HostCount);
+}
