Try one move at a time while moves do not begin

Tasks of a pool stood still again and again while the platform failed: every few seconds up to 16 idle hosts were chosen for moves that did not begin, and none of them took work until its move was dropped.

The delay after a failed move was kept for each host alone, so that all of them tried at once when it ended. After a move that was not carried out, whatever the reason, one host at a time is moved until the platform accepts a move. A task then always has all but one of the idle hosts of its pool. The first moves, before any has failed, are not limited.

--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -76,6 +76,8 @@
   core::time_point NextMovePlan{};
   /// Hosts whose last move did not begin.
   core::indexed_map<std::string, move_backoff> MoveBackoffs;
+  /// The newest move that was sent did not begin; ends when one is accepted.
+  bool AreMovesFailing = false;
   core::time_point NextPoolLog{};
 
   core::indexed_map<std::string, host_row>
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -444,6 +444,7 @@
       Operation.MayTakeEffectUntil = {};
       return;
     }
+    Hosts.AreMovesFailing = true;
     if (NoAnswer && NoAnswer->HasResponse) {
       Operation.FailedAt = Now;
       Hosts.NextList = Now;
@@ -465,8 +466,10 @@
     Operation.HasBegun = true;
     Operation.BegunAt = Now;
     Hosts.NextList = Now;
-    if (Move)
+    if (Move) {
       Hosts.MoveBackoffs.erase(Name);
+      Hosts.AreMovesFailing = false;
+    }
     return;
   case host_verdict::NoSuchHost:
   case host_verdict::OtherWave:
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -14,6 +14,9 @@
 // About the interval at which the runs of one host change.
 constexpr core::duration MoveInterval = milliseconds(100);
 constexpr std::size_t MaxPendingMoves = 16;
+// The same while moves do not begin: tasks have no other host than those of
+// their pool, and each of these moves keeps one from work for seconds.
+constexpr std::size_t MaxTrialMoves = 1;
 // Delays of the next move of a host whose last one did not begin. Each such
 // move keeps the host from work until it is dropped.
 constexpr core::duration MinMoveDelay = std::chrono::seconds(1);
@@ -168,6 +171,7 @@
       Hosts.MoveBackoffs.erase(Name);
     delayNextMove(Name, Now);
   }
+  Hosts.AreMovesFailing = true;
   Metrics.add("moves_dropped_total", Dropped.size());
   IsPlacementDue = true;
 }
@@ -237,9 +241,10 @@
     if (Host.AcceptsWork)
       Hosts.SurplusCores[Host.Pool] += Host.Cores;
   logPools(Pools, View, Now);
-  if (PendingMoves >= MaxPendingMoves)
+  auto MaxMoves = Hosts.AreMovesFailing ? MaxTrialMoves : MaxPendingMoves;
+  if (PendingMoves >= MaxMoves)
     return;
-  for (auto &Move : planMoves(Pools, View, MaxPendingMoves - PendingMoves)) {
+  for (auto &Move : planMoves(Pools, View, MaxMoves - PendingMoves)) {
     auto &Operation = Hosts.Operations[Move.Host];
     Operation.TargetPool = Move.Pool;
     Operation.DecidedAt = Now;
--- a/tests/scheduling/test_refused_moves.cpp
+++ b/tests/scheduling/test_refused_moves.cpp
@@ -60,6 +60,7 @@
   }
 
   std::set<std::string> MovedHosts; ///< Hosts for which a move was ordered.
+  std::size_t MoveOrders = 0;
   std::set<std::uint32_t> StartedTasks;
 
 private:
@@ -81,6 +82,7 @@
     }
     if (const auto *Move = std::get_if<move_host_order>(&Order.Body)) {
       MovedHosts.insert(Move->Host);
+      ++MoveOrders;
       return MoveAnswer;
     }
     endpoint_answer Accepted;
@@ -162,3 +164,19 @@
   Site.run(1500ms);
   CHECK(Site.StartedTasks.size() == HostCount);
 }
+
+// Guards against a pool whose idle hosts all wait for moves that do not begin,
+// again and again.
+TEST_CASE("one host at a time waits for a move while moves do not begin") {
+  refusing_site Site(no_answer{true, "timeout"});
+  while (Site.MovedHosts.empty())
+    Site.run(50ms);
+  REQUIRE(Site.MovedHosts.size() >= 3);
+  Site.run(4s);
+  auto Orders = Site.MoveOrders;
+  while (Site.MoveOrders == Orders)
+    Site.run(50ms);
+  Site.submitSpreadJob();
+  Site.run(1s);
+  CHECK(Site.StartedTasks.size() + 1 >= HostCount);
+}
