Label standing tasks as refused moves only where a move held a host

A violation has now the pool and the period in which something stood still, and is labelled as a refused move only if the platform refused a move of a host of that pool within the period or up to 4 s before it, which is how long the leader may keep a host for a move that does not begin. All violations count as before.

--- a/tests/soak/standing_jobs.py
+++ b/tests/soak/standing_jobs.py
@@ -57,6 +57,9 @@
 # The lower bits of a fencing token count the lives of an endpoint (leader_orders.cpp).
 ENDPOINT_FENCE_BITS = 28
 ADVICE = {'decisionMs': 20, 'perWorkerMs': 2, 'validMs': 20000}
+# How long a refused move may keep its host from work: until an unanswered order can
+# take effect no more and a list has been awaited (host_order_limits.h).
+REFUSED_MOVE_S = 4
 # Responses to all moves of a seed: never accepted, or never carried out.
 PLATFORM_REFUSALS = [(409, {'reason': 'busy'}), (503, {})]
 STANDBY = 'svc-off'
@@ -159,7 +162,11 @@
     """Lists the machines and moves them between pools. A silent platform holds its
     responses back; one with a `refusal` answers every move with it."""
 
-    silent, refusal, moves, refused = False, None, 0, 0
+    silent, refusal, moves = False, None, 0
+
+    def __init__(self, fleet, ip):
+        self.refused = []  # Time and pool of the host of each refused move.
+        super().__init__(fleet, ip)
 
     def rows(self):
         self.wait_while_silent()
@@ -179,7 +186,7 @@
         if one is None or path != '/-/machine-move':
             return 400, {}
         if self.refusal:
-            self.refused += 1
+            self.refused.append((time.monotonic(), one.service))
             return self.refusal
         with self.fleet.lock:
             if one.is_moving or not (one.up or one.service == STANDBY):
@@ -492,6 +499,15 @@
                 connection.close()
 
 
+class Standing(str):
+    """A violation: something that should run stood still in a pool from `since` to `until`."""
+
+    def __new__(cls, text, pool, since, until):
+        self = super().__new__(cls, text)
+        self.pool, self.since, self.until = pool, since, until
+        return self
+
+
 class StandingCheck(threading.Thread):
     """Samples what runs and accumulates the time for which a job, or a long-running task,
     has nothing running although there is capacity for it twice over in a pool of which
@@ -500,7 +516,7 @@
     def __init__(self, deployment, traffic, faults):
         super().__init__(daemon=True)
         self.deployment, self.traffic, self.faults = deployment, traffic, faults
-        self.standing_s, self.reported = {}, set()
+        self.standing_s, self.standing_since, self.reported = {}, {}, set()
         self.longest_s, self.longest_sample_s, self.most_unplaceable = 0, 0, 0
         self.stopping = threading.Event()
         self.checked_s = 0
@@ -527,15 +543,19 @@
         standing, unplaceable = {}, collections.Counter()
         for job in self.traffic.open_jobs():
             self.check_job(job, now, used, free, running, standing, unplaceable)
+        self.standing_since = {key: self.standing_since[key] if key in self.standing_s
+                               else now - passed_s for key in standing}
         self.standing_s = {key: self.standing_s.get(key, 0) + passed_s for key in standing}
         self.most_unplaceable = max([self.most_unplaceable, *unplaceable.values()])
         for key, seconds in self.standing_s.items():
             self.longest_s = max(self.longest_s, seconds)
             if seconds > STANDING_LIMIT_S and key not in self.reported:
                 self.reported.add(key)
-                self.deployment.record('standing', key, standing[key])
-                self.deployment.violations.append('%s stands still for %.1f s: %s'
-                                                  % (key, seconds, standing[key]))
+                what, pool = standing[key]
+                self.deployment.record('standing', key, what)
+                self.deployment.violations.append(
+                    Standing('%s stands still for %.1f s: %s' % (key, seconds, what),
+                             pool, self.standing_since[key], now))
 
     def check_job(self, job, now, used, free, running, standing, unplaceable):
         at, queue, _ = self.traffic.accepted[job]
@@ -550,8 +570,9 @@
             if lasting and not places:
                 unplaceable[QUEUES[queue][0]] += 1
             if places >= 2 and self.is_half_free(queue, free):
+                pool = QUEUES[queue][0]
                 what = '%d places, %d of %d tasks wait, pool %s' % (
-                    places, len(waiting), len(tasks), QUEUES[queue][0])
+                    places, len(waiting), len(tasks), pool), pool
                 if not lasting and not any(task in running for task in tasks):
                     standing[job] = what
                 for task in waiting if lasting else []:
@@ -735,12 +756,15 @@
 
 def cause_of(violation, given_up, unplaceable, refused_moves, stalled_writes):
     """Returns the known fault behind a violation, or 'other'. A stalled write means that
-    the disk of this machine was too slow for the run to tell anything else."""
+    the disk of this machine was too slow for the run to tell anything else. A refused move
+    counts only if it held a host of the violation's pool while something stood still."""
     if any(job in violation for job in given_up):
         return 'given_up'
     if 'stands still' in violation and unplaceable >= STEPS_THAT_STOP_A_POOL:
         return 'unplaceable'
-    if 'stands still' in violation and refused_moves:
+    if isinstance(violation, Standing) and any(
+            pool == violation.pool and violation.since < at + REFUSED_MOVE_S
+            and at <= violation.until for at, pool in refused_moves):
         return 'refused_move'
     return 'stalled_write' if stalled_writes else 'other'
 
@@ -792,7 +816,7 @@
               len(traffic.complete), len(traffic.cancelled),
               ', '.join('%s %d' % item for item in sorted(faults.counts.items())),
               check.longest_s, check.longest_sample_s, check.most_unplaceable, len(given_up),
-              deployment.platform.moves, deployment.platform.refused,
+              deployment.platform.moves, len(deployment.platform.refused),
               deployment.outdated_starts, traffic.open_losses, stalled_writes,
               len(deployment.violations),
               ''.join(', %s %d' % item for item in sorted(collections.Counter(causes).items()))),
