Replace a host that is gone although a row of the list has no name

A job waited for ever when the only host of its pool had left the platform while each list had one row without a name: hosts in standby were never moved to the pool.

Cause: such a row may be that of any host, so that hosts which are not listed keep their earlier rows, and a host that was up last counted as supply of its pool for as long as the odd row stayed. A host counts as supply now if the newest list shows it, or if its endpoint answers.

What else waits for a list without such a row is not changed here.

--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -226,8 +226,10 @@
     Host.MayMove =
         IsIdle && StayingUp.count(Name) == 0 &&
         (Backoff == Hosts.MoveBackoffs.end() || Now >= Backoff->second.Until);
-    Host.AcceptsWork |=
-        Row.State == host_state::Up && !IsReserved && Pool && !Pool->IsStandby;
+    // A host that is not listed any more may be gone.
+    bool IsListed = Hosts.KeptHosts.count(Name) == 0 || hasListedEndpoint(Name);
+    Host.AcceptsWork |= Row.State == host_state::Up && IsListed &&
+                        !IsReserved && Pool && !Pool->IsStandby;
     View.push_back(std::move(Host));
   }
   std::vector<pool_view> Pools;
