--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -34,6 +34,14 @@
   core::time_point NextOrder{};
   /// An order that was sent may still interrupt the host's runs.
   core::time_point MayTakeEffectUntil{};
+  /// Earlier orders than the newest one may do so until then.
+  core::time_point EarlierUntil{};
+  bool IsRefused = false; ///< The platform refused the maintenance for now.
+  std::uint32_t FailedOrders = 0; ///< Of a maintenance, without a verdict.
+  std::string EndpointId; ///< On the host when the newest order was sent.
+  /// When the platform answered the newest order with a failure. A list that
+  /// was requested later shows whether the order took effect.
+  std::optional<core::time_point> FailedAt;
   /// The order waits for the unavailability budgets of the host's runs, which
   /// therefore count as available.
   bool IsHeld = false;
@@ -45,6 +53,13 @@
   core::duration Delay{};
 };
 
+/// Delay of the next attempt to maintain a host after one that did not begin.
+struct maintenance_backoff {
+  std::uint64_t Wave = 0;
+  core::time_point Until{};
+  core::duration Delay{};
+};
+
 /// The leader's view of the hosts: the platform's newest list, cordoned hosts,
 /// and operations in progress.
 struct host_inventory {
@@ -56,6 +71,8 @@
   /// The same for the newest list in which every host could be read.
   core::time_point WholeListedAt{};
   bool IsNewList = false; ///< Its endpoints are still to be recorded.
+  /// Hosts whose rows are of an earlier list than the newest one.
+  std::set<std::string> KeptHosts;
   core::indexed_map<std::string, core::time_point>
       Cordoned; ///< Since when, by host.
   core::indexed_map<std::string, host_operation> Operations;
@@ -72,7 +89,12 @@
   core::time_point NextMovePlan{};
   /// Hosts whose last move did not begin.
   core::indexed_map<std::string, move_backoff> MoveBackoffs;
+  /// The newest move that was sent did not begin; ends when one is accepted.
+  bool AreMovesFailing = false;
   core::time_point NextPoolLog{};
+  core::indexed_map<std::string, maintenance_backoff> MaintenanceBackoffs;
+  /// Maintenance orders without a verdict since one was accepted.
+  std::size_t FailedMaintenances = 0;
 
   core::indexed_map<std::string, host_row>
       PartialList;                       ///< Pages received so far.
@@ -90,6 +112,12 @@
     auto Found = Hosts.find(Host);
     return Found == Hosts.end() ? nullptr : &Found->second;
   }
+  /// \returns the row of the host in a list that was requested after the given
+  /// time, or null without one.
+  const host_row *findNewer(const std::string &Host,
+                            core::time_point Time) const {
+    return ListedAt > Time && KeptHosts.count(Host) == 0 ? find(Host) : nullptr;
+  }
 };
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -14,13 +14,13 @@
 // About the interval at which the runs of one host change.
 constexpr core::duration MoveInterval = milliseconds(100);
 constexpr std::size_t MaxPendingMoves = 16;
+// The same while moves do not begin: tasks have no other host than those of
+// their pool, and each of these moves keeps one from work for seconds.
+constexpr std::size_t MaxTrialMoves = 1;
 // Delays of the next move of a host whose last one did not begin. Each such
 // move keeps the host from work until it is dropped.
 constexpr core::duration MinMoveDelay = std::chrono::seconds(1);
 constexpr core::duration MaxMoveDelay = std::chrono::seconds(16);
-// How long a list is awaited that shows whether an unanswered order moved its
-// host; lists follow each other within half of it while the platform answers.
-constexpr core::duration MaxListWait = std::chrono::seconds(1);
 // How long a failed placement counts as demand. Placement runs more often than
 // this while tasks wait.
 constexpr core::duration UnplaceableWindow = milliseconds(400);
@@ -124,14 +124,26 @@
   Backoff.Until = Now + Backoff.Delay;
 }
 
+bool leader::isShownUnmoved(const std::string &Host,
+                            const host_operation &Move) const {
+  const auto *Row = Hosts.findNewer(Host, *Move.FailedAt);
+  return Row && Row->State == host_state::Up && Row->Pool != Move.TargetPool &&
+         Row->EndpointId == Move.EndpointId;
+}
+
 void leader::dropMovesThatDidNotBegin(core::time_point Now) {
   core::eraseIf(Hosts.MoveBackoffs, [&](const auto &Item) {
     return Now > Item.second.Until + MaxMoveDelay;
   });
   std::vector<std::string> Dropped;
   for (const auto &[Name, Operation] : Hosts.Operations) {
-    if (Operation.Wave || Operation.HasBegun || Operation.IsOrderPending ||
-        Now < Operation.DecidedAt + HostOrderLifetime ||
+    if (Operation.Wave || Operation.HasBegun || Operation.IsOrderPending)
+      continue;
+    if (Operation.FailedAt && isShownUnmoved(Name, Operation)) {
+      Dropped.push_back(Name);
+      continue;
+    }
+    if (Now < Operation.DecidedAt + HostOrderLifetime ||
         Now < Operation.MayTakeEffectUntil)
       continue;
     // The order may have moved the host: a list that is newer shows it.
@@ -156,6 +168,7 @@
       Hosts.MoveBackoffs.erase(Name);
     delayNextMove(Name, Now);
   }
+  Hosts.AreMovesFailing = true;
   Metrics.add("moves_dropped_total", Dropped.size());
   IsPlacementDue = true;
 }
@@ -209,9 +222,13 @@
     auto Backoff = Hosts.MoveBackoffs.find(Name);
     Host.MayMove =
         IsIdle && StayingUp.count(Name) == 0 &&
+        Hosts.MaintenanceBackoffs.find(Name) ==
+            Hosts.MaintenanceBackoffs.end() &&
         (Backoff == Hosts.MoveBackoffs.end() || Now >= Backoff->second.Until);
-    Host.AcceptsWork |=
-        Row.State == host_state::Up && !IsReserved && Pool && !Pool->IsStandby;
+    // A host that is not listed any more may be gone.
+    bool IsListed = Hosts.KeptHosts.count(Name) == 0 || hasListedEndpoint(Name);
+    Host.AcceptsWork |= Row.State == host_state::Up && IsListed &&
+                        !IsReserved && Pool && !Pool->IsStandby;
     View.push_back(std::move(Host));
   }
   std::vector<pool_view> Pools;
@@ -225,9 +242,10 @@
     if (Host.AcceptsWork)
       Hosts.SurplusCores[Host.Pool] += Host.Cores;
   logPools(Pools, View, Now);
-  if (PendingMoves >= MaxPendingMoves)
+  auto MaxMoves = Hosts.AreMovesFailing ? MaxTrialMoves : MaxPendingMoves;
+  if (PendingMoves >= MaxMoves)
     return;
-  for (auto &Move : planMoves(Pools, View, MaxPendingMoves - PendingMoves)) {
+  for (auto &Move : planMoves(Pools, View, MaxMoves - PendingMoves)) {
     auto &Operation = Hosts.Operations[Move.Host];
     Operation.TargetPool = Move.Pool;
     Operation.DecidedAt = Now;
--- a/tests/scheduling/test_refused_moves.cpp
+++ b/tests/scheduling/test_refused_moves.cpp
@@ -60,6 +60,7 @@
   }
 
   std::set<std::string> MovedHosts; ///< Hosts for which a move was ordered.
+  std::size_t MoveOrders = 0;
   std::set<std::uint32_t> StartedTasks;
 
 private:
@@ -81,6 +82,7 @@
     }
     if (const auto *Move = std::get_if<move_host_order>(&Order.Body)) {
       MovedHosts.insert(Move->Host);
+      ++MoveOrders;
       return MoveAnswer;
     }
     endpoint_answer Accepted;
@@ -104,6 +106,9 @@
   std::optional<leader> Leader;
 };
 
+const no_answer FailedMove{
+    .MayHaveRun = true, .Reason = "status 503", .HasResponse = true};
+
 void checkHostsAreUsed(order_answer Answer) {
   refusing_site Site(std::move(Answer));
   Site.run(10s); // Idle hosts are to move to another pool or to standby.
@@ -142,3 +147,36 @@
 TEST_CASE("a host gets work while the platform does not answer its move") {
   checkHostsAreUsed(no_answer{true, "timeout"});
 }
+
+TEST_CASE("a host gets work while the platform answers its move with a server "
+          "error") {
+  checkHostsAreUsed(FailedMove);
+}
+
+// Guards against hosts that get no work for as long as an unanswered order may
+// take effect, although the platform answered and lists them as unchanged.
+TEST_CASE("hosts whose moves failed get work as soon as a list shows them") {
+  refusing_site Site(FailedMove);
+  while (Site.MovedHosts.empty())
+    Site.run(50ms);
+  REQUIRE(Site.MovedHosts.size() >= 3);
+  Site.submitSpreadJob();
+  Site.run(1500ms);
+  CHECK(Site.StartedTasks.size() == HostCount);
+}
+
+// Guards against a pool whose idle hosts all wait for moves that do not begin,
+// again and again.
+TEST_CASE("one host at a time waits for a move while moves do not begin") {
+  refusing_site Site(no_answer{true, "timeout"});
+  while (Site.MovedHosts.empty())
+    Site.run(50ms);
+  REQUIRE(Site.MovedHosts.size() >= 3);
+  Site.run(4s);
+  auto Orders = Site.MoveOrders;
+  while (Site.MoveOrders == Orders)
+    Site.run(50ms);
+  Site.submitSpreadJob();
+  Site.run(1s);
+  CHECK(Site.StartedTasks.size() + 1 >= HostCount);
+}
