--- a/tests/process/crowd.py
+++ b/tests/process/crowd.py
@@ -6,6 +6,7 @@
 import pathlib
 import select
 import socket
+import threading
 import time
 
 from processes import StepError, wait_until
@@ -29,13 +30,16 @@
 class Connection:
     """A connection that sends the given bytes and reads only if asked to."""
 
-    def __init__(self, address, data, reads):
+    def __init__(self, address, data, reads, source=None):
+        """The source is the client's IP address; without it, the system chooses."""
         self.data, self.reads = memoryview(data), reads
         self.sent, self.received, self.is_closed = 0, b'', False
         self.socket = socket.socket()
         if not reads:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.socket.setblocking(False)
+        if source:
+            self.socket.bind((source, 0))
         self.socket.connect_ex(address)
 
     def wanted_events(self):
@@ -44,6 +48,15 @@
         return ((select.POLLOUT if self.sent < len(self.data) else 0)
                 | (select.POLLIN if self.reads else 0))
 
+    def advance_to(self, end):
+        """Sends up to the given position of the data."""
+        try:
+            self.sent += self.socket.send(self.data[self.sent:min(end, self.sent + PART)])
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.is_closed = True
+
     def advance(self, events):
         """Returns whether bytes were sent or received."""
         try:
@@ -67,8 +80,11 @@
 class Crowd:
     """Connections that stay open until the end of the case."""
 
-    def __init__(self, address, data, count, reads=True):
-        self.connections = [Connection(address, data, reads) for _ in range(count)]
+    def __init__(self, addresses, data, count, reads=True, sources=(None,)):
+        """Distributes the connections over the addresses of servers and of clients."""
+        self.connections = [
+            Connection(addresses[n % len(addresses)], data, reads, sources[n % len(sources)])
+            for n in range(count)]
 
     def __enter__(self):
         return self
@@ -99,6 +115,82 @@
             sum(c.is_closed for c in self.connections))
 
 
+class LastingCrowd:
+    """Connections on a thread of their own that are opened again when they are closed. Each
+    sends a first part at once and then a part in each interval."""
+
+    # Pause before a closed connection is opened again.
+    REOPEN_S = 0.5
+
+    def __init__(self, addresses, data, count, sources=(None,), first_bytes=None,
+                 part_bytes=PART, interval_s=0.0):
+        self.addresses, self.data, self.sources = addresses, data, sources
+        self.first_bytes = len(data) if first_bytes is None else first_bytes
+        self.part_bytes, self.interval_s = part_bytes, interval_s
+        self.opened, self.is_stopping = 0, False
+        self.connections = [None] * count
+        self.due = [0.0] * count
+        self.allowed = [0] * count
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.is_stopping = True
+        self.thread.join()
+        for connection in self.connections:
+            if connection:
+                connection.socket.close()
+
+    def run(self):
+        while not self.is_stopping:
+            poller = select.poll()
+            by_number = {}
+            for index in range(len(self.connections)):
+                connection = self.prepare(index)
+                if connection:
+                    events = select.POLLIN
+                    if connection.sent < min(self.allowed[index], len(connection.data)):
+                        events |= select.POLLOUT
+                    poller.register(connection.socket, events)
+                    by_number[connection.socket.fileno()] = index
+            for number, events in poller.poll(20):
+                self.advance(by_number[number], events)
+
+    def prepare(self, index):
+        """Returns the open connection with this index, or None during a pause."""
+        now = time.monotonic()
+        connection = self.connections[index]
+        if connection and connection.is_closed:
+            connection.socket.close()
+            self.connections[index] = connection = None
+            self.due[index] = now + self.REOPEN_S
+        if now < self.due[index]:
+            return connection
+        if connection:
+            self.allowed[index] += self.part_bytes
+        else:
+            self.opened += 1
+            self.allowed[index] = self.first_bytes
+            connection = self.connections[index] = Connection(
+                self.addresses[index % len(self.addresses)], self.data, True,
+                self.sources[index % len(self.sources)])
+        self.due[index] = now + self.interval_s
+        return connection
+
+    def advance(self, index, events):
+        connection = self.connections[index]
+        if not events & select.POLLIN and events & select.POLLOUT:
+            connection.advance_to(min(self.allowed[index], len(connection.data)))
+        else:
+            connection.advance(events)
+
+    def summary(self):
+        return '%d connections, opened %d times' % (len(self.connections), self.opened)
+
+
 def exchange(address, data):
     """Sends a request on its own connection and returns the status of the response, 0 if
     the connection ended without one."""
@@ -128,6 +220,49 @@
     raise StepError('%s: no VmHWM in the process status' % process.name)
 
 
+def open_descriptors(process):
+    return len(list(pathlib.Path('/proc/%d/fd' % process.child.pid).iterdir()))
+
+
+class Watch:
+    """Checks that processes live, and records their peaks of memory and descriptors from
+    its construction on."""
+
+    def __init__(self, group, limits):
+        """The limits are by name of the process."""
+        self.group, self.limits = group, limits
+        self.descriptors = dict.fromkeys(limits, 0)
+        for name in limits:
+            self.reset(name)
+
+    def reset(self, name):
+        """Begins anew with a process, for example one that was started again."""
+        pid = self.group.processes[name].child.pid
+        pathlib.Path('/proc/%d/clear_refs' % pid).write_text('5')
+
+    def check_running(self):
+        for name in self.limits:
+            process = self.group.processes[name]
+            if not process.is_running():
+                raise StepError('%s has ended' % name)
+            self.descriptors[name] = max(self.descriptors[name], open_descriptors(process))
+
+    def check_bounds(self):
+        """Returns the peaks as text."""
+        self.check_running()
+        peaks, exceeded = [], []
+        for name, limits in self.limits.items():
+            peak_kb = peak_memory_kb(self.group.processes[name])
+            peaks.append('%s %.1f MB, %d descriptors' % (
+                name, peak_kb / 1024, self.descriptors[name]))
+            if (peak_kb > limits['memory_mb'] * 1024
+                    or self.descriptors[name] > limits['descriptors']):
+                exceeded.append('%s over %s' % (name, limits))
+        if exceeded:
+            raise StepError('%s: %s' % (', '.join(exceeded), '; '.join(peaks)))
+        return '; '.join(peaks)
+
+
 class CrowdTest:
     """Runs cases one after the other and collects their failures."""
 
@@ -155,7 +290,7 @@
             folder = pathlib.Path('/proc/%d/fd' % process.child.pid)
             self.peak_descriptors = max(self.peak_descriptors, len(list(folder.iterdir())))
 
-        with Crowd(address, data, count, reads) as crowd:
+        with Crowd([address], data, count, reads) as crowd:
             crowd.send(watch)
             wait_until(is_served, 'response to an ordinary request with the crowd connected')
             watch()
