--- a/tests/process/test_crowded_listeners.py
+++ b/tests/process/test_crowded_listeners.py
@@ -47,9 +47,15 @@
 
 
 def frame(first_byte, payload, announced=None):
-    """Returns a masked frame; the mask is zero."""
+    """Returns a masked frame with the shortest form of its length; the mask is zero."""
     length = len(payload) if announced is None else announced
-    return b'%c\xff' % first_byte + length.to_bytes(8, 'big') + MASK + payload
+    if length < 126:
+        size = b'%c' % (0x80 | length)
+    elif length < 1 << 16:
+        size = b'\xfe' + length.to_bytes(2, 'big')
+    else:
+        size = b'\xff' + length.to_bytes(8, 'big')
+    return b'%c' % first_byte + size + MASK + payload
 
 
 def get(path, fields=''):
