Let connections of callers displace those of operators

Operators may use all connections, and a new connection displaced only one of its own class, so that a caller found none to displace and was closed. Now the class that uses more than its part gives way.

--- a/http/connection_budget.cpp
+++ b/http/connection_budget.cpp
@@ -75,6 +75,12 @@
          PublicConnections + Limits.ReservedConnections > Limits.Connections;
 }
 
+listener_class connection_budget::classToReduce() const {
+  return PublicConnections + Limits.ReservedConnections > Limits.Connections
+             ? listener_class::Public
+             : listener_class::Reserved;
+}
+
 bool connection_budget::hasRoom(const connection_account &Account,
                                 std::size_t More) const {
   if (SharedBytes + More > Limits.SharedBytes)
--- a/http/connection_budget.h
+++ b/http/connection_budget.h
@@ -72,6 +72,10 @@
   /// \returns whether there are more connections than the listeners of a class
   /// may use.
   bool isFull(listener_class Class) const;
+  /// \returns the class that must close a connection when isFull(): the public
+  /// one if it uses reserved connections, otherwise the reserved one, which may
+  /// use all connections while the other class does not need them.
+  listener_class classToReduce() const;
 
   /// Changes what a connection has reserved.
   /// \param Bytes all bytes that it is going to hold.
--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -319,12 +319,13 @@
 tracked_socket *
 connection_registry::leastActive(const tracked_socket &Except) const {
   tracked_socket *Best = nullptr;
+  auto Class = Budget->classToReduce();
   std::size_t Most = 0;
   for (auto *Socket : Open) {
     // A request that was passed on keeps its connection, so that its response
     // can be sent.
     if (Socket == &Except || Socket->isPending() ||
-        Socket->Account.Class != Except.Account.Class)
+        Socket->Account.Class != Class)
       continue;
     auto Count = Budget->connectionsFrom(Socket->Account.Address);
     if (Best &&
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -120,8 +120,8 @@
   /// Closes connections that hold reserved bytes and send nothing, one for each
   /// connection that waits for room.
   void evictStalled(core::time_point Now);
-  /// \returns the connection that has been quiet longest among those from the
-  /// address with the most connections, or null.
+  /// \returns the connection that has been quiet longest among those of the
+  /// class to reduce and of the address with the most connections, or null.
   tracked_socket *leastActive(const tracked_socket &Except) const;
   void evict(tracked_socket &Socket, std::string_view Reason);
   void publish();
--- a/tests/http/test_connection_budget.cpp
+++ b/tests/http/test_connection_budget.cpp
@@ -86,6 +86,27 @@
   REQUIRE(Budget.connectionsFrom("a") == 8);
 }
 
+TEST_CASE("Reserved connections beyond their part make room for public ones",
+          "[connection_budget]") {
+  connection_budget Budget(Limits);
+  std::vector<connection_account> Operators(
+      10, makeAccount("a", listener_class::Reserved));
+  for (auto &Account : Operators)
+    Budget.open(Account);
+  REQUIRE_FALSE(Budget.isFull(listener_class::Reserved));
+  std::vector<connection_account> Callers(9, makeAccount("b"));
+  for (std::size_t Index = 0; Index != 8; ++Index) {
+    Budget.open(Callers[Index]);
+    REQUIRE(Budget.isFull(listener_class::Public));
+    REQUIRE(Budget.classToReduce() == listener_class::Reserved);
+    Budget.close(Operators[Index]);
+  }
+  REQUIRE_FALSE(Budget.isFull(listener_class::Public));
+  Budget.open(Callers[8]);
+  REQUIRE(Budget.isFull(listener_class::Public));
+  REQUIRE(Budget.classToReduce() == listener_class::Public);
+}
+
 TEST_CASE("One connection at a time may complete beyond the limits",
           "[connection_budget]") {
   connection_budget Budget(Limits);
