Bound the links without a hello by the limit of descriptors

A crowd at the link listener of a process with limits.descriptors 200 made it use 316 descriptors, and 475 with a limit of 400 (gateway_link_left_open, scheduler_link_left_open); while connections were opened again, 865 (links_made_beside_a_crowd). The hub accepted 256 connections without a hello whatever the limit was, and the timers of websocketpp kept the descriptors of dropped connections open for seconds. Further connections were dropped, also those of own processes.

The limit is now an eighth of limits.descriptors, at most 256 as before. A further connection closes the oldest one of the address with the most, and the descriptor of a connection is closed when it ends.

--- a/control/control_process.cpp
+++ b/control/control_process.cpp
@@ -104,6 +104,8 @@
     Result.SelfName = Settings.Name;
     Result.ListenAddress = Settings.Link.Address;
     Result.ListenPort = Settings.Link.Port;
+    Result.MaxPendingHellos =
+        transport::pendingHellosFor(Settings.Limits.Descriptors);
     // Only one side of each pair of replicas connects, so that there is one
     // link for each pair. Entries connect to control.
     for (const auto &Replica : Settings.Controls)
--- a/entry/entry_process.cpp
+++ b/entry/entry_process.cpp
@@ -85,6 +85,8 @@
   Links.SelfName = Settings.Name;
   Links.ListenAddress = Settings.Link.Address;
   Links.ListenPort = Settings.Link.Port;
+  Links.MaxPendingHellos =
+      transport::pendingHellosFor(Settings.Limits.Descriptors);
   for (const auto &Control : Settings.Controls)
     Links.Peers.push_back(toPeer(Control));
   // Of two entries, only the one with the smaller name connects, so that there
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -114,6 +114,8 @@
     Result.SelfName = linkName(Settings.Address);
     Result.ListenAddress = Settings.Address;
     Result.ListenPort = Settings.LinkPort;
+    Result.MaxPendingHellos =
+        transport::pendingHellosFor(Settings.Limits.Descriptors);
     return Result;
   }
 
--- a/scheduling/observer_process.cpp
+++ b/scheduling/observer_process.cpp
@@ -92,6 +92,8 @@
     Result.SelfName = Settings.Address;
     Result.ListenAddress = Settings.Address;
     Result.ListenPort = Settings.LinkPort;
+    Result.MaxPendingHellos =
+        transport::pendingHellosFor(Settings.Limits.Descriptors);
     return Result;
   }
 
--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -28,8 +28,6 @@
 /// websocketpp does not report when its queue drains, so links with queued
 /// bytes are polled at this interval.
 constexpr milliseconds DrainPollPeriod(5);
-/// Maximum number of accepted connections that have not sent a hello yet.
-constexpr std::size_t MaxPendingHellos = 256;
 
 /// websocketpp does not report why a bind failed, so this binds again to get
 /// the reason.
@@ -227,12 +225,44 @@
   auto &State = Connections[Handle];
   State.Address = Connection->get_remote_endpoint();
   State.Started = clock_type::now();
-  auto PendingHellos = std::count_if(
-      Connections.begin(), Connections.end(), [](const auto &Entry) {
-        return !Entry.second.Dialled && !Entry.second.Up;
-      });
-  if (static_cast<std::size_t>(PendingHellos) > MaxPendingHellos)
-    dropConnection(Connection, State, "too many connections without a hello");
+  asio_error Unknown;
+  State.Host = Connection->get_raw_socket()
+                   .remote_endpoint(Unknown)
+                   .address()
+                   .to_string();
+  limitPendingHellos();
+}
+
+void link_hub::implementation::limitPendingHellos() {
+  std::map<std::string, std::size_t> ByHost;
+  std::size_t Count = 0;
+  auto IsPending = [](const connection_state &State) {
+    return !State.Dialled && !State.Up && !State.Ended;
+  };
+  for (const auto &[Handle, State] : Connections)
+    if (IsPending(State)) {
+      ++ByHost[State.Host];
+      ++Count;
+    }
+  if (Count <= Settings.MaxPendingHellos)
+    return;
+  // The oldest one of the host with the most connections, so that a crowd does
+  // not keep other processes from connecting.
+  handle Oldest;
+  const connection_state *Found = nullptr;
+  for (const auto &[Handle, State] : Connections) {
+    if (!IsPending(State))
+      continue;
+    auto Own = ByHost[State.Host];
+    auto Most = Found ? ByHost[Found->Host] : 0;
+    if (Own < Most || (Own == Most && State.Started >= Found->Started))
+      continue;
+    Oldest = Handle;
+    Found = &State;
+  }
+  auto *State = find(Oldest);
+  if (auto Connection = lock(Oldest); Connection && State)
+    dropConnection(Connection, *State, "too many connections without a hello");
 }
 
 void link_hub::implementation::onOpen(const handle &Handle) {
@@ -249,6 +279,7 @@
   auto Connection = lock(Handle);
   if (auto *State = find(Handle); Connection && State)
     endConnection(Connection, *State, Connection->get_ec().message());
+  releaseSocket(Connection);
   removeConnection(Handle);
 }
 
@@ -256,6 +287,7 @@
   auto Connection = lock(Handle);
   if (auto *State = find(Handle); Connection && State)
     endConnection(Connection, *State, closeReason(*Connection));
+  releaseSocket(Connection);
   removeConnection(Handle);
 }
 
--- a/transport/hub_core.h
+++ b/transport/hub_core.h
@@ -48,6 +48,7 @@
   struct connection_state {
     bool Dialled = false;
     std::string Address;
+    std::string Host; ///< IP address of the peer when accepted.
     std::string Peer; ///< Expected name when dialled, else known after hello.
     std::uint64_t Stamp = 0; ///< Of the peer's hello.
     bool HelloSent = false;
@@ -77,6 +78,8 @@
 
   // Events of a connection.
   void onConnected(const handle &Handle, bool IsClient);
+  /// Drops a connection without a hello if there are too many.
+  void limitPendingHellos();
   void onOpen(const handle &Handle);
   void onFail(const handle &Handle);
   void onClose(const handle &Handle);
@@ -112,6 +115,9 @@
                           const std::string &Reason,
                           websocketpp::close::status::value Code);
   static void terminate(const websocket_pointer &Connection);
+  /// Closes the socket of a connection that has ended. The timers of
+  /// websocketpp would keep its descriptor open for seconds.
+  static void releaseSocket(const websocket_pointer &Connection);
 
   // Dialling.
   peer_state &peer(const std::string &Name);
--- a/transport/hub_links.cpp
+++ b/transport/hub_links.cpp
@@ -97,9 +97,7 @@
   if (auto *Own = find(Attempt))
     Own->Ended = true;
   terminate(Attempt);
-  // Cancels a pending connect.
-  boost::system::error_code Ignored;
-  Attempt->get_raw_socket().close(Ignored);
+  releaseSocket(Attempt); // Cancels a pending connect.
 }
 
 void link_hub::implementation::closeConnection(
@@ -116,6 +114,7 @@
     const std::string &Reason) {
   endConnection(Connection, State, Reason);
   terminate(Connection);
+  releaseSocket(Connection);
 }
 
 void link_hub::implementation::endConnection(
@@ -161,6 +160,13 @@
       websocketpp::error::operation_canceled));
 }
 
+void link_hub::implementation::releaseSocket(
+    const websocket_pointer &Connection) {
+  boost::system::error_code Ignored;
+  if (Connection)
+    Connection->get_raw_socket().close(Ignored);
+}
+
 link_hub::implementation::peer_state &
 link_hub::implementation::peer(const std::string &Name) {
   return Peers.try_emplace(Name, Context).first->second;
--- a/transport/link_hub.h
+++ b/transport/link_hub.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETRESTLE_TRANSPORT_LINK_HUB_H
 #define LYCHEETRESTLE_TRANSPORT_LINK_HUB_H
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -28,8 +29,17 @@
   /// Per peer. The largest message fits beside others that are queued.
   std::size_t MaxQueuedBytes = 8u << 20;
   std::size_t MaxMessageBytes = 4u << 20; ///< Larger ones close the link.
+  /// Accepted connections without a hello; a further one closes one of them.
+  std::size_t MaxPendingHellos = 256;
 };
 
+/// \param Descriptors limit of file descriptors of the process.
+/// \returns the limit of accepted connections without a hello.
+inline std::size_t pendingHellosFor(std::size_t Descriptors) {
+  constexpr std::size_t Parts = 8;
+  return std::min(link_settings().MaxPendingHellos, Descriptors / Parts);
+}
+
 /// Messages that a hub queued for its links and received from them since its
 /// start. Byte counts exclude the framing.
 struct link_traffic {
