Give room to the earliest requests and take it from slow ones

80 clients that each sent 60,000 bytes at once and then 5,000 bytes in 4.5 s held all room for large requests of a gateway. A request with the largest body beside them was not answered within 60 s (slow_pauses_one_address). Each request that waited got room for one read in turn, so that many shared the room and none was complete in time; and a client that sent anything within a second was never counted as stalled.

Requests that began earlier now get room first, the first of several is not closed for its wait, and while any waits, requests that hold room must arrive at 16,384 bytes a second. slow_pauses_one_address and slow_pauses_many_addresses pass.

--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -26,6 +26,10 @@
 constexpr auto StallTimeout = std::chrono::seconds(5);
 // The same while other connections wait for room.
 constexpr auto CrowdedStallTimeout = std::chrono::seconds(1);
+// While other connections wait for room, a request that holds some must arrive
+// at this rate in each period. A tenth of a gateway's 2 Mbit/s is 25,000 bytes.
+constexpr auto CrowdedRatePeriod = std::chrono::seconds(1);
+constexpr std::size_t CrowdedBytesPerPeriod = 16'384;
 // One of so many waiting connections is closed in a check.
 constexpr std::size_t WaitingParts = 8;
 constexpr auto LogInterval = std::chrono::seconds(1);
@@ -206,6 +210,8 @@
   Socket.RequestSince = core::boot_clock::now();
   Socket.WaitsSince = Socket.RequestSince;
   Socket.Waited = {};
+  Socket.IsSlow = false;
+  Socket.beginRatePeriod(Socket.RequestSince);
   Budget->reduce(Socket.Account, memoryFor(Socket.RequestBytes));
   resumeWaiting();
 }
@@ -227,6 +233,14 @@
   resumeWaiting();
 }
 
+void connection_registry::sortWaiting() {
+  // The next request of a connection that waits for a response may take long.
+  std::stable_sort(Waiting.begin(), Waiting.end(), [](auto *Left, auto *Right) {
+    return std::pair(Left->isPending(), Left->RequestSince) <
+           std::pair(Right->isPending(), Right->RequestSince);
+  });
+}
+
 void connection_registry::resumeWaiting() {
   if (Waiting.empty() || IsResumePosted || !Timer)
     return;
@@ -237,18 +251,17 @@
     auto MayResume = [&](tracked_socket *Socket) {
       if (!reserve(*Socket, Socket->WantedBytes))
         return false;
-      Socket->Waited += core::boot_clock::now() - Socket->WaitsSince;
+      auto Wait = core::boot_clock::now() - Socket->WaitsSince;
+      Socket->Waited += Wait;
+      Socket->RateSince += Wait;
       Ready.push_back(std::exchange(Socket->Resume, {}));
       return true;
     };
+    // Otherwise many requests would share the room, and none would end in time.
+    sortWaiting();
     std::erase_if(Waiting, MayResume);
     // If all room is held by requests that wait, none of them would ever end.
-    // The next request of a connection that waits for a response may take long.
-    auto Oldest = std::min_element(
-        Waiting.begin(), Waiting.end(), [](auto *Left, auto *Right) {
-          return std::pair(Left->isPending(), Left->RequestSince) <
-                 std::pair(Right->isPending(), Right->RequestSince);
-        });
+    auto Oldest = Waiting.begin();
     if (Oldest != Waiting.end() && !(*Oldest)->isPending() &&
         Budget->beginCompletion((*Oldest)->Account) && MayResume(*Oldest))
       Waiting.erase(Oldest);
@@ -287,11 +300,14 @@
   for (auto *Socket : Gone)
     evict(*Socket, "client_gone");
   evictStalled(Now);
-  // Only a part, so that the others can use the room that this makes.
+  // Only a part, so that the others can use the room that this makes. The first
+  // of several has the next room.
   auto Count = (Waiting.size() + WaitingParts - 1) / WaitingParts;
   std::vector<tracked_socket *> Expired;
+  sortWaiting();
   for (auto *Socket : Waiting)
     if (Expired.size() < Count && !Socket->isPending() &&
+        (Waiting.size() == 1 || Socket != Waiting.front()) &&
         Socket->Waited + (Now - Socket->WaitsSince) >= RoomTimeout)
       Expired.push_back(Socket);
   for (auto *Socket : Expired)
@@ -300,13 +316,19 @@
 }
 
 void connection_registry::evictStalled(core::time_point Now) {
-  if (Waiting.empty())
-    return;
   std::vector<tracked_socket *> Stalled;
-  for (auto *Socket : Open)
-    if (Socket->isReadingRequest() && Socket->Account.SharedBytes > 0 &&
-        !Socket->Resume && Now - Socket->ActiveAt >= CrowdedStallTimeout)
+  for (auto *Socket : Open) {
+    if (!Socket->isReadingRequest() || Socket->Resume)
+      continue;
+    if (Now - Socket->RateSince >= CrowdedRatePeriod) {
+      Socket->IsSlow =
+          Socket->RequestBytes - Socket->RateBytes < CrowdedBytesPerPeriod;
+      Socket->beginRatePeriod(Now);
+    }
+    if (Socket->Account.SharedBytes > 0 &&
+        (Socket->IsSlow || Now - Socket->ActiveAt >= CrowdedStallTimeout))
       Stalled.push_back(Socket);
+  }
   std::sort(Stalled.begin(), Stalled.end(), [](auto *Left, auto *Right) {
     return Left->ActiveAt < Right->ActiveAt;
   });
@@ -425,6 +447,8 @@
   if (RequestBytes == PassedBytes) {
     RequestSince = ActiveAt;
     Waited = {};
+    IsSlow = false;
+    beginRatePeriod(ActiveAt);
   }
   RequestBytes += Length;
 }
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -117,9 +117,11 @@
   void resumeWaiting();
   void checkPeriodically();
   void checkAll();
-  /// Closes connections that hold reserved bytes and send nothing, one for each
-  /// connection that waits for room.
+  /// Closes connections that hold reserved bytes and send too little, one for
+  /// each connection that waits for room.
   void evictStalled(core::time_point Now);
+  /// Orders the waiting connections, those first whose requests began first.
+  void sortWaiting();
   /// \returns the connection that has been quiet longest among those of the
   /// class to reduce and of the address with the most connections, or null.
   tracked_socket *leastActive(const tracked_socket &Except) const;
@@ -239,6 +241,11 @@
   void countRead(std::size_t Length);
   /// \returns whether the connection is reset, also with unread bytes.
   bool isReset();
+  /// Begins a new period in which the arriving bytes are counted.
+  void beginRatePeriod(core::time_point Now) {
+    RateSince = Now;
+    RateBytes = RequestBytes;
+  }
   bool isIdle() const { return IsReading && RequestBytes == 0; }
   /// A complete request was passed on and has no complete response.
   bool isPending() const {
@@ -262,6 +269,9 @@
   std::size_t WantedBytes = 0;     ///< Which the read that waits may return.
   core::time_point ActiveAt{};     ///< Last read or response.
   core::time_point RequestSince{}; ///< First byte of the request.
+  core::time_point RateSince{}; ///< Begin of the period of beginRatePeriod().
+  std::size_t RateBytes = 0;    ///< RequestBytes at that time.
+  bool IsSlow = false;          ///< Too few bytes arrived in the last period.
   /// Read since the last response began; with ReadsAhead, since the last one
   /// was complete.
   std::size_t RequestBytes = 0;
