Keep the connection of a second request that arrived with the first

A client that sent two requests in one packet to a gateway or a scheduler lost its connection while the second one ran, when further connections exceeded the limit; the job of the second one was accepted (second_request_of_a_packet_at_a_gateway, ..._at_a_scheduler). RESTinio reads on while such a request runs, and the bytes of both were counted as answered with the first response, so that the connection looked idle.

The servers of gateways, schedulers and control replicas now report each request to the registry, as entries did, until its response is written. A connection whose only response is being written can still be closed, so that clients which do not read do not keep others out. Both cases now get a response. The control replica has no such case.

--- a/control/http_frontend.cpp
+++ b/control/http_frontend.cpp
@@ -148,6 +148,7 @@
 private:
   restinio::request_handling_status_t
   handle(restinio::request_handle_t Request) {
+    Registry.passOn(clientOf(*Request));
     if (!http::isTooLarge(*Request))
       return (*Router)(std::move(Request));
     Registry.countRefusal("body_size");
@@ -162,6 +163,10 @@
     return restinio::request_accepted();
   }
 
+  http::client_key clientOf(const restinio::request_t &Request) const {
+    return {Request.remote_endpoint(), Listen.Port};
+  }
+
   /// \param MustClose whether the response ends its connection.
   void respond(const restinio::request_handle_t &Request,
                const control_answer &Answer, const char *ContentType,
@@ -186,8 +191,9 @@
     if (IsStopping || MustClose)
       Response.connection_close();
     Response.set_body(Answer.Body);
-    Response.done(
-        [Held = Room.hold(Answer.Body.size())](const asio::error_code &) {});
+    Response.done([this, Client = clientOf(*Request),
+                   Held = Room.hold(Answer.Body.size())](
+                      const asio::error_code &) { Registry.complete(Client); });
   }
 
   void respondJson(const restinio::request_handle_t &Request,
--- a/entry/http_frontend.cpp
+++ b/entry/http_frontend.cpp
@@ -230,7 +230,7 @@
       return restinio::request_accepted();
     auto Id = ++LastId;
     auto View = makeView(*Request);
-    Registry.passOn(Request->remote_endpoint());
+    Registry.passOn({Request->remote_endpoint(), std::uint16_t(0)});
     ++Unfinished;
     IdsByConnection[Connection].push_back(Id);
     Pending.emplace(Id, pending_request{Request,
@@ -399,7 +399,7 @@
     auto Found = Pending.find(Id);
     if (Found == Pending.end())
       return;
-    Registry.complete(Found->second.Client);
+    Registry.complete({Found->second.Client, std::uint16_t(0)});
     auto Ids = IdsByConnection.find(Found->second.Connection);
     if (Ids != IdsByConnection.end()) {
       Ids->second.erase(std::remove(Ids->second.begin(), Ids->second.end(), Id),
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -143,6 +143,11 @@
 private:
   using server_type = restinio::http_server_t<server_traits>;
 
+  struct open_request {
+    restinio::request_handle_t Handle;
+    client_key Client;
+  };
+
   void open(const core::socket_address &Address,
             std::promise<std::string> &Opened) {
     auto Limits = restinio::incoming_http_msg_limits_t()
@@ -155,8 +160,9 @@
         restinio::external_io_context(Context), [&](auto &Server) {
           Server.address(Address.Address)
               .port(Address.Port)
-              .request_handler(
-                  [this](auto Request) { return accept(std::move(Request)); })
+              .request_handler([this, Port = Address.Port](auto Request) {
+                return accept(std::move(Request), Port);
+              })
               .incoming_http_msg_limits(Limits)
               .acceptor_options_setter(
                   [HasLimits = Settings.Limits.has_value()](auto &Options) {
@@ -190,25 +196,28 @@
     }
   }
 
-  restinio::request_handling_status_t
-  accept(restinio::request_handle_t Handle) {
-    if (isTooLarge(*Handle)) {
+  restinio::request_handling_status_t accept(restinio::request_handle_t Handle,
+                                             std::uint16_t Port) {
+    open_request Open{std::move(Handle), {}};
+    Open.Client = {Open.Handle->remote_endpoint(), Port};
+    Registry.passOn(Open.Client);
+    if (isTooLarge(*Open.Handle)) {
       Registry.countRefusal("body_size");
-      respond(Handle, {413, {}, ""}, true);
+      respond(Open, {413, {}, ""}, true);
       return restinio::request_accepted();
     }
-    request Request = read(*Handle);
+    request Request = read(*Open.Handle);
     if (Local)
       if (auto Response = Local(Request)) {
-        respond(Handle, *Response);
+        respond(Open, *Response);
         return restinio::request_accepted();
       }
     if (IsRefusing || Pending.size() >= Settings.MaxPending ||
         !Requests.push({++LastId, std::move(Request)})) {
-      respond(Handle, Refusal);
+      respond(Open, Refusal);
       return restinio::request_accepted();
     }
-    Pending.emplace(LastId, std::move(Handle));
+    Pending.emplace(LastId, std::move(Open));
     PendingCount = Pending.size();
     return restinio::request_accepted();
   }
@@ -247,21 +256,22 @@
         respond(Found->second, Refusal);
         Pending.erase(Found);
       }
-    for (const auto &[Id, Handle] : Pending)
-      respond(Handle, {504, {}, ""});
+    for (const auto &[Id, Open] : Pending)
+      respond(Open, {504, {}, ""});
     Pending.clear();
     PendingCount = 0;
   }
 
   /// \param MustClose whether the response ends its connection.
-  void respond(const restinio::request_handle_t &Handle,
-               const response &Response, bool MustClose = false) {
+  void respond(const open_request &Open, const response &Response,
+               bool MustClose = false) {
+    const auto &Handle = Open.Handle;
     // A read changes nothing, so that it can be refused now.
     if (ResponseRoom &&
         Handle->header().method() == restinio::http_method_get() &&
         !ResponseRoom->fits(Response.Body.size())) {
       Registry.countRefusal("response_room");
-      return respond(Handle, Refusal, true);
+      return respond(Open, Refusal, true);
     }
     auto Message = Handle->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(Response.Status),
@@ -273,8 +283,9 @@
     Message.set_body(Response.Body);
     if (!ResponseRoom)
       return void(Message.done());
-    Message.done([Held = ResponseRoom->hold(Response.Body.size())](
-                     const asio::error_code &) {});
+    Message.done([this, Client = Open.Client,
+                  Held = ResponseRoom->hold(Response.Body.size())](
+                     const asio::error_code &) { Registry.complete(Client); });
   }
 
   /// The request has not run.
@@ -291,7 +302,7 @@
   connection_drain Drain;
   connection_registry &Registry;
   std::vector<std::unique_ptr<server_type>> Servers;
-  std::map<std::uint64_t, restinio::request_handle_t> Pending;
+  std::map<std::uint64_t, open_request> Pending;
   std::atomic<std::size_t> PendingCount = 0;
   std::atomic<bool> IsSendPosted = false;
   std::atomic<bool> CloseConnections = false;
--- a/http/tracked_socket.cpp
+++ b/http/tracked_socket.cpp
@@ -130,11 +130,13 @@
   auto Peer = Socket.remote_endpoint(Error);
   if (!Error)
     Socket.Account.Address = Peer.address().to_string();
-  if (!Error && Limits->ReadsAhead) {
-    Socket.Client = Peer;
-    ByClient[Peer] = &Socket;
-  }
   auto Own = Socket.local_endpoint(Error);
+  Socket.ReadsAhead = Limits->ReadsAhead;
+  if (!Error) {
+    auto Port = Limits->ReadsAhead ? std::uint16_t(0) : Own.port();
+    Socket.Client = {Peer, Port};
+    ByClient[Socket.Client] = &Socket;
+  }
   const auto &Reserved = Limits->ReservedPorts;
   if (!Error &&
       std::find(Reserved.begin(), Reserved.end(), Own.port()) != Reserved.end())
@@ -184,27 +186,29 @@
     return;
   }
   Socket.RequestBytes = 0;
+  Socket.PassedBytes = 0;
   if (!Budget || Socket.Account.SharedBytes == 0)
     return;
   Budget->release(Socket.Account);
   resumeWaiting();
 }
 
-void connection_registry::passOn(const asio::ip::tcp::endpoint &Client) {
+void connection_registry::passOn(const client_key &Client) {
   auto Found = ByClient.find(Client);
   if (Found == ByClient.end())
     return;
   ++Found->second->PassedOn;
-  Found->second->PassedBytes = Found->second->RequestBytes;
+  if (Limits->ReadsAhead)
+    Found->second->PassedBytes = Found->second->RequestBytes;
 }
 
-void connection_registry::complete(const asio::ip::tcp::endpoint &Client) {
+void connection_registry::complete(const client_key &Client) {
   auto Found = ByClient.find(Client);
   if (Found == ByClient.end() || Found->second->PassedOn == 0)
     return;
   auto &Socket = *Found->second;
   Socket.IsWriting = false;
-  if (--Socket.PassedOn > 0)
+  if (--Socket.PassedOn > 0 || !Limits->ReadsAhead)
     return;
   Socket.RequestBytes -= std::exchange(Socket.PassedBytes, 0);
   Socket.RequestSince = core::boot_clock::now();
--- a/http/tracked_socket.h
+++ b/http/tracked_socket.h
@@ -25,6 +25,10 @@
 class tracked_socket;
 class closing_connection;
 
+/// A connection by the address of its client and the local port, which is 0
+/// with connection_limits::ReadsAhead.
+using client_key = std::pair<asio::ip::tcp::endpoint, std::uint16_t>;
+
 /// Limits of the connections on one io_context.
 struct connection_limits {
   budget_limits Budget;
@@ -83,11 +87,11 @@
   std::size_t count() const { return Open.size() + Closing.size(); }
   /// Counts and logs a refusal; of each reason one line a second.
   void countRefusal(std::string_view Reason);
-  /// Protects the connection of a client, with ReadsAhead: a request was read
-  /// completely and its response is not yet written.
-  void passOn(const asio::ip::tcp::endpoint &Client);
+  /// Protects the connection of a client: a request was read completely and its
+  /// response is not yet written. RESTinio may read on then.
+  void passOn(const client_key &Client);
   /// Ends passOn(): the response was written, or writing it failed.
-  void complete(const asio::ip::tcp::endpoint &Client);
+  void complete(const client_key &Client);
   /// Closes the connections, with ReadsAhead, whose clients have received
   /// nothing of a response for 1 s.
   void closeStalledWriters();
@@ -129,8 +133,7 @@
   void publish();
 
   std::unordered_set<tracked_socket *> Open;
-  /// With ReadsAhead.
-  std::map<asio::ip::tcp::endpoint, tracked_socket *> ByClient;
+  std::map<client_key, tracked_socket *> ByClient;
   std::unordered_set<std::shared_ptr<closing_connection>> Closing;
   std::optional<connection_limits> Limits;
   std::optional<connection_budget> Budget;
@@ -186,8 +189,18 @@
   template <typename Buffers, typename Handler>
   void async_write_some(const Buffers &Source, Handler &&OnWritten) { // NOLINT
     HasResponded = true;
+    IsSending = true;
     Registry.release(*this);
-    base::async_write_some(Source, std::forward<Handler>(OnWritten));
+    auto Executor = asio::get_associated_executor(OnWritten, get_executor());
+    // The handler keeps the connection, and so this socket, alive.
+    base::async_write_some(
+        Source,
+        asio::bind_executor(
+            Executor, [this, OnWritten = std::forward<Handler>(OnWritten)](
+                          asio::error_code Error, std::size_t Length) mutable {
+              IsSending = false;
+              OnWritten(Error, Length);
+            }));
   }
 
   /// Ends the connection in the given direction; after a response only the
@@ -247,9 +260,11 @@
     RateBytes = RequestBytes;
   }
   bool isIdle() const { return IsReading && RequestBytes == 0; }
-  /// A complete request was passed on and has no complete response.
+  /// A complete request was passed on and has no response, or with ReadsAhead
+  /// no complete one.
   bool isPending() const {
-    return PassedOn > 0 || (!IsReading && RequestBytes > 0);
+    return PassedOn > (IsSending && !ReadsAhead ? 1u : 0u) ||
+           (!IsReading && RequestBytes > 0);
   }
   /// A part of a request was read, and no response is outstanding.
   bool isReadingRequest() const {
@@ -261,7 +276,7 @@
 
   connection_registry &Registry;
   connection_account Account;
-  asio::ip::tcp::endpoint Client; ///< With ReadsAhead.
+  client_key Client;
   /// Continues a read that waits for room, or ends it with an error.
   std::function<void(asio::error_code)> Resume;
   core::time_point WaitsSince{};
@@ -279,7 +294,9 @@
   /// Part of RequestBytes that was read before the last of them was passed on.
   std::size_t PassedBytes = 0;
   bool IsReading = false;
-  bool IsWriting = false; ///< With ReadsAhead.
+  bool IsSending = false;  ///< A part of a response is being written.
+  bool ReadsAhead = false; ///< See connection_limits.
+  bool IsWriting = false;  ///< With ReadsAhead.
   bool HasResponded = false;
   bool HasPeerEnded = false;
 };
