Answer no ping before the hello, nor while answers wait

A ping is now answered only on a link with a hello, and only when nothing waits to be sent there; peers take any bytes as a sign of life.

--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -157,7 +157,7 @@
   });
   Side.set_ping_handler([this](handle Handle, std::string) {
     onReceived(Handle);
-    return true;
+    return mayAnswerPing(Handle);
   });
   Side.set_pong_handler(
       [this](handle Handle, std::string) { onReceived(Handle); });
@@ -310,6 +310,15 @@
     State->LastReceived = clock_type::now();
 }
 
+bool link_hub::implementation::mayAnswerPing(const handle &Handle) {
+  // websocketpp queues each answer without a limit. Peers count anything that
+  // arrives as a sign of life, so that queued bytes do as well.
+  auto *State = find(Handle);
+  auto Connection = lock(Handle);
+  return State && State->Up && Connection &&
+         Connection->get_buffered_amount() == 0;
+}
+
 void link_hub::implementation::onMessage(const handle &Handle,
                                          const websocket_message &Message) {
   auto Connection = lock(Handle);
--- a/transport/hub_core.h
+++ b/transport/hub_core.h
@@ -85,6 +85,8 @@
   void onClose(const handle &Handle);
   void onHttp(const handle &Handle);
   void onReceived(const handle &Handle);
+  /// \returns whether to answer a ping.
+  bool mayAnswerPing(const handle &Handle);
   void onMessage(const handle &Handle, const websocket_message &Message);
   void removeConnection(const handle &Handle);
   static websocket_pointer lock(const handle &Handle);
