--- a/transport/hub_core.cpp
+++ b/transport/hub_core.cpp
@@ -28,8 +28,6 @@
 /// websocketpp does not report when its queue drains, so links with queued
 /// bytes are polled at this interval.
 constexpr milliseconds DrainPollPeriod(5);
-/// Maximum number of accepted connections that have not sent a hello yet.
-constexpr std::size_t MaxPendingHellos = 256;
 
 /// websocketpp does not report why a bind failed, so this binds again to get
 /// the reason.
@@ -159,7 +157,7 @@
   });
   Side.set_ping_handler([this](handle Handle, std::string) {
     onReceived(Handle);
-    return true;
+    return mayAnswerPing(Handle);
   });
   Side.set_pong_handler(
       [this](handle Handle, std::string) { onReceived(Handle); });
@@ -227,12 +225,44 @@
   auto &State = Connections[Handle];
   State.Address = Connection->get_remote_endpoint();
   State.Started = clock_type::now();
-  auto PendingHellos = std::count_if(
-      Connections.begin(), Connections.end(), [](const auto &Entry) {
-        return !Entry.second.Dialled && !Entry.second.Up;
-      });
-  if (static_cast<std::size_t>(PendingHellos) > MaxPendingHellos)
-    dropConnection(Connection, State, "too many connections without a hello");
+  asio_error Unknown;
+  State.Host = Connection->get_raw_socket()
+                   .remote_endpoint(Unknown)
+                   .address()
+                   .to_string();
+  limitPendingHellos();
+}
+
+void link_hub::implementation::limitPendingHellos() {
+  std::map<std::string, std::size_t> ByHost;
+  std::size_t Count = 0;
+  auto IsPending = [](const connection_state &State) {
+    return !State.Dialled && !State.Up && !State.Ended;
+  };
+  for (const auto &[Handle, State] : Connections)
+    if (IsPending(State)) {
+      ++ByHost[State.Host];
+      ++Count;
+    }
+  if (Count <= Settings.MaxPendingHellos)
+    return;
+  // The oldest one of the host with the most connections, so that a crowd does
+  // not keep other processes from connecting.
+  handle Oldest;
+  const connection_state *Found = nullptr;
+  for (const auto &[Handle, State] : Connections) {
+    if (!IsPending(State))
+      continue;
+    auto Own = ByHost[State.Host];
+    auto Most = Found ? ByHost[Found->Host] : 0;
+    if (Own < Most || (Own == Most && State.Started >= Found->Started))
+      continue;
+    Oldest = Handle;
+    Found = &State;
+  }
+  auto *State = find(Oldest);
+  if (auto Connection = lock(Oldest); Connection && State)
+    dropConnection(Connection, *State, "too many connections without a hello");
 }
 
 void link_hub::implementation::onOpen(const handle &Handle) {
@@ -249,6 +279,7 @@
   auto Connection = lock(Handle);
   if (auto *State = find(Handle); Connection && State)
     endConnection(Connection, *State, Connection->get_ec().message());
+  releaseSocket(Connection);
   removeConnection(Handle);
 }
 
@@ -256,6 +287,7 @@
   auto Connection = lock(Handle);
   if (auto *State = find(Handle); Connection && State)
     endConnection(Connection, *State, closeReason(*Connection));
+  releaseSocket(Connection);
   removeConnection(Handle);
 }
 
@@ -278,6 +310,15 @@
     State->LastReceived = clock_type::now();
 }
 
+bool link_hub::implementation::mayAnswerPing(const handle &Handle) {
+  // websocketpp queues each answer without a limit. Peers count anything that
+  // arrives as a sign of life, so that queued bytes do as well.
+  auto *State = find(Handle);
+  auto Connection = lock(Handle);
+  return State && State->Up && Connection &&
+         Connection->get_buffered_amount() == 0;
+}
+
 void link_hub::implementation::onMessage(const handle &Handle,
                                          const websocket_message &Message) {
   auto Connection = lock(Handle);
