Record each further copy of a start order before it is sent

A new leader reads a list first. - A copy that was sent seconds after the record of an earlier one had no record of its own, so that the next leader counted from a time before it was sent. Each copy is recorded at most 0.5 s before it is sent. - A change of leader later than 12 s after the record began the wait anew. Two harnesses answer a list before they expect the repeated start; their checks are unchanged.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -245,10 +245,7 @@
     return;
   }
   if (const auto *Open = std::get_if<record_open_start>(&Command)) {
-    // Its start may be waiting to be sent again.
-    if (auto Place = EndpointOfRun.find(Open->Task);
-        Place != EndpointOfRun.end())
-      markDue(trackEndpoint(Place->second, Now));
+    recordOpenStart(*Open, Now);
     return;
   }
   if (const auto *Submit = std::get_if<submit_job>(&Command)) {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -436,14 +436,18 @@
   void inheritOpenStart(tracked_run &Run, const task_record &Task,
                         bool HasEnded, core::time_point Now) const;
   /// Takes the run in a list for that of the only copy of its start order.
-  /// An earlier leader sends a second copy, and this one sends its own, only
-  /// after the log says that the first may have no answer.
+  /// Each further copy is sent only after the log says that an earlier one may
+  /// have no answer, see mayRepeatStart().
   static void settleAssumedStart(tracked_run &Run);
   /// Proposes to record that an earlier copy of the start order may have no
-  /// answer.
-  /// \returns whether the log says so, or there is no earlier copy.
-  bool mayRepeatStart(const task_key &Task, const task_record &Record,
-                      tracked_run &Run);
+  /// answer, unless the next list may show that it was executed.
+  /// \returns whether the log says so since the newest copy was sent, or there
+  /// is no earlier copy.
+  bool mayRepeatStart(const tracked_endpoint &Tracked, const task_key &Task,
+                      const task_record &Record, tracked_run &Run,
+                      core::time_point Now);
+  /// Notes that the log says so.
+  void recordOpenStart(const record_open_start &Record, core::time_point Now);
   /// \param TimeMs wall time of an earlier command.
   /// \returns the time from it to the newest command, which passes no faster
   /// than the time of the leaders, or zero.
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -20,6 +20,9 @@
 
 // Interval of lists of hosts while runs wait for the next incarnation.
 constexpr core::duration OpenStartListInterval = std::chrono::seconds(1);
+// How long after its record a further copy may be sent. The next leader counts
+// from the record, so that its bound may be this much too early.
+constexpr core::duration RepeatWindow = milliseconds(500);
 
 } // namespace
 
@@ -32,11 +35,18 @@
 
 void leader::inheritOpenStart(tracked_run &Run, const task_record &Task,
                               bool HasEnded, core::time_point Now) const {
-  Run.IsOpenAssumed = Task.OpenStartMs == 0 && !HasEnded;
-  if (Task.OpenStartMs != 0 && logTimeSince(Task.OpenStartMs) < MaxOrderDelay)
-    Run.OpenUntil = Now + MaxOrderDelay - logTimeSince(Task.OpenStartMs);
-  else if (HasEnded || logTimeSince(Task.StartedMs) < MaxStartTime)
-    Run.OpenUntil = Now + MaxOrderDelay;
+  if (Task.OpenStartMs != 0) {
+    // A copy is sent within MaxStartTime of its record.
+    auto Left = std::max(core::duration(),
+                         MaxOrderDelay - logTimeSince(Task.OpenStartMs));
+    if (HasEnded || Left > core::duration())
+      Run.OpenUntil = Now + Left;
+    return;
+  }
+  if (!HasEnded && logTimeSince(Task.StartedMs) >= MaxStartTime)
+    return;
+  Run.IsOpenAssumed = !HasEnded;
+  Run.OpenUntil = Now + MaxOrderDelay;
 }
 
 void leader::settleAssumedStart(tracked_run &Run) {
@@ -47,17 +57,39 @@
   Run.OpenUntil = {};
 }
 
-bool leader::mayRepeatStart(const task_key &Task, const task_record &Record,
-                            tracked_run &Run) {
-  bool HasCopy = Run.UnansweredStarts > 0 ||
-                 (Run.MayBeStartedByOther && Run.IsOpenAssumed);
-  if (!HasCopy || Record.OpenStartMs != 0)
+bool leader::mayRepeatStart(const tracked_endpoint &Tracked,
+                            const task_key &Task, const task_record &Record,
+                            tracked_run &Run, core::time_point Now) {
+  bool HasCopy =
+      Run.UnansweredStarts > 0 || Record.OpenStartMs != 0 ||
+      (Run.MayBeStartedByOther && Run.OpenUntil != core::time_point());
+  if (!HasCopy)
+    return true;
+  // The list may show that the copy was executed.
+  if (Run.MayBeStartedByOther && !Tracked.HasList)
+    return false;
+  if (Run.OpenRecordedAt != core::time_point() &&
+      Now - Run.OpenRecordedAt < RepeatWindow)
     return true;
   if (!std::exchange(Run.IsOpenProposed, true))
     OpenStarts.push_back({Task, Run.Attempt});
   return false;
 }
 
+void leader::recordOpenStart(const record_open_start &Record,
+                             core::time_point Now) {
+  auto Place = EndpointOfRun.find(Record.Task);
+  if (Place == EndpointOfRun.end())
+    return;
+  auto &Tracked = trackEndpoint(Place->second, Now);
+  auto Run = Tracked.Runs.find(Record.Task);
+  if (Run == Tracked.Runs.end() || Run->second.Attempt != Record.Attempt)
+    return;
+  Run->second.OpenRecordedAt = Now;
+  Run->second.IsOpenProposed = false;
+  markDue(Tracked);
+}
+
 core::duration leader::logTimeSince(std::int64_t TimeMs) const {
   return milliseconds(std::max<std::int64_t>(0, State.timeMs() - TimeMs));
 }
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -300,8 +300,8 @@
     const auto *Task = State.findTask(Key);
     if (!Task || Task->Attempt != Run.Attempt ||
         PendingStarts >= MaxUnansweredStarts ||
-        !mayRepeatStart(Key, *Task, Run) ||
-        !maySendStart(Tracked, Key, Run, Now))
+        !maySendStart(Tracked, Key, Run, Now) ||
+        !mayRepeatStart(Tracked, Key, *Task, Run, Now))
       continue;
     const auto &Job = *State.findJob(Key.Job);
     start_order Start;
@@ -319,6 +319,7 @@
     }
     Run.Phase = run_phase::Starting;
     Run.IsOrderPending = true;
+    Run.OpenRecordedAt = {};
     if (Run.FirstSentAt == core::time_point())
       Run.FirstSentAt = Now;
     Run.NextOrder = Now + ResendInterval;
@@ -360,11 +361,13 @@
   // nobody has read, so the cursor is sent only with news.
   bool RequiresCursor = IsAckPending || Tracked.ListsConfirmedEnds;
   Poll.Cursor = RequiresCursor && !MayBeAnother ? Tracked.Cursor : 0;
-  bool RequiresList = std::any_of(
-      Tracked.Runs.begin(), Tracked.Runs.end(), [](const auto &Item) {
-        return Item.second.Phase == run_phase::Unconfirmed ||
-               Item.second.IsStopAcknowledged;
-      });
+  bool RequiresList =
+      !Tracked.HasList ||
+      std::any_of(Tracked.Runs.begin(), Tracked.Runs.end(),
+                  [](const auto &Item) {
+                    return Item.second.Phase == run_phase::Unconfirmed ||
+                           Item.second.IsStopAcknowledged;
+                  });
   if (HasClock && (HasRuns || HasOrphans) && !Tracked.IsSuspect &&
       !RequiresList && !IsVerified)
     Poll.WaitMs = Tracked.MayInterfere ? ThrottlePollWaitMs : PollWaitMs;
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -357,6 +357,7 @@
                            const endpoint_answer &Answer,
                            core::time_point SentAt, core::time_point Now) {
   auto List = ++LastList;
+  Tracked.HasList = true;
   std::map<task_key, orphaned_run> Orphans;
   for (const auto &Row : Answer.Running) {
     auto Found = Tracked.Runs.find(Row.Task);
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -58,11 +58,13 @@
   core::time_point OpenUntil{};
   core::time_point
       AcceptedAt{}; ///< When an answer accepted the start, or zero.
-  /// OpenUntil is only assumed: an earlier leader committed the start shortly
-  /// before its end, and nothing says that the order had no answer.
+  /// OpenUntil is set and only assumed: an earlier leader committed the start
+  /// shortly before its end, and nothing says that the order had no answer.
   bool IsOpenAssumed = false;
-  /// That a start order may have no answer was proposed to the log.
+  /// That a copy of the start order may have no answer was proposed to the log.
   bool IsOpenProposed = false;
+  /// When the log said so; zero again once the next copy is sent.
+  core::time_point OpenRecordedAt{};
   /// When this leader first sent a start order, or zero.
   core::time_point FirstSentAt{};
   core::time_point NextOrder{};    ///< Earliest time of the next order.
@@ -128,8 +130,9 @@
   bool HadRunsAtStart = false;     ///< When this leader began to lead.
   std::map<task_key, tracked_run> Runs;
   std::map<task_key, orphaned_run> OrphanedRuns; ///< In its newest list.
-  std::uint64_t Sequence = 0;                    ///< Of the newest heartbeat.
-  std::uint64_t HeartbeatClockMs = 0;            ///< Of the newest heartbeat.
+  bool HasList = false;       ///< This leader has read a list of its runs.
+  std::uint64_t Sequence = 0; ///< Of the newest heartbeat.
+  std::uint64_t HeartbeatClockMs = 0; ///< Of the newest heartbeat.
   core::time_point LastHeartbeat{};
   /// Capacity in the newest heartbeat that this leader received.
   resource_amounts AnnouncedCapacity;
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -63,6 +63,15 @@
     RowIds[Id] = Id;
     Lists[Id] = {};
   }
+  void beat(const std::string &Id) {
+    endpoint_heartbeat Heartbeat;
+    Heartbeat.Facts = makeEndpoint(Id, Live[Id]);
+    Heartbeat.Facts.Address = addressOf(Id);
+    Heartbeat.Sequence = ++Sequence;
+    Heartbeat.ClockMs = static_cast<std::uint64_t>(wallMs());
+    if (!Leader->recordHeartbeat(Heartbeat, Now))
+      apply(Leader->describeEndpoint(Heartbeat.Facts, Now));
+  }
   /// Replaces the leader by one that has read a snapshot.
   void changeLeader() {
     Leader.reset();
@@ -127,15 +136,6 @@
     return *core::network_address::parse("10.0.0." + std::string(Id.substr(1)) +
                                          ":80");
   }
-  void beat(const std::string &Id) {
-    endpoint_heartbeat Heartbeat;
-    Heartbeat.Facts = makeEndpoint(Id, Live[Id]);
-    Heartbeat.Facts.Address = addressOf(Id);
-    Heartbeat.Sequence = ++Sequence;
-    Heartbeat.ClockMs = static_cast<std::uint64_t>(wallMs());
-    if (!Leader->recordHeartbeat(Heartbeat, Now))
-      apply(Leader->describeEndpoint(Heartbeat.Facts, Now));
-  }
   void send(order Order) {
     if (std::holds_alternative<list_hosts_order>(Order.Body)) {
       hosts_answer Page;
@@ -269,6 +269,54 @@
   CHECK_FALSE(Site.isAssignedTo("e1"));
 }
 
+TEST_CASE(
+    "a start that was seen at work by two leaders in a row starts elsewhere "
+    "at once when its endpoint ends") {
+  two_hosts Site;
+  Site.startOnFirst();
+  for (int Change = 0; Change != 2; ++Change) {
+    Site.changeLeader();
+    // The heartbeat comes before the first list.
+    Site.beat("e1");
+    Site.run(500ms);
+  }
+  REQUIRE(Site.Started.size() == 1);
+  CHECK(Site.task()->OpenStartMs == 0);
+  Site.crash("e1");
+  Site.run(4s);
+  CHECK(Site.isAssignedTo("e2"));
+}
+
+TEST_CASE(
+    "a change of leader after an order can no longer be executed does not "
+    "begin the wait for it anew") {
+  unanswered_start Site;
+  Site.RowIds["e1"] = "e1"; // The list shows the ended endpoint as up.
+  Site.run(11s);
+  REQUIRE(Site.isAssignedTo("e1"));
+  Site.apply(submission(makeJob("k", {makeStep(1)}))); // Has the time.
+  Site.changeLeader();
+  Site.RowIds["e1"].clear();
+  Site.run(3s);
+  CHECK_FALSE(Site.isAssignedTo("e1"));
+}
+
+TEST_CASE(
+    "each copy of a start that may have no answer has a record of its own") {
+  two_hosts Site;
+  Site.Silent = {"e1"};
+  Site.startOnFirst();
+  Site.run(1s);
+  auto First = Site.task()->OpenStartMs;
+  REQUIRE(First != 0);
+  Site.run(3s);
+  Site.Silent.clear();
+  for (int Step = 0; Step != 300 && Site.Started.size() == 1; ++Step)
+    Site.run(10ms);
+  REQUIRE(Site.Started.size() == 2);
+  CHECK(Site.task()->OpenStartMs > First + 2000);
+}
+
 TEST_CASE(
     "a start that an earlier leader may have sent is not sent again before "
     "the log says so") {
--- a/tests/scheduling/test_refused_starts.cpp
+++ b/tests/scheduling/test_refused_starts.cpp
@@ -33,7 +33,11 @@
       Leader->recordHeartbeat(Heartbeat, Now);
     }
     takeOrders();
-    // That the earlier leader's order may have no answer.
+    // The list does not show the run, and it is committed that the order of the
+    // earlier leader may have no answer.
+    answer<poll_order>(withVerdict(endpoint_verdict::Accepted));
+    Now += 60ms;
+    takeOrders();
     commit();
   }
 
--- a/tests/scheduling/test_replaced_receivers.cpp
+++ b/tests/scheduling/test_replaced_receivers.cpp
@@ -369,6 +369,7 @@
   Site.changeLeader(6);
   Site.sendHeartbeat();
   // The leader cannot know whether its predecessor sent them.
+  Site.answerPoll(Site.list({}));
   Site.collect();
   Site.commit();
   for (int Start = 0; Start != 2; ++Start)
