--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -34,10 +34,6 @@
   core::time_point NextOrder{};
   /// An order that was sent may still interrupt the host's runs.
   core::time_point MayTakeEffectUntil{};
-  /// Earlier orders than the newest one may do so until then.
-  core::time_point EarlierUntil{};
-  bool IsRefused = false; ///< The platform refused the maintenance for now.
-  std::uint32_t FailedOrders = 0; ///< Of a maintenance, without a verdict.
   std::string EndpointId; ///< On the host when the newest order was sent.
   /// When the platform answered the newest order with a failure. A list that
   /// was requested later shows whether the order took effect.
@@ -53,13 +49,6 @@
   core::duration Delay{};
 };
 
-/// Delay of the next attempt to maintain a host after one that did not begin.
-struct maintenance_backoff {
-  std::uint64_t Wave = 0;
-  core::time_point Until{};
-  core::duration Delay{};
-};
-
 /// The leader's view of the hosts: the platform's newest list, cordoned hosts,
 /// and operations in progress.
 struct host_inventory {
@@ -92,9 +81,6 @@
   /// The newest move that was sent did not begin; ends when one is accepted.
   bool AreMovesFailing = false;
   core::time_point NextPoolLog{};
-  core::indexed_map<std::string, maintenance_backoff> MaintenanceBackoffs;
-  /// Maintenance orders without a verdict since one was accepted.
-  std::size_t FailedMaintenances = 0;
 
   core::indexed_map<std::string, host_row>
       PartialList;                       ///< Pages received so far.
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -505,15 +505,6 @@
   // leader_hosts.cpp
   void planHosts(std::vector<command> &Commands, core::time_point Now,
                  std::int64_t WallMs);
-  /// Ends the attempts to maintain a host that the platform refused or did not
-  /// answer, once no order for them can take effect any more, so that the hosts
-  /// get work until the next attempt.
-  void putOffFailedMaintenances(core::time_point Now, std::int64_t WallMs);
-  /// Cordons and orders hosts again whose maintenance was put off.
-  void retryMaintenances(core::time_point Now);
-  /// \returns how many hosts may be cordoned or ordered for maintenance now:
-  /// one at a time while the platform carries out no orders.
-  std::size_t maxNewMaintenances() const;
   host_operation &addMaintenance(const std::string &Host, std::uint64_t Wave,
                                  core::time_point Now);
   /// Stops long-running tasks on cordoned hosts, within their budgets, when
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -34,17 +34,6 @@
 // long needs no maintenance any more.
 constexpr core::duration UnknownHostTimeout = std::chrono::seconds(3);
 
-// Orders without a verdict after which an attempt to maintain a host ends.
-constexpr std::uint32_t MaxFailedOrders = 2;
-// Delays of the next attempt. The host has work meanwhile.
-constexpr core::duration MinMaintenanceDelay = std::chrono::seconds(1);
-constexpr core::duration MaxMaintenanceDelay = std::chrono::seconds(4);
-// How long short runs drain before the next attempt.
-constexpr core::duration RetryDrainTime = milliseconds(1500);
-// Shorter delays near the deadline of a wave: this part of the time left, and
-// not below the interval at which a refused order is repeated.
-constexpr int DelaysUntilDeadline = 8;
-
 // A list has 200 hosts a page. A list that does not end, or has a page that
 // always fails, is replaced by a new one, so that hosts on other pages are
 // followed; an outage of the platform is shorter than this number of attempts.
@@ -140,10 +129,6 @@
                     (Row && Row->State == host_state::Moving);
     Host.IsInMaintenance = (HasOperation && Operation->second.Wave) ||
                            (Row && Row->State == host_state::Maintenance);
-    // A host that was put off keeps its slot: the next leader orders it at
-    // once.
-    Host.IsInMaintenance |=
-        Hosts.MaintenanceBackoffs.find(Name) != Hosts.MaintenanceBackoffs.end();
     Host.HasBegun =
         Begun.count(Name) > 0 || (HasOperation && Operation->second.HasBegun);
     if (Begun.count(Name) > 0 && !Host.IsInMaintenance)
@@ -198,100 +183,6 @@
   return Operation;
 }
 
-void leader::putOffFailedMaintenances(core::time_point Now,
-                                      std::int64_t WallMs) {
-  core::eraseIf(Hosts.MaintenanceBackoffs, [&](const auto &Item) {
-    auto Wave = State.waves().find(Item.second.Wave);
-    return Wave == State.waves().end() || Wave->second.isComplete() ||
-           contains(Wave->second.Begun, Item.first);
-  });
-  std::vector<std::string> PutOff;
-  for (auto &[Name, Operation] : Hosts.Operations) {
-    if (!Operation.Wave || Operation.HasBegun || Operation.IsOrderPending ||
-        (!Operation.IsRefused && Operation.FailedOrders < MaxFailedOrders))
-      continue;
-    auto SettledAt = Operation.FailedAt
-                         ? std::max(*Operation.FailedAt, Operation.EarlierUntil)
-                         : Operation.MayTakeEffectUntil;
-    if (Now < SettledAt)
-      continue;
-    if (SettledAt != core::time_point()) {
-      const auto *Row = Hosts.findNewer(Name, SettledAt);
-      if (!Row && Now < SettledAt + MaxListWait)
-        continue;
-      if (Row && (Row->State != host_state::Up ||
-                  Row->EndpointId != Operation.EndpointId)) {
-        // It may have begun; the answer to another order tells.
-        Operation.IsRefused = false;
-        Operation.FailedOrders = 0;
-        Operation.NextOrder = Now;
-        continue;
-      }
-    }
-    auto &Backoff = Hosts.MaintenanceBackoffs[Name];
-    const auto &Wave = State.waves().at(*Operation.Wave);
-    core::duration Left =
-        milliseconds(Wave.StartedMs + Wave.DeadlineMs - WallMs);
-    auto MaxDelay = std::clamp<core::duration>(
-        Left / DelaysUntilDeadline, 2 * HostOrderBackoff, MaxMaintenanceDelay);
-    Backoff.Wave = *Operation.Wave;
-    Backoff.Delay =
-        std::min(std::max(2 * Backoff.Delay, MinMaintenanceDelay), MaxDelay);
-    Backoff.Until = Now + Backoff.Delay;
-    core::logEvent(core::log_level::Warning, "maintenance_put_off",
-                   {{"wave", *Operation.Wave},
-                    {"host", Name},
-                    {"refused", Operation.IsRefused},
-                    {"decided_ms_ago", toMs(Now - Operation.DecidedAt)},
-                    {"delay_ms", toMs(Backoff.Delay)}});
-    PutOff.push_back(Name);
-  }
-  for (const auto &Name : PutOff) {
-    Hosts.Operations.erase(Name);
-    Hosts.Cordoned.erase(Name);
-    IsPlacementDue = true;
-  }
-  if (!PutOff.empty())
-    Metrics.add("maintenances_put_off_total", PutOff.size());
-}
-
-void leader::retryMaintenances(core::time_point Now) {
-  bool IsTrial = maxNewMaintenances() != UnlimitedMaintenances;
-  bool IsLast = maxNewMaintenances() == 0;
-  for (const auto &[Name, Backoff] : Hosts.MaintenanceBackoffs) {
-    // A platform that lists no hosts answers no orders either.
-    if (Now < Backoff.Until ||
-        Hosts.ListedAt <= Backoff.Until - Backoff.Delay ||
-        Hosts.Operations.find(Name) != Hosts.Operations.end())
-      continue;
-    const auto *Tracked = trackedOnHost(Name);
-    if (IsLast) {
-      IsPlacementDue |= Hosts.Cordoned.erase(Name) > 0;
-      continue;
-    }
-    IsLast = IsTrial;
-    auto Since = Hosts.Cordoned.emplace(Name, Now).first->second;
-    bool HasShortRuns =
-        Tracked && std::any_of(Tracked->Runs.begin(), Tracked->Runs.end(),
-                               [&](const auto &Run) {
-                                 const auto *Step = findStep(Run.first);
-                                 return !Step || !Step->IsLongRunning;
-                               });
-    if (!HasShortRuns || Now - Since >= RetryDrainTime)
-      addMaintenance(Name, Backoff.Wave, Now);
-  }
-}
-
-std::size_t leader::maxNewMaintenances() const {
-  if (Hosts.FailedMaintenances < MaxFailedOrders)
-    return UnlimitedMaintenances;
-  bool IsTrialPending = std::any_of(
-      Hosts.Operations.begin(), Hosts.Operations.end(), [](const auto &Item) {
-        return Item.second.Wave && !Item.second.HasBegun;
-      });
-  return IsTrialPending ? 0 : 1;
-}
-
 void leader::planHosts(std::vector<command> &Commands, core::time_point Now,
                        std::int64_t WallMs) {
   for (auto &[Name, Operation] : Hosts.Operations) {
@@ -309,8 +200,6 @@
   if (Hosts.ListedAt < StartedAt || Now < Hosts.NextWavePlan)
     return;
   Hosts.NextWavePlan = Now + WavePlanInterval;
-  putOffFailedMaintenances(Now, WallMs);
-  retryMaintenances(Now);
   std::map<std::uint64_t, wave_delay> Delays;
   for (const auto &[Number, Wave] : State.waves()) {
     if (Wave.isComplete())
@@ -318,29 +207,20 @@
     name_set Begun(Wave.Begun.begin(), Wave.Begun.end());
     for (const auto &Name : Wave.Ordered)
       if (Begun.count(Name) == 0 &&
-          Hosts.Operations.find(Name) == Hosts.Operations.end() &&
-          Hosts.MaintenanceBackoffs.find(Name) ==
-              Hosts.MaintenanceBackoffs.end()) {
+          Hosts.Operations.find(Name) == Hosts.Operations.end()) {
         // An earlier leader may have sent the order.
         addMaintenance(Name, Number, Now).MayTakeEffectUntil =
             StartedAt + HostOrderLifetime;
         Hosts.Cordoned.emplace(Name, Now);
       }
     auto View = maintenanceHosts(Wave, Now);
-    auto MaxNew = maxNewMaintenances();
     auto Plan = planMaintenance(Wave, View, WallMs - Wave.StartedMs,
-                                Settings.MaintenanceMs, MaxNew);
+                                Settings.MaintenanceMs);
     auto &Delay = Delays[Number];
     Delay.LeftMs = Wave.StartedMs + Wave.DeadlineMs - WallMs;
     Delay.Waiting = std::move(Plan.Waiting);
     for (const auto &Name : Plan.Cordon)
       Hosts.Cordoned.emplace(Name, Now);
-    // Hosts that were cordoned before orders failed are not needed for a trial.
-    if (MaxNew != UnlimitedMaintenances)
-      for (const auto &Host : Delay.Waiting)
-        if (Host.Blocker == maintenance_blocker::Slot &&
-            Hosts.Cordoned.erase(Host.Name) > 0)
-          IsPlacementDue = true;
     for (const auto &Name : Plan.Order) {
       if (Hosts.Operations.size() >= MaxOperations)
         break;
@@ -499,8 +379,6 @@
       continue;
     }
     Operation.IsOrderPending = true;
-    if (!Operation.FailedAt)
-      Operation.EarlierUntil = Operation.MayTakeEffectUntil;
     Operation.MayTakeEffectUntil = Now + HostOrderLifetime;
     Operation.FailedAt.reset();
     const auto *Row = Hosts.find(Name);
@@ -560,26 +438,24 @@
   Operation.IsOrderPending = false;
   const auto *Verdict = std::get_if<host_verdict>(&Result.Answer);
   if (!Verdict) {
+    if (!Move)
+      return;
     if (NoAnswer && !NoAnswer->MayHaveRun) {
-      Operation.MayTakeEffectUntil = Operation.EarlierUntil;
+      Operation.MayTakeEffectUntil = {};
       return;
     }
+    Hosts.AreMovesFailing = true;
     if (NoAnswer && NoAnswer->HasResponse) {
       Operation.FailedAt = Now;
       Hosts.NextList = Now;
     }
+    // Repeated orders would keep the host from work for as long as the platform
+    // does not answer; the move is dropped once it can no longer take effect.
     // The call may have been sent later than its order was made.
+    Operation.NextOrder = core::time_point::max();
     Operation.MayTakeEffectUntil =
         std::max(Operation.MayTakeEffectUntil,
                  Now + HostOrderLifetime - PlatformTimeout);
-    if (Move)
-      Hosts.AreMovesFailing = true;
-    else
-      ++Hosts.FailedMaintenances;
-    // Repeated orders would keep the host from work for as long as the platform
-    // does not answer; the operation ends once it can no longer take effect.
-    if (Move || ++Operation.FailedOrders >= MaxFailedOrders)
-      Operation.NextOrder = core::time_point::max();
     return;
   }
   core::logEvent(core::log_level::Info,
@@ -593,9 +469,6 @@
     if (Move) {
       Hosts.MoveBackoffs.erase(Name);
       Hosts.AreMovesFailing = false;
-    } else {
-      Hosts.MaintenanceBackoffs.erase(Name);
-      Hosts.FailedMaintenances = 0;
     }
     return;
   case host_verdict::NoSuchHost:
@@ -614,7 +487,7 @@
     return;
   case host_verdict::Throttled:
     Hosts.NextCall = Now + HostOrderBackoff;
-    Operation.MayTakeEffectUntil = Operation.EarlierUntil;
+    Operation.MayTakeEffectUntil = {};
     return;
   case host_verdict::Fenced:
   case host_verdict::Busy:
@@ -624,8 +497,6 @@
       IsPlacementDue = true;
       return;
     }
-    Operation.MayTakeEffectUntil = Operation.EarlierUntil;
-    Operation.IsRefused = true;
     Operation.NextOrder = Now + 2 * HostOrderBackoff;
     return;
   }
--- a/scheduling/leader_moves.cpp
+++ b/scheduling/leader_moves.cpp
@@ -21,6 +21,9 @@
 // move keeps the host from work until it is dropped.
 constexpr core::duration MinMoveDelay = std::chrono::seconds(1);
 constexpr core::duration MaxMoveDelay = std::chrono::seconds(16);
+// How long a list is awaited that shows whether an unanswered order moved its
+// host; lists follow each other within half of it while the platform answers.
+constexpr core::duration MaxListWait = std::chrono::seconds(1);
 // How long a failed placement counts as demand. Placement runs more often than
 // this while tasks wait.
 constexpr core::duration UnplaceableWindow = milliseconds(400);
@@ -222,8 +225,6 @@
     auto Backoff = Hosts.MoveBackoffs.find(Name);
     Host.MayMove =
         IsIdle && StayingUp.count(Name) == 0 &&
-        Hosts.MaintenanceBackoffs.find(Name) ==
-            Hosts.MaintenanceBackoffs.end() &&
         (Backoff == Hosts.MoveBackoffs.end() || Now >= Backoff->second.Until);
     // A host that is not listed any more may be gone.
     bool IsListed = Hosts.KeptHosts.count(Name) == 0 || hasListedEndpoint(Name);
--- a/scheduling/maintenance_planner.cpp
+++ b/scheduling/maintenance_planner.cpp
@@ -113,8 +113,7 @@
 maintenance_plan planMaintenance(const wave_record &Wave,
                                  std::span<const maintenance_host> Hosts,
                                  std::int64_t ElapsedMs,
-                                 std::int64_t MaintenanceMs,
-                                 std::size_t MaxNew) {
+                                 std::int64_t MaintenanceMs) {
   maintenance_plan Plan;
   auto Block = [&](const maintenance_host &Host, maintenance_blocker Blocker) {
     Plan.Waiting.push_back({Host.Name, Blocker});
@@ -141,9 +140,7 @@
     }
   }
   std::sort(Waiting.begin(), Waiting.end(), precedes);
-  std::size_t Slots =
-      std::min(Wave.MaxCount > Down ? Wave.MaxCount - Down : 0, MaxNew);
-  auto Ahead = MaxNew == UnlimitedMaintenances ? CordonAhead : 0;
+  std::size_t Slots = Wave.MaxCount > Down ? Wave.MaxCount - Down : 0;
   auto RemainingMs = remainingMs(Wave, ElapsedMs);
   // Busy hosts go down no faster than the deadline requires.
   auto Required =
@@ -168,10 +165,10 @@
                   : Host.MayInterrupt ? Cordoned
                                       : BlockedCordoned;
     auto MaxCount =
-        Host.IsCritical ? Slots : BusySlots + (BusySlots > 0 ? Ahead : 0);
+        Host.IsCritical ? Slots : BusySlots + (BusySlots > 0 ? CordonAhead : 0);
     // The others of the group would stand idle until the budget is free again.
     bool IsLaterRound = Host.IsCritical && CordonedInGroup[Host.BudgetGroup] >=
-                                               Host.HostsPerRound + Ahead;
+                                               Host.HostsPerRound + CordonAhead;
     if (IsLaterRound || Count >= MaxCount) {
       Block(Host, IsLaterRound ? maintenance_blocker::Availability
                                : maintenance_blocker::Slot);
--- a/scheduling/maintenance_planner.h
+++ b/scheduling/maintenance_planner.h
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <set>
 #include <span>
 #include <string>
@@ -79,9 +78,6 @@
   std::vector<waiting_host> Waiting;
 };
 
-/// Any number of hosts may be cordoned or ordered.
-constexpr auto UnlimitedMaintenances = std::numeric_limits<std::size_t>::max();
-
 /// Chooses the hosts of one wave whose maintenance begins.
 ///
 /// Designed for a wave over two fifths of all hosts under load. Idle surplus
@@ -95,14 +91,11 @@
 /// \param Hosts its hosts that have not begun, and those in maintenance.
 /// \param ElapsedMs time since the wave began.
 /// \param MaintenanceMs downtime of one host.
-/// \param MaxNew largest number of hosts to cordon or order in addition to
-/// those in maintenance, while the platform may not carry out orders.
 /// \returns the hosts to cordon and the hosts whose maintenance to order now.
 maintenance_plan planMaintenance(const wave_record &Wave,
                                  std::span<const maintenance_host> Hosts,
                                  std::int64_t ElapsedMs,
-                                 std::int64_t MaintenanceMs,
-                                 std::size_t MaxNew = UnlimitedMaintenances);
+                                 std::int64_t MaintenanceMs);
 
 /// A host that moves to another pool near the deadline of its wave is up again
 /// too late to be maintained in time.
