--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -54,8 +54,6 @@
 struct host_inventory {
   core::indexed_map<std::string, host_row> Hosts;              ///< By name.
   std::unordered_map<std::string, std::string> HostOfEndpoint; ///< By id.
-  /// A host is up, and its endpoint is not named.
-  bool HasUnnamedEndpoint = false;
   core::time_point ListedAt{}; ///< When the newest whole list was requested.
   /// The same for the newest list in which every host could be read.
   core::time_point WholeListedAt{};
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -467,9 +467,8 @@
   /// \returns whether no later incarnation can have the endpoint's id, because
   /// another endpoint took its address or its host.
   bool isSucceeded(const tracked_endpoint &Tracked) const;
-  /// \returns whether a whole list of hosts, requested after the time, shows no
-  /// endpoint with the id on the host of this one, or on any host if no list
-  /// has shown it on one.
+  /// \returns whether a whole list of hosts, requested after the time, shows
+  /// that the endpoint's host does not run an endpoint with its id.
   bool isDownAfter(const tracked_endpoint &Tracked,
                    core::time_point Time) const;
   /// \returns why no incarnation with the id of an endpoint that has ended runs
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -627,12 +627,9 @@
     Hosts.WholeListedAt = Hosts.ListStartedAt;
   Hosts.IsNewList = true;
   Hosts.HostOfEndpoint.clear();
-  Hosts.HasUnnamedEndpoint = false;
   for (const auto &[Name, Row] : Hosts.Hosts)
     if (!Row.EndpointId.empty())
       Hosts.HostOfEndpoint[Row.EndpointId] = Name;
-    else
-      Hosts.HasUnnamedEndpoint |= Row.State == host_state::Up;
   core::eraseIf(Hosts.Operations, [&](const auto &Item) {
     const auto &[Name, Operation] = Item;
     const auto *Row = Hosts.find(Name);
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -156,9 +156,6 @@
 
 bool leader::isDownAfter(const tracked_endpoint &Tracked,
                          core::time_point Time) const {
-  if (Tracked.Host.empty())
-    return Hosts.WholeListedAt > Time && !Hosts.HasUnnamedEndpoint &&
-           !Hosts.Hosts.empty() && Hosts.HostOfEndpoint.count(Tracked.Id) == 0;
   const auto *Row = Hosts.find(Tracked.Host);
   return Row && Hosts.WholeListedAt > Time &&
          (Row->State != host_state::Up || Row->EndpointId != Tracked.Id);
