--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -527,19 +527,6 @@
   void finishHostList(bool IsWhole);
   /// Ends incarnations that the platform no longer lists on their host.
   void endReplacedIncarnations();
-  using listed_ids = std::unordered_set<std::string_view>;
-  /// \param Host of the endpoint, or an empty string.
-  /// \param Listed ids of the endpoints in the list of hosts, which may be
-  /// incomplete.
-  /// \returns whether the list proves that the incarnation has ended.
-  bool isListedAsEnded(const endpoint_record &Endpoint,
-                       const tracked_endpoint &Tracked, const std::string &Host,
-                       const listed_ids &Listed) const;
-  /// \returns whether a list of all hosts that does not name the endpoint
-  /// proves the end of an incarnation which no list has shown: it was silent
-  /// before the list was requested, and a listed host may have been its own.
-  bool hasEndedUnlisted(const endpoint_record &Endpoint,
-                        const tracked_endpoint &Tracked) const;
   /// Hosts of a wave that have not begun and have tasks of one step.
   struct step_hosts {
     std::uint32_t Hosts = 0;
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -502,65 +502,36 @@
   }
 }
 
-bool leader::isListedAsEnded(const endpoint_record &Endpoint,
-                             const tracked_endpoint &Tracked,
-                             const std::string &Host,
-                             const listed_ids &Listed) const {
-  bool IsWhole = Hosts.PageToken.empty() && Hosts.UnreadableHosts.empty();
-  bool IsListed = Listed.count(Endpoint.Facts.Id) > 0;
-  if (Host.empty())
-    return IsWhole && !IsListed && hasEndedUnlisted(Endpoint, Tracked);
-  auto Row = Hosts.PartialList.find(Host);
-  if (Row == Hosts.PartialList.end() ||
-      (Row->second.EndpointId == Endpoint.Facts.Id &&
-       Row->second.State != host_state::Moving &&
-       Row->second.State != host_state::Maintenance))
-    return false;
-  // An incarnation inherits the host of an earlier one with its id, and may
-  // run on another one. Until a list has shown it on that host, only a list
-  // of all hosts proves that it runs nowhere.
-  bool IsOnHost = Hosts.ListedAt >= Tracked.TrackedSince &&
-                  Hosts.HostOfEndpoint.count(Endpoint.Facts.Id) > 0;
-  bool IsElsewhere = Row->second.EndpointId != Endpoint.Facts.Id && IsListed;
-  return !IsElsewhere && (IsOnHost || IsWhole);
-}
-
-bool leader::hasEndedUnlisted(const endpoint_record &Endpoint,
-                              const tracked_endpoint &Tracked) const {
-  if (!Tracked.IsSuspect ||
-      std::max(Tracked.SuspectedAt, Tracked.LastHeartbeat) >
-          Hosts.ListStartedAt)
-    return false;
-  // A list may omit a host, and its endpoint may be the one.
-  bool HasHost = false;
-  for (const auto &[Name, Row] : Hosts.PartialList) {
-    if (Row.State != host_state::Up) {
-      HasHost = true;
-      continue;
-    }
-    if (Row.EndpointId.empty())
-      return false;
-    const auto *Other = State.findEndpoint(Row.EndpointId);
-    HasHost |= !Other || Other->Number > Endpoint.Number;
-  }
-  return HasHost;
-}
-
 void leader::endReplacedIncarnations() {
   // The answer Accepted does not identify the incarnation that ended: the order
   // may have been accepted earlier and the host may already run a new
   // incarnation. The list identifies the current one.
-  listed_ids Listed;
+  bool IsWhole = Hosts.PageToken.empty();
+  std::unordered_set<std::string_view> Listed;
   for (const auto &[Name, Row] : Hosts.PartialList)
     Listed.insert(Row.EndpointId);
   for (const auto &[Number, Endpoint] : State.endpoints()) {
+    auto Host = hostOf(Endpoint);
+    if (Host.empty() || Endpoint.HasEnded)
+      continue;
+    auto Row = Hosts.PartialList.find(Host);
+    // A row that is older than the incarnation shows an earlier one.
     auto Tracked = TrackedEndpoints.find(Number);
-    // A list that is older than the incarnation shows an earlier one.
-    if (Endpoint.HasEnded || Tracked == TrackedEndpoints.end() ||
-        Tracked->second.TrackedSince > Hosts.ListStartedAt)
+    if (Row == Hosts.PartialList.end() || Tracked == TrackedEndpoints.end() ||
+        Tracked->second.TrackedSince > Hosts.ListStartedAt ||
+        (Row->second.EndpointId == Endpoint.Facts.Id &&
+         Row->second.State != host_state::Moving &&
+         Row->second.State != host_state::Maintenance))
       continue;
-    auto Host = hostOf(Endpoint);
-    if (!isListedAsEnded(Endpoint, Tracked->second, Host, Listed))
+    // An incarnation inherits the host of an earlier one with its id, and may
+    // run on another one. Until a list has shown it on that host, only a list
+    // of all hosts proves that it runs nowhere.
+    bool IsOnHost = Hosts.ListedAt >= Tracked->second.TrackedSince &&
+                    Hosts.HostOfEndpoint.count(Endpoint.Facts.Id) > 0;
+    bool IsElsewhere = Row->second.EndpointId != Endpoint.Facts.Id &&
+                       Listed.count(Endpoint.Facts.Id) > 0;
+    if (IsElsewhere ||
+        (!IsOnHost && (!IsWhole || !Hosts.UnreadableHosts.empty())))
       continue;
     Tracked->second.EndListedAt = Hosts.ListStartedAt;
     if (EndedIncarnations.insert(Number).second)
