--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec timeout -k 5 110 python3 "$(dirname "$0")/case.py"
+exec timeout -k 8 110 python3 "$(dirname "$0")/case.py"
--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -27,6 +27,7 @@
 HEARTBEAT_MS = 1500
 ACK_TIMEOUT_S = 1  # A heartbeat without an answer goes to the next node.
 HOST = 'site.example'
+LONGEST_RUN_S = 105
 
 
 class Record:
@@ -56,6 +57,7 @@
 
     def __init__(self):
         self.to_executor = self.to_system = True
+        self.generation = 0  # Connections of earlier generations are silent for good.
 
     def is_whole(self):
         return self.to_executor and self.to_system
@@ -100,15 +102,20 @@
         server.settimeout(None)
         for peer in (client, server):
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        generation = self.link.generation
         forward = 'to_system' if self.client_is_executor else 'to_executor'
         back = 'to_executor' if self.client_is_executor else 'to_system'
-        threading.Thread(target=self.pump, args=(client, server, forward), daemon=True).start()
-        self.pump(server, client, back)
+        threading.Thread(target=self.pump, args=(client, server, forward, generation), daemon=True).start()
+        self.pump(server, client, back, generation)
 
-    def pump(self, source, sink, direction):
+    def pump(self, source, sink, direction, generation):
         try:
             while True:
                 data = source.recv(65536)
+                if generation != self.link.generation:
+                    if not data:
+                        return  # Its peer learns nothing of it.
+                    continue
                 while not getattr(self.link, direction):
                     time.sleep(0.002)
                     if data and is_gone(source):
@@ -311,10 +318,11 @@
                                                     '/-/readyz', timeout=1)[0] != 200]
             time.sleep(0.05)
 
-    def client(self, method, path, body=None, front=0, timeout=4.0):
+    def client(self, method, path, body=None, front=0, timeout=4.0, deadline_ms=None):
         status, _, document = call(self.fronts()[front % len(self.gateways)], method, path, body,
                                    timeout=timeout,
-                                   headers={'Lycheetrestle-Deadline-Ms': str(int(timeout * 1000))})
+                                   headers={'Lycheetrestle-Deadline-Ms':
+                                            str(deadline_ms or int(timeout * 1000))})
         return status, document
 
     def submit(self, prefix, phases, spec, job=None, front=0, tries=8, **fields):
@@ -343,8 +351,8 @@
                                                     timeout=1)
             try:
                 connection.request('GET', '/metrics')
-                if any(line.split()[:2] == ['is_leader', '1'] for line in
-                       connection.getresponse().read().decode().splitlines()):
+                if any(line.partition(' ')[0].endswith('is_leader') and line.split()[-1] == '1'
+                       for line in connection.getresponse().read().decode().splitlines()):
                     return ip
             except (OSError, http.client.HTTPException):
                 pass
@@ -401,6 +409,7 @@
         self.task, self.attempt, self.spec, self.size = task, attempt, spec, size
         self.begun, self.ended, self.how = begun, None, None
         self.stopping = False
+        self.checkpoint, self.saves = '', 0
 
 
 class Executor:
@@ -501,6 +510,7 @@
         if self.enforce and used + size > self.capacity['cpu']:
             return 409, {'reason': 'room'}
         run = Run(task, attempt, spec, size, self.site.record.now())
+        run.checkpoint = run.given = body.get('checkpoint', '')
         self.running[task, attempt] = run
         self.history.append(run)
         self.note('starts', task, 'run', attempt)
@@ -528,7 +538,7 @@
         until = time.monotonic() + min(body.get('waitMs', 0), 2000) / 1000
         while not self.ends and not self.ended and time.monotonic() < until:
             self.lock.wait(max(0.0, until - time.monotonic()))
-        rows = [[run.task, run.attempt, '', self.percent(run), run.size]
+        rows = [[run.task, run.attempt, run.checkpoint, self.percent(run), run.size]
                 for run in self.running.values()]
         return 200, {'born': self.born, 'running': rows, 'finished': self.ends[:500]}
 
@@ -543,7 +553,7 @@
         del self.running[run.task, run.attempt]
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.attempt)
         self.last_end += 1
-        self.ends.append([self.last_end, run.task, run.attempt, how, ''])
+        self.ends.append([self.last_end, run.task, run.attempt, how, run.checkpoint])
         self.note('ends', run.task, 'run', run.attempt, how)
         self.lock.notify_all()
 
@@ -556,11 +566,31 @@
                 self.lapse()
                 now = self.site.record.now()
                 for run in list(self.running.values()):
+                    if run.spec.get('saves') and now - run.begun >= run.saves + 1:
+                        run.saves += 1
+                        run.checkpoint = '%s/%d/%d' % (run.task, run.attempt, run.saves)
                     if run.stopping and time.monotonic() >= run.stop_at:
                         self.finish(run, 'stopped')
+                    elif run.spec.get('gang'):
+                        self.work_in_gang(run, now)
                     elif run.spec.get('ms') is not None and now - run.begun >= run.spec['ms'] / 1000:
                         self.finish(run, run.spec.get('how', 'done'))
 
+    def work_in_gang(self, run, now):
+        """The members work from the moment when all of them are present, and end together."""
+        key = run.task.rsplit('.', 1)[0], run.attempt
+        members = [other for executor in list(self.site.executors)
+                   for other in list(executor.history)
+                   if (other.task.rsplit('.', 1)[0], other.attempt) == key]
+        begun = max(member.begun for member in members)
+        is_whole = len(members) == run.spec['gang']
+        if is_whole and now - begun >= run.spec['ms'] / 1000:
+            self.finish(run, run.spec.get('how', 'done'))
+        elif any(member.ended is not None for member in members):
+            self.finish(run, 'broken')
+        elif not is_whole and now - run.begun >= BOUNDS['gangTimeoutMs'] / 1000:
+            self.finish(run, 'alone')
+
     # Calls to the system.
 
     def way(self, address):
@@ -772,18 +802,26 @@
 
 
 def main(folder, case):
-    """Runs a case: case(trouble, record holder) returns a list of broken rules. Exits with
+    """Runs a case: case(trouble, sites) adds its sites to the list and returns a list of broken rules. Exits with
     1 if a rule was broken, 0 if not, 2 if the case could not run."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
     sites = []
+
+    def expire(*_):
+        raise Unable('the time is over')
+
+    signal.signal(signal.SIGALRM, expire)
+    signal.signal(signal.SIGTERM, expire)
+    signal.alarm(LONGEST_RUN_S)
     try:
         if not DAEMON.exists():
             raise Unable('target/bin/lycheetrestled is not built')
         broken = case(trouble, sites)
         status = 1 if broken else 0
-    except Unable as error:
-        broken, status = ['could not run: %s' % error], 2
+    except Exception as error:  # Also a fault of the stand-ins.
+        broken, status = ['could not run: %r' % error], 2
     finally:
+        signal.alarm(0)
         for site in sites:
             site.stop()
     result = {0: 'held', 1: 'BROKEN', 2: 'could not run'}[status]
