--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A worker goes dark for good. A job that lasts is handed in before the system knows."""
+"""An idle worker goes dark for good. A job that lasts is handed in before the system knows."""
 
 import pathlib
 import sys
@@ -10,8 +10,11 @@
 
 WORKERS = 8  # One that crashes is a share of 0.125, at most 0.14 in the site file.
 PREFIX = '/replan/'
-LIMIT_S = 3  # RULES.md, LOST: for 3 s, after 4 s of calm.
-CALM_S = 4
+# RULES.md, LOST: nothing running for 3 s, when the 4 s before are calm. The bench lists a
+# crash of a worker that is gone as one of 5 s.
+CRASH_S, CALM_S, LIMIT_S = 5, 4, 3
+PHASES = [{'count': 2, 'cpu': 1000, 'memMb': 512, 'estimateMs': 900, 'longRunning': True}]
+SPEC = {'ms': None, 'cpu': 1000}
 
 
 def case(trouble, sites):
@@ -21,18 +24,22 @@
     workers = [Executor(site, 20 + number, 'svc-a', rack='r1-%d' % number)
                for number in range(WORKERS)]
     time.sleep(3)
-    first = site.submit(PREFIX, [{'count': 2, 'cpu': 1000, 'memMb': 512, 'estimateMs': 900,
-                                  'longRunning': True}], {'ms': None, 'cpu': 1000})
-    time.sleep(3)
+    # Shows which worker the system prefers. It is idle again before it is lost.
+    first = site.submit(PREFIX, PHASES, SPEC)
+    time.sleep(2)
     lost = max(workers, key=lambda worker: len(worker.running))
+    status, _ = site.client('DELETE', PREFIX + first)
+    site.record.add('client cancels', first, '->', status)
+    time.sleep(1.5)
+    if any(worker.running for worker in workers):
+        raise Unable('the first job still runs')
     crashed = site.record.now()
     if trouble:
         lost.go_dark()
-    time.sleep(0.3)
-    second = site.submit(PREFIX, [{'count': 2, 'cpu': 1000, 'memMb': 512, 'estimateMs': 900,
-                                   'longRunning': True}], {'ms': None, 'cpu': 1000})
+    time.sleep(2.5)
+    second = site.submit(PREFIX, PHASES, SPEC)
     time.sleep(25)
-    return find_standing(site, [(first, 2), (second, 2)], crashed + CALM_S, LIMIT_S)
+    return find_standing(site, [(second, 2)], crashed + CRASH_S + CALM_S, LIMIT_S)
 
 
 main(FOLDER, case)
