Review case 7: a late cursor hides a task that is done, which runs again

An entry of KNOWN-RED.txt, shown with processes: two late orders and a worker that is back under its id.

--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -417,7 +417,7 @@
     `spec`: {"ms": duration or null for a task that lasts, "how": its end, "cpu": cores}."""
 
     def __init__(self, site, number, service, name=None, machine=None, cpu=8000, mem=16384,
-                 rack='r1-1', kind='a', enforce=True, stop_ms=50, clock_rate=1.0):
+                 rack='r1-1', kind='a', enforce=True, stop_ms=50, clock_rate=1.0, first_beat_s=0.0):
         self.site, self.number, self.service = site, number, service
         self.ip = site.ip(number)
         self.name = name or 'i-%08x' % random.getrandbits(32)
@@ -441,6 +441,9 @@
                            self.link, False)
         self.ways, self.connections, self.next_node = {}, {}, None
         self.beat_lock = threading.Lock()
+        self.first_beat_s = first_beat_s
+        self.is_late = None  # Whether an order gets no answer and is carried out later.
+        self.orders = 0
         site.executors.append(self)
         if site.platform:
             site.platform.add(self)
@@ -455,12 +458,31 @@
 
     # Orders.
 
+    def carry_out_later(self, path, body, delay):
+        """The order is carried out by whichever executor has the id and the address then."""
+        def carry_out():
+            for executor in self.site.executors:
+                if (executor.addr, executor.name) == (self.addr, self.name) and not executor.ended:
+                    executor.note('carries out late', path, body.get('task', ''),
+                                  'ackCursor %d' % body['ackCursor'] if 'ackCursor' in body else '')
+                    executor.order(path, {**body, 'waitMs': 0})
+        self.note('leaves', path, body.get('task', ''), 'unanswered')
+        timer = threading.Timer(delay, carry_out)
+        timer.daemon = True
+        timer.start()
+
     def answer(self, method, path, headers, body):
         if self.ended:
             return None
         if headers.get('Lycheetrestle-Expect-Instance', self.name) != self.name:
             return 421, {}
-        status, document = self.order(path, json.loads(body or b'{}'))
+        body = json.loads(body or b'{}')
+        self.orders += 1
+        if self.is_late and self.is_late(self, path, body):
+            while not self.ended:
+                time.sleep(0.02)
+            return None
+        status, document = self.order(path, body)
         if self.ended:
             return None
         return status, {'clockMs': self.clock(), **document}
@@ -648,6 +670,7 @@
             return acknowledged
 
     def send_heartbeats(self):
+        time.sleep(self.first_beat_s)
         while not self.ended and not self.stopped:
             self.beat()
             time.sleep(HEARTBEAT_MS / 1000)
@@ -801,6 +824,26 @@
     return found
 
 
+def find_started_after_done(site):
+    """Returns texts that show where TWICE is broken: a start after a run has ended `done`, when
+    that end was taken note of and the executor's lease had not lapsed between the two."""
+    found = []
+    for task, runs in runs_by_task(site).items():
+        for executor, run in runs:
+            noted = [at for name, attempt, _, at in executor.noted
+                     if (name, attempt) == (task, run.attempt)]
+            if run.how != 'done' or run.spec.get('ms') is None or not noted or any(
+                    run.ended <= lapse <= noted[0] for lapse in executor.lapses):
+                continue
+            for other_executor, other in runs:
+                if other.begun > run.ended:
+                    found.append('TWICE: %s run %d on %s ended done at %.3f, which was taken note of at '
+                                 '%.3f; run %d on %s starts at %.3f' % (
+                                     task, run.attempt, executor.name, run.ended, noted[0],
+                                     other.attempt, other_executor.name, other.begun))
+    return found
+
+
 def main(folder, case):
     """Runs a case: case(trouble, sites) adds its sites to the list and returns a list of broken rules. Exits with
     1 if a rule was broken, 0 if not, 2 if the case could not run."""
