Keep runs of an endpoint that left until their end is proved

Cause: a deregistration that was committed within 500 ms counted as acknowledged, and ended the endpoint 300 ms later with all its runs. An acknowledgement that is sent may be lost; the endpoint then runs on while its lease is in force.

Change: end_proof.h has one table of what proves that an incarnation runs nothing and that its start orders are void; the leader asks it in place of rules of its own. A deregistration proves the end only of an endpoint without runs; otherwise a refused connection, a list of hosts or the lease does. The leader polls such an endpoint every 100 ms, lists hosts every 0.4 s and stops what runs there. endpoint_left logs the proof and the time it took.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -45,16 +45,13 @@
 // A pass over a thousand endpoints takes half a millisecond.
 constexpr core::duration CandidateInterval = milliseconds(50);
 constexpr core::duration PruneInterval = std::chrono::seconds(2);
-// An endpoint that deregistered ends its runs within this time.
-constexpr core::duration DeregistrationMargin = milliseconds(300);
-// An endpoint takes an acknowledgement for lost after a second; half of it is
-// left for the way of the call and of the answer.
-constexpr core::duration MaxAcknowledgementDelay = milliseconds(500);
 // Interval of lists of hosts while runs wait for a lease: a list may prove the
 // end of their endpoint earlier. The platform charges for calls, and an
 // endpoint that is only out of reach costs as many lists as its lease has
 // seconds.
 constexpr core::duration ProofListInterval = std::chrono::seconds(1);
+// The same while an endpoint that deregistered has runs.
+constexpr core::duration DepartureListInterval = milliseconds(400);
 constexpr core::duration TickInterval = milliseconds(20);
 // Limits of the open occurrences of one job; occurrences beyond them wait until
 // an earlier one ends. A job whose interval is 0, or whose start lies far in
@@ -145,10 +142,8 @@
     Tracked.HadRunsAtStart = !Endpoint.Runs.empty();
     if (!Endpoint.LostRuns.empty())
       Tracked.RunsLostAt = Now;
-    if (Endpoint.HasDeregistered) {
-      Tracked.RemoveAt = Now + DeregistrationMargin;
-      Tracked.MayRunOn = true;
-    }
+    if (Endpoint.HasDeregistered)
+      Tracked.DeregisteredAt = Now;
   }
   for (const auto &[Id, Job] : State.jobs())
     if (isOver(Job.State) && Job.RunsLeft > 0)
@@ -219,12 +214,7 @@
     return;
   }
   if (const auto *Record = std::get_if<record_deregistration>(&Command)) {
-    auto &Tracked = trackEndpoint(Record->Endpoint, Now);
-    bool IsAcknowledged = Tracked.RemoveAt && Now < *Tracked.RemoveAt -
-                                                        DeregistrationMargin +
-                                                        MaxAcknowledgementDelay;
-    Tracked.RemoveAt = Now + DeregistrationMargin;
-    Tracked.MayRunOn = !IsAcknowledged;
+    trackEndpoint(Record->Endpoint, Now).DeregisteredAt = Now;
     return;
   }
   if (const auto *Start = std::get_if<start_run>(&Command)) {
@@ -443,17 +433,38 @@
       (IncarnationMs && *IncarnationMs != Endpoint->Facts.IncarnationMs))
     return std::nullopt;
   auto &Tracked = trackEndpoint(Endpoint->Number, Now);
-  Tracked.RemoveAt = Now + DeregistrationMargin;
-  Tracked.MayRunOn = !Endpoint->HasDeregistered;
+  Tracked.DeregisteredAt = Now;
+  // Its end is awaited: asks at once whether it still answers.
+  Tracked.NextPoll = std::min(Tracked.NextPoll, Now);
+  markDue(Tracked);
   if (Endpoint->HasDeregistered)
     return std::nullopt; // The call is acknowledged at once.
   return record_deregistration{Endpoint->Number};
 }
 
-bool leader::hasLeft(const tracked_endpoint &Tracked, core::time_point Now) {
-  return Tracked.RemoveAt && Now >= *Tracked.RemoveAt &&
-         (!Tracked.MayRunOn || Tracked.RefusedAt >= *Tracked.RemoveAt ||
-          Tracked.Runs.empty());
+bool leader::collectDeparture(const tracked_endpoint &Tracked,
+                              std::vector<command> &Commands,
+                              core::time_point Now) {
+  if (!Tracked.DeregisteredAt)
+    return false;
+  auto Proof = proveEnd(evidenceOf(Tracked), Now);
+  bool HasLeft =
+      Proof == end_proof::NoRuns || Proof == end_proof::ConnectionRefused;
+  if (!HasLeft) {
+    if (!Tracked.Runs.empty())
+      requestHostList(DepartureListInterval);
+    return false;
+  }
+  core::logEvent(core::log_level::Info, "endpoint_left",
+                 {{"endpoint", Tracked.Id},
+                  {"number", Tracked.Endpoint},
+                  {"runs", Tracked.Runs.size()},
+                  {"proof", toText(Proof)},
+                  {"waited_ms", std::chrono::duration_cast<milliseconds>(
+                                    Now - *Tracked.DeregisteredAt)
+                                    .count()}});
+  Commands.emplace_back(describeEnd(Tracked, {end_cause::Planned, 0, {}}, Now));
+  return true;
 }
 
 std::vector<command> leader::takeCommands(core::time_point Now,
@@ -550,11 +561,8 @@
       collectOpenStarts(Tracked, Commands, Now);
       continue;
     }
-    if (hasLeft(Tracked, Now)) {
-      Commands.emplace_back(
-          describeEnd(Tracked, {end_cause::Planned, 0, {}}, Now));
+    if (collectDeparture(Tracked, Commands, Now))
       continue;
-    }
     if (Tracked.RunsLostAt && !Tracked.IsSuspect &&
         Tracked.LastAnswer > *Tracked.RunsLostAt) {
       Tracked.RunsLostAt.reset();
@@ -582,9 +590,10 @@
     }
     // The polls of an endpoint that answers report the state of its runs. One
     // that another incarnation replaced is not polled.
-    if (!Tracked.IsSuspect && !Tracked.IsReplaced && !Tracked.FencedAt)
+    auto Evidence = evidenceOf(Tracked);
+    if (!Evidence.IsOutOfReach)
       continue;
-    if (Now < Tracked.LeaseExpiry) {
+    if (proveEnd(Evidence, Now) == end_proof::None) {
       requestHostList(ProofListInterval);
       continue;
     }
@@ -616,7 +625,7 @@
                            core::time_point Now) const {
   if (!Endpoint.Facts.Address || Endpoint.Facts.IsDraining ||
       Tracked.IsSuspect || Tracked.FencedAt || Tracked.IsReplaced ||
-      Tracked.RemoveAt || Tracked.ClockAt == core::time_point() ||
+      Tracked.DeregisteredAt || Tracked.ClockAt == core::time_point() ||
       Tracked.Health.isAvoided(Now))
     return false;
   auto LastHeard = std::max(Tracked.LastHeartbeat, Tracked.LastAnswer);
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -12,6 +12,7 @@
 #include "scheduling/demand_forecaster.h"
 #include "scheduling/due_queue.h"
 #include "scheduling/duration_models.h"
+#include "scheduling/end_proof.h"
 #include "scheduling/host_crash_log.h"
 #include "scheduling/host_inventory.h"
 #include "scheduling/job_outlook.h"
@@ -284,8 +285,10 @@
                         core::time_point Now);
   void collectEnds(std::vector<command> &Commands);
   void collectLosses(std::vector<command> &Commands, core::time_point Now);
-  /// \returns whether an endpoint that deregistered has ended.
-  static bool hasLeft(const tracked_endpoint &Tracked, core::time_point Now);
+  /// Looks for a proof that an endpoint that deregistered has ended.
+  /// \returns whether there is one, so that its end is proposed.
+  bool collectDeparture(const tracked_endpoint &Tracked,
+                        std::vector<command> &Commands, core::time_point Now);
   void collectOccurrences(std::vector<command> &Commands, std::int64_t WallMs);
   void collectStarts(std::vector<command> &Commands, core::time_point Now,
                      std::int64_t WallMs);
@@ -467,15 +470,13 @@
   /// \returns whether no later incarnation can have the endpoint's id, because
   /// another endpoint took its address or its host.
   bool isSucceeded(const tracked_endpoint &Tracked) const;
-  /// \returns whether a whole list of hosts, requested after the time, shows
-  /// that the endpoint's host does not run an endpoint with its id.
-  bool isDownAfter(const tracked_endpoint &Tracked,
-                   core::time_point Time) const;
+  /// \returns what is known about the end of the endpoint.
+  end_evidence evidenceOf(const tracked_endpoint &Tracked) const;
   /// \returns why no incarnation with the id of an endpoint that has ended runs
-  /// the run or will run it, or an empty text when one may.
-  std::string_view mayStartElsewhere(const tracked_endpoint &Tracked,
-                                     const tracked_run &Run,
-                                     core::time_point Now) const;
+  /// the run or will run it, or None when one may.
+  end_proof mayStartElsewhere(const tracked_endpoint &Tracked,
+                              const tracked_run &Run,
+                              core::time_point Now) const;
   /// Proposes the run as lost, or as refused when it cannot have started.
   void loseRun(const tracked_endpoint &Tracked, const task_key &Task,
                tracked_run &Run, std::string_view Reason,
--- a/scheduling/leader_blockage.cpp
+++ b/scheduling/leader_blockage.cpp
@@ -251,7 +251,7 @@
     return endpoint_use::Replaced;
   if (Tracked.IsSuspect)
     return endpoint_use::Unanswered;
-  if (Endpoint.Facts.IsDraining || Tracked.RemoveAt)
+  if (Endpoint.Facts.IsDraining || Tracked.DeregisteredAt)
     return endpoint_use::Draining;
   if (isSchedulable(Endpoint, Tracked, Now))
     return Tracked.FreeCapacity.IsReserved ? endpoint_use::Reserved
--- a/scheduling/leader_budget.cpp
+++ b/scheduling/leader_budget.cpp
@@ -48,8 +48,8 @@
   Peer.IsDraining = Endpoint.Facts.IsDraining;
   // The list of hosts may show that the incarnation ended before its end is
   // committed.
-  Peer.IsLeaving =
-      Known.IsReplaced || Known.RemoveAt || EndedIncarnations.count(Number) > 0;
+  Peer.IsLeaving = Known.IsReplaced || Known.DeregisteredAt ||
+                   EndedIncarnations.count(Number) > 0;
   return Peer;
 }
 
@@ -149,7 +149,8 @@
 bool leader::hasListedEndpoint(const std::string &Host) const {
   const auto *Tracked = trackedOnHost(Host);
   return Tracked && !Tracked->IsSuspect && !Tracked->IsReplaced &&
-         !Tracked->RemoveAt && EndedIncarnations.count(Tracked->Endpoint) == 0;
+         !Tracked->DeregisteredAt &&
+         EndedIncarnations.count(Tracked->Endpoint) == 0;
 }
 
 bool leader::mayEndUnlistedRuns(const std::string &Host) const {
@@ -204,6 +205,8 @@
 
 bool leader::isDrainNearEnd(const tracked_endpoint &Tracked,
                             core::time_point Now) const {
+  if (Tracked.DeregisteredAt)
+    return true;
   if (Tracked.RemainingMs)
     return Now - Tracked.RemainingAt + DrainStopMargin >=
            milliseconds(*Tracked.RemainingMs);
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -89,7 +89,7 @@
                              core::time_point Now) const {
   auto Tracked = TrackedEndpoints.find(Endpoint.Number);
   bool HasDeregistered =
-      Tracked != TrackedEndpoints.end() && Tracked->second.RemoveAt;
+      Tracked != TrackedEndpoints.end() && Tracked->second.DeregisteredAt;
   if (Endpoint.Facts.IsDraining || HasDeregistered ||
       isEndOrdered(Endpoint, Now))
     return end_cause::Planned;
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -107,7 +107,7 @@
   auto Record = State.endpoints().find(Tracked.Endpoint);
   Task.IsDraining =
       Record != State.endpoints().end() && Record->second.Facts.IsDraining;
-  Task.HasDeregistered = Tracked.RemoveAt.has_value();
+  Task.HasDeregistered = Tracked.DeregisteredAt.has_value();
   Task.LeaseLeft = std::max(core::duration(), Tracked.LeaseExpiry - Now);
   if (Tracked.LastAnswer != core::time_point())
     Task.ContactAge = Now - Tracked.LastAnswer;
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -112,7 +112,7 @@
     bool IsAfterEnd = Tracked.EndListedAt != core::time_point() &&
                       Run.AcceptedAt >= Tracked.EndListedAt;
     if ((IsAfterEnd && !isSucceeded(Tracked)) ||
-        mayStartElsewhere(Tracked, Run, Now).empty())
+        mayStartElsewhere(Tracked, Run, Now) == end_proof::None)
       Command.OpenStarts.push_back(Key);
   }
   return Command;
@@ -123,7 +123,7 @@
   Tracked.IsSuspect = true;
   Tracked.SuspectedAt = Now;
   recordOrphans(Tracked, {});
-  Tracked.RemoveAt.reset();
+  Tracked.DeregisteredAt.reset();
   for (auto &[Key, Run] : Tracked.Runs) {
     Run.OpenUntil = std::max(Run.OpenUntil, openUntil(Run, Now));
     // Accepted since the host was listed.
@@ -154,24 +154,30 @@
          Hosts.HostOfEndpoint.count(Tracked.Id) == 0;
 }
 
-bool leader::isDownAfter(const tracked_endpoint &Tracked,
-                         core::time_point Time) const {
+end_evidence leader::evidenceOf(const tracked_endpoint &Tracked) const {
+  end_evidence Evidence;
+  Evidence.HasRuns = !Tracked.Runs.empty();
+  Evidence.DeregisteredAt = Tracked.DeregisteredAt;
+  Evidence.RefusedAt = Tracked.RefusedAt;
+  Evidence.IsOutOfReach =
+      Tracked.IsSuspect || Tracked.IsReplaced || Tracked.FencedAt;
+  Evidence.LeaseExpiry = Tracked.LeaseExpiry;
+  Evidence.IsSucceeded = Tracked.IsAddressTaken;
+  // A row may be older than an incarnation that is not known to have ended.
+  if (!Tracked.HasEnded && EndedIncarnations.count(Tracked.Endpoint) == 0)
+    return Evidence;
+  Evidence.IsSucceeded = isSucceeded(Tracked);
   const auto *Row = Hosts.find(Tracked.Host);
-  return Row && Hosts.WholeListedAt > Time &&
-         (Row->State != host_state::Up || Row->EndpointId != Tracked.Id);
+  if (Row && (Row->State != host_state::Up || Row->EndpointId != Tracked.Id))
+    Evidence.UnlistedAt = Hosts.WholeListedAt;
+  return Evidence;
 }
 
-std::string_view leader::mayStartElsewhere(const tracked_endpoint &Tracked,
-                                           const tracked_run &Run,
-                                           core::time_point Now) const {
-  auto Until = openUntil(Run, Now);
-  if (Until == core::time_point())
-    return "no open start";
-  if (isSucceeded(Tracked))
-    return "another endpoint took its place";
-  if (isDownAfter(Tracked, Until))
-    return "its host is down";
-  return Now >= endOfLongestLease(Until) ? "no later incarnation" : "";
+end_proof leader::mayStartElsewhere(const tracked_endpoint &Tracked,
+                                    const tracked_run &Run,
+                                    core::time_point Now) const {
+  return proveStartsVoid(evidenceOf(Tracked), openUntil(Run, Now),
+                         endOfLongestLease({}) - core::time_point(), Now);
 }
 
 void leader::collectOpenStarts(tracked_endpoint &Tracked,
@@ -183,8 +189,9 @@
   }
   requestHostList(OpenStartListInterval);
   for (auto &[Key, Run] : Tracked.Runs)
-    if (auto Reason = mayStartElsewhere(Tracked, Run, Now); !Reason.empty())
-      loseRun(Tracked, Key, Run, Reason, Commands, Now);
+    if (auto Proof = mayStartElsewhere(Tracked, Run, Now);
+        Proof != end_proof::None)
+      loseRun(Tracked, Key, Run, toText(Proof), Commands, Now);
 }
 
 void leader::loseRun(const tracked_endpoint &Tracked, const task_key &Task,
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -28,6 +28,9 @@
 constexpr core::duration PollGrace = milliseconds(600);
 // Interval of polls to an endpoint that did not answer.
 constexpr core::duration ProbeInterval = milliseconds(500);
+// The same while it has runs and has deregistered: a refused connection proves
+// its end.
+constexpr core::duration DepartureProbeInterval = milliseconds(100);
 // An idle endpoint gets a poll that only confirms the recorded ends after this
 // time without an answer; a busy endpoint gets the cursor with its next poll.
 constexpr core::duration AckDelay = milliseconds(800);
@@ -378,8 +381,11 @@
   Tracked.IsVerificationDue = false;
   auto Timeout = milliseconds(Poll.WaitMs) + PollGrace;
   Tracked.PendingPoll = addOrder(Orders, &Tracked, Poll, Timeout, Now).Id;
-  Tracked.NextPoll =
-      Now + (Tracked.IsSuspect ? ProbeInterval : milliseconds(0));
+  Tracked.NextPoll = Now;
+  if (Tracked.IsSuspect)
+    Tracked.NextPoll += Tracked.DeregisteredAt && HasRuns
+                            ? DepartureProbeInterval
+                            : ProbeInterval;
   Metrics.add("hold_orders_total");
 }
 
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -160,10 +160,9 @@
   /// Time that was left to drain at RemainingAt.
   std::optional<std::uint32_t> RemainingMs;
   core::time_point RemainingAt{};
-  std::optional<core::time_point> RemoveAt; ///< Set by its deregistration.
-  /// While RemoveAt is set: the endpoint may not have been acknowledged in
-  /// time. Without an acknowledgement an endpoint runs on for seconds.
-  bool MayRunOn = false;
+  /// When its newest deregistration was received or committed. Until it hears
+  /// an acknowledgement, it may run on for seconds.
+  std::optional<core::time_point> DeregisteredAt;
   /// When a connection to it was refused, because nothing listened at its
   /// address; zero after any other contact or failure.
   core::time_point RefusedAt{};
--- a/tests/scheduling/single_scheduler.h
+++ b/tests/scheduling/single_scheduler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace lycheetrestle::scheduling::test {
 
@@ -45,6 +46,8 @@
   core::time_point Now{std::chrono::seconds(1)};
   std::uint64_t LastCall = 0;
   std::uint64_t AnsweredMs = 0; ///< Incarnation in the answers to probes.
+  /// Ids of orders, with the endpoint.
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> UnansweredOrders;
 
 public:
   schedule_node Node;
@@ -76,6 +79,23 @@
         Node.orderFinished({Order.Id, Answer}, Now);
       else if (std::holds_alternative<start_order>(Order.Body))
         Node.orderFinished({Order.Id, Accepted}, Now);
+      else
+        UnansweredOrders.emplace_back(Order.Id, Order.Endpoint);
+    refuseConnections();
+  }
+
+  /// Nothing listens at the address of an endpoint that has deregistered.
+  void refuseConnections() {
+    std::erase_if(UnansweredOrders, [this](const auto &Item) {
+      auto Endpoint = Node.state().endpoints().find(Item.second);
+      if (Endpoint == Node.state().endpoints().end() ||
+          !Endpoint->second.HasDeregistered)
+        return false;
+      Node.orderFinished(
+          {Item.first, no_answer{false, "connection refused", false, true}},
+          Now);
+      return true;
+    });
   }
 };
 
--- a/tests/scheduling/test_departed_endpoints.cpp
+++ b/tests/scheduling/test_departed_endpoints.cpp
@@ -89,6 +89,28 @@
   CHECK(Site.runsOnOtherBefore(Site.Now + 2 * leader_settings().Lease));
 }
 
+TEST_CASE("an endpoint that hears no acknowledgement of its deregistration "
+          "keeps its task until its lease has expired") {
+  departure Site;
+  auto Call = Site.call(deregister_call{"e1"});
+  Site.run(20ms);
+  REQUIRE(Site.replyTo(Call) == reply_kind::Accepted);
+  Site.cutOff("e1");
+  auto CutOffAt = Site.Now;
+  CHECK(!Site.runsOnOtherBefore(CutOffAt + leader_settings().Lease));
+  CHECK(Site.runsOnOtherBefore(CutOffAt + NextRunBound));
+  CHECK(Site.MaxConcurrentRuns == 1);
+}
+
+TEST_CASE("the tasks of an endpoint that deregistered and exited start "
+          "elsewhere without waiting for its lease") {
+  departure Site;
+  Site.call(deregister_call{"e1"});
+  Site.run(50ms);
+  Site.exit("e1");
+  CHECK(Site.runsOnOtherBefore(Site.Now + 500ms));
+}
+
 TEST_CASE("an endpoint whose deregistration is committed too late to be "
           "acknowledged keeps its task while it runs on") {
   departure Site;
