Keep a cancelled job that was unknown from being accepted later

Callers saw: clients that got no answer left and cancelled their jobs at another gateway.

Cause: the first gateway still held the submission and forwarded it to the next leader after the cancellation. A cancellation of an unknown job left no trace, so that the submission was accepted.

Change: such a cancellation is kept as a tombstone in the replicated state for 120 s, with the workspace of its caller; a submission that comes later is recorded as cancelled, as in the other order. At most 20,000; beyond that the cancellation is answered with 503 and promises nothing. Log entries of earlier versions lack the mark and give the state that they gave before.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -37,6 +37,9 @@
   std::string Path;
   std::string Job;
   workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
+  /// An unknown job is not accepted later either. Entries of earlier versions
+  /// lack it, so that they give the state that they gave then.
+  bool IsBinding = false;
   bool operator==(const cancel_job &) const = default;
 };
 
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -120,8 +120,10 @@
 template <typename Archive, record_of<cancel_job> Type>
 void fields(Archive &A, Type &R) {
   A(R.HostName, R.Path, R.Job);
-  if (!std::is_const_v<Type> || !R.KeyDigest.empty())
+  if (!std::is_const_v<Type> || !R.KeyDigest.empty() || R.IsBinding)
     A.trailing(R.KeyDigest);
+  if (!std::is_const_v<Type> || R.IsBinding)
+    A.trailing(R.IsBinding);
 }
 template <typename Archive, record_of<open_occurrence> Type>
 void fields(Archive &A, Type &R) {
@@ -255,6 +257,10 @@
   if (IsSuccessor)
     A.trailing(R.TookOverMs);
 }
+template <typename Archive, record_of<job_tombstone> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Job, R.Workspace, R.TimeMs);
+}
 template <typename Archive, record_of<wave_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Wave, R.Hosts, R.Ordered, R.Begun, R.MaxCount, R.DeadlineMs, R.StartedMs);
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -131,6 +131,8 @@
     return "unauthorized";
   case apply_outcome::Forbidden:
     return "forbidden";
+  case apply_outcome::TooMany:
+    return "too_many";
   case apply_outcome::Stale:
     return "stale";
   case apply_outcome::Invalid:
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -210,7 +210,7 @@
     return;
   }
   queue(cancel_job{std::move(Call.HostName), std::move(Call.Path),
-                   std::move(Call.Job), std::move(Call.KeyDigest)},
+                   std::move(Call.Job), std::move(Call.KeyDigest), true},
         Id, Now);
 }
 
@@ -284,6 +284,10 @@
   case apply_outcome::Forbidden:
     answer(Call, reply_kind::Forbidden);
     return;
+  case apply_outcome::TooMany:
+    Metrics.add("cancellations_refused_total");
+    answer(Call, reply_kind::Unavailable);
+    return;
   default:
     break;
   }
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -321,11 +321,19 @@
   if (!Queue)
     return apply_outcome::NoSuchQueue;
   evictEndedJobs();
-  const auto &Job = Jobs[Command.Job.Id] = recordOf(Command, *Queue);
+  auto &Job = Jobs[Command.Job.Id] = recordOf(Command, *Queue);
   LiveJobs.emplace(TimeMs, Job.Spec.Id);
   PendingJobs.add(Job.QueueHost, Job.QueuePrefix);
   if (Job.Spec.RepeatCount != 0)
     RepeatedJobs.emplace(TimeMs, Job.Spec.Id);
+  bool IsShared =
+      !Configuration.RequiresKeys || Queue->IsPublic || Job.Workspace.empty();
+  if (Tombstones.covers(Job.Spec.Id, Job.Workspace, IsShared, TimeMs)) {
+    // As if the cancellation had come after the submission.
+    Tombstones.remove(Job.Spec.Id);
+    finishJob(Job, job_state::Cancelled);
+    return apply_outcome::Unchanged;
+  }
   return apply_outcome::Accepted;
 }
 
@@ -335,8 +343,14 @@
   if (Access != caller_access::Allowed)
     return toOutcome(Access);
   auto Found = Jobs.find(Command.Job);
-  if (Found == Jobs.end())
-    return apply_outcome::NoSuchJob;
+  if (Found == Jobs.end()) {
+    if (!Command.IsBinding)
+      return apply_outcome::NoSuchJob;
+    const auto *Workspace = findWorkspace(Command.KeyDigest);
+    return Tombstones.add(Command.Job, Workspace ? Workspace->Name : "", TimeMs)
+               ? apply_outcome::NoSuchJob
+               : apply_outcome::TooMany;
+  }
   auto &Job = Found->second;
   if (isOver(Job.State))
     return apply_outcome::Unchanged;
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -5,6 +5,7 @@
 #include "core/indexed_map.h"
 #include "scheduling/commands.h"
 #include "scheduling/crash_backoff.h"
+#include "scheduling/job_tombstones.h"
 #include "scheduling/pending_job_counter.h"
 #include "scheduling/types.h"
 #include "workspaces/usage.h"
@@ -187,6 +188,7 @@
   NoSuchJob,
   Unauthorized, ///< The queue requires a key, and no workspace has this one.
   Forbidden,    ///< The job belongs to another workspace than the key.
+  TooMany,      ///< A limit of the state is reached; no effect.
   Stale,        ///< The task, incarnation or wave has changed; no effect.
   /// No correct leader proposes it in this state; no effect. Stopping instead
   /// would stop every replica that replays the entry.
@@ -388,6 +390,7 @@
   std::set<std::string> AdvisedRemovedJobs; ///< Live, by RemovedQueue.
   std::set<std::string> SuspectJobs;
   std::vector<recent_crash> RecentCrashes; ///< The oldest first.
+  job_tombstones Tombstones;
   std::vector<counted_crash> NewlyCounted; ///< Not part of a snapshot.
   std::vector<std::string> AffectedJobs;   ///< Not part of a snapshot.
 };
--- a/scheduling/snapshot.cpp
+++ b/scheduling/snapshot.cpp
@@ -21,8 +21,9 @@
   LastEndpointPart,
   EndpointsPart,
   WavesPart,
-  PartCount, ///< Of snapshots without recent crashes, as in earlier versions.
-  RecentCrashesPart = PartCount
+  PartCount, ///< Of snapshots without the parts below, as in earlier versions.
+  RecentCrashesPart = PartCount,
+  TombstonesPart
 };
 
 /// Appends the jobs sorted by id, so that equal states have equal snapshots.
@@ -67,15 +68,22 @@
 std::string schedule_state::snapshot() const {
   std::string Bytes;
   fleet::cbor_appender Appender(Bytes);
-  Appender.beginArray(PartCount + (RecentCrashes.empty() ? 0 : 1));
+  std::size_t Parts = PartCount;
+  if (!RecentCrashes.empty())
+    Parts = RecentCrashesPart + 1;
+  if (!Tombstones.empty())
+    Parts = TombstonesPart + 1;
+  Appender.beginArray(Parts);
   Appender.append(TimeMs);
   Appender.append(Configuration);
   appendJobs(Appender, Jobs);
   Appender.append(LastEndpoint);
   appendValues(Appender, Endpoints);
   appendValues(Appender, Waves);
-  if (!RecentCrashes.empty())
+  if (Parts > RecentCrashesPart)
     Appender.append(RecentCrashes);
+  if (Parts > TombstonesPart)
+    Appender.append(Tombstones.list());
   return Bytes;
 }
 
@@ -91,8 +99,8 @@
     return Malformed();
   const auto &Parts = *Parsed;
   bool IsValid =
-      Parts.is_array() &&
-      (Parts.size() == PartCount || Parts.size() == RecentCrashesPart + 1) &&
+      Parts.is_array() && Parts.size() >= PartCount &&
+      Parts.size() <= TombstonesPart + 1 &&
       log_reader::fromJson(Parts[TimePart], State.TimeMs) &&
       log_reader::fromJson(Parts[ConfigurationPart], State.Configuration) &&
       log_reader::fromJson(Parts[LastEndpointPart], State.LastEndpoint);
@@ -130,6 +138,11 @@
     IsValid = readValues<recent_crash>(
         Parts[RecentCrashesPart],
         [&](recent_crash Crash) { State.RecentCrashes.push_back(Crash); });
+  if (IsValid && Parts.size() > TombstonesPart)
+    IsValid = readValues<job_tombstone>(
+        Parts[TombstonesPart], [&](job_tombstone Tombstone) {
+          State.Tombstones.restore(std::move(Tombstone));
+        });
   if (!IsValid)
     return Malformed();
   State.Workspaces =
--- a/tests/scheduling/random_state.cpp
+++ b/tests/scheduling/random_state.cpp
@@ -57,7 +57,8 @@
   auto Job =
       "j" + std::to_string(1 + draw(static_cast<std::uint32_t>(Jobs) + 1));
   if (Kind < 95)
-    return cancel_job{Host, Prefix + Job, Job, keyOf(draw(WorkspaceCount))};
+    return cancel_job{Host, Prefix + Job, Job, keyOf(draw(WorkspaceCount)),
+                      Jobs % 2 == 0};
   const auto *Found = State.findJob(Job);
   return open_occurrence{Job, Found ? Found->NextOccurrence : 0};
 }
--- a/tests/scheduling/test_decoder_fuzz.cpp
+++ b/tests/scheduling/test_decoder_fuzz.cpp
@@ -27,6 +27,7 @@
   return {set_configuration{makeConfiguration(2)},
           submission(makeJob("j", {makeStep(2), Step})),
           cancel_job{Host, Prefix + "j", "j"},
+          cancel_job{Host, Prefix + "j", "j", "", true},
           open_occurrence{"j", 1},
           start_run{Task, 1, 1},
           end_run{Task, 1, run_end::Failed, "c"},
