Fail jobs whose attempts a configuration lowered below their failures

Cause: a start is refused as stale once the task has failed as often as the configuration in force allows, but only the end of a failed run ended a job as failed. The leader proposed the same start in each round of placement.

Change: the leader proposes fail_job for each live job with a waiting task that has used its attempts ("failed: a task, or a gang, has failed maxAttempts times"), when a configuration is applied, when it begins to lead, and when a start is refused as stale. A run that is at work may still be done. A command of its own, so that logs of earlier versions give the state that they gave.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -156,13 +156,21 @@
   bool operator==(const record_open_start &) const = default;
 };
 
+/// Ends a live job as failed of which a waiting task has failed as often as its
+/// queue allows, because a configuration lowered that number.
+struct fail_job {
+  std::string Job;
+  bool operator==(const fail_job &) const = default;
+};
+
 /// The index of an alternative is part of the log format, so their order must
 /// not change.
 using command =
     std::variant<set_configuration, submit_job, cancel_job, open_occurrence,
                  start_run, end_run, record_endpoint, end_endpoint, start_wave,
                  order_maintenance, record_maintenance, record_host,
-                 record_contact, record_deregistration, record_open_start>;
+                 record_contact, record_deregistration, record_open_start,
+                 fail_job>;
 
 std::string_view toText(run_end Outcome);
 std::string_view toText(end_cause Cause);
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -191,6 +191,11 @@
   A(R.Task, R.Attempt);
 }
 
+template <typename Archive, record_of<fail_job> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Job);
+}
+
 template <typename Archive, record_of<task_record> Type>
 void fields(Archive &A, Type &R) {
   A(R.Attempt, R.Failures, R.Endpoint, R.IsDone, R.Checkpoint);
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -148,6 +148,7 @@
   for (const auto &[Id, Job] : State.jobs())
     if (isOver(Job.State) && Job.RunsLeft > 0)
       stopRunsOf(Job, Now);
+  noteExhaustedJobs();
 }
 
 void leader::stopRunsOf(const job_record &Job, core::time_point Now) {
@@ -207,8 +208,22 @@
       stopRunsOf(*Job, Now);
     return;
   }
+  if (const auto *Start = std::get_if<start_run>(&Command);
+      Start && Outcome == apply_outcome::Stale)
+    if (const auto *Job = State.findJob(Start->Task.Job))
+      noteExhausted(*Job);
   if (Outcome == apply_outcome::Stale || Outcome == apply_outcome::Invalid)
     return;
+  if (std::holds_alternative<set_configuration>(Command)) {
+    noteExhaustedJobs();
+    return;
+  }
+  if (const auto *Fail = std::get_if<fail_job>(&Command)) {
+    const auto &Job = *State.findJob(Fail->Job);
+    recordCompletion(Job, Now);
+    stopRunsOf(Job, Now);
+    return;
+  }
   if (const auto *Place = std::get_if<record_host>(&Command)) {
     trackEndpoint(Place->Endpoint, Now).Host = Place->Host;
     return;
@@ -531,6 +546,7 @@
     Commands.emplace_back(std::move(Open));
   OpenStarts.clear();
   ClaimedTasks.clear();
+  collectExhausted(Commands);
   for (auto Number : std::exchange(PolledEndpoints, {})) {
     auto Found = TrackedEndpoints.find(Number);
     if (Found == TrackedEndpoints.end())
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -665,6 +665,13 @@
   void logOrphanStop(const tracked_endpoint &Tracked, const task_key &Key,
                      const orphaned_run &Run, core::time_point Now) const;
 
+  // leader_attempts.cpp
+  /// Makes the job fail if one of its waiting tasks never starts again.
+  void noteExhausted(const job_record &Job);
+  /// Does so for all live jobs.
+  void noteExhaustedJobs();
+  void collectExhausted(std::vector<command> &Commands);
+
   // leader_crashes.cpp
   /// The time after a crash in which a waiting task may not start.
   struct start_pause {
@@ -852,6 +859,7 @@
   /// Ends to propose for runs that certainly did not start.
   std::vector<end_run> UnstartedRuns;
   std::vector<record_open_start> OpenStarts; ///< To be proposed.
+  std::set<std::string> ExhaustedJobs;       ///< To be proposed as failed.
   /// Endpoints whose incarnation was replaced or left its host.
   std::set<std::uint32_t> EndedIncarnations;
   /// Cursor of each endpoint once the proposed batch is applied.
--- a/scheduling/schedule_node.cpp
+++ b/scheduling/schedule_node.cpp
@@ -700,6 +700,12 @@
     core::logEvent(
         Level, "job_cancelled",
         {{"job", Cancel->Job}, {"index", Index}, {"result", Result}});
+  } else if (const auto *Fail = std::get_if<fail_job>(&Command)) {
+    core::logEvent(Level, "job_failed",
+                   {{"job", Fail->Job},
+                    {"reason", "attempts were lowered"},
+                    {"index", Index},
+                    {"result", Result}});
   } else if (const auto *Start = std::get_if<start_run>(&Command)) {
     Runs.recordStart(*Start, Result);
   } else if (const auto *End = std::get_if<end_run>(&Command)) {
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -727,6 +727,40 @@
   return apply_outcome::Accepted;
 }
 
+bool schedule_state::hasExhaustedTask(const job_record &Job) const {
+  auto MaxAttempts = maxAttempts(Job);
+  for (const auto &Occurrence : Job.OpenOccurrences)
+    for (std::size_t Number = 0; Number != Occurrence.Steps.size(); ++Number) {
+      const auto &Spec = Job.Spec.Steps[Number];
+      const auto &Step = Occurrence.Steps[Number];
+      if (Spec.IsLongRunning)
+        continue;
+      std::uint32_t Failures = 0; // Of the gang.
+      bool IsAnyWaiting = false;
+      bool HasRun = false;
+      for (const auto &Task : Step.Tasks) {
+        if (!Spec.IsGang && Task.isWaiting() && Task.Failures >= MaxAttempts)
+          return true;
+        Failures += Task.Failures;
+        IsAnyWaiting |= Task.isWaiting();
+        HasRun |= Task.Endpoint != 0;
+      }
+      // The members that run may still complete the gang.
+      if (Spec.IsGang && IsAnyWaiting && !HasRun && Failures >= MaxAttempts)
+        return true;
+    }
+  return false;
+}
+
+apply_outcome schedule_state::applyTyped(const fail_job &Command) {
+  auto Found = Jobs.find(Command.Job);
+  if (Found == Jobs.end() || isOver(Found->second.State) ||
+      !hasExhaustedTask(Found->second))
+    return apply_outcome::Stale;
+  finishJob(Found->second, job_state::Failed);
+  return apply_outcome::Accepted;
+}
+
 void schedule_state::recordLostRun(const end_run &End,
                                    const task_record &Task) {
   auto Endpoint = Endpoints.find(Task.Endpoint);
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -272,6 +272,9 @@
   caller_access accessOf(std::string_view KeyDigest, std::string_view HostName,
                          std::string_view Path, const job_record *Job) const;
   const job_record *findJob(std::string_view Id) const;
+  /// \returns whether a waiting task, or a gang without a run, has failed as
+  /// often as the queue of the job allows, so that it never starts again.
+  bool hasExhaustedTask(const job_record &Job) const;
   /// \param Queue the queue that the submission names.
   /// \returns the record of a job that is accepted now.
   job_record recordOf(const submit_job &Submit, const queue_spec &Queue) const;
@@ -334,6 +337,7 @@
   apply_outcome applyTyped(const record_contact &Command);
   apply_outcome applyTyped(const record_deregistration &Command);
   apply_outcome applyTyped(const record_open_start &Command);
+  apply_outcome applyTyped(const fail_job &Command);
   /// Counts the crash of an incarnation for the runs that may have caused it.
   /// No job ends because of that: only ends as failed count as attempts.
   void recordCrash(const endpoint_record &Endpoint, const incarnation_end &End);
--- a/scheduling/waiting_index.cpp
+++ b/scheduling/waiting_index.cpp
@@ -140,6 +140,8 @@
     Changed.insert(Start->Task.Job);
   else if (const auto *End = std::get_if<end_run>(&Command))
     Changed.insert(End->Task.Job);
+  else if (const auto *Fail = std::get_if<fail_job>(&Command))
+    Changed.insert(Fail->Job);
   else if (std::holds_alternative<set_configuration>(Command))
     IsStale = true;
   // Waves and moves replace a hundred incarnations a second.
--- a/tests/scheduling/test_decoder_fuzz.cpp
+++ b/tests/scheduling/test_decoder_fuzz.cpp
@@ -40,7 +40,8 @@
           record_host{1, "h1"},
           record_contact{1},
           record_deregistration{1},
-          record_open_start{{"j", 0, 0, 0}, 1}};
+          record_open_start{{"j", 0, 0, 0}, 1},
+          fail_job{"j"}};
 }
 
 /// Two sound endpoints whose runs end at once, and odd documents of every kind
--- a/tests/scheduling/test_schedule_state.cpp
+++ b/tests/scheduling/test_schedule_state.cpp
@@ -398,7 +398,8 @@
                     record_contact{7},
                     start_wave{1, {"h"}, 2, 3},
                     order_maintenance{1, "h"},
-                    record_maintenance{1, "h"}};
+                    record_maintenance{1, "h"},
+                    fail_job{"j"}};
   auto Bytes = encodeBatch(Batch);
   auto Decoded = decodeBatch(Bytes);
   REQUIRE(Decoded);
