--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -8,8 +8,6 @@
               migrateS=1.5, maintenanceS=2.0)
 now = time.monotonic
 
-class HttpError(Exception): pass
-
 async def read_message(r):
     head = await r.readuntil(b'\r\n\r\n')
     lines = head.decode('latin1').split('\r\n')
