--- a/review/11/case.py
+++ b/review/11/case.py
@@ -69,6 +69,8 @@
         served, asked = await requests(15)
         w.rec('later than recoveryS (12 s) after all are back: %d of %d requests served' % (served, asked))
         if served * 4 < asked: w.breaks('RECOVER', '%d of %d requests served later than 12 s after the machines were back' % (served, asked))
+        await asyncio.sleep(FINISH_S)
+        w.rec('finish_s (14 s) after the end of the traffic')
         unknown = 0
         before = accepted[:6]
         for jid in before:
--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -7,6 +7,9 @@
 BOUNDS = dict(maxHoldMs=10000, gangTimeoutMs=3000, stopTimeoutMs=200, drainMs=2000, cancel_ms=3000,
               migrateS=1.5, maintenanceS=2.0)
 now = time.monotonic
+LOCKS = []
+# A script that is ended from outside ends its processes, too.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
 async def read_message(r):
     head = await r.readuntil(b'\r\n\r\n')
@@ -71,10 +74,12 @@
 def free_net():
     """A loopback net whose addresses nothing else uses."""
     for net in random.sample(range(20, 250), 200):
-        probe = socket.socket()
+        lock, probe = socket.socket(), socket.socket()
         try:
-            probe.bind(('127.%d.0.1' % net, 8623)); return net
-        except OSError: continue
+            probe.bind(('127.%d.0.1' % net, 8623))
+            lock.bind(('127.%d.0.254' % net, 8623)); LOCKS.append(lock)   # Held: scripts may run beside each other.
+            return net
+        except OSError: lock.close()
         finally: probe.close()
     raise SystemExit(2)
 
