Let restarted seeds without a disk find the leader

Cause: a scheduler without a disk forgets the replicas at a restart and asks only its seeds, which have forgotten them too. Replicas open links to it and say nothing on them while they know a leader.

Change: a scheduler without a disk asks each scheduler that opens a link to it, and all that are linked while it knows no leader; a replica connects to each scheduler without a disk that has asked it; a gateway that knows the leader names it to each scheduler whose status lacks it. Only addresses are passed on, so that no former leader counts longer than before.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -107,6 +107,17 @@
   Actions.Calls.push_back({Peer, Call.Call});
 }
 
+void forwarder::describeLeader(const std::string &Peer, core::time_point Now) {
+  auto Leader = leader(Now);
+  const auto &Known = Schedulers[Peer].Status.Schedulers;
+  if (!Leader || *Leader == Peer ||
+      std::find(Known.begin(), Known.end(), *Leader) != Known.end())
+    return;
+  status_message Status;
+  Status.Schedulers = {*std::move(Leader)};
+  Actions.Statuses.push_back({Peer, std::move(Status)});
+}
+
 void forwarder::callNotSent(std::uint64_t Id, core::time_point Now) {
   auto Found = OpenCalls.find(Id);
   if (Found == OpenCalls.end())
@@ -125,6 +136,7 @@
     View.Status = std::move(*Status);
     View.LastStatusAt = Now;
     View.IsLinked = true;
+    describeLeader(Peer, Now);
     return;
   }
   auto *Reply = std::get_if<reply_message>(&Message);
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -43,7 +43,12 @@
     std::string Peer; ///< IP address of a scheduler.
     call_message Call;
   };
+  struct outgoing_status {
+    std::string Peer; ///< IP address of a scheduler.
+    status_message Status;
+  };
   std::vector<outgoing> Calls;
+  std::vector<outgoing_status> Statuses;
   std::vector<http::server_response> Responses;
   std::vector<std::string> NewPeers; ///< IP addresses to connect to.
 };
@@ -124,6 +129,8 @@
   /// \returns the IP address of the connected leader with the highest term.
   std::optional<std::string> leader(core::time_point Now) const;
   void send(open_call &Call, const std::string &Peer);
+  /// Tells a scheduler the leader if its status does not list it.
+  void describeLeader(const std::string &Peer, core::time_point Now);
   void countFailure(std::string_view Reason, std::uint16_t Status);
   /// Answers a call without a reply: as unknown only if a copy is in flight or
   /// was lost.
--- a/gateway/gateway_process.cpp
+++ b/gateway/gateway_process.cpp
@@ -235,6 +235,9 @@
     auto Actions = Forwarder.takeActions();
     for (auto &Address : Actions.NewPeers)
       Hub.addPeer({Address, Address, Settings.SchedulerLinkPort});
+    for (auto &Outgoing : Actions.Statuses)
+      if (!Hub.send(Outgoing.Peer, encodeMessage(std::move(Outgoing.Status))))
+        Metrics.add("link_messages_not_sent_total");
     for (auto &Outgoing : Actions.Calls) {
       auto Id = Outgoing.Call.Id;
       if (!Hub.send(Outgoing.Peer, encodeMessage(std::move(Outgoing.Call))))
--- a/gateway/messages.h
+++ b/gateway/messages.h
@@ -12,7 +12,9 @@
 
 namespace lycheetrestle::gateway {
 
-/// Sent periodically by a scheduler to each connected gateway.
+/// Sent periodically by a scheduler to each connected gateway. A gateway sends
+/// one, with only the leader's address, to a scheduler whose status lacks the
+/// leader.
 struct status_message {
   bool IsLeading = false; ///< Whether the sender accepts calls.
   std::uint64_t Term = 0;
--- a/scheduling/observer_node.cpp
+++ b/scheduling/observer_node.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/observer_node.h"
 
+#include "core/network_address.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,6 +33,24 @@
   }
 }
 
+void observer_node::addReplicas(std::span<const std::string> Addresses) {
+  for (const auto &Address : Addresses) {
+    if (!core::isIpAddress(Address) || Address == Self.Name)
+      continue;
+    addPeers({&Address, 1});
+    Replicas.try_emplace(Address);
+  }
+}
+
+void observer_node::linkChanged(const std::string &Peer, bool IsUp) {
+  if (!IsUp) {
+    LinkedPeers.erase(Peer);
+    return;
+  }
+  LinkedPeers.insert(Peer);
+  send(Peer, control::frame_kind::Observe, "");
+}
+
 void observer_node::send(const std::string &Peer, control::frame_kind Kind,
                          std::string Bytes) {
   control::control_frame Frame;
@@ -61,11 +81,11 @@
         Message ? std::get_if<gateway::status_message>(&*Message) : nullptr;
     if (!Status)
       return;
-    addPeers(Status->Schedulers);
-    for (const auto &Address : Status->Schedulers)
-      Replicas.try_emplace(Address);
-    if (Frame->From.Incarnation != ObserverIncarnation)
+    addReplicas(Status->Schedulers);
+    if (Frame->From.Incarnation != ObserverIncarnation) {
+      addReplicas({&Peer, 1});
       Replicas[Peer] = {std::move(*Status), Now};
+    }
   } else if (Frame->Kind == control::frame_kind::Observe) {
     // The seeds of the sender may all be hosts without a disk.
     gateway::status_message Status;
@@ -98,7 +118,11 @@
   if (Now < NextObserve)
     return;
   NextObserve = Now + ObserveInterval;
-  for (const auto &Peer : Peers)
+  std::set<std::string> Asked(Peers.begin(), Peers.end());
+  // Without a leader, any process that is linked may know more than the peers.
+  if (leader(Now).empty())
+    Asked.insert(LinkedPeers.begin(), LinkedPeers.end());
+  for (const auto &Peer : Asked)
     send(Peer, control::frame_kind::Observe, "");
 }
 
--- a/scheduling/observer_node.h
+++ b/scheduling/observer_node.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,6 +42,11 @@
 
   /// Adds schedulers to connect to. None is ever removed.
   void addPeers(std::span<const std::string> Addresses);
+  /// Adds schedulers with a disk that another process knows.
+  void addReplicas(std::span<const std::string> Addresses);
+  /// Handles that the link to a scheduler came up or went down. A scheduler
+  /// that opened the link itself is asked for its status, too.
+  void linkChanged(const std::string &Peer, bool IsUp);
   /// Handles a control frame.
   /// \param Peer name of the sending scheduler according to the link.
   void receive(const std::string &Peer, std::string_view Bytes,
@@ -70,6 +76,7 @@
   replication::replica_id Self;
   std::optional<founding_acceptor> Acceptor;
   std::vector<std::string> Peers;
+  std::set<std::string> LinkedPeers;
   std::map<std::string, replica_view> Replicas; ///< By IP address.
   core::time_point NextObserve{};
   observer_actions Actions;
--- a/scheduling/observer_process.cpp
+++ b/scheduling/observer_process.cpp
@@ -135,7 +135,9 @@
 
   void receive(const transport::link_event &Event, core::time_point Now) {
     if (!gateway::isGateway(Event.Peer)) {
-      if (!Event.Bytes.empty())
+      if (Event.Bytes.empty())
+        Node.linkChanged(Event.Peer, Event.IsUp);
+      else
         Node.receive(Event.Peer, Event.Bytes, Now);
       return;
     }
@@ -147,8 +149,11 @@
       NextStatus = Now;
       return;
     }
-    // A gateway calls only leaders; a call that comes nevertheless has not run.
     auto Message = gateway::decodeMessage(Event.Bytes);
+    if (auto *Status =
+            Message ? std::get_if<gateway::status_message>(&*Message) : nullptr)
+      Node.addReplicas(Status->Schedulers);
+    // A gateway calls only leaders; a call that comes nevertheless has not run.
     if (auto *Call =
             Message ? std::get_if<gateway::call_message>(&*Message) : nullptr) {
       gateway::reply_message Reply;
@@ -187,11 +192,14 @@
   }
 
   void publishStatus(core::time_point Now) {
-    if (Now < NextStatus || Gateways.empty())
+    if (Gateways.empty())
       return;
-    NextStatus = Now + StatusInterval;
     gateway::status_message Status;
     Status.Schedulers = Node.replicas();
+    if (Now < NextStatus && Status.Schedulers == PublishedSchedulers)
+      return;
+    NextStatus = Now + StatusInterval;
+    PublishedSchedulers = Status.Schedulers;
     auto Bytes = gateway::encodeMessage(Status);
     for (const auto &Gateway : Gateways)
       Hub.send(Gateway, Bytes);
@@ -230,6 +238,7 @@
   observer_node Node;
   std::set<std::string> Gateways;
   std::deque<http::server_response> Responses;
+  std::vector<std::string> PublishedSchedulers; ///< In the last status.
   core::time_point NextStatus{};
   core::time_point NextMetrics{};
 };
--- a/scheduling/schedule_node.h
+++ b/scheduling/schedule_node.h
@@ -24,6 +24,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -249,6 +250,9 @@
   void found(core::time_point Now);
   /// Sends the leader and the members to a scheduler without a disk.
   void sendStatus(const std::string &Peer);
+  /// Connects to a scheduler without a disk, so that it finds the leader after
+  /// a restart although its settings may name none of the replicas.
+  void linkObserver(const std::string &Address);
   void requestJoin(core::time_point Now);
   void changeMembers(core::time_point Now);
   void linkMembers();
@@ -292,6 +296,7 @@
   std::optional<founding_acceptor> Acceptor;
   std::optional<founding_proposer> Proposer; ///< While the log is empty.
   std::vector<std::string> LinkedPeers;
+  std::set<std::string> LinkedObservers; ///< They get no requests to join.
   std::vector<std::string> NewPeers;
   std::vector<peer_message> Messages;
   std::vector<reply> Replies;
--- a/scheduling/schedule_node_members.cpp
+++ b/scheduling/schedule_node_members.cpp
@@ -70,6 +70,7 @@
     receiveFounding(Peer, Frame->Bytes, Now);
     return;
   case control::frame_kind::Observe:
+    linkObserver(Peer);
     sendStatus(Peer);
     return;
   case control::frame_kind::Replication:
@@ -176,6 +177,11 @@
   sendFrame(Peer, control::frame_kind::Status, gateway::encodeMessage(Status));
 }
 
+void schedule_node::linkObserver(const std::string &Address) {
+  if (core::isIpAddress(Address) && LinkedObservers.insert(Address).second)
+    NewPeers.push_back(Address);
+}
+
 void schedule_node::requestJoin(core::time_point Now) {
   if (Now < NextJoin || LeaderTerm != 0)
     return;
--- a/scheduling/scheduler_process.cpp
+++ b/scheduling/scheduler_process.cpp
@@ -356,6 +356,11 @@
       return;
     }
     auto Message = gateway::decodeMessage(Event.Bytes);
+    if (auto *Status = Message ? std::get_if<gateway::status_message>(&*Message)
+                               : nullptr) {
+      Node.addPeers(Status->Schedulers);
+      return;
+    }
     auto *Call =
         Message ? std::get_if<gateway::call_message>(&*Message) : nullptr;
     if (!Call) {
--- a/tests/gateway/test_forwarder.cpp
+++ b/tests/gateway/test_forwarder.cpp
@@ -51,6 +51,8 @@
       Calls.push_back(Call);
     for (auto &Response : Actions.Responses)
       Responses.push_back(Response);
+    for (auto &Status : Actions.Statuses)
+      Statuses.push_back(Status);
   }
 
   core::metrics_registry Metrics;
@@ -58,6 +60,7 @@
   forwarder Forwarder;
   std::vector<forwarder_actions::outgoing> Calls;
   std::vector<http::server_response> Responses;
+  std::vector<forwarder_actions::outgoing_status> Statuses;
 };
 
 } // namespace
@@ -379,3 +382,21 @@
     CHECK(Fixture.Responses[0].Response.Status == Status);
   }
 }
+
+// Guards against a restarted scheduler that only gateways are linked with and
+// that never finds the leader.
+TEST_CASE("a gateway names the leader to a scheduler whose status lacks it") {
+  forwarder_fixture Fixture;
+  Fixture.status("a", true, 3);
+  Fixture.status("b", false, 3);
+  CHECK(Fixture.Statuses.empty());
+  Fixture.Forwarder.receive("b", status_message{false, 0, {}}, Fixture.Now);
+  Fixture.collect();
+  REQUIRE(Fixture.Statuses.size() == 1);
+  CHECK(Fixture.Statuses[0].Peer == "b");
+  CHECK(Fixture.Statuses[0].Status == status_message{false, 0, {"a"}});
+  Fixture.advance(1500ms);
+  Fixture.Forwarder.receive("b", status_message{false, 0, {}}, Fixture.Now);
+  Fixture.collect();
+  CHECK(Fixture.Statuses.size() == 1); // It has no leader itself.
+}
--- a/tests/scheduling/membership_site.cpp
+++ b/tests/scheduling/membership_site.cpp
@@ -100,6 +100,10 @@
   else
     Settings.Seeds = laterSeeds();
   Host.Dialled.clear();
+  Host.RedialAt.clear();
+  if (Shape.MaxRedialDelay > core::duration())
+    for (auto &Other : Hosts)
+      Other.RedialAt[Host.Name] = Now + randomTime(Shape.MaxRedialDelay);
   Host.FrozenUntil = {};
   Host.WasLeading = false;
   if (!Shape.HasDisk[Index]) {
@@ -154,6 +158,51 @@
   CutUntil[std::minmax(First, Second)] = Now + Time;
 }
 
+bool membership_site::hasDialled(std::size_t From, std::size_t To) const {
+  const auto &Host = Hosts[From];
+  auto Redial = Host.RedialAt.find(Hosts[To].Name);
+  return Host.Dialled.count(Hosts[To].Name) > 0 &&
+         (Redial == Host.RedialAt.end() || Now >= Redial->second);
+}
+
+bool membership_site::isLinked(std::size_t First, std::size_t Second) const {
+  // Either side may have opened the link.
+  return isUp(First) && isUp(Second) && !isCut(First, Second) &&
+         (hasDialled(First, Second) || hasDialled(Second, First));
+}
+
+void membership_site::receiveStatus(std::size_t Index,
+                                    std::span<const std::string> Addresses) {
+  if (auto &Host = Hosts[Index]; Host.Replica)
+    Host.Replica->addPeers(Addresses);
+  else if (Host.Observer)
+    Host.Observer->addReplicas(Addresses);
+}
+
+void membership_site::reportLinks() {
+  for (std::size_t Index = 0; Index != Hosts.size(); ++Index) {
+    if (!Hosts[Index].Observer || Now < Hosts[Index].FrozenUntil)
+      continue;
+    for (std::size_t Peer = 0; Peer != Hosts.size(); ++Peer) {
+      if (Peer == Index)
+        continue;
+      auto Reported = ReportedLinks.find({Index, Peer});
+      std::pair Lives{Hosts[Index].Life, Hosts[Peer].Life};
+      bool WasLinked = Reported != ReportedLinks.end() &&
+                       Reported->second.first == Lives.first;
+      bool IsLinked = isLinked(Index, Peer);
+      if (WasLinked && (!IsLinked || Reported->second != Lives))
+        Hosts[Index].Observer->linkChanged(Hosts[Peer].Name, false);
+      if (IsLinked && (!WasLinked || Reported->second != Lives))
+        Hosts[Index].Observer->linkChanged(Hosts[Peer].Name, true);
+      if (IsLinked)
+        ReportedLinks[{Index, Peer}] = Lives;
+      else
+        ReportedLinks.erase({Index, Peer});
+    }
+  }
+}
+
 bool membership_site::isCut(std::size_t First, std::size_t Second) const {
   auto Found = CutUntil.find(std::minmax(First, Second));
   return Found != CutUntil.end() && Now < Found->second;
@@ -283,10 +332,13 @@
     if (Hosts[Index].StartAt && *Hosts[Index].StartAt <= Now)
       boot(Index);
   sendCalls();
+  reportLinks();
   deliver();
   for (std::size_t Index = 0; Index != Hosts.size(); ++Index)
     if (isUp(Index) && Now >= Hosts[Index].FrozenUntil)
       execute(Index);
+  if (StepHandler)
+    StepHandler();
 }
 
 void membership_site::deliver() {
@@ -314,13 +366,8 @@
 
 void membership_site::post(std::size_t From, const peer_message &Message) {
   auto To = indexOf(Message.Peer);
-  if (To == Hosts.size() || To == From || !isUp(To))
-    return;
-  // Either side may have opened the link.
-  if (Hosts[From].Dialled.count(Message.Peer) == 0 &&
-      Hosts[To].Dialled.count(Hosts[From].Name) == 0)
-    return;
-  if (isCut(From, To) || randomBelow(1000) < LostThousandths)
+  if (To == Hosts.size() || To == From || !isLinked(From, To) ||
+      randomBelow(1000) < LostThousandths)
     return;
   // A link keeps the order of its messages.
   auto &Last = LastDelivery[{From, To}];
--- a/tests/scheduling/membership_site.h
+++ b/tests/scheduling/membership_site.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,6 +37,9 @@
   /// The settings say at every start that it is the first one of the system,
   /// as those of a process that is restarted with its settings do.
   bool IsAlwaysFounding = false;
+  /// A host opens its link to one that has been started again after up to this
+  /// time.
+  core::duration MaxRedialDelay{};
 };
 
 /// Schedulers with and without a disk, connected by links that delay and lose
@@ -54,6 +58,11 @@
   }
   bool hasDisk(std::size_t Index) const { return Shape.HasDisk[Index]; }
   bool isUp(std::size_t Index) const;
+  /// \returns the number of starts of a host.
+  std::size_t life(std::size_t Index) const { return Hosts[Index].Life; }
+  const std::string &name(std::size_t Index) const { return Hosts[Index].Name; }
+  /// \returns whether two hosts are linked with each other.
+  bool isLinked(std::size_t First, std::size_t Second) const;
   /// \returns the host with an address, or size().
   std::size_t indexOf(const std::string &Name) const;
   std::uint64_t randomBelow(std::uint64_t Limit) { return Random() % Limit; }
@@ -62,6 +71,17 @@
   /// Starts a host after some time; it is the first start of each host that was
   /// never started.
   void start(std::size_t Index, core::duration After);
+  /// Lets the first start of a host be one of a later time, as that of a spare
+  /// host.
+  void skipFirstStart(std::size_t Index) { Hosts[Index].Life = 1; }
+  /// Sets the seeds of all later starts.
+  void setLaterSeeds(std::vector<std::size_t> Seeds) {
+    Shape.LaterSeeds = std::move(Seeds);
+  }
+  /// Passes the schedulers in the status of a gateway to a host.
+  void receiveStatus(std::size_t Index, std::span<const std::string> Addresses);
+  /// Calls this after each step.
+  void onStep(std::function<void()> Handler) { StepHandler = Handler; }
   /// Ends the process; what it has passed to its disk stays.
   void kill(std::size_t Index);
   /// Ends the process; writes that are not synced are lost in part.
@@ -116,6 +136,7 @@
     core::time_point NextSync{};
     core::duration SyncTime = std::chrono::milliseconds(8);
     std::set<std::string> Dialled;
+    std::map<std::string, core::time_point> RedialAt; ///< By peer.
     std::unique_ptr<core::metrics_registry> Metrics;
     std::unique_ptr<schedule_node> Replica;
     std::unique_ptr<observer_node> Observer;
@@ -139,6 +160,8 @@
   void boot(std::size_t Index);
   void stop(std::size_t Index);
   void deliver();
+  /// Reports new and lost links to the schedulers without a disk.
+  void reportLinks();
   void post(std::size_t From, const peer_message &Message);
   void sync(simulated_host &Host);
   void execute(std::size_t Index);
@@ -149,6 +172,7 @@
   /// \returns the host that handles a call after the redirects.
   std::optional<std::size_t> target();
   bool isCut(std::size_t First, std::size_t Second) const;
+  bool hasDialled(std::size_t From, std::size_t To) const;
   /// \returns other seeds, as many as at the first start.
   std::vector<std::string> laterSeeds();
 
@@ -161,6 +185,11 @@
   std::map<std::pair<std::size_t, std::size_t>, core::time_point> CutUntil;
   unsigned LostThousandths = 0;
   core::duration MaxDelay = std::chrono::milliseconds(5);
+  /// Lives of two linked hosts; the first one has no disk.
+  std::map<std::pair<std::size_t, std::size_t>,
+           std::pair<std::size_t, std::size_t>>
+      ReportedLinks;
+  std::function<void()> StepHandler;
 
   std::string FoundingEntry; ///< First entry of every log.
   std::map<std::uint64_t, std::size_t> LeaderOfTerm;
--- a/tests/scheduling/test_observer_node.cpp
+++ b/tests/scheduling/test_observer_node.cpp
@@ -137,6 +137,56 @@
   CHECK(Other.takeActions().Messages.empty());
 }
 
+// Guards against a restarted seed that never asks the replicas, which its own
+// seeds don't name.
+TEST_CASE("a scheduler without a disk asks whoever opens a link to it") {
+  observer_node Node(makeSettings(false));
+  Node.takeActions();
+  Node.linkChanged("10.0.0.2", true);
+  auto Actions = Node.takeActions();
+  REQUIRE(Actions.Messages.size() == 1);
+  CHECK(Actions.Messages[0].Peer == "10.0.0.2");
+  auto Frame = core::capture(
+      [&] { return control::decodeFrame(Actions.Messages[0].Bytes); });
+  REQUIRE(Frame.index() == 0);
+  CHECK(std::get<0>(Frame).Kind == control::frame_kind::Observe);
+  Node.receive("10.0.0.2", status("10.0.0.2", true, 3), at(0s));
+  CHECK(Node.leader(at(0s)) == "10.0.0.2");
+  CHECK(Node.takeActions().NewPeers == std::vector<std::string>{"10.0.0.2"});
+}
+
+TEST_CASE(
+    "a scheduler without a disk asks all that are linked with it until it "
+    "knows the leader") {
+  observer_node Node(makeSettings(false));
+  Node.linkChanged("10.0.0.7", true);
+  Node.linkChanged("10.0.0.8", true);
+  Node.linkChanged("10.0.0.8", false);
+  Node.takeActions();
+  auto Asked = [&](core::duration Time) {
+    Node.tick(at(Time));
+    std::vector<std::string> Result;
+    for (const auto &Message : Node.takeActions().Messages)
+      Result.push_back(Message.Peer);
+    return Result;
+  };
+  CHECK(Asked(0s) == std::vector<std::string>{"10.0.0.1", "10.0.0.7"});
+  Node.receive("10.0.0.1", status("10.0.0.1", true, 3), at(0s));
+  CHECK(Asked(1s) == std::vector<std::string>{"10.0.0.1"});
+  CHECK(Asked(2s) == std::vector<std::string>{"10.0.0.1", "10.0.0.7"});
+}
+
+TEST_CASE("replicas that another process names are connected to unless the "
+          "address is invalid or its own") {
+  observer_node Node(makeSettings(false));
+  Node.takeActions();
+  std::vector<std::string> Addresses{"10.0.0.4", "x", "", "10.0.0.9"};
+  Node.addReplicas(Addresses);
+  CHECK(Node.takeActions().NewPeers == std::vector<std::string>{"10.0.0.4"});
+  CHECK(Node.replicas() == std::vector<std::string>{"10.0.0.4"});
+  CHECK(Node.leader(at(0s)).empty());
+}
+
 TEST_CASE("malformed frames change nothing") {
   observer_node Node(makeSettings(true));
   Node.takeActions();
