Read the id of a job where the prefixes of the queues are known

PREFIX + "/" + ID, no path of the queue, was accepted.

Cause: the decoder took what follows the last slash as the id, before any prefix was known, and the queue was matched with the id in the path.

Change: the decoder splits off the id by its length. findQueue() with an id selects the queue of the longest prefix only if nothing but the id follows; submissions, queue lengths and explanations use it. A submission carries IsExactPath, so that it does not fall to a shorter prefix when its queue is removed before it is applied; entries of earlier versions lack it and give the state that they gave then. Access is judged by the queue of the longest prefix as before, the only one in which the job can be stored.

test_explanation submitted the job "new" under the path of the job "j", which no caller can do, since the id comes from the path; it now uses the path of "new" and checks the same.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -28,6 +28,10 @@
   workspaces::key_digest KeyDigest = {}; ///< Of the caller's key, or empty.
   /// The leader received it above the rate of its workspace.
   bool IsOverRate = false;
+  /// Nothing but the id may follow the prefix of the queue in the path. Entries
+  /// of earlier versions lack it, so that they give the state that they gave
+  /// then.
+  bool IsExactPath = false;
   bool operator==(const submit_job &) const = default;
 };
 
--- a/scheduling/explanation.cpp
+++ b/scheduling/explanation.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t MaxBodyBytes = 1u << 20;
 constexpr std::size_t MaxNameBytes = 512;
+// Completes the path of a queue to that of a job.
+constexpr std::string_view ExampleJobId = "0000000000000000";
 
 /// What is to be explained.
 struct question {
@@ -133,8 +135,11 @@
 
 http::response explainNew(schedule_node &Node, const question &Question,
                           const site_adapter &Adapter, core::time_point Now) {
+  auto Path = Question.Path;
+  if (Node.state().findQueue(Question.HostName, Path, "") != nullptr)
+    Path += ExampleJobId;
   auto Decoded = Adapter.DecodeCallerCall(
-      {"POST", Question.Path, Question.HostName, {}, Question.Document});
+      {"POST", Path, Question.HostName, {}, Question.Document});
   auto *Call =
       Decoded.Call ? std::get_if<submit_call>(&*Decoded.Call) : nullptr;
   if (!Call)
@@ -142,7 +147,8 @@
   submit_job Submit{std::move(Call->HostName), std::move(Call->Path),
                     std::move(Call->Job), Question.KeyDigest};
   const auto &State = Node.state();
-  const auto *Queue = State.findQueue(Submit.HostName, Submit.Path);
+  const auto *Queue =
+      State.findQueue(Submit.HostName, Submit.Path, Submit.Job.Id);
   if (!Queue)
     return respond(200, {{"answer", 404}, {"reason", "no such queue"}});
   const auto *Known = State.findJob(Submit.Job.Id);
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -114,8 +114,11 @@
 template <typename Archive, record_of<submit_job> Type>
 void fields(Archive &A, Type &R) {
   A(R.HostName, R.Path, R.Job);
-  if (!std::is_const_v<Type> || !R.KeyDigest.empty() || R.IsOverRate)
+  if (!std::is_const_v<Type> || !R.KeyDigest.empty() || R.IsOverRate ||
+      R.IsExactPath)
     A.trailing(R.KeyDigest, R.IsOverRate);
+  if (!std::is_const_v<Type> || R.IsExactPath)
+    A.trailing(R.IsExactPath);
 }
 template <typename Archive, record_of<cancel_job> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/schedule_node_calls.cpp
+++ b/scheduling/schedule_node_calls.cpp
@@ -141,8 +141,9 @@
 
 void schedule_node::handleCall(std::uint64_t Id, submit_call Call,
                                core::time_point Now) {
-  bool IsUnknown =
-      !State.findQueue(Call.HostName, Call.Path) && !State.findJob(Call.Job.Id);
+  bool IsUnknown = !State.findQueue(Call.HostName, Call.Path, Call.Job.Id) &&
+                   !(State.findJob(Call.Job.Id) &&
+                     State.namesJob(Call.HostName, Call.Path, Call.Job.Id));
   if (IsUnknown || accessOf(Call.KeyDigest, Call.HostName, Call.Path,
                             Call.Job.Id) != caller_access::Allowed) {
     read({Id, std::move(Call)}, Now);
@@ -155,6 +156,7 @@
   }
   submit_job Submit{std::move(Call.HostName), std::move(Call.Path),
                     std::move(Call.Job), std::move(Call.KeyDigest)};
+  Submit.IsExactPath = true;
   const auto *Workspace = State.findWorkspace(Submit.KeyDigest);
   // A retry of a job that is accepted, or may be, is no further job.
   if (Workspace && !hasLongRunningStep(Submit.Job) &&
@@ -204,8 +206,9 @@
 
 void schedule_node::handleCall(std::uint64_t Id, cancel_call Call,
                                core::time_point Now) {
-  if (accessOf(Call.KeyDigest, Call.HostName, Call.Path, Call.Job) !=
-      caller_access::Allowed) {
+  if (!State.namesJob(Call.HostName, Call.Path, Call.Job) ||
+      accessOf(Call.KeyDigest, Call.HostName, Call.Path, Call.Job) !=
+          caller_access::Allowed) {
     read({Id, std::move(Call)}, Now);
     return;
   }
@@ -216,7 +219,7 @@
 
 void schedule_node::handleCall(std::uint64_t Id, queue_length_call Call,
                                core::time_point Now) {
-  if (State.findQueue(Call.HostName, Call.Path))
+  if (State.findQueue(Call.HostName, Call.Path, ""))
     readWithKey({Id, std::move(Call)}, Now);
   else
     read({Id, std::move(Call)}, Now);
@@ -344,6 +347,14 @@
 }
 
 void schedule_node::answerRead(const call &Call) {
+  const auto *JobState = std::get_if<job_state_call>(&Call.Body);
+  // The prefix of a queue may end like the id of a job.
+  if (JobState &&
+      State.findQueue(JobState->HostName, JobState->Path, "") != nullptr) {
+    answerRead({Call.Id, queue_length_call{JobState->HostName, JobState->Path,
+                                           JobState->KeyDigest}});
+    return;
+  }
   reply Reply;
   Reply.Id = Call.Id;
   auto Access = std::visit(
@@ -371,10 +382,11 @@
   } else if (Submit) {
     // A configuration that was committed meanwhile may have added the queue;
     // the caller then has to submit the job again.
-    if (State.findJob(Submit->Job.Id))
+    const auto &Id = Submit->Job.Id;
+    if (State.findJob(Id) && State.namesJob(Submit->HostName, Submit->Path, Id))
       Reply.Kind = reply_kind::Accepted;
     else
-      Reply.Kind = State.findQueue(Submit->HostName, Submit->Path)
+      Reply.Kind = State.findQueue(Submit->HostName, Submit->Path, Id)
                        ? reply_kind::Unavailable
                        : reply_kind::NoSuchQueue;
   } else if (const auto *Change = std::get_if<configure_call>(&Call.Body)) {
@@ -382,16 +394,21 @@
         Change->Configuration.Version <= State.currentConfiguration().Version
             ? reply_kind::Accepted
             : reply_kind::Unavailable;
-  } else if (std::holds_alternative<cancel_call>(Call.Body)) {
-    // A configuration that was committed meanwhile has added the key.
-    Reply.Kind = reply_kind::Unavailable;
-  } else if (const auto *JobState = std::get_if<job_state_call>(&Call.Body)) {
-    const auto *Job = State.findJob(JobState->Job);
+  } else if (const auto *Cancel = std::get_if<cancel_call>(&Call.Body)) {
+    // A configuration that was committed meanwhile may have added the key.
+    Reply.Kind = State.namesJob(Cancel->HostName, Cancel->Path, Cancel->Job)
+                     ? reply_kind::Unavailable
+                     : reply_kind::NoSuchJob;
+  } else if (JobState) {
+    const auto *Job =
+        State.namesJob(JobState->HostName, JobState->Path, JobState->Job)
+            ? State.findJob(JobState->Job)
+            : nullptr;
     Reply.Kind = Job ? reply_kind::State : reply_kind::NoSuchJob;
     if (Job)
       Reply.State = Job->State;
   } else if (const auto *Length = std::get_if<queue_length_call>(&Call.Body)) {
-    const auto *Queue = State.findQueue(Length->HostName, Length->Path);
+    const auto *Queue = State.findQueue(Length->HostName, Length->Path, "");
     Reply.Kind = Queue ? reply_kind::QueueLength : reply_kind::NoSuchQueue;
     if (Queue)
       Reply.Count = State.pendingJobs(Queue->HostName, Queue->PathPrefix);
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -111,6 +111,27 @@
   return Best;
 }
 
+const queue_spec *schedule_state::findQueue(std::string_view HostName,
+                                            std::string_view Path,
+                                            std::string_view Job) const {
+  const auto *Queue = findQueue(HostName, Path);
+  return Queue && Path.substr(Queue->PathPrefix.size()) == Job ? Queue
+                                                               : nullptr;
+}
+
+bool schedule_state::namesJob(std::string_view HostName, std::string_view Path,
+                              std::string_view Job) const {
+  if (!Path.ends_with(Job))
+    return false;
+  auto PathPrefix = Path.substr(0, Path.size() - Job.size());
+  // Earlier versions took any last segment of a path as an id.
+  if (PathPrefix.ends_with('/') || findQueue(HostName, Path, Job))
+    return true;
+  const auto *Known = findJob(Job);
+  return Known && Known->QueueHost == HostName &&
+         Known->QueuePrefix == PathPrefix;
+}
+
 const queue_spec *schedule_state::queueOf(const job_record &Job) const {
   if (Job.QueueNumber)
     return &Configuration.Queues[*Job.QueueNumber];
@@ -317,7 +338,10 @@
     return toOutcome(Access);
   if (Known)
     return apply_outcome::Unchanged;
-  const auto *Queue = findQueue(Command.HostName, Command.Path);
+  const auto *Queue =
+      Command.IsExactPath
+          ? findQueue(Command.HostName, Command.Path, Command.Job.Id)
+          : findQueue(Command.HostName, Command.Path);
   if (!Queue)
     return apply_outcome::NoSuchQueue;
   evictEndedJobs();
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -249,6 +249,15 @@
   /// longest, or null.
   const queue_spec *findQueue(std::string_view HostName,
                               std::string_view Path) const;
+  /// \param Job id at the end of the path, or an empty string.
+  /// \returns the same queue if only the id follows its prefix, or null.
+  const queue_spec *findQueue(std::string_view HostName, std::string_view Path,
+                              std::string_view Job) const;
+  /// \param Job id at the end of the path.
+  /// \returns whether the path is one of a job with the id. Whatever queue it
+  /// names, the id alone identifies the job.
+  bool namesJob(std::string_view HostName, std::string_view Path,
+                std::string_view Job) const;
   /// \returns the queue of a job. After the queue was removed, as it was then:
   /// the job keeps its attempts, its priority and its policy. Null only once
   /// the job has ended, or when a snapshot of an earlier version lacks the
--- a/tests/scheduling/single_scheduler.h
+++ b/tests/scheduling/single_scheduler.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -25,6 +26,12 @@
     advance();
   }
 
+  /// \returns the reply to the call.
+  reply ask(call_body Body) {
+    call(std::move(Body));
+    return Replies.at(LastCall);
+  }
+
   /// Sends the heartbeat of an incarnation that answers probes, and commits.
   void restart(const endpoint_heartbeat &Heartbeat) {
     AnsweredMs = Heartbeat.Facts.IncarnationMs;
@@ -45,6 +52,7 @@
   core::metrics_registry Metrics;
   core::time_point Now{std::chrono::seconds(1)};
   std::uint64_t LastCall = 0;
+  std::map<std::uint64_t, reply> Replies; ///< By call.
   std::uint64_t AnsweredMs = 0; ///< Incarnation in the answers to probes.
   /// Ids of orders, with the endpoint.
   std::vector<std::pair<std::uint64_t, std::uint32_t>> UnansweredOrders;
@@ -68,6 +76,8 @@
     auto Actions = Node.takeActions(Now);
     for (const auto &Write : Actions.Writes)
       Node.stored(Write.Ticket, Now);
+    for (const auto &Reply : Actions.Replies)
+      Replies[Reply.Id] = Reply;
     endpoint_answer Answer;
     Answer.Verdict = endpoint_verdict::Accepted;
     auto Accepted = Answer;
--- a/tests/scheduling/test_explanation.cpp
+++ b/tests/scheduling/test_explanation.cpp
@@ -140,6 +140,7 @@
   CHECK(Held["workspace"]["running_millicores"] == 1000);
   CHECK(Held["steps"][0]["held_by"] == "workspace_limit");
   // The adapter gives each job that is not submitted the id "new".
+  Submit.Path = Prefix + "new";
   Submit.Job = makeJob("new", {makeStep(1)});
   Fixture.Scheduler.call(Submit);
   auto Known = Fixture.askFor(explanation_fixture::newJob(5, Key));
