Log how long an endpoint was silent before a start without an answer

Cause: open_start_kept tells an assumed order from one without an answer, but not how old the start is, and start_unanswered not whether the endpoint had been silent before the order was sent. A start that is sent to an endpoint that is gone cannot be told from one whose endpoint is lost after its answer. Change: endpoint_silent_ms in start_unanswered, committed_ms_ago in open_start_kept; no logic changes.

--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -129,18 +129,23 @@
     // Accepted since the host was listed.
     if (Run.OpenUntil == core::time_point())
       Run.OpenUntil = Now;
-    core::logEvent(core::log_level::Info, "open_start_kept",
-                   {{"job", Key.Job},
-                    {"step", Key.Step},
-                    {"index", Key.Index},
-                    {"attempt", Run.Attempt},
-                    {"endpoint", Tracked.Id},
-                    {"number", Tracked.Endpoint},
-                    {"assumed", Run.IsOpenAssumed},
-                    {"listed", Run.ListedIn != 0},
-                    {"open_ms", std::chrono::duration_cast<milliseconds>(
-                                    Run.OpenUntil - Now)
-                                    .count()}});
+    const auto *Task = State.findTask(Key);
+    auto CommittedAgo = Task ? logTimeSince(Task->StartedMs) : core::duration();
+    core::logEvent(
+        core::log_level::Info, "open_start_kept",
+        {{"job", Key.Job},
+         {"step", Key.Step},
+         {"index", Key.Index},
+         {"attempt", Run.Attempt},
+         {"endpoint", Tracked.Id},
+         {"number", Tracked.Endpoint},
+         {"assumed", Run.IsOpenAssumed},
+         {"listed", Run.ListedIn != 0},
+         {"committed_ms_ago",
+          std::chrono::duration_cast<milliseconds>(CommittedAgo).count()},
+         {"open_ms",
+          std::chrono::duration_cast<milliseconds>(Run.OpenUntil - Now)
+              .count()}});
   }
   Metrics.add("open_starts_kept_total", Tracked.Runs.size());
 }
--- a/scheduling/leader_verdicts.cpp
+++ b/scheduling/leader_verdicts.cpp
@@ -44,16 +44,19 @@
   if (StartLinesLeft == 0)
     return;
   --StartLinesLeft;
-  core::logEvent(core::log_level::Warning, "start_unanswered",
-                 {{"job", Order.Task.Job},
-                  {"step", Order.Task.Step},
-                  {"index", Order.Task.Index},
-                  {"attempt", Order.Attempt},
-                  {"endpoint", Tracked.Id},
-                  {"number", Tracked.Endpoint},
-                  {"sent_ms_ago", msSince(SentAt, Now)},
-                  {"may_have_run", NoAnswer.MayHaveRun},
-                  {"reason", NoAnswer.Reason}});
+  core::logEvent(
+      core::log_level::Warning, "start_unanswered",
+      {{"job", Order.Task.Job},
+       {"step", Order.Task.Step},
+       {"index", Order.Task.Index},
+       {"attempt", Order.Attempt},
+       {"endpoint", Tracked.Id},
+       {"number", Tracked.Endpoint},
+       {"sent_ms_ago", msSince(SentAt, Now)},
+       {"endpoint_silent_ms",
+        msSince(Tracked.LastAnswer, std::max(SentAt, Tracked.LastAnswer))},
+       {"may_have_run", NoAnswer.MayHaveRun},
+       {"reason", NoAnswer.Reason}});
 }
 
 void leader::logRunsOfEnded(const tracked_endpoint &Tracked, end_cause Cause,
