Record in the log that a start was answered

Cause: a new leader assumes for each start that was committed less than 1.2 s before the newest command that its order has no answer. The log holds that a start was committed, not that it was answered. When the endpoint is lost together with the leader, its long-running tasks wait 12 s for an order that the former leader knew to be executed.

Change: record_answered_start, at the end of the variant of commands, and task_record.IsStartAnswered, a trailing field that is written only when it is set. The leader proposes the record with its next batch when an answer accepts the start of a long-running task, or a list of the incarnation shows the run, and no other copy of the order may exist: none without an answer, none recorded as open, none assumed of an earlier leader. The next leader takes such a run for running: it sends no copy, its lists must show the run, and no order is open. An open start, the end of the run, the end of the incarnation and a takeover by the next one take the record back.

An answer does not name the incarnation and may be that of the next one. Recording at the answer is safe all the same: all lists of hosts that the next leader reads were requested after the answer, so that one that shows the end also shows that of a later incarnation which had accepted the order. The list of the leader that records may be older; it records nothing for an endpoint that such a list shows as ended. Waiting for a list of the incarnation instead would come too late: a poll lasts up to 1.5 s, longer than the 1.2 s for which the next leader assumes an order.

Price: 24 bytes in the log for each start of a long-running task with an id of 16 characters (start_run has 27); nothing for other tasks.

Evidence before:

a long-running task whose start was answered starts elsewhere at once when its endpoint is lost together with the leader test_open_starts.cpp:268: FAILED: CHECK_FALSE( Site.State.findEndpoint("e1") ) test_open_starts.cpp:269: FAILED: CHECK( Site.isAssignedTo("e2") ) test cases: 1 | 1 failed

Result: the case passes. test_scheduling was linked in parts because the machine was busy. The whole of test_scheduling was not run on this change.

--- a/scheduling/commands.h
+++ b/scheduling/commands.h
@@ -160,6 +160,14 @@
   bool operator==(const record_open_start &) const = default;
 };
 
+/// Records that the only copy of the start order of a run was answered as
+/// accepted, or that a list shows the run: no order is on its way any more.
+struct record_answered_start {
+  task_key Task;
+  std::uint32_t Attempt = 0;
+  bool operator==(const record_answered_start &) const = default;
+};
+
 /// Ends a live job as failed of which a waiting task has failed as often as its
 /// queue allows, because a configuration lowered that number.
 struct fail_job {
@@ -174,7 +182,7 @@
                  start_run, end_run, record_endpoint, end_endpoint, start_wave,
                  order_maintenance, record_maintenance, record_host,
                  record_contact, record_deregistration, record_open_start,
-                 fail_job>;
+                 fail_job, record_answered_start>;
 
 std::string_view toText(run_end Outcome);
 std::string_view toText(end_cause Cause);
--- a/scheduling/fields.h
+++ b/scheduling/fields.h
@@ -194,6 +194,11 @@
   A(R.Task, R.Attempt);
 }
 
+template <typename Archive, record_of<record_answered_start> Type>
+void fields(Archive &A, Type &R) {
+  A(R.Task, R.Attempt);
+}
+
 template <typename Archive, record_of<fail_job> Type>
 void fields(Archive &A, Type &R) {
   A(R.Job);
@@ -204,8 +209,10 @@
   A(R.Attempt, R.Failures, R.Endpoint, R.IsDone, R.Checkpoint);
   A.trailing(R.StartedMs);
   // Rarely set; without it earlier versions can read the record.
-  if (!std::is_const_v<Type> || R.OpenStartMs != 0)
+  if (!std::is_const_v<Type> || R.OpenStartMs != 0 || R.IsStartAnswered)
     A.trailing(R.OpenStartMs);
+  if (!std::is_const_v<Type> || R.IsStartAnswered)
+    A.trailing(R.IsStartAnswered);
 }
 template <typename Archive, record_of<crash_record> Type>
 void fields(Archive &A, Type &R) {
--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -545,6 +545,9 @@
   for (auto &Open : OpenStarts)
     Commands.emplace_back(std::move(Open));
   OpenStarts.clear();
+  for (auto &Answered : AnsweredStarts)
+    Commands.emplace_back(std::move(Answered));
+  AnsweredStarts.clear();
   ClaimedTasks.clear();
   collectExhausted(Commands);
   for (auto Number : std::exchange(PolledEndpoints, {})) {
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -451,6 +451,11 @@
                       core::time_point Now);
   /// Notes that the log says so.
   void recordOpenStart(const record_open_start &Record, core::time_point Now);
+  /// Proposes to record that the only copy of the start order was executed, if
+  /// the step is long-running and no other copy may exist. Called when an
+  /// answer accepts the order or a list of the incarnation shows the run.
+  void proposeAnsweredStart(const tracked_endpoint &Tracked,
+                            const task_key &Task, tracked_run &Run);
   /// \param TimeMs wall time of an earlier command.
   /// \returns the time from it to the newest command, which passes no faster
   /// than the time of the leaders, or zero.
@@ -858,8 +863,9 @@
   std::map<task_key, core::time_point> DeferredTasks;
   /// Ends to propose for runs that certainly did not start.
   std::vector<end_run> UnstartedRuns;
-  std::vector<record_open_start> OpenStarts; ///< To be proposed.
-  std::set<std::string> ExhaustedJobs;       ///< To be proposed as failed.
+  std::vector<record_open_start> OpenStarts;         ///< To be proposed.
+  std::vector<record_answered_start> AnsweredStarts; ///< To be proposed.
+  std::set<std::string> ExhaustedJobs; ///< To be proposed as failed.
   /// Endpoints whose incarnation was replaced or left its host.
   std::set<std::uint32_t> EndedIncarnations;
   /// Cursor of each endpoint once the proposed batch is applied.
--- a/scheduling/leader_crashes.cpp
+++ b/scheduling/leader_crashes.cpp
@@ -309,8 +309,9 @@
   if (Tracked->second.HasEnded)
     return false;
   auto Run = Tracked->second.Runs.find(Key);
-  // A running run is visible since its start, or since the first poll of this
-  // leader that listed it.
+  // A running run is visible since its start, since the first poll of this
+  // leader that listed it, or since this leader leads if the log says that its
+  // start was answered.
   return Run == Tracked->second.Runs.end() ||
          Run->second.Phase != run_phase::Running ||
          Now - Run->second.VisibleSince < trialTime(Suspect.RanMs);
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -43,6 +43,14 @@
       Run.OpenUntil = Now + Left;
     return;
   }
+  if (Task.IsStartAnswered && !HasEnded) {
+    // As under the leader that had the answer: no further copy is sent, and
+    // the lists show whether it still runs.
+    Run.Phase = run_phase::Running;
+    Run.VisibleSince = Now;
+    Run.PercentChangedAt = Now;
+    return;
+  }
   if (!HasEnded && logTimeSince(Task.StartedMs) >= MaxStartTime)
     return;
   Run.IsOpenAssumed = !HasEnded;
@@ -76,6 +84,27 @@
   return false;
 }
 
+void leader::proposeAnsweredStart(const tracked_endpoint &Tracked,
+                                  const task_key &Task, tracked_run &Run) {
+  // An answer does not name the incarnation. The next leader may rely on it all
+  // the same, because the lists of hosts that it reads were requested after
+  // the answer: one that shows the end of this incarnation shows that of a
+  // later one which had accepted the order. The list of this leader may be
+  // older than the answer.
+  if (Run.IsAnswerProposed || Run.IsOrderPending || Run.IsEnded ||
+      Run.UnansweredStarts > 0 || Run.OpenUntil != core::time_point() ||
+      Tracked.HasEnded || Tracked.IsReplaced ||
+      Tracked.EndListedAt != core::time_point())
+    return;
+  const auto *Step = findStep(Task);
+  const auto *Record = State.findTask(Task);
+  if (!Step || !Step->IsLongRunning || !Record || Record->IsStartAnswered ||
+      Record->OpenStartMs != 0)
+    return;
+  Run.IsAnswerProposed = true;
+  AnsweredStarts.push_back({Task, Run.Attempt});
+}
+
 void leader::recordOpenStart(const record_open_start &Record,
                              core::time_point Now) {
   auto Place = EndpointOfRun.find(Record.Task);
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -256,10 +256,15 @@
   }
   if (IsCurrent && Answer->Verdict == endpoint_verdict::Accepted)
     Found->second.AcceptedAt = Now;
-  if (!recordAnswer(Tracked, *Answer, Now) || !IsCurrent ||
-      Found->second.Phase != run_phase::Starting)
+  if (!recordAnswer(Tracked, *Answer, Now) || !IsCurrent)
     return;
   auto &Run = Found->second;
+  // A list may have shown the run before this answer.
+  if (Run.Phase == run_phase::Running &&
+      Answer->Verdict == endpoint_verdict::Accepted)
+    proposeAnsweredStart(Tracked, Order.Task, Run);
+  if (Run.Phase != run_phase::Starting)
+    return;
   switch (Answer->Verdict) {
   case endpoint_verdict::Accepted:
     Run.Phase = run_phase::Running;
@@ -267,6 +272,7 @@
     Run.PercentChangedAt = Now;
     if (Order.Checkpoint.empty())
       Run.StartedAt = Now;
+    proposeAnsweredStart(Tracked, Order.Task, Run);
     return;
   case endpoint_verdict::LateOrder:
     return; // Sent again with a lease based on the clock in this answer.
@@ -411,6 +417,8 @@
       beginStop(Run, stop_reason::JobOver, Now);
       continue;
     }
+    if (Run.Phase == run_phase::Running && Answer.IncarnationMs)
+      proposeAnsweredStart(Tracked, Row.Task, Run);
     if (Row.Percent != Run.Percent) {
       Run.Percent = Row.Percent;
       Run.PercentChangedAt = Now;
--- a/scheduling/schedule_state.cpp
+++ b/scheduling/schedule_state.cpp
@@ -417,6 +417,7 @@
   Task->Endpoint = Command.Endpoint;
   Task->StartedMs = TimeMs;
   Task->OpenStartMs = 0;
+  Task->IsStartAnswered = false;
   Endpoint->second.Runs.push_back(Command.Task);
   addUsage(Job, Spec);
   ++Job.RunsLeft;
@@ -434,6 +435,7 @@
   if (Endpoint != Endpoints.end())
     std::erase(Endpoint->second.Runs, Key);
   Task.Endpoint = 0;
+  Task.IsStartAnswered = false;
   removeUsage(Job, Job.Spec.Steps[Key.Step]);
   --Job.RunsLeft;
 }
@@ -646,7 +648,10 @@
   Endpoint.Host = std::move(Previous.Host);
   Endpoint.Runs = std::move(Previous.Runs);
   for (const auto &Key : Endpoint.Runs) {
-    mutableTask(Key)->Endpoint = LastEndpoint;
+    auto &Task = *mutableTask(Key);
+    Task.Endpoint = LastEndpoint;
+    // The earlier incarnation may have executed the order.
+    Task.IsStartAnswered = false;
     AffectedJobs.push_back(Key.Job);
   }
   Endpoints.erase(*Earlier);
@@ -667,6 +672,7 @@
       // No order for this incarnation is sent later.
       if (Task->OpenStartMs == 0)
         Task->OpenStartMs = TimeMs;
+      Task->IsStartAnswered = false;
       continue;
     }
     applyTyped(end_run{Key, Task->Attempt, run_end::Lost, ""});
@@ -748,6 +754,18 @@
   if (!Task || Task->Endpoint == 0 || Task->Attempt != Command.Attempt)
     return apply_outcome::Stale;
   Task->OpenStartMs = TimeMs;
+  Task->IsStartAnswered = false;
+  return apply_outcome::Accepted;
+}
+
+apply_outcome schedule_state::applyTyped(const record_answered_start &Command) {
+  auto *Task = mutableTask(Command.Task);
+  // Another copy of the order may be executed later.
+  if (!Task || Task->Endpoint == 0 || Task->Attempt != Command.Attempt ||
+      Task->OpenStartMs != 0)
+    return apply_outcome::Stale;
+  if (std::exchange(Task->IsStartAnswered, true))
+    return apply_outcome::Unchanged;
   return apply_outcome::Accepted;
 }
 
--- a/scheduling/schedule_state.h
+++ b/scheduling/schedule_state.h
@@ -37,6 +37,10 @@
   /// unanswered, or at which its incarnation ended while one may have been, or
   /// 0.
   std::int64_t OpenStartMs = 0;
+  /// The only start order of the newest run was executed by the incarnation
+  /// that it is assigned to, or by a later one with the same id. Recorded for
+  /// long-running steps only.
+  bool IsStartAnswered = false;
   bool isWaiting() const { return !IsDone && Endpoint == 0; }
 };
 
@@ -346,6 +350,7 @@
   apply_outcome applyTyped(const record_contact &Command);
   apply_outcome applyTyped(const record_deregistration &Command);
   apply_outcome applyTyped(const record_open_start &Command);
+  apply_outcome applyTyped(const record_answered_start &Command);
   apply_outcome applyTyped(const fail_job &Command);
   /// Counts the crash of an incarnation for the runs that may have caused it.
   /// No job ends because of that: only ends as failed count as attempts.
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -65,6 +65,8 @@
   bool IsOpenProposed = false;
   /// When the log said so; zero again once the next copy is sent.
   core::time_point OpenRecordedAt{};
+  /// That no copy of the start order is on its way was proposed to the log.
+  bool IsAnswerProposed = false;
   /// When this leader first sent a start order, or zero.
   core::time_point FirstSentAt{};
   core::time_point NextOrder{};    ///< Earliest time of the next order.
--- a/tests/scheduling/test_decoder_fuzz.cpp
+++ b/tests/scheduling/test_decoder_fuzz.cpp
@@ -41,7 +41,8 @@
           record_contact{1},
           record_deregistration{1},
           record_open_start{{"j", 0, 0, 0}, 1},
-          fail_job{"j"}};
+          fail_job{"j"},
+          record_answered_start{{"j", 0, 0, 0}, 1}};
 }
 
 /// Two sound endpoints whose runs end at once, and odd documents of every kind
--- a/tests/scheduling/test_open_start_records.cpp
+++ b/tests/scheduling/test_open_start_records.cpp
@@ -373,3 +373,96 @@
   CHECK(Endpoints.count(1) == 0);
   CHECK(Site.Node->state().findJob("j")->RunsLeft == 0);
 }
+
+// Guards against a next leader that takes an order on its way for executed.
+TEST_CASE("an answered start is recorded unless another copy may be open") {
+  auto State = makeBusyState();
+  CHECK(State.apply(record_answered_start{First, 2}, WallMs) ==
+        apply_outcome::Stale);
+  CHECK(State.apply(record_answered_start{{"k", 0, 0, 0}, 1}, WallMs) ==
+        apply_outcome::Stale);
+  CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+        apply_outcome::Accepted);
+  CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+        apply_outcome::Unchanged);
+  CHECK(State.findTask(First)->IsStartAnswered);
+  CHECK_FALSE(State.findTask(Second)->IsStartAnswered);
+  SECTION("a copy without an answer") {
+    CHECK(State.apply(record_open_start{First, 1}, WallMs) ==
+          apply_outcome::Accepted);
+    CHECK_FALSE(State.findTask(First)->IsStartAnswered);
+    CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+          apply_outcome::Stale);
+  }
+  SECTION("an open start of an ended incarnation") {
+    State.apply(end_endpoint{1, Crash, {First}}, WallMs);
+    CHECK_FALSE(State.findTask(First)->IsStartAnswered);
+    CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+          apply_outcome::Stale);
+  }
+  SECTION("the next incarnation takes the run over") {
+    State.apply(record_endpoint{makeEndpoint("e1", 2)}, WallMs);
+    CHECK_FALSE(State.findTask(First)->IsStartAnswered);
+    CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+          apply_outcome::Accepted);
+  }
+  SECTION("the next run") {
+    State.apply(end_run{First, 1, run_end::Lost, ""}, WallMs);
+    CHECK_FALSE(State.findTask(First)->IsStartAnswered);
+    CHECK(State.apply(record_answered_start{First, 1}, WallMs) ==
+          apply_outcome::Stale);
+    State.apply(start_run{First, 2, 1}, WallMs);
+    CHECK_FALSE(State.findTask(First)->IsStartAnswered);
+  }
+}
+
+// Guards against snapshots that differ between replicas of two versions while
+// no answer is recorded, and against a process that ends because of an odd
+// snapshot or entry.
+TEST_CASE("a recorded answer to a start is kept in a snapshot and adds no "
+          "bytes to other tasks") {
+  auto State = makeBusyState();
+  auto TaskOf = [](json &Snapshot, std::size_t Index) -> json & {
+    constexpr std::size_t JobsPart = 2, OccurrencesField = 9;
+    return Snapshot[JobsPart][0][OccurrencesField][0][1][0][0][Index];
+  };
+  constexpr std::size_t OldTaskFields = 6;
+  auto Snapshot = json::from_cbor(State.snapshot());
+  CHECK(TaskOf(Snapshot, 0).size() == OldTaskFields);
+  State.apply(record_answered_start{First, 1}, WallMs);
+  auto Bytes = State.snapshot();
+  Snapshot = json::from_cbor(Bytes);
+  REQUIRE(TaskOf(Snapshot, 0).size() == OldTaskFields + 2);
+  CHECK(TaskOf(Snapshot, 0).back() == true);
+  CHECK(TaskOf(Snapshot, 1).size() == OldTaskFields);
+  auto Restored = restored(Bytes);
+  CHECK(Restored.findTask(First)->IsStartAnswered);
+  CHECK_FALSE(Restored.findTask(Second)->IsStartAnswered);
+  CHECK(Restored.snapshot() == Bytes);
+  for (const json &Odd : {json(nullptr), json(1), json("x"), json::array()}) {
+    TaskOf(Snapshot, 0).back() = Odd;
+    auto OddBytes = toBytes(Snapshot);
+    CHECK(core::capture([&] {
+            return schedule_state::restore(OddBytes);
+          }).index() == 1);
+  }
+  State.apply(end_run{First, 1, run_end::Lost, ""}, WallMs);
+  Snapshot = json::from_cbor(State.snapshot());
+  CHECK(TaskOf(Snapshot, 0).size() == OldTaskFields);
+}
+
+TEST_CASE("odd entries for answered starts are refused") {
+  const std::size_t Type = command(record_answered_start{}).index();
+  // The index is part of the log format.
+  CHECK(Type == 16);
+  const json Key{"j", 0, 0, 0};
+  auto Entry = decodeBatch(toBytes({1, Type, {Key, 1}}));
+  REQUIRE(Entry);
+  CHECK(std::get<record_answered_start>(Entry->Commands.at(0)) ==
+        record_answered_start{First, 1});
+  for (const json &Odd :
+       {json(nullptr), json("j"), json::array(), json({Key}), json({Key, -1}),
+        json({Key, "1"}), json({Key, 1, 1}), json({1, Key}),
+        json({{"j", 0, 0}, 1}), json({{7, 0, 0, 0}, 1})})
+    CHECK_FALSE(decodeBatch(toBytes({1, Type, Odd})));
+}
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -39,8 +39,10 @@
   }
 
   /// Starts the task on e1, which does not answer the order if it is silent.
-  void startOnFirst() {
-    apply(submission(makeJob("j", {makeStep(1)})));
+  void startOnFirst(bool IsLongRunning = false) {
+    auto Step = makeStep(1);
+    Step.IsLongRunning = IsLongRunning;
+    apply(submission(makeJob("j", {Step})));
     apply(start_run{Task, 1, State.findEndpoint("e1")->Number});
     run(20ms);
   }
@@ -94,8 +96,11 @@
         Next = TimeOuts.erase(Next);
       }
       if (!HoldsCommits)
-        for (const auto &Command : Leader->takeCommands(Now, wallMs()))
+        for (const auto &Command : Leader->takeCommands(Now, wallMs())) {
+          AnswersRecorded +=
+              std::holds_alternative<record_answered_start>(Command);
           apply(Command);
+        }
     }
   }
   const task_record *task() const { return State.findTask(Task); }
@@ -119,6 +124,8 @@
   std::set<std::string> Mute;                   ///< Send no heartbeats.
   std::map<std::string, std::string> RowIds;    ///< Endpoint of each host.
   std::vector<std::string> Started; ///< Endpoints of the starts of Task.
+  int Stops = 0;                    ///< Orders to stop a run.
+  int AnswersRecorded = 0;          ///< Commands for answered starts.
   schedule_state State;
 
 private:
@@ -158,6 +165,7 @@
     const auto *Start = std::get_if<start_order>(&Order.Body);
     if (Start && Start->Task == Task)
       Started.push_back(Id);
+    Stops += std::holds_alternative<stop_order>(Order.Body);
     if (Live.count(Id) == 0 || Silent.count(Id) > 0) {
       TimeOuts.emplace(Now + Order.Timeout, Order.Id);
       return;
@@ -252,6 +260,144 @@
   CHECK(Site.isAssignedTo("e2"));
 }
 
+// Guards against a long-running task that has no run for 12 s because the next
+// leader does not know of the answer that its forerunner had.
+TEST_CASE("a long-running task whose start was answered starts elsewhere at "
+          "once when its endpoint is lost together with the leader") {
+  two_hosts Site;
+  Site.startOnFirst(true);
+  REQUIRE(Site.Lists["e1"].Running.size() == 1);
+  Site.run(100ms);
+  Site.crash("e1");
+  Site.changeLeader();
+  Site.run(4s);
+  CHECK_FALSE(Site.State.findEndpoint("e1"));
+  CHECK(Site.isAssignedTo("e2"));
+}
+
+// Guards against a log that grows with each start: the users' bound of other
+// tasks allows for the wait.
+TEST_CASE("answers to starts are recorded for long-running tasks only") {
+  two_hosts Site;
+  bool IsLongRunning = GENERATE(false, true);
+  Site.startOnFirst(IsLongRunning);
+  Site.run(2s);
+  CHECK(Site.task()->IsStartAnswered == IsLongRunning);
+  CHECK(Site.AnswersRecorded == (IsLongRunning ? 1 : 0));
+}
+
+// Guards against a copy whose answer is unknown when the endpoint is lost.
+TEST_CASE("the next leader sends no copy of a start that was answered") {
+  two_hosts Site;
+  Site.startOnFirst(true);
+  Site.run(100ms);
+  bool IsAtWork = GENERATE(true, false);
+  if (!IsAtWork)
+    Site.Lists["e1"].Running.clear();
+  Site.changeLeader();
+  Site.beat("e1");
+  Site.run(50ms);
+  CHECK(Site.Started.size() == 1);
+  Site.run(4s);
+  // Stopped and started again if the endpoint does not list it.
+  CHECK(Site.task()->Attempt == (IsAtWork ? 1 : 2));
+  CHECK(Site.Started.size() == (IsAtWork ? 1 : 2));
+}
+
+// Guards against a run without progress yet that counts as stalled since the
+// epoch of the clock.
+TEST_CASE("the next leader does not take an answered start for stalled") {
+  two_hosts Site;
+  Site.startOnFirst(true);
+  Site.run(100ms);
+  Site.Lists["e1"].Running.front().Percent = 0;
+  Site.changeLeader();
+  Site.run(2s);
+  CHECK(Site.task()->Attempt == 1);
+  CHECK(Site.Lists["e1"].Running.size() == 1);
+  CHECK(Site.Stops == 0);
+}
+
+TEST_CASE("a run that is seen at work before its answer was recorded is "
+          "recorded by the next leader") {
+  two_hosts Site;
+  Site.holdCommits();
+  Site.startOnFirst(true);
+  Site.run(100ms);
+  REQUIRE_FALSE(Site.task()->IsStartAnswered);
+  Site.changeLeader();
+  Site.releaseCommits();
+  Site.run(500ms);
+  CHECK(Site.task()->IsStartAnswered);
+  CHECK(Site.Started.size() == 1);
+}
+
+// Guards against a task that runs twice: the answer to one copy says nothing of
+// the others.
+TEST_CASE("the answer to a further copy of a start is not recorded") {
+  two_hosts Site;
+  Site.Silent = {"e1"};
+  Site.startOnFirst(true);
+  Site.run(3s);
+  Site.Silent.clear();
+  for (int Step = 0; Step != 300 && Site.Started.size() == 1; ++Step)
+    Site.run(10ms);
+  REQUIRE(Site.Started.size() == 2);
+  Site.run(100ms);
+  REQUIRE(Site.Lists["e1"].Running.size() == 1);
+  CHECK_FALSE(Site.task()->IsStartAnswered);
+  Site.crash("e1");
+  Site.changeLeader();
+  Site.run(4s);
+  CHECK(Site.State.findEndpoint("e1"));
+  CHECK(Site.isAssignedTo("e1"));
+}
+
+// Guards against a task that runs twice: answers to starts do not name the
+// incarnation, so that the recorded answer may be that of the next one.
+TEST_CASE("a start that the next incarnation has answered is not taken for "
+          "lost with the former one by the next leader") {
+  two_hosts Site;
+  bool HasEarlierList = GENERATE(false, true);
+  if (HasEarlierList) {
+    // A run on an endpoint that does not answer makes the leader list the
+    // hosts.
+    Site.startIncarnation("e3", 1);
+    Site.run(2s);
+    Site.apply(submission(makeJob("k", {makeStep(1)})));
+    Site.apply(
+        start_run{{"k", 0, 0, 0}, 1, Site.State.findEndpoint("e2")->Number});
+    Site.run(20ms);
+    Site.Silent = {"e2"};
+    Site.run(3s);
+  }
+  Site.crash("e1");
+  if (HasEarlierList) {
+    Site.holdLists();
+    for (int Step = 0; Step != 300 && !Site.hasHeldList(); ++Step)
+      Site.run(10ms);
+    REQUIRE(Site.hasHeldList());
+  }
+  Site.Mute = {"e1"};
+  Site.restart("e1", 2);
+  Site.startOnFirst(true);
+  Site.run(50ms);
+  REQUIRE(Site.Lists["e1"].Running.size() == 1);
+  REQUIRE(Site.task()->IsStartAnswered);
+  Site.changeLeader();
+  if (HasEarlierList)
+    Site.releaseList();
+  Site.run(5s);
+  CHECK(Site.Started.size() == 1);
+  Site.Mute.clear();
+  Site.run(2s);
+  CHECK(Site.isAssignedTo("e1"));
+  CHECK(Site.task()->Attempt == 1);
+  CHECK(Site.Started.size() == 1);
+  // Seen in a list of the incarnation that runs it.
+  CHECK(Site.task()->IsStartAnswered);
+}
+
 TEST_CASE("the wait for an order that an earlier leader may have sent does not "
           "begin anew with the next leader") {
   two_hosts Site;
