Keep long-running gangs at work in simulated endpoints

Cause: fake_site gave the members of each complete gang a time at which they end as done, also those of a long-running step, whose tasks never end by themselves. The leader started such a gang again, and the check that no task starts after its completion was recorded aborted the play.

Change: members of a long-running gang run on until an order, a crash or the end of another member. The same random numbers are drawn, so that plays without such gangs stay as they were.

Evidence: a trial with a long-running gang of two tasks on three endpoints ended with SIGABRT before and runs to its end now. No test had one.

--- a/tests/scheduling/fake_site.cpp
+++ b/tests/scheduling/fake_site.cpp
@@ -371,6 +371,8 @@
   for (auto &[Key, Gang] : Gangs) {
     bool IsComplete = Gang.Members.size() == Gang.Count;
     auto EndsMs = NowMs + 200 + static_cast<std::int64_t>(Random() % 1500);
+    if (State.findJob(Key.first.Job)->Spec.Steps[Key.first.Step].IsLongRunning)
+      EndsMs = Never;
     // A member that crashes its endpoint does so before the gang is done.
     for (const auto &[Endpoint, Task] : Gang.Members)
       if (Endpoint->Running[Task].CrashesMs != 0)
