Answer polls before long-running starts in two test harnesses

Cause: start_harness in test_leader_stops expected a long-running task to be assigned before its endpoint had answered anything, and the case about orders without a result in test_pool_blockage expected the same of an endpoint that answers nothing. Neither holds once a leader asks an endpoint before it commits a long-running start.

Change: start_harness answers the first polls, as endpoints do, and the other case commits the start itself. What they check is unchanged.

--- a/tests/scheduling/test_leader_stops.cpp
+++ b/tests/scheduling/test_leader_stops.cpp
@@ -67,6 +67,10 @@
     submit_job Submit = submission(makeJob("l", {Step}));
     Leader->recordApplied(Submit, State.apply(Submit, 1000), Now);
     commit();
+    // A long-running task starts only on an endpoint that has answered.
+    advance(20ms);
+    answer<poll_order>(listing({}));
+    commit();
     REQUIRE(State.findTask(Task)->Endpoint != 0);
   }
 
--- a/tests/scheduling/test_pool_blockage.cpp
+++ b/tests/scheduling/test_pool_blockage.cpp
@@ -85,6 +85,9 @@
   Site.run(1600);
   Site.setFaults({1000, 0, 0});
   Site.apply(submission(makeJob("j", {longRunningStep(1, 1000)})));
+  // A leader starts it only on an endpoint that has just answered.
+  Site.apply(
+      start_run{{"j", 0, 0, 0}, 1, Site.State.findEndpoint("e1")->Number});
   // Shorter than the lease, after which the run is lost.
   auto Pools = observe(Site, 3);
   REQUIRE(Pools.size() == 1);
