Ask an endpoint before a long-running start is committed to it

Cause: placement accepts an endpoint until three heartbeats are missing, 4.5 s. A long-running task was committed to an endpoint that had lost power before; its order had no answer and may be executed for 12 s, so that the task waited that long beside free endpoints.

Change: a start of a long-running step is committed only to an endpoint whose last answer is at most 500 ms old, or came after the round before. Any other endpoint gets a contact check, a poll without lease, cursor and wait, and its answer makes placement due. All members of a gang wait if one does. A check that has no answer for 150 ms leaves its endpoint out for long-running steps until it answers; one that times out after 700 ms makes it suspect, as other orders do. Nothing is withdrawn. Tasks that wait have a place, so that no host moves for them; task_unserved names "contact" for them, per task.

--- a/scheduling/leader.cpp
+++ b/scheduling/leader.cpp
@@ -779,6 +779,9 @@
     return mayBeOnOrderedHost(Endpoint, Now) ||
            mayBeMovedByEarlierLeader(Endpoint, Now);
   };
+  Request.IsUnanswered = [this, Now](std::uint32_t Endpoint) {
+    return isUnanswered(TrackedEndpoints.find(Endpoint)->second, Now);
+  };
   Request.IsAllowed = [this, Now](const task_key &Key, const job_record &Job,
                                   std::uint32_t Endpoint) {
     return isAllowed(Key, Job, Endpoint, Now);
@@ -801,6 +804,7 @@
     IsPlacementDue = true;
     return;
   }
+  PlacementBefore = std::exchange(LastPlacement, Now);
   NextPlacement = Now + PlacementInterval;
   EarliestPlacement = Now + MinPlacementInterval;
   std::erase_if(DeferredTasks,
@@ -867,9 +871,12 @@
       return Shares.levelOf(Pool, Workspace);
     };
   }
-  std::set<task_key> Placed;
-  for (auto &Placement : placeRuns(
-           Waiting, Waiting.stepsOf(State.suspectJobs()), Targets, Request)) {
+  auto Placements = placeRuns(Waiting, Waiting.stepsOf(State.suspectJobs()),
+                              Targets, Request);
+  // They have a place, so that no host moves for them.
+  auto Held = holdForContact(Placements, Now);
+  std::set<task_key> Placed(Held.begin(), Held.end());
+  for (auto &Placement : Placements) {
     recordRunsChanged(Placement.Start.Endpoint);
     Placed.insert(Placement.Start.Task);
     Commands.emplace_back(std::move(Placement.Start));
@@ -895,7 +902,8 @@
                          Index};
             Tasks[Index].isWaiting() && Placed.count(Key) == 0 &&
             !isSuspectTask(*Step.Job, Key) &&
-            failureOf(Key) != placement_failure::WorkspaceLimit)
+            failureOf(Key) != placement_failure::WorkspaceLimit &&
+            failureOf(Key) != placement_failure::Contact)
           Hosts.UnplaceableAt[Pool] = Now;
     }
 }
--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -232,6 +232,28 @@
   /// heartbeats contradict each other.
   void verify(tracked_endpoint &Tracked, core::time_point Now);
 
+  // leader_contact.cpp
+  /// \returns whether the endpoint has answered recently enough for the start
+  /// of a long-running task.
+  bool isInContact(const tracked_endpoint &Tracked, core::time_point Now) const;
+  /// \returns whether the endpoint has not answered a contact check in time, so
+  /// that another one is asked.
+  bool isUnanswered(const tracked_endpoint &Tracked,
+                    core::time_point Now) const;
+  /// Makes the next takeOrders() ask the endpoint for an answer.
+  void requestContact(tracked_endpoint &Tracked);
+  /// Takes out the placements of long-running tasks on endpoints that have not
+  /// answered recently, and all members of their gangs, and asks these
+  /// endpoints for an answer.
+  /// \param [in,out] Placements what a round decided.
+  /// \returns the tasks that were taken out.
+  std::vector<task_key> holdForContact(std::vector<placement> &Placements,
+                                       core::time_point Now);
+  void addContactCheck(tracked_endpoint &Tracked, std::vector<order> &Orders,
+                       core::time_point Now);
+  void finishContactCheck(tracked_endpoint &Tracked, const order_result &Result,
+                          core::time_point Now);
+
   // leader_load.cpp
   /// Whether a pool has an endpoint that accepts new runs, by pool.
   using pool_flags = std::map<std::string, bool>;
@@ -408,6 +430,14 @@
                    core::time_point Now);
   void finishStop(tracked_endpoint &Tracked, const stop_order &Order,
                   const order_result &Result, core::time_point Now);
+  /// Records the answer to a poll, or that there is none.
+  /// \param What the kind of the poll, for the log.
+  /// \returns the answer if the tracked incarnation has obeyed the poll, or
+  /// null.
+  const endpoint_answer *recordPollAnswer(tracked_endpoint &Tracked,
+                                          std::string_view What,
+                                          const order_result &Result,
+                                          core::time_point Now);
   void finishPoll(tracked_endpoint &Tracked, const poll_order &Order,
                   const order_result &Result, core::time_point SentAt,
                   core::time_point Now);
@@ -873,6 +903,8 @@
   bool IsPlacementDue = true;
   core::time_point NextPlacement{}; ///< Due even without an event.
   core::time_point EarliestPlacement{};
+  core::time_point LastPlacement{};   ///< Of the present or last round.
+  core::time_point PlacementBefore{}; ///< Of the round before that.
   core::time_point NextLostCheck{};
   /// An incarnation that ended without an order.
   struct unplanned_end {
--- a/scheduling/leader_blockage.cpp
+++ b/scheduling/leader_blockage.cpp
@@ -178,6 +178,8 @@
     return "spread";
   case placement_failure::OrderedHost:
     return "ordered_host";
+  case placement_failure::Contact:
+    return "contact";
   case placement_failure::Advice:
     return "advice";
   case placement_failure::GangRoom:
--- a/scheduling/leader_load.cpp
+++ b/scheduling/leader_load.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/pool_blockage.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -90,15 +91,19 @@
 }
 
 std::optional<placement_failure> leader::failureOf(task_key Task) const {
-  // One entry for a step, of its first waiting task.
-  auto First = Task;
-  First.Index = 0;
-  auto Found = LastRound.LongRunning.lower_bound(First);
-  if (Found == LastRound.LongRunning.end())
-    return std::nullopt;
-  auto Other = Found->first;
-  Other.Index = Task.Index;
-  return Other == Task ? std::optional(Found->second) : std::nullopt;
+  // An entry for each task that waits for contact, and one for the first of the
+  // other tasks of a step.
+  auto IsOfStep = [&](task_key Other) {
+    Other.Index = Task.Index;
+    return Other == Task;
+  };
+  const auto &Failures = LastRound.LongRunning;
+  auto Later = Failures.upper_bound(Task);
+  if (Later != Failures.begin() && IsOfStep(std::prev(Later)->first))
+    return std::prev(Later)->second;
+  if (Later != Failures.end() && IsOfStep(Later->first))
+    return Later->second;
+  return std::nullopt;
 }
 
 void leader::describeEndpointOf(unserved_task &Task,
--- a/scheduling/leader_orders.cpp
+++ b/scheduling/leader_orders.cpp
@@ -177,6 +177,7 @@
     addRunOrders(Tracked, Orders, Now);
     addThrottleOrders(Tracked, Orders, Now);
   }
+  addContactCheck(Tracked, Orders, Now);
   addPollOrder(Tracked, Orders, Now);
   Tracked.DueAt = nextOrderTime(Tracked, Endpoint->second, Now);
 }
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -119,6 +119,8 @@
     finishStart(Tracked->second, *Start, Result, Pending.SentAt, Now);
   else if (const auto *Stop = std::get_if<stop_order>(&Pending.Order.Body))
     finishStop(Tracked->second, *Stop, Result, Now);
+  else if (Tracked->second.PendingContactCheck == Result.Id)
+    finishContactCheck(Tracked->second, Result, Now);
   else if (const auto *Poll = std::get_if<poll_order>(&Pending.Order.Body))
     finishPoll(Tracked->second, *Poll, Result, Pending.SentAt, Now);
   else if (const auto *Throttle =
@@ -330,25 +332,34 @@
   Found->second.VisibleSince = Now;
 }
 
-void leader::finishPoll(tracked_endpoint &Tracked, const poll_order &Order,
-                        const order_result &Result, core::time_point SentAt,
-                        core::time_point Now) {
-  if (Tracked.PendingPoll == Result.Id)
-    Tracked.PendingPoll.reset();
+const endpoint_answer *leader::recordPollAnswer(tracked_endpoint &Tracked,
+                                                std::string_view What,
+                                                const order_result &Result,
+                                                core::time_point Now) {
   const auto *Answer = std::get_if<endpoint_answer>(&Result.Answer);
   if (!Answer) {
-    recordNoAnswer(Tracked, "hold", std::get<no_answer>(Result.Answer), Now);
-    return;
+    recordNoAnswer(Tracked, What, std::get<no_answer>(Result.Answer), Now);
+    return nullptr;
   }
   // An endpoint that refuses polls renews no lease and shows no run, like one
   // that is out of reach. Otherwise its runs would never count as lost.
   if (isRefusal(Answer->Verdict)) {
-    recordNoAnswer(Tracked, "hold", {false, std::string(name(Answer->Verdict))},
+    recordNoAnswer(Tracked, What, {false, std::string(name(Answer->Verdict))},
                    Now);
-    return;
+    return nullptr;
   }
-  if (!recordAnswer(Tracked, *Answer, Now) ||
-      Answer->Verdict != endpoint_verdict::Accepted)
+  bool IsAccepted = recordAnswer(Tracked, *Answer, Now) &&
+                    Answer->Verdict == endpoint_verdict::Accepted;
+  return IsAccepted ? Answer : nullptr;
+}
+
+void leader::finishPoll(tracked_endpoint &Tracked, const poll_order &Order,
+                        const order_result &Result, core::time_point SentAt,
+                        core::time_point Now) {
+  if (Tracked.PendingPoll == Result.Id)
+    Tracked.PendingPoll.reset();
+  const auto *Answer = recordPollAnswer(Tracked, "hold", Result, Now);
+  if (!Answer)
     return;
   Tracked.ConfirmedCursor = std::max(Tracked.ConfirmedCursor, Order.Cursor);
   Tracked.ListsConfirmedEnds = std::any_of(
--- a/scheduling/placement_report.h
+++ b/scheduling/placement_report.h
@@ -21,6 +21,7 @@
   Reserved,       ///< Only endpoints reserved for suspects have room.
   Spread,         ///< The limit of tasks of the step on each endpoint.
   OrderedHost,    ///< An order may still interrupt each host with room.
+  Contact,        ///< An endpoint with room has not answered recently.
   Advice,         ///< No valid ticket of the adviser.
   GangRoom,       ///< Not all members of the gang fit at the same time.
   Deferred,       ///< Waits after a refused start.
--- a/scheduling/placer.cpp
+++ b/scheduling/placer.cpp
@@ -57,6 +57,7 @@
 struct endpoint_answers {
   std::optional<bool> IsSchedulable;
   std::optional<bool> MayBeInterrupted;
+  std::optional<bool> IsUnanswered;
 };
 
 using target_list = std::vector<placement_target *>;
@@ -420,7 +421,7 @@
       Reason = reasonOf(Waiting, Spec, Key, Pool.Targets);
     // Each member of the gang has a place, but not all at the same time.
     if (Reason == placement_failure::Count)
-      Reason = placement_failure::GangRoom;
+      Reason = gangFailure(Waiting, Spec, Key, Pool.Targets);
     recordFailure(Waiting, Spec, Key, Reason);
     if (HasRoom)
       return Pool.Targets.size();
@@ -442,7 +443,7 @@
            (Spec.RequiredLabel.empty() ||
             hasLabel(Target, Spec.RequiredLabel)) &&
            isSchedulable(Target) &&
-           (!Spec.IsLongRunning || !mayBeInterrupted(Target));
+           (!Spec.IsLongRunning || acceptsLongRunning(Target));
   }
 
   std::optional<std::uint32_t> endpointFor(const waiting_step &Waiting,
@@ -491,7 +492,7 @@
            (Rack.empty() || Target.Rack == Rack) && isSchedulable(Target) &&
            (!Request.IsAllowed ||
             Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint)) &&
-           (!Spec.IsLongRunning || !mayBeInterrupted(Target));
+           (!Spec.IsLongRunning || acceptsLongRunning(Target));
   }
 
   bool isSchedulable(const placement_target &Target) const {
@@ -512,6 +513,19 @@
     return *Answer;
   }
 
+  bool isUnanswered(const placement_target &Target) const {
+    if (!Request.IsUnanswered)
+      return false;
+    auto &Answer = Answers[Target.Endpoint].IsUnanswered;
+    if (!Answer)
+      Answer = Request.IsUnanswered(Target.Endpoint);
+    return *Answer;
+  }
+
+  bool acceptsLongRunning(const placement_target &Target) const {
+    return !mayBeInterrupted(Target) && !isUnanswered(Target);
+  }
+
   /// Records that the step ended with a task without a place.
   void recordFailure(const waiting_step &Waiting, const step_spec &Spec,
                      const task_key &Key, placement_failure Reason) {
@@ -541,6 +555,8 @@
     }
     if (Spec.IsLongRunning && mayBeInterrupted(Target))
       return placement_failure::OrderedHost;
+    if (Spec.IsLongRunning && isUnanswered(Target))
+      return placement_failure::Contact;
     if (Request.IsAllowed &&
         !Request.IsAllowed(Key, *Waiting.Job, Target.Endpoint))
       return placement_failure::Advice;
@@ -560,6 +576,20 @@
     return Last;
   }
 
+  /// \returns why a gang has no place although each member has one.
+  placement_failure gangFailure(const waiting_step &Waiting,
+                                const step_spec &Spec, const task_key &Key,
+                                const target_list &Pool) const {
+    bool HasUnanswered =
+        std::any_of(Pool.begin(), Pool.end(), [&](const auto *Target) {
+          return reasonOn(Waiting, Spec, Key, *Target) ==
+                     placement_failure::Contact &&
+                 isSchedulable(*Target);
+        });
+    return HasUnanswered ? placement_failure::Contact
+                         : placement_failure::GangRoom;
+  }
+
   bool placeMembers(const waiting_step &Waiting, const step_spec &Spec,
                     const target_list &Pool, const std::string &Rack,
                     std::uint32_t Attempt) {
--- a/scheduling/placer.h
+++ b/scheduling/placer.h
@@ -86,6 +86,9 @@
   /// long-running task may start there. Asked at most once in a round for each
   /// endpoint. May be empty.
   std::function<bool(std::uint32_t)> MayBeInterrupted;
+  /// Whether the endpoint is left out for long-running tasks until it answers.
+  /// Asked at most once in a round for each endpoint. May be empty.
+  std::function<bool(std::uint32_t)> IsUnanswered;
   /// Whether the task may run on the endpoint, for queues that require advice.
   /// May be empty.
   std::function<bool(const task_key &, const job_record &, std::uint32_t)>
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -193,6 +193,10 @@
   std::vector<end_run> PendingEnds;
   std::optional<std::uint64_t> PendingPoll; ///< Id of the unanswered order.
   core::time_point NextPoll{};
+  /// A long-running task waits for an answer, see leader::requestContact().
+  bool IsContactCheckDue = false;
+  std::optional<std::uint64_t> PendingContactCheck; ///< Id of the order.
+  core::time_point ContactCheckSentAt{};            ///< While it is pending.
 
   /// When orders are collected next; an event makes it earlier.
   core::time_point DueAt{};
