Check the next run of long-running tasks beside a row without a name

A list of hosts with a row without a name is never whole. Suspected: the end of an endpoint is then never proved, and its long-running tasks stand for more than the 9 s that callers are promised. Not so: the row of the endpoint's own host proves its end, and where that row is the one without a name, its lease does.

The test ends five endpoints one after the other, by a deregistration or a loss of power, beside short jobs; one of their hosts has no name in any list. The endpoints of the harness can lose power and be hidden in lists.

--- a/tests/scheduling/leased_endpoints.cpp
+++ b/tests/scheduling/leased_endpoints.cpp
@@ -108,13 +108,20 @@
 
 hosts_answer leased_endpoints::listHosts() const {
   hosts_answer Page;
+  if (HasUnnamedRow)
+    Page.UnreadableHosts.emplace_back();
   for (const auto &[Id, Endpoint] : Endpoints) {
+    if (Endpoint.IsNameHidden) {
+      Page.UnreadableHosts.emplace_back();
+      continue;
+    }
     host_row Row;
     Row.Name = "host-" + Id;
     Row.Pool = Endpoint.Facts.Pool;
     Row.Capacity = Endpoint.Facts.Capacity;
-    if (Endpoint.Reachability != reachability::Refuses ||
-        Now - Endpoint.ExitedAt < ListLag) {
+    bool HasEnded =
+        !Endpoint.HasPower || Endpoint.Reachability == reachability::Refuses;
+    if (!HasEnded || Now - Endpoint.ExitedAt < ListLag) {
       Row.State = host_state::Up;
       Row.EndpointId = Id;
     }
@@ -185,6 +192,14 @@
   Endpoints[Id].Running.clear();
 }
 
+void leased_endpoints::powerOff(const std::string &Id) {
+  auto &Endpoint = Endpoints[Id];
+  Endpoint.Reachability = reachability::Silent;
+  Endpoint.HasPower = false;
+  Endpoint.ExitedAt = Now;
+  Endpoint.Running.clear();
+}
+
 void leased_endpoints::refuse(const std::string &Id) {
   Endpoints[Id].Reachability = reachability::Refuses;
 }
--- a/tests/scheduling/leased_endpoints.h
+++ b/tests/scheduling/leased_endpoints.h
@@ -23,6 +23,15 @@
   /// Ends an endpoint: nothing listens at its address any more, and its host is
   /// listed as down 2 s later.
   void exit(const std::string &Id);
+  /// Ends an endpoint whose host loses power for good: nothing answers at its
+  /// address any more, and its host is listed as down 2 s later.
+  void powerOff(const std::string &Id);
+  /// Adds a row without a name to each list of hosts.
+  void addUnnamedRow() { HasUnnamedRow = true; }
+  /// Lists the host of an endpoint by a row without a name only.
+  void hideHostName(const std::string &Id) {
+    Endpoints[Id].IsNameHidden = true;
+  }
   /// Cuts an endpoint off: nothing arrives there, and nothing from there.
   void cutOff(const std::string &Id);
   /// Ends the cut of an endpoint.
@@ -69,7 +78,9 @@
     endpoint_facts Facts;
     std::uint64_t Sequence = 0;
     reachability Reachability = reachability::Answers;
-    core::time_point ExitedAt{}; ///< While it refuses connections.
+    core::time_point ExitedAt{}; ///< Once it has ended.
+    bool HasPower = true;
+    bool IsNameHidden = false; ///< In lists of hosts.
     std::uint64_t ClockPercent = 100;
     std::uint64_t Fence = 0;
     std::uint64_t LeaseMs = 0; ///< End of its lease, by its clock.
@@ -93,6 +104,7 @@
 
   core::duration MaxRunTime{}; ///< Zero: runs do not end by themselves.
   std::string UnfinishedJob;
+  bool HasUnnamedRow = false;
   std::set<task_key> ConfirmedDone;
   std::map<std::string, fake_endpoint> Endpoints;
 };
--- a/tests/scheduling/test_unreadable_hosts.cpp
+++ b/tests/scheduling/test_unreadable_hosts.cpp
@@ -1,10 +1,17 @@
+#include "restartable_scheduler.h"
 #include "schedule_fixture.h"
 #include "scheduling/leader.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace lycheetrestle;
 using namespace lycheetrestle::scheduling;
@@ -94,6 +101,104 @@
   std::optional<leader> Leader;
 };
 
+// The users' bound for the next run of a long-running task.
+constexpr core::duration NextRunBound = 9s;
+constexpr core::duration BeatInterval = 1500ms;
+constexpr core::duration JobInterval = 300ms;
+constexpr std::uint32_t TaskCount = 6;
+const std::string LastingJob = "lasting";
+
+/// Endpoints that end one after the other and are replaced, on hosts of which
+/// one has no name in any list, and long-running tasks beside short ones.
+class unnamed_site {
+public:
+  explicit unnamed_site(std::uint64_t Seed) : Random(Seed), Site(true) {
+    Site.addUnnamedRow();
+    for (int Index = 0; Index != 5; ++Index)
+      addEndpoint();
+    Site.hideHostName(Endpoints.front().Id);
+    Site.finishRuns(500ms, LastingJob);
+    advance(100ms);
+    auto Step = makeStep(TaskCount, 2000);
+    Step.IsLongRunning = true;
+    Site.call(
+        submit_call{Host, Prefix + LastingJob, makeJob(LastingJob, {Step})});
+    advance(3s);
+    REQUIRE(LastRun.size() == TaskCount);
+  }
+
+  /// Ends each of the first endpoints, in a random order, and plays 12 s after
+  /// each end.
+  void endAll() {
+    std::vector<std::string> Ids;
+    for (const auto &Endpoint : Endpoints)
+      Ids.push_back(Endpoint.Id);
+    std::shuffle(Ids.begin(), Ids.end(), Random);
+    for (const auto &Id : Ids) {
+      advance(std::chrono::milliseconds(Random() % 2000));
+      addEndpoint();
+      bool IsLost = Random() % 2 == 0;
+      if (!IsLost) {
+        Site.call(deregister_call{Id});
+        advance(50ms);
+      }
+      std::erase_if(Endpoints, [&](const endpoint &Endpoint) {
+        return Endpoint.Id == Id;
+      });
+      for (std::uint32_t Index = 0; Index != TaskCount; ++Index)
+        Interruptions += Site.isRunning({LastingJob, 0, 0, Index}, Id);
+      if (IsLost)
+        Site.powerOff(Id);
+      else
+        Site.exit(Id);
+      advance(12s);
+    }
+  }
+
+  core::duration LongestGap{};   ///< Of a long-running task without a run.
+  std::size_t Interruptions = 0; ///< Runs that ended with their endpoint.
+  std::size_t concurrentRuns() const { return Site.MaxConcurrentRuns; }
+
+private:
+  struct endpoint {
+    std::string Id;
+    core::time_point NextBeat{};
+  };
+
+  void addEndpoint() {
+    Endpoints.push_back({"e" + std::to_string(++LastEndpoint), Site.Now});
+  }
+
+  void advance(core::duration Time) {
+    for (auto End = Site.Now + Time; Site.Now < End;) {
+      for (auto &Endpoint : Endpoints)
+        if (Site.Now >= Endpoint.NextBeat) {
+          Site.beat(Endpoint.Id);
+          Endpoint.NextBeat = Site.Now + BeatInterval;
+        }
+      if (Site.Now >= NextJob) {
+        auto Id = "s" + std::to_string(++LastJob);
+        Site.call(submit_call{Host, Prefix + Id, makeJob(Id, {makeStep(2)})});
+        NextJob = Site.Now + JobInterval;
+      }
+      Site.run(10ms);
+      for (std::uint32_t Index = 0; Index != TaskCount; ++Index)
+        if (Site.isRunning({LastingJob, 0, 0, Index}))
+          LastRun[Index] = Site.Now;
+        else if (LastRun.count(Index) > 0)
+          LongestGap = std::max(LongestGap, Site.Now - LastRun[Index]);
+    }
+  }
+
+  std::mt19937_64 Random;
+  restartable_scheduler Site;
+  std::vector<endpoint> Endpoints;
+  int LastEndpoint = 0;
+  int LastJob = 0;
+  core::time_point NextJob{};
+  std::map<std::uint32_t, core::time_point> LastRun;
+};
+
 } // namespace
 
 // Guards against work that waits for ever for a host that is gone: it counted
@@ -110,3 +215,20 @@
     CHECK(Site.IsHostOrdered);
   }
 }
+
+// Guards against tasks that wait for a whole list of hosts, which never comes
+// while one row has no name.
+TEST_CASE("long-running tasks of endpoints that end run again in time although "
+          "a row has no name") {
+  auto Seed = GENERATE(range(1, 31));
+  CAPTURE(Seed);
+  unnamed_site Site(static_cast<std::uint64_t>(Seed));
+  Site.endAll();
+  INFO("longest gap " << std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Site.LongestGap)
+                             .count()
+                      << " ms");
+  CHECK(Site.Interruptions >= TaskCount);
+  CHECK(Site.LongestGap < NextRunBound);
+  CHECK(Site.concurrentRuns() == 1);
+}
