Let a row of the newest list show that a start can no longer be executed

A task whose start had no answer waited for the longest lease, 10 s beyond the time in which the order may be executed, when its host was listed as down in lists that were never whole, for example because of one row without a name.

Cause: the proof that no later incarnation executes the order used the time of the newest whole list. Only the row of the endpoint's own host is looked at, and what a whole list adds to it is that this row is no older one that was kept. The row now counts from the request of the newest list that shows it; a kept row counts no more than before.

Test: "a task whose start has no answer waits for the order and the row of its host, not for a list without unnamed rows" failed before, 11 s after the end was recorded:

test_open_starts.cpp:382: FAILED: CHECK( Site.isAssignedTo("e2") ) with expansion: false

Its second section, in which the row without a name may be that of the host, passes before and after: the task then waits for the lease.

--- a/scheduling/end_proof.h
+++ b/scheduling/end_proof.h
@@ -41,8 +41,8 @@
   core::time_point LeaseExpiry{}; ///< All leases issued have expired by then.
   /// Another endpoint answers at its address or is listed on its host.
   bool IsSucceeded = false;
-  /// When the newest whole list of hosts was requested, if that list does not
-  /// show it at work; otherwise zero.
+  /// When the newest list of hosts was requested, if its row of the host does
+  /// not show it at work; otherwise zero.
   core::time_point UnlistedAt{};
 };
 
--- a/scheduling/host_inventory.h
+++ b/scheduling/host_inventory.h
@@ -54,10 +54,8 @@
 struct host_inventory {
   core::indexed_map<std::string, host_row> Hosts;              ///< By name.
   std::unordered_map<std::string, std::string> HostOfEndpoint; ///< By id.
-  core::time_point ListedAt{}; ///< When the newest whole list was requested.
-  /// The same for the newest list in which every host could be read.
-  core::time_point WholeListedAt{};
-  bool IsNewList = false; ///< Its endpoints are still to be recorded.
+  core::time_point ListedAt{}; ///< When the newest list was requested.
+  bool IsNewList = false;      ///< Its endpoints are still to be recorded.
   /// Hosts whose rows are of an earlier list than the newest one.
   std::set<std::string> KeptHosts;
   core::indexed_map<std::string, core::time_point>
--- a/scheduling/leader_hosts.cpp
+++ b/scheduling/leader_hosts.cpp
@@ -594,8 +594,6 @@
         Hosts.Hosts.emplace(Name, std::move(Row)).second)
       Hosts.KeptHosts.insert(Name);
   Hosts.ListedAt = Hosts.ListStartedAt;
-  if (IsWhole && Hosts.UnreadableHosts.empty())
-    Hosts.WholeListedAt = Hosts.ListStartedAt;
   Hosts.IsNewList = true;
   Hosts.HostOfEndpoint.clear();
   for (const auto &[Name, Row] : Hosts.Hosts)
--- a/scheduling/leader_open_starts.cpp
+++ b/scheduling/leader_open_starts.cpp
@@ -202,8 +202,10 @@
     return Evidence;
   Evidence.IsSucceeded = isSucceeded(Tracked);
   const auto *Row = Hosts.find(Tracked.Host);
-  if (Row && (Row->State != host_state::Up || Row->EndpointId != Tracked.Id))
-    Evidence.UnlistedAt = Hosts.WholeListedAt;
+  // A list need not be whole: its row of the host is enough.
+  if (Row && Hosts.KeptHosts.count(Tracked.Host) == 0 &&
+      (Row->State != host_state::Up || Row->EndpointId != Tracked.Id))
+    Evidence.UnlistedAt = Hosts.ListedAt;
   return Evidence;
 }
 
--- a/tests/scheduling/test_open_starts.cpp
+++ b/tests/scheduling/test_open_starts.cpp
@@ -123,6 +123,8 @@
   std::set<std::string> Silent;                 ///< Answer nothing.
   std::set<std::string> Mute;                   ///< Send no heartbeats.
   std::map<std::string, std::string> RowIds;    ///< Endpoint of each host.
+  std::set<std::string> HiddenRows;             ///< Endpoints without a row.
+  bool HasUnnamedRow = false;                   ///< In each list of hosts.
   std::vector<std::string> Started; ///< Endpoints of the starts of Task.
   int Stops = 0;                    ///< Orders to stop a run.
   int AnswersRecorded = 0;          ///< Commands for answered starts.
@@ -146,7 +148,11 @@
   void send(order Order) {
     if (std::holds_alternative<list_hosts_order>(Order.Body)) {
       hosts_answer Page;
+      if (HasUnnamedRow)
+        Page.UnreadableHosts = {""};
       for (const auto &[Id, RowId] : RowIds) {
+        if (HiddenRows.count(Id) > 0)
+          continue;
         host_row Row;
         Row.Name = "h" + Id.substr(1);
         Row.Pool = "a";
@@ -509,6 +515,25 @@
   CHECK_FALSE(Site.State.findEndpoint("e1"));
 }
 
+// Guards against a wait for the longest lease, 10 s more, because no list is
+// whole.
+TEST_CASE("a task whose start has no answer waits for the order and the row of "
+          "its host, not for a list without unnamed rows") {
+  unanswered_start Site;
+  Site.HasUnnamedRow = true;
+  SECTION("the lists show the host as down") {
+    Site.run(8s);
+    CHECK(Site.isAssignedTo("e1"));
+    Site.run(3s);
+    CHECK(Site.isAssignedTo("e2"));
+  }
+  SECTION("the row without a name may be that of the host") {
+    Site.HiddenRows = {"e1"};
+    Site.run(15s);
+    CHECK(Site.isAssignedTo("e1"));
+  }
+}
+
 TEST_CASE("a task whose start has no answer starts elsewhere at once when "
           "another endpoint has taken the host") {
   two_hosts Site;
