Ask all members of a long-running gang that waits for contact

Cause: a held gang asked only the endpoints without a recent answer. With rounds of placement further apart than an answer counts as recent, the answers of the others were too old in the next round, and the gang waited without end (found by the review). Change: each endpoint of a held gang is asked. Result: the test, now also with a gang, failed before (test_contact_checks.cpp:166, { } == { "e1", "e2" }) and passes.

--- a/scheduling/leader_contact.cpp
+++ b/scheduling/leader_contact.cpp
@@ -71,12 +71,11 @@
   std::vector<task_key> Held;
   std::erase_if(Placements, [&](const placement &Placement) {
     const auto &Start = Placement.Start;
-    bool HasNoContact = IsHeld(Placement);
-    if (!HasNoContact && HeldGangs.count(FirstOf(Start.Task)) == 0)
+    if (!IsHeld(Placement) && HeldGangs.count(FirstOf(Start.Task)) == 0)
       return false;
     auto &Tracked = TrackedEndpoints.find(Start.Endpoint)->second;
-    if (HasNoContact)
-      requestContact(Tracked);
+    // Also the other members of a gang: all answers have to be recent at once.
+    requestContact(Tracked);
     // Its free capacity is reduced by the placement.
     Tracked.IsCapacityStale = true;
     auto &Counts = LastRound.Pools[State.findJob(Start.Task.Job)->Pool];
--- a/tests/scheduling/test_contact_checks.cpp
+++ b/tests/scheduling/test_contact_checks.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -107,43 +108,60 @@
   CHECK(Site.Starts == 2);
 }
 
-// Guards against an answer that is too old whenever the next round comes.
-TEST_CASE("a long-running task starts although rounds of placement are further "
+// Guards against answers that are too old whenever the next round comes.
+TEST_CASE("long-running tasks start although rounds of placement are further "
           "apart than an answer counts as recent") {
+  bool IsGang = GENERATE(false, true);
   core::time_point Now{1000s};
   core::metrics_registry Metrics;
   auto State = makeState(0);
   leader Leader(leader_settings(), 1, State, Metrics, Now);
+  std::uint64_t ClockMs = 5000;
   auto Apply = [&](const command &Command) {
     Leader.recordApplied(Command, State.apply(Command, 1'000'000), Now);
   };
-  endpoint_heartbeat Heartbeat;
-  Heartbeat.Facts = makeEndpoint("e1");
-  Heartbeat.Facts.Address = core::network_address::parse("10.0.0.1:80");
-  Heartbeat.Sequence = 1;
-  Heartbeat.ClockMs = 5000;
-  Leader.recordHeartbeat(Heartbeat, Now);
-  Apply(record_endpoint{Heartbeat.Facts});
-  Apply(submission(makeLongRunningJob("j", 1)));
-  bool IsStarted = false;
-  for (int Step = 0; Step != 5; ++Step, Now += 800ms) {
-    ++Heartbeat.Sequence;
-    Heartbeat.ClockMs += 800;
-    Leader.recordHeartbeat(Heartbeat, Now);
+  auto Beat = [&](const std::string &Id) {
+    endpoint_heartbeat Heartbeat;
+    Heartbeat.Facts = makeEndpoint(Id);
+    Heartbeat.Facts.Address =
+        core::network_address::parse("10.0.0." + Id.substr(1) + ":80");
+    Heartbeat.Sequence = ClockMs;
+    Heartbeat.ClockMs = ClockMs;
+    if (!Leader.recordHeartbeat(Heartbeat, Now))
+      Apply(record_endpoint{Heartbeat.Facts});
+  };
+  std::set<std::string> Started;
+  auto PlayRound = [&](auto IsAnswered) {
+    Now += 800ms;
+    ClockMs += 800;
+    Beat("e1");
+    Beat("e2");
     for (const auto &Command : Leader.takeCommands(Now, 1'000'000))
       Apply(Command);
     for (const auto &Order : Leader.takeOrders(Now)) {
+      if (std::holds_alternative<start_order>(Order.Body))
+        Started.insert(Order.EndpointId);
       const auto *Poll = std::get_if<poll_order>(&Order.Body);
-      IsStarted |= std::holds_alternative<start_order>(Order.Body);
-      // Only checks are answered in time; other polls stay pending.
-      if (!Poll || Poll->WaitMs > 0)
+      if (!Poll || !IsAnswered(Order, *Poll))
         continue;
       endpoint_answer Answer;
       Answer.Verdict = endpoint_verdict::Accepted;
-      Answer.ClockMs = Heartbeat.ClockMs;
+      Answer.ClockMs = ClockMs;
       Answer.IncarnationMs = 1;
       Leader.finishOrder({Order.Id, std::move(Answer)}, Now);
     }
-  }
-  CHECK(IsStarted);
+  };
+  Beat("e1");
+  Beat("e2");
+  // Only the first endpoint has answered when the job comes.
+  PlayRound([](const order &Order, const poll_order &) {
+    return Order.EndpointId == "e1";
+  });
+  auto Job = makeLongRunningJob("j", 2, IsGang);
+  Job.Steps[0].MaxPerEndpoint = 1;
+  Apply(submission(Job));
+  for (int Round = 0; Round != 6; ++Round)
+    PlayRound(
+        [](const order &, const poll_order &Poll) { return Poll.WaitMs == 0; });
+  CHECK(Started == std::set<std::string>{"e1", "e2"});
 }
