Count contact from the time at which it was asked

Cause: the answer to a contact check counted as recent when the leader read it, also if the endpoint was found to be lost in between; it cleared the suspicion. Change: contact counts from the sending of the check; one that was sent before the endpoint became suspect, or to one that was replaced, changes nothing; only an endpoint without runs becomes suspect by it, and the age of its last list stays as it was.

--- a/scheduling/leader.h
+++ b/scheduling/leader.h
@@ -252,7 +252,7 @@
   void addContactCheck(tracked_endpoint &Tracked, std::vector<order> &Orders,
                        core::time_point Now);
   void finishContactCheck(tracked_endpoint &Tracked, const order_result &Result,
-                          core::time_point Now);
+                          core::time_point SentAt, core::time_point Now);
 
   // leader_load.cpp
   /// Whether a pool has an endpoint that accepts new runs, by pool.
--- a/scheduling/leader_contact.cpp
+++ b/scheduling/leader_contact.cpp
@@ -33,9 +33,9 @@
   // Rounds of a leader that waits for its disk may be further apart than
   // MaxContactAge. The first round after an answer uses it all the same, or a
   // task would wait without end.
-  return Tracked.LastAnswer != core::time_point() &&
-         (Now - Tracked.LastAnswer <= MaxContactAge ||
-          Tracked.LastAnswer >= PlacementBefore);
+  auto LastContact = std::max(Tracked.LastAnswer, Tracked.LastContact);
+  return LastContact != core::time_point() &&
+         (Now - LastContact <= MaxContactAge || LastContact >= PlacementBefore);
 }
 
 bool leader::isUnanswered(const tracked_endpoint &Tracked,
@@ -106,11 +106,23 @@
 
 void leader::finishContactCheck(tracked_endpoint &Tracked,
                                 const order_result &Result,
-                                core::time_point Now) {
+                                core::time_point SentAt, core::time_point Now) {
   Tracked.PendingContactCheck.reset();
   IsPlacementDue = true;
-  // Its lists are not read: an answer to a poll that is pending may be newer.
-  recordPollAnswer(Tracked, "contact_check", Result, Now);
+  // The endpoint may have answered before it was lost or replaced.
+  if (Tracked.IsReplaced || (Tracked.IsSuspect && Tracked.SuspectedAt > SentAt))
+    return;
+  // Polls have more time and tell whether an endpoint with runs is out of
+  // reach.
+  bool HasAnswer = std::holds_alternative<endpoint_answer>(Result.Answer);
+  if (!HasAnswer && !Tracked.Runs.empty())
+    return;
+  // Its list is not read, because an answer to a pending poll may be newer, so
+  // that it does not make an earlier list count as recent.
+  auto LastAnswer = Tracked.LastAnswer;
+  if (recordPollAnswer(Tracked, "contact_check", Result, Now))
+    Tracked.LastContact = SentAt;
+  Tracked.LastAnswer = LastAnswer;
 }
 
 } // namespace lycheetrestle::scheduling
--- a/scheduling/leader_results.cpp
+++ b/scheduling/leader_results.cpp
@@ -120,7 +120,7 @@
   else if (const auto *Stop = std::get_if<stop_order>(&Pending.Order.Body))
     finishStop(Tracked->second, *Stop, Result, Now);
   else if (Tracked->second.PendingContactCheck == Result.Id)
-    finishContactCheck(Tracked->second, Result, Now);
+    finishContactCheck(Tracked->second, Result, Pending.SentAt, Now);
   else if (const auto *Poll = std::get_if<poll_order>(&Pending.Order.Body))
     finishPoll(Tracked->second, *Poll, Result, Pending.SentAt, Now);
   else if (const auto *Throttle =
--- a/scheduling/tracked_endpoint.h
+++ b/scheduling/tracked_endpoint.h
@@ -197,6 +197,8 @@
   bool IsContactCheckDue = false;
   std::optional<std::uint64_t> PendingContactCheck; ///< Id of the order.
   core::time_point ContactCheckSentAt{};            ///< While it is pending.
+  /// When the newest contact check that was answered was sent, or zero.
+  core::time_point LastContact{};
 
   /// When orders are collected next; an event makes it earlier.
   core::time_point DueAt{};
--- a/tests/scheduling/test_contact_checks.cpp
+++ b/tests/scheduling/test_contact_checks.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -165,3 +166,49 @@
         [](const order &, const poll_order &Poll) { return Poll.WaitMs == 0; });
   CHECK(Started == std::set<std::string>{"e1", "e2"});
 }
+
+TEST_CASE("an answer that an endpoint gave before it was lost does not put a "
+          "long-running task on it") {
+  core::time_point Now{1000s};
+  core::metrics_registry Metrics;
+  auto State = makeState(0);
+  leader Leader(leader_settings(), 1, State, Metrics, Now);
+  auto Apply = [&](const command &Command) {
+    Leader.recordApplied(Command, State.apply(Command, 1'000'000), Now);
+  };
+  endpoint_heartbeat Heartbeat;
+  Heartbeat.Facts = makeEndpoint("e1");
+  Heartbeat.Facts.Address = core::network_address::parse("10.0.0.1:80");
+  Heartbeat.Sequence = 1;
+  Heartbeat.ClockMs = 5000;
+  Leader.recordHeartbeat(Heartbeat, Now);
+  Apply(record_endpoint{Heartbeat.Facts});
+  std::optional<std::uint64_t> Poll;
+  std::optional<std::uint64_t> Check;
+  bool IsStarted = false;
+  auto Run = [&](int Steps) {
+    for (; Steps > 0; --Steps, Now += 10ms) {
+      for (const auto &Command : Leader.takeCommands(Now, 1'000'000))
+        Apply(Command);
+      for (const auto &Order : Leader.takeOrders(Now)) {
+        IsStarted |= std::holds_alternative<start_order>(Order.Body);
+        (Poll ? Check : Poll) = Order.Id;
+      }
+    }
+  };
+  Run(1);
+  REQUIRE(Poll);
+  Apply(submission(makeLongRunningJob("j", 1)));
+  Run(5);
+  REQUIRE(Check);
+  auto Answered = *Check;
+  Leader.finishOrder({*Poll, no_answer{true, "timeout"}}, Now);
+  Run(2);
+  endpoint_answer Answer;
+  Answer.Verdict = endpoint_verdict::Accepted;
+  Answer.ClockMs = 5000;
+  Answer.IncarnationMs = 1;
+  Leader.finishOrder({Answered, std::move(Answer)}, Now);
+  Run(30);
+  CHECK_FALSE(IsStarted);
+}
